--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Root build. Targets: all, check, lint, format, bench, demo, fuzz, capacity,
+# install, generate, clean. MODE is release, asan or tsan.
+
+PACKAGES := base schema loop store config steer limit claim wire member \
+	spread observe proxy
+PROGRAMS := primroseleadd primroselead
+MODE ?= release
+
+include mk/flags.mk
+include mk/packages.mk
+include mk/programs.mk
+include mk/tests.mk
+include mk/lint.mk
+include mk/install.mk
+
+.PHONY: all generate clean demo
+all: $(LIBRARIES) $(BINARIES) $(STANDINS) $(EXAMPLES)
+
+generate:
+	tools/generate
+
+demo:
+	tools/setup
+	tools/demo
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/claim/src/segment.h
@@ -0,0 +1,24 @@
+#ifndef CLAIM_SEGMENT_H
+#define CLAIM_SEGMENT_H
+
+#include <primroselead/claim.h>
+
+/** First line of a segment. */
+struct segment_head {
+	int64_t sequence;
+	/** No more records may be added. */
+	int sealed;
+	int64_t written_ms;
+	int nrecord;
+};
+
+/** Writes a segment; returns its length, or 0 if it has no room. */
+size_t segment_write(char *text, size_t size, const struct segment_head *h,
+		     const struct claim_record *r);
+
+/** Reads a segment with at most CLAIM_SEGMENT_RECORDS records. */
+enum prl_code segment_read(const struct claim_segment *s,
+			   struct segment_head *h, struct claim_record *r,
+			   struct prl_error *err);
+
+#endif
--- /dev/null
+++ b/claim/src/shard.c
@@ -0,0 +1,324 @@
+#include "segment.h"
+#include "table.h"
+#include <string.h>
+
+enum prl_code claim_init(struct claim_shard *s, int64_t retention_ms,
+			 struct prl_error *err)
+{
+	memset(s, 0, sizeof(*s));
+	s->retention_ms = retention_ms;
+	if (claim_table_init(&s->table))
+		return prl_fail(err, PRL_E_MEMORY, "claim shard");
+	return PRL_OK;
+}
+
+void claim_finish(struct claim_shard *s)
+{
+	claim_table_finish(&s->table);
+}
+
+int claim_shard_of(struct prl_hash128 key, int nshards)
+{
+	return (int)(key.high % (uint64_t)nshards);
+}
+
+const struct claim_record *claim_find(const struct claim_shard *s,
+				      struct prl_hash128 key)
+{
+	const struct claim_entry *e = claim_table_find(&s->table, key);
+
+	return e ? &e->record : NULL;
+}
+
+int claim_waiting(const struct claim_shard *s)
+{
+	return s->npending > 0;
+}
+
+static void answer(struct claim_shard *s, uint64_t waiter,
+		   enum claim_verdict verdict, const struct claim_record *r,
+		   enum prl_code code)
+{
+	/* Notes have no waiter. The table has room: each answer frees one
+	 * pending record and claim_submit counts both. */
+	if (!waiter)
+		return;
+	s->answer[s->nanswer++] = (struct claim_answer){.verdict = verdict,
+							.record = *r,
+							.code = code,
+							.waiter = waiter};
+}
+
+int claim_take(struct claim_shard *s, struct claim_answer *out)
+{
+	if (!s->nanswer)
+		return 0;
+	*out = s->answer[0];
+	s->nanswer--;
+	memmove(s->answer, s->answer + 1, (size_t)s->nanswer * sizeof(*out));
+	return 1;
+}
+
+/* Answers a record from what is settled. Returns 0 if it must be written. */
+static int settle(struct claim_shard *s, const struct claim_record *r,
+		  uint64_t waiter)
+{
+	const struct claim_record *have = claim_find(s, r->key);
+
+	if (!have)
+		return 0;
+	int mine = have && have->token == r->token;
+	enum claim_verdict verdict = CLAIM_TAKEN;
+
+	if (!have)
+		return 0;
+	if (mine && have->status == CLAIM_OPEN && r->status != CLAIM_OPEN)
+		return 0;
+	if (!mine && have->status == CLAIM_VOID && r->status == CLAIM_OPEN)
+		return 0;
+	/* A repeat of a claim whose answer was lost. */
+	if (mine && have->status == CLAIM_OPEN)
+		verdict = CLAIM_GRANTED;
+	answer(s, waiter, verdict, have, PRL_OK);
+	return 1;
+}
+
+enum prl_code claim_submit(struct claim_shard *s, const struct claim_record *r,
+			   uint64_t waiter)
+{
+	if (s->npending + s->nanswer >= CLAIM_PENDING_MAX)
+		return PRL_E_LIMIT;
+	s->pending[s->npending] = *r;
+	s->waiter[s->npending] = waiter;
+	s->npending++;
+	return PRL_OK;
+}
+
+static void drop_pending(struct claim_shard *s, int i)
+{
+	size_t n = (size_t)(s->npending - i - 1);
+
+	memmove(&s->pending[i], &s->pending[i + 1], n * sizeof(s->pending[0]));
+	memmove(&s->waiter[i], &s->waiter[i + 1], n * sizeof(s->waiter[0]));
+	s->npending--;
+}
+
+static int key_in_batch(const struct claim_shard *s, int n,
+			struct prl_hash128 key)
+{
+	for (int i = 0; i < n; i++)
+		if (s->pending[i].key.low == key.low &&
+		    s->pending[i].key.high == key.high)
+			return 1;
+	return 0;
+}
+
+/* Number of pending records, from the first, that one write may hold: no key
+ * stands in it twice, so the second request for a key waits for the first. */
+static int choose_batch(struct claim_shard *s)
+{
+	int room = CLAIM_SEGMENT_RECORDS - s->nsegment;
+	int n = 0;
+
+	while (n < s->npending && n < room) {
+		if (settle(s, &s->pending[n], s->waiter[n])) {
+			drop_pending(s, n);
+			continue;
+		}
+		if (key_in_batch(s, n, s->pending[n].key))
+			break;
+		n++;
+	}
+	return n;
+}
+
+static void refuse_claims(struct claim_shard *s, enum prl_code code)
+{
+	int i = 0;
+
+	while (i < s->npending) {
+		if (s->pending[i].status != CLAIM_OPEN) {
+			i++;
+			continue;
+		}
+		answer(s, s->waiter[i], CLAIM_REFUSED, &s->pending[i], code);
+		drop_pending(s, i);
+	}
+}
+
+/* The slot may still hold records that must be remembered. */
+static int slot_is_free(const struct claim_shard *s, int64_t wall_ms)
+{
+	const struct claim_slot *slot = &s->slot[s->head % CLAIM_SEGMENTS];
+
+	if (!slot->version || slot->sequence == s->head)
+		return 1;
+	return slot->written_ms + s->retention_ms < wall_ms;
+}
+
+static void write_batch(struct claim_shard *s, int n, int64_t wall_ms)
+{
+	struct segment_head h = {
+		.sequence = s->head,
+		.written_ms = wall_ms,
+		.nrecord = s->nsegment + n,
+	};
+
+	memcpy(&s->segment[s->nsegment], s->pending,
+	       (size_t)n * sizeof(s->segment[0]));
+	s->seals = h.nrecord == CLAIM_SEGMENT_RECORDS;
+	h.sealed = s->seals;
+	s->len = segment_write(s->text, sizeof(s->text), &h, s->segment);
+	s->writing = n;
+	s->state = CLAIM_WRITING;
+}
+
+enum claim_work claim_next(struct claim_shard *s, int64_t wall_ms,
+			   struct claim_write *w)
+{
+	int n;
+
+	if (s->state == CLAIM_LOADING || s->state == CLAIM_WRITING ||
+	    !s->npending)
+		return CLAIM_IDLE;
+	if (s->state == CLAIM_UNLOADED) {
+		s->state = CLAIM_LOADING;
+		return CLAIM_LOAD;
+	}
+	n = choose_batch(s);
+	if (!n)
+		return CLAIM_IDLE;
+	if (!slot_is_free(s, wall_ms)) {
+		refuse_claims(s, PRL_E_FULL);
+		return CLAIM_IDLE;
+	}
+	write_batch(s, n, wall_ms);
+	w->slot = (int)(s->head % CLAIM_SEGMENTS);
+	w->version = s->slot[w->slot].version;
+	w->text = s->text;
+	w->len = s->len;
+	return CLAIM_WRITE;
+}
+
+static void open_next_segment(struct claim_shard *s)
+{
+	s->head++;
+	s->nsegment = 0;
+	s->seals = 0;
+}
+
+void claim_written(struct claim_shard *s, int64_t version, int64_t wall_ms)
+{
+	struct claim_slot *slot = &s->slot[s->head % CLAIM_SEGMENTS];
+	int n = s->writing;
+
+	if (slot->version && slot->sequence != s->head)
+		claim_table_expire(&s->table, slot->sequence);
+	slot->version = version;
+	slot->sequence = s->head;
+	slot->written_ms = wall_ms;
+	s->state = CLAIM_READY;
+	s->writing = 0;
+	s->nsegment += n;
+	for (int i = 0; i < n; i++) {
+		const struct claim_record *r = &s->pending[0];
+
+		if (claim_table_set(&s->table, r, s->head)) {
+			/* What was not noted may be run twice: start over. */
+			claim_unload(s);
+			return;
+		}
+		answer(s, s->waiter[0], CLAIM_GRANTED, r, PRL_OK);
+		drop_pending(s, 0);
+	}
+	if (s->seals)
+		open_next_segment(s);
+}
+
+void claim_unload(struct claim_shard *s)
+{
+	s->state = CLAIM_UNLOADED;
+	s->writing = 0;
+}
+
+void claim_conflict(struct claim_shard *s)
+{
+	claim_unload(s);
+}
+
+void claim_unsettled(struct claim_shard *s)
+{
+	claim_unload(s);
+}
+
+void claim_failed(struct claim_shard *s, enum prl_code code)
+{
+	claim_unload(s);
+	refuse_claims(s, code);
+}
+
+static enum prl_code load_segment(struct claim_shard *s,
+				  const struct claim_segment *seg,
+				  struct prl_error *err)
+{
+	struct claim_record record[CLAIM_SEGMENT_RECORDS];
+	struct claim_slot *slot = &s->slot[seg->slot];
+	struct segment_head h;
+	enum prl_code rc = segment_read(seg, &h, record, err);
+
+	if (rc)
+		return rc;
+	slot->version = seg->version;
+	slot->sequence = h.sequence;
+	slot->written_ms = h.written_ms;
+	for (int i = 0; i < h.nrecord; i++) {
+		const struct claim_entry *e =
+			claim_table_find(&s->table, record[i].key);
+
+		/* Segments come in any order; the newest record counts. */
+		if (e && e->sequence > h.sequence)
+			continue;
+		if (claim_table_set(&s->table, &record[i], h.sequence))
+			return prl_fail(err, PRL_E_MEMORY, "claim shard");
+	}
+	if (h.sequence < s->head)
+		return PRL_OK;
+	s->head = h.sequence;
+	s->nsegment = h.nrecord;
+	s->seals = h.sealed;
+	memcpy(s->segment, record, sizeof(record));
+	return PRL_OK;
+}
+
+enum prl_code claim_loaded(struct claim_shard *s,
+			   const struct claim_segment *seg, int n,
+			   struct prl_error *err)
+{
+	enum prl_code rc = PRL_OK;
+
+	claim_table_finish(&s->table);
+	if (claim_table_init(&s->table)) {
+		claim_failed(s, PRL_E_MEMORY);
+		return prl_fail(err, PRL_E_MEMORY, "claim shard");
+	}
+	memset(s->slot, 0, sizeof(s->slot));
+	s->head = 0;
+	s->nsegment = 0;
+	s->seals = 0;
+	for (int i = 0; !rc && i < n; i++) {
+		if (seg[i].slot < 0 || seg[i].slot >= CLAIM_SEGMENTS)
+			rc = prl_fail(err, PRL_E_PROTOCOL,
+				      "claim segment %d: slot is out of range",
+				      seg[i].slot);
+		else
+			rc = load_segment(s, &seg[i], err);
+	}
+	if (rc) {
+		claim_failed(s, rc);
+		return rc;
+	}
+	s->state = CLAIM_READY;
+	if (s->seals)
+		open_next_segment(s);
+	return PRL_OK;
+}
--- /dev/null
+++ b/cmd/primroselead/check.c
@@ -0,0 +1,34 @@
+#include "command.h"
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+int command_check(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 1, 1024, "service files");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, files, end};
+	struct command c = {0};
+	struct service_file *read;
+	enum prl_code rc;
+	int status;
+
+	if (!command_parse(argc, argv, table,
+			   "Checks service files and prints every fault.",
+			   &status))
+		return status;
+	if (command_open(&c, NULL))
+		return command_fail(&c.err);
+	read = calloc((size_t)files->count, sizeof(*read));
+	if (!read)
+		return prl_code_exit(PRL_E_MEMORY);
+	rc = command_read(&c, files->filename, files->count, read);
+	if (!rc)
+		printf("%d files are valid\n", files->count);
+	free(read);
+	command_close(&c);
+	arg_freetable(table, 3);
+	return prl_code_exit(rc);
+}
--- /dev/null
+++ b/cmd/primroselead/command.c
@@ -0,0 +1,178 @@
+#include "command.h"
+#include <apr_strings.h>
+#include <argtable2.h>
+#include <primroselead/clock.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int command_fail(const struct prl_error *err)
+{
+	fprintf(stderr, "primroselead: %s (%s)\n", err->text,
+		prl_code_name(err->code));
+	return prl_code_exit(err->code);
+}
+
+int command_parse(int argc, char **argv, void **table, const char *help,
+		  int *exit_status)
+{
+	struct arg_lit *wants_help = table[0];
+	struct arg_end *end;
+	int last = 0;
+	int faults;
+
+	while (!(((struct arg_hdr *)table[last])->flag & ARG_TERMINATOR))
+		last++;
+	end = table[last];
+	faults = arg_parse(argc, argv, table);
+	*exit_status = 0;
+	if (!faults && !wants_help->count)
+		return 1;
+	if (!wants_help->count) {
+		arg_print_errors(stderr, end, argv[0]);
+		*exit_status = prl_code_exit(PRL_E_USAGE);
+	}
+	printf("Usage: primroselead %s", argv[0]);
+	arg_print_syntax(stdout, table, "\n");
+	printf("%s\n", help);
+	arg_print_glossary(stdout, table, "  %-26s %s\n");
+	return 0;
+}
+
+enum prl_code command_open(struct command *c, const char *store)
+{
+	const char *named = getenv(STORE_VARIABLE);
+
+	if (!store)
+		store = named ? named : DEFAULT_STORE;
+	if (apr_pool_create(&c->pool, NULL))
+		return prl_fail(&c->err, PRL_E_MEMORY, "memory pool");
+	if (loop_init(&c->loop, &c->err) ||
+	    fetch_pool_init(&c->fetches, &c->loop, &c->err))
+		return c->err.code;
+	store_init(&c->store, &c->fetches, store);
+	return PRL_OK;
+}
+
+void command_close(struct command *c)
+{
+	fetch_pool_finish(&c->fetches);
+	loop_finish(&c->loop);
+	apr_pool_destroy(c->pool);
+}
+
+enum prl_code command_get(struct command *c, const char *key,
+			  struct store_call *call)
+{
+	memset(call, 0, sizeof(*call));
+	call->op = STORE_GET;
+	snprintf(call->key, sizeof(call->key), "%s", key);
+	call->deadline = prl_now_ms() + CALL_MS;
+	if (store_call_wait(&c->store, &c->loop, call))
+		c->err = call->err;
+	return call->err.code;
+}
+
+struct page {
+	apr_pool_t *pool;
+	char *text;
+	size_t len;
+};
+
+static size_t on_page(char *data, size_t size, size_t n, void *ctx)
+{
+	struct page *p = ctx;
+	char *bigger = apr_palloc(p->pool, p->len + size * n + 1);
+
+	if (!bigger)
+		return 0;
+	if (p->len)
+		memcpy(bigger, p->text, p->len);
+	memcpy(bigger + p->len, data, size * n);
+	p->text = bigger;
+	p->len += size * n;
+	p->text[p->len] = 0;
+	return size * n;
+}
+
+enum prl_code command_fetch(struct command *c, const char *address,
+			    const char *path, char **text)
+{
+	struct page page = {.pool = c->pool, .text = ""};
+	CURL *easy = curl_easy_init();
+	char url[512];
+	CURLcode rc;
+	long status = 0;
+
+	if (!easy)
+		return prl_fail(&c->err, PRL_E_MEMORY, "HTTP client");
+	snprintf(url, sizeof(url), "http://%s%s", address, path);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_page);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &page);
+	rc = curl_easy_perform(easy);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	*text = page.text;
+	if (rc)
+		return prl_fail(&c->err, PRL_E_IO, "VM at %s: %s", address,
+				curl_easy_strerror(rc));
+	if (status != 200)
+		return prl_fail(&c->err, PRL_E_NOT_READY,
+				"VM at %s answered %ld: %.200s", address,
+				status, page.text);
+	return PRL_OK;
+}
+
+static void print_faults(const struct prl_faults *f)
+{
+	char line[512];
+
+	for (int i = 0; i < f->n; i++) {
+		prl_fault_format(f, i, line, sizeof(line));
+		fprintf(stderr, "%s\n", line);
+	}
+	if (f->dropped)
+		fprintf(stderr, "%s: %d more faults\n", f->file, f->dropped);
+}
+
+static enum prl_code read_one(struct command *c, const char *path,
+			      struct service_file *out)
+{
+	static struct prl_faults faults;
+	enum prl_code rc;
+	char *text;
+	size_t len;
+
+	memset(&faults, 0, sizeof(faults));
+	snprintf(faults.file, sizeof(faults.file), "%s", path);
+	out->path = path;
+	rc = prl_file_read(path, CONFIG_FILE_MAX, c->pool, &text, &len,
+			   &c->err);
+	if (rc)
+		return rc;
+	out->text = text;
+	rc = config_service(text, len, &out->service, c->pool, &faults,
+			    &c->err);
+	print_faults(&faults);
+	return rc;
+}
+
+enum prl_code command_read(struct command *c, const char *const *paths, int n,
+			   struct service_file *out)
+{
+	enum prl_code worst = PRL_OK;
+
+	/* All files are read, so that every fault is known at once. */
+	for (int i = 0; i < n; i++) {
+		enum prl_code rc = read_one(c, paths[i], &out[i]);
+
+		if (rc && rc != PRL_E_CONFIG)
+			command_fail(&c->err);
+		if (rc)
+			worst = rc;
+	}
+	return worst;
+}
--- /dev/null
+++ b/cmd/primroselead/publish.c
@@ -0,0 +1,294 @@
+#include "command.h"
+#include <apr_strings.h>
+#include <argtable2.h>
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* Reads made to settle a write whose answer was lost. */
+#define SETTLE_READS 5
+
+/* Time between two of them, in milliseconds. */
+#define SETTLE_MS 300
+
+/* One file on its way. */
+struct publication {
+	const struct service_file *file;
+	const char *by;
+	char key[STORE_KEY_MAX];
+	int64_t expected;
+	int64_t version;
+	struct config_history history;
+	/** File text in force now; empty if there is none. */
+	char *before;
+	char *value;
+};
+
+static void sleep_ms(struct command *c, int64_t ms)
+{
+	int64_t until = prl_now_ms() + ms;
+
+	while (prl_now_ms() < until)
+		loop_once(&c->loop, until);
+}
+
+static void new_id(char *id, size_t size)
+{
+	uint64_t r = 0;
+
+	if (getrandom(&r, sizeof(r), 0) < 0)
+		r = (uint64_t)prl_now_us();
+	snprintf(id, size, "%016llx", (unsigned long long)r);
+}
+
+/* Reads what is in force and puts the new publication before it. */
+static enum prl_code prepare(struct command *c, struct publication *p)
+{
+	struct config_publication entry = {.at_ms = prl_wall_ms()};
+	struct store_call call;
+	enum prl_code rc;
+
+	snprintf(p->key, sizeof(p->key), STORE_PREFIX_SERVICE "%s",
+		 p->file->service.service.name);
+	rc = command_get(c, p->key, &call);
+	if (rc && rc != PRL_E_NOT_FOUND)
+		return rc;
+	if (!rc) {
+		p->version = call.object[0].version;
+		p->before =
+			apr_pstrdup(c->pool, config_unwrap(call.object[0].value,
+							   &p->history));
+	}
+	store_call_finish(&call);
+	if (p->expected < 0)
+		p->expected = p->version;
+	new_id(entry.id, sizeof(entry.id));
+	entry.replaced = p->expected;
+	snprintf(entry.by, sizeof(entry.by), "%s", p->by);
+	entry.digest = prl_hash_name(p->file->text);
+	config_history_add(&p->history, &entry);
+	p->value = config_wrap(&p->history, p->file->text);
+	return PRL_OK;
+}
+
+/*
+ * An answer was lost. The object is read until it shows this publication, or
+ * another one, or until it has stayed as it was for a while. Nothing is
+ * written a second time.
+ */
+static enum prl_code settle(struct command *c, struct publication *p)
+{
+	struct config_history found;
+	struct store_call call;
+	enum prl_code rc;
+
+	for (int i = 0; i < SETTLE_READS; i++) {
+		sleep_ms(c, SETTLE_MS);
+		rc = command_get(c, p->key, &call);
+		if (rc == PRL_E_NOT_FOUND)
+			continue;
+		if (rc)
+			continue;
+		config_unwrap(call.object[0].value, &found);
+		p->version = call.object[0].version;
+		store_call_finish(&call);
+		for (int k = 0; k < found.n; k++)
+			if (!strcmp(found.entry[k].id, p->history.entry[0].id))
+				return PRL_OK;
+		if (p->version != p->expected)
+			return prl_fail(&c->err, PRL_E_CONFLICT,
+					"service \"%s\": version %lld was "
+					"expected, version %lld is in force",
+					p->file->service.service.name,
+					(long long)p->expected,
+					(long long)p->version);
+	}
+	return prl_fail(&c->err, PRL_E_UNSETTLED,
+			"service \"%s\": the store did not confirm the write; "
+			"version %lld was in force before",
+			p->file->service.service.name, (long long)p->expected);
+}
+
+static enum prl_code write_file(struct command *c, struct publication *p)
+{
+	struct store_call call = {
+		.op = STORE_PUT,
+		.version = p->expected,
+		.value = p->value,
+		.len = strlen(p->value),
+		.deadline = prl_now_ms() + CALL_MS,
+	};
+	enum prl_code rc;
+
+	memcpy(call.key, p->key, sizeof(call.key));
+	rc = store_call_wait(&c->store, &c->loop, &call);
+	p->version = call.revision;
+	store_call_finish(&call);
+	if (rc == PRL_E_UNSETTLED)
+		return settle(c, p);
+	if (rc == PRL_E_CONFLICT)
+		return prl_fail(&c->err, rc,
+				"service \"%s\": version %lld was expected, "
+				"version %lld is in force",
+				p->file->service.service.name,
+				(long long)p->expected, (long long)p->version);
+	if (rc)
+		c->err = call.err;
+	return rc;
+}
+
+static int is_in(const char *text, const char *line, size_t len)
+{
+	const char *at = text;
+
+	while (at && *at) {
+		size_t n = strcspn(at, "\n");
+
+		if (n == len && !strncmp(at, line, len))
+			return 1;
+		at += n;
+		at += *at == '\n';
+	}
+	return 0;
+}
+
+static void print_lines(const char *from, const char *other, char sign)
+{
+	while (*from) {
+		size_t n = strcspn(from, "\n");
+
+		if (n && !is_in(other, from, n))
+			printf("%c %.*s\n", sign, (int)n, from);
+		from += n;
+		from += *from == '\n';
+	}
+}
+
+static void print_moves(const struct prl_service *s)
+{
+	if (s->shift.line && s->shift.state == PRL_SHIFT_STATE_FORWARD)
+		printf("will move up to %lld permille from %s to %s, %lld "
+		       "permille every %lld ms\n",
+		       (long long)s->shift.cap, s->shift.from, s->shift.to,
+		       (long long)s->shift.step, (long long)s->shift.pace);
+	for (int i = 0; i < s->nupstream; i++)
+		if (s->upstream[i].state == PRL_UPSTREAM_STATE_DRAIN)
+			printf("will drain upstream %s in %s\n",
+			       s->upstream[i].address, s->upstream[i].region);
+}
+
+static void print_plan(const struct publication *p, int json)
+{
+	const char *name = p->file->service.service.name;
+
+	if (json) {
+		printf("{\"service\":\"%s\",\"version\":%lld,\"dry_run\":true}"
+		       "\n",
+		       name, (long long)p->expected);
+		return;
+	}
+	printf("service %s, version %lld in force\n", name,
+	       (long long)p->expected);
+	print_lines(p->before ? p->before : "", p->file->text, '-');
+	print_lines(p->file->text, p->before ? p->before : "", '+');
+	print_moves(&p->file->service);
+}
+
+static void print_done(const struct publication *p, int json)
+{
+	const char *text =
+		json ? "{\"service\":\"%s\",\"replaced\":%lld,\"version\":%lld}"
+		       "\n"
+		     : "service %s: version %lld replaced by version %lld\n";
+
+	printf(text, p->file->service.service.name, (long long)p->expected,
+	       (long long)p->version);
+}
+
+static enum prl_code publish_one(struct command *c, struct publication *p,
+				 int dry_run)
+{
+	enum prl_code rc = prepare(c, p);
+
+	if (rc)
+		return rc;
+	if (dry_run) {
+		print_plan(p, c->json);
+		return PRL_OK;
+	}
+	rc = write_file(c, p);
+	if (!rc)
+		print_done(p, c->json);
+	return rc;
+}
+
+static enum prl_code publish_all(struct command *c,
+				 const struct service_file *read, int n,
+				 struct publication *base, int dry_run)
+{
+	enum prl_code worst = PRL_OK;
+
+	for (int i = 0; i < n; i++) {
+		struct publication p = *base;
+		enum prl_code rc;
+
+		p.file = &read[i];
+		rc = publish_one(c, &p, dry_run);
+		g_free(p.value);
+		if (!rc)
+			continue;
+		command_fail(&c->err);
+		worst = rc;
+	}
+	return worst;
+}
+
+int command_publish(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_lit *dry = arg_lit0("n", "dry-run",
+				       "show what would change, write nothing");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_str *store = arg_str0(NULL, "store", "ADDRESS",
+					 "address of the object store");
+	struct arg_str *by = arg_str0(NULL, "by", "NAME", "who publishes");
+	struct arg_int *expect =
+		arg_int0(NULL, "expect", "VERSION",
+			 "version that must be in force; default: as read now");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 1, 1024, "service files");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, dry, json, store, by, expect, files, end};
+	struct publication base = {.expected = -1, .by = "unnamed"};
+	struct command c = {0};
+	struct service_file *read;
+	enum prl_code rc;
+	int status;
+
+	if (!command_parse(argc, argv, table,
+			   "Checks service files and publishes them, each by "
+			   "one conditional update.\nIf any file has a fault, "
+			   "none is published.",
+			   &status))
+		return status;
+	c.json = json->count;
+	if (command_open(&c, store->count ? store->sval[0] : NULL))
+		return command_fail(&c.err);
+	if (by->count)
+		base.by = by->sval[0];
+	if (expect->count)
+		base.expected = expect->ival[0];
+	read = calloc((size_t)files->count, sizeof(*read));
+	if (!read)
+		return prl_code_exit(PRL_E_MEMORY);
+	rc = command_read(&c, files->filename, files->count, read);
+	if (!rc)
+		rc = publish_all(&c, read, files->count, &base, dry->count);
+	free(read);
+	command_close(&c);
+	arg_freetable(table, 8);
+	return prl_code_exit(rc);
+}
--- /dev/null
+++ b/cmd/primroselead/show.c
@@ -0,0 +1,89 @@
+#include "command.h"
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+static enum prl_code get_service(struct command *c, const char *name,
+				 struct store_call *call)
+{
+	char key[STORE_KEY_MAX];
+
+	snprintf(key, sizeof(key), STORE_PREFIX_SERVICE "%s", name);
+	return command_get(c, key, call);
+}
+
+static void print_file(const struct store_call *call, int json)
+{
+	struct config_history h;
+	const char *text = config_unwrap(call->object[0].value, &h);
+
+	(void)json;
+	printf("# version %lld\n%s", (long long)call->object[0].version, text);
+}
+
+static void print_entry(const struct config_publication *p, int json)
+{
+	time_t at = (time_t)(p->at_ms / 1000);
+	char when[32];
+	struct tm tm;
+
+	gmtime_r(&at, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%SZ", &tm);
+	printf(json ? "{\"at\":\"%s\",\"by\":\"%s\",\"id\":\"%s\","
+		      "\"replaced\":%lld,\"digest\":\"%016llx\"}\n"
+		    : "%s by %s, publication %s, replaced version %lld, digest "
+		      "%016llx\n",
+	       when, p->by, p->id, (long long)p->replaced,
+	       (unsigned long long)p->digest);
+}
+
+static void print_history(const struct store_call *call, int json)
+{
+	struct config_history h;
+
+	config_unwrap(call->object[0].value, &h);
+	for (int i = 0; i < h.n; i++)
+		print_entry(&h.entry[i], json);
+}
+
+static int run(int argc, char **argv, const char *text,
+	       void (*print)(const struct store_call *call, int json))
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON lines");
+	struct arg_str *store = arg_str0(NULL, "store", "ADDRESS",
+					 "address of the object store");
+	struct arg_str *name = arg_str1(NULL, NULL, "SERVICE", "the service");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, json, store, name, end};
+	struct command c = {0};
+	struct store_call call;
+	int status;
+
+	if (!command_parse(argc, argv, table, text, &status))
+		return status;
+	if (command_open(&c, store->count ? store->sval[0] : NULL))
+		return command_fail(&c.err);
+	if (get_service(&c, name->sval[0], &call))
+		status = command_fail(&c.err);
+	else
+		print(&call, json->count);
+	store_call_finish(&call);
+	command_close(&c);
+	arg_freetable(table, 5);
+	return status;
+}
+
+int command_show(int argc, char **argv)
+{
+	return run(argc, argv, "Prints a service file as it is published.",
+		   print_file);
+}
+
+int command_history(int argc, char **argv)
+{
+	return run(argc, argv,
+		   "Prints the publications of a service, newest first.",
+		   print_history);
+}
--- /dev/null
+++ b/cmd/primroseleadd/apply.c
@@ -0,0 +1,177 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Beyond the lease and the longest request, a destroyed VM's capacity rests
+ * this much longer before others use it, in milliseconds. */
+#define GONE_MARGIN_MS 2000
+
+static void audit_service(const char *name, int64_t version, int share,
+			  const struct prl_error *err)
+{
+	char number[24];
+	char moved[24];
+
+	snprintf(number, sizeof(number), "%lld", (long long)version);
+	snprintf(moved, sizeof(moved), "%d", share);
+	log_event(LOG_AUDIT_LINE, "config", "service", name, "version", number,
+		  "shift_permille", moved, "error", err->code ? err->text : "",
+		  NULL);
+}
+
+static void build(struct control *c, const char *name)
+{
+	char key[STORE_KEY_MAX];
+	const struct spread_object *o;
+	const struct steer_service *s;
+	struct steer_progress progress;
+	struct prl_error err = {0};
+
+	snprintf(key, sizeof(key), STORE_PREFIX_SHIFT "%s", name);
+	progress = config_progress(spread_find(&c->sync.copy, key));
+	snprintf(key, sizeof(key), STORE_PREFIX_SERVICE "%s", name);
+	o = spread_find(&c->sync.copy, key);
+	if (!o)
+		return;
+	config_build_service(&c->builder, o, &progress, &err);
+	s = config_find(&c->builder, name);
+	audit_service(name, o->version, s ? s->shift.share : 0, &err);
+	c->dirty = 1;
+}
+
+static void build_all(struct control *c)
+{
+	GHashTableIter it;
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	void *name;
+
+	g_hash_table_iter_init(&it, c->builder.services);
+	while (g_hash_table_iter_next(&it, &name, NULL))
+		g_ptr_array_add(names, g_strdup(name));
+	for (guint i = 0; i < names->len; i++)
+		build(c, g_ptr_array_index(names, i));
+	g_ptr_array_free(names, TRUE);
+}
+
+static int64_t longest_deadline(const struct control *c)
+{
+	GHashTableIter it;
+	int64_t most = 0;
+	void *s;
+
+	g_hash_table_iter_init(&it, c->builder.services);
+	while (g_hash_table_iter_next(&it, NULL, &s))
+		if (((struct steer_service *)s)->deadline_ms > most)
+			most = ((struct steer_service *)s)->deadline_ms;
+	return most;
+}
+
+static void note_gone(struct control *c, const char *name)
+{
+	int64_t *at;
+
+	if (g_hash_table_contains(c->gone, name))
+		return;
+	at = g_new(int64_t, 1);
+	*at = prl_now_ms() + c->settings->control.lease + longest_deadline(c) +
+	      GONE_MARGIN_MS;
+	g_hash_table_insert(c->gone, g_strdup(name), at);
+	member_forget(&c->member, name);
+}
+
+/* An entry that was removed no longer says which address it had. */
+static void keep_address(struct control *c, struct config_vm *vm)
+{
+	const char *http = g_hash_table_lookup(c->vm_http, vm->name);
+
+	if (vm->http[0])
+		g_hash_table_replace(c->vm_http, g_strdup(vm->name),
+				     g_strdup(vm->http));
+	else if (http)
+		snprintf(vm->http, sizeof(vm->http), "%s", http);
+}
+
+static void apply_vm(struct control *c, const struct spread_object *o)
+{
+	static const char *const states[] = {"live", "leaving", "gone"};
+	struct prl_error err = {0};
+	struct config_vm vm;
+
+	if (config_vm(o, &vm, &err)) {
+		log_event(LOG_WARNING_LINE, "vm_list", "error", err.text, NULL);
+		return;
+	}
+	if (!c->listed && vm.is_entry)
+		c->listed = 1;
+	keep_address(c, &vm);
+	log_event(LOG_AUDIT_LINE, "vm_list", "name", vm.name, "state",
+		  states[vm.state], "http", vm.http, NULL);
+	if (!strcmp(vm.name, c->settings->vm.name))
+		c->unlisted = vm.state == STEER_GONE;
+	else if (vm.state == STEER_GONE)
+		note_gone(c, vm.name);
+	else
+		g_hash_table_remove(c->gone, vm.name);
+	if (config_note_vm(&c->builder, &vm))
+		build_all(c);
+	c->dirty = 1;
+}
+
+void apply_object(struct control *c, const char *key)
+{
+	const struct spread_object *o = spread_find(&c->sync.copy, key);
+
+	if (g_str_has_prefix(key, STORE_PREFIX_SERVICE))
+		build(c, key + strlen(STORE_PREFIX_SERVICE));
+	else if (g_str_has_prefix(key, STORE_PREFIX_SHIFT))
+		build(c, key + strlen(STORE_PREFIX_SHIFT));
+	else if (g_str_has_prefix(key, STORE_PREFIX_VM))
+		apply_vm(c, o);
+}
+
+static enum steer_state entry_state(const struct control *c,
+				    const struct member_vm *vm)
+{
+	int listed = GPOINTER_TO_INT(
+		g_hash_table_lookup(c->builder.vm_state, vm->http));
+
+	if (vm->state == MEMBER_DEAD)
+		return STEER_GONE;
+	if (vm->state == MEMBER_LEAVING || listed != STEER_ACTIVE)
+		return STEER_LEAVING;
+	return STEER_ACTIVE;
+}
+
+static void add_vm(struct control *c, const struct member_vm *vm,
+		   struct steer_vm *out)
+{
+	out->id = prl_hash_name(vm->name);
+	out->region = config_region(&c->builder, vm->region);
+	out->domain = config_domain(&c->builder, vm->domain);
+	out->state = entry_state(c, vm);
+	memcpy(out->address, vm->http, sizeof(out->address));
+}
+
+void apply_view(struct control *c)
+{
+	struct steer_vm *vm = g_new0(struct steer_vm, (gsize)c->member.n);
+	struct steer_view *v;
+	int n = 0;
+
+	for (int i = 0; i < c->member.n; i++) {
+		if (c->member.peer[i].vm.state == MEMBER_DEAD)
+			continue;
+		add_vm(c, &c->member.peer[i].vm, &vm[n]);
+		if (vm[n].region >= 0)
+			n++;
+	}
+	v = config_build_view(&c->builder, vm, n, c->sync.copy.complete);
+	proxy_set_view(&c->proxy, v);
+	config_view_release(v);
+	g_free(vm);
+	c->dirty = 0;
+}
--- /dev/null
+++ b/cmd/primroseleadd/claims.c
@@ -0,0 +1,392 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time for which another VM is asked before this one writes the claim itself,
+ * and between two repetitions, in milliseconds. */
+#define OWNER_MAX_MS 400
+#define OWNER_REPEAT_MS 100
+
+/* Most writes that may be saved up. */
+#define WRITE_BURST 8
+
+#define THOUSAND 1000
+
+enum prl_code claims_init(struct control *c, struct prl_error *err)
+{
+	c->shard = calloc((size_t)c->settings->control.shards,
+			  sizeof(struct shard *));
+	c->write_credit = WRITE_BURST * THOUSAND;
+	if (!c->shard)
+		return prl_fail(err, PRL_E_MEMORY, "table of claim shards");
+	return PRL_OK;
+}
+
+static struct shard *get_shard(struct control *c, int index)
+{
+	struct shard *s = c->shard[index];
+
+	if (s)
+		return s;
+	s = g_try_new0(struct shard, 1);
+	if (!s)
+		return NULL;
+	s->control = c;
+	s->index = index;
+	if (claim_init(&s->log, c->settings->control.retention, NULL)) {
+		g_free(s);
+		return NULL;
+	}
+	c->shard[index] = s;
+	return s;
+}
+
+/* The VM that writes a shard unless something is wrong; two writers by
+ * mistake only cost each other conflicts. */
+static int owner(const struct control *c, int index)
+{
+	int rank[1];
+
+	if (!member_rank(&c->member, NULL,
+			 prl_hash_pair(prl_hash_name("claim"), (uint64_t)index),
+			 rank, 1))
+		return 0;
+	return rank[0];
+}
+
+static void answer_local(struct proxy_claim *claim,
+			 const struct claim_answer *a)
+{
+	claim->answer = *a;
+	proxy_answer_claim(claim);
+}
+
+static void answer_remote(struct control *c, const struct wire_request *r,
+			  const struct claim_answer *a)
+{
+	struct wire_result result = {.proc = WIRE_CLAIM};
+	struct wire_verdict *v = &result.u.verdict;
+
+	v->verdict = (int)a->verdict;
+	v->code = (int)a->code;
+	v->token = a->record.token;
+	v->status = (int)a->record.status;
+	v->http_status = a->record.code;
+	wire_reply(&c->wire, r, &result, NULL);
+}
+
+static void deliver(struct control *c, const struct claim_answer *a)
+{
+	int64_t id = (int64_t)a->waiter;
+	struct waiter *w = g_hash_table_lookup(c->waiters, &id);
+
+	if (!w)
+		return;
+	switch (w->kind) {
+	case WAITER_LOCAL:
+		answer_local(w->u.local, a);
+		break;
+	case WAITER_REMOTE:
+		answer_remote(c, &w->u.remote, a);
+		break;
+	}
+	g_hash_table_remove(c->waiters, &id);
+}
+
+static void deliver_all(struct shard *s)
+{
+	struct claim_answer a;
+
+	while (claim_take(&s->log, &a))
+		deliver(s->control, &a);
+}
+
+static uint64_t add_waiter(struct control *c, const struct waiter *w)
+{
+	int64_t *id = g_new(int64_t, 1);
+
+	*id = (int64_t)++c->next_waiter;
+	g_hash_table_insert(c->waiters, id, g_memdup2(w, sizeof(*w)));
+	return (uint64_t)*id;
+}
+
+static void pump(struct shard *s);
+
+static int read_slot(const char *key)
+{
+	const char *slash = strrchr(key, '/');
+
+	return slash ? atoi(slash + 1) : -1;
+}
+
+static void load(struct shard *s, const struct store_call *call)
+{
+	struct claim_segment *seg =
+		g_new0(struct claim_segment, (gsize)call->nobject + 1);
+	struct prl_error err;
+
+	for (int i = 0; i < call->nobject; i++) {
+		seg[i].slot = read_slot(call->object[i].key);
+		seg[i].version = call->object[i].version;
+		seg[i].text = call->object[i].value;
+		seg[i].len = call->object[i].len;
+	}
+	if (claim_loaded(&s->log, seg, call->nobject, &err))
+		log_event(LOG_ERROR_LINE, "claims", "error", err.text, NULL);
+	g_free(seg);
+}
+
+static void load_done(struct store_call *call)
+{
+	struct shard *s = call->ctx;
+
+	s->calling = 0;
+	if (call->err.code)
+		claim_failed(&s->log, PRL_E_STORE_DOWN);
+	else
+		load(s, call);
+	store_call_finish(call);
+	deliver_all(s);
+	pump(s);
+}
+
+static void write_done(struct store_call *call)
+{
+	struct shard *s = call->ctx;
+
+	s->calling = 0;
+	switch (call->err.code) {
+	case PRL_OK:
+		claim_written(&s->log, call->revision, prl_wall_ms());
+		break;
+	case PRL_E_CONFLICT:
+		claim_conflict(&s->log);
+		break;
+	case PRL_E_UNSETTLED:
+		claim_unsettled(&s->log);
+		break;
+	default:
+		claim_failed(&s->log, PRL_E_STORE_DOWN);
+		break;
+	}
+	store_call_finish(call);
+	deliver_all(s);
+	pump(s);
+}
+
+static void start_call(struct shard *s, enum store_op op,
+		       const struct claim_write *w)
+{
+	struct control *c = s->control;
+	struct store_call *call = &s->call;
+
+	memset(call, 0, sizeof(*call));
+	call->op = op;
+	call->deadline = prl_now_ms() + c->settings->store.timeout;
+	call->ctx = s;
+	if (op == STORE_LIST) {
+		snprintf(call->key, sizeof(call->key), STORE_PREFIX_CLAIM "%d/",
+			 s->index);
+		call->done = load_done;
+	} else {
+		snprintf(call->key, sizeof(call->key),
+			 STORE_PREFIX_CLAIM "%d/%d", s->index, w->slot);
+		call->version = w->version;
+		call->value = w->text;
+		call->len = w->len;
+		call->done = write_done;
+	}
+	if (store_start(&c->store, call, NULL)) {
+		claim_failed(&s->log, PRL_E_STORE_DOWN);
+		deliver_all(s);
+		return;
+	}
+	s->calling = 1;
+}
+
+/* This VM's part of the writes that the store can bear. When it is used up,
+ * claims gather and the next write carries more of them. */
+static int may_write(struct control *c)
+{
+	int64_t now = prl_now_ms();
+	int64_t rate = c->settings->store.writes * THOUSAND / c->member.n;
+
+	c->write_credit += (now - c->write_credit_at) * rate / THOUSAND;
+	c->write_credit_at = now;
+	if (c->write_credit > (int64_t)WRITE_BURST * THOUSAND)
+		c->write_credit = (int64_t)WRITE_BURST * THOUSAND;
+	return c->write_credit >= THOUSAND;
+}
+
+static void pump(struct shard *s)
+{
+	struct claim_write w;
+
+	if (s->calling || !may_write(s->control))
+		return;
+	switch (claim_next(&s->log, prl_wall_ms(), &w)) {
+	case CLAIM_LOAD:
+		start_call(s, STORE_LIST, NULL);
+		break;
+	case CLAIM_WRITE:
+		s->control->write_credit -= THOUSAND;
+		start_call(s, STORE_PUT, &w);
+		break;
+	case CLAIM_IDLE:
+		break;
+	}
+	deliver_all(s);
+}
+
+void claims_tick(struct control *c, int64_t now)
+{
+	(void)now;
+	for (int i = 0; i < c->settings->control.shards; i++)
+		if (c->shard[i] && claim_waiting(&c->shard[i]->log))
+			pump(c->shard[i]);
+}
+
+static void refuse(struct control *c, const struct claim_record *r,
+		   uint64_t waiter)
+{
+	struct claim_answer a = {.verdict = CLAIM_REFUSED,
+				 .record = *r,
+				 .code = PRL_E_LIMIT,
+				 .waiter = waiter};
+
+	deliver(c, &a);
+}
+
+static void submit(struct control *c, int index, const struct claim_record *r,
+		   uint64_t waiter)
+{
+	struct shard *s = get_shard(c, index);
+
+	if (!s || claim_submit(&s->log, r, waiter)) {
+		refuse(c, r, waiter);
+		return;
+	}
+	pump(s);
+}
+
+static void submit_local(struct control *c, int index,
+			 struct proxy_claim *claim)
+{
+	struct waiter w = {.kind = WAITER_LOCAL, .u.local = claim};
+
+	if (claim->handle) {
+		submit(c, index, &claim->record, add_waiter(c, &w));
+		return;
+	}
+	submit(c, index, &claim->record, 0);
+	g_free(claim);
+}
+
+/* A claim that another VM was asked for. */
+struct asked {
+	struct control *control;
+	struct proxy_claim *claim;
+	int index;
+};
+
+static void asked_done(void *ctx, const struct wire_result *result)
+{
+	struct asked *a = ctx;
+	struct proxy_claim *claim = a->claim;
+	struct claim_answer answer = {0};
+
+	if (!result) {
+		/* The owner may have written it: the token shows that. */
+		submit_local(a->control, a->index, claim);
+	} else if (claim->handle) {
+		const struct wire_verdict *v = &result->u.verdict;
+
+		answer.verdict = (enum claim_verdict)v->verdict;
+		answer.code = (enum prl_code)v->code;
+		answer.record = claim->record;
+		answer.record.token = v->token;
+		answer.record.status = (enum claim_status)v->status;
+		answer.record.code = v->http_status;
+		answer_local(claim, &answer);
+	} else {
+		g_free(claim);
+	}
+	g_free(a);
+}
+
+static void ask_owner(struct control *c, int index, int peer,
+		      struct proxy_claim *claim)
+{
+	struct wire_args args = {.proc = WIRE_CLAIM};
+	struct asked *a = g_new0(struct asked, 1);
+	struct wire_options o = {
+		.deadline = prl_now_ms() + OWNER_MAX_MS,
+		.repeat_ms = OWNER_REPEAT_MS,
+		.done = asked_done,
+		.ctx = a,
+	};
+
+	a->control = c;
+	a->claim = claim;
+	a->index = index;
+	args.u.claim.shard = (u_int)index;
+	args.u.claim.key_high = claim->record.key.high;
+	args.u.claim.key_low = claim->record.key.low;
+	args.u.claim.token = claim->record.token;
+	args.u.claim.status = (int)claim->record.status;
+	args.u.claim.code = claim->record.code;
+	if (wire_call(&c->wire, c->member.peer[peer].vm.rpc, &args, &o, NULL)) {
+		g_free(a);
+		submit_local(c, index, claim);
+	}
+}
+
+void claims_received(void *ctx, void *item)
+{
+	struct control *c = ctx;
+	struct proxy_claim *claim = item;
+	int index = claim_shard_of(claim->record.key,
+				   (int)c->settings->control.shards);
+	int peer = owner(c, index);
+
+	if (peer)
+		ask_owner(c, index, peer, claim);
+	else
+		submit_local(c, index, claim);
+}
+
+void claims_called(struct control *c, const struct wire_request *r,
+		   const struct wire_claim *w)
+{
+	struct waiter waiter = {.kind = WAITER_REMOTE, .u.remote = *r};
+	struct claim_record record = {
+		.key = {.high = w->key_high, .low = w->key_low},
+		.token = w->token,
+		.status = (enum claim_status)w->status,
+		.code = w->code,
+	};
+
+	if (w->shard >= (u_int)c->settings->control.shards ||
+	    w->status < CLAIM_OPEN || w->status > CLAIM_VOID || !w->token)
+		return;
+	submit(c, (int)w->shard, &record, add_waiter(c, &waiter));
+}
+
+void claims_finish(struct control *c)
+{
+	for (int i = 0; i < c->settings->control.shards; i++) {
+		struct shard *s = c->shard[i];
+
+		if (!s)
+			continue;
+		if (s->calling)
+			store_cancel(&s->call);
+		claim_finish(&s->log);
+		g_free(s);
+	}
+	free(c->shard);
+}
--- /dev/null
+++ b/cmd/primroseleadd/control.c
@@ -0,0 +1,202 @@
+#include "control.h"
+#include <errno.h>
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/log.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+/* Shortest and longest pause between two tries, in milliseconds. */
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 10000
+
+/* Doublings until the longest pause. */
+#define BACKOFF_DOUBLINGS 7
+
+/* Time between two status texts, in milliseconds. */
+#define STATUS_MS 200
+
+uint64_t control_random(void)
+{
+	uint64_t r = 0;
+
+	if (getrandom(&r, sizeof(r), 0) != sizeof(r))
+		return prl_hash_pair((uint64_t)prl_now_us(),
+				     (uint64_t)getpid());
+	return r;
+}
+
+void backoff_later(struct backoff *b, int64_t now)
+{
+	int n = b->tries < BACKOFF_DOUBLINGS ? b->tries : BACKOFF_DOUBLINGS;
+	int64_t pause = (int64_t)BACKOFF_MIN_MS << n;
+
+	if (pause > BACKOFF_MAX_MS)
+		pause = BACKOFF_MAX_MS;
+	b->tries++;
+	/* Half is fixed and half random, so that VMs do not come together. */
+	pause = pause / 2 + (int64_t)(control_random() % (uint64_t)pause);
+	b->next = now + pause;
+}
+
+void backoff_reset(struct backoff *b)
+{
+	b->tries = 0;
+	b->next = 0;
+}
+
+static void on_signal(struct loop_fd *f, uint32_t events)
+{
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(f->fd, &info, sizeof(info)) == sizeof(info))
+		leave_begin(f->ctx);
+}
+
+static enum prl_code watch_signals(struct control *c, struct prl_error *err)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	c->signals.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (c->signals.fd < 0)
+		return prl_fail(err, PRL_E_IO, "signalfd: %s", strerror(errno));
+	c->signals.ready = on_signal;
+	c->signals.ctx = c;
+	return loop_add(&c->loop, &c->signals, EPOLLIN, err);
+}
+
+/* A gap between ticks means that the process was paused: others may have
+ * taken over its capacity, so it reads the ledgers before it goes on. */
+static void check_pause(struct control *c, int64_t now)
+{
+	char gap[24];
+
+	if (now - c->last_tick <= c->settings->control.lease) {
+		c->last_tick = now;
+		return;
+	}
+	g_snprintf(gap, sizeof(gap), "%lld", (long long)(now - c->last_tick));
+	log_event(LOG_AUDIT_LINE, "paused", "ms", gap, NULL);
+	c->last_tick = now;
+	c->unconfirmed = 1;
+}
+
+static void publish_metrics(struct control *c)
+{
+	struct metrics *m = &c->proxy.control;
+
+	metrics_set(m, METRIC_STORE_READS,
+		    c->store.calls[STORE_GET] + c->store.calls[STORE_LIST]);
+	metrics_set(m, METRIC_STORE_WRITES, c->store.calls[STORE_PUT]);
+	metrics_set(m, METRIC_STORE_WATCHES, c->store.calls[STORE_WATCH]);
+	metrics_set(m, METRIC_RPC_SENT, c->wire.sent);
+	metrics_set(m, METRIC_RPC_SENT_BYTES, c->wire.sent_bytes);
+	metrics_set(m, METRIC_RPC_RECEIVED, c->wire.received);
+	metrics_set(m, METRIC_RPC_RECEIVED_BYTES, c->wire.received_bytes);
+	metrics_set(m, METRIC_RPC_REJECTED, c->wire.rejected);
+}
+
+static void on_tick(struct loop_timer *t, int64_t now)
+{
+	struct control *c = t->ctx;
+
+	check_pause(c, now);
+	peers_tick(c, now);
+	sync_tick(c, now);
+	if (c->dirty && c->sync.ready)
+		apply_view(c);
+	grants_tick(c, now);
+	shifts_tick(c, now);
+	claims_tick(c, now);
+	if (!c->unconfirmed && !c->unlisted)
+		atomic_store(&c->proxy.alive_until,
+			     now + c->settings->control.lease);
+	leave_tick(c, now);
+	if (now >= c->status_due) {
+		status_update(c, now);
+		publish_metrics(c);
+		c->status_due = now + STATUS_MS;
+	}
+	t->deadline = now + TICK_MS;
+}
+
+static enum prl_code init_io(struct control *c, struct prl_error *err)
+{
+	if (loop_init(&c->loop, err) ||
+	    fetch_pool_init(&c->fetches, &c->loop, err) ||
+	    mailbox_init(&c->claims, &c->loop, claims_received, c, err) ||
+	    watch_signals(c, err))
+		return err->code;
+	store_init(&c->store, &c->fetches, c->settings->store.address);
+	return PRL_OK;
+}
+
+enum prl_code control_init(struct control *c, const struct prl_settings *s,
+			   apr_pool_t *pool, struct prl_error *err)
+{
+	int region;
+
+	memset(c, 0, sizeof(*c));
+	c->settings = s;
+	c->pool = pool;
+	c->started_ms = prl_now_ms();
+	c->last_tick = c->started_ms;
+	c->gone =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->vm_http =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->grants = g_hash_table_new(g_str_hash, g_str_equal);
+	c->steppers = g_hash_table_new(g_str_hash, g_str_equal);
+	c->waiters = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	config_builder_init(&c->builder);
+	region = config_region(&c->builder, s->vm.region);
+	if (init_io(c, err) || claims_init(c, err) || peers_init(c, err) ||
+	    proxy_init(&c->proxy, s, region, &c->claims, err))
+		return err->code;
+	sync_init(c);
+	if (proxy_start(&c->proxy, pool, err))
+		return err->code;
+	c->tick.due = on_tick;
+	c->tick.ctx = c;
+	loop_timer_add(&c->loop, &c->tick);
+	c->tick.deadline = c->started_ms;
+	log_event(LOG_AUDIT_LINE, "started", "region", s->vm.region, "domain",
+		  s->vm.domain, "http", s->listen.http, NULL);
+	return PRL_OK;
+}
+
+void control_run(struct control *c)
+{
+	loop_run(&c->loop);
+}
+
+void control_finish(struct control *c)
+{
+	proxy_stop(&c->proxy);
+	sync_finish(c);
+	grants_finish(c);
+	shifts_finish(c);
+	mailbox_finish(&c->claims, &c->loop);
+	claims_finish(c);
+	wire_finish(&c->wire);
+	fetch_pool_finish(&c->fetches);
+	member_finish(&c->member);
+	proxy_finish(&c->proxy);
+	config_builder_finish(&c->builder);
+	g_hash_table_destroy(c->gone);
+	g_hash_table_destroy(c->vm_http);
+	g_hash_table_destroy(c->waiters);
+	loop_remove(&c->loop, &c->signals);
+	close(c->signals.fd);
+	loop_finish(&c->loop);
+	log_event(LOG_AUDIT_LINE, "stopped", NULL);
+}
--- /dev/null
+++ b/cmd/primroseleadd/control.h
@@ -0,0 +1,275 @@
+#ifndef PRIMROSELEADD_CONTROL_H
+#define PRIMROSELEADD_CONTROL_H
+
+#include <primroselead/claim.h>
+#include <primroselead/config.h>
+#include <primroselead/ledger.h>
+#include <primroselead/member.h>
+#include <primroselead/proxy.h>
+#include <primroselead/store.h>
+#include <primroselead/wire.h>
+
+/*
+ * The control thread: membership, configuration, capacity, shifts and claims.
+ * It never blocks on a peer or on the store.
+ */
+
+/** Time between two ticks in milliseconds. */
+#define TICK_MS 50
+
+/** A pause between tries that doubles up to a limit, with jitter. */
+struct backoff {
+	int64_t next;
+	int tries;
+};
+
+/** Follows the store's configuration, alone or through other VMs. */
+struct sync {
+	struct spread_copy copy;
+	struct store_call watch;
+	int watching;
+	struct backoff store_backoff;
+	int pulling;
+	int64_t pull_after_ms;
+	/** The copy is good enough to answer from. */
+	int ready;
+	/** The store answered the last call. */
+	int store_up;
+	/** When the daemon asks the store if no VM has answered. */
+	int64_t ask_store_at;
+};
+
+/** Progress of one service's shift as this VM sees it. */
+struct stepper {
+	char service[PRL_NAME_MAX];
+	struct steer_progress progress;
+	uint64_t plan;
+	/** When this progress of this plan was first seen. */
+	int64_t seen_ms;
+	struct store_call call;
+	char text[64];
+	int calling;
+	struct control *control;
+};
+
+/** One region's capacity for one service, as this VM holds it. */
+struct grant_pool {
+	char region[PRL_NAME_MAX];
+	int hold;
+	/** Tokens of this VM's row in the ledger last written. */
+	int row;
+	/** Capacity of that ledger. */
+	int ledger_capacity;
+	/** Row of this VM's last process; not used before its requests are
+	 * over. */
+	int inherited;
+	/** Tokens to take away as soon as they are free. */
+	uint32_t owed;
+	int64_t refused_before;
+};
+
+/** The ledger of one service. */
+struct grant {
+	char service[PRL_NAME_MAX];
+	struct ledger ledger;
+	int64_t version;
+	int loaded;
+	/** The rows in the store may differ from what this VM believes. */
+	int unsure;
+	struct grant_pool pool[STEER_REGIONS_MAX];
+	int npool;
+	struct store_call call;
+	char *text;
+	int calling;
+	struct backoff backoff;
+	int64_t quarantine_until;
+	struct control *control;
+};
+
+/** One claim shard that this VM has used. */
+struct shard {
+	struct claim_shard log;
+	int index;
+	struct store_call call;
+	int calling;
+	struct control *control;
+};
+
+/** Who waits for a claim. */
+enum waiter_kind {
+	WAITER_LOCAL,
+	WAITER_REMOTE,
+};
+
+/** A claim that waits for its shard. */
+struct waiter {
+	enum waiter_kind kind;
+	union {
+		struct proxy_claim *local;
+		struct wire_request remote;
+	} u;
+};
+
+/** Everything that the control thread has. */
+struct control {
+	const struct prl_settings *settings;
+	apr_pool_t *pool;
+	struct loop loop;
+	struct fetch_pool fetches;
+	struct store store;
+	struct wire_node wire;
+	struct member_table member;
+	struct sync sync;
+	struct config_builder builder;
+	struct proxy proxy;
+	struct mailbox claims;
+	struct loop_timer tick;
+	struct loop_fd signals;
+	int64_t started_ms;
+	int64_t last_tick;
+	/** Capacity must be read from the store before it is used again. */
+	int unconfirmed;
+	/** The view must be built anew. */
+	int dirty;
+	uint64_t member_changes;
+	int64_t status_due;
+	/** Names of VMs that the platform destroyed, and when their capacity
+	 * may be used by others. */
+	GHashTable *gone;
+	/** The platform's list has entries. */
+	int listed;
+	/** The list says that this VM was destroyed: it may be wrong, but
+	 * others act on it, so no capacity is used. */
+	int unlisted;
+	/** Addresses of listed VMs by name. */
+	GHashTable *vm_http;
+	GHashTable *grants;
+	GHashTable *steppers;
+	struct shard **shard;
+	GHashTable *waiters;
+	uint64_t next_waiter;
+	/** Writes of claims that this VM may make now, in thousandths. */
+	int64_t write_credit;
+	int64_t write_credit_at;
+	/** Leaving: 0 no, else since when. */
+	int64_t leaving_since;
+	int quiesced;
+	int64_t idle_since;
+	int returned;
+};
+
+/** Makes the control thread's state and starts the traffic threads. */
+enum prl_code control_init(struct control *c, const struct prl_settings *s,
+			   apr_pool_t *pool, struct prl_error *err);
+
+/** Runs until the VM has left. */
+void control_run(struct control *c);
+
+/** Ends the traffic threads and frees everything. */
+void control_finish(struct control *c);
+
+/** A random number. */
+uint64_t control_random(void);
+
+/** Sets the time of the next try, longer after each one. */
+void backoff_later(struct backoff *b, int64_t now);
+
+/** A try went well. */
+void backoff_reset(struct backoff *b);
+
+/* peers.c */
+
+/** Starts the socket and the membership. */
+enum prl_code peers_init(struct control *c, struct prl_error *err);
+
+/** Probes, and writes changes of the membership into the audit trail. */
+void peers_tick(struct control *c, int64_t now);
+
+/** Whether a call comes from a VM of the fleet. */
+int peers_allow(const struct control *c, const struct wire_request *r);
+
+/** Digest of this VM's copy. */
+struct wire_digest peers_digest(const struct control *c);
+
+/* sync.c */
+
+/** Starts with an empty copy. */
+void sync_init(struct control *c);
+
+/** Watches the store or asks other VMs, as is due. */
+void sync_tick(struct control *c, int64_t now);
+
+/** Looks at how far another VM has come. */
+void sync_heard(struct control *c, const struct wire_digest *d,
+		const char *from);
+
+/** Takes in a delta that another VM relays. */
+void sync_pushed(struct control *c, const struct wire_delta *d,
+		 const char *from);
+
+/** Answers a VM that asks for what it lacks. */
+void sync_pulled(struct control *c, const struct wire_request *r,
+		 const struct wire_pull *p);
+
+/** Ends the calls to the store. */
+void sync_finish(struct control *c);
+
+/* apply.c */
+
+/** Brings one changed object into the builder. */
+void apply_object(struct control *c, const char *key);
+
+/** Builds the view and hands it to the traffic threads. */
+void apply_view(struct control *c);
+
+/* grants.c */
+
+/** Takes, gives back and reclaims capacity, as is due. */
+void grants_tick(struct control *c, int64_t now);
+
+/** Gives all capacity back; returns 1 when that is done. */
+int grants_return(struct control *c, int64_t now);
+
+/** Ends the calls to the store. */
+void grants_finish(struct control *c);
+
+/* shifts.c */
+
+/** Makes the steps that are due. */
+void shifts_tick(struct control *c, int64_t now);
+
+/** Ends the calls to the store. */
+void shifts_finish(struct control *c);
+
+/* claims.c */
+
+/** Makes the table of shards. */
+enum prl_code claims_init(struct control *c, struct prl_error *err);
+
+/** Does the store's work that is due for the shards. */
+void claims_tick(struct control *c, int64_t now);
+
+/** A claim or note comes from a traffic thread. */
+void claims_received(void *ctx, void *item);
+
+/** A claim or note comes from another VM. */
+void claims_called(struct control *c, const struct wire_request *r,
+		   const struct wire_claim *w);
+
+/** Ends the calls to the store. */
+void claims_finish(struct control *c);
+
+/* status.c */
+
+/** Writes the status text for the traffic threads. */
+void status_update(struct control *c, int64_t now);
+
+/* leave.c */
+
+/** Begins to leave; a second call changes nothing. */
+void leave_begin(struct control *c);
+
+/** Goes on with leaving; stops the loop at its end. */
+void leave_tick(struct control *c, int64_t now);
+
+#endif
--- /dev/null
+++ b/cmd/primroseleadd/leave.c
@@ -0,0 +1,60 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+
+/* Longest time for giving capacity back once nothing is in flight, in ms. */
+#define RETURN_MAX_MS 3000
+
+void leave_begin(struct control *c)
+{
+	if (c->leaving_since)
+		return;
+	c->leaving_since = prl_now_ms();
+	atomic_store(&c->proxy.leaving, 1);
+	member_leave(&c->member);
+	log_event(LOG_AUDIT_LINE, "leaving", NULL);
+}
+
+/* Callers with look-ups from before may still come for a while. */
+static void quiesce(struct control *c, int64_t now)
+{
+	if (now < c->leaving_since + c->settings->control.drain)
+		return;
+	c->quiesced = 1;
+	proxy_quiesce(&c->proxy);
+	log_event(LOG_AUDIT_LINE, "quiesced", NULL);
+}
+
+/* Open connections without a request are waited for as long as callers may
+ * leave them idle: one of them may just be sending. */
+static int is_idle(struct control *c, int64_t now)
+{
+	int64_t idle_ms = c->settings->traffic.idle * 1000;
+
+	if (!proxy_open(&c->proxy))
+		return 1;
+	if (atomic_load(&c->proxy.active)) {
+		c->idle_since = now;
+		return 0;
+	}
+	return c->idle_since && now >= c->idle_since + idle_ms;
+}
+
+void leave_tick(struct control *c, int64_t now)
+{
+	if (!c->leaving_since)
+		return;
+	if (!c->quiesced) {
+		quiesce(c, now);
+		c->idle_since = now;
+		return;
+	}
+	if (!c->returned) {
+		if (!is_idle(c, now))
+			return;
+		c->returned = 1;
+		c->idle_since = now;
+	}
+	if (grants_return(c, now) || now >= c->idle_since + RETURN_MAX_MS)
+		loop_stop(&c->loop);
+}
--- /dev/null
+++ b/cmd/primroseleadd/main.c
@@ -0,0 +1,115 @@
+#include "control.h"
+#include <apr_general.h>
+#include <argtable2.h>
+#include <primroselead/log.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Longest settings file in bytes. */
+#define SETTINGS_MAX (64 << 10)
+
+static int usage(void **table, FILE *out)
+{
+	fprintf(out, "Usage: primroseleadd");
+	arg_print_syntax(out, table, "\n");
+	fprintf(out, "Steers traffic on one entry VM.\n");
+	arg_print_glossary(out, table, "  %-22s %s\n");
+	return out == stderr ? prl_code_exit(PRL_E_USAGE) : 0;
+}
+
+static void print_faults(const struct prl_faults *f)
+{
+	char line[512];
+
+	for (int i = 0; i < f->n; i++) {
+		prl_fault_format(f, i, line, sizeof(line));
+		fprintf(stderr, "%s\n", line);
+	}
+	if (f->dropped)
+		fprintf(stderr, "%s: %d more faults\n", f->file, f->dropped);
+}
+
+static enum prl_code read_settings(const char *path, apr_pool_t *pool,
+				   struct prl_settings *s,
+				   struct prl_error *err)
+{
+	static struct prl_faults faults;
+	enum prl_code rc;
+	char *text;
+	size_t len;
+
+	snprintf(faults.file, sizeof(faults.file), "%s", path);
+	rc = prl_file_read(path, SETTINGS_MAX, pool, &text, &len, err);
+	if (!rc)
+		rc = config_settings(text, len, s, pool, &faults, err);
+	print_faults(&faults);
+	return rc;
+}
+
+/* Every thread inherits the mask; the control thread reads the signals. */
+static void block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static enum prl_code run(const char *path, apr_pool_t *pool,
+			 struct prl_error *err)
+{
+	static struct prl_settings settings;
+	static struct control control;
+
+	if (read_settings(path, pool, &settings, err))
+		return err->code;
+	block_signals();
+	log_init(settings.vm.name);
+	if (control_init(&control, &settings, pool, err))
+		return err->code;
+	control_run(&control);
+	control_finish(&control);
+	return PRL_OK;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file0("s", "settings", "FILE", "settings of this VM");
+	struct arg_lit *version =
+		arg_lit0(NULL, "version", "print the version");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {file, version, help, end};
+	struct prl_error err = {0};
+	apr_pool_t *pool;
+	int faults = arg_parse(argc, argv, table);
+
+	if (help->count)
+		return usage(table, stdout);
+	if (version->count) {
+		printf("primroseleadd %s\n", PRL_VERSION);
+		return 0;
+	}
+	if (faults || !file->count) {
+		arg_print_errors(stderr, end, "primroseleadd");
+		return usage(table, stderr);
+	}
+	if (apr_initialize() || apr_pool_create(&pool, NULL))
+		return prl_code_exit(PRL_E_MEMORY);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (run(file->filename[0], pool, &err)) {
+		fprintf(stderr, "primroseleadd: %s (%s)\n", err.text,
+			prl_code_name(err.code));
+		return prl_code_exit(err.code);
+	}
+	curl_global_cleanup();
+	apr_pool_destroy(pool);
+	apr_terminate();
+	arg_freetable(table, 4);
+	return 0;
+}
--- /dev/null
+++ b/cmd/primroseleadd/peers.c
@@ -0,0 +1,298 @@
+#include "control.h"
+#include "plain.h"
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A probe that may be answered through another VM. */
+struct probing {
+	struct control *control;
+	/** Set if the probe was made for another VM. */
+	int for_other;
+	struct wire_request asker;
+	int64_t sequence;
+};
+
+struct wire_digest peers_digest(const struct control *c)
+{
+	return (struct wire_digest){
+		.complete = c->sync.ready ? c->sync.copy.complete : 0,
+		.sum = c->sync.copy.sum,
+	};
+}
+
+/* The names in a message point into an array that the caller keeps. */
+static void fill_rumors(struct control *c, struct member_vm *vm,
+			struct wire_vm *out, u_int *n)
+{
+	int count = member_rumors(&c->member, control_random(), vm);
+
+	for (int i = 0; i < count; i++)
+		plain_to_wire(&vm[i], &out[i]);
+	*n = (u_int)count;
+}
+
+static void hear_all(struct control *c, const struct wire_vm *from,
+		     const struct wire_vm *rumor, u_int n)
+{
+	int64_t now = prl_now_ms();
+	struct member_vm vm;
+
+	if (!plain_from_wire(from, &vm))
+		member_hear(&c->member, &vm, now);
+	for (u_int i = 0; i < n; i++)
+		if (!plain_from_wire(&rumor[i], &vm))
+			member_hear(&c->member, &vm, now);
+}
+
+static void send_ack(struct control *c, const struct wire_request *r,
+		     int64_t sequence)
+{
+	struct wire_result result = {.proc = r->proc};
+	struct wire_ack *ack = &result.u.ack;
+	struct wire_vm rumor[MEMBER_RUMORS_MAX];
+	struct member_vm vm[MEMBER_RUMORS_MAX];
+
+	plain_to_wire(&c->member.peer[0].vm, &ack->from);
+	ack->sequence = sequence;
+	ack->digest = peers_digest(c);
+	ack->rumor.rumor_val = rumor;
+	fill_rumors(c, vm, rumor, &ack->rumor.rumor_len);
+	wire_reply(&c->wire, r, &result, NULL);
+}
+
+static void probe_done(void *ctx, const struct wire_result *result)
+{
+	struct probing *p = ctx;
+	struct control *c = p->control;
+
+	if (result) {
+		const struct wire_ack *ack = &result->u.ack;
+
+		hear_all(c, &ack->from, ack->rumor.rumor_val,
+			 ack->rumor.rumor_len);
+		if (!p->for_other)
+			member_acked(&c->member, p->sequence);
+		if (result->proc == WIRE_PROBE)
+			sync_heard(c, &ack->digest, ack->from.rpc);
+		if (p->for_other)
+			send_ack(c, &p->asker, p->sequence);
+	}
+	g_free(p);
+}
+
+static void send_probe(struct control *c, const char *to, struct probing *p)
+{
+	struct wire_args args = {.proc = WIRE_PROBE};
+	struct wire_probe *probe = &args.u.probe;
+	struct wire_vm rumor[MEMBER_RUMORS_MAX];
+	struct member_vm vm[MEMBER_RUMORS_MAX];
+	struct wire_options o = {
+		.deadline = prl_now_ms() + c->settings->control.heartbeat,
+		.done = probe_done,
+		.ctx = p,
+	};
+
+	plain_to_wire(&c->member.peer[0].vm, &probe->from);
+	probe->sequence = p->sequence;
+	probe->digest = peers_digest(c);
+	probe->rumor.rumor_val = rumor;
+	fill_rumors(c, vm, rumor, &probe->rumor.rumor_len);
+	if (wire_call(&c->wire, to, &args, &o, NULL))
+		g_free(p);
+}
+
+static void send_indirect(struct control *c, const struct member_out *m,
+			  struct probing *p)
+{
+	struct wire_args args = {.proc = WIRE_INDIRECT};
+	struct wire_options o = {
+		.deadline = prl_now_ms() + c->settings->control.heartbeat,
+		.done = probe_done,
+		.ctx = p,
+	};
+
+	plain_to_wire(&c->member.peer[0].vm, &args.u.indirect.from);
+	args.u.indirect.sequence = m->sequence;
+	args.u.indirect.target = (char *)m->target;
+	if (wire_call(&c->wire, m->to, &args, &o, NULL))
+		g_free(p);
+}
+
+static void send_out(struct control *c, const struct member_out *m)
+{
+	struct probing *p = g_new0(struct probing, 1);
+
+	p->control = c;
+	p->sequence = m->sequence;
+	switch (m->message) {
+	case MEMBER_PROBE:
+		send_probe(c, m->to, p);
+		break;
+	case MEMBER_INDIRECT:
+		send_indirect(c, m, p);
+		break;
+	}
+}
+
+/* VMs named in the settings lead into the fleet as long as none is known. */
+static void probe_seeds(struct control *c)
+{
+	const struct prl_settings *s = c->settings;
+
+	for (int i = 0; i < s->nseed; i++) {
+		struct probing *p;
+
+		if (!strcmp(s->seed[i].address, s->listen.rpc))
+			continue;
+		p = g_new0(struct probing, 1);
+		p->control = c;
+		p->sequence = -1;
+		send_probe(c, s->seed[i].address, p);
+	}
+}
+
+static void audit_members(struct control *c)
+{
+	struct member_event e;
+	char incarnation[24];
+
+	while (member_take(&c->member, &e)) {
+		snprintf(incarnation, sizeof(incarnation), "%lld",
+			 (long long)e.incarnation);
+		log_event(LOG_AUDIT_LINE, "member", "name", e.name, "state",
+			  member_state_name(e.state), "incarnation",
+			  incarnation, "given_up", e.given_up ? "yes" : "no",
+			  NULL);
+		/* Others may have acted on this VM's death. */
+		if (e.given_up)
+			c->unconfirmed = 1;
+	}
+}
+
+void peers_tick(struct control *c, int64_t now)
+{
+	struct member_out out[MEMBER_OUT_MAX];
+	int begins = now >= c->member.period_deadline;
+	int n = member_tick(&c->member, now, control_random(), out);
+
+	for (int i = 0; i < n; i++)
+		send_out(c, &out[i]);
+	if (begins && c->member.n == 1)
+		probe_seeds(c);
+	audit_members(c);
+	if (c->member.changes != c->member_changes) {
+		c->member_changes = c->member.changes;
+		c->dirty = 1;
+	}
+}
+
+int peers_allow(const struct control *c, const struct wire_request *r)
+{
+	char from[PRL_ADDRESS_MAX];
+
+	prl_address_format(&r->from, from, sizeof(from));
+	return member_knows(&c->member, from);
+}
+
+static int is_listed(const struct control *c, const struct wire_vm *from)
+{
+	char key[STORE_KEY_MAX];
+	const struct spread_object *o;
+
+	snprintf(key, sizeof(key), STORE_PREFIX_VM "%s", from->name);
+	o = spread_find(&c->sync.copy, key);
+	return o && o->len;
+}
+
+/* A newcomer must be in the platform's list, once there is one, and speak
+ * for its own address. */
+static int may_join(const struct control *c, const struct wire_request *r,
+		    const struct wire_vm *from)
+{
+	char source[PRL_ADDRESS_MAX];
+
+	prl_address_format(&r->from, source, sizeof(source));
+	if (strcmp(source, from->rpc))
+		return 0;
+	return !c->listed || is_listed(c, from);
+}
+
+static void on_probe(struct control *c, const struct wire_request *r,
+		     const struct wire_probe *p)
+{
+	if (!peers_allow(c, r) && !may_join(c, r, &p->from)) {
+		c->wire.rejected++;
+		return;
+	}
+	hear_all(c, &p->from, p->rumor.rumor_val, p->rumor.rumor_len);
+	send_ack(c, r, p->sequence);
+	sync_heard(c, &p->digest, p->from.rpc);
+}
+
+static void on_indirect(struct control *c, const struct wire_request *r,
+			const struct wire_indirect *i)
+{
+	struct probing *p = g_new0(struct probing, 1);
+
+	p->control = c;
+	p->for_other = 1;
+	p->asker = *r;
+	p->sequence = i->sequence;
+	send_probe(c, i->target, p);
+}
+
+static void on_call(void *ctx, const struct wire_request *r,
+		    const struct wire_args *args)
+{
+	struct control *c = ctx;
+	struct wire_result nothing = {.proc = WIRE_PUSH};
+	char from[PRL_ADDRESS_MAX];
+
+	if (args->proc == WIRE_PROBE) {
+		on_probe(c, r, &args->u.probe);
+		return;
+	}
+	if (!peers_allow(c, r)) {
+		c->wire.rejected++;
+		return;
+	}
+	prl_address_format(&r->from, from, sizeof(from));
+	switch (args->proc) {
+	case WIRE_INDIRECT:
+		on_indirect(c, r, &args->u.indirect);
+		break;
+	case WIRE_PUSH:
+		sync_pushed(c, &args->u.push, from);
+		wire_reply(&c->wire, r, &nothing, NULL);
+		break;
+	case WIRE_PULL:
+		sync_pulled(c, r, &args->u.pull);
+		break;
+	case WIRE_CLAIM:
+		claims_called(c, r, &args->u.claim);
+		break;
+	}
+}
+
+enum prl_code peers_init(struct control *c, struct prl_error *err)
+{
+	const struct prl_settings *s = c->settings;
+	struct member_options o = {
+		.period_ms = s->control.heartbeat,
+		.suspect_ms = s->control.suspect,
+	};
+	struct member_vm self = {.incarnation = s->vm.incarnation};
+
+	if (!self.incarnation)
+		self.incarnation = prl_wall_ms();
+	memcpy(self.name, s->vm.name, sizeof(self.name));
+	memcpy(self.region, s->vm.region, sizeof(self.region));
+	memcpy(self.domain, s->vm.domain, sizeof(self.domain));
+	memcpy(self.http, s->listen.http, sizeof(self.http));
+	memcpy(self.rpc, s->listen.rpc, sizeof(self.rpc));
+	if (member_init(&c->member, &self, &o, err))
+		return err->code;
+	return wire_init(&c->wire, &c->loop, s->listen.rpc, on_call, c, err);
+}
--- /dev/null
+++ b/cmd/primroseleadd/shifts.c
@@ -0,0 +1,145 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PERCENT 100
+
+static struct stepper *get_stepper(struct control *c, const char *service)
+{
+	struct stepper *s = g_hash_table_lookup(c->steppers, service);
+
+	if (s)
+		return s;
+	s = g_new0(struct stepper, 1);
+	s->control = c;
+	snprintf(s->service, sizeof(s->service), "%s", service);
+	g_hash_table_insert(c->steppers, s->service, s);
+	return s;
+}
+
+/* Place of this VM in the order of those that make this shift's steps; any
+ * of them may, the order only avoids conflicts. */
+static int place_in_order(const struct control *c, const char *service)
+{
+	int rank[8];
+	int n = member_rank(&c->member, NULL,
+			    prl_hash_pair(prl_hash_name(service), 1), rank, 8);
+
+	for (int i = 0; i < n; i++)
+		if (rank[i] == 0)
+			return i;
+	return n;
+}
+
+static void put_done(struct store_call *call)
+{
+	struct stepper *s = call->ctx;
+	const char *result = prl_code_name(call->err.code);
+
+	s->calling = 0;
+	log_event(LOG_AUDIT_LINE, "shift_step", "service", s->service, "state",
+		  s->text, "result", result, NULL);
+	/* A lost answer needs no settling: the step comes back by the watch, or
+	 * it is found due once more. */
+	store_call_finish(call);
+}
+
+static void put(struct stepper *s, const struct spread_object *o,
+		const struct steer_progress *next, int64_t now)
+{
+	struct store_call *call = &s->call;
+
+	memset(call, 0, sizeof(*call));
+	config_progress_write(next, s->text, sizeof(s->text));
+	call->op = STORE_PUT;
+	snprintf(call->key, sizeof(call->key), STORE_PREFIX_SHIFT "%s",
+		 s->service);
+	call->version = o ? o->version : 0;
+	call->value = s->text;
+	call->len = strlen(s->text);
+	call->deadline = now + s->control->settings->store.timeout;
+	call->done = put_done;
+	call->ctx = s;
+	if (!store_start(&s->control->store, call, NULL))
+		s->calling = 1;
+}
+
+/* How the region that traffic goes to does, as far as this VM can see. */
+static void read_signals(const struct control *c, const struct steer_service *s,
+			 struct steer_step *step)
+{
+	const struct proxy_service_cell *cell = &c->proxy.service[s->cell];
+	int64_t from = atomic_load(&cell->latency_us[s->shift.from]);
+	int64_t to = atomic_load(&cell->latency_us[s->shift.to]);
+	const struct limit_hold *hold =
+		&c->proxy.hold[s->place[s->shift.to].hold];
+	uint32_t size = limit_hold_size(hold);
+
+	if (from && to)
+		step->latency_percent = (int)(to * PERCENT / from);
+	if (size)
+		step->load_percent =
+			(int)(limit_hold_used(hold) * PERCENT / size);
+}
+
+static void tick_shift(struct control *c, const struct steer_service *s,
+		       int64_t now)
+{
+	struct stepper *t = get_stepper(c, s->name);
+	struct steer_progress next;
+	struct steer_step step = {.shift = s->shift, .now_ms = now};
+	const struct spread_object *o;
+	char key[STORE_KEY_MAX];
+
+	snprintf(key, sizeof(key), STORE_PREFIX_SHIFT "%s", s->name);
+	o = spread_find(&c->sync.copy, key);
+	step.progress = config_progress(o);
+	if (step.progress.share != t->progress.share ||
+	    step.progress.plan != t->progress.plan ||
+	    s->shift.plan != t->plan || !t->seen_ms) {
+		t->progress = step.progress;
+		t->plan = s->shift.plan;
+		t->seen_ms = now;
+	}
+	/* Others come in later, one after another, if the first does not. */
+	step.seen_ms =
+		t->seen_ms + place_in_order(c, s->name) * s->shift.pace_ms / 2;
+	read_signals(c, s, &step);
+	if (!t->calling && steer_step(&step, &next))
+		put(t, o, &next, now);
+}
+
+void shifts_tick(struct control *c, int64_t now)
+{
+	GHashTableIter it;
+	void *value;
+
+	if (!c->sync.ready || c->unconfirmed || c->leaving_since)
+		return;
+	g_hash_table_iter_init(&it, c->builder.services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct steer_service *s = value;
+
+		if (s->shift.from != STEER_NONE)
+			tick_shift(c, s, now);
+	}
+}
+
+void shifts_finish(struct control *c)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->steppers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct stepper *s = value;
+
+		if (s->calling)
+			store_cancel(&s->call);
+		g_free(s);
+	}
+	g_hash_table_destroy(c->steppers);
+}
--- /dev/null
+++ b/cmd/primroseleadd/status.c
@@ -0,0 +1,124 @@
+#include "control.h"
+#include <jansson.h>
+#include <string.h>
+
+static json_t *members(const struct control *c)
+{
+	json_t *list = json_array();
+
+	for (int i = 0; i < c->member.n; i++) {
+		const struct member_vm *vm = &c->member.peer[i].vm;
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:I}",
+					"name", vm->name, "state",
+					member_state_name(vm->state), "region",
+					vm->region, "domain", vm->domain,
+					"http", vm->http, "incarnation",
+					(json_int_t)vm->incarnation));
+	}
+	return list;
+}
+
+static json_t *upstreams(const struct control *c, const struct steer_service *s)
+{
+	static const char *const states[] = {"active", "leaving", "gone"};
+	json_t *list = json_array();
+
+	for (int i = 0; i < s->nupstream; i++) {
+		const struct steer_upstream *u = &s->upstream[i];
+		const struct proxy_upstream_cell *cell =
+			&c->proxy.upstream[u->cell];
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:s, s:s, s:i, s:i, s:I, s:i}",
+				  "address", u->address, "region",
+				  c->builder.region[u->region], "state",
+				  states[u->state], "slots", u->slots,
+				  "outstanding",
+				  atomic_load(&cell->outstanding), "latency_us",
+				  (json_int_t)atomic_load(&cell->latency_us),
+				  "failures_permille",
+				  atomic_load(&cell->failures)));
+	}
+	return list;
+}
+
+static json_t *regions(const struct control *c, const struct steer_service *s)
+{
+	json_t *list = json_array();
+
+	for (int r = 0; r < c->builder.nregion; r++) {
+		const struct steer_place *p = &s->place[r];
+		const struct limit_hold *hold = &c->proxy.hold[p->hold];
+
+		if (p->capacity <= 0)
+			continue;
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:i, s:i, s:i, s:I}", "region",
+				  c->builder.region[r], "capacity", p->capacity,
+				  "held", (int)limit_hold_size(hold), "used",
+				  (int)limit_hold_used(hold), "refused",
+				  (json_int_t)atomic_load(&hold->refused)));
+	}
+	return list;
+}
+
+static json_t *shift(const struct control *c, const struct steer_service *s)
+{
+	static const char *const directions[] = {"forward", "pause", "back"};
+	const struct proxy_service_cell *cell = &c->proxy.service[s->cell];
+
+	if (s->shift.from == STEER_NONE)
+		return json_null();
+	return json_pack("{s:s, s:s, s:i, s:i, s:s, s:I, s:I}", "from",
+			 c->builder.region[s->shift.from], "to",
+			 c->builder.region[s->shift.to], "cap", s->shift.cap,
+			 "share", s->shift.share, "direction",
+			 directions[s->shift.direction], "moved",
+			 (json_int_t)atomic_load(&cell->moved), "total",
+			 (json_int_t)atomic_load(&cell->from_total));
+}
+
+static json_t *services(const struct control *c)
+{
+	json_t *list = json_array();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->builder.services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct steer_service *s = value;
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:I, s:o, s:o, s:o}", "name", s->name,
+				  "version", (json_int_t)s->version, "regions",
+				  regions(c, s), "upstreams", upstreams(c, s),
+				  "shift", shift(c, s)));
+	}
+	return list;
+}
+
+void status_update(struct control *c, int64_t now)
+{
+	const char *state = c->leaving_since ? "leaving"
+			    : !c->sync.ready ? "starting"
+			    : c->unconfirmed ? "unconfirmed"
+					     : "live";
+	json_t *root = json_pack(
+		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o}", "vm",
+		c->settings->vm.name, "state", state, "region",
+		c->settings->vm.region, "domain", c->settings->vm.domain,
+		"revision", (json_int_t)c->sync.copy.complete, "uptime_ms",
+		(json_int_t)(now - c->started_ms), "store",
+		c->sync.store_up ? "up" : "not seen", "members", members(c),
+		"services", services(c));
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	if (text)
+		proxy_set_status(&c->proxy, text);
+}
--- /dev/null
+++ b/cmd/primroseleadd/sync.c
@@ -0,0 +1,338 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Time that a watch waits in the store, in milliseconds. */
+#define WATCH_MS 20000
+
+/* Time given to other VMs at the start before the store is asked, in ms. */
+#define PEERS_FIRST_MS 300
+
+/* Bytes of objects in one message. */
+#define DELTA_BYTES 48000
+
+/* Repetition of a relayed change, and when it is given up, in ms. */
+#define PUSH_REPEAT_MS 100
+#define PUSH_MAX_MS 500
+
+/* Time for one answer to a pull, in ms. */
+#define PULL_MAX_MS 1000
+
+/* Children of one VM in a relay tree. */
+#define CHILDREN_MAX 8
+
+static uint64_t watch_topic(void)
+{
+	return prl_hash_name("watch");
+}
+
+void sync_init(struct control *c)
+{
+	int64_t now = prl_now_ms();
+
+	spread_init(&c->sync.copy);
+	c->sync.ask_store_at = now;
+	if (c->settings->nseed)
+		c->sync.ask_store_at +=
+			PEERS_FIRST_MS +
+			(int64_t)(control_random() % PEERS_FIRST_MS);
+}
+
+static int is_watcher(const struct control *c)
+{
+	int rank[16];
+	int n = member_rank(&c->member, c->settings->vm.domain, watch_topic(),
+			    rank, (int)c->settings->control.watchers);
+
+	for (int i = 0; i < n; i++)
+		if (rank[i] == 0)
+			return 1;
+	return 0;
+}
+
+static void become_ready(struct control *c, const char *from)
+{
+	char revision[24];
+
+	if (c->sync.ready)
+		return;
+	c->sync.ready = 1;
+	c->dirty = 1;
+	snprintf(revision, sizeof(revision), "%lld",
+		 (long long)c->sync.copy.complete);
+	log_event(LOG_AUDIT_LINE, "ready", "from", from, "revision", revision,
+		  NULL);
+}
+
+/* Returns 1 if the object was news. */
+static int install(struct control *c, const char *key, int64_t version,
+		   const char *value, size_t len)
+{
+	if (strncmp(key, STORE_PREFIX_STEER, strlen(STORE_PREFIX_STEER)) ||
+	    spread_install(&c->sync.copy, key, version, value, len))
+		return 0;
+	metrics_add(&c->proxy.control, METRIC_INSTALLED, 1);
+	apply_object(c, key);
+	return 1;
+}
+
+static void push_to(struct control *c, int peer, const struct wire_args *args)
+{
+	int64_t now = prl_now_ms();
+	struct wire_options o = {
+		.deadline = now + PUSH_MAX_MS,
+		.repeat_ms = PUSH_REPEAT_MS,
+	};
+
+	wire_call(&c->wire, c->member.peer[peer].vm.rpc, args, &o, NULL);
+}
+
+/* The failure domain's VMs form a tree whose order is drawn anew for each
+ * change; a change enters at its root. */
+static void relay(struct control *c, const struct wire_delta *d, int origin)
+{
+	struct wire_args args = {.proc = WIRE_PUSH, .u.push = *d};
+	int rank[MEMBER_RANK_MAX];
+	int child[CHILDREN_MAX];
+	int total = member_rank(&c->member, c->settings->vm.domain,
+				(uint64_t)d->complete, rank, MEMBER_RANK_MAX);
+	int self = 0;
+	int n;
+
+	args.u.push.hops++;
+	while (self < total && rank[self] != 0)
+		self++;
+	if (origin && total && rank[0] != 0)
+		push_to(c, rank[0], &args);
+	if (self == total)
+		return;
+	n = spread_children(self, total, child, CHILDREN_MAX);
+	for (int i = 0; i < n; i++)
+		push_to(c, rank[child[i]], &args);
+}
+
+/* Fills a message with what the store or a copy holds, as far as it fits.
+ * Returns the objects taken. */
+static int fill_delta(struct wire_delta *d, struct wire_object *object,
+		      const struct spread_object *const *from, guint n)
+{
+	size_t bytes = 0;
+	guint i;
+
+	for (i = 0; i < n && i < WIRE_OBJECTS; i++) {
+		bytes += from[i]->len + SPREAD_KEY_MAX;
+		if (i && bytes > DELTA_BYTES)
+			break;
+		object[i].key = (char *)from[i]->key;
+		object[i].revision = from[i]->version;
+		object[i].value.value_val = from[i]->value;
+		object[i].value.value_len = (u_int)from[i]->len;
+	}
+	d->object.object_val = object;
+	d->object.object_len = i;
+	return (int)i;
+}
+
+/* Relays what came from the store after a revision. */
+static void relay_after(struct control *c, int64_t after)
+{
+	static struct wire_object object[WIRE_OBJECTS];
+	GPtrArray *found = spread_after(&c->sync.copy, after);
+	struct wire_delta d = {.after = after};
+	int n = fill_delta(&d, object, (void *)found->pdata, found->len);
+
+	d.complete = c->sync.copy.complete;
+	if ((guint)n < found->len)
+		d.complete = object[n - 1].revision;
+	if (n)
+		relay(c, &d, 1);
+	g_ptr_array_free(found, TRUE);
+}
+
+static void store_seen(struct control *c, int up)
+{
+	if (c->sync.store_up == up)
+		return;
+	c->sync.store_up = up;
+	log_event(LOG_AUDIT_LINE, "store", "state", up ? "up" : "down", NULL);
+}
+
+static void take_store_objects(struct control *c, const struct store_call *call)
+{
+	int64_t after = c->sync.copy.complete;
+	int news = 0;
+
+	for (int i = 0; i < call->nobject; i++) {
+		const struct store_object *o = &call->object[i];
+
+		news += install(c, o->key, o->version, o->value, o->len);
+	}
+	spread_extend(&c->sync.copy, call->version, call->revision);
+	become_ready(c, "store");
+	if (news && after)
+		relay_after(c, after);
+}
+
+static void watch_done(struct store_call *call)
+{
+	struct control *c = call->ctx;
+	int64_t now = prl_now_ms();
+
+	c->sync.watching = 0;
+	if (call->err.code) {
+		store_seen(c, 0);
+		backoff_later(&c->sync.store_backoff, now);
+	} else {
+		store_seen(c, 1);
+		backoff_reset(&c->sync.store_backoff);
+		take_store_objects(c, call);
+	}
+	store_call_finish(call);
+}
+
+static void ask_store(struct control *c, enum store_op op, int64_t now)
+{
+	struct store_call *call = &c->sync.watch;
+
+	memset(call, 0, sizeof(*call));
+	call->op = op;
+	strcpy(call->key, STORE_PREFIX_STEER);
+	call->deadline = now + c->settings->store.timeout;
+	if (op == STORE_WATCH) {
+		call->version = c->sync.copy.complete;
+		call->deadline = now + WATCH_MS;
+	}
+	call->done = watch_done;
+	call->ctx = c;
+	if (store_start(&c->store, call, NULL))
+		backoff_later(&c->sync.store_backoff, now);
+	else
+		c->sync.watching = 1;
+}
+
+void sync_tick(struct control *c, int64_t now)
+{
+	struct sync *s = &c->sync;
+
+	if (s->watching || now < s->store_backoff.next)
+		return;
+	if (!s->ready && now >= s->ask_store_at)
+		ask_store(c, STORE_LIST, now);
+	else if (s->ready && is_watcher(c))
+		ask_store(c, STORE_WATCH, now);
+}
+
+struct pulling {
+	struct control *control;
+	char from[PRL_ADDRESS_MAX];
+};
+
+static void pull(struct control *c, const char *from);
+
+static int take_delta(struct control *c, const struct wire_delta *d)
+{
+	int news = 0;
+
+	for (u_int i = 0; i < d->object.object_len; i++) {
+		const struct wire_object *o = &d->object.object_val[i];
+
+		news += install(c, o->key, o->revision, o->value.value_val,
+				o->value.value_len);
+	}
+	return news;
+}
+
+static void pull_done(void *ctx, const struct wire_result *result)
+{
+	struct pulling *p = ctx;
+	struct control *c = p->control;
+	int64_t before = c->sync.copy.complete;
+	const struct wire_delta *d;
+
+	c->sync.pulling = 0;
+	if (result) {
+		d = &result->u.delta;
+		take_delta(c, d);
+		spread_extend(&c->sync.copy, d->after, d->complete);
+		if (!d->hops)
+			become_ready(c, "peer");
+		/* A long answer comes in parts; "hops" counts what is left. */
+		else if (c->sync.copy.complete > before)
+			pull(c, p->from);
+	}
+	g_free(p);
+}
+
+static void pull(struct control *c, const char *from)
+{
+	struct wire_args args = {.proc = WIRE_PULL};
+	struct pulling *p = g_new0(struct pulling, 1);
+	int64_t now = prl_now_ms();
+	struct wire_options o = {
+		.deadline = now + PULL_MAX_MS,
+		.repeat_ms = PULL_MAX_MS / 3,
+		.done = pull_done,
+		.ctx = p,
+	};
+
+	p->control = c;
+	snprintf(p->from, sizeof(p->from), "%s", from);
+	args.u.pull.after = c->sync.copy.complete;
+	if (wire_call(&c->wire, from, &args, &o, NULL)) {
+		g_free(p);
+		return;
+	}
+	c->sync.pulling = 1;
+	metrics_add(&c->proxy.control, METRIC_PULLS, 1);
+}
+
+void sync_heard(struct control *c, const struct wire_digest *d,
+		const char *from)
+{
+	if (!c->sync.pulling && d->complete > c->sync.copy.complete)
+		pull(c, from);
+}
+
+void sync_pushed(struct control *c, const struct wire_delta *d,
+		 const char *from)
+{
+	int news = take_delta(c, d);
+
+	if (spread_extend(&c->sync.copy, d->after, d->complete) &&
+	    !c->sync.pulling)
+		pull(c, from);
+	if (news)
+		relay(c, d, 0);
+}
+
+void sync_pulled(struct control *c, const struct wire_request *r,
+		 const struct wire_pull *p)
+{
+	static struct wire_object object[WIRE_OBJECTS];
+	struct wire_result result = {.proc = WIRE_PULL};
+	struct wire_delta *d = &result.u.delta;
+	GPtrArray *found;
+	int n;
+
+	if (!c->sync.ready)
+		return;
+	found = spread_after(&c->sync.copy, p->after);
+	d->after = p->after;
+	n = fill_delta(d, object, (void *)found->pdata, found->len);
+	d->hops = found->len - (guint)n;
+	d->complete = c->sync.copy.complete;
+	if (d->hops)
+		d->complete = object[n - 1].revision;
+	wire_reply(&c->wire, r, &result, NULL);
+	g_ptr_array_free(found, TRUE);
+}
+
+void sync_finish(struct control *c)
+{
+	if (c->sync.watching)
+		store_cancel(&c->sync.watch);
+	spread_finish(&c->sync.copy);
+}
--- /dev/null
+++ b/config/src/check.c
@@ -0,0 +1,168 @@
+#include <primroselead/config.h>
+#include <stdio.h>
+#include <string.h>
+
+static int region_known(const struct prl_service *s, const char *name)
+{
+	for (int i = 0; i < s->nregion; i++)
+		if (!strcmp(s->region[i].label, name))
+			return 1;
+	return 0;
+}
+
+/* Heading of a labelled section, as it stands in the file. */
+static const char *heading(char *out, size_t size, const char *kind,
+			   const char *label)
+{
+	snprintf(out, size, "%s %s", kind, label);
+	return out;
+}
+
+static void need_region(const struct prl_service *s, struct prl_faults *f,
+			int line, const char *section, const char *key,
+			const char *name)
+{
+	if (name[0] && !region_known(s, name))
+		prl_fault_add(f, line, section, key,
+			      "read \"%s\", there is no section [region %s]",
+			      name, name);
+}
+
+static void check_regions(const struct prl_service *s, struct prl_faults *f)
+{
+	char section[PRL_NAME_MAX * 2];
+
+	if (!s->nregion)
+		prl_fault_add(f, 0, "region", "",
+			      "section is missing, at least one is needed");
+	if (s->nregion > STEER_REGIONS_MAX)
+		prl_fault_add(f, 0, "region", "",
+			      "read %d sections, allowed are %d", s->nregion,
+			      STEER_REGIONS_MAX);
+	for (int i = 0; i < s->nregion; i++) {
+		const struct prl_service_region *r = &s->region[i];
+
+		heading(section, sizeof(section), "region", r->label);
+		for (int k = 0; k < r->spill.n; k++)
+			need_region(s, f, r->line, section, "spill",
+				    r->spill.item[k]);
+	}
+}
+
+static int same_address(const struct prl_service *s, int i)
+{
+	for (int k = 0; k < i; k++)
+		if (!strcmp(s->upstream[k].address, s->upstream[i].address))
+			return k;
+	return -1;
+}
+
+static void check_upstreams(const struct prl_service *s, struct prl_faults *f)
+{
+	char section[PRL_NAME_MAX * 2];
+
+	for (int i = 0; i < s->nupstream; i++) {
+		const struct prl_service_upstream *u = &s->upstream[i];
+		int twin = same_address(s, i);
+
+		heading(section, sizeof(section), "upstream", u->label);
+		need_region(s, f, u->line, section, "region", u->region);
+		if (twin >= 0 && u->address[0])
+			prl_fault_add(f, u->line, section, "address",
+				      "read \"%s\", which upstream \"%s\" has "
+				      "already",
+				      u->address, s->upstream[twin].label);
+	}
+}
+
+static void check_shift(const struct prl_service *s, struct prl_faults *f)
+{
+	const struct prl_service_shift *h = &s->shift;
+
+	if (!h->line)
+		return;
+	need_region(s, f, h->line, "shift", "from", h->from);
+	need_region(s, f, h->line, "shift", "to", h->to);
+	if (!h->from[0] || !h->to[0])
+		prl_fault_add(f, h->line, "shift", h->from[0] ? "to" : "from",
+			      "key is missing, a shift names two regions");
+	else if (!strcmp(h->from, h->to))
+		prl_fault_add(f, h->line, "shift", "to",
+			      "read \"%s\", a region other than \"from\" is "
+			      "allowed",
+			      h->to);
+}
+
+static void check_links(const struct prl_service *s, struct prl_faults *f)
+{
+	char section[PRL_NAME_MAX * 2];
+
+	for (int i = 0; i < s->nlink; i++) {
+		const struct prl_service_link *l = &s->link[i];
+
+		heading(section, sizeof(section), "link", l->label);
+		need_region(s, f, l->line, section, "from", l->from);
+		need_region(s, f, l->line, section, "to", l->to);
+	}
+}
+
+static int name_is_plain(const char *name)
+{
+	for (; *name; name++)
+		if (!g_ascii_isalnum(*name) && *name != '-' && *name != '_')
+			return 0;
+	return 1;
+}
+
+static void check_name(struct prl_faults *f, int line, const char *section,
+		       const char *key, const char *name)
+{
+	/* Names stand in URLs and in keys of the store. */
+	if (!name_is_plain(name))
+		prl_fault_add(f, line, section, key,
+			      "read \"%s\", letters, digits, - and _ are "
+			      "allowed",
+			      name);
+}
+
+static enum prl_code fail_if_faulty(const struct prl_faults *f,
+				    struct prl_error *err)
+{
+	if (!f->n)
+		return PRL_OK;
+	return prl_fail(err, PRL_E_CONFIG, "%s: %d faults", f->file,
+			f->n + f->dropped);
+}
+
+enum prl_code config_service(const char *text, size_t len,
+			     struct prl_service *out, apr_pool_t *pool,
+			     struct prl_faults *faults, struct prl_error *err)
+{
+	enum prl_code rc = prl_schema_read(&prl_service_schema, text, len, out,
+					   pool, faults, err);
+
+	if (rc && rc != PRL_E_CONFIG)
+		return rc;
+	check_name(faults, out->service.line, "service", "name",
+		   out->service.name);
+	check_regions(out, faults);
+	check_upstreams(out, faults);
+	check_links(out, faults);
+	check_shift(out, faults);
+	return fail_if_faulty(faults, err);
+}
+
+enum prl_code config_settings(const char *text, size_t len,
+			      struct prl_settings *out, apr_pool_t *pool,
+			      struct prl_faults *faults, struct prl_error *err)
+{
+	enum prl_code rc = prl_schema_read(&prl_settings_schema, text, len, out,
+					   pool, faults, err);
+
+	if (rc && rc != PRL_E_CONFIG)
+		return rc;
+	check_name(faults, out->vm.line, "vm", "name", out->vm.name);
+	check_name(faults, out->vm.line, "vm", "region", out->vm.region);
+	check_name(faults, out->vm.line, "vm", "domain", out->vm.domain);
+	return fail_if_faulty(faults, err);
+}
--- /dev/null
+++ b/config/src/view.c
@@ -0,0 +1,78 @@
+#include "box.h"
+#include <primroselead/config.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void view_clear(void *p)
+{
+	struct steer_view *v = p;
+
+	for (int i = 0; i < v->nservice; i++)
+		config_service_release(v->service[i]);
+	g_free(v->service);
+	g_free(v->vm);
+}
+
+void config_view_release(struct steer_view *v)
+{
+	g_atomic_rc_box_release_full(v, view_clear);
+}
+
+struct steer_view *config_view_ref(struct steer_view *v)
+{
+	return g_atomic_rc_box_acquire(v);
+}
+
+static int by_region(const void *a, const void *b)
+{
+	const struct steer_vm *x = a;
+	const struct steer_vm *y = b;
+
+	if (x->region != y->region)
+		return x->region - y->region;
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+static int by_name(const void *a, const void *b)
+{
+	const struct steer_service *x = *(struct steer_service *const *)a;
+	const struct steer_service *y = *(struct steer_service *const *)b;
+
+	return strcmp(x->name, y->name);
+}
+
+static void fill_vms(struct steer_view *v, const struct steer_vm *vm, int nvm)
+{
+	int at = 0;
+
+	v->vm = g_memdup2(vm, sizeof(*vm) * (size_t)nvm);
+	v->nvm = nvm;
+	if (nvm)
+		qsort(v->vm, (size_t)nvm, sizeof(*vm), by_region);
+	for (int r = 0; r <= STEER_REGIONS_MAX; r++) {
+		while (at < nvm && v->vm[at].region < r)
+			at++;
+		v->first_vm[r] = at;
+	}
+}
+
+struct steer_view *config_build_view(const struct config_builder *b,
+				     const struct steer_vm *vm, int nvm,
+				     int64_t revision)
+{
+	struct steer_view *v = g_atomic_rc_box_new0(struct steer_view);
+	GHashTableIter it;
+	void *value;
+
+	v->revision = revision;
+	v->nregion = b->nregion;
+	memcpy(v->region, b->region, sizeof(v->region));
+	fill_vms(v, vm, nvm);
+	v->service = g_new0(struct steer_service *,
+			    g_hash_table_size(b->services) + 1);
+	g_hash_table_iter_init(&it, b->services);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		v->service[v->nservice++] = config_service_ref(value);
+	qsort(v->service, (size_t)v->nservice, sizeof(*v->service), by_name);
+	return v;
+}
--- /dev/null
+++ b/limit/include/primroselead/hold.h
@@ -0,0 +1,47 @@
+#ifndef PRIMROSELEAD_HOLD_H
+#define PRIMROSELEAD_HOLD_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+/**
+ * Capacity of one region that this process holds, in requests at once. Any
+ * thread may take and give back; the control thread alone changes how much
+ * there is. Use never exceeds what is held, and what is held can only be
+ * lowered as far as it is not in use.
+ */
+struct limit_hold {
+	/** Held in the upper half, in use in the lower half. */
+	_Atomic uint64_t state;
+	/** Requests that found nothing free; for the choice of new amounts. */
+	_Atomic uint64_t refused;
+	/** Greatest use since it was last read. */
+	_Atomic uint32_t peak;
+};
+
+/** Starts with nothing held. */
+void limit_hold_init(struct limit_hold *h);
+
+/** Takes a place for one request, if more than "reserve" are free. Returns 1,
+ * or 0. */
+int limit_hold_take(struct limit_hold *h, uint32_t reserve);
+
+/** Gives a place back. */
+void limit_hold_give(struct limit_hold *h);
+
+/** Raises what is held. */
+void limit_hold_add(struct limit_hold *h, uint32_t n);
+
+/** Lowers what is held by at most n; returns by how much. */
+uint32_t limit_hold_cut(struct limit_hold *h, uint32_t n);
+
+/** What is held. */
+uint32_t limit_hold_size(const struct limit_hold *h);
+
+/** What is in use. */
+uint32_t limit_hold_used(const struct limit_hold *h);
+
+/** Greatest use since the last call. */
+uint32_t limit_hold_peak(struct limit_hold *h);
+
+#endif
--- /dev/null
+++ b/limit/src/codec.c
@@ -0,0 +1,105 @@
+#include <jansson.h>
+#include <limits.h>
+#include <primroselead/ledger.h>
+#include <stdlib.h>
+#include <string.h>
+
+static enum prl_code bad(struct prl_error *err, const char *region,
+			 const char *what)
+{
+	return prl_fail(err, PRL_E_PROTOCOL, "ledger, region \"%s\": %s",
+			region, what);
+}
+
+static enum prl_code read_row(struct ledger_pool *p, json_t *item,
+			      struct prl_error *err)
+{
+	const char *vm;
+	json_int_t incarnation;
+	json_int_t tokens;
+
+	if (json_unpack(item, "{s:s, s:I, s:I}", "vm", &vm, "incarnation",
+			&incarnation, "tokens", &tokens))
+		return bad(err, p->region, "a row is not valid");
+	if (!*vm || strlen(vm) >= LEDGER_NAME_MAX || ledger_row(p, vm))
+		return bad(err, p->region, "a row's VM is not valid");
+	if (tokens < 1 || tokens > INT_MAX / 4)
+		return bad(err, p->region, "a row's tokens are out of range");
+	return ledger_set(p, vm, incarnation, (int)tokens, err);
+}
+
+static enum prl_code read_pool(struct ledger *l, json_t *item,
+			       struct prl_error *err)
+{
+	const char *region;
+	json_int_t capacity;
+	json_t *rows;
+	struct ledger_pool *p;
+	enum prl_code rc;
+
+	if (json_unpack(item, "{s:s, s:I, s:o}", "region", &region, "capacity",
+			&capacity, "rows", &rows))
+		return bad(err, "", "a pool is not valid");
+	if (!*region || strlen(region) >= LEDGER_NAME_MAX || capacity < 0 ||
+	    capacity > INT_MAX / 4)
+		return bad(err, region, "name or capacity is out of range");
+	p = ledger_pool(l, region);
+	if (!p || p->capacity)
+		return bad(err, region, "too many pools or one stands twice");
+	p->capacity = (int)capacity;
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		rc = read_row(p, json_array_get(rows, i), err);
+		if (rc)
+			return rc;
+	}
+	return PRL_OK;
+}
+
+enum prl_code ledger_read(struct ledger *l, const char *text, size_t len,
+			  struct prl_error *err)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	json_t *pools = json_object_get(root, "pools");
+	enum prl_code rc = PRL_OK;
+
+	ledger_init(l);
+	if (!json_is_array(pools))
+		rc = bad(err, "", "the text holds no list of pools");
+	for (size_t i = 0; !rc && i < json_array_size(pools); i++)
+		rc = read_pool(l, json_array_get(pools, i), err);
+	json_decref(root);
+	if (rc)
+		ledger_finish(l);
+	return rc;
+}
+
+static json_t *write_pool(const struct ledger_pool *p)
+{
+	json_t *rows = json_array();
+
+	for (int i = 0; i < p->nrow; i++) {
+		const struct ledger_row *r = &p->row[i];
+
+		json_array_append_new(rows,
+				      json_pack("{s:s, s:I, s:i}", "vm", r->vm,
+						"incarnation",
+						(json_int_t)r->incarnation,
+						"tokens", r->tokens));
+	}
+	return json_pack("{s:s, s:i, s:o}", "region", p->region, "capacity",
+			 p->capacity, "rows", rows);
+}
+
+char *ledger_write(const struct ledger *l)
+{
+	json_t *pools = json_array();
+	json_t *root;
+	char *text;
+
+	for (int i = 0; i < l->npool; i++)
+		json_array_append_new(pools, write_pool(&l->pool[i]));
+	root = json_pack("{s:o}", "pools", pools);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
--- /dev/null
+++ b/loop/src/fetch.c
@@ -0,0 +1,154 @@
+#include <primroselead/clock.h>
+#include <primroselead/fetch.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+static void finish_ended(struct fetch_pool *p)
+{
+	struct fetch *f;
+	CURLMsg *msg;
+	CURLcode result;
+	int left;
+
+	while ((msg = curl_multi_info_read(p->multi, &left))) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		result = msg->data.result;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&f);
+		curl_multi_remove_handle(p->multi, f->easy);
+		f->done(f, result);
+	}
+}
+
+static void socket_ready(struct loop_fd *f, uint32_t events)
+{
+	struct fetch_pool *p = f->ctx;
+	int running;
+	int flags = 0;
+
+	if (events & EPOLLIN)
+		flags |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		flags |= CURL_CSELECT_OUT;
+	if (events & (EPOLLERR | EPOLLHUP))
+		flags |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(p->multi, f->fd, flags, &running);
+	finish_ended(p);
+}
+
+static void forget_socket(struct fetch_pool *p, struct loop_fd *watch)
+{
+	if (!watch)
+		return;
+	loop_remove(p->loop, watch);
+	free(watch);
+}
+
+static int watch_socket(struct fetch_pool *p, curl_socket_t fd, uint32_t events)
+{
+	struct loop_fd *watch = calloc(1, sizeof(*watch));
+
+	if (!watch)
+		return -1;
+	watch->fd = fd;
+	watch->ready = socket_ready;
+	watch->ctx = p;
+	if (loop_add(p->loop, watch, events, NULL)) {
+		free(watch);
+		return -1;
+	}
+	curl_multi_assign(p->multi, fd, watch);
+	return 0;
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+		     void *assigned)
+{
+	struct fetch_pool *p = ctx;
+	uint32_t events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		forget_socket(p, assigned);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		events |= EPOLLOUT;
+	if (!assigned)
+		return watch_socket(p, fd, events);
+	loop_change(p->loop, assigned, events);
+	return 0;
+}
+
+static int on_timeout(CURLM *multi, long ms, void *ctx)
+{
+	struct fetch_pool *p = ctx;
+
+	(void)multi;
+	p->timer.deadline = ms < 0 ? PRL_NEVER : prl_now_ms() + ms;
+	return 0;
+}
+
+static void timer_due(struct loop_timer *t, int64_t now)
+{
+	struct fetch_pool *p = t->ctx;
+	int running;
+
+	(void)now;
+	curl_multi_socket_action(p->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	finish_ended(p);
+}
+
+enum prl_code fetch_pool_init(struct fetch_pool *p, struct loop *l,
+			      struct prl_error *err)
+{
+	memset(p, 0, sizeof(*p));
+	p->loop = l;
+	p->multi = curl_multi_init();
+	if (!p->multi)
+		return prl_fail(err, PRL_E_MEMORY, "HTTP client");
+	curl_multi_setopt(p->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(p->multi, CURLMOPT_SOCKETDATA, p);
+	curl_multi_setopt(p->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(p->multi, CURLMOPT_TIMERDATA, p);
+	curl_multi_setopt(p->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	p->timer.due = timer_due;
+	p->timer.ctx = p;
+	loop_timer_add(l, &p->timer);
+	return PRL_OK;
+}
+
+void fetch_pool_finish(struct fetch_pool *p)
+{
+	curl_multi_cleanup(p->multi);
+	loop_timer_remove(p->loop, &p->timer);
+}
+
+enum prl_code fetch_start(struct fetch_pool *p, struct fetch *f,
+			  struct prl_error *err)
+{
+	CURLMcode rc;
+
+	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, f);
+	rc = curl_multi_add_handle(p->multi, f->easy);
+	if (rc)
+		return prl_fail(err, PRL_E_IO, "HTTP client: %s",
+				curl_multi_strerror(rc));
+	return PRL_OK;
+}
+
+void fetch_cancel(struct fetch_pool *p, struct fetch *f)
+{
+	curl_multi_remove_handle(p->multi, f->easy);
+}
+
+void fetch_unpause(struct fetch_pool *p, struct fetch *f)
+{
+	curl_easy_pause(f->easy, CURLPAUSE_CONT);
+	/* libcurl asks for an action at once by its timer callback. */
+	p->timer.deadline = prl_now_ms();
+}
--- /dev/null
+++ b/loop/src/serve.c
@@ -0,0 +1,102 @@
+#include <errno.h>
+#include <primroselead/address.h>
+#include <primroselead/clock.h>
+#include <primroselead/serve.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+static void run(struct serve *s)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	MHD_run(s->mhd);
+	s->timer.deadline = PRL_NEVER;
+	if (MHD_get_timeout(s->mhd, &ms) == MHD_YES)
+		s->timer.deadline = prl_now_ms() + (int64_t)ms;
+}
+
+static void on_ready(struct loop_fd *f, uint32_t events)
+{
+	(void)events;
+	run(f->ctx);
+}
+
+static void on_timer(struct loop_timer *t, int64_t now)
+{
+	(void)now;
+	run(t->ctx);
+}
+
+static struct MHD_Daemon *start(const struct serve_options *o,
+				const struct sockaddr *addr)
+{
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+
+	if (addr->sa_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	return MHD_start_daemon(
+		flags, 0, NULL, NULL, o->handle, o->ctx, MHD_OPTION_SOCK_ADDR,
+		addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+		MHD_OPTION_CONNECTION_LIMIT, o->connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, o->idle_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->connection_bytes,
+		MHD_OPTION_NOTIFY_COMPLETED, o->completed, o->ctx,
+		MHD_OPTION_END);
+}
+
+enum prl_code serve_init(struct serve *s, struct loop *l,
+			 const struct serve_options *o, struct prl_error *err)
+{
+	struct sockaddr_storage addr;
+	socklen_t len;
+
+	memset(s, 0, sizeof(*s));
+	if (prl_address_parse(o->address, &addr, &len))
+		return prl_fail(err, PRL_E_IO,
+				"\"%s\" is no IP number and port", o->address);
+	s->mhd = start(o, (struct sockaddr *)&addr);
+	if (!s->mhd)
+		return prl_fail(err, PRL_E_IO, "can't listen on %s: %s",
+				o->address, strerror(errno));
+	s->loop = l;
+	s->fd.fd =
+		MHD_get_daemon_info(s->mhd, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+	s->fd.ready = on_ready;
+	s->fd.ctx = s;
+	s->timer.due = on_timer;
+	s->timer.ctx = s;
+	loop_timer_add(l, &s->timer);
+	return loop_add(l, &s->fd, EPOLLIN, err);
+}
+
+void serve_finish(struct serve *s)
+{
+	loop_remove(s->loop, &s->fd);
+	loop_timer_remove(s->loop, &s->timer);
+	MHD_stop_daemon(s->mhd);
+}
+
+void serve_resume(struct serve *s, struct MHD_Connection *conn)
+{
+	MHD_resume_connection(conn);
+	s->timer.deadline = prl_now_ms();
+}
+
+void serve_quiesce(struct serve *s)
+{
+	MHD_socket fd;
+
+	if (s->quiesced)
+		return;
+	s->quiesced = 1;
+	fd = MHD_quiesce_daemon(s->mhd);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+unsigned int serve_connections(const struct serve *s)
+{
+	return MHD_get_daemon_info(s->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
+		->num_connections;
+}
--- /dev/null
+++ b/member/include/primroselead/member.h
@@ -0,0 +1,169 @@
+#ifndef PRIMROSELEAD_MEMBER_H
+#define PRIMROSELEAD_MEMBER_H
+
+#include <glib.h>
+#include <primroselead/address.h>
+#include <primroselead/error.h>
+#include <stdint.h>
+
+/*
+ * Which VMs are live, by probing one at a time, with suspicion before death
+ * and incarnation numbers (SWIM, Das et al. 2002). The cost for a VM does not
+ * depend on the size of the fleet. Pure: the caller passes the time and random
+ * numbers in, and sends and receives the messages.
+ */
+
+#define MEMBER_NAME_MAX 64
+
+/** Members that one ranking may list. */
+#define MEMBER_RANK_MAX 1024
+
+/** Members named in one message. */
+#define MEMBER_RUMORS_MAX 8
+
+/** Messages that one tick may ask for. */
+#define MEMBER_OUT_MAX 8
+
+/** Events kept until they are taken; further ones are dropped. */
+#define MEMBER_EVENTS_MAX 256
+
+/** State of a VM; of two reports with one incarnation the later one here
+ * counts. */
+enum member_state {
+	MEMBER_LIVE,
+	MEMBER_SUSPECT,
+	MEMBER_LEAVING,
+	MEMBER_DEAD,
+};
+
+/** What is told of a VM. */
+struct member_vm {
+	char name[MEMBER_NAME_MAX];
+	char region[MEMBER_NAME_MAX];
+	char domain[MEMBER_NAME_MAX];
+	char http[PRL_ADDRESS_MAX];
+	char rpc[PRL_ADDRESS_MAX];
+	int64_t incarnation;
+	enum member_state state;
+};
+
+/** A VM and what this one keeps about it. */
+struct member_peer {
+	struct member_vm vm;
+	/** When a suspected one is given up; else PRL_NEVER. */
+	int64_t deadline;
+	/** Messages that still carry its state. */
+	int rumors_left;
+};
+
+/** What a message asks. */
+enum member_message {
+	MEMBER_PROBE,
+	/** Asks the receiver to probe "target". */
+	MEMBER_INDIRECT,
+};
+
+/** A message to send. */
+struct member_out {
+	enum member_message message;
+	char to[PRL_ADDRESS_MAX];
+	char target[PRL_ADDRESS_MAX];
+	int64_t sequence;
+};
+
+/** A change, for logs and the audit trail. */
+struct member_event {
+	char name[MEMBER_NAME_MAX];
+	enum member_state state;
+	int64_t incarnation;
+	/** This VM itself was reported dead and has refuted it. */
+	int given_up;
+};
+
+/** Periods of the protocol. */
+struct member_options {
+	int64_t period_ms;
+	int64_t suspect_ms;
+};
+
+/** The membership as one VM sees it; the VM itself is peer 0. */
+struct member_table {
+	struct member_options options;
+	struct member_peer *peer;
+	int n;
+	int room;
+	GHashTable *by_name;
+	/** Order of probing, shuffled anew at each round. */
+	int *order;
+	int norder;
+	int next;
+	/** The probe under way. */
+	int target;
+	int64_t sequence;
+	int acked;
+	int asked_others;
+	int64_t ask_deadline;
+	int64_t period_deadline;
+	/** Peers whose state is news. */
+	int hot[MEMBER_EVENTS_MAX];
+	int nhot;
+	struct member_event event[MEMBER_EVENTS_MAX];
+	int nevent;
+	/** Counts every change of the set or of a state. */
+	uint64_t changes;
+};
+
+/** Starts with this VM alone. Returns PRL_OK or PRL_E_MEMORY. */
+enum prl_code member_init(struct member_table *m, const struct member_vm *self,
+			  const struct member_options *o,
+			  struct prl_error *err);
+
+/** Frees the table. */
+void member_finish(struct member_table *m);
+
+/** Does what is due; fills the messages to send and returns their number. */
+int member_tick(struct member_table *m, int64_t now, uint64_t random,
+		struct member_out out[MEMBER_OUT_MAX]);
+
+/** When the next tick is due. */
+int64_t member_due(const struct member_table *m);
+
+/** Takes in what a message tells of a VM. Returns PRL_OK or PRL_E_MEMORY. */
+enum prl_code member_hear(struct member_table *m, const struct member_vm *vm,
+			  int64_t now);
+
+/** An answer to a probe came, directly or through another VM. */
+void member_acked(struct member_table *m, int64_t sequence);
+
+/** Chooses what to tell in the next message: news first. Returns how many. */
+int member_rumors(struct member_table *m, uint64_t random,
+		  struct member_vm out[MEMBER_RUMORS_MAX]);
+
+/** Says that this VM leaves. */
+void member_leave(struct member_table *m);
+
+/** Forgets a VM that the platform has destroyed. */
+void member_forget(struct member_table *m, const char *name);
+
+/** Peer by name, or null. */
+const struct member_peer *member_find(const struct member_table *m,
+				      const char *name);
+
+/** Whether an address is that of a VM that isn't dead. */
+int member_knows(const struct member_table *m, const char *rpc);
+
+/** Takes one event. Returns 1, or 0 if there is none. */
+int member_take(struct member_table *m, struct member_event *out);
+
+/** Name of a state, as in logs. */
+const char *member_state_name(enum member_state state);
+
+/**
+ * Ranks the usable members of a failure domain for a topic by rendezvous
+ * hashing: fills indexes, best first, and returns how many. With a null domain
+ * all domains count.
+ */
+int member_rank(const struct member_table *m, const char *domain,
+		uint64_t topic, int *out, int max);
+
+#endif
--- /dev/null
+++ b/member/src/internal.h
@@ -0,0 +1,9 @@
+#ifndef MEMBER_INTERNAL_H
+#define MEMBER_INTERNAL_H
+
+#include <primroselead/member.h>
+
+/** Makes a peer's state news and records an event. */
+void member_changed(struct member_table *m, int i);
+
+#endif
--- /dev/null
+++ b/member/src/table.c
@@ -0,0 +1,243 @@
+#include "internal.h"
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Messages that carry a piece of news, for each doubling of the fleet. */
+#define RUMOR_FACTOR 3
+
+const char *member_state_name(enum member_state state)
+{
+	switch (state) {
+	case MEMBER_LIVE:
+		return "live";
+	case MEMBER_SUSPECT:
+		return "suspect";
+	case MEMBER_LEAVING:
+		return "leaving";
+	case MEMBER_DEAD:
+		return "dead";
+	}
+	return "unknown";
+}
+
+static int rumor_count(int members)
+{
+	int doublings = 1;
+
+	while (members > 1) {
+		members /= 2;
+		doublings++;
+	}
+	return RUMOR_FACTOR * doublings;
+}
+
+static void make_hot(struct member_table *m, int i)
+{
+	m->peer[i].rumors_left = rumor_count(m->n);
+	for (int k = 0; k < m->nhot; k++)
+		if (m->hot[k] == i)
+			return;
+	if (m->nhot == MEMBER_EVENTS_MAX) {
+		memmove(m->hot, m->hot + 1,
+			sizeof(m->hot[0]) * (MEMBER_EVENTS_MAX - 1));
+		m->nhot--;
+	}
+	m->hot[m->nhot++] = i;
+}
+
+void member_changed(struct member_table *m, int i)
+{
+	const struct member_vm *vm = &m->peer[i].vm;
+	struct member_event *e;
+
+	make_hot(m, i);
+	m->changes++;
+	if (m->nevent == MEMBER_EVENTS_MAX)
+		return;
+	e = &m->event[m->nevent++];
+	memset(e, 0, sizeof(*e));
+	memcpy(e->name, vm->name, sizeof(e->name));
+	e->state = vm->state;
+	e->incarnation = vm->incarnation;
+}
+
+int member_take(struct member_table *m, struct member_event *out)
+{
+	if (!m->nevent)
+		return 0;
+	*out = m->event[0];
+	m->nevent--;
+	memmove(m->event, m->event + 1, (size_t)m->nevent * sizeof(*out));
+	return 1;
+}
+
+static enum prl_code grow(struct member_table *m)
+{
+	int room = m->room ? m->room * 2 : 16;
+	struct member_peer *peer;
+	int *order;
+
+	peer = realloc(m->peer, (size_t)room * sizeof(*peer));
+	if (!peer)
+		return PRL_E_MEMORY;
+	m->peer = peer;
+	order = realloc(m->order, (size_t)room * sizeof(*order));
+	if (!order)
+		return PRL_E_MEMORY;
+	m->order = order;
+	m->room = room;
+	return PRL_OK;
+}
+
+static enum prl_code add(struct member_table *m, const struct member_vm *vm)
+{
+	struct member_peer *p;
+
+	if (m->n == m->room && grow(m))
+		return PRL_E_MEMORY;
+	p = &m->peer[m->n];
+	memset(p, 0, sizeof(*p));
+	p->vm = *vm;
+	p->deadline = PRL_NEVER;
+	g_hash_table_insert(m->by_name, g_strdup(vm->name),
+			    GINT_TO_POINTER(m->n + 1));
+	m->n++;
+	member_changed(m, m->n - 1);
+	return PRL_OK;
+}
+
+enum prl_code member_init(struct member_table *m, const struct member_vm *self,
+			  const struct member_options *o, struct prl_error *err)
+{
+	memset(m, 0, sizeof(*m));
+	m->options = *o;
+	m->target = -1;
+	m->by_name =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (add(m, self))
+		return prl_fail(err, PRL_E_MEMORY, "membership table");
+	return PRL_OK;
+}
+
+void member_finish(struct member_table *m)
+{
+	g_hash_table_destroy(m->by_name);
+	free(m->peer);
+	free(m->order);
+}
+
+static int index_of(const struct member_table *m, const char *name)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(m->by_name, name)) - 1;
+}
+
+const struct member_peer *member_find(const struct member_table *m,
+				      const char *name)
+{
+	int i = index_of(m, name);
+
+	return i < 0 ? NULL : &m->peer[i];
+}
+
+int member_knows(const struct member_table *m, const char *rpc)
+{
+	for (int i = 1; i < m->n; i++)
+		if (m->peer[i].vm.state != MEMBER_DEAD &&
+		    !strcmp(m->peer[i].vm.rpc, rpc))
+			return 1;
+	return 0;
+}
+
+/* Another VM reports on this one: what is worse than the truth is refuted by
+ * a higher incarnation. */
+static void hear_of_self(struct member_table *m, const struct member_vm *vm)
+{
+	struct member_vm *self = &m->peer[0].vm;
+
+	if (vm->incarnation < self->incarnation || vm->state <= self->state)
+		return;
+	self->incarnation = vm->incarnation + 1;
+	member_changed(m, 0);
+	if (vm->state == MEMBER_DEAD && m->nevent)
+		m->event[m->nevent - 1].given_up = 1;
+}
+
+static int is_news(const struct member_vm *have, const struct member_vm *vm)
+{
+	if (vm->incarnation != have->incarnation)
+		return vm->incarnation > have->incarnation;
+	return vm->state > have->state;
+}
+
+enum prl_code member_hear(struct member_table *m, const struct member_vm *vm,
+			  int64_t now)
+{
+	int i = index_of(m, vm->name);
+	struct member_peer *p;
+
+	if (i == 0) {
+		hear_of_self(m, vm);
+		return PRL_OK;
+	}
+	if (i < 0) {
+		/* The dead that were never known are not worth a place. */
+		if (vm->state == MEMBER_DEAD)
+			return PRL_OK;
+		if (add(m, vm))
+			return PRL_E_MEMORY;
+		i = m->n - 1;
+	} else {
+		if (!is_news(&m->peer[i].vm, vm))
+			return PRL_OK;
+		m->peer[i].vm = *vm;
+		member_changed(m, i);
+	}
+	p = &m->peer[i];
+	p->deadline = PRL_NEVER;
+	if (vm->state == MEMBER_SUSPECT)
+		p->deadline = now + m->options.suspect_ms;
+	return PRL_OK;
+}
+
+void member_leave(struct member_table *m)
+{
+	if (m->peer[0].vm.state == MEMBER_LEAVING)
+		return;
+	m->peer[0].vm.state = MEMBER_LEAVING;
+	member_changed(m, 0);
+}
+
+static void renumber(struct member_table *m, int from, int to)
+{
+	int kept = 0;
+
+	for (int k = 0; k < m->nhot; k++) {
+		if (m->hot[k] == to)
+			continue;
+		m->hot[kept++] = m->hot[k] == from ? to : m->hot[k];
+	}
+	m->nhot = kept;
+	/* Indexes of the round are void; a new one begins. */
+	m->norder = 0;
+	m->next = 0;
+	m->target = -1;
+}
+
+void member_forget(struct member_table *m, const char *name)
+{
+	int i = index_of(m, name);
+	int last = m->n - 1;
+
+	if (i <= 0)
+		return;
+	g_hash_table_remove(m->by_name, name);
+	if (i != last) {
+		m->peer[i] = m->peer[last];
+		g_hash_table_replace(m->by_name, g_strdup(m->peer[i].vm.name),
+				     GINT_TO_POINTER(i + 1));
+	}
+	renumber(m, last, i);
+	m->n--;
+	m->changes++;
+}
--- /dev/null
+++ b/mk/flags.mk
@@ -0,0 +1,24 @@
+# Compilers, warnings and the flags of each mode.
+OUT := build/$(MODE)
+DEPENDS := apr-1 libtirpc libmicrohttpd libcurl glib-2.0 jansson libxxhash
+WARN := -std=c11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wpointer-arith -Wvla
+
+DEP_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(DEPENDS)))
+DEP_LIBS := $(shell pkg-config --libs $(DEPENDS)) -largtable2 -lpthread -lm
+
+MODE_release := -O2 -g
+MODE_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
+	-fno-sanitize-recover=all
+MODE_tsan := -O1 -g -fsanitize=thread
+MODE_clang := -O2 -g
+MODE_fuzz := -O1 -g -fsanitize=address,undefined,fuzzer-no-link \
+	-fno-sanitize-recover=all
+
+ifneq ($(filter $(MODE),clang fuzz),)
+CC := clang
+endif
+
+CFLAGS := $(WARN) $(MODE_$(MODE)) $(DEP_CFLAGS) -D_GNU_SOURCE \
+	-DPRL_VERSION='"$(shell cat VERSION)"'
+LDLIBS := $(DEP_LIBS)
--- /dev/null
+++ b/mk/packages.mk
@@ -0,0 +1,36 @@
+# One static library a package. A package sees only the public headers of the
+# packages that it names here, so an arrow the wrong way does not compile.
+base_USES :=
+schema_USES := base
+loop_USES := base
+store_USES := base loop
+config_USES := base schema steer store spread loop
+steer_USES := base
+limit_USES := base
+claim_USES := base
+wire_USES := base loop
+member_USES := base
+spread_USES := base
+observe_USES := base
+proxy_USES := base loop schema spread steer limit claim config observe
+
+PUBLIC := $(foreach p,$(PACKAGES),-I$(p)/include)
+LIBRARIES := $(foreach p,$(PACKAGES),$(OUT)/lib/libprimroselead-$(p).a)
+
+define package
+$(1)_OBJECTS := $$(patsubst %.c,$$(OUT)/%.o,$$(wildcard $(1)/src/*.c))
+$$(OUT)/lib/libprimroselead-$(1).a: $$($(1)_OBJECTS)
+	@mkdir -p $$(@D)
+	@rm -f $$@
+	ar rcs $$@ $$^
+$$(OUT)/$(1)/src/%.o: $(1)/src/%.c
+	@mkdir -p $$(@D)
+	$$(CC) $$(CFLAGS) -MMD -MP $$(foreach p,$(1) $$($(1)_USES),-I$$(p)/include) -I$(1)/src -c -o $$@ $$<
+endef
+$(foreach p,$(PACKAGES),$(eval $(call package,$(p))))
+
+-include $(foreach p,$(PACKAGES),$($(p)_OBJECTS:.o=.d))
+
+# rpcgen declares a buffer that short messages do not use.
+$(OUT)/wire/src/messages.o: CFLAGS += -Wno-unused-variable -Wno-cast-function-type
+$(OUT)/wire/src/codec.o: CFLAGS += -Wno-cast-function-type
--- /dev/null
+++ b/mk/programs.mk
@@ -0,0 +1,36 @@
+# The two binaries, the stand-ins and the example.
+BINARIES := $(foreach p,$(PROGRAMS),$(OUT)/bin/$(p))
+STANDIN_PROGRAMS := store upstream load
+STANDINS := $(foreach p,$(STANDIN_PROGRAMS),$(OUT)/bin/standin-$(p))
+EXAMPLES := $(OUT)/bin/example-steer
+
+LIBS := -Wl,--start-group $(LIBRARIES) -Wl,--end-group $(LDLIBS)
+
+define program
+$(OUT)/bin/$(1): $$(patsubst %.c,$$(OUT)/%.o,$$(wildcard cmd/$(1)/*.c)) $$(LIBRARIES)
+	@mkdir -p $$(@D)
+	$$(CC) $$(CFLAGS) -o $$@ $$(filter %.o,$$^) $$(LIBS)
+endef
+$(foreach p,$(PROGRAMS),$(eval $(call program,$(p))))
+
+$(OUT)/bin/standin-%: $(OUT)/standin/src/%.o $(OUT)/standin/src/answer.o $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
+
+$(OUT)/bin/example-%: $(OUT)/examples/embed/%.o $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
+
+$(OUT)/cmd/%.o: cmd/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -I$(dir $<) -c -o $@ $<
+
+$(OUT)/standin/%.o: standin/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+
+$(OUT)/examples/%.o: examples/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+
+-include $(wildcard $(OUT)/cmd/*/*.d $(OUT)/standin/src/*.d)
--- /dev/null
+++ b/observe/include/primroselead/log.h
@@ -0,0 +1,26 @@
+#ifndef PRIMROSELEAD_LOG_H
+#define PRIMROSELEAD_LOG_H
+
+/** Weight of a log line. */
+enum log_level {
+	LOG_DEBUG_LINE,
+	LOG_INFO_LINE,
+	LOG_WARNING_LINE,
+	LOG_ERROR_LINE,
+	/** A change of configuration, shift, drain, grant or membership; these
+	 * lines form the audit trail and are numbered. */
+	LOG_AUDIT_LINE,
+};
+
+/** Makes GLib's logging write JSON lines to standard output; the name of the
+ * VM is put into each. */
+void log_init(const char *vm);
+
+/**
+ * Writes one line: an event, then pairs of key and value up to a null key.
+ * Callable from any thread.
+ */
+void log_event(enum log_level level, const char *event, ...)
+	__attribute__((sentinel));
+
+#endif
--- /dev/null
+++ b/observe/src/metrics.c
@@ -0,0 +1,116 @@
+#include <inttypes.h>
+#include <primroselead/metrics.h>
+#include <stdio.h>
+
+/* Upper bound of the first bucket in microseconds. */
+#define FIRST_BOUND_US 16
+
+static const char *const names[METRIC_COUNT] = {"lookups",
+						"requests",
+						"requests_ran",
+						"requests_not_run",
+						"requests_unknown",
+						"requests_shed",
+						"requests_bad",
+						"upstream_attempts",
+						"upstream_retries",
+						"requests_spilled",
+						"requests_shifted",
+						"claims",
+						"claims_taken",
+						"claims_refused",
+						"requests_cancelled",
+						"store_reads",
+						"store_writes",
+						"store_watches",
+						"rpc_sent",
+						"rpc_sent_bytes",
+						"rpc_received",
+						"rpc_received_bytes",
+						"rpc_rejected",
+						"config_installed",
+						"config_pulls"};
+
+static const char *const latency_names[METRIC_LATENCY_COUNT] = {
+	"request_time_us", "upstream_time_us", "claim_time_us"};
+
+void metrics_add(struct metrics *m, enum metric which, uint64_t n)
+{
+	atomic_fetch_add_explicit(&m->counter[which], n, memory_order_relaxed);
+}
+
+void metrics_set(struct metrics *m, enum metric which, uint64_t n)
+{
+	atomic_store_explicit(&m->counter[which], n, memory_order_relaxed);
+}
+
+int64_t metrics_bound(int bucket)
+{
+	int64_t bound = (int64_t)FIRST_BOUND_US << (bucket / 2);
+
+	return bucket % 2 ? bound + bound / 2 : bound;
+}
+
+void metrics_latency(struct metrics *m, enum metric_latency which, int64_t us)
+{
+	int i = 0;
+
+	while (i < METRIC_BUCKETS - 1 && us > metrics_bound(i))
+		i++;
+	atomic_fetch_add_explicit(&m->bucket[which][i], 1,
+				  memory_order_relaxed);
+}
+
+struct writer {
+	char *text;
+	size_t size;
+	size_t len;
+};
+
+static void put(struct writer *w, const char *name, const char *bound,
+		uint64_t n)
+{
+	int k = snprintf(w->text + w->len, w->size - w->len,
+			 "primroselead_%s%s %" PRIu64 "\n", name, bound, n);
+
+	if (k > 0 && (size_t)k < w->size - w->len)
+		w->len += (size_t)k;
+}
+
+static void put_latency(struct writer *w, const struct metrics *const *m, int n,
+			int which)
+{
+	uint64_t total = 0;
+
+	for (int b = 0; b < METRIC_BUCKETS; b++) {
+		uint64_t here = 0;
+		char bound[48];
+
+		for (int i = 0; i < n; i++)
+			here += m[i]->bucket[which][b];
+		total += here;
+		if (!here)
+			continue;
+		snprintf(bound, sizeof(bound), "_bucket{le=\"%" PRId64 "\"}",
+			 metrics_bound(b));
+		put(w, latency_names[which], bound, total);
+	}
+	put(w, latency_names[which], "_count", total);
+}
+
+size_t metrics_write(const struct metrics *const *m, int n, char *text,
+		     size_t size)
+{
+	struct writer w = {.text = text, .size = size};
+
+	for (int k = 0; k < METRIC_COUNT; k++) {
+		uint64_t total = 0;
+
+		for (int i = 0; i < n; i++)
+			total += m[i]->counter[k];
+		put(&w, names[k], "", total);
+	}
+	for (int k = 0; k < METRIC_LATENCY_COUNT; k++)
+		put_latency(&w, m, n, k);
+	return w.len;
+}
--- /dev/null
+++ b/proxy/include/primroselead/proxy.h
@@ -0,0 +1,177 @@
+#ifndef PRIMROSELEAD_PROXY_H
+#define PRIMROSELEAD_PROXY_H
+
+#include <apr_thread_proc.h>
+#include <primroselead/claim.h>
+#include <primroselead/config.h>
+#include <primroselead/fetch.h>
+#include <primroselead/hold.h>
+#include <primroselead/mailbox.h>
+#include <primroselead/metrics.h>
+#include <primroselead/serve.h>
+#include <primroselead/share.h>
+
+/*
+ * The request path: look-ups, admission, choice of an upstream, and bodies
+ * streamed both ways. Each traffic thread runs a listener and a client in one
+ * loop; a request never leaves its thread. Decisions are those of the steer
+ * and limit packages.
+ */
+
+/** Paths beginning so are answered by this VM itself. */
+#define PROXY_OWN_PATH "/-/"
+
+/** Most traffic threads. */
+#define PROXY_THREADS_MAX 64
+
+/** Longest idempotency key in bytes. */
+#define PROXY_KEY_MAX 200
+
+/** Most requests that wait for capacity in one thread. */
+#define PROXY_WAITING_MAX 1024
+
+/** What all threads know of one upstream. */
+struct proxy_upstream_cell {
+	_Atomic int outstanding;
+	/** Running there as last reported, or -1. */
+	_Atomic int reported;
+	_Atomic int64_t reported_ms;
+	_Atomic int64_t latency_us;
+	_Atomic int failures;
+	_Atomic int64_t since_ms;
+};
+
+/** What all threads share for one service. */
+struct proxy_service_cell {
+	/** Holds a shift under its cap. */
+	struct limit_share shift;
+	/** Plan that the credit of "shift" belongs to. */
+	_Atomic uint64_t shift_plan;
+	/** Holds retries under the retry budget. */
+	struct limit_share retry;
+	/** Smoothed latency by region in microseconds, for pacing shifts. */
+	_Atomic int64_t latency_us[STEER_REGIONS_MAX];
+	/** Requests moved, and requests whose home is the shift's origin. */
+	_Atomic uint64_t moved;
+	_Atomic uint64_t from_total;
+};
+
+struct proxy;
+
+/** A claim or note on its way to the control thread. */
+struct proxy_claim {
+	struct proxy_thread *thread;
+	/** Request that waits, or 0 for a note. */
+	uint64_t handle;
+	struct claim_record record;
+	int64_t deadline;
+	struct claim_answer answer;
+};
+
+/** What the control thread sends to a traffic thread. */
+enum proxy_mail_kind {
+	PROXY_MAIL_VIEW,
+	PROXY_MAIL_CLAIM,
+	PROXY_MAIL_QUIESCE,
+	PROXY_MAIL_STOP,
+};
+
+/** One message to a traffic thread. */
+struct proxy_mail {
+	enum proxy_mail_kind kind;
+	union {
+		struct steer_view *view;
+		struct proxy_claim *claim;
+	} u;
+};
+
+struct proxy_request;
+
+/** A traffic thread; only its own thread touches it after the start. */
+struct proxy_thread {
+	struct proxy *proxy;
+	struct loop loop;
+	struct serve serve;
+	struct fetch_pool fetches;
+	struct mailbox mail;
+	struct metrics metrics;
+	struct steer_view *view;
+	/** Requests by handle. */
+	struct proxy_request **table;
+	uint32_t *generation;
+	int table_size;
+	int next_place;
+	int nrequest;
+	/** Requests that wait for capacity, oldest first. */
+	struct proxy_request *first_waiting;
+	struct proxy_request *last_waiting;
+	int nwaiting;
+	struct loop_timer wait_timer;
+	struct loop_timer sweep_timer;
+	/** Easy handles for the next transfers. */
+	CURL *spare[64];
+	int nspare;
+	uint64_t random;
+	/** Open connections, for the control thread. */
+	_Atomic int connections;
+	apr_thread_t *thread;
+};
+
+/** All traffic threads and what they share. */
+struct proxy {
+	const struct prl_settings *settings;
+	/** Region of this VM in the views. */
+	int region;
+	struct proxy_thread *thread;
+	int nthread;
+	struct proxy_upstream_cell *upstream;
+	struct limit_hold *hold;
+	struct proxy_service_cell *service;
+	/** Claims go here; received by the control thread. */
+	struct mailbox *claims;
+	/** Until when capacity may be used, on the clock of prl_now_ms; the
+	 * control thread moves it on as long as it runs. A process that was
+	 * paused finds it passed. */
+	_Atomic int64_t alive_until;
+	/** This VM is leaving: look-ups do not name it. */
+	_Atomic int leaving;
+	/** Requests in all threads that have no final answer yet. */
+	_Atomic int active;
+	/** Counters of the control thread. */
+	struct metrics control;
+	/** Status text, replaced by the control thread. */
+	GMutex status_lock;
+	char *status;
+};
+
+/** Makes the shared tables. Returns PRL_OK or PRL_E_MEMORY. */
+enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
+			 int region, struct mailbox *claims,
+			 struct prl_error *err);
+
+/** Starts the traffic threads. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY. */
+enum prl_code proxy_start(struct proxy *p, apr_pool_t *pool,
+			  struct prl_error *err);
+
+/** Hands a view to every thread; the caller keeps its own reference. */
+void proxy_set_view(struct proxy *p, struct steer_view *v);
+
+/** Hands a claim's answer back to the thread that asked. */
+void proxy_answer_claim(struct proxy_claim *c);
+
+/** Replaces the status text; takes it over. */
+void proxy_set_status(struct proxy *p, char *text);
+
+/** Stops accepting connections; requests go on. */
+void proxy_quiesce(struct proxy *p);
+
+/** Requests and connections that are still open. */
+int proxy_open(const struct proxy *p);
+
+/** Ends the threads; to be called when nothing is open, or it is cut. */
+void proxy_stop(struct proxy *p);
+
+/** Frees the shared tables. */
+void proxy_finish(struct proxy *p);
+
+#endif
--- /dev/null
+++ b/proxy/src/admit.c
@@ -0,0 +1,192 @@
+#include "request.h"
+#include <primroselead/clock.h>
+
+/* Longest wait for capacity; beyond it the caller is told to come back. */
+#define WAIT_MAX_MS 200
+
+/* Time between two looks at the waiting requests: places that other threads
+ * give back are not announced. */
+#define WAIT_TICK_MS 2
+
+/* One place in so many is kept for requests that run at most once. */
+#define RESERVE_DIVISOR 16
+
+static int may_admit(const struct proxy *p)
+{
+	return prl_now_ms() < atomic_load(&p->alive_until);
+}
+
+static int take(struct proxy_request *r, int region)
+{
+	const struct steer_place *place = &r->service->place[region];
+	struct limit_hold *hold = &r->thread->proxy->hold[place->hold];
+	uint32_t reserve = limit_hold_size(hold) / RESERVE_DIVISOR;
+
+	if (!place->nupstream)
+		return 0;
+	return limit_hold_take(hold, r->once ? 0 : reserve);
+}
+
+/* Counts the request for the shift's cap once, on its first try. */
+static int decide_moved(struct proxy_request *r)
+{
+	const struct steer_shift *shift = &r->service->shift;
+	struct proxy_service_cell *cell;
+
+	if (shift->from == STEER_NONE || shift->from != r->home)
+		return 0;
+	cell = &r->thread->proxy->service[r->service->cell];
+	/* Credit of another plan must not pay for this one. */
+	if (atomic_exchange(&cell->shift_plan, shift->plan) != shift->plan)
+		limit_share_reset(&cell->shift);
+	atomic_fetch_add(&cell->from_total, 1);
+	limit_share_count(&cell->shift, shift->cap);
+	if (!steer_moved(shift, r->home, r->block))
+		return 0;
+	return limit_share_take(&cell->shift);
+}
+
+static int take_any(struct proxy_request *r, const struct steer_route *route)
+{
+	for (int i = 0; i < route->n; i++) {
+		if (!take(r, route->region[i]))
+			continue;
+		r->region = route->region[i];
+		r->reason = route->reason[i];
+		return 1;
+	}
+	return 0;
+}
+
+static void count_reason(const struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+
+	switch (r->reason) {
+	case STEER_SHIFTED:
+		metrics_add(&t->metrics, METRIC_SHIFTED, 1);
+		atomic_fetch_add(&t->proxy->service[r->service->cell].moved, 1);
+		break;
+	case STEER_SPILLED:
+		metrics_add(&t->metrics, METRIC_SPILLED, 1);
+		break;
+	case STEER_LOCAL:
+		break;
+	}
+}
+
+static void ask_claim(struct proxy_request *r)
+{
+	struct proxy_claim *c = g_new0(struct proxy_claim, 1);
+
+	r->state = REQUEST_CLAIMING;
+	c->thread = r->thread;
+	c->handle = r->handle;
+	c->record = r->claim;
+	c->deadline = r->deadline;
+	metrics_add(&r->thread->metrics, METRIC_CLAIMS, 1);
+	mailbox_send(r->thread->proxy->claims, c);
+}
+
+static void admitted(struct proxy_request *r)
+{
+	count_reason(r);
+	if (r->once && !r->claimed)
+		ask_claim(r);
+	else
+		request_send(r);
+}
+
+static void join_waiting(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+	int64_t now = prl_now_ms();
+
+	r->state = REQUEST_WAITING;
+	r->wait_until = now + WAIT_MAX_MS;
+	if (r->deadline < r->wait_until)
+		r->wait_until = r->deadline;
+	r->next_waiting = NULL;
+	if (t->last_waiting)
+		t->last_waiting->next_waiting = r;
+	else
+		t->first_waiting = r;
+	t->last_waiting = r;
+	t->nwaiting++;
+	if (t->wait_timer.deadline == PRL_NEVER)
+		t->wait_timer.deadline = now + WAIT_TICK_MS;
+}
+
+void request_unwait(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+	struct proxy_request **p = &t->first_waiting;
+	struct proxy_request *before = NULL;
+
+	if (r->state != REQUEST_WAITING)
+		return;
+	while (*p != r) {
+		before = *p;
+		p = &before->next_waiting;
+	}
+	*p = r->next_waiting;
+	if (t->last_waiting == r)
+		t->last_waiting = before;
+	t->nwaiting--;
+	r->state = REQUEST_NEW;
+}
+
+static void shed(struct proxy_request *r)
+{
+	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+		     "no region has free capacity");
+}
+
+static int try_admit(struct proxy_request *r)
+{
+	struct steer_route route;
+
+	if (!may_admit(r->thread->proxy))
+		return 0;
+	steer_route(r->service, r->home, r->moved, &route);
+	return take_any(r, &route);
+}
+
+void request_admit(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+
+	r->moved = decide_moved(r);
+	/* Those that wait come first. */
+	if (!t->nwaiting && try_admit(r)) {
+		admitted(r);
+		return;
+	}
+	if (t->nwaiting >= PROXY_WAITING_MAX || !may_admit(r->thread->proxy)) {
+		shed(r);
+		return;
+	}
+	join_waiting(r);
+}
+
+void request_admit_waiting(struct proxy_thread *t)
+{
+	int64_t now = prl_now_ms();
+	struct proxy_request *r = t->first_waiting;
+	struct proxy_request *next;
+
+	for (; r; r = next) {
+		next = r->next_waiting;
+		if (now >= r->wait_until) {
+			request_unwait(r);
+			shed(r);
+			continue;
+		}
+		if (!try_admit(r))
+			continue;
+		request_unwait(r);
+		admitted(r);
+	}
+	t->wait_timer.deadline = t->nwaiting ? now + WAIT_TICK_MS : PRL_NEVER;
+}
--- /dev/null
+++ b/proxy/src/answer.c
@@ -0,0 +1,153 @@
+#include "request.h"
+#include <stdio.h>
+#include <string.h>
+
+/* Told to callers that may come back, in seconds. */
+#define RETRY_AFTER "1"
+
+/* Block in which the answer's body is handed to the listener, in bytes. */
+#define ANSWER_BLOCK 8192
+
+static const char *outcome_name(enum request_outcome outcome)
+{
+	switch (outcome) {
+	case OUTCOME_NOT_RUN:
+		return "not-run";
+	case OUTCOME_UNKNOWN:
+		return "unknown";
+	case OUTCOME_RAN:
+		return "ran";
+	}
+	return "unknown";
+}
+
+void request_fail(struct proxy_request *r, unsigned int status,
+		  const char *cause)
+{
+	r->state = REQUEST_FAILED;
+	r->status = (int)status;
+	r->cause = cause;
+	request_wake(r);
+}
+
+static void add_common(struct proxy_request *r)
+{
+	MHD_add_response_header(r->response, "Request-Outcome",
+				outcome_name(r->outcome));
+	/* Callers on open connections must ask for another VM in time. */
+	if (atomic_load(&r->thread->proxy->leaving))
+		MHD_add_response_header(r->response, "Connection", "close");
+}
+
+static enum MHD_Result queue(struct proxy_request *r)
+{
+	if (!r->response)
+		return MHD_NO;
+	r->responded = 1;
+	add_common(r);
+	return MHD_queue_response(r->conn, (unsigned int)r->status,
+				  r->response);
+}
+
+enum MHD_Result request_respond_failed(struct proxy_request *r)
+{
+	char text[256];
+	char replayed[16];
+	int n = snprintf(text, sizeof(text),
+			 "{\"outcome\":\"%s\",\"cause\":\"%s\"}\n",
+			 outcome_name(r->outcome), r->cause);
+
+	if (!r->service)
+		metrics_add(&r->thread->metrics, METRIC_BAD_REQUESTS, 1);
+	r->response = MHD_create_response_from_buffer((size_t)n, text,
+						      MHD_RESPMEM_MUST_COPY);
+	if (!r->response)
+		return MHD_NO;
+	MHD_add_response_header(r->response, "Content-Type",
+				"application/json");
+	if (r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		MHD_add_response_header(r->response, "Retry-After",
+					RETRY_AFTER);
+	if (r->status == MHD_HTTP_CONFLICT && r->outcome == OUTCOME_RAN) {
+		snprintf(replayed, sizeof(replayed), "%d", r->claim.code);
+		MHD_add_response_header(r->response, "First-Status", replayed);
+	}
+	return queue(r);
+}
+
+/* Hands the listener what has come of the body. */
+static ssize_t read_down(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	struct proxy_request *r = ctx;
+	size_t n = body_read(&r->down, buf, max);
+
+	(void)pos;
+	if (r->down_paused && body_room(&r->down) >= ANSWER_BLOCK) {
+		r->down_paused = 0;
+		fetch_unpause(&r->thread->fetches, &r->fetch);
+	}
+	if (n)
+		return (ssize_t)n;
+	if (r->down_failed)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (r->down_ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	request_sleep(r);
+	return 0;
+}
+
+static const char *find_connection(const struct curl_slist *headers)
+{
+	static const char name[] = "Connection:";
+
+	for (; headers; headers = headers->next)
+		if (!strncasecmp(headers->data, name, sizeof(name) - 1))
+			return headers->data + sizeof(name) - 1;
+	return NULL;
+}
+
+static void copy_headers(struct proxy_request *r)
+{
+	const char *connection = find_connection(r->answer_headers);
+	const struct curl_slist *h = r->answer_headers;
+
+	for (; h; h = h->next) {
+		char *colon = strchr(h->data, ':');
+		const char *value;
+
+		if (!colon)
+			continue;
+		*colon = 0;
+		value = colon + 1 + strspn(colon + 1, " \t");
+		/* The listener writes the length itself. */
+		if (!header_is_hop_by_hop(h->data, connection) &&
+		    strcasecmp(h->data, "Content-Length") &&
+		    strcasecmp(h->data, "Request-Outcome"))
+			MHD_add_response_header(r->response, h->data, value);
+		*colon = ':';
+	}
+}
+
+enum MHD_Result request_respond(struct proxy_request *r)
+{
+	uint64_t length = r->down_length < 0 ? MHD_SIZE_UNKNOWN
+					     : (uint64_t)r->down_length;
+
+	if (r->down_ended && !r->down_failed &&
+	    (uint64_t)body_left(&r->down) == r->down.len)
+		r->response = MHD_create_response_from_buffer(
+			r->down.len, r->down.data, MHD_RESPMEM_PERSISTENT);
+	else
+		r->response = MHD_create_response_from_callback(
+			length, ANSWER_BLOCK, read_down, r, NULL);
+	if (!r->response)
+		return MHD_NO;
+	copy_headers(r);
+	if (!strcmp(r->method, "HEAD") && r->down_length >= 0) {
+		char text[24];
+
+		snprintf(text, sizeof(text), "%lld", (long long)r->down_length);
+		MHD_add_response_header(r->response, "Content-Length", text);
+	}
+	return queue(r);
+}
--- /dev/null
+++ b/proxy/src/begin.c
@@ -0,0 +1,180 @@
+#include "request.h"
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *header(const struct proxy_request *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
+}
+
+/* The first label of the host names the service. */
+static const struct steer_service *find_service(const struct proxy_request *r)
+{
+	const char *host = header(r, "Host");
+	int i;
+
+	if (!host)
+		return NULL;
+	i = steer_find_service(r->view, host, strcspn(host, ".:"));
+	return i == STEER_NONE ? NULL : r->view->service[i];
+}
+
+/* Callers of one /24 (or /48) are a block and are steered alike. */
+static uint64_t caller_block(const struct proxy_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const char *said = header(r, "Caller-Block");
+	const struct sockaddr_in *v4;
+	const struct sockaddr_in6 *v6;
+
+	if (said)
+		return prl_hash_name(said);
+	if (info->client_addr->sa_family == AF_INET6) {
+		v6 = (const struct sockaddr_in6 *)(const void *)
+			     info->client_addr;
+		return prl_hash64(&v6->sin6_addr, 6, 0);
+	}
+	v4 = (const struct sockaddr_in *)(const void *)info->client_addr;
+	return prl_hash64(&v4->sin_addr, 3, 0);
+}
+
+/* The caller's own deadline counts if it comes first; the service's bounds
+ * every request, since capacity of a lost VM is used again after it. */
+static int64_t deadline(const struct proxy_request *r)
+{
+	int64_t now = prl_now_ms();
+	int64_t limit = now + r->service->deadline_ms;
+	const char *said = header(r, "Request-Deadline");
+	int64_t left;
+
+	if (!said)
+		return limit;
+	left = strtoll(said, NULL, 10) - prl_wall_ms();
+	if (left > r->service->deadline_ms)
+		return limit;
+	return now + left;
+}
+
+/* Returns 0, or -1 if the length isn't a number. */
+static int read_length(struct proxy_request *r)
+{
+	const char *length = header(r, "Content-Length");
+	char *end;
+
+	r->up_length = -1;
+	if (length) {
+		r->up_length = strtoll(length, &end, 10);
+		if (*end || end == length || r->up_length < 0)
+			return -1;
+	}
+	r->has_body = length || header(r, "Transfer-Encoding");
+	return 0;
+}
+
+static int set_claim(struct proxy_request *r)
+{
+	const char *key = header(r, "Idempotency-Key");
+	char full[PRL_NAME_MAX + PROXY_KEY_MAX + 2];
+	int n;
+
+	if (!key || !*key || strlen(key) > PROXY_KEY_MAX)
+		return -1;
+	n = snprintf(full, sizeof(full), "%s\n%s", r->service->name, key);
+	r->claim.key = prl_hash128(full, (size_t)n);
+	r->claim.token = prl_hash_pair(r->handle, r->thread->random++);
+	r->claim.token ^= (uint64_t)prl_now_us();
+	r->claim.status = CLAIM_OPEN;
+	return 0;
+}
+
+static enum MHD_Result add_argument(void *ctx, enum MHD_ValueKind kind,
+				    const char *key, const char *value)
+{
+	GString *out = ctx;
+	char *k = g_uri_escape_string(key, NULL, FALSE);
+	char *v = value ? g_uri_escape_string(value, NULL, FALSE) : NULL;
+
+	(void)kind;
+	g_string_append_c(out, strchr(out->str, '?') ? '&' : '?');
+	g_string_append(out, k);
+	if (v)
+		g_string_append_printf(out, "=%s", v);
+	g_free(k);
+	g_free(v);
+	return MHD_YES;
+}
+
+/* The path and the query as the caller wrote them, but for escapes that
+ * need not be. */
+static char *target(const struct proxy_request *r, const char *url)
+{
+	char *path = g_uri_escape_string(url, "/:@!$&'()*+,;=~", FALSE);
+	GString *out = g_string_new(path);
+	char *copy;
+
+	g_free(path);
+	MHD_get_connection_values(r->conn, MHD_GET_ARGUMENT_KIND, add_argument,
+				  out);
+	copy = strdup(out->str);
+	g_string_free(out, TRUE);
+	return copy;
+}
+
+void request_begin(struct proxy_request *r, const char *url, const char *method)
+{
+	if (!r->view) {
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+			     "no configuration is in force yet");
+		return;
+	}
+	r->service = find_service(r);
+	if (!r->service) {
+		request_fail(r, MHD_HTTP_NOT_FOUND,
+			     "the host names no service");
+		return;
+	}
+	if (strlen(method) >= sizeof(r->method)) {
+		request_fail(r, MHD_HTTP_METHOD_NOT_ALLOWED,
+			     "the method is not known");
+		return;
+	}
+	strcpy(r->method, method);
+	if (read_length(r)) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST,
+			     "Content-Length is not a number");
+		return;
+	}
+	r->once = steer_never_twice(r->service, method, url);
+	if (r->once && set_claim(r)) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST,
+			     "this request needs an Idempotency-Key of "
+			     "1 to 200 bytes");
+		return;
+	}
+	r->target = target(r, url);
+	if (!r->target) {
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, "out of memory");
+		return;
+	}
+	r->block = caller_block(r);
+	r->deadline = deadline(r);
+	r->home = steer_home(r->service, r->view->nregion,
+			     r->thread->proxy->region, r->block);
+	if (r->home == STEER_NONE) {
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+			     "the service runs in no region");
+		return;
+	}
+	if (r->deadline <= prl_now_ms()) {
+		request_fail(r, MHD_HTTP_GATEWAY_TIMEOUT,
+			     "the deadline has passed");
+		return;
+	}
+	request_admit(r);
+}
--- /dev/null
+++ b/proxy/src/body.h
@@ -0,0 +1,39 @@
+#ifndef PROXY_BODY_H
+#define PROXY_BODY_H
+
+#include <stddef.h>
+
+/** Room of a body buffer in bytes; no more of a body is in memory. */
+#define BODY_ROOM 16384
+
+/**
+ * A part of a body between its writer and its reader. What was read is kept
+ * as long as there is room, so that a short body can be read once more.
+ */
+struct body {
+	char *data;
+	size_t len;
+	size_t read;
+	/** Something that was read has been dropped. */
+	int dropped;
+};
+
+/** Puts in at most n bytes; returns how many, 0 also without memory. */
+size_t body_write(struct body *b, const char *data, size_t n);
+
+/** Takes out at most n bytes; returns how many. */
+size_t body_read(struct body *b, char *data, size_t n);
+
+/** Bytes that can be read. */
+size_t body_left(const struct body *b);
+
+/** Bytes that can be written. */
+size_t body_room(const struct body *b);
+
+/** Goes back to the first byte. Returns 0, or -1 if it was dropped. */
+int body_rewind(struct body *b);
+
+/** Empties the buffer and frees it. */
+void body_finish(struct body *b);
+
+#endif
--- /dev/null
+++ b/proxy/src/claimed.c
@@ -0,0 +1,64 @@
+#include "request.h"
+#include <primroselead/clock.h>
+
+static void taken(struct proxy_request *r, const struct claim_record *known)
+{
+	metrics_add(&r->thread->metrics, METRIC_CLAIMS_TAKEN, 1);
+	r->claim.code = known->code;
+	r->outcome = known->status == CLAIM_RAN ? OUTCOME_RAN : OUTCOME_UNKNOWN;
+	request_release(r);
+	request_fail(r, MHD_HTTP_CONFLICT,
+		     "a request with this Idempotency-Key came before");
+}
+
+static void refused(struct proxy_request *r, enum prl_code code)
+{
+	metrics_add(&r->thread->metrics, METRIC_CLAIMS_REFUSED, 1);
+	request_release(r);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+		     code == PRL_E_FULL
+			     ? "the claim shard of this key is full"
+			     : "the claim of this key could not be kept");
+}
+
+void request_claimed(struct proxy_request *r, const struct claim_answer *a)
+{
+	metrics_latency(&r->thread->metrics, METRIC_CLAIM_TIME,
+			prl_now_us() - r->began_us);
+	switch (a->verdict) {
+	case CLAIM_TAKEN:
+		taken(r, &a->record);
+		return;
+	case CLAIM_REFUSED:
+		refused(r, a->code);
+		return;
+	case CLAIM_GRANTED:
+		r->claimed = 1;
+		break;
+	}
+	if (prl_now_ms() >= r->deadline) {
+		request_release(r);
+		request_fail(r, MHD_HTTP_GATEWAY_TIMEOUT,
+			     "the deadline passed before the claim was kept");
+		return;
+	}
+	/* The process may have been paused since the request was admitted. */
+	if (prl_now_ms() >= atomic_load(&r->thread->proxy->alive_until)) {
+		request_release(r);
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+			     "this VM may no longer use its capacity");
+		return;
+	}
+	request_send(r);
+}
+
+void request_note(struct proxy_request *r, enum claim_status status)
+{
+	struct proxy_claim *c = g_new0(struct proxy_claim, 1);
+
+	c->thread = r->thread;
+	c->record = r->claim;
+	c->record.status = status;
+	c->deadline = PRL_NEVER;
+	mailbox_send(r->thread->proxy->claims, c);
+}
--- /dev/null
+++ b/proxy/src/own.c
@@ -0,0 +1,176 @@
+#include "own.h"
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <stdio.h>
+#include <string.h>
+
+#define METRICS_BYTES 32768
+
+static enum MHD_Result reply(struct MHD_Connection *conn, unsigned int status,
+			     const char *type, const char *text, size_t len)
+{
+	struct MHD_Response *resp;
+	enum MHD_Result rc;
+
+	resp = MHD_create_response_from_buffer(len, (void *)text,
+					       MHD_RESPMEM_MUST_COPY);
+	if (!resp)
+		return MHD_NO;
+	MHD_add_response_header(resp, "Content-Type", type);
+	rc = MHD_queue_response(conn, status, resp);
+	MHD_destroy_response(resp);
+	return rc;
+}
+
+static enum MHD_Result reply_error(struct MHD_Connection *conn,
+				   unsigned int status, const char *cause)
+{
+	char text[160];
+	int n = snprintf(text, sizeof(text), "{\"cause\":\"%s\"}\n", cause);
+
+	return reply(conn, status, "application/json", text, (size_t)n);
+}
+
+static const char *argument(struct MHD_Connection *conn, const char *name)
+{
+	return MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static uint64_t asked_block(struct MHD_Connection *conn)
+{
+	const char *said = argument(conn, "block");
+	const union MHD_ConnectionInfo *info;
+	const struct sockaddr_in *v4;
+
+	if (said)
+		return prl_hash_name(said);
+	info = MHD_get_connection_info(conn,
+				       MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	v4 = (const struct sockaddr_in *)(const void *)info->client_addr;
+	if (v4->sin_family == AF_INET)
+		return prl_hash64(&v4->sin_addr, 3, 0);
+	return prl_hash64(
+		&((const struct sockaddr_in6 *)(const void *)v4)->sin6_addr, 6,
+		0);
+}
+
+static size_t write_answer(const struct steer_view *v,
+			   const struct steer_service *s,
+			   const struct steer_answer *a, char *text,
+			   size_t size)
+{
+	size_t n = (size_t)snprintf(
+		text, size,
+		"{\"service\":\"%s\",\"revision\":%lld,\"expires\":%lld,"
+		"\"vms\":[",
+		s->name, (long long)v->revision,
+		(long long)(prl_wall_ms() + s->lookup_ttl_ms));
+
+	for (int i = 0; i < a->n; i++)
+		n += (size_t)snprintf(
+			text + n, size - n,
+			"%s{\"address\":\"%s\",\"weight\":%d}", i ? "," : "",
+			v->vm[a->named[i].vm].address, a->named[i].weight);
+	return n + (size_t)snprintf(text + n, size - n, "]}\n");
+}
+
+static enum MHD_Result lookup(struct proxy_thread *t,
+			      struct MHD_Connection *conn)
+{
+	const char *name = argument(conn, "service");
+	const char *region = argument(conn, "region");
+	const struct steer_view *v = t->view;
+	struct steer_ask ask = {.region = t->proxy->region};
+	struct steer_answer answer;
+	char text[1024];
+	size_t n;
+
+	if (!v)
+		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "no configuration is in force yet");
+	if (!name)
+		return reply_error(conn, MHD_HTTP_BAD_REQUEST,
+				   "the argument \\\"service\\\" is missing");
+	ask.service = steer_find_service(v, name, strlen(name));
+	if (ask.service == STEER_NONE)
+		return reply_error(conn, MHD_HTTP_NOT_FOUND,
+				   "the service is not published");
+	if (region)
+		ask.region = steer_find_region(v, region);
+	if (ask.region == STEER_NONE)
+		return reply_error(conn, MHD_HTTP_NOT_FOUND,
+				   "the region is not known");
+	ask.block = asked_block(conn);
+	steer_lookup(v, &ask, &answer);
+	metrics_add(&t->metrics, METRIC_LOOKUPS, 1);
+	if (!answer.n)
+		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "no entry VM is live");
+	n = write_answer(v, v->service[ask.service], &answer, text,
+			 sizeof(text));
+	return reply(conn, MHD_HTTP_OK, "application/json", text, n);
+}
+
+static enum MHD_Result health(struct proxy_thread *t,
+			      struct MHD_Connection *conn)
+{
+	if (atomic_load(&t->proxy->leaving))
+		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "this VM is leaving");
+	if (!t->view)
+		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "no configuration is in force yet");
+	return reply(conn, MHD_HTTP_OK, "application/json",
+		     "{\"state\":\"live\"}\n", 17);
+}
+
+static enum MHD_Result metrics(struct proxy_thread *t,
+			       struct MHD_Connection *conn)
+{
+	const struct metrics *all[PROXY_THREADS_MAX + 1];
+	char text[METRICS_BYTES];
+	size_t n;
+
+	for (int i = 0; i < t->proxy->nthread; i++)
+		all[i] = &t->proxy->thread[i].metrics;
+	all[t->proxy->nthread] = &t->proxy->control;
+	n = metrics_write(all, t->proxy->nthread + 1, text, sizeof(text));
+	return reply(conn, MHD_HTTP_OK, "text/plain; version=0.0.4", text, n);
+}
+
+static enum MHD_Result status(struct proxy_thread *t,
+			      struct MHD_Connection *conn)
+{
+	enum MHD_Result rc;
+
+	g_mutex_lock(&t->proxy->status_lock);
+	if (t->proxy->status)
+		rc = reply(conn, MHD_HTTP_OK, "application/json",
+			   t->proxy->status, strlen(t->proxy->status));
+	else
+		rc = reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				 "there is no status yet");
+	g_mutex_unlock(&t->proxy->status_lock);
+	return rc;
+}
+
+enum MHD_Result own_answer(struct proxy_thread *t, struct MHD_Connection *conn,
+			   const char *url, const char *method)
+{
+	const char *name = url + strlen(PROXY_OWN_PATH);
+
+	if (strcmp(method, "GET") && strcmp(method, "HEAD"))
+		return reply_error(conn, MHD_HTTP_METHOD_NOT_ALLOWED,
+				   "only GET is allowed here");
+	if (!strcmp(name, "lookup"))
+		return lookup(t, conn);
+	if (!strcmp(name, "health"))
+		return health(t, conn);
+	if (!strcmp(name, "metrics"))
+		return metrics(t, conn);
+	if (!strcmp(name, "status"))
+		return status(t, conn);
+	return reply_error(conn, MHD_HTTP_NOT_FOUND, "no such page");
+}
--- /dev/null
+++ b/proxy/src/own.h
@@ -0,0 +1,10 @@
+#ifndef PROXY_OWN_H
+#define PROXY_OWN_H
+
+#include <primroselead/proxy.h>
+
+/** Answers a request for a path of this VM itself. */
+enum MHD_Result own_answer(struct proxy_thread *t, struct MHD_Connection *conn,
+			   const char *url, const char *method);
+
+#endif
--- /dev/null
+++ b/proxy/src/proxy.c
@@ -0,0 +1,133 @@
+#include "thread.h"
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void init_cells(struct proxy *p)
+{
+	for (int i = 0; i < CONFIG_CELLS_MAX; i++) {
+		atomic_init(&p->upstream[i].reported, -1);
+		limit_hold_init(&p->hold[i]);
+	}
+}
+
+enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
+			 int region, struct mailbox *claims,
+			 struct prl_error *err)
+{
+	memset(p, 0, sizeof(*p));
+	p->settings = settings;
+	p->region = region;
+	p->claims = claims;
+	p->nthread = (int)settings->traffic.threads;
+	p->upstream = calloc(CONFIG_CELLS_MAX, sizeof(*p->upstream));
+	p->hold = calloc(CONFIG_CELLS_MAX, sizeof(*p->hold));
+	p->service = calloc(CONFIG_CELLS_MAX, sizeof(*p->service));
+	p->thread = calloc((size_t)p->nthread, sizeof(*p->thread));
+	g_mutex_init(&p->status_lock);
+	if (!p->upstream || !p->hold || !p->service || !p->thread) {
+		proxy_finish(p);
+		return prl_fail(err, PRL_E_MEMORY, "tables of the proxy");
+	}
+	init_cells(p);
+	return PRL_OK;
+}
+
+void proxy_finish(struct proxy *p)
+{
+	free(p->upstream);
+	free(p->hold);
+	free(p->service);
+	free(p->thread);
+	free(p->status);
+	g_mutex_clear(&p->status_lock);
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *self, void *ctx)
+{
+	struct proxy_thread *t = ctx;
+
+	(void)self;
+	loop_run(&t->loop);
+	return NULL;
+}
+
+enum prl_code proxy_start(struct proxy *p, apr_pool_t *pool,
+			  struct prl_error *err)
+{
+	for (int i = 0; i < p->nthread; i++)
+		if (proxy_thread_init(&p->thread[i], p, err))
+			return err->code;
+	for (int i = 0; i < p->nthread; i++)
+		if (apr_thread_create(&p->thread[i].thread, NULL, run,
+				      &p->thread[i], pool))
+			return prl_fail(err, PRL_E_MEMORY, "traffic thread %d",
+					i);
+	return PRL_OK;
+}
+
+static void send_all(struct proxy *p, enum proxy_mail_kind kind)
+{
+	for (int i = 0; i < p->nthread; i++) {
+		struct proxy_mail *m = g_new0(struct proxy_mail, 1);
+
+		m->kind = kind;
+		mailbox_send(&p->thread[i].mail, m);
+	}
+}
+
+void proxy_set_view(struct proxy *p, struct steer_view *v)
+{
+	for (int i = 0; i < p->nthread; i++) {
+		struct proxy_mail *m = g_new0(struct proxy_mail, 1);
+
+		m->kind = PROXY_MAIL_VIEW;
+		m->u.view = config_view_ref(v);
+		mailbox_send(&p->thread[i].mail, m);
+	}
+}
+
+void proxy_answer_claim(struct proxy_claim *c)
+{
+	struct proxy_mail *m = g_new0(struct proxy_mail, 1);
+
+	m->kind = PROXY_MAIL_CLAIM;
+	m->u.claim = c;
+	mailbox_send(&c->thread->mail, m);
+}
+
+void proxy_set_status(struct proxy *p, char *text)
+{
+	char *old;
+
+	g_mutex_lock(&p->status_lock);
+	old = p->status;
+	p->status = text;
+	g_mutex_unlock(&p->status_lock);
+	free(old);
+}
+
+void proxy_quiesce(struct proxy *p)
+{
+	send_all(p, PROXY_MAIL_QUIESCE);
+}
+
+int proxy_open(const struct proxy *p)
+{
+	int n = atomic_load(&p->active);
+
+	for (int i = 0; i < p->nthread; i++)
+		n += atomic_load(&p->thread[i].connections);
+	return n;
+}
+
+void proxy_stop(struct proxy *p)
+{
+	apr_status_t st;
+
+	send_all(p, PROXY_MAIL_STOP);
+	for (int i = 0; i < p->nthread; i++)
+		apr_thread_join(&st, p->thread[i].thread);
+	for (int i = 0; i < p->nthread; i++)
+		proxy_thread_finish(&p->thread[i]);
+}
--- /dev/null
+++ b/proxy/src/request.c
@@ -0,0 +1,103 @@
+#include "request.h"
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+
+static uint64_t put_into_table(struct proxy_thread *t, struct proxy_request *r)
+{
+	for (int k = 0; k < t->table_size; k++) {
+		int i = (t->next_place + k) % t->table_size;
+
+		if (t->table[i])
+			continue;
+		t->next_place = i + 1;
+		t->table[i] = r;
+		t->nrequest++;
+		return (uint64_t)t->generation[i] << 32 | (uint32_t)(i + 1);
+	}
+	return 0;
+}
+
+struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle)
+{
+	int i = (int)(uint32_t)handle - 1;
+
+	if (i < 0 || i >= t->table_size || t->generation[i] != handle >> 32)
+		return NULL;
+	return t->table[i];
+}
+
+struct proxy_request *request_new(struct proxy_thread *t,
+				  struct MHD_Connection *conn)
+{
+	struct proxy_request *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->thread = t;
+	r->conn = conn;
+	r->region = STEER_NONE;
+	r->began_us = prl_now_us();
+	r->handle = put_into_table(t, r);
+	if (!r->handle) {
+		free(r);
+		return NULL;
+	}
+	if (t->view)
+		r->view = config_view_ref(t->view);
+	atomic_fetch_add(&t->proxy->active, 1);
+	return r;
+}
+
+void request_wake(struct proxy_request *r)
+{
+	if (!r->suspended)
+		return;
+	r->suspended = 0;
+	serve_resume(&r->thread->serve, r->conn);
+}
+
+void request_sleep(struct proxy_request *r)
+{
+	if (r->suspended)
+		return;
+	r->suspended = 1;
+	MHD_suspend_connection(r->conn);
+}
+
+static void count_outcome(const struct proxy_request *r)
+{
+	static const enum metric by_outcome[] = {METRIC_NOT_RUN, METRIC_UNKNOWN,
+						 METRIC_RAN};
+	struct metrics *m = &r->thread->metrics;
+
+	metrics_add(m, METRIC_REQUESTS, 1);
+	metrics_add(m, by_outcome[r->outcome], 1);
+	metrics_latency(m, METRIC_REQUEST_TIME, prl_now_us() - r->began_us);
+}
+
+void request_free(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+	uint32_t i = (uint32_t)r->handle - 1;
+
+	request_unwait(r);
+	if (r->claimed && r->outcome == OUTCOME_NOT_RUN)
+		request_note(r, CLAIM_VOID);
+	request_release(r);
+	if (r->service)
+		count_outcome(r);
+	curl_slist_free_all(r->answer_headers);
+	body_finish(&r->up);
+	body_finish(&r->down);
+	free(r->target);
+	if (r->response)
+		MHD_destroy_response(r->response);
+	if (r->view)
+		config_view_release(r->view);
+	t->table[i] = NULL;
+	t->generation[i]++;
+	t->nrequest--;
+	atomic_fetch_sub(&t->proxy->active, 1);
+	free(r);
+}
--- /dev/null
+++ b/proxy/src/request.h
@@ -0,0 +1,159 @@
+#ifndef PROXY_REQUEST_H
+#define PROXY_REQUEST_H
+
+#include "body.h"
+#include <primroselead/proxy.h>
+
+/** Where a request stands. */
+enum request_state {
+	/** Headers are read, nothing is decided. */
+	REQUEST_NEW,
+	/** Waits for capacity. */
+	REQUEST_WAITING,
+	/** Waits for the claim of its key. */
+	REQUEST_CLAIMING,
+	/** On its way to an upstream; no answer yet. */
+	REQUEST_SENT,
+	/** The answer's headers are known; the body may still come. */
+	REQUEST_ANSWERED,
+	/** Given up; "status" and "cause" say why. */
+	REQUEST_FAILED,
+};
+
+/** What is known of whether the request ran. */
+enum request_outcome {
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN,
+	OUTCOME_RAN,
+};
+
+/** One caller's request. */
+struct proxy_request {
+	struct proxy_thread *thread;
+	struct MHD_Connection *conn;
+	uint64_t handle;
+	struct steer_view *view;
+	const struct steer_service *service;
+	enum request_state state;
+	enum request_outcome outcome;
+	char method[8];
+	char *target;
+	/** Runs at most once. */
+	int once;
+	struct claim_record claim;
+	int claimed;
+	uint64_t block;
+	int home;
+	/** In the share that a shift moves. */
+	int moved;
+	int64_t began_us;
+	int64_t deadline;
+	int64_t wait_until;
+	struct proxy_request *next_waiting;
+
+	/** Region whose capacity is taken; STEER_NONE if none is. */
+	int region;
+	enum steer_reason reason;
+	/** Upstream in use; STEER_NONE if none is. */
+	const struct steer_upstream *upstream;
+	const struct steer_upstream *failed;
+	int attempts;
+	int64_t sent_us;
+	/** The current attempt has a connection and may have sent bytes. */
+	int issued;
+
+	/** Body from the caller. */
+	struct body up;
+	int has_body;
+	int64_t up_length;
+	int up_ended;
+	/** Body from the upstream. */
+	struct body down;
+	int down_ended;
+	int down_failed;
+
+	struct fetch fetch;
+	int fetching;
+	int up_paused;
+	int down_paused;
+	struct curl_slist *headers;
+	/** Answer's status and headers as they come. */
+	int status;
+	int64_t down_length;
+	struct curl_slist *answer_headers;
+	const char *cause;
+	/** The upstream said that it did not run the request. */
+	int refused;
+	/** The attempt's answer is dropped and another attempt made. */
+	int retrying;
+	/** An earlier attempt may have run. */
+	int maybe_ran;
+
+	struct MHD_Response *response;
+	int responded;
+	int suspended;
+	/** The caller closed its connection while nobody read from it. */
+	int left;
+	/** The caller has left; what runs at most once goes on without it. */
+	int gone;
+};
+
+/** Makes a request and puts it into the thread's table; null if there is no
+ * memory. */
+struct proxy_request *request_new(struct proxy_thread *t,
+				  struct MHD_Connection *conn);
+
+/** Ends everything that the request has and frees it. */
+void request_free(struct proxy_request *r);
+
+/** Request by handle, or null if it is gone. */
+struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle);
+
+/** Lets the listener go on with the caller's connection. */
+void request_wake(struct proxy_request *r);
+
+/** Stops the listener from looking at the caller's connection. */
+void request_sleep(struct proxy_request *r);
+
+/** Reads the headers and decides what to do. */
+void request_begin(struct proxy_request *r, const char *url,
+		   const char *method);
+
+/** Gives up with a status and a cause; the handler sends the answer. */
+void request_fail(struct proxy_request *r, unsigned int status,
+		  const char *cause);
+
+/** Queues the answer of a request that was given up. */
+enum MHD_Result request_respond_failed(struct proxy_request *r);
+
+/** The caller is gone: ends the request, or lets it end by itself. */
+void request_caller_left(struct proxy_request *r);
+
+/** Tries to take capacity; sends the request on or lets it wait. */
+void request_admit(struct proxy_request *r);
+
+/** Tries the requests that wait for capacity, in order. */
+void request_admit_waiting(struct proxy_thread *t);
+
+/** Takes a request out of the waiting list. */
+void request_unwait(struct proxy_request *r);
+
+/** The claim was settled. */
+void request_claimed(struct proxy_request *r, const struct claim_answer *a);
+
+/** Writes what became of a claimed request into its shard's log. */
+void request_note(struct proxy_request *r, enum claim_status status);
+
+/** Chooses an upstream and begins an attempt. */
+void request_send(struct proxy_request *r);
+
+/** Ends the attempt and gives the upstream's and the region's place back. */
+void request_release(struct proxy_request *r);
+
+/** Queues the upstream's answer, whose headers are complete. */
+enum MHD_Result request_respond(struct proxy_request *r);
+
+/** Whether a header concerns one connection alone. */
+int header_is_hop_by_hop(const char *name, const char *connection);
+
+#endif
--- /dev/null
+++ b/proxy/src/send.c
@@ -0,0 +1,520 @@
+#include "request.h"
+#include <primroselead/clock.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Upstreams weighed in one choice. */
+#define CANDIDATES_MAX 256
+
+/* Choices repeated when another thread took the last slot meanwhile. */
+#define CHOICES_MAX 4
+
+/* Attempts of one request. */
+#define ATTEMPTS_MAX 3
+
+/* Part of a new sample in a smoothed value: one in this many. */
+#define SMOOTHING 8
+
+/* Buffer of one transfer for what it receives, in bytes. */
+#define RECEIVE_BUFFER 8192L
+
+/* The smallest buffer for what it sends that libcurl allows, in bytes. */
+#define SEND_BUFFER 16384L
+
+/* Longest time to a connection, in milliseconds. */
+#define CONNECT_MAX_MS 1000L
+
+/* A connection idle for longer is not used for what runs at most once: the
+ * upstream may just be closing it, and nobody could tell what ran. */
+#define ONCE_IDLE_MAX_S 1L
+
+#define PERMILLE 1000
+
+static struct proxy_upstream_cell *cell_of(const struct proxy_request *r,
+					   const struct steer_upstream *u)
+{
+	return &r->thread->proxy->upstream[u->cell];
+}
+
+static struct proxy_service_cell *service_cell(const struct proxy_request *r)
+{
+	return &r->thread->proxy->service[r->service->cell];
+}
+
+static void read_load(struct proxy_upstream_cell *c, int64_t now,
+		      struct steer_load *out)
+{
+	int64_t since = atomic_load(&c->since_ms);
+
+	if (!since) {
+		atomic_store(&c->since_ms, now);
+		since = now;
+	}
+	out->outstanding = atomic_load(&c->outstanding);
+	out->reported = atomic_load(&c->reported);
+	out->reported_ms = atomic_load(&c->reported_ms);
+	out->latency_us = atomic_load(&c->latency_us);
+	out->failures = atomic_load(&c->failures);
+	out->since_ms = since;
+}
+
+static int choose(struct proxy_request *r)
+{
+	const struct steer_place *place = &r->service->place[r->region];
+	struct steer_load load[CANDIDATES_MAX];
+	int64_t now = prl_now_ms();
+	struct steer_pick p = {
+		.upstream = r->service->upstream + place->first_upstream,
+		.load = load,
+		.n = place->nupstream,
+		.choice = r->service->choice,
+		.warmup_ms = r->service->warmup_ms,
+		.now_ms = now,
+		.except = STEER_NONE,
+	};
+
+	if (p.n > CANDIDATES_MAX)
+		p.n = CANDIDATES_MAX;
+	for (int i = 0; i < p.n; i++) {
+		read_load(cell_of(r, &p.upstream[i]), now, &load[i]);
+		if (&p.upstream[i] == r->failed && p.n > 1)
+			p.except = i;
+	}
+	r->thread->random = prl_hash_pair(r->thread->random, (uint64_t)now);
+	p.random = r->thread->random;
+	return steer_pick(&p);
+}
+
+/* Takes a slot; two threads may have chosen the last one together. */
+static int take_slot(struct proxy_request *r, int i)
+{
+	const struct steer_place *place = &r->service->place[r->region];
+	const struct steer_upstream *u =
+		&r->service->upstream[place->first_upstream + i];
+	struct proxy_upstream_cell *c = cell_of(r, u);
+
+	if (atomic_fetch_add(&c->outstanding, 1) >= u->slots) {
+		atomic_fetch_sub(&c->outstanding, 1);
+		return 0;
+	}
+	r->upstream = u;
+	return 1;
+}
+
+static int choose_and_take(struct proxy_request *r)
+{
+	for (int k = 0; k < CHOICES_MAX; k++) {
+		int i = choose(r);
+
+		if (i == STEER_NONE)
+			return 0;
+		if (take_slot(r, i))
+			return 1;
+	}
+	return 0;
+}
+
+static int64_t smooth(int64_t old, int64_t sample)
+{
+	return old ? old + (sample - old) / SMOOTHING : sample;
+}
+
+static void learn(struct proxy_request *r, int failed)
+{
+	struct proxy_upstream_cell *c = cell_of(r, r->upstream);
+	struct proxy_service_cell *s = service_cell(r);
+	int64_t us = prl_now_us() - r->sent_us;
+	int failures = atomic_load(&c->failures);
+
+	failures += ((failed ? PERMILLE : 0) - failures) / SMOOTHING;
+	atomic_store(&c->failures, failures);
+	if (failed)
+		return;
+	atomic_store(&c->latency_us, smooth(atomic_load(&c->latency_us), us));
+	atomic_store(&s->latency_us[r->region],
+		     smooth(atomic_load(&s->latency_us[r->region]), us));
+	limit_share_count(&s->retry, r->service->retry_percent * 10);
+	metrics_latency(&r->thread->metrics, METRIC_UPSTREAM_TIME, us);
+}
+
+static void end_fetch(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+
+	curl_slist_free_all(r->headers);
+	r->headers = NULL;
+	r->fetching = 0;
+	if (t->nspare < (int)(sizeof(t->spare) / sizeof(t->spare[0])))
+		t->spare[t->nspare++] = r->fetch.easy;
+	else
+		curl_easy_cleanup(r->fetch.easy);
+}
+
+static void give_slot(struct proxy_request *r)
+{
+	if (!r->upstream)
+		return;
+	atomic_fetch_sub(&cell_of(r, r->upstream)->outstanding, 1);
+	r->upstream = NULL;
+}
+
+void request_release(struct proxy_request *r)
+{
+	const struct steer_place *place;
+
+	if (r->fetching) {
+		fetch_cancel(&r->thread->fetches, &r->fetch);
+		end_fetch(r);
+	}
+	give_slot(r);
+	if (r->region == STEER_NONE)
+		return;
+	place = &r->service->place[r->region];
+	limit_hold_give(&r->thread->proxy->hold[place->hold]);
+	r->region = STEER_NONE;
+}
+
+/* Another attempt may be made if this one did not run, or may run twice. */
+static int may_retry(struct proxy_request *r, int did_not_run)
+{
+	if (r->gone || r->responded || r->attempts >= ATTEMPTS_MAX)
+		return 0;
+	if (r->once && !did_not_run)
+		return 0;
+	if (prl_now_ms() >= r->deadline || body_rewind(&r->up))
+		return 0;
+	return limit_share_take(&service_cell(r)->retry);
+}
+
+static void retry(struct proxy_request *r)
+{
+	r->failed = r->upstream;
+	give_slot(r);
+	metrics_add(&r->thread->metrics, METRIC_RETRIES, 1);
+	request_send(r);
+}
+
+static void settle_outcome(struct proxy_request *r, int did_not_run)
+{
+	if (!did_not_run)
+		r->maybe_ran = 1;
+	r->outcome = r->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+}
+
+static void attempt_failed(struct proxy_request *r, CURLcode result)
+{
+	int did_not_run = !r->issued || r->refused;
+
+	learn(r, 1);
+	if (r->state == REQUEST_ANSWERED) {
+		r->down_failed = 1;
+		r->outcome = OUTCOME_UNKNOWN;
+		request_release(r);
+		request_wake(r);
+		return;
+	}
+	if (r->retrying || may_retry(r, did_not_run)) {
+		r->retrying = 0;
+		settle_outcome(r, did_not_run);
+		retry(r);
+		return;
+	}
+	settle_outcome(r, did_not_run);
+	request_release(r);
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		request_fail(
+			r, MHD_HTTP_GATEWAY_TIMEOUT,
+			"the deadline passed before the upstream's answer");
+	else
+		request_fail(r, MHD_HTTP_BAD_GATEWAY,
+			     "the connection to the upstream failed");
+}
+
+static void attempt_ended(struct proxy_request *r)
+{
+	r->outcome = r->refused ? OUTCOME_NOT_RUN : OUTCOME_RAN;
+	if (r->refused && r->maybe_ran)
+		r->outcome = OUTCOME_UNKNOWN;
+	learn(r, r->status >= MHD_HTTP_INTERNAL_SERVER_ERROR);
+	if (r->claimed && r->outcome == OUTCOME_RAN) {
+		r->claim.code = r->status;
+		request_note(r, CLAIM_RAN);
+	}
+	r->down_ended = 1;
+	request_release(r);
+	request_wake(r);
+}
+
+static void on_done(struct fetch *f, CURLcode result)
+{
+	struct proxy_request *r = f->ctx;
+
+	end_fetch(r);
+	if (result || r->state != REQUEST_ANSWERED)
+		attempt_failed(r, result);
+	else
+		attempt_ended(r);
+	if (r->gone && !r->fetching)
+		request_free(r);
+}
+
+static size_t on_upload(char *data, size_t size, size_t n, void *ctx)
+{
+	struct proxy_request *r = ctx;
+	size_t len = body_read(&r->up, data, size * n);
+
+	if (len) {
+		request_wake(r);
+		return len;
+	}
+	if (r->up_ended)
+		return 0;
+	r->up_paused = 1;
+	return CURL_READFUNC_PAUSE;
+}
+
+/* A rewind is asked for when libcurl itself would send again. */
+static int on_seek(void *ctx, curl_off_t offset, int origin)
+{
+	(void)ctx;
+	(void)offset;
+	(void)origin;
+	return CURL_SEEKFUNC_FAIL;
+}
+
+/* Called when a connection is there, before the first byte. libcurl sends a
+ * request again by itself if a connection that it used before dies early;
+ * that is an attempt like any other, which only this module may make. */
+static int on_attempt(void *ctx, char *ip, char *local, int port, int lport)
+{
+	struct proxy_request *r = ctx;
+
+	(void)ip;
+	(void)local;
+	(void)port;
+	(void)lport;
+	if (r->issued)
+		return CURL_PREREQFUNC_ABORT;
+	r->issued = 1;
+	r->sent_us = prl_now_us();
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t on_download(char *data, size_t size, size_t n, void *ctx)
+{
+	struct proxy_request *r = ctx;
+	size_t len = size * n;
+
+	if (r->gone)
+		return len;
+	if (body_room(&r->down) < len) {
+		r->down_paused = 1;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	if (body_write(&r->down, data, len) != len)
+		return 0;
+	request_wake(r);
+	return len;
+}
+
+static void note_header(struct proxy_request *r, const char *line)
+{
+	struct proxy_upstream_cell *c = cell_of(r, r->upstream);
+
+	if (!strncasecmp(line, "Upstream-Running:", 17)) {
+		atomic_store(&c->reported, atoi(line + 17));
+		atomic_store(&c->reported_ms, prl_now_ms());
+	}
+	if (!strncasecmp(line, "Content-Length:", 15))
+		r->down_length = strtoll(line + 15, NULL, 10);
+	if (!strncasecmp(line, "Request-Outcome:", 16) &&
+	    r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		r->refused = strstr(line + 16, "not-run") != NULL;
+	r->answer_headers = curl_slist_append(r->answer_headers, line);
+}
+
+static int headers_ended(struct proxy_request *r)
+{
+	int failed = r->status == MHD_HTTP_BAD_GATEWAY ||
+		     r->status == MHD_HTTP_SERVICE_UNAVAILABLE ||
+		     r->status == MHD_HTTP_GATEWAY_TIMEOUT;
+
+	if (r->status < MHD_HTTP_OK)
+		return 0;
+	if (failed && may_retry(r, r->refused)) {
+		r->retrying = 1;
+		return -1;
+	}
+	r->state = REQUEST_ANSWERED;
+	request_wake(r);
+	return 0;
+}
+
+static void begin_headers(struct proxy_request *r, const char *line)
+{
+	const char *space = strchr(line, ' ');
+
+	curl_slist_free_all(r->answer_headers);
+	r->answer_headers = NULL;
+	r->down_length = -1;
+	r->refused = 0;
+	r->status = space ? atoi(space + 1) : 0;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct proxy_request *r = ctx;
+	size_t len = size * n;
+	char line[2048];
+	size_t k = len;
+
+	while (k && (data[k - 1] == '\r' || data[k - 1] == '\n'))
+		k--;
+	if (k >= sizeof(line) || r->state == REQUEST_ANSWERED)
+		return len; /* too long to pass on, or a trailer */
+	memcpy(line, data, k);
+	line[k] = 0;
+	if (!strncmp(line, "HTTP/", 5))
+		begin_headers(r, line);
+	else if (k)
+		note_header(r, line);
+	else if (headers_ended(r))
+		return 0;
+	return len;
+}
+
+struct header_copy {
+	struct proxy_request *r;
+	const char *connection;
+};
+
+static enum MHD_Result copy_header(void *ctx, enum MHD_ValueKind kind,
+				   const char *key, const char *value)
+{
+	const struct header_copy *copy = ctx;
+	struct proxy_request *r = copy->r;
+	char line[4096];
+
+	(void)kind;
+	if (header_is_hop_by_hop(key, copy->connection) ||
+	    !strcasecmp(key, "Content-Length") || !strcasecmp(key, "Expect") ||
+	    !strcasecmp(key, "Request-Deadline"))
+		return MHD_YES;
+	/* libcurl takes a header without a value in this form. */
+	snprintf(line, sizeof(line), value && *value ? "%s: %s" : "%s;", key,
+		 value);
+	r->headers = curl_slist_append(r->headers, line);
+	return MHD_YES;
+}
+
+static void set_headers(struct proxy_request *r)
+{
+	struct header_copy copy = {
+		.r = r,
+		.connection = MHD_lookup_connection_value(
+			r->conn, MHD_HEADER_KIND, "Connection"),
+	};
+	char line[64];
+	long long at = prl_wall_ms() + r->deadline - prl_now_ms();
+
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, copy_header, &copy);
+	snprintf(line, sizeof(line), "Request-Deadline: %lld", at);
+	r->headers = curl_slist_append(r->headers, line);
+	r->headers = curl_slist_append(r->headers, "Expect:");
+	curl_easy_setopt(r->fetch.easy, CURLOPT_HTTPHEADER, r->headers);
+}
+
+static void set_body(struct proxy_request *r)
+{
+	CURL *easy = r->fetch.easy;
+
+	if (!strcmp(r->method, "HEAD")) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (r->has_body) {
+		curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+				 (curl_off_t)r->up_length);
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload);
+		curl_easy_setopt(easy, CURLOPT_READDATA, r);
+		curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, on_seek);
+		curl_easy_setopt(easy, CURLOPT_SEEKDATA, r);
+		curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SEND_BUFFER);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->method);
+}
+
+static void set_transfer(struct proxy_request *r)
+{
+	CURL *easy = r->fetch.easy;
+	char url[PRL_ADDRESS_MAX + 16];
+	int64_t now = prl_now_ms();
+	long left = r->deadline > now ? (long)(r->deadline - now) : 1;
+
+	snprintf(url, sizeof(url), "http://%s/", r->upstream->address);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, r->target);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 left < CONNECT_MAX_MS ? left : CONNECT_MAX_MS);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_attempt);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, r);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_download);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, r);
+	if (r->once)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, ONCE_IDLE_MAX_S);
+	set_body(r);
+	set_headers(r);
+}
+
+static CURL *get_easy(struct proxy_thread *t)
+{
+	if (!t->nspare)
+		return curl_easy_init();
+	curl_easy_reset(t->spare[--t->nspare]);
+	return t->spare[t->nspare];
+}
+
+static void give_up(struct proxy_request *r, const char *cause)
+{
+	give_slot(r);
+	request_release(r);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+}
+
+void request_send(struct proxy_request *r)
+{
+	if (!choose_and_take(r)) {
+		metrics_add(&r->thread->metrics, METRIC_SHED, 1);
+		give_up(r, "no upstream takes new work");
+		return;
+	}
+	r->fetch.easy = get_easy(r->thread);
+	if (!r->fetch.easy) {
+		give_up(r, "out of memory");
+		return;
+	}
+	r->fetch.done = on_done;
+	r->fetch.ctx = r;
+	r->state = REQUEST_SENT;
+	r->issued = 0;
+	r->refused = 0;
+	r->up_paused = 0;
+	r->down_paused = 0;
+	r->attempts++;
+	r->sent_us = prl_now_us();
+	metrics_add(&r->thread->metrics, METRIC_ATTEMPTS, 1);
+	set_transfer(r);
+	r->fetching = 1;
+	if (fetch_start(&r->thread->fetches, &r->fetch, NULL)) {
+		end_fetch(r);
+		give_up(r, "the HTTP client failed");
+	}
+}
--- /dev/null
+++ b/proxy/src/thread.c
@@ -0,0 +1,268 @@
+#include "thread.h"
+#include "own.h"
+#include "request.h"
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Memory of one caller's connection, in bytes: bounds its headers. */
+#define CONNECTION_BYTES 12288
+
+/* Time between two searches for callers that left, in milliseconds. */
+#define SWEEP_MS 200
+
+/* Stands for a request to a path of this VM itself. */
+static char own_request;
+
+static enum MHD_Result take_body(struct proxy_request *r, const char *data,
+				 size_t *len)
+{
+	size_t n;
+
+	if (r->state == REQUEST_FAILED || r->down_ended) {
+		*len = 0;
+		return MHD_YES;
+	}
+	n = body_write(&r->up, data, *len);
+	*len -= n;
+	if (n && r->up_paused) {
+		r->up_paused = 0;
+		fetch_unpause(&r->thread->fetches, &r->fetch);
+	}
+	if (*len)
+		request_sleep(r);
+	return MHD_YES;
+}
+
+static enum MHD_Result go_on(struct proxy_request *r)
+{
+	if (!r->up_ended) {
+		r->up_ended = 1;
+		if (r->up_paused) {
+			r->up_paused = 0;
+			fetch_unpause(&r->thread->fetches, &r->fetch);
+		}
+	}
+	if (r->responded)
+		return MHD_YES;
+	if (r->left)
+		return MHD_NO;
+	if (r->state == REQUEST_FAILED)
+		return request_respond_failed(r);
+	if (r->state == REQUEST_ANSWERED)
+		return request_respond(r);
+	request_sleep(r);
+	return MHD_YES;
+}
+
+static enum MHD_Result begin(struct proxy_thread *t,
+			     struct MHD_Connection *conn, const char *url,
+			     const char *method, void **state)
+{
+	struct proxy_request *r;
+
+	if (!strncmp(url, PROXY_OWN_PATH, strlen(PROXY_OWN_PATH))) {
+		*state = &own_request;
+		return MHD_YES;
+	}
+	r = request_new(t, conn);
+	if (!r)
+		return MHD_NO;
+	*state = r;
+	request_begin(r, url, method);
+	if (r->state == REQUEST_FAILED)
+		return request_respond_failed(r);
+	return MHD_YES;
+}
+
+static enum MHD_Result handle(void *ctx, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *len, void **state)
+{
+	struct proxy_thread *t = ctx;
+
+	(void)version;
+	if (!*state)
+		return begin(t, conn, url, method, state);
+	if (*state == &own_request) {
+		if (*len) {
+			*len = 0;
+			return MHD_YES;
+		}
+		return own_answer(t, conn, url, method);
+	}
+	if (*len)
+		return take_body(*state, data, len);
+	return go_on(*state);
+}
+
+static void completed(void *ctx, struct MHD_Connection *conn, void **state,
+		      enum MHD_RequestTerminationCode why)
+{
+	struct proxy_request *r = *state;
+
+	(void)ctx;
+	(void)conn;
+	(void)why;
+	*state = NULL;
+	if (r && (void *)r != &own_request)
+		request_caller_left(r);
+}
+
+void request_caller_left(struct proxy_request *r)
+{
+	r->suspended = 0;
+	/* What runs at most once is let run, so that a repeat of it can be
+	 * told what became of the first. */
+	if (r->once && r->fetching && r->up_ended && r->issued) {
+		r->gone = 1;
+		r->conn = NULL;
+		if (r->down_paused) {
+			r->down_paused = 0;
+			fetch_unpause(&r->thread->fetches, &r->fetch);
+		}
+		return;
+	}
+	if (r->fetching) {
+		metrics_add(&r->thread->metrics, METRIC_CANCELLED, 1);
+		r->outcome = r->issued || r->maybe_ran ? OUTCOME_UNKNOWN
+						       : OUTCOME_NOT_RUN;
+	}
+	request_free(r);
+}
+
+/* The listener does not look at suspended connections, so whether their
+ * callers are still there is looked up here. */
+static int caller_closed(const struct proxy_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+
+	return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void sweep(struct loop_timer *timer, int64_t now)
+{
+	struct proxy_thread *t = timer->ctx;
+
+	for (int i = 0; i < t->table_size; i++) {
+		struct proxy_request *r = t->table[i];
+
+		if (!r || !r->suspended || r->left || r->responded)
+			continue;
+		if (!caller_closed(r))
+			continue;
+		r->left = 1;
+		request_wake(r);
+	}
+	t->connections = (int)serve_connections(&t->serve);
+	timer->deadline = now + SWEEP_MS;
+}
+
+static void on_wait_timer(struct loop_timer *timer, int64_t now)
+{
+	(void)now;
+	request_admit_waiting(timer->ctx);
+}
+
+static void receive_claim(struct proxy_thread *t, struct proxy_claim *c)
+{
+	struct proxy_request *r = request_find(t, c->handle);
+
+	if (r && r->state == REQUEST_CLAIMING) {
+		request_claimed(r, &c->answer);
+	} else if (c->handle && c->answer.verdict == CLAIM_GRANTED) {
+		/* The caller left meanwhile; nothing was sent. */
+		c->handle = 0;
+		c->record.status = CLAIM_VOID;
+		mailbox_send(t->proxy->claims, c);
+		return;
+	}
+	g_free(c);
+}
+
+static void receive(void *ctx, void *item)
+{
+	struct proxy_thread *t = ctx;
+	struct proxy_mail *m = item;
+
+	switch (m->kind) {
+	case PROXY_MAIL_VIEW:
+		if (t->view)
+			config_view_release(t->view);
+		t->view = m->u.view;
+		break;
+	case PROXY_MAIL_CLAIM:
+		receive_claim(t, m->u.claim);
+		break;
+	case PROXY_MAIL_QUIESCE:
+		serve_quiesce(&t->serve);
+		break;
+	case PROXY_MAIL_STOP:
+		loop_stop(&t->loop);
+		break;
+	}
+	g_free(m);
+}
+
+static enum prl_code init_table(struct proxy_thread *t, struct prl_error *err)
+{
+	t->table_size = (int)t->proxy->settings->traffic.connections;
+	t->table =
+		calloc((size_t)t->table_size, sizeof(struct proxy_request *));
+	t->generation = calloc((size_t)t->table_size, sizeof(*t->generation));
+	if (!t->table || !t->generation)
+		return prl_fail(err, PRL_E_MEMORY, "table of requests");
+	return PRL_OK;
+}
+
+enum prl_code proxy_thread_init(struct proxy_thread *t, struct proxy *p,
+				struct prl_error *err)
+{
+	const struct prl_settings *s = p->settings;
+	struct serve_options o = {
+		.address = s->listen.http,
+		.connections = (unsigned int)s->traffic.connections,
+		.idle_s = (unsigned int)s->traffic.idle,
+		.connection_bytes = CONNECTION_BYTES,
+		.handle = handle,
+		.completed = completed,
+		.ctx = t,
+	};
+
+	t->proxy = p;
+	t->random = prl_hash_pair(g_random_int(), (uint64_t)prl_now_us());
+	t->wait_timer.due = on_wait_timer;
+	t->wait_timer.ctx = t;
+	t->sweep_timer.due = sweep;
+	t->sweep_timer.ctx = t;
+	if (init_table(t, err) || loop_init(&t->loop, err) ||
+	    fetch_pool_init(&t->fetches, &t->loop, err) ||
+	    mailbox_init(&t->mail, &t->loop, receive, t, err) ||
+	    serve_init(&t->serve, &t->loop, &o, err))
+		return err->code;
+	loop_timer_add(&t->loop, &t->wait_timer);
+	loop_timer_add(&t->loop, &t->sweep_timer);
+	t->sweep_timer.deadline = prl_now_ms() + SWEEP_MS;
+	return PRL_OK;
+}
+
+void proxy_thread_finish(struct proxy_thread *t)
+{
+	serve_finish(&t->serve);
+	for (int i = 0; i < t->table_size; i++)
+		if (t->table[i])
+			request_free(t->table[i]);
+	mailbox_finish(&t->mail, &t->loop);
+	while (t->nspare)
+		curl_easy_cleanup(t->spare[--t->nspare]);
+	fetch_pool_finish(&t->fetches);
+	loop_finish(&t->loop);
+	if (t->view)
+		config_view_release(t->view);
+	free(t->table);
+	free(t->generation);
+}
--- /dev/null
+++ b/schema/include/primroselead/settings.h
@@ -0,0 +1,113 @@
+/* Generated from schema/def/settings.def; do not edit. */
+#ifndef PRIMROSELEAD_SETTINGS_H
+#define PRIMROSELEAD_SETTINGS_H
+
+#include <primroselead/schema.h>
+#include <stdint.h>
+
+/** [vm] The VM itself. */
+struct prl_settings_vm {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Name of this VM, unique in the fleet. */
+	char name[PRL_NAME_MAX];
+	/** Region that this VM stands in. */
+	char region[PRL_NAME_MAX];
+	/** Failure domain that this VM stands in. */
+	char domain[PRL_NAME_MAX];
+	/** Incarnation number; 0 takes the time of the start. */
+	int64_t incarnation;
+};
+
+/** [listen] Addresses that this VM listens on. */
+struct prl_settings_listen {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Address of the HTTP listener for callers and operators. */
+	char http[PRL_ADDRESS_MAX];
+	/** Address of the UDP socket for other VMs. */
+	char rpc[PRL_ADDRESS_MAX];
+};
+
+/** [store] The platform's object store. */
+struct prl_settings_store {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Address of the object API. */
+	char address[PRL_ADDRESS_MAX];
+	/** Longest wait for an answer other than that of a watch. Unit: ms. */
+	int64_t timeout;
+	/** Writes of claims that the whole fleet may make. Unit: writes/s. */
+	int64_t writes;
+};
+
+/** [traffic] The threads and limits of the request path. */
+struct prl_settings_traffic {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Number of traffic threads. */
+	int64_t threads;
+	/** Callers' connections accepted by one traffic thread. */
+	int64_t connections;
+	/** Idle time after which a caller's connection is closed. Unit: s. */
+	int64_t idle;
+};
+
+/** [control] The control thread. */
+struct prl_settings_control {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Time between two probes of other VMs. Unit: ms. */
+	int64_t heartbeat;
+	/** Time that a suspected VM has to refute. Unit: ms. */
+	int64_t suspect;
+	/** Watchers of the store in each failure domain. */
+	int64_t watchers;
+	/** Time for which a grant is valid without renewal. Unit: ms. */
+	int64_t lease;
+	/** Longest wait of a claim for others to share its write. Unit: ms. */
+	int64_t batch;
+	/** Number of claim shards in the fleet; the same on every VM. */
+	int64_t shards;
+	/** Time for which a claim is remembered. Unit: ms. */
+	int64_t retention;
+	/** Time between leaving the look-ups and refusing new connections.
+	 * Unit: ms. */
+	int64_t drain;
+};
+
+/** [seed] Another VM from which this one joins the fleet. */
+struct prl_settings_seed {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Address of the UDP socket of that VM. */
+	char address[PRL_ADDRESS_MAX];
+};
+
+/** the settings of one VM, read once at start. */
+struct prl_settings {
+	struct prl_settings_vm vm;
+	struct prl_settings_listen listen;
+	struct prl_settings_store store;
+	struct prl_settings_traffic traffic;
+	struct prl_settings_control control;
+	struct prl_settings_seed *seed;
+	int nseed;
+};
+
+/** Parser table of this file kind. */
+extern const struct prl_schema prl_settings_schema;
+
+#endif
--- /dev/null
+++ b/schema/src/fault.c
@@ -0,0 +1,36 @@
+#include <primroselead/schema.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+void prl_fault_add(struct prl_faults *faults, int line, const char *section,
+		   const char *key, const char *fmt, ...)
+{
+	struct prl_fault *f;
+	va_list ap;
+
+	if (faults->n == PRL_FAULTS_MAX) {
+		faults->dropped++;
+		return;
+	}
+	f = &faults->fault[faults->n++];
+	f->line = line;
+	snprintf(f->section, sizeof(f->section), "%s", section);
+	snprintf(f->key, sizeof(f->key), "%s", key);
+	va_start(ap, fmt);
+	vsnprintf(f->text, sizeof(f->text), fmt, ap);
+	va_end(ap);
+}
+
+void prl_fault_format(const struct prl_faults *faults, int i, char *text,
+		      size_t size)
+{
+	const struct prl_fault *f = &faults->fault[i];
+
+	if (!f->key[0]) {
+		snprintf(text, size, "%s:%d: [%s]: %s", faults->file, f->line,
+			 f->section, f->text);
+		return;
+	}
+	snprintf(text, size, "%s:%d: [%s] %s: %s", faults->file, f->line,
+		 f->section, f->key, f->text);
+}
--- /dev/null
+++ b/schema/src/nearest.c
@@ -0,0 +1,35 @@
+#include "nearest.h"
+#include <string.h>
+
+#define WORD_MAX 63
+
+static int least(int a, int b, int c)
+{
+	int m = a < b ? a : b;
+
+	return m < c ? m : c;
+}
+
+int schema_distance(const char *a, const char *b)
+{
+	int row[WORD_MAX + 1];
+	int n = (int)strnlen(a, WORD_MAX);
+	int m = (int)strnlen(b, WORD_MAX);
+
+	for (int j = 0; j <= m; j++)
+		row[j] = j;
+	for (int i = 1; i <= n; i++) {
+		int diagonal = row[0];
+
+		row[0] = i;
+		for (int j = 1; j <= m; j++) {
+			int above = row[j];
+			int same = a[i - 1] == b[j - 1];
+
+			row[j] = least(above + 1, row[j - 1] + 1,
+				       diagonal + !same);
+			diagonal = above;
+		}
+	}
+	return row[m];
+}
--- /dev/null
+++ b/schema/src/scan.c
@@ -0,0 +1,98 @@
+#include "scan.h"
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+
+#define LINE_MAX_BYTES 512
+
+struct line {
+	const char *next;
+	int number;
+	char group[PRL_NAME_MAX * 2];
+	char key[PRL_NAME_MAX];
+};
+
+static void copy_trimmed(char *out, size_t size, const char *from, size_t n)
+{
+	while (n && isspace((unsigned char)*from)) {
+		from++;
+		n--;
+	}
+	while (n && isspace((unsigned char)from[n - 1]))
+		n--;
+	if (n >= size)
+		n = size - 1;
+	memcpy(out, from, n);
+	out[n] = 0;
+}
+
+/* Reads one line; the group stays until the next heading. */
+static int next_line(struct line *l)
+{
+	char buf[LINE_MAX_BYTES];
+	const char *end;
+	char *mark;
+
+	if (!*l->next)
+		return 0;
+	end = strchrnul(l->next, '\n');
+	copy_trimmed(buf, sizeof(buf), l->next, (size_t)(end - l->next));
+	l->next = *end ? end + 1 : end;
+	l->number++;
+	l->key[0] = 0;
+	if (buf[0] == '[') {
+		mark = strrchr(buf, ']');
+		if (mark)
+			copy_trimmed(l->group, sizeof(l->group), buf + 1,
+				     (size_t)(mark - buf - 1));
+		return 1;
+	}
+	mark = buf[0] == '#' ? NULL : strchr(buf, '=');
+	if (mark)
+		copy_trimmed(l->key, sizeof(l->key), buf, (size_t)(mark - buf));
+	return 1;
+}
+
+int schema_line(const char *text, const char *group, const char *key)
+{
+	struct line l = {.next = text};
+
+	while (next_line(&l)) {
+		if (strcmp(l.group, group))
+			continue;
+		if (!key || !strcmp(l.key, key))
+			return l.number;
+	}
+	return 0;
+}
+
+static int heading(const struct line *l, const char *before)
+{
+	return !l->key[0] && strcmp(before, l->group) != 0;
+}
+
+void schema_check_twice(const char *text, struct prl_faults *faults)
+{
+	struct line l = {.next = text};
+	char before[PRL_NAME_MAX * 2] = "";
+	int first;
+
+	while (next_line(&l)) {
+		if (heading(&l, before)) {
+			memcpy(before, l.group, sizeof(before));
+			first = schema_line(text, l.group, NULL);
+			if (first != l.number)
+				prl_fault_add(faults, l.number, l.group, "",
+					      "section stands twice, first on "
+					      "line %d",
+					      first);
+		}
+		if (!l.key[0])
+			continue;
+		first = schema_line(text, l.group, l.key);
+		if (first != l.number)
+			prl_fault_add(faults, l.number, l.group, l.key,
+				      "key stands twice, first on line %d",
+				      first);
+	}
+}
--- /dev/null
+++ b/spread/src/copy.c
@@ -0,0 +1,99 @@
+#include <primroselead/hash.h>
+#include <primroselead/spread.h>
+#include <stdio.h>
+#include <string.h>
+
+static void object_free(void *p)
+{
+	struct spread_object *o = p;
+
+	g_free(o->value);
+	g_free(o);
+}
+
+void spread_init(struct spread_copy *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  object_free);
+}
+
+void spread_finish(struct spread_copy *c)
+{
+	g_hash_table_destroy(c->by_key);
+}
+
+static uint64_t fingerprint(const struct spread_object *o)
+{
+	return prl_hash_pair(prl_hash_name(o->key), (uint64_t)o->version);
+}
+
+const struct spread_object *spread_find(const struct spread_copy *c,
+					const char *key)
+{
+	return g_hash_table_lookup(c->by_key, key);
+}
+
+enum prl_code spread_install(struct spread_copy *c, const char *key,
+			     int64_t version, const char *value, size_t len)
+{
+	struct spread_object *o = g_hash_table_lookup(c->by_key, key);
+	char *copy;
+
+	if (o && o->version >= version)
+		return PRL_E_STALE;
+	copy = g_try_malloc(len + 1);
+	if (!copy)
+		return PRL_E_MEMORY;
+	memcpy(copy, value, len);
+	copy[len] = 0;
+	if (!o) {
+		o = g_new0(struct spread_object, 1);
+		snprintf(o->key, sizeof(o->key), "%s", key);
+		g_hash_table_insert(c->by_key, o->key, o);
+	} else {
+		c->sum -= fingerprint(o);
+	}
+	c->bytes = c->bytes - o->len + len;
+	g_free(o->value);
+	o->value = copy;
+	o->len = len;
+	o->version = version;
+	c->sum += fingerprint(o);
+	return PRL_OK;
+}
+
+enum prl_code spread_extend(struct spread_copy *c, int64_t after,
+			    int64_t complete)
+{
+	if (after > c->complete)
+		return PRL_E_STALE;
+	if (complete > c->complete)
+		c->complete = complete;
+	return PRL_OK;
+}
+
+static int by_version(const void *a, const void *b)
+{
+	const struct spread_object *x = *(struct spread_object *const *)a;
+	const struct spread_object *y = *(struct spread_object *const *)b;
+
+	return x->version < y->version ? -1 : x->version > y->version;
+}
+
+GPtrArray *spread_after(const struct spread_copy *c, int64_t after)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->by_key);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct spread_object *o = value;
+
+		if (o->version > after)
+			g_ptr_array_add(found, o);
+	}
+	g_ptr_array_sort(found, by_version);
+	return found;
+}
--- /dev/null
+++ b/spread/src/tree.c
@@ -0,0 +1,17 @@
+#include <primroselead/spread.h>
+
+/* VMs that each VM of the tree relays to. */
+#define FANOUT 4
+
+int spread_children(int rank, int total, int *out, int max)
+{
+	int n = 0;
+
+	for (int k = 1; k <= FANOUT && n < max; k++) {
+		int child = rank * FANOUT + k;
+
+		if (child < total)
+			out[n++] = child;
+	}
+	return n;
+}
