--- /dev/null
+++ b/steer/include/primroselead/steer.h
@@ -0,0 +1,287 @@
+#ifndef PRIMROSELEAD_STEER_H
+#define PRIMROSELEAD_STEER_H
+
+#include <primroselead/address.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * The decisions: pure functions over plain data. Nothing here reads a clock,
+ * does I/O or keeps state; the caller passes the time and random numbers in.
+ */
+
+/** Most regions of a fleet. */
+#define STEER_REGIONS_MAX 32
+
+/** Most entry VMs in the answer to a look-up. */
+#define STEER_ANSWER_MAX 4
+
+/** Size of a name, its end included. */
+#define STEER_NAME_MAX 64
+
+/** Index of no region, VM, service or upstream. */
+#define STEER_NONE (-1)
+
+/** Whether something takes new work. */
+enum steer_state {
+	STEER_ACTIVE,
+	/** Finishes what it has. */
+	STEER_LEAVING,
+	STEER_GONE,
+};
+
+/** An entry VM. */
+struct steer_vm {
+	/** Hash of the VM's name. */
+	uint64_t id;
+	int region;
+	int domain;
+	enum steer_state state;
+	char address[PRL_ADDRESS_MAX];
+};
+
+/** How an upstream is chosen. */
+enum steer_choice {
+	STEER_RANDOM,
+	STEER_ROUND_ROBIN,
+	STEER_LEAST_OUTSTANDING,
+	STEER_POWER_OF_TWO,
+	STEER_PROBE,
+};
+
+/** An upstream as the service file and the VM list describe it. */
+struct steer_upstream {
+	uint64_t id;
+	int region;
+	enum steer_state state;
+	int slots;
+	int connections;
+	/** Handle of its counters in the process that sends to it. */
+	int cell;
+	char address[PRL_ADDRESS_MAX];
+};
+
+/** One region of a service. */
+struct steer_place {
+	/** Requests it carries at once; 0 if the service does not run there. */
+	int capacity;
+	int weight;
+	/** Regions that take what it can't carry, nearest first. */
+	int spill[STEER_REGIONS_MAX];
+	int nspill;
+	/** Its upstreams are a run of the service's table. */
+	int first_upstream;
+	int nupstream;
+	/** Handle of the capacity that this process holds there. */
+	int hold;
+};
+
+/** Direction of a shift. */
+enum steer_direction {
+	STEER_FORWARD,
+	STEER_PAUSE,
+	STEER_BACK,
+};
+
+/** A planned move of traffic between two regions. */
+struct steer_shift {
+	/** STEER_NONE if there is no shift. */
+	int from;
+	int to;
+	/** Greatest share that may be moved, in permille. */
+	int cap;
+	int step;
+	int64_t pace_ms;
+	enum steer_direction direction;
+	/** Share moved now, in permille; never above the cap. */
+	int share;
+	/** Names the pair of regions; progress of another pair is void. */
+	uint64_t plan;
+};
+
+/** A kind of request that runs at most once. */
+struct steer_rule {
+	char method[8];
+	char path[STEER_NAME_MAX];
+};
+
+/** One service. */
+struct steer_service {
+	char name[STEER_NAME_MAX];
+	int64_t deadline_ms;
+	int64_t lookup_ttl_ms;
+	int64_t warmup_ms;
+	int retry_percent;
+	enum steer_choice choice;
+	struct steer_place place[STEER_REGIONS_MAX];
+	struct steer_upstream *upstream;
+	int nupstream;
+	struct steer_rule *rule;
+	int nrule;
+	struct steer_shift shift;
+	/** Revision of its file. */
+	int64_t version;
+	/** Handle of its counters in this process. */
+	int cell;
+};
+
+/** All that decisions are made from; immutable once built. */
+struct steer_view {
+	int64_t revision;
+	char region[STEER_REGIONS_MAX][STEER_NAME_MAX];
+	int nregion;
+	/** Sorted by region. */
+	struct steer_vm *vm;
+	int nvm;
+	int first_vm[STEER_REGIONS_MAX + 1];
+	/** Sorted by name; services that did not change are shared with the
+	 * view before. */
+	struct steer_service **service;
+	int nservice;
+};
+
+/** Index of a service by name, or STEER_NONE. */
+int steer_find_service(const struct steer_view *v, const char *name,
+		       size_t len);
+
+/** Index of a region by name, or STEER_NONE. */
+int steer_find_region(const struct steer_view *v, const char *name);
+
+/** Whether the service's file says that a request runs at most once. */
+int steer_never_twice(const struct steer_service *s, const char *method,
+		      const char *path);
+
+/** A question which entry VMs to use. */
+struct steer_ask {
+	int service;
+	/** Region that the caller is in or next to. */
+	int region;
+	/** Hash of the block of addresses that the caller is in. */
+	uint64_t block;
+};
+
+/** One entry VM of an answer. */
+struct steer_named {
+	int vm;
+	/** Share of the caller's requests, in permille. */
+	int weight;
+};
+
+/** Answer to a look-up, best VM first. */
+struct steer_answer {
+	struct steer_named named[STEER_ANSWER_MAX];
+	int n;
+};
+
+/**
+ * Chooses entry VMs: active ones alone, those of the caller's region first,
+ * then by the service's spill order; spread over failure domains. The order
+ * is by rendezvous hashing, so that losing a VM moves only its own callers.
+ */
+void steer_lookup(const struct steer_view *v, const struct steer_ask *ask,
+		  struct steer_answer *out);
+
+/** Why a region was chosen for a request. */
+enum steer_reason {
+	STEER_LOCAL,
+	/** Moved by a shift. */
+	STEER_SHIFTED,
+	/** The first region has no free capacity or no upstream. */
+	STEER_SPILLED,
+};
+
+/** Regions to try for one request, in order. */
+struct steer_route {
+	int region[STEER_REGIONS_MAX];
+	enum steer_reason reason[STEER_REGIONS_MAX];
+	int n;
+};
+
+/**
+ * Home region of a request that entered in a region: that region itself where
+ * the service runs there, else one by the regions' weights and the block.
+ */
+int steer_home(const struct steer_service *s, int nregion, int entered,
+	       uint64_t block);
+
+/**
+ * Whether a block's requests are in the share that a shift moves. The blocks
+ * of a smaller share are always among those of a larger one, so that two VMs
+ * at neighbouring steps together never move more than the larger share.
+ */
+int steer_moved(const struct steer_shift *shift, int home, uint64_t block);
+
+/** Regions to try for a request with this home; moved as decided before. */
+void steer_route(const struct steer_service *s, int home, int moved,
+		 struct steer_route *out);
+
+/** What this process knows of an upstream's load. */
+struct steer_load {
+	/** Requests that this process has there. */
+	int outstanding;
+	/** Running there as it last reported; -1 if it never did. */
+	int reported;
+	/** When it reported, on the clock of prl_now_ms. */
+	int64_t reported_ms;
+	/** Smoothed time of a request in microseconds; 0 if none is known. */
+	int64_t latency_us;
+	/** Smoothed share of failures, in permille. */
+	int failures;
+	/** When it was first seen, on the clock of prl_now_ms. */
+	int64_t since_ms;
+};
+
+/** An upstream choice: candidates, their loads, the rule, the time. */
+struct steer_pick {
+	const struct steer_upstream *upstream;
+	const struct steer_load *load;
+	int n;
+	enum steer_choice choice;
+	int64_t warmup_ms;
+	int64_t now_ms;
+	/** A random number, or for STEER_ROUND_ROBIN a running count. */
+	uint64_t random;
+	/** Upstream tried before for this request; STEER_NONE if none. */
+	int except;
+};
+
+/**
+ * Chooses an upstream that is active and has a free slot as far as this
+ * process can tell. Returns its index, or STEER_NONE.
+ */
+int steer_pick(const struct steer_pick *p);
+
+/** Progress of a shift, as kept in the store. */
+struct steer_progress {
+	uint64_t plan;
+	int share;
+};
+
+/** What the next step of a shift is decided from. */
+struct steer_step {
+	struct steer_shift shift;
+	struct steer_progress progress;
+	/** When the progress was first seen, on the clock of prl_now_ms. */
+	int64_t seen_ms;
+	int64_t now_ms;
+	/** Smoothed latency in the region that traffic goes to, relative to
+	 * the one it leaves, in percent; 0 if it isn't known. */
+	int latency_percent;
+	/** Capacity in use where traffic goes to, in percent. */
+	int load_percent;
+};
+
+/**
+ * Decides whether a step is due. Fills the new progress and returns 1, or
+ * returns 0. Progress of another plan starts from nothing moved.
+ */
+int steer_step(const struct steer_step *s, struct steer_progress *next);
+
+/** Share that a view may use: of this plan, and under the file's cap. */
+int steer_share(const struct steer_shift *shift,
+		const struct steer_progress *progress);
+
+/** Name of a reason, as in logs and counters. */
+const char *steer_reason_name(enum steer_reason reason);
+
+#endif
--- /dev/null
+++ b/steer/src/pick.c
@@ -0,0 +1,160 @@
+#include <primroselead/hash.h>
+#include <primroselead/steer.h>
+
+/* A report older than this says nothing any more, in milliseconds. */
+#define REPORT_AGE_MAX_MS 2000
+
+/* Failures above this share repel traffic, in permille. */
+#define FAILURES_HIGH 200
+
+/* Share of random choices that still reach a failing upstream. */
+#define FAILING_TRIES_PERMILLE 20
+
+/* Least share of a cold upstream's slots in use, in percent. */
+#define COLD_PERCENT 20
+
+#define PERCENT 100
+#define PERMILLE 1000
+
+/* Latency assumed of an upstream without a sample, in microseconds. */
+#define LATENCY_UNKNOWN_US 1000
+
+/* Slots open to use; they grow with the time since the upstream was seen. */
+static int open_slots(const struct steer_pick *p, int i)
+{
+	int64_t age = p->now_ms - p->load[i].since_ms;
+	int slots = p->upstream[i].slots;
+	int64_t percent;
+
+	if (age >= p->warmup_ms)
+		return slots;
+	percent = COLD_PERCENT +
+		  (PERCENT - COLD_PERCENT) * (age < 0 ? 0 : age) / p->warmup_ms;
+	slots = (int)(slots * percent / PERCENT);
+	return slots ? slots : 1;
+}
+
+static int usable(const struct steer_pick *p, int i)
+{
+	if (i == p->except || p->upstream[i].state != STEER_ACTIVE)
+		return 0;
+	return p->load[i].outstanding < open_slots(p, i);
+}
+
+static int failing(const struct steer_pick *p, int i)
+{
+	return p->load[i].failures > FAILURES_HIGH;
+}
+
+/*
+ * Requests at the upstream. A report counts the less the older it is, and
+ * never takes away from what this process itself has there.
+ */
+static int64_t requests(const struct steer_pick *p, int i)
+{
+	const struct steer_load *l = &p->load[i];
+	int64_t age = p->now_ms - l->reported_ms;
+	int64_t others = l->reported - l->outstanding;
+
+	if (l->reported < 0 || age >= REPORT_AGE_MAX_MS || others < 0)
+		return (int64_t)l->outstanding * PERMILLE;
+	return (int64_t)l->outstanding * PERMILLE +
+	       others * (REPORT_AGE_MAX_MS - age) * PERMILLE /
+		       REPORT_AGE_MAX_MS;
+}
+
+/* Smaller is better: share of slots taken, then fewer failures. */
+static int64_t occupancy(const struct steer_pick *p, int i)
+{
+	int64_t score = requests(p, i) * PERCENT / open_slots(p, i);
+
+	if (failing(p, i))
+		score += (int64_t)PERMILLE * PERCENT * p->load[i].failures;
+	return score;
+}
+
+/* Expected time until the upstream would have done one more request. */
+static int64_t expected_time(const struct steer_pick *p, int i)
+{
+	int64_t latency = p->load[i].latency_us;
+	int64_t base = occupancy(p, i) + PERMILLE * PERCENT / open_slots(p, i);
+
+	return base * (latency ? latency : LATENCY_UNKNOWN_US);
+}
+
+static int64_t score(const struct steer_pick *p, int i)
+{
+	switch (p->choice) {
+	case STEER_LEAST_OUTSTANDING:
+		return p->load[i].outstanding;
+	case STEER_POWER_OF_TWO:
+		return occupancy(p, i);
+	case STEER_PROBE:
+		return expected_time(p, i);
+	case STEER_RANDOM:
+	case STEER_ROUND_ROBIN:
+		break;
+	}
+	return 0;
+}
+
+/* First usable one at or after a place; the table is taken as a ring. */
+static int usable_from(const struct steer_pick *p, int start)
+{
+	for (int k = 0; k < p->n; k++) {
+		int i = (start + k) % p->n;
+
+		if (usable(p, i))
+			return i;
+	}
+	return STEER_NONE;
+}
+
+static int best_of_two(const struct steer_pick *p)
+{
+	uint64_t other = prl_hash_pair(p->random, 1);
+	int a = usable_from(p, (int)(p->random % (uint64_t)p->n));
+	int b = usable_from(p, (int)(other % (uint64_t)p->n));
+
+	if (a == STEER_NONE)
+		return STEER_NONE;
+	if (a == b)
+		b = usable_from(p, (b + 1) % p->n);
+	/* A few requests go where the last ones failed, to see a recovery. */
+	if (failing(p, a) && other % PERMILLE < FAILING_TRIES_PERMILLE)
+		return a;
+	return score(p, a) <= score(p, b) ? a : b;
+}
+
+static int best_of_all(const struct steer_pick *p)
+{
+	int first = usable_from(p, (int)(p->random % (uint64_t)p->n));
+	int best = first;
+
+	if (first == STEER_NONE)
+		return STEER_NONE;
+	for (int k = 1; k < p->n; k++) {
+		int i = (first + k) % p->n;
+
+		if (usable(p, i) && score(p, i) < score(p, best))
+			best = i;
+	}
+	return best;
+}
+
+int steer_pick(const struct steer_pick *p)
+{
+	if (p->n <= 0)
+		return STEER_NONE;
+	switch (p->choice) {
+	case STEER_RANDOM:
+	case STEER_ROUND_ROBIN:
+		return usable_from(p, (int)(p->random % (uint64_t)p->n));
+	case STEER_LEAST_OUTSTANDING:
+		return best_of_all(p);
+	case STEER_POWER_OF_TWO:
+	case STEER_PROBE:
+		return best_of_two(p);
+	}
+	return STEER_NONE;
+}
--- /dev/null
+++ b/steer/src/route.c
@@ -0,0 +1,70 @@
+#include <primroselead/hash.h>
+#include <primroselead/steer.h>
+
+#define PERMILLE 1000
+
+/* Keeps the order of blocks in shifts apart from that of regions. */
+#define SHIFT_SEED 0x5368696674ULL
+
+int steer_home(const struct steer_service *s, int nregion, int entered,
+	       uint64_t block)
+{
+	uint64_t total = 0;
+	uint64_t at;
+
+	if (s->place[entered].capacity > 0)
+		return entered;
+	for (int r = 0; r < nregion; r++)
+		if (s->place[r].capacity > 0)
+			total += (uint64_t)s->place[r].weight;
+	if (!total) {
+		for (int r = 0; r < nregion; r++)
+			if (s->place[r].capacity > 0)
+				return r;
+		return STEER_NONE;
+	}
+	at = prl_hash_pair(block, 0) % total;
+	for (int r = 0; r < nregion; r++) {
+		if (s->place[r].capacity <= 0)
+			continue;
+		if (at < (uint64_t)s->place[r].weight)
+			return r;
+		at -= (uint64_t)s->place[r].weight;
+	}
+	return STEER_NONE;
+}
+
+int steer_moved(const struct steer_shift *shift, int home, uint64_t block)
+{
+	int share = shift->share < shift->cap ? shift->share : shift->cap;
+
+	if (shift->from == STEER_NONE || shift->from != home)
+		return 0;
+	return prl_hash_pair(block, SHIFT_SEED) % PERMILLE < (uint64_t)share;
+}
+
+static void add(const struct steer_service *s, struct steer_route *out,
+		int region, enum steer_reason reason)
+{
+	if (s->place[region].capacity <= 0)
+		return;
+	for (int i = 0; i < out->n; i++)
+		if (out->region[i] == region)
+			return;
+	out->region[out->n] = region;
+	out->reason[out->n] = reason;
+	out->n++;
+}
+
+void steer_route(const struct steer_service *s, int home, int moved,
+		 struct steer_route *out)
+{
+	const struct steer_place *place = &s->place[home];
+
+	out->n = 0;
+	if (moved)
+		add(s, out, s->shift.to, STEER_SHIFTED);
+	add(s, out, home, STEER_LOCAL);
+	for (int i = 0; i < place->nspill; i++)
+		add(s, out, place->spill[i], STEER_SPILLED);
+}
--- /dev/null
+++ b/wire/src/codec.h
@@ -0,0 +1,23 @@
+#ifndef WIRE_CODEC_H
+#define WIRE_CODEC_H
+
+#include <primroselead/wire.h>
+
+/** Encodes a call; returns its length, or 0 if it does not fit. */
+size_t wire_encode_call(char *data, size_t size, uint32_t xid,
+			const struct wire_args *args);
+
+/** Encodes an answer; returns its length, or 0 if it does not fit. */
+size_t wire_encode_reply(char *data, size_t size, uint32_t xid,
+			 const struct wire_result *result);
+
+/** Decodes the answer to a call of result->proc. Returns 0 or -1. */
+int wire_decode_reply(char *data, size_t len, struct wire_result *result);
+
+/** Frees a decoded result. */
+void wire_result_free(struct wire_result *result);
+
+/** Transaction number and direction of a datagram. Returns 0 or -1. */
+int wire_peek(const char *data, size_t len, uint32_t *xid, int *is_reply);
+
+#endif
--- /dev/null
+++ b/wire/src/node.c
@@ -0,0 +1,298 @@
+#include "codec.h"
+#include <errno.h>
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+/* Room in the kernel for a burst of datagrams, in bytes. */
+#define SOCKET_BUFFER (1 << 20)
+
+/* Datagrams read in one round, so that timers are not starved. */
+#define READS_MAX 64
+
+static void call_free(void *p)
+{
+	struct wire_call *c = p;
+
+	free(c->bytes);
+	free(c);
+}
+
+static void transmit(struct wire_node *n, const void *data, size_t len,
+		     const struct sockaddr_storage *to, socklen_t to_len)
+{
+	n->sent++;
+	n->sent_bytes += len;
+	wire_transmit(n->fd.fd, data, len, to, to_len);
+}
+
+static void set_timer(struct wire_node *n)
+{
+	GHashTableIter it;
+	void *value;
+
+	n->timer.deadline = PRL_NEVER;
+	g_hash_table_iter_init(&it, n->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct wire_call *c = value;
+
+		if (c->deadline < n->timer.deadline)
+			n->timer.deadline = c->deadline;
+		if (c->repeat_at < n->timer.deadline)
+			n->timer.deadline = c->repeat_at;
+	}
+}
+
+/* Ends a call; its callback may begin others. */
+static void end_call(struct wire_node *n, struct wire_call *c,
+		     const struct wire_result *result)
+{
+	g_hash_table_steal(n->calls, GUINT_TO_POINTER(c->xid));
+	if (c->done)
+		c->done(c->ctx, result);
+	call_free(c);
+}
+
+static GPtrArray *due_calls(struct wire_node *n, int64_t now)
+{
+	GPtrArray *due = g_ptr_array_new();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, n->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct wire_call *c = value;
+
+		if (c->deadline <= now) {
+			g_ptr_array_add(due, c);
+			continue;
+		}
+		if (c->repeat_at > now)
+			continue;
+		c->repeat_at = now + c->repeat_ms;
+		transmit(n, c->bytes, c->len, &c->to, c->to_len);
+	}
+	return due;
+}
+
+static void on_timer(struct loop_timer *t, int64_t now)
+{
+	struct wire_node *n = t->ctx;
+	GPtrArray *due = due_calls(n, now);
+
+	for (guint i = 0; i < due->len; i++)
+		end_call(n, g_ptr_array_index(due, i), NULL);
+	g_ptr_array_free(due, TRUE);
+	set_timer(n);
+}
+
+static int same_address(const struct sockaddr_storage *a,
+			const struct sockaddr_storage *b, socklen_t len)
+{
+	return !memcmp(a, b, len);
+}
+
+static void receive_reply(struct wire_node *n, size_t len, uint32_t xid,
+			  const struct sockaddr_storage *from)
+{
+	struct wire_call *c =
+		g_hash_table_lookup(n->calls, GUINT_TO_POINTER(xid));
+	struct wire_result result;
+
+	if (!c || !same_address(from, &c->to, c->to_len)) {
+		n->rejected++;
+		return;
+	}
+	result.proc = c->proc;
+	if (wire_decode_reply(n->buffer, len, &result)) {
+		n->rejected++;
+		return;
+	}
+	end_call(n, c, &result);
+	wire_result_free(&result);
+}
+
+static void receive_call(struct wire_node *n, size_t len,
+			 struct wire_request *r)
+{
+	struct wire_args args;
+
+	if (wire_decode_call(n->buffer, len, r, &args)) {
+		n->rejected++;
+		return;
+	}
+	n->handle(n->ctx, r, &args);
+	wire_args_free(&args);
+}
+
+static int receive_one(struct wire_node *n)
+{
+	struct wire_request r = {.from_len = sizeof(r.from)};
+	uint32_t xid;
+	int is_reply;
+	ssize_t len;
+
+	len = recvfrom(n->fd.fd, n->buffer, sizeof(n->buffer), MSG_DONTWAIT,
+		       (struct sockaddr *)&r.from, &r.from_len);
+	if (len < 0)
+		return 0;
+	n->received++;
+	n->received_bytes += (uint64_t)len;
+	if (len > WIRE_DATAGRAM_MAX ||
+	    wire_peek(n->buffer, (size_t)len, &xid, &is_reply)) {
+		n->rejected++;
+		return 1;
+	}
+	if (is_reply)
+		receive_reply(n, (size_t)len, xid, &r.from);
+	else
+		receive_call(n, (size_t)len, &r);
+	return 1;
+}
+
+static void on_ready(struct loop_fd *f, uint32_t events)
+{
+	struct wire_node *n = f->ctx;
+	int reads = 0;
+
+	(void)events;
+	while (reads < READS_MAX && receive_one(n))
+		reads++;
+	set_timer(n);
+}
+
+static enum prl_code bind_socket(struct wire_node *n, const char *address,
+				 struct prl_error *err)
+{
+	struct sockaddr_storage addr;
+	socklen_t len;
+	int size = SOCKET_BUFFER;
+
+	if (prl_address_parse(address, &addr, &len))
+		return prl_fail(err, PRL_E_IO,
+				"\"%s\" is no IP number and port", address);
+	n->fd.fd = socket(addr.ss_family,
+			  SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (n->fd.fd < 0)
+		return prl_fail(err, PRL_E_IO, "socket: %s", strerror(errno));
+	setsockopt(n->fd.fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	if (bind(n->fd.fd, (struct sockaddr *)&addr, len)) {
+		prl_fail(err, PRL_E_IO, "can't bind %s: %s", address,
+			 strerror(errno));
+		close(n->fd.fd);
+		return PRL_E_IO;
+	}
+	return PRL_OK;
+}
+
+enum prl_code wire_init(struct wire_node *n, struct loop *l,
+			const char *address,
+			void (*handle)(void *ctx, const struct wire_request *r,
+				       const struct wire_args *args),
+			void *ctx, struct prl_error *err)
+{
+	memset(n, 0, sizeof(*n));
+	if (bind_socket(n, address, err))
+		return PRL_E_IO;
+	n->loop = l;
+	n->handle = handle;
+	n->ctx = ctx;
+	n->calls = g_hash_table_new_full(NULL, NULL, NULL, call_free);
+	/* A restarted VM must not take answers meant for the one before. */
+	n->next_xid = g_random_int();
+	n->fd.ready = on_ready;
+	n->fd.ctx = n;
+	n->timer.due = on_timer;
+	n->timer.ctx = n;
+	loop_timer_add(l, &n->timer);
+	return loop_add(l, &n->fd, EPOLLIN, err);
+}
+
+void wire_finish(struct wire_node *n)
+{
+	loop_remove(n->loop, &n->fd);
+	loop_timer_remove(n->loop, &n->timer);
+	close(n->fd.fd);
+	g_hash_table_destroy(n->calls);
+}
+
+static struct wire_call *new_call(struct wire_node *n,
+				  const struct wire_args *args,
+				  const struct wire_options *o)
+{
+	struct wire_call *c = calloc(1, sizeof(*c));
+	size_t size = wire_args_size(args) + 128;
+
+	if (!c)
+		return NULL;
+	c->bytes = malloc(size);
+	if (!c->bytes) {
+		free(c);
+		return NULL;
+	}
+	c->node = n;
+	c->xid = n->next_xid++;
+	c->proc = args->proc;
+	c->deadline = o->deadline;
+	c->repeat_ms = o->repeat_ms;
+	c->repeat_at = PRL_NEVER;
+	if (o->repeat_ms)
+		c->repeat_at = prl_now_ms() + o->repeat_ms;
+	c->done = o->done;
+	c->ctx = o->ctx;
+	c->len = wire_encode_call(c->bytes, size, c->xid, args);
+	return c;
+}
+
+enum prl_code wire_call(struct wire_node *n, const char *to,
+			const struct wire_args *args,
+			const struct wire_options *o, struct prl_error *err)
+{
+	struct wire_call *c = new_call(n, args, o);
+
+	if (!c)
+		return prl_fail(err, PRL_E_MEMORY, "call to %s", to);
+	if (!c->len || c->len > WIRE_DATAGRAM_MAX) {
+		call_free(c);
+		return prl_fail(err, PRL_E_LIMIT,
+				"call %u to %s does not fit a datagram of %d "
+				"bytes",
+				args->proc, to, WIRE_DATAGRAM_MAX);
+	}
+	if (prl_address_parse(to, &c->to, &c->to_len)) {
+		call_free(c);
+		return prl_fail(err, PRL_E_IO,
+				"\"%s\" is no IP number and port", to);
+	}
+	g_hash_table_insert(n->calls, GUINT_TO_POINTER(c->xid), c);
+	transmit(n, c->bytes, c->len, &c->to, c->to_len);
+	if (c->deadline < n->timer.deadline)
+		n->timer.deadline = c->deadline;
+	if (c->repeat_at < n->timer.deadline)
+		n->timer.deadline = c->repeat_at;
+	return PRL_OK;
+}
+
+enum prl_code wire_reply(struct wire_node *n, const struct wire_request *r,
+			 const struct wire_result *result,
+			 struct prl_error *err)
+{
+	static const size_t size = WIRE_DATAGRAM_MAX;
+	char *bytes = malloc(size);
+	size_t len;
+
+	if (!bytes)
+		return prl_fail(err, PRL_E_MEMORY, "answer to a call");
+	len = wire_encode_reply(bytes, size, r->xid, result);
+	if (len)
+		transmit(n, bytes, len, &r->from, r->from_len);
+	free(bytes);
+	if (!len)
+		return prl_fail(err, PRL_E_LIMIT,
+				"answer to call %u does not fit a datagram of "
+				"%d bytes",
+				r->proc, WIRE_DATAGRAM_MAX);
+	return PRL_OK;
+}
