--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 include mk/flags.mk
 include mk/packages.mk
 include mk/programs.mk
+include mk/model.mk
 include mk/tests.mk
 include mk/lint.mk
 include mk/install.mk
--- a/claim/include/primroselead/claim.h
+++ b/claim/include/primroselead/claim.h
@@ -21,7 +21,7 @@
 /** Segments of one shard. */
 #define CLAIM_SEGMENTS 64
 
-/** Records in a full segment. */
+/** Most records in a segment. */
 #define CLAIM_SEGMENT_RECORDS 256
 
 /** Longest text of a segment, in bytes. */
@@ -127,9 +127,17 @@
 	uint32_t used;
 };
 
+/** How a shard's log is kept; the same on every VM. */
+struct claim_options {
+	/** Time for which a claim is remembered. */
+	int64_t retention_ms;
+	/** Records of a full segment, at most CLAIM_SEGMENT_RECORDS. */
+	int segment_records;
+};
+
 /** One shard; the memory belongs to the caller. */
 struct claim_shard {
-	int64_t retention_ms;
+	struct claim_options options;
 	enum claim_state state;
 	struct claim_table table;
 	struct claim_slot slot[CLAIM_SEGMENTS];
@@ -153,8 +161,8 @@
 };
 
 /** Starts unloaded. Returns PRL_OK or PRL_E_MEMORY. */
-enum prl_code claim_init(struct claim_shard *s, int64_t retention_ms,
-			 struct prl_error *err);
+enum prl_code claim_init(struct claim_shard *s, const struct claim_options *o,
+                         struct prl_error *err);
 
 /** Frees what the shard holds. */
 void claim_finish(struct claim_shard *s);
--- a/claim/src/shard.c
+++ b/claim/src/shard.c
@@ -2,11 +2,11 @@
 #include "table.h"
 #include <string.h>
 
-enum prl_code claim_init(struct claim_shard *s, int64_t retention_ms,
-			 struct prl_error *err)
+enum prl_code claim_init(struct claim_shard *s, const struct claim_options *o,
+                         struct prl_error *err)
 {
 	memset(s, 0, sizeof(*s));
-	s->retention_ms = retention_ms;
+	s->options = *o;
 	if (claim_table_init(&s->table))
 		return prl_fail(err, PRL_E_MEMORY, "claim shard");
 	return PRL_OK;
@@ -117,17 +117,16 @@
  * stands in it twice, so the second request for a key waits for the first. */
 static int choose_batch(struct claim_shard *s)
 {
-	int room = CLAIM_SEGMENT_RECORDS - s->nsegment;
+	int room = s->options.segment_records - s->nsegment;
 	int n = 0;
 
 	while (n < s->npending && n < room) {
-		if (settle(s, &s->pending[n], s->waiter[n])) {
-			drop_pending(s, n);
-			continue;
-		}
 		if (key_in_batch(s, n, s->pending[n].key))
 			break;
-		n++;
+		if (settle(s, &s->pending[n], s->waiter[n]))
+			drop_pending(s, n);
+		else
+			n++;
 	}
 	return n;
 }
@@ -153,7 +152,7 @@
 
 	if (!slot->version || slot->sequence == s->head)
 		return 1;
-	return slot->written_ms + s->retention_ms < wall_ms;
+	return slot->written_ms + s->options.retention_ms < wall_ms;
 }
 
 static void write_batch(struct claim_shard *s, int n, int64_t wall_ms)
@@ -166,7 +165,7 @@
 
 	memcpy(&s->segment[s->nsegment], s->pending,
 	       (size_t)n * sizeof(s->segment[0]));
-	s->seals = h.nrecord == CLAIM_SEGMENT_RECORDS;
+	s->seals = h.nrecord >= s->options.segment_records;
 	h.sealed = s->seals;
 	s->len = segment_write(s->text, sizeof(s->text), &h, s->segment);
 	s->writing = n;
--- /dev/null
+++ b/claim/test/test_claim.c
@@ -0,0 +1,247 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/claim.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct claim_shard shard;
+static const struct claim_options options = {.retention_ms = 1000,
+                                             .segment_records = 4};
+
+static struct claim_record record(uint64_t key, uint64_t token)
+{
+	return (struct claim_record){.key = {.high = 1, .low = key},
+	                             .token = token};
+}
+
+static int setup(void **state)
+{
+	(void)state;
+	return claim_init(&shard, &options, NULL) != PRL_OK;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	claim_finish(&shard);
+	return 0;
+}
+
+static void load_empty(void)
+{
+	assert_int_equal(claim_loaded(&shard, NULL, 0, NULL), PRL_OK);
+}
+
+static struct claim_answer take(void)
+{
+	struct claim_answer a;
+
+	assert_int_equal(claim_take(&shard, &a), 1);
+	return a;
+}
+
+static void test_first_is_granted(void **state)
+{
+	struct claim_record a = record(1, 10);
+	struct claim_record b = record(1, 11);
+	struct claim_write w;
+
+	(void)state;
+	claim_submit(&shard, &a, 100);
+	claim_submit(&shard, &b, 101);
+	load_empty();
+	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_WRITE);
+	assert_int_equal(w.slot, 0);
+	assert_int_equal(w.version, 0);
+	claim_written(&shard, 7, 5);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+	/* The second one finds the first settled. */
+	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_IDLE);
+	assert_int_equal(take().verdict, CLAIM_TAKEN);
+}
+
+static void test_lost_answer_is_found_by_token(void **state)
+{
+	struct claim_record a = record(1, 10);
+	struct claim_segment seg;
+	struct claim_write w;
+	char text[512];
+
+	(void)state;
+	claim_submit(&shard, &a, 100);
+	load_empty();
+	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_WRITE);
+	memcpy(text, w.text, w.len);
+	text[w.len] = 0;
+	claim_unsettled(&shard);
+	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_LOAD);
+	seg = (struct claim_segment){.version = 3, .text = text,
+	                             .len = strlen(text)};
+	assert_int_equal(claim_loaded(&shard, &seg, 1, NULL), PRL_OK);
+	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_IDLE);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+}
+
+static void test_store_down_refuses(void **state)
+{
+	struct claim_record a = record(1, 10);
+	struct claim_write w;
+
+	(void)state;
+	claim_submit(&shard, &a, 100);
+	assert_int_equal(claim_next(&shard, 0, &w), CLAIM_LOAD);
+	claim_failed(&shard, PRL_E_STORE_DOWN);
+	assert_int_equal(take().verdict, CLAIM_REFUSED);
+	assert_int_equal(claim_waiting(&shard), 0);
+}
+
+static void write_all(int64_t wall, int64_t *version)
+{
+	struct claim_write w;
+
+	while (claim_next(&shard, wall, &w) == CLAIM_WRITE)
+		claim_written(&shard, ++*version, wall);
+}
+
+/* A ring that is full of what must be remembered refuses; later it goes on
+ * and forgets what is old. */
+static void test_full_ring(void **state)
+{
+	struct claim_answer a;
+	int64_t version = 0;
+	int granted = 0;
+	int refused = 0;
+
+	(void)state;
+	load_empty();
+	for (uint64_t k = 0; k < CLAIM_SEGMENTS * 4 + 10; k++) {
+		struct claim_record r = record(k, k + 1000);
+
+		claim_submit(&shard, &r, k + 1);
+		write_all(10, &version);
+		while (claim_take(&shard, &a)) {
+			granted += a.verdict == CLAIM_GRANTED;
+			refused += a.verdict == CLAIM_REFUSED;
+			if (a.verdict == CLAIM_REFUSED)
+				assert_int_equal(a.code, PRL_E_FULL);
+		}
+	}
+	assert_int_equal(granted, CLAIM_SEGMENTS * 4);
+	assert_int_equal(refused, 10);
+	assert_non_null(claim_find(&shard, record(0, 0).key));
+	claim_submit(&shard, &(struct claim_record){.key = {1, 9999},
+	                                            .token = 5}, 7);
+	write_all(10 + 1001, &version);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+	assert_null(claim_find(&shard, record(0, 0).key));
+	assert_non_null(claim_find(&shard, record(5, 0).key));
+}
+
+static void test_outcome_is_kept(void **state)
+{
+	struct claim_record a = record(1, 10);
+	struct claim_record again = record(1, 99);
+	struct claim_answer got;
+	int64_t version = 0;
+
+	(void)state;
+	load_empty();
+	claim_submit(&shard, &a, 1);
+	write_all(1, &version);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+	a.status = CLAIM_RAN;
+	a.code = 201;
+	claim_submit(&shard, &a, 0);
+	write_all(1, &version);
+	claim_submit(&shard, &again, 2);
+	write_all(1, &version);
+	got = take();
+	assert_int_equal(got.verdict, CLAIM_TAKEN);
+	assert_int_equal(got.record.status, CLAIM_RAN);
+	assert_int_equal(got.record.code, 201);
+	/* What ran can't be made free. */
+	a.status = CLAIM_VOID;
+	claim_submit(&shard, &a, 0);
+	write_all(1, &version);
+	assert_int_equal(claim_find(&shard, a.key)->status, CLAIM_RAN);
+}
+
+static void test_void_frees_the_key(void **state)
+{
+	struct claim_record a = record(1, 10);
+	struct claim_record b = record(1, 11);
+	int64_t version = 0;
+
+	(void)state;
+	load_empty();
+	claim_submit(&shard, &a, 1);
+	write_all(1, &version);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+	a.status = CLAIM_VOID;
+	claim_submit(&shard, &a, 0);
+	claim_submit(&shard, &b, 2);
+	write_all(1, &version);
+	assert_int_equal(take().verdict, CLAIM_GRANTED);
+}
+
+static void test_bad_segments_are_refused(void **state)
+{
+	static const char *const bad[] = {
+		"", "x\n", "0 0 0 1\n", "0 0 0 300\n", "-1 0 0 0\n",
+		"1 0 0 0\n", "0 0 0 1\nzz\n",
+		"0 0 0 1\n00000000000000010000000000000001 "
+		"0000000000000001 7 000\n"};
+	struct prl_error err;
+	struct claim_segment seg = {.slot = 0, .version = 1};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		seg.text = bad[i];
+		seg.len = strlen(bad[i]);
+		assert_int_equal(claim_loaded(&shard, &seg, 1, &err),
+		                 PRL_E_PROTOCOL);
+	}
+	seg.slot = CLAIM_SEGMENTS;
+	assert_int_equal(claim_loaded(&shard, &seg, 1, &err), PRL_E_PROTOCOL);
+}
+
+static void test_too_many_wait(void **state)
+{
+	struct claim_record r;
+	int taken = 0;
+
+	(void)state;
+	for (uint64_t k = 0; k < CLAIM_PENDING_MAX + 5; k++) {
+		r = record(k, k);
+		taken += claim_submit(&shard, &r, k + 1) == PRL_OK;
+	}
+	assert_int_equal(taken, CLAIM_PENDING_MAX);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_first_is_granted, setup,
+		                                teardown),
+		cmocka_unit_test_setup_teardown(
+			test_lost_answer_is_found_by_token, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_store_down_refuses, setup,
+		                                teardown),
+		cmocka_unit_test_setup_teardown(test_full_ring, setup,
+		                                teardown),
+		cmocka_unit_test_setup_teardown(test_outcome_is_kept, setup,
+		                                teardown),
+		cmocka_unit_test_setup_teardown(test_void_frees_the_key, setup,
+		                                teardown),
+		cmocka_unit_test_setup_teardown(test_bad_segments_are_refused,
+		                                setup, teardown),
+		cmocka_unit_test_setup_teardown(test_too_many_wait, setup,
+		                                teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -16,19 +16,13 @@
 
 #define THOUSAND 1000
 
-enum prl_code claims_init(struct control *c, struct prl_error *err)
-{
-	c->shard = calloc((size_t)c->settings->control.shards,
-			  sizeof(struct shard *));
-	c->write_credit = WRITE_BURST * THOUSAND;
-	if (!c->shard)
-		return prl_fail(err, PRL_E_MEMORY, "table of claim shards");
-	return PRL_OK;
-}
-
 static struct shard *get_shard(struct control *c, int index)
 {
 	struct shard *s = c->shard[index];
+	struct claim_options o = {
+		.retention_ms = c->settings->control.retention,
+		.segment_records = CLAIM_SEGMENT_RECORDS,
+	};
 
 	if (s)
 		return s;
@@ -37,7 +31,7 @@
 		return NULL;
 	s->control = c;
 	s->index = index;
-	if (claim_init(&s->log, c->settings->control.retention, NULL)) {
+	if (claim_init(&s->log, &o, NULL)) {
 		g_free(s);
 		return NULL;
 	}
@@ -214,19 +208,26 @@
 {
 	int64_t now = prl_now_ms();
 	int64_t rate = c->settings->store.writes * THOUSAND / c->member.n;
+	int64_t missing;
 
 	c->write_credit += (now - c->write_credit_at) * rate / THOUSAND;
 	c->write_credit_at = now;
 	if (c->write_credit > (int64_t)WRITE_BURST * THOUSAND)
 		c->write_credit = (int64_t)WRITE_BURST * THOUSAND;
-	return c->write_credit >= THOUSAND;
+	missing = THOUSAND - c->write_credit;
+	if (missing <= 0)
+		return 1;
+	if (c->claim_timer.deadline == PRL_NEVER)
+		c->claim_timer.deadline =
+			now + 1 + missing * THOUSAND / (rate ? rate : 1);
+	return 0;
 }
 
 static void pump(struct shard *s)
 {
 	struct claim_write w;
 
-	if (s->calling || !may_write(s->control))
+	if (s->calling || !claim_waiting(&s->log) || !may_write(s->control))
 		return;
 	switch (claim_next(&s->log, prl_wall_ms(), &w)) {
 	case CLAIM_LOAD:
@@ -242,12 +243,20 @@
 	deliver_all(s);
 }
 
-void claims_tick(struct control *c, int64_t now)
+/* Shards take turns, so that none waits behind a busy one. */
+static void credit_due(struct loop_timer *t, int64_t now)
 {
+	struct control *c = t->ctx;
+	int n = (int)c->settings->control.shards;
+
 	(void)now;
-	for (int i = 0; i < c->settings->control.shards; i++)
-		if (c->shard[i] && claim_waiting(&c->shard[i]->log))
+	for (int k = 0; k < n; k++) {
+		int i = (c->next_shard + k) % n;
+
+		if (c->shard[i])
 			pump(c->shard[i]);
+	}
+	c->next_shard = (c->next_shard + 1) % n;
 }
 
 static void refuse(struct control *c, const struct claim_record *r,
@@ -376,6 +385,19 @@
 	submit(c, (int)w->shard, &record, add_waiter(c, &waiter));
 }
 
+enum prl_code claims_init(struct control *c, struct prl_error *err)
+{
+	c->shard = calloc((size_t)c->settings->control.shards,
+			  sizeof(struct shard *));
+	c->write_credit = WRITE_BURST * THOUSAND;
+	if (!c->shard)
+		return prl_fail(err, PRL_E_MEMORY, "table of claim shards");
+	c->claim_timer.due = credit_due;
+	c->claim_timer.ctx = c;
+	loop_timer_add(&c->loop, &c->claim_timer);
+	return PRL_OK;
+}
+
 void claims_finish(struct control *c)
 {
 	for (int i = 0; i < c->settings->control.shards; i++) {
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -115,7 +115,6 @@
 		apply_view(c);
 	grants_tick(c, now);
 	shifts_tick(c, now);
-	claims_tick(c, now);
 	if (!c->unconfirmed && !c->unlisted)
 		atomic_store(&c->proxy.alive_until,
 			     now + c->settings->control.lease);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,7 +3,7 @@
 
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
-#include <primroselead/ledger.h>
+#include <primroselead/grant.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
 #include <primroselead/store.h>
@@ -52,37 +52,14 @@
 	struct control *control;
 };
 
-/** One region's capacity for one service, as this VM holds it. */
-struct grant_pool {
-	char region[PRL_NAME_MAX];
-	int hold;
-	/** Tokens of this VM's row in the ledger last written. */
-	int row;
-	/** Capacity of that ledger. */
-	int ledger_capacity;
-	/** Row of this VM's last process; not used before its requests are
-	 * over. */
-	int inherited;
-	/** Tokens to take away as soon as they are free. */
-	uint32_t owed;
-	int64_t refused_before;
-};
-
-/** The ledger of one service. */
+/** One service's capacity and the call that keeps it in step. */
 struct grant {
 	char service[PRL_NAME_MAX];
-	struct ledger ledger;
-	int64_t version;
-	int loaded;
-	/** The rows in the store may differ from what this VM believes. */
-	int unsure;
-	struct grant_pool pool[STEER_REGIONS_MAX];
-	int npool;
+	struct limit_grant capacity;
 	struct store_call call;
-	char *text;
-	int calling;
 	struct backoff backoff;
-	int64_t quarantine_until;
+	/** Rows as they were last written into the audit trail. */
+	int audited[LEDGER_POOLS_MAX];
 	struct control *control;
 };
 
@@ -129,6 +106,8 @@
 	int64_t last_tick;
 	/** Capacity must be read from the store before it is used again. */
 	int unconfirmed;
+	/** The ledgers have been marked for that. */
+	int doubted;
 	/** The view must be built anew. */
 	int dirty;
 	uint64_t member_changes;
@@ -151,6 +130,10 @@
 	/** Writes of claims that this VM may make now, in thousandths. */
 	int64_t write_credit;
 	int64_t write_credit_at;
+	/** Due when a claim that waits for credit may be written. */
+	struct loop_timer claim_timer;
+	/** Shard whose turn is next when credit is short. */
+	int next_shard;
 	/** Leaving: 0 no, else since when. */
 	int64_t leaving_since;
 	int quiesced;
@@ -228,7 +211,7 @@
 void grants_tick(struct control *c, int64_t now);
 
 /** Gives all capacity back; returns 1 when that is done. */
-int grants_return(struct control *c, int64_t now);
+int grants_return(struct control *c);
 
 /** Ends the calls to the store. */
 void grants_finish(struct control *c);
@@ -246,9 +229,6 @@
 /** Makes the table of shards. */
 enum prl_code claims_init(struct control *c, struct prl_error *err);
 
-/** Does the store's work that is due for the shards. */
-void claims_tick(struct control *c, int64_t now);
-
 /** A claim or note comes from a traffic thread. */
 void claims_received(void *ctx, void *item);
 
--- a/cmd/primroseleadd/leave.c
+++ b/cmd/primroseleadd/leave.c
@@ -55,6 +55,6 @@
 		c->returned = 1;
 		c->idle_since = now;
 	}
-	if (grants_return(c, now) || now >= c->idle_since + RETURN_MAX_MS)
+	if (grants_return(c) || now >= c->idle_since + RETURN_MAX_MS)
 		loop_stop(&c->loop);
 }
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -23,10 +23,10 @@
 }
 
 /* The names in a message point into an array that the caller keeps. */
-static void fill_rumors(struct control *c, struct member_vm *vm,
-			struct wire_vm *out, u_int *n)
+static void fill_rumors(struct control *c, const char *to,
+                        struct member_vm *vm, struct wire_vm *out, u_int *n)
 {
-	int count = member_rumors(&c->member, control_random(), vm);
+	int count = member_rumors(&c->member, to, control_random(), vm);
 
 	for (int i = 0; i < count; i++)
 		plain_to_wire(&vm[i], &out[i]);
@@ -53,12 +53,14 @@
 	struct wire_ack *ack = &result.u.ack;
 	struct wire_vm rumor[MEMBER_RUMORS_MAX];
 	struct member_vm vm[MEMBER_RUMORS_MAX];
+	char to[PRL_ADDRESS_MAX];
 
 	plain_to_wire(&c->member.peer[0].vm, &ack->from);
 	ack->sequence = sequence;
 	ack->digest = peers_digest(c);
 	ack->rumor.rumor_val = rumor;
-	fill_rumors(c, vm, rumor, &ack->rumor.rumor_len);
+	prl_address_format(&r->from, to, sizeof(to));
+	fill_rumors(c, to, vm, rumor, &ack->rumor.rumor_len);
 	wire_reply(&c->wire, r, &result, NULL);
 }
 
@@ -98,7 +100,7 @@
 	probe->sequence = p->sequence;
 	probe->digest = peers_digest(c);
 	probe->rumor.rumor_val = rumor;
-	fill_rumors(c, vm, rumor, &probe->rumor.rumor_len);
+	fill_rumors(c, to, vm, rumor, &probe->rumor.rumor_len);
 	if (wire_call(&c->wire, to, &args, &o, NULL))
 		g_free(p);
 }
--- /dev/null
+++ b/limit/include/primroselead/grant.h
@@ -0,0 +1,138 @@
+#ifndef PRIMROSELEAD_GRANT_H
+#define PRIMROSELEAD_GRANT_H
+
+#include <primroselead/hold.h>
+#include <primroselead/ledger.h>
+
+/*
+ * What one VM holds of one service's capacity, kept in step with the ledger in
+ * the store. Capacity is used only after a write of this process has shown it
+ * in the ledger, and is given up here before a write takes it out, so the sum
+ * over all VMs stays within the ledger at every moment, whatever answer is
+ * lost. Pure: the caller does what grant_next says and reports the result.
+ */
+
+/** One region's part. */
+struct grant_pool {
+	char region[LEDGER_NAME_MAX];
+	/** What requests take their place from; owned by the caller. */
+	struct limit_hold *hold;
+	/** Capacity by the configuration in force, and its version. */
+	int capacity;
+	int64_t config;
+	/** This VM is in the region. */
+	int local;
+	int local_vms;
+	int all_vms;
+	/** This process's row in the ledger, and its base. */
+	int row;
+	int base;
+	/** Capacity that the ledger shares out, and its configuration. */
+	int ledger_capacity;
+	int64_t ledger_config;
+	/** Tokens that go as soon as no request uses them. */
+	uint32_t owed;
+	int64_t refused_before;
+};
+
+/** What the caller has to do. */
+enum grant_work {
+	GRANT_IDLE,
+	/** Read the ledger; then grant_read or grant_failed. */
+	GRANT_READ,
+	/** Write "text" if the ledger has "version"; then grant_written,
+	 * grant_unsettled or grant_failed. */
+	GRANT_WRITE,
+};
+
+/** A write that is to be made; the text belongs to the grant. */
+struct grant_write {
+	int64_t version;
+	const char *text;
+	size_t len;
+};
+
+/** VMs whose capacity may be used by others: destroyed, and their last
+ * requests are over. */
+struct grant_gone {
+	const char *const *vm;
+	int n;
+};
+
+/** One service's capacity on one VM; the memory belongs to the caller. */
+struct limit_grant {
+	char vm[LEDGER_NAME_MAX];
+	int64_t incarnation;
+	/** Until when an earlier process's requests may run. */
+	int64_t inherit_until;
+	struct grant_pool pool[LEDGER_POOLS_MAX];
+	int npool;
+	struct ledger ledger;
+	int64_t version;
+	/** The ledger was read and no write has failed since. */
+	int loaded;
+	/** The store may hold a row that differs from this VM's. */
+	int unsure;
+	int busy;
+	int reading;
+	/** The read under way began before the ledger was doubted. */
+	int stale_read;
+	/** When the ledger is read again for the sake of capacity that others
+	 * may have given back. */
+	int64_t read_at;
+	/** Requests were refused and nothing was unused. */
+	int starved;
+	int leaving;
+	char *text;
+	/** Rows of destroyed VMs dropped by the last write. */
+	int reclaimed;
+};
+
+/**
+ * Starts with nothing. An earlier process of the same VM may have requests at
+ * upstreams until the given point of prl_now_ms.
+ */
+void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
+                int64_t inherit_until);
+
+/** Frees what the grant holds. */
+void grant_finish(struct limit_grant *g);
+
+/** Pool of a region, made if it is missing; null if there are too many. The
+ * caller sets its hold, capacity and counts of VMs. */
+struct grant_pool *grant_pool(struct limit_grant *g, const char *region);
+
+/** Gives up what must go, as far as no request uses it. */
+void grant_settle(struct limit_grant *g);
+
+/** Says what is to be done now. */
+enum grant_work grant_next(struct limit_grant *g, int64_t now,
+                           const struct grant_gone *gone,
+                           struct grant_write *w);
+
+/** The ledger was read; a missing one has version 0 and no text. */
+enum prl_code grant_read(struct limit_grant *g, int64_t version,
+                         const char *text, size_t len, struct prl_error *err);
+
+/** The write took effect. */
+void grant_written(struct limit_grant *g, int64_t version);
+
+/** The answer to the write was lost: it may take effect yet. */
+void grant_unsettled(struct limit_grant *g);
+
+/** The read failed, or the write certainly had no effect. */
+void grant_failed(struct limit_grant *g);
+
+/** The ledger must be read before its capacity is trusted again. */
+void grant_doubt(struct limit_grant *g);
+
+/** Whether the ledger has been read since it was doubted. */
+int grant_trusted(const struct limit_grant *g);
+
+/** Gives everything back, as requests end. */
+void grant_leave(struct limit_grant *g);
+
+/** Whether everything has been given back. */
+int grant_returned(const struct limit_grant *g);
+
+#endif
--- a/limit/include/primroselead/ledger.h
+++ b/limit/include/primroselead/ledger.h
@@ -7,29 +7,37 @@
 
 /*
  * A ledger says which VM holds how much of each region's capacity for one
- * service. It is one object of the store, changed by conditional update. A VM
- * writes its own rows; of another VM it may only scale down rows after the
- * capacity was lowered, or drop the rows of a VM that the platform has
- * destroyed. Nothing expires by a clock, so an outage of the store or a cut
+ * service. It is one object of the store, changed by conditional update. A
+ * process writes its own row alone; it drops rows of an earlier process of its
+ * VM, and of VMs that the platform has destroyed, once their requests are
+ * over. Nothing else expires by a clock, so an outage of the store or a cut
  * between regions leaves every VM with what it has.
+ *
+ * A row is a share of the capacity at which it was written, its base. The
+ * shares sum to one at most, so that after a change of the capacity every VM
+ * can tell by itself how much of its row it may use, whether or not the others
+ * have written their rows anew.
  */
 
 #define LEDGER_NAME_MAX 64
 #define LEDGER_POOLS_MAX 32
 
-/** What one VM holds of one pool. */
+/** What one process holds of one pool. */
 struct ledger_row {
 	char vm[LEDGER_NAME_MAX];
-	/** Incarnation of the process that took it. */
 	int64_t incarnation;
 	int tokens;
+	/** Capacity of the pool when the row was written. */
+	int base;
 };
 
 /** The capacity of one region. */
 struct ledger_pool {
 	char region[LEDGER_NAME_MAX];
-	/** Requests at once; the rows never sum to more. */
+	/** Requests at once. */
 	int capacity;
+	/** Version of the configuration that the capacity is from. */
+	int64_t config;
 	struct ledger_row *row;
 	int nrow;
 	int room;
@@ -58,28 +66,28 @@
 /** Pool of a region, made if it is missing; null if the ledger is full. */
 struct ledger_pool *ledger_pool(struct ledger *l, const char *region);
 
-/** Row of a VM, or null. */
-struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm);
+/** Row of a process, or null. */
+struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm,
+                              int64_t incarnation);
 
-/** Sum of all rows. */
-int ledger_sum(const struct ledger_pool *p);
+/** Tokens that no row has a share in, at the pool's capacity. */
+int ledger_unused(const struct ledger_pool *p);
 
 /**
- * Sets a VM's row, and removes it at 0 tokens. Refuses with PRL_E_LIMIT if
- * the sum would exceed the capacity.
+ * Writes a process's row anew at the pool's capacity; at 0 tokens it is
+ * removed. Returns PRL_OK, PRL_E_MEMORY, or PRL_E_LIMIT if the shares would
+ * sum to more than the whole.
  */
 enum prl_code ledger_set(struct ledger_pool *p, const char *vm,
-			 int64_t incarnation, int tokens,
-			 struct prl_error *err);
+                         int64_t incarnation, int tokens,
+                         struct prl_error *err);
 
-/** Takes over a new capacity; if it is lower, scales every row down. */
-void ledger_resize(struct ledger_pool *p, int capacity);
+/** Drops the rows of a VM's processes before an incarnation. Returns how many
+ * there were. */
+int ledger_drop(struct ledger_pool *p, const char *vm, int64_t before);
 
-/** Drops a VM's row. */
-void ledger_drop(struct ledger_pool *p, const char *vm);
-
-/** Share of tokens usable under a capacity below that of the ledger. */
-int ledger_scaled(int tokens, int ledger_capacity, int capacity);
+/** Tokens of a row that may be used at a capacity. */
+int ledger_scaled(int tokens, int base, int capacity);
 
 /** What a VM bases its wish on. */
 struct ledger_wish {
--- a/limit/src/codec.c
+++ b/limit/src/codec.c
@@ -1,62 +1,87 @@
+#include "rows.h"
 #include <jansson.h>
 #include <limits.h>
 #include <primroselead/ledger.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define TOKENS_MAX (INT_MAX / 4)
+
+/* Parts of a whole in which the sum of all shares is checked. */
+#define WHOLE 1000000000.0
+
 static enum prl_code bad(struct prl_error *err, const char *region,
-			 const char *what)
+                         const char *what)
 {
 	return prl_fail(err, PRL_E_PROTOCOL, "ledger, region \"%s\": %s",
-			region, what);
+	                region, what);
 }
 
 static enum prl_code read_row(struct ledger_pool *p, json_t *item,
-			      struct prl_error *err)
+                              double *shares, struct prl_error *err)
 {
-	const char *vm;
+	struct ledger_row row = {0};
 	json_int_t incarnation;
 	json_int_t tokens;
+	json_int_t base;
+	const char *vm;
 
-	if (json_unpack(item, "{s:s, s:I, s:I}", "vm", &vm, "incarnation",
-			&incarnation, "tokens", &tokens))
+	if (json_unpack(item, "{s:s, s:I, s:I, s:I}", "vm", &vm, "incarnation",
+	                &incarnation, "tokens", &tokens, "base", &base))
 		return bad(err, p->region, "a row is not valid");
-	if (!*vm || strlen(vm) >= LEDGER_NAME_MAX || ledger_row(p, vm))
+	if (!*vm || strlen(vm) >= LEDGER_NAME_MAX ||
+	    ledger_row(p, vm, incarnation))
 		return bad(err, p->region, "a row's VM is not valid");
-	if (tokens < 1 || tokens > INT_MAX / 4)
+	if (tokens < 1 || base < tokens || base > TOKENS_MAX)
 		return bad(err, p->region, "a row's tokens are out of range");
-	return ledger_set(p, vm, incarnation, (int)tokens, err);
+	strcpy(row.vm, vm);
+	row.incarnation = incarnation;
+	row.tokens = (int)tokens;
+	row.base = (int)base;
+	*shares += WHOLE * (double)tokens / (double)base;
+	return ledger_put(p, &row, err);
+}
+
+static enum prl_code read_rows(struct ledger_pool *p, json_t *rows,
+                               struct prl_error *err)
+{
+	double shares = 0;
+
+	for (size_t i = 0; i < json_array_size(rows); i++)
+		if (read_row(p, json_array_get(rows, i), &shares, err))
+			return err ? err->code : PRL_E_PROTOCOL;
+	/* Floating point rounds; a token is far more than the tolerance. */
+	if (shares > WHOLE + 1)
+		return bad(err, p->region, "the rows exceed the capacity");
+	return PRL_OK;
 }
 
 static enum prl_code read_pool(struct ledger *l, json_t *item,
-			       struct prl_error *err)
+                               struct prl_error *err)
 {
 	const char *region;
 	json_int_t capacity;
+	json_int_t config;
 	json_t *rows;
 	struct ledger_pool *p;
-	enum prl_code rc;
 
-	if (json_unpack(item, "{s:s, s:I, s:o}", "region", &region, "capacity",
-			&capacity, "rows", &rows))
+	if (json_unpack(item, "{s:s, s:I, s:I, s:o}", "region", &region,
+	                "capacity", &capacity, "config", &config, "rows",
+	                &rows))
 		return bad(err, "", "a pool is not valid");
 	if (!*region || strlen(region) >= LEDGER_NAME_MAX || capacity < 0 ||
-	    capacity > INT_MAX / 4)
+	    capacity > TOKENS_MAX)
 		return bad(err, region, "name or capacity is out of range");
 	p = ledger_pool(l, region);
 	if (!p || p->capacity)
 		return bad(err, region, "too many pools or one stands twice");
 	p->capacity = (int)capacity;
-	for (size_t i = 0; i < json_array_size(rows); i++) {
-		rc = read_row(p, json_array_get(rows, i), err);
-		if (rc)
-			return rc;
-	}
-	return PRL_OK;
+	p->config = config;
+	return read_rows(p, rows, err);
 }
 
 enum prl_code ledger_read(struct ledger *l, const char *text, size_t len,
-			  struct prl_error *err)
+                          struct prl_error *err)
 {
 	json_t *root = json_loadb(text, len, 0, NULL);
 	json_t *pools = json_object_get(root, "pools");
@@ -80,14 +105,15 @@
 	for (int i = 0; i < p->nrow; i++) {
 		const struct ledger_row *r = &p->row[i];
 
-		json_array_append_new(rows,
-				      json_pack("{s:s, s:I, s:i}", "vm", r->vm,
-						"incarnation",
-						(json_int_t)r->incarnation,
-						"tokens", r->tokens));
+		json_array_append_new(
+			rows, json_pack("{s:s, s:I, s:i, s:i}", "vm", r->vm,
+		                        "incarnation",
+		                        (json_int_t)r->incarnation, "tokens",
+		                        r->tokens, "base", r->base));
 	}
-	return json_pack("{s:s, s:i, s:o}", "region", p->region, "capacity",
-			 p->capacity, "rows", rows);
+	return json_pack("{s:s, s:i, s:I, s:o}", "region", p->region,
+	                 "capacity", p->capacity, "config",
+	                 (json_int_t)p->config, "rows", rows);
 }
 
 char *ledger_write(const struct ledger *l)
--- /dev/null
+++ b/limit/src/grant.c
@@ -0,0 +1,311 @@
+#include <primroselead/grant.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time between two reads of a VM that has too little, in milliseconds. */
+#define READ_AGAIN_MS 2000
+
+void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
+                int64_t inherit_until)
+{
+	memset(g, 0, sizeof(*g));
+	snprintf(g->vm, sizeof(g->vm), "%s", vm);
+	g->incarnation = incarnation;
+	g->inherit_until = inherit_until;
+	ledger_init(&g->ledger);
+}
+
+void grant_finish(struct limit_grant *g)
+{
+	ledger_finish(&g->ledger);
+	free(g->text);
+	g->text = NULL;
+}
+
+struct grant_pool *grant_pool(struct limit_grant *g, const char *region)
+{
+	struct grant_pool *p;
+
+	for (int i = 0; i < g->npool; i++)
+		if (!strcmp(g->pool[i].region, region))
+			return &g->pool[i];
+	if (g->npool == LEDGER_POOLS_MAX)
+		return NULL;
+	p = &g->pool[g->npool++];
+	memset(p, 0, sizeof(*p));
+	snprintf(p->region, sizeof(p->region), "%s", region);
+	return p;
+}
+
+/* Tokens in use or free, without those that must go. */
+static int usable(const struct grant_pool *p)
+{
+	return (int)limit_hold_size(p->hold) - (int)p->owed;
+}
+
+/* Lowers what may be used; what is in use now goes once it is free. */
+static void lower(struct grant_pool *p, int to)
+{
+	int excess = usable(p) - to;
+
+	if (excess > 0)
+		p->owed += (uint32_t)excess;
+	if (p->owed)
+		p->owed -= limit_hold_cut(p->hold, p->owed);
+}
+
+static void raise(struct grant_pool *p, int to)
+{
+	int more = to - usable(p);
+	int kept;
+
+	if (more <= 0)
+		return;
+	kept = more < (int)p->owed ? more : (int)p->owed;
+	p->owed -= (uint32_t)kept;
+	limit_hold_add(p->hold, (uint32_t)(more - kept));
+}
+
+/* The newer one of the capacities that this VM and the ledger know. */
+static int capacity(const struct grant_pool *p)
+{
+	return p->ledger_config > p->config ? p->ledger_capacity : p->capacity;
+}
+
+/* Part of the row that may be used now. */
+static int allowed(const struct grant_pool *p)
+{
+	return ledger_scaled(p->row, p->base, capacity(p));
+}
+
+void grant_settle(struct limit_grant *g)
+{
+	for (int i = 0; i < g->npool; i++)
+		lower(&g->pool[i], allowed(&g->pool[i]));
+}
+
+static const struct ledger_row *own_row(struct limit_grant *g,
+                                        const struct grant_pool *p)
+{
+	const struct ledger_pool *lp = ledger_pool(&g->ledger, p->region);
+
+	return lp ? ledger_row(lp, g->vm, g->incarnation) : NULL;
+}
+
+static void take_capacity(struct limit_grant *g, struct grant_pool *p)
+{
+	const struct ledger_pool *lp = ledger_pool(&g->ledger, p->region);
+
+	p->ledger_capacity = lp ? lp->capacity : 0;
+	p->ledger_config = lp ? lp->config : 0;
+}
+
+static void set_row(struct grant_pool *p, const struct ledger_row *row)
+{
+	p->row = row ? row->tokens : 0;
+	p->base = row ? row->base : 0;
+}
+
+/* A read may only lower what is used: a write of this process whose answer
+ * was lost may still take effect. */
+static void lower_to_ledger(struct limit_grant *g)
+{
+	for (int i = 0; i < g->npool; i++) {
+		struct grant_pool *p = &g->pool[i];
+		const struct ledger_row *row = own_row(g, p);
+		int tokens = row ? row->tokens : 0;
+		int base = row ? row->base : 0;
+
+		if (tokens != p->row || base != p->base)
+			g->unsure = 1;
+		take_capacity(g, p);
+		if (ledger_scaled(tokens, base, capacity(p)) < allowed(p))
+			set_row(p, row);
+	}
+	grant_settle(g);
+}
+
+enum prl_code grant_read(struct limit_grant *g, int64_t version,
+                         const char *text, size_t len, struct prl_error *err)
+{
+	struct ledger fresh;
+	enum prl_code rc;
+
+	g->busy = 0;
+	g->reading = 0;
+	if (g->stale_read) {
+		g->stale_read = 0;
+		return PRL_OK;
+	}
+	ledger_init(&fresh);
+	if (len) {
+		rc = ledger_read(&fresh, text, len, err);
+		if (rc)
+			return rc;
+	}
+	ledger_finish(&g->ledger);
+	g->ledger = fresh;
+	g->version = version;
+	g->loaded = 1;
+	lower_to_ledger(g);
+	return PRL_OK;
+}
+
+void grant_written(struct limit_grant *g, int64_t version)
+{
+	g->busy = 0;
+	g->version = version;
+	g->unsure = 0;
+	for (int i = 0; i < g->npool; i++) {
+		struct grant_pool *p = &g->pool[i];
+		set_row(p, own_row(g, p));
+		take_capacity(g, p);
+		lower(p, allowed(p));
+		raise(p, allowed(p));
+	}
+}
+
+void grant_unsettled(struct limit_grant *g)
+{
+	g->busy = 0;
+	g->unsure = 1;
+	g->loaded = 0;
+}
+
+void grant_failed(struct limit_grant *g)
+{
+	g->busy = 0;
+	g->reading = 0;
+	g->stale_read = 0;
+	g->loaded = 0;
+}
+
+void grant_doubt(struct limit_grant *g)
+{
+	g->loaded = 0;
+	g->stale_read = g->reading;
+}
+
+int grant_trusted(const struct limit_grant *g)
+{
+	return g->loaded;
+}
+
+void grant_leave(struct limit_grant *g)
+{
+	g->leaving = 1;
+}
+
+int grant_returned(const struct limit_grant *g)
+{
+	int rows = 0;
+
+	for (int i = 0; i < g->npool; i++)
+		rows += g->pool[i].row;
+	return g->loaded && !g->busy && !g->unsure && !rows;
+}
+
+/* Drops rows whose process is gone and whose requests are over. */
+static int reclaim(struct limit_grant *g, struct ledger_pool *lp, int64_t now,
+                   const struct grant_gone *gone)
+{
+	int before = g->reclaimed;
+
+	if (now >= g->inherit_until)
+		g->reclaimed += ledger_drop(lp, g->vm, g->incarnation);
+	for (int i = 0; i < gone->n; i++)
+		if (strcmp(gone->vm[i], g->vm) != 0)
+			g->reclaimed +=
+				ledger_drop(lp, gone->vm[i], INT64_MAX);
+	return g->reclaimed != before;
+}
+
+static int wish(struct limit_grant *g, struct grant_pool *p,
+                const struct ledger_pool *lp)
+{
+	int64_t refused = (int64_t)atomic_load(&p->hold->refused);
+	struct ledger_wish w = {
+		.mine = allowed(p),
+		.unused = ledger_unused(lp),
+		.capacity = lp->capacity,
+		.local = p->local,
+		.local_vms = p->local_vms,
+		.all_vms = p->all_vms,
+		.peak = (int)limit_hold_peak(p->hold),
+		.refused = refused - p->refused_before,
+	};
+
+	p->refused_before = refused;
+	if (w.refused && !w.unused)
+		g->starved = 1;
+	return ledger_plan(&w);
+}
+
+/* Plans one pool's row. Returns 1 if the ledger must be written. */
+static int plan_pool(struct limit_grant *g, struct grant_pool *p, int64_t now,
+                     const struct grant_gone *gone)
+{
+	struct ledger_pool *lp = ledger_pool(&g->ledger, p->region);
+	int changed;
+	int want;
+
+	if (!lp)
+		return 0;
+	changed = reclaim(g, lp, now, gone);
+	if (lp->config < p->config) {
+		changed |= lp->capacity != p->capacity;
+		lp->capacity = p->capacity;
+		lp->config = p->config;
+	}
+	want = g->leaving ? 0 : wish(g, p, lp);
+	lower(p, want < allowed(p) ? want : allowed(p));
+	/* Requests that began under a greater capacity keep the row as it is
+	 * until they end. */
+	if ((int)limit_hold_size(p->hold) > want)
+		want = (int)limit_hold_size(p->hold);
+	if (want == p->row && (p->base == lp->capacity || !want))
+		return changed;
+	return !ledger_set(lp, g->vm, g->incarnation, want, NULL) || changed;
+}
+
+static int plan(struct limit_grant *g, int64_t now,
+                const struct grant_gone *gone)
+{
+	int changed = g->unsure;
+
+	g->reclaimed = 0;
+	g->starved = 0;
+	for (int i = 0; i < g->npool; i++)
+		changed |= plan_pool(g, &g->pool[i], now, gone);
+	return changed;
+}
+
+enum grant_work grant_next(struct limit_grant *g, int64_t now,
+                           const struct grant_gone *gone,
+                           struct grant_write *w)
+{
+	grant_settle(g);
+	if (g->busy)
+		return GRANT_IDLE;
+	if (!g->loaded || (g->starved && now >= g->read_at)) {
+		g->busy = 1;
+		g->reading = 1;
+		g->starved = 0;
+		g->read_at = now + READ_AGAIN_MS;
+		return GRANT_READ;
+	}
+	if (!plan(g, now, gone))
+		return GRANT_IDLE;
+	free(g->text);
+	g->text = ledger_write(&g->ledger);
+	if (!g->text) {
+		g->loaded = 0;
+		return GRANT_IDLE;
+	}
+	g->busy = 1;
+	w->version = g->version;
+	w->text = g->text;
+	w->len = strlen(g->text);
+	return GRANT_WRITE;
+}
--- a/limit/src/ledger.c
+++ b/limit/src/ledger.c
@@ -1,3 +1,4 @@
+#include "rows.h"
 #include <primroselead/ledger.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,36 +31,71 @@
 	return p;
 }
 
-struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm)
+struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm,
+                              int64_t incarnation)
 {
 	for (int i = 0; i < p->nrow; i++)
-		if (!strcmp(p->row[i].vm, vm))
+		if (p->row[i].incarnation == incarnation &&
+		    !strcmp(p->row[i].vm, vm))
 			return &p->row[i];
 	return NULL;
 }
 
-int ledger_sum(const struct ledger_pool *p)
+/* A row's share of the pool's capacity, rounded up. */
+static int64_t share(const struct ledger_pool *p, const struct ledger_row *r)
 {
-	int sum = 0;
+	int64_t product = (int64_t)r->tokens * p->capacity;
+
+	return (product + r->base - 1) / r->base;
+}
+
+static int64_t share_of_others(const struct ledger_pool *p,
+                               const struct ledger_row *self)
+{
+	int64_t sum = 0;
 
 	for (int i = 0; i < p->nrow; i++)
-		sum += p->row[i].tokens;
+		if (&p->row[i] != self)
+			sum += share(p, &p->row[i]);
 	return sum;
 }
 
-void ledger_drop(struct ledger_pool *p, const char *vm)
+int ledger_unused(const struct ledger_pool *p)
 {
-	struct ledger_row *row = ledger_row(p, vm);
+	int64_t rest = p->capacity - share_of_others(p, NULL);
 
-	if (!row)
-		return;
+	return rest > 0 ? (int)rest : 0;
+}
+
+static void remove_row(struct ledger_pool *p, int i)
+{
 	p->nrow--;
-	memmove(row, &p->row[p->nrow], sizeof(*row));
+	if (i != p->nrow)
+		p->row[i] = p->row[p->nrow];
 }
 
-static struct ledger_row *add_row(struct ledger_pool *p, const char *vm)
+int ledger_drop(struct ledger_pool *p, const char *vm, int64_t before)
+{
+	int dropped = 0;
+	int i = 0;
+
+	while (i < p->nrow) {
+		if (p->row[i].incarnation >= before ||
+		    strcmp(p->row[i].vm, vm) != 0) {
+			i++;
+			continue;
+		}
+		remove_row(p, i);
+		dropped++;
+	}
+	return dropped;
+}
+
+static struct ledger_row *add_row(struct ledger_pool *p, const char *vm,
+                                  int64_t incarnation)
 {
 	struct ledger_row *bigger;
+	struct ledger_row *row;
 	int room = p->room ? p->room * 2 : 16;
 
 	if (p->nrow == p->room) {
@@ -69,48 +105,56 @@
 		p->row = bigger;
 		p->room = room;
 	}
-	memset(&p->row[p->nrow], 0, sizeof(*p->row));
-	snprintf(p->row[p->nrow].vm, LEDGER_NAME_MAX, "%s", vm);
-	return &p->row[p->nrow++];
+	row = &p->row[p->nrow++];
+	memset(row, 0, sizeof(*row));
+	snprintf(row->vm, sizeof(row->vm), "%s", vm);
+	row->incarnation = incarnation;
+	return row;
+}
+
+enum prl_code ledger_put(struct ledger_pool *p, const struct ledger_row *row,
+                         struct prl_error *err)
+{
+	struct ledger_row *copy = add_row(p, row->vm, row->incarnation);
+
+	if (!copy)
+		return prl_fail(err, PRL_E_MEMORY, "ledger row of \"%s\"",
+		                row->vm);
+	copy->tokens = row->tokens;
+	copy->base = row->base;
+	return PRL_OK;
 }
 
 enum prl_code ledger_set(struct ledger_pool *p, const char *vm,
-			 int64_t incarnation, int tokens, struct prl_error *err)
+                         int64_t incarnation, int tokens,
+                         struct prl_error *err)
 {
-	struct ledger_row *row = ledger_row(p, vm);
-	int others = ledger_sum(p) - (row ? row->tokens : 0);
+	struct ledger_row *row = ledger_row(p, vm, incarnation);
+	int64_t others = share_of_others(p, row);
 
-	if (tokens < 0 || others + tokens > p->capacity)
-		return prl_fail(err, PRL_E_LIMIT,
-				"region \"%s\": %d tokens for \"%s\" and %d "
-				"of others exceed the capacity of %d",
-				p->region, tokens, vm, others, p->capacity);
 	if (!tokens) {
-		ledger_drop(p, vm);
+		if (row)
+			remove_row(p, (int)(row - p->row));
 		return PRL_OK;
 	}
+	if (tokens < 0 || others + tokens > p->capacity)
+		return prl_fail(err, PRL_E_LIMIT,
+		                "region \"%s\": %d tokens for \"%s\" and %lld "
+		                "of others exceed the capacity of %d",
+		                p->region, tokens, vm, (long long)others,
+		                p->capacity);
 	if (!row)
-		row = add_row(p, vm);
+		row = add_row(p, vm, incarnation);
 	if (!row)
 		return prl_fail(err, PRL_E_MEMORY, "ledger row of \"%s\"", vm);
-	row->incarnation = incarnation;
 	row->tokens = tokens;
+	row->base = p->capacity;
 	return PRL_OK;
 }
 
-int ledger_scaled(int tokens, int ledger_capacity, int capacity)
+int ledger_scaled(int tokens, int base, int capacity)
 {
-	if (capacity >= ledger_capacity || ledger_capacity <= 0)
+	if (capacity >= base || base <= 0)
 		return tokens;
-	return (int)((int64_t)tokens * capacity / ledger_capacity);
-}
-
-void ledger_resize(struct ledger_pool *p, int capacity)
-{
-	int before = p->capacity;
-
-	p->capacity = capacity;
-	for (int i = 0; i < p->nrow; i++)
-		p->row[i].tokens =
-			ledger_scaled(p->row[i].tokens, before, capacity);
+	return (int)((int64_t)tokens * capacity / base);
 }
--- /dev/null
+++ b/limit/src/rows.h
@@ -0,0 +1,10 @@
+#ifndef LIMIT_ROWS_H
+#define LIMIT_ROWS_H
+
+#include <primroselead/ledger.h>
+
+/** Adds a row as it stands; the caller checks the sum of the shares. */
+enum prl_code ledger_put(struct ledger_pool *p, const struct ledger_row *row,
+                         struct prl_error *err);
+
+#endif
--- /dev/null
+++ b/limit/test/test_limit.c
@@ -0,0 +1,260 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/grant.h>
+#include <primroselead/share.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define THREADS 4
+#define ROUNDS 20000
+
+static struct limit_hold hold;
+static _Atomic int inside;
+static _Atomic int most_inside;
+
+static void *use_hold(void *arg)
+{
+	(void)arg;
+	for (int i = 0; i < ROUNDS; i++) {
+		int now;
+
+		if (!limit_hold_take(&hold, 0))
+			continue;
+		now = atomic_fetch_add(&inside, 1) + 1;
+		if (now > atomic_load(&most_inside))
+			atomic_store(&most_inside, now);
+		atomic_fetch_sub(&inside, 1);
+		limit_hold_give(&hold);
+	}
+	return NULL;
+}
+
+/* One thread changes the amount while others use it. */
+static void test_hold_with_threads(void **state)
+{
+	pthread_t t[THREADS];
+	uint32_t size = 3;
+
+	(void)state;
+	limit_hold_init(&hold);
+	limit_hold_add(&hold, size);
+	for (int i = 0; i < THREADS; i++)
+		pthread_create(&t[i], NULL, use_hold, NULL);
+	for (int i = 0; i < ROUNDS; i++) {
+		size -= limit_hold_cut(&hold, 2);
+		assert_int_equal(limit_hold_size(&hold), size);
+		limit_hold_add(&hold, 3 - size);
+		size = 3;
+	}
+	for (int i = 0; i < THREADS; i++)
+		pthread_join(t[i], NULL);
+	assert_int_equal(limit_hold_used(&hold), 0);
+	assert_int_equal(limit_hold_size(&hold), 3);
+	assert_true(atomic_load(&most_inside) <= 3);
+}
+
+static void test_hold_cut_spares_what_is_used(void **state)
+{
+	struct limit_hold h;
+
+	(void)state;
+	limit_hold_init(&h);
+	assert_int_equal(limit_hold_take(&h, 0), 0);
+	limit_hold_add(&h, 5);
+	assert_int_equal(limit_hold_take(&h, 0), 1);
+	assert_int_equal(limit_hold_take(&h, 0), 1);
+	assert_int_equal(limit_hold_take(&h, 3), 0);
+	assert_int_equal(limit_hold_cut(&h, 9), 3);
+	assert_int_equal(limit_hold_take(&h, 0), 0);
+	limit_hold_give(&h);
+	assert_int_equal(limit_hold_take(&h, 0), 1);
+	assert_int_equal(limit_hold_peak(&h), 2);
+}
+
+/* Since the start never above the share; later by the depth at most; and
+ * not far below it either. */
+static void test_share_is_kept(void **state)
+{
+	static const int permilles[] = {1, 10, 50, 100, 333, 900};
+
+	(void)state;
+	srand(1);
+	for (size_t k = 0; k < sizeof(permilles) / sizeof(*permilles); k++) {
+		struct limit_share s;
+		int64_t total = 0;
+		int64_t passed = 0;
+		int p = permilles[k];
+
+		limit_share_init(&s);
+		for (int i = 0; i < 100000; i++) {
+			limit_share_count(&s, p);
+			total++;
+			if (rand() % 1000 < p)
+				passed += limit_share_take(&s);
+			assert_true(passed * 1000 <= total * p);
+		}
+		assert_true(passed * 1000 > total * p * 3 / 4);
+	}
+}
+
+static void test_share_after_a_pause(void **state)
+{
+	struct limit_share s;
+	int passed = 0;
+
+	(void)state;
+	limit_share_init(&s);
+	for (int i = 0; i < 100000; i++)
+		limit_share_count(&s, 100);
+	for (int i = 0; i < 100; i++)
+		passed += limit_share_take(&s);
+	assert_int_equal(passed, LIMIT_SHARE_DEPTH);
+}
+
+static void test_ledger_bounds(void **state)
+{
+	struct ledger l;
+	struct ledger back;
+	struct ledger_pool *p;
+	struct prl_error err;
+	char *text;
+
+	(void)state;
+	ledger_init(&l);
+	p = ledger_pool(&l, "norte");
+	p->capacity = 10;
+	assert_int_equal(ledger_set(p, "a", 1, 6, &err), PRL_OK);
+	assert_int_equal(ledger_set(p, "b", 1, 5, &err), PRL_E_LIMIT);
+	assert_int_equal(ledger_set(p, "b", 1, 4, &err), PRL_OK);
+	assert_int_equal(ledger_unused(p), 0);
+	/* At half the capacity each row is worth half, and at the double
+	 * nothing is free before the rows are written anew. */
+	p->capacity = 5;
+	assert_int_equal(ledger_scaled(6, 10, 5), 3);
+	assert_int_equal(ledger_unused(p), 0);
+	p->capacity = 20;
+	assert_int_equal(ledger_scaled(6, 10, 20), 6);
+	assert_int_equal(ledger_unused(p), 0);
+	assert_int_equal(ledger_set(p, "a", 1, 6, &err), PRL_OK);
+	assert_int_equal(ledger_unused(p), 6);
+	text = ledger_write(&l);
+	assert_int_equal(ledger_read(&back, text, strlen(text), &err), PRL_OK);
+	p = ledger_pool(&back, "norte");
+	assert_int_equal(ledger_row(p, "a", 1)->tokens, 6);
+	assert_int_equal(ledger_row(p, "b", 1)->base, 10);
+	assert_null(ledger_row(p, "b", 2));
+	assert_int_equal(ledger_drop(p, "b", 1), 0);
+	assert_int_equal(ledger_drop(p, "b", 2), 1);
+	ledger_finish(&l);
+	ledger_finish(&back);
+	free(text);
+}
+
+static void test_ledger_refuses_bad_texts(void **state)
+{
+	static const char *const bad[] = {
+		"", "{}", "[]", "{\"pools\":1}", "{\"pools\":[{}]}",
+		"{\"pools\":[{\"region\":\"a\",\"capacity\":-1,\"config\":0,"
+		"\"rows\":[]}]}",
+		"{\"pools\":[{\"region\":\"a\",\"capacity\":2,\"config\":0,"
+		"\"rows\":[{\"vm\":\"x\",\"incarnation\":1,\"tokens\":2,"
+		"\"base\":2},{\"vm\":\"y\",\"incarnation\":1,\"tokens\":1,"
+		"\"base\":2}]}]}",
+		"{\"pools\":[{\"region\":\"a\",\"capacity\":2,\"config\":0,"
+		"\"rows\":[{\"vm\":\"x\",\"incarnation\":1,\"tokens\":0,"
+		"\"base\":2}]}]}",
+	};
+	struct prl_error err;
+	struct ledger l;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_int_equal(ledger_read(&l, bad[i], strlen(bad[i]), &err),
+		                 PRL_E_PROTOCOL);
+}
+
+static void test_plan_stays_in_bounds(void **state)
+{
+	(void)state;
+	srand(2);
+	for (int i = 0; i < 100000; i++) {
+		struct ledger_wish w = {
+			.mine = rand() % 50, .unused = rand() % 50,
+			.capacity = 100, .local_vms = rand() % 5,
+			.all_vms = 5 + rand() % 8, .local = rand() % 2,
+			.peak = rand() % 50, .refused = rand() % 3};
+		int n = ledger_plan(&w);
+
+		assert_true(n >= 0);
+		assert_true(n <= w.mine + w.unused);
+	}
+}
+
+static void grant_setup(struct limit_grant *g, struct limit_hold *h,
+                        const char *vm, int capacity, int64_t config)
+{
+	struct grant_pool *p;
+
+	grant_init(g, vm, 5, 2000);
+	limit_hold_init(h);
+	p = grant_pool(g, "norte");
+	p->hold = h;
+	p->capacity = capacity;
+	p->config = config;
+	p->local = 1;
+	p->local_vms = 2;
+	p->all_vms = 2;
+}
+
+static void test_grant_waits_for_the_write(void **state)
+{
+	struct grant_gone gone = {0};
+	struct limit_grant g;
+	struct limit_hold h;
+	struct grant_write w;
+	static const char found[] =
+		"{\"pools\":[{\"region\":\"norte\",\"capacity\":20,"
+		"\"config\":1,\"rows\":[{\"vm\":\"a\",\"incarnation\":5,"
+		"\"tokens\":5,\"base\":20}]}]}";
+
+	(void)state;
+	grant_setup(&g, &h, "a", 20, 1);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_IDLE);
+	grant_read(&g, 0, "", 0, NULL);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_WRITE);
+	assert_int_equal(w.version, 0);
+	assert_int_equal(limit_hold_size(&h), 0);
+	grant_unsettled(&g);
+	assert_int_equal(limit_hold_size(&h), 0);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	/* The lost write is there, but only a write of one's own confirms. */
+	grant_read(&g, 9, found, strlen(found), NULL);
+	assert_int_equal(limit_hold_size(&h), 0);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_WRITE);
+	assert_int_equal(w.version, 9);
+	grant_written(&g, 10);
+	assert_true(limit_hold_size(&h) > 0);
+	grant_finish(&g);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_hold_with_threads),
+		cmocka_unit_test(test_hold_cut_spares_what_is_used),
+		cmocka_unit_test(test_share_is_kept),
+		cmocka_unit_test(test_share_after_a_pause),
+		cmocka_unit_test(test_ledger_bounds),
+		cmocka_unit_test(test_ledger_refuses_bad_texts),
+		cmocka_unit_test(test_plan_stays_in_bounds),
+		cmocka_unit_test(test_grant_waits_for_the_write),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -99,6 +99,8 @@
 	int next;
 	/** The probe under way. */
 	int target;
+	/** Suspected by this VM itself, and to be probed again; or -1. */
+	int doubted;
 	int64_t sequence;
 	int acked;
 	int asked_others;
@@ -135,9 +137,13 @@
 /** An answer to a probe came, directly or through another VM. */
 void member_acked(struct member_table *m, int64_t sequence);
 
-/** Chooses what to tell in the next message: news first. Returns how many. */
-int member_rumors(struct member_table *m, uint64_t random,
-		  struct member_vm out[MEMBER_RUMORS_MAX]);
+/**
+ * Chooses what to tell in a message to an address: first what is thought of
+ * the receiver itself, if that is bad, so that it can refute it; then news.
+ * Returns how many.
+ */
+int member_rumors(struct member_table *m, const char *to, uint64_t random,
+                  struct member_vm out[MEMBER_RUMORS_MAX]);
 
 /** Says that this VM leaves. */
 void member_leave(struct member_table *m);
--- a/member/src/probe.c
+++ b/member/src/probe.c
@@ -22,8 +22,24 @@
 	}
 }
 
+/* One that this VM suspects is asked again at once: most often only datagrams
+ * were lost. */
+static int doubted_target(struct member_table *m)
+{
+	int i = m->doubted;
+
+	m->doubted = -1;
+	if (i < 0 || m->peer[i].vm.state != MEMBER_SUSPECT)
+		return -1;
+	return i;
+}
+
 static int next_target(struct member_table *m, uint64_t random)
 {
+	int again = doubted_target(m);
+
+	if (again >= 0)
+		return again;
 	for (int tries = 0; tries < 2; tries++) {
 		while (m->next < m->norder) {
 			int i = m->order[m->next++];
@@ -40,6 +56,7 @@
 {
 	struct member_peer *p = &m->peer[i];
 
+	m->doubted = i;
 	if (p->vm.state == MEMBER_DEAD || p->deadline != PRL_NEVER)
 		return;
 	p->deadline = now + m->options.suspect_ms;
@@ -155,18 +172,35 @@
 	return n;
 }
 
-int member_rumors(struct member_table *m, uint64_t random,
-		  struct member_vm out[MEMBER_RUMORS_MAX])
+static int add_receiver(const struct member_table *m, const char *to,
+                        struct member_vm *out)
 {
-	int n = 0;
+	for (int i = 1; i < m->n; i++) {
+		const struct member_vm *vm = &m->peer[i].vm;
+
+		if (vm->state != MEMBER_SUSPECT && vm->state != MEMBER_DEAD)
+			continue;
+		if (strcmp(vm->rpc, to) != 0)
+			continue;
+		out[0] = *vm;
+		return 1;
+	}
+	return 0;
+}
+
+int member_rumors(struct member_table *m, const char *to, uint64_t random,
+                  struct member_vm out[MEMBER_RUMORS_MAX])
+{
+	int n = add_receiver(m, to, out);
 	int kept = 0;
 
 	/* The newest first; each is told a fixed number of times. */
 	for (int k = m->nhot - 1; k >= 0 && n < MEMBER_RUMORS_MAX; k--) {
 		struct member_peer *p = &m->peer[m->hot[k]];
 
-		out[n++] = p->vm;
 		p->rumors_left--;
+		if (!named(out, n, p->vm.name))
+			out[n++] = p->vm;
 	}
 	for (int k = 0; k < m->nhot; k++)
 		if (m->peer[m->hot[k]].rumors_left > 0)
--- a/member/src/table.c
+++ b/member/src/table.c
@@ -113,6 +113,7 @@
 	memset(m, 0, sizeof(*m));
 	m->options = *o;
 	m->target = -1;
+	m->doubted = -1;
 	m->by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	if (add(m, self))
@@ -222,6 +223,7 @@
 	m->norder = 0;
 	m->next = 0;
 	m->target = -1;
+	m->doubted = -1;
 }
 
 void member_forget(struct member_table *m, const char *name)
--- /dev/null
+++ b/member/test/test_member.c
@@ -0,0 +1,298 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/hash.h>
+#include <primroselead/member.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A few tables that exchange messages through a fake of the network, which
+ * loses and delays them. An answer travels back at once or not at all.
+ */
+#define VMS 20
+#define PERIOD_MS 500
+#define SUSPECT_MS 2000
+
+static struct member_table table[VMS];
+static int up[VMS];
+static int loss_percent;
+static uint64_t randoms;
+
+static uint64_t next_random(void)
+{
+	return prl_hash_pair(++randoms, 77);
+}
+
+static struct member_vm self(int i, int64_t incarnation)
+{
+	struct member_vm vm = {.incarnation = incarnation};
+
+	snprintf(vm.name, sizeof(vm.name), "vm%d", i);
+	snprintf(vm.domain, sizeof(vm.domain), "d%d", i % 3);
+	snprintf(vm.rpc, sizeof(vm.rpc), "127.0.0.1:%d", 1000 + i);
+	return vm;
+}
+
+static void start(int i, int64_t incarnation)
+{
+	struct member_options o = {.period_ms = PERIOD_MS,
+	                           .suspect_ms = SUSPECT_MS};
+	struct member_vm vm = self(i, incarnation);
+
+	member_init(&table[i], &vm, &o, NULL);
+	up[i] = 1;
+}
+
+static int lost(void)
+{
+	return (int)(next_random() % 100) < loss_percent;
+}
+
+static int index_of(const char *rpc)
+{
+	return atoi(strchr(rpc, ':') + 1) - 1000;
+}
+
+static void tell(int from, int to, int64_t now)
+{
+	struct member_vm rumor[MEMBER_RUMORS_MAX];
+	int n = member_rumors(&table[from], table[to].peer[0].vm.rpc,
+	                      next_random(), rumor);
+
+	member_hear(&table[to], &table[from].peer[0].vm, now);
+	for (int i = 0; i < n; i++)
+		member_hear(&table[to], &rumor[i], now);
+}
+
+/* A probe there and back. Returns 1 if the answer came. */
+static int probe(int from, int to, int64_t now)
+{
+	if (!up[to] || lost())
+		return 0;
+	tell(from, to, now);
+	if (lost())
+		return 0;
+	tell(to, from, now);
+	return 1;
+}
+
+static void deliver(int from, const struct member_out *m, int64_t now)
+{
+	int to = index_of(m->to);
+
+	switch (m->message) {
+	case MEMBER_PROBE:
+		if (probe(from, to, now))
+			member_acked(&table[from], m->sequence);
+		break;
+	case MEMBER_INDIRECT:
+		if (up[to] && !lost() && probe(to, index_of(m->target), now) &&
+		    !lost())
+			member_acked(&table[from], m->sequence);
+		break;
+	}
+}
+
+static void run(int64_t from, int64_t to)
+{
+	struct member_out out[MEMBER_OUT_MAX];
+
+	for (int64_t now = from; now < to; now += 25)
+		for (int i = 0; i < VMS; i++) {
+			int n;
+
+			if (!up[i])
+				continue;
+			n = member_tick(&table[i], now + i, next_random(), out);
+			for (int k = 0; k < n; k++)
+				deliver(i, &out[k], now);
+		}
+}
+
+static void start_all(void)
+{
+	randoms = 1;
+	loss_percent = 0;
+	for (int i = 0; i < VMS; i++)
+		start(i, 1);
+	/* Each knows its neighbour, and so finds all the others. */
+	for (int i = 0; i < VMS; i++)
+		member_hear(&table[i], &table[(i + 1) % VMS].peer[0].vm, 0);
+}
+
+static void finish_all(void)
+{
+	for (int i = 0; i < VMS; i++)
+		member_finish(&table[i]);
+}
+
+static int count_state(int who, enum member_state s)
+{
+	int n = 0;
+
+	for (int i = 0; i < VMS; i++) {
+		char name[16];
+		const struct member_peer *p;
+
+		snprintf(name, sizeof(name), "vm%d", who);
+		p = member_find(&table[i], name);
+		n += up[i] && p && p->vm.state == s;
+	}
+	return n;
+}
+
+static void test_all_find_all(void **state)
+{
+	(void)state;
+	start_all();
+	run(0, 10000);
+	for (int i = 0; i < VMS; i++)
+		assert_int_equal(table[i].n, VMS);
+	finish_all();
+}
+
+static void test_death_is_known_in_time(void **state)
+{
+	(void)state;
+	start_all();
+	run(0, 10000);
+	up[7] = 0;
+	run(10000, 15000);
+	assert_int_equal(count_state(7, MEMBER_DEAD), VMS - 1);
+	finish_all();
+}
+
+/* Ten minutes at 5 percent loss: nobody is given up. */
+static void test_no_false_death(void **state)
+{
+	struct member_event e;
+	int deaths = 0;
+	int suspicions = 0;
+
+	(void)state;
+	start_all();
+	loss_percent = 5;
+	for (int minute = 0; minute < 10; minute++) {
+		run(minute * 60000, (minute + 1) * 60000);
+		for (int i = 0; i < VMS; i++)
+			while (member_take(&table[i], &e)) {
+				deaths += e.state == MEMBER_DEAD;
+				suspicions += e.state == MEMBER_SUSPECT;
+			}
+	}
+	print_message("suspicions %d\n", suspicions);
+	assert_int_equal(deaths, 0);
+	finish_all();
+}
+
+static void test_restart_is_another(void **state)
+{
+	(void)state;
+	start_all();
+	run(0, 10000);
+	up[3] = 0;
+	run(10000, 16000);
+	member_finish(&table[3]);
+	start(3, 2);
+	member_hear(&table[3], &table[4].peer[0].vm, 16000);
+	run(16000, 22000);
+	assert_int_equal(count_state(3, MEMBER_LIVE), VMS);
+	/* What is still told of the dead one does not count. */
+	for (int i = 0; i < VMS; i++)
+		if (i != 3)
+			member_hear(&table[i],
+			            &(struct member_vm){.name = "vm3",
+			                                .incarnation = 1,
+			                                .state = MEMBER_DEAD},
+			            22000);
+	assert_int_equal(count_state(3, MEMBER_LIVE), VMS);
+	finish_all();
+}
+
+/* A paused VM that was given up learns it and comes back as itself. */
+static void test_paused_refutes(void **state)
+{
+	struct member_event e;
+	int given_up = 0;
+
+	(void)state;
+	start_all();
+	run(0, 10000);
+	up[5] = 0;
+	run(10000, 20000);
+	up[5] = 1;
+	run(20000, 26000);
+	while (member_take(&table[5], &e))
+		given_up += e.given_up;
+	assert_true(given_up > 0);
+	assert_int_equal(count_state(5, MEMBER_LIVE), VMS);
+	finish_all();
+}
+
+static void test_leave_is_told(void **state)
+{
+	(void)state;
+	start_all();
+	run(0, 10000);
+	member_leave(&table[9]);
+	run(10000, 12500);
+	assert_int_equal(count_state(9, MEMBER_LEAVING), VMS);
+	up[9] = 0;
+	run(12500, 18000);
+	assert_int_equal(count_state(9, MEMBER_DEAD), VMS - 1);
+	finish_all();
+}
+
+static void test_rank_and_forget(void **state)
+{
+	int all[VMS];
+	int rank[VMS];
+	int n;
+
+	(void)state;
+	start_all();
+	run(0, 10000);
+	n = member_rank(&table[0], NULL, 5, all, VMS);
+	assert_int_equal(n, VMS);
+	/* Every VM ranks alike, whatever the order of its table. */
+	for (int i = 1; i < VMS; i++) {
+		member_rank(&table[i], NULL, 5, rank, VMS);
+		for (int k = 0; k < VMS; k++)
+			assert_string_equal(table[i].peer[rank[k]].vm.name,
+			                    table[0].peer[all[k]].vm.name);
+	}
+	n = member_rank(&table[0], "d1", 5, rank, VMS);
+	assert_int_equal(n, 7);
+	member_forget(&table[0], "vm1");
+	assert_null(member_find(&table[0], "vm1"));
+	assert_int_equal(member_rank(&table[0], NULL, 5, all, VMS), VMS - 1);
+	for (int i = 2; i < VMS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "vm%d", i);
+		assert_string_equal(member_find(&table[0], name)->vm.name,
+		                    name);
+	}
+	run(10000, 12000);
+	finish_all();
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_all_find_all),
+		cmocka_unit_test(test_death_is_known_in_time),
+		cmocka_unit_test(test_no_false_death),
+		cmocka_unit_test(test_restart_is_another),
+		cmocka_unit_test(test_paused_refutes),
+		cmocka_unit_test(test_leave_is_told),
+		cmocka_unit_test(test_rank_and_forget),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/mk/flags.mk
+++ b/mk/flags.mk
@@ -19,6 +19,6 @@
 CC := clang
 endif
 
-CFLAGS := $(WARN) $(MODE_$(MODE)) $(DEP_CFLAGS) -D_GNU_SOURCE \
+CFLAGS = $(WARN) $(MODE_$(MODE)) $(DEP_CFLAGS) -D_GNU_SOURCE $(CFLAGS_EXTRA) \
 	-DPRL_VERSION='"$(shell cat VERSION)"'
 LDLIBS := $(DEP_LIBS)
--- a/mk/lint.mk
+++ b/mk/lint.mk
@@ -0,0 +1,19 @@
+# Formatting, the linter, and a build by the second compiler.
+SOURCES := $(filter-out %/messages.c,$(shell git ls-files '*.c'))
+HEADERS := $(filter-out %/messages.h,$(shell git ls-files '*.h'))
+TIDY := $(addprefix build/tidy/,$(addsuffix .ok,$(SOURCES)))
+
+.PHONY: format lint tidy
+format:
+	clang-format -i $(SOURCES) $(HEADERS)
+
+lint: tidy
+	clang-format --dry-run -Werror $(SOURCES) $(HEADERS)
+	$(MAKE) --no-print-directory MODE=clang all tests
+
+tidy: $(TIDY)
+
+build/tidy/%.ok: % .clang-tidy $(HEADERS)
+	@mkdir -p $(@D)
+	clang-tidy --quiet $< -- $(WARN) $(DEP_CFLAGS) $(PUBLIC) -I$(dir $<) -I$(dir $<)../src -Isystem -DPRL_VERSION='""'
+	@touch $@
--- /dev/null
+++ b/mk/model.mk
@@ -0,0 +1,16 @@
+# The model that the fuzzer and the mutant check drive.
+MODEL_OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(filter-out model/main.c model/fuzz_%.c,$(wildcard model/*.c)))
+
+$(OUT)/model/%.o: model/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+
+$(OUT)/bin/model: $(OUT)/model/main.o $(MODEL_OBJECTS) $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
+
+$(OUT)/bin/fuzz-%: $(OUT)/model/fuzz_%.o $(MODEL_OBJECTS) $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $(filter %.o,$^) $(LIBS)
+
+-include $(wildcard $(OUT)/model/*.d)
--- a/mk/packages.mk
+++ b/mk/packages.mk
@@ -14,6 +14,19 @@
 observe_USES := base
 proxy_USES := base loop schema spread steer limit claim config observe
 
+# Libraries of others that a package needs, by their pkg-config names.
+base_NEEDS := apr-1 libxxhash
+schema_NEEDS := apr-1 glib-2.0
+loop_NEEDS := libmicrohttpd libcurl glib-2.0
+store_NEEDS := libcurl jansson
+config_NEEDS := apr-1 glib-2.0 jansson
+limit_NEEDS := jansson
+wire_NEEDS := libtirpc glib-2.0
+member_NEEDS := glib-2.0
+spread_NEEDS := glib-2.0
+observe_NEEDS := glib-2.0 jansson
+proxy_NEEDS := apr-1 libmicrohttpd libcurl glib-2.0
+
 PUBLIC := $(foreach p,$(PACKAGES),-I$(p)/include)
 LIBRARIES := $(foreach p,$(PACKAGES),$(OUT)/lib/libprimroselead-$(p).a)
 
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -0,0 +1,38 @@
+# One test program for each file test/test_*.c of a package, and the tests of
+# the whole system. "make check" runs them all in each mode that finds faults.
+TESTS := $(foreach p,$(PACKAGES),$(patsubst $(p)/test/%.c,$(OUT)/test/$(p)/%,$(wildcard $(p)/test/test_*.c)))
+SYSTEM_TESTS := $(patsubst system/%.c,$(OUT)/test/system/%,$(wildcard system/test_*.c))
+HARNESS := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard system/test_*.c),$(wildcard system/*.c)))
+
+define package_test
+$(OUT)/test/$(1)/%: $(1)/test/%.c $(wildcard $(1)/test/*.h) $(LIBRARIES)
+	@mkdir -p $$(@D)
+	$$(CC) $$(CFLAGS) $(PUBLIC) -I$(1)/src -I$(1)/test -o $$@ $$< $(LIBS) -lcmocka
+endef
+$(foreach p,$(PACKAGES),$(eval $(call package_test,$(p))))
+
+$(OUT)/system/%.o: system/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+
+$(OUT)/test/system/%: system/%.c $(HARNESS) $(LIBRARIES) $(BINARIES) $(STANDINS)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
+
+.PHONY: tests check check-one bench fuzz capacity mutants
+tests: $(TESTS) $(SYSTEM_TESTS)
+
+check:
+	tools/check
+
+bench: all
+	bench/run
+
+capacity: all
+	bench/capacity
+
+fuzz:
+	bench/fuzz
+
+mutants:
+	bench/mutants
--- /dev/null
+++ b/model/main.c
@@ -0,0 +1,44 @@
+#include "model.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Usage: model FIRST-SEED RUNS EVENTS. Prints sums, or the first failure. */
+int main(int argc, char **argv)
+{
+	uint64_t first = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
+	long runs = argc > 2 ? atol(argv[2]) : 100;
+	long events = argc > 3 ? atol(argv[3]) : 2000;
+	struct model_result sum = {0};
+
+	for (long i = 0; i < runs; i++) {
+		struct model_input in = {.seed = first + (uint64_t)i,
+		                         .events = events};
+		struct model_result r;
+
+		if (model_run(&in, &r)) {
+			printf("seed %llu, event %ld: %s\n",
+			       (unsigned long long)in.seed, r.events,
+			       r.failure);
+			return 1;
+		}
+		sum.events += r.events;
+		sum.admitted += r.admitted;
+		sum.runs += r.runs;
+		sum.not_run += r.not_run;
+		sum.claims_granted += r.claims_granted;
+		sum.claims_taken += r.claims_taken;
+		sum.moved += r.moved;
+		sum.conflicts += r.conflicts;
+		sum.lost_answers += r.lost_answers;
+		sum.late_writes += r.late_writes;
+		sum.reclaimed += r.reclaimed;
+		sum.versions += r.versions;
+	}
+	printf("events %ld, admitted %ld, runs %ld, not run %ld, claims %ld, "
+	       "taken %ld, moved %ld, conflicts %ld, lost answers %ld, late "
+	       "writes %ld, reclaimed %ld, versions %ld\n",
+	       sum.events, sum.admitted, sum.runs, sum.not_run,
+	       sum.claims_granted, sum.claims_taken, sum.moved, sum.conflicts,
+	       sum.lost_answers, sum.late_writes, sum.reclaimed, sum.versions);
+	return 0;
+}
--- /dev/null
+++ b/model/oracle.c
@@ -0,0 +1,100 @@
+#include "world.h"
+#include <string.h>
+
+void oracle_ran(struct world *w, const struct flight *f)
+{
+	w->out->runs++;
+	if (f->key < 0)
+		return;
+	w->runs[f->key]++;
+	if (w->runs[f->key] > 1)
+		fail(w, "key %d ran %d times", f->key, w->runs[f->key]);
+}
+
+/* Greatest capacity that any configuration gave which may still be in force
+ * somewhere, or was when a request that still runs was admitted. */
+static int capacity_bound(const struct world *w, int region)
+{
+	int64_t oldest = INT64_MAX;
+	int bound = 0;
+
+	for (int i = 0; i < VMS; i++)
+		if (w->vm[i].alive && w->vm[i].config >= 0 &&
+		    w->vm[i].service.version < oldest)
+			oldest = w->vm[i].service.version;
+	for (int i = 0; i < FLIGHTS; i++)
+		if (w->flight[i].used && w->flight[i].config < oldest)
+			oldest = w->flight[i].config;
+	for (int i = 0; i < w->nconfig; i++)
+		if (w->config[i].accepted && w->config[i].version >= oldest &&
+		    w->config[i].capacity[region] > bound)
+			bound = w->config[i].capacity[region];
+	return bound;
+}
+
+static void check_capacity(struct world *w, int region)
+{
+	int bound = capacity_bound(w, region);
+	int n = 0;
+
+	for (int i = 0; i < FLIGHTS; i++)
+		n += w->flight[i].used && w->flight[i].region == region;
+	if (n > bound)
+		fail(w, "region %d carries %d requests, its capacity is %d",
+		     region, n, bound);
+}
+
+static void check_rows(struct world *w)
+{
+	const struct fake_object *o = store_find(w, "grants/s");
+	struct ledger l;
+
+	if (!o || o->version == w->checked)
+		return;
+	w->checked = o->version;
+	if (ledger_read(&l, o->value, strlen(o->value), NULL)) {
+		fail(w, "the ledger in the store is not valid");
+		return;
+	}
+	ledger_finish(&l);
+}
+
+static void check_versions(struct world *w)
+{
+	for (int i = 0; i < VMS; i++) {
+		const struct fake_vm *v = &w->vm[i];
+
+		if (v->alive && v->config >= 0 &&
+		    !w->config[v->config].accepted)
+			fail(w, "vm %d has a configuration in force that was "
+			     "not accepted",
+			     i);
+	}
+}
+
+void oracle_check(struct world *w)
+{
+	for (int r = 0; r < REGIONS; r++)
+		check_capacity(w, r);
+	check_rows(w);
+	check_versions(w);
+	if (w->moved * 1000 > w->cap_credit)
+		fail(w, "%lld requests were moved, the cap allows %lld",
+		     (long long)w->moved, (long long)w->cap_credit / 1000);
+}
+
+/* After everything is mended: the newest configuration is in force on every
+ * VM, and capacity is not lost for good. */
+void oracle_settled(struct world *w)
+{
+	for (int i = 0; i < VMS; i++) {
+		const struct fake_vm *v = &w->vm[i];
+
+		if (!v->alive || w->current < 0)
+			continue;
+		if (v->config != w->current)
+			fail(w, "vm %d has configuration %d in force, the "
+			     "newest is %d",
+			     i, v->config, w->current);
+	}
+}
--- /dev/null
+++ b/model/vm.c
@@ -0,0 +1,557 @@
+#include "world.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const region_names[REGIONS] = {"norte", "centro", "sur"};
+
+/* VMs 0 and 1 are in the first region, the others one each. */
+static int region_of(int vm)
+{
+	return vm < 2 ? 0 : vm - 1;
+}
+
+static void vm_name(int vm, char *name, size_t size)
+{
+	snprintf(name, size, "vm%d", vm);
+}
+
+void vm_start(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	int incarnation = v->incarnation + 1;
+	struct claim_options claims = {.retention_ms = 600000,
+	                               .segment_records = SEGMENT_RECORDS};
+	char name[16];
+
+	memset(v, 0, sizeof(*v));
+	v->alive = 1;
+	v->incarnation = incarnation;
+	v->last_tick = w->now;
+	v->config = -1;
+	v->service.shift.from = STEER_NONE;
+	vm_name(i, name, sizeof(name));
+	grant_init(&v->grant, name, incarnation, w->now + DEADLINE_MS);
+	for (int r = 0; r < REGIONS; r++)
+		limit_hold_init(&v->hold[r]);
+	claim_init(&v->claims, &claims, NULL);
+	spread_init(&v->copy);
+	limit_share_init(&v->share);
+}
+
+void vm_finish(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+
+	if (!v->alive)
+		return;
+	grant_finish(&v->grant);
+	claim_finish(&v->claims);
+	spread_finish(&v->copy);
+	v->alive = 0;
+}
+
+/* A dead VM's requests go on at their upstreams until their deadlines. */
+void vm_kill(struct world *w, int i)
+{
+	vm_finish(w, i);
+}
+
+/* Brings a configuration of the copy into force. */
+static void install_config(struct world *w, struct fake_vm *v, int64_t version,
+                           const char *text)
+{
+	int index = atoi(text);
+	const struct fake_config *c = &w->config[index];
+	struct steer_service *s = &v->service;
+
+	if (version < v->highest)
+		fail(w, "version %lld came into force after %lld",
+		     (long long)version, (long long)v->highest);
+	v->highest = version;
+	v->config = index;
+	memset(s, 0, sizeof(*s));
+	s->version = version;
+	s->upstream = v->upstream;
+	s->nupstream = REGIONS * UPSTREAMS;
+	for (int r = 0; r < REGIONS; r++) {
+		struct steer_place *p = &s->place[r];
+
+		p->capacity = c->capacity[r];
+		p->first_upstream = r * UPSTREAMS;
+		p->nupstream = UPSTREAMS;
+		for (int k = 1; k < REGIONS; k++)
+			p->spill[p->nspill++] = (r + k) % REGIONS;
+		for (int u = 0; u < UPSTREAMS; u++) {
+			struct steer_upstream *up =
+				&v->upstream[r * UPSTREAMS + u];
+
+			up->slots = 1000;
+			up->region = r;
+			up->state = c->draining == r * UPSTREAMS + u
+			                    ? STEER_LEAVING
+			                    : STEER_ACTIVE;
+		}
+	}
+	s->shift = (struct steer_shift){
+		.from = c->from, .to = c->to, .cap = c->cap, .step = 50,
+		.pace_ms = 1000,
+		.direction = (enum steer_direction)c->direction,
+		.plan = (uint64_t)(c->from * REGIONS + c->to + 1),
+	};
+}
+
+static void install(struct world *w, struct fake_vm *v, const char *key,
+                    int64_t version, const char *value)
+{
+	if (spread_install(&v->copy, key, version, value, strlen(value)))
+		return;
+	if (!strcmp(key, "steer/services/s"))
+		install_config(w, v, version, value);
+	if (!strcmp(key, "steer/shifts/s")) {
+		unsigned long long plan = 0;
+
+		sscanf(value, "%llu %d", &plan, &v->progress.share);
+		v->progress.plan = plan;
+		v->progress_version = version;
+		v->progress_seen = w->now;
+	}
+	if (v->config >= 0)
+		v->service.shift.share =
+			steer_share(&v->service.shift, &v->progress);
+}
+
+/* Reads the store if it can, else another VM's copy. */
+static void sync_vm(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	int from = (int)choose(w, VMS);
+	const struct fake_vm *other = &w->vm[from];
+	GPtrArray *found;
+
+	if (w->store_up && !v->cut) {
+		for (int k = 0; k < w->nobject; k++)
+			if (!strncmp(w->object[k].key, "steer/", 6))
+				install(w, v, w->object[k].key,
+				        w->object[k].version,
+				        w->object[k].value);
+		spread_extend(&v->copy, v->copy.complete, w->revision);
+		return;
+	}
+	if (from == i || !other->alive || other->cut || v->cut)
+		return;
+	found = spread_after(&other->copy, v->copy.complete);
+	for (guint k = 0; k < found->len; k++) {
+		const struct spread_object *o = g_ptr_array_index(found, k);
+
+		install(w, v, o->key, o->version, o->value);
+	}
+	spread_extend(&v->copy, v->copy.complete, other->copy.complete);
+	g_ptr_array_free(found, TRUE);
+}
+
+static int count_live(const struct world *w, int region)
+{
+	int n = 0;
+
+	for (int i = 0; i < VMS; i++)
+		if (w->vm[i].alive && (region < 0 || region_of(i) == region))
+			n++;
+	return n;
+}
+
+static struct grant_gone find_gone(const struct world *w, const char **names,
+                                   char store[VMS][16])
+{
+	struct grant_gone gone = {.vm = names};
+	int64_t rest = LIST_LAG_MS + LEASE_MS + DEADLINE_MS;
+
+	for (int i = 0; i < VMS; i++) {
+		if (!w->vm[i].destroyed ||
+		    w->now < w->vm[i].destroyed_at + rest)
+			continue;
+		vm_name(i, store[i], 16);
+		names[gone.n++] = store[i];
+	}
+	return gone;
+}
+
+static void tick_grant(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	const char *names[VMS];
+	char store[VMS][16];
+	struct grant_gone gone = find_gone(w, names, store);
+	struct grant_write gw;
+
+	for (int r = 0; r < REGIONS; r++) {
+		struct grant_pool *p = grant_pool(&v->grant, region_names[r]);
+
+		p->hold = &v->hold[r];
+		p->capacity = v->service.place[r].capacity;
+		p->config = v->service.version;
+		p->local = region_of(i) == r;
+		p->local_vms = count_live(w, r);
+		p->all_vms = count_live(w, -1);
+	}
+	if (v->leaving)
+		grant_leave(&v->grant);
+	switch (grant_next(&v->grant, w->now, &gone, &gw)) {
+	case GRANT_READ:
+		store_begin(w, CALL_GRANT_READ, i, "grants/s", 0, NULL, 0);
+		break;
+	case GRANT_WRITE:
+		w->out->reclaimed += v->grant.reclaimed;
+		store_begin(w, CALL_GRANT_WRITE, i, "grants/s", gw.version,
+		            gw.text, 0);
+		break;
+	case GRANT_IDLE:
+		break;
+	}
+}
+
+static void take_answers(struct world *w, int i);
+
+static void tick_claims(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct claim_write cw;
+	char key[32];
+
+	if (v->claim_busy)
+		return;
+	switch (claim_next(&v->claims, w->now, &cw)) {
+	case CLAIM_LOAD:
+		v->claim_busy = 1;
+		store_begin(w, CALL_CLAIM_LOAD, i, "claims/0/", 0, NULL, 0);
+		break;
+	case CLAIM_WRITE:
+		v->claim_busy = 1;
+		snprintf(key, sizeof(key), "claims/0/%d", cw.slot);
+		store_begin(w, CALL_CLAIM_WRITE, i, key, cw.version, cw.text,
+		            0);
+		break;
+	case CLAIM_IDLE:
+		break;
+	}
+	take_answers(w, i);
+}
+
+static void tick_shift(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct steer_progress next;
+	struct steer_step step = {
+		.shift = v->service.shift, .progress = v->progress,
+		.seen_ms = v->progress_seen, .now_ms = w->now};
+	char text[48];
+
+	if (v->step_busy || !steer_step(&step, &next))
+		return;
+	v->step_busy = 1;
+	snprintf(text, sizeof(text), "%llu %d", (unsigned long long)next.plan,
+	         next.share);
+	store_begin(w, CALL_STEP, i, "steer/shifts/s", v->progress_version,
+	            text, 0);
+}
+
+static void confirm(struct fake_vm *v)
+{
+	if (!v->doubted) {
+		grant_doubt(&v->grant);
+		v->doubted = 1;
+		return;
+	}
+	if (!grant_trusted(&v->grant))
+		return;
+	v->unconfirmed = 0;
+	v->doubted = 0;
+}
+
+void vm_tick(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+
+	if (!v->alive || v->paused)
+		return;
+	if (w->now - v->last_tick > LEASE_MS)
+		v->unconfirmed = 1;
+	v->last_tick = w->now;
+	sync_vm(w, i);
+	if (v->config < 0)
+		return;
+	if (v->unconfirmed)
+		confirm(v);
+	tick_grant(w, i);
+	tick_claims(w, i);
+	if (!v->unconfirmed && !v->leaving)
+		tick_shift(w, i);
+	if (!v->unconfirmed)
+		v->alive_until = w->now + LEASE_MS;
+	if (v->leaving && grant_returned(&v->grant))
+		vm_finish(w, i);
+}
+
+static void send_on(struct world *w, int i, const struct asking *a)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct steer_load load[UPSTREAMS] = {0};
+	struct steer_pick p = {
+		.upstream = v->upstream + a->region * UPSTREAMS,
+		.load = load, .n = UPSTREAMS, .choice = STEER_POWER_OF_TWO,
+		.now_ms = w->now, .random = choose(w, 256),
+		.except = STEER_NONE};
+	int u = steer_pick(&p);
+
+	if (u == STEER_NONE) {
+		limit_hold_give(&v->hold[a->region]);
+		w->out->not_run++;
+		return;
+	}
+	if (p.upstream[u].state != STEER_ACTIVE)
+		fail(w, "an upstream that leaves got new work");
+	for (int k = 0; k < FLIGHTS; k++) {
+		struct flight *f = &w->flight[k];
+
+		if (f->used)
+			continue;
+		*f = (struct flight){
+			.used = 1, .vm = i, .incarnation = v->incarnation,
+			.region = a->region, .key = a->key, .token = a->token,
+			.deadline = a->deadline, .config = a->config};
+		oracle_ran(w, f);
+		return;
+	}
+	limit_hold_give(&v->hold[a->region]);
+}
+
+/* As the proxy does it: admission is checked again before the first byte. */
+static void claimed(struct world *w, int i, const struct claim_answer *ans)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct claim_record note = {.status = CLAIM_VOID};
+	struct asking a = {0};
+
+	for (int k = 0; k < 64; k++) {
+		if (!v->asking[k].used || v->asking[k].token != ans->waiter)
+			continue;
+		a = v->asking[k];
+		v->asking[k].used = 0;
+	}
+	if (!a.used)
+		return;
+	if (ans->verdict == CLAIM_GRANTED && w->now < a.deadline &&
+	    w->now < v->alive_until) {
+		w->out->claims_granted++;
+		send_on(w, i, &a);
+		return;
+	}
+	limit_hold_give(&v->hold[a.region]);
+	w->out->claims_taken += ans->verdict == CLAIM_TAKEN;
+	if (ans->verdict == CLAIM_TAKEN)
+		return;
+	w->out->not_run++;
+	if (ans->verdict != CLAIM_GRANTED)
+		return;
+	note.key = ans->record.key;
+	note.token = a.token;
+	claim_submit(&v->claims, &note, 0);
+}
+
+static void take_answers(struct world *w, int i)
+{
+	struct claim_answer a;
+
+	while (w->vm[i].alive && claim_take(&w->vm[i].claims, &a))
+		claimed(w, i, &a);
+}
+
+static void ask_claim(struct world *w, int i, const struct asking *a)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct claim_record r = {.token = a->token};
+
+	r.key.low = (uint64_t)a->key;
+	r.key.high = 1;
+	for (int k = 0; k < 64; k++) {
+		if (v->asking[k].used)
+			continue;
+		if (claim_submit(&v->claims, &r, a->token))
+			break;
+		v->asking[k] = *a;
+		v->asking[k].used = 1;
+		return;
+	}
+	limit_hold_give(&v->hold[a->region]);
+	w->out->not_run++;
+}
+
+static int decide_moved(struct world *w, struct fake_vm *v, int home,
+                        uint64_t block)
+{
+	const struct steer_shift *h = &v->service.shift;
+
+	if (h->from != home)
+		return 0;
+	if (v->plan != h->plan)
+		limit_share_reset(&v->share);
+	v->plan = h->plan;
+	limit_share_count(&v->share, h->cap);
+	w->cap_credit += h->cap;
+	return steer_moved(h, home, block) && limit_share_take(&v->share);
+}
+
+void vm_request(struct world *w, int i)
+{
+	struct fake_vm *v = &w->vm[i];
+	struct steer_route route;
+	struct asking a = {.token = ++w->next_token, .key = -1};
+	uint64_t block = choose(w, 200);
+	int moved;
+
+	if (!v->alive || v->paused || v->config < 0 || w->now >= v->alive_until)
+		return;
+	if (choose(w, 3) == 0)
+		a.key = (int)choose(w, KEYS);
+	a.deadline = w->now + DEADLINE_MS;
+	a.config = v->service.version;
+	moved = decide_moved(w, v, region_of(i), block);
+	steer_route(&v->service, region_of(i), moved, &route);
+	for (int k = 0; k < route.n; k++) {
+		a.region = route.region[k];
+		if (!limit_hold_take(&v->hold[a.region], 0))
+			continue;
+		w->out->admitted++;
+		if (route.reason[k] == STEER_SHIFTED) {
+			w->moved++;
+			w->out->moved++;
+		}
+		if (a.key >= 0)
+			ask_claim(w, i, &a);
+		else
+			send_on(w, i, &a);
+		return;
+	}
+	w->out->not_run++;
+}
+
+void vm_end_flight(struct world *w, int i, int refused)
+{
+	struct flight *f = &w->flight[i];
+	struct fake_vm *v;
+	struct claim_record note = {.status = CLAIM_RAN, .code = 200};
+
+	(void)refused;
+	if (!f->used)
+		return;
+	v = &w->vm[f->vm];
+	/* A paused VM keeps the place until it sees the answer. */
+	if (v->alive && v->incarnation == f->incarnation) {
+		if (v->paused)
+			return;
+		limit_hold_give(&v->hold[f->region]);
+		if (f->key >= 0) {
+			note.key.low = (uint64_t)f->key;
+			note.key.high = 1;
+			note.token = f->token;
+			claim_submit(&v->claims, &note, 0);
+		}
+	}
+	f->used = 0;
+}
+
+static void grant_answer(struct fake_vm *v, const struct fake_call *c)
+{
+	const struct fake_object *o = c->read;
+
+	if (c->code == PRL_E_UNSETTLED)
+		grant_unsettled(&v->grant);
+	else if (c->code)
+		grant_failed(&v->grant);
+	else if (c->purpose == CALL_GRANT_WRITE)
+		grant_written(&v->grant, c->result);
+	else if (c->nread)
+		grant_read(&v->grant, o->version, o->value, strlen(o->value),
+		           NULL);
+	else
+		grant_read(&v->grant, 0, "", 0, NULL);
+}
+
+static void load_answer(struct fake_vm *v, const struct fake_call *c)
+{
+	struct claim_segment seg[CLAIM_SEGMENTS];
+
+	if (c->code) {
+		claim_failed(&v->claims, PRL_E_STORE_DOWN);
+		return;
+	}
+	for (int k = 0; k < c->nread; k++)
+		seg[k] = (struct claim_segment){
+			.slot = atoi(strrchr(c->read[k].key, '/') + 1),
+			.version = c->read[k].version,
+			.text = c->read[k].value,
+			.len = strlen(c->read[k].value)};
+	claim_loaded(&v->claims, seg, c->nread, NULL);
+}
+
+static void write_answer(struct world *w, struct fake_vm *v,
+                         const struct fake_call *c)
+{
+	switch (c->code) {
+	case PRL_OK:
+		claim_written(&v->claims, c->result, w->now);
+		break;
+	case PRL_E_CONFLICT:
+		claim_conflict(&v->claims);
+		break;
+	case PRL_E_UNSETTLED:
+		claim_unsettled(&v->claims);
+		break;
+	default:
+		claim_failed(&v->claims, PRL_E_STORE_DOWN);
+		break;
+	}
+}
+
+static void publish_answer(struct world *w, const struct fake_call *c)
+{
+	int op = -1 - c->vm;
+
+	w->publishing[op] = 0;
+	/* Lost or lost out: the operator reads before it publishes again. */
+	w->expected[op] = c->code ? -1 : c->result;
+}
+
+void vm_answer(struct world *w, struct fake_call *c)
+{
+	struct fake_vm *v;
+
+	if (c->purpose == CALL_PUBLISH) {
+		publish_answer(w, c);
+		return;
+	}
+	v = &w->vm[c->vm];
+	if (!v->alive || v->incarnation != c->incarnation)
+		return;
+	switch (c->purpose) {
+	case CALL_GRANT_READ:
+	case CALL_GRANT_WRITE:
+		grant_answer(v, c);
+		break;
+	case CALL_CLAIM_LOAD:
+		v->claim_busy = 0;
+		load_answer(v, c);
+		break;
+	case CALL_CLAIM_WRITE:
+		v->claim_busy = 0;
+		write_answer(w, v, c);
+		break;
+	case CALL_STEP:
+		v->step_busy = 0;
+		break;
+	case CALL_PUBLISH:
+	case CALL_SETTLE:
+		break;
+	}
+	take_answers(w, c->vm);
+}
--- /dev/null
+++ b/model/world.h
@@ -0,0 +1,205 @@
+#ifndef MODEL_WORLD_H
+#define MODEL_WORLD_H
+
+#include "model.h"
+#include <primroselead/claim.h>
+#include <primroselead/grant.h>
+#include <primroselead/share.h>
+#include <primroselead/spread.h>
+#include <primroselead/steer.h>
+
+#define VMS 4
+#define REGIONS 3
+#define KEYS 40
+#define OBJECTS 256
+#define CALLS 64
+#define FLIGHTS 512
+#define VERSIONS 4096
+#define UPSTREAMS 2
+
+/* Few records make a segment, so that logs go on to the next one often. */
+#define SEGMENT_RECORDS 3
+
+/* Periods of the model, in milliseconds. */
+#define LEASE_MS 5000
+#define DEADLINE_MS 2000
+#define LIST_LAG_MS 1000
+#define CALL_TIMEOUT_MS 1000
+
+/** An object of the fake store. */
+struct fake_object {
+	char key[64];
+	int64_t version;
+	char *value;
+};
+
+/** What a call to the fake store is for. */
+enum call_purpose {
+	CALL_GRANT_READ,
+	CALL_GRANT_WRITE,
+	CALL_CLAIM_LOAD,
+	CALL_CLAIM_WRITE,
+	CALL_STEP,
+	CALL_PUBLISH,
+	CALL_SETTLE,
+};
+
+/** Where a call stands between its sender and the store. */
+enum call_state {
+	CALL_FREE,
+	/** On the way to the store. */
+	CALL_SENT,
+	/** Took effect or was answered; the answer is on its way back. */
+	CALL_APPLIED,
+	/** Given up by its sender, but it may still take effect. */
+	CALL_ORPHAN,
+};
+
+/** A call. */
+struct fake_call {
+	enum call_state state;
+	enum call_purpose purpose;
+	int vm;
+	int incarnation;
+	char key[64];
+	char *value;
+	int64_t version;
+	int64_t deadline;
+	int64_t result;
+	enum prl_code code;
+	/** Objects as they were when a read reached the store. */
+	struct fake_object read[CLAIM_SEGMENTS];
+	int nread;
+	/** What a publication changes. */
+	int config;
+};
+
+/** One accepted configuration, known to the oracle alone. */
+struct fake_config {
+	int64_t version;
+	int capacity[REGIONS];
+	int from;
+	int to;
+	int cap;
+	int direction;
+	int draining;
+	int accepted;
+};
+
+/** A request at an upstream. */
+struct flight {
+	int used;
+	int vm;
+	int incarnation;
+	int region;
+	int key;
+	uint64_t token;
+	int64_t deadline;
+	int64_t config;
+};
+
+/** A request that waits for its claim. */
+struct asking {
+	int used;
+	int region;
+	int key;
+	uint64_t token;
+	int64_t deadline;
+	int64_t config;
+};
+
+/** One VM. */
+struct fake_vm {
+	int alive;
+	int paused;
+	int cut;
+	int incarnation;
+	int leaving;
+	int destroyed;
+	int64_t destroyed_at;
+	int64_t last_tick;
+	int64_t alive_until;
+	int unconfirmed;
+	int doubted;
+	struct limit_grant grant;
+	struct limit_hold hold[REGIONS];
+	struct claim_shard claims;
+	struct spread_copy copy;
+	struct steer_service service;
+	struct steer_upstream upstream[REGIONS * UPSTREAMS];
+	int config;
+	struct limit_share share;
+	uint64_t plan;
+	struct steer_progress progress;
+	int64_t progress_version;
+	int64_t progress_seen;
+	int step_busy;
+	int grant_busy;
+	int claim_busy;
+	struct asking asking[64];
+	/** Highest version ever in force in this incarnation. */
+	int64_t highest;
+	int64_t ledger_retry;
+};
+
+/** The whole model. */
+struct world {
+	const struct model_input *in;
+	struct model_result *out;
+	size_t at;
+	uint64_t random;
+	int64_t now;
+	int store_up;
+	int64_t revision;
+	struct fake_object object[OBJECTS];
+	int nobject;
+	struct fake_call call[CALLS];
+	struct flight flight[FLIGHTS];
+	struct fake_vm vm[VMS];
+	struct fake_config config[VERSIONS];
+	int nconfig;
+	/** Index of the configuration in the store. */
+	int current;
+	int64_t expected[2];
+	int publishing[2];
+	int runs[KEYS];
+	uint64_t next_token;
+	/** For the shift's cap, by plan: credit that the cap has given. */
+	int64_t cap_credit;
+	/** Version of the ledger that was checked last. */
+	int64_t checked;
+	int64_t moved;
+};
+
+/** Next choice among n. */
+uint32_t choose(struct world *w, uint32_t n);
+
+/** Records a failure of the oracle. */
+void fail(struct world *w, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* store.c */
+void store_begin(struct world *w, enum call_purpose purpose, int vm,
+                 const char *key, int64_t version, const char *value,
+                 int config);
+void store_reach(struct world *w, int i);
+void store_return(struct world *w, int i, int lost);
+void store_expire(struct world *w);
+const struct fake_object *store_find(const struct world *w, const char *key);
+void store_free(struct world *w);
+
+/* vm.c */
+void vm_start(struct world *w, int i);
+void vm_kill(struct world *w, int i);
+void vm_tick(struct world *w, int i);
+void vm_request(struct world *w, int i);
+void vm_answer(struct world *w, struct fake_call *c);
+void vm_end_flight(struct world *w, int i, int refused);
+void vm_finish(struct world *w, int i);
+
+/* oracle.c */
+void oracle_check(struct world *w);
+void oracle_ran(struct world *w, const struct flight *f);
+void oracle_settled(struct world *w);
+
+#endif
--- a/schema/include/primroselead/schema.h
+++ b/schema/include/primroselead/schema.h
@@ -83,6 +83,9 @@
 		   const char *key, const char *fmt, ...)
 	__attribute__((format(printf, 5, 6)));
 
+/** Puts the faults into the order of their lines. */
+void prl_faults_sort(struct prl_faults *faults);
+
 /** Writes one fault as a line of text without a line end. */
 void prl_fault_format(const struct prl_faults *faults, int i, char *text,
 		      size_t size);
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -75,8 +75,6 @@
 	int64_t watchers;
 	/** Time for which a grant is valid without renewal. Unit: ms. */
 	int64_t lease;
-	/** Longest wait of a claim for others to share its write. Unit: ms. */
-	int64_t batch;
 	/** Number of claim shards in the fleet; the same on every VM. */
 	int64_t shards;
 	/** Time for which a claim is remembered. Unit: ms. */
--- a/schema/src/fault.c
+++ b/schema/src/fault.c
@@ -1,6 +1,7 @@
 #include <primroselead/schema.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 void prl_fault_add(struct prl_faults *faults, int line, const char *section,
 		   const char *key, const char *fmt, ...)
@@ -21,6 +22,20 @@
 	va_end(ap);
 }
 
+static int by_line(const void *a, const void *b)
+{
+	const struct prl_fault *x = a;
+	const struct prl_fault *y = b;
+
+	return x->line - y->line;
+}
+
+void prl_faults_sort(struct prl_faults *faults)
+{
+	qsort(faults->fault, (size_t)faults->n, sizeof(faults->fault[0]),
+	      by_line);
+}
+
 void prl_fault_format(const struct prl_faults *faults, int i, char *text,
 		      size_t size)
 {
--- /dev/null
+++ b/steer/test/test_steer.c
@@ -0,0 +1,396 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/hash.h>
+#include <primroselead/steer.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VMS 24
+#define REGIONS 3
+
+static struct steer_vm vm[VMS];
+static struct steer_service service;
+static struct steer_service *services[1] = {&service};
+static struct steer_view view;
+
+static void make_view(unsigned int seed)
+{
+	srand(seed);
+	memset(&view, 0, sizeof(view));
+	memset(&service, 0, sizeof(service));
+	strcpy(service.name, "s");
+	view.vm = vm;
+	view.nvm = VMS;
+	view.nregion = REGIONS;
+	view.service = services;
+	view.nservice = 1;
+	for (int i = 0; i < VMS; i++) {
+		vm[i].id = (uint64_t)rand() << 32 | (uint32_t)rand();
+		vm[i].region = i * REGIONS / VMS;
+		vm[i].domain = vm[i].region * 2 + rand() % 2;
+		vm[i].state = rand() % 5 ? STEER_ACTIVE : STEER_LEAVING;
+	}
+	for (int r = 0; r <= STEER_REGIONS_MAX; r++) {
+		int at = 0;
+
+		while (at < VMS && vm[at].region < r)
+			at++;
+		view.first_vm[r] = at;
+	}
+	for (int r = 0; r < REGIONS; r++) {
+		struct steer_place *p = &service.place[r];
+
+		p->capacity = rand() % 4 ? 1 + rand() % 100 : 0;
+		p->weight = rand() % 3;
+		for (int k = 1; k < REGIONS; k++)
+			if (rand() % 3)
+				p->spill[p->nspill++] = (r + k) % REGIONS;
+	}
+	service.shift.from = STEER_NONE;
+}
+
+/* Naive look-up: for each place in the answer, go through the regions in
+ * order and take the VM with the greatest key. */
+static int naive_next(const struct steer_ask *ask, int region,
+                      const struct steer_answer *out)
+{
+	int best = STEER_NONE;
+	uint64_t best_key[2] = {0, 0};
+
+	for (int i = 0; i < VMS; i++) {
+		uint64_t key[2] = {1, prl_hash_pair(vm[i].id, ask->block)};
+		int named = 0;
+
+		for (int k = 0; k < out->n; k++) {
+			named |= out->named[k].vm == i;
+			if (vm[out->named[k].vm].domain == vm[i].domain)
+				key[0] = 0;
+		}
+		if (named || vm[i].region != region ||
+		    vm[i].state != STEER_ACTIVE)
+			continue;
+		if (best != STEER_NONE &&
+		    (key[0] < best_key[0] ||
+		     (key[0] == best_key[0] && key[1] <= best_key[1])))
+			continue;
+		best = i;
+		best_key[0] = key[0];
+		best_key[1] = key[1];
+	}
+	return best;
+}
+
+static void naive_fill(const struct steer_ask *ask, int region, int most,
+                       struct steer_answer *out)
+{
+	while (out->n < most) {
+		int i = naive_next(ask, region, out);
+
+		if (i == STEER_NONE)
+			return;
+		out->named[out->n++].vm = i;
+	}
+}
+
+static void naive_lookup(const struct steer_ask *ask, struct steer_answer *out)
+{
+	const struct steer_place *p = &service.place[ask->region];
+
+	out->n = 0;
+	naive_fill(ask, ask->region, STEER_ANSWER_MAX - 1, out);
+	for (int k = 0; k < p->nspill; k++)
+		naive_fill(ask, p->spill[k], STEER_ANSWER_MAX, out);
+	for (int r = 0; r < REGIONS; r++)
+		naive_fill(ask, r, STEER_ANSWER_MAX, out);
+}
+
+static void test_lookup_as_naive(void **state)
+{
+	(void)state;
+	for (unsigned int seed = 0; seed < 400; seed++) {
+		make_view(seed);
+		for (uint64_t block = 0; block < 20; block++) {
+			struct steer_ask ask = {.region = (int)(block % 3),
+			                        .block = block};
+			struct steer_answer a;
+			struct steer_answer b;
+			int sum = 0;
+
+			steer_lookup(&view, &ask, &a);
+			naive_lookup(&ask, &b);
+			assert_int_equal(a.n, b.n);
+			for (int i = 0; i < a.n; i++) {
+				assert_int_equal(a.named[i].vm, b.named[i].vm);
+				sum += a.named[i].weight;
+			}
+			if (a.n)
+				assert_int_equal(sum, 1000);
+		}
+	}
+}
+
+/* Losing a VM moves only the callers whose first VM it was. */
+static void test_loss_moves_own_callers(void **state)
+{
+	struct steer_answer before[500];
+	struct steer_answer after;
+	int moved = 0;
+	int own = 0;
+
+	(void)state;
+	make_view(3);
+	for (int i = 0; i < VMS; i++)
+		vm[i].state = STEER_ACTIVE;
+	for (uint64_t b = 0; b < 500; b++)
+		steer_lookup(&view, &(struct steer_ask){.block = b},
+		             &before[b]);
+	vm[2].state = STEER_GONE;
+	for (uint64_t b = 0; b < 500; b++) {
+		steer_lookup(&view, &(struct steer_ask){.block = b}, &after);
+		own += before[b].named[0].vm == 2;
+		moved += before[b].named[0].vm != after.named[0].vm;
+		for (int i = 0; i < after.n; i++)
+			assert_int_not_equal(after.named[i].vm, 2);
+	}
+	assert_true(own > 20);
+	assert_int_equal(moved, own);
+}
+
+static void test_blocks_spread_evenly(void **state)
+{
+	int count[VMS] = {0};
+
+	(void)state;
+	make_view(3);
+	for (int i = 0; i < VMS; i++)
+		vm[i].state = STEER_ACTIVE;
+	for (uint64_t b = 0; b < 8000; b++) {
+		struct steer_answer a;
+
+		steer_lookup(&view, &(struct steer_ask){.block = b}, &a);
+		count[a.named[0].vm]++;
+	}
+	/* 8 VMs in the region: 1000 each, with a wide margin for chance. */
+	for (int i = view.first_vm[0]; i < view.first_vm[1]; i++) {
+		assert_true(count[i] > 850);
+		assert_true(count[i] < 1150);
+	}
+}
+
+static void test_shares_are_nested(void **state)
+{
+	struct steer_shift small = {.from = 0, .to = 1, .cap = 300, .share = 50};
+	struct steer_shift large = small;
+	int n = 0;
+
+	(void)state;
+	large.share = 75;
+	for (uint64_t b = 0; b < 20000; b++) {
+		if (steer_moved(&small, 0, b)) {
+			n++;
+			assert_true(steer_moved(&large, 0, b));
+		}
+		assert_false(steer_moved(&large, 1, b));
+	}
+	assert_true(n > 850 && n < 1150);
+	large.share = 900;
+	large.cap = 100;
+	n = 0;
+	for (uint64_t b = 0; b < 20000; b++)
+		n += steer_moved(&large, 0, b);
+	assert_true(n < 2200);
+}
+
+static void test_route(void **state)
+{
+	struct steer_route r;
+
+	(void)state;
+	for (unsigned int seed = 0; seed < 300; seed++) {
+		make_view(seed);
+		service.shift.to = 1;
+		for (int moved = 0; moved < 2; moved++) {
+			int home = steer_home(&service, REGIONS, 0, seed);
+
+			if (home == STEER_NONE)
+				continue;
+			assert_true(service.place[home].capacity > 0);
+			steer_route(&service, home, moved, &r);
+			for (int i = 0; i < r.n; i++) {
+				assert_true(service.place[r.region[i]]
+				                    .capacity > 0);
+				for (int k = 0; k < i; k++)
+					assert_int_not_equal(r.region[i],
+					                     r.region[k]);
+			}
+			if (moved && service.place[1].capacity > 0)
+				assert_int_equal(r.reason[0], STEER_SHIFTED);
+			else
+				assert_int_equal(r.region[0], home);
+		}
+	}
+}
+
+static void test_pick_keeps_the_limits(void **state)
+{
+	struct steer_upstream up[20];
+	struct steer_load load[20];
+
+	(void)state;
+	srand(5);
+	for (int round = 0; round < 20000; round++) {
+		struct steer_pick p = {
+			.upstream = up, .load = load, .n = 1 + rand() % 20,
+			.choice = (enum steer_choice)(rand() % 5),
+			.warmup_ms = 1000, .now_ms = 10000,
+			.random = (uint64_t)rand(),
+			.except = rand() % 4 ? STEER_NONE : 0};
+		int usable = 0;
+		int i;
+
+		for (i = 0; i < p.n; i++) {
+			up[i].slots = 1 + rand() % 6;
+			up[i].state = (enum steer_state)(rand() % 3);
+			load[i].outstanding = rand() % 7;
+			load[i].reported = rand() % 12 - 1;
+			load[i].reported_ms = 10000 - rand() % 4000;
+			load[i].latency_us = rand() % 9000;
+			load[i].failures = rand() % 1000;
+			load[i].since_ms = 0;
+			usable += up[i].state == STEER_ACTIVE &&
+			          load[i].outstanding < up[i].slots &&
+			          i != p.except;
+		}
+		i = steer_pick(&p);
+		if (!usable) {
+			assert_int_equal(i, STEER_NONE);
+			continue;
+		}
+		assert_in_range(i, 0, p.n - 1);
+		assert_int_equal(up[i].state, STEER_ACTIVE);
+		assert_true(load[i].outstanding < up[i].slots);
+		assert_int_not_equal(i, p.except);
+	}
+}
+
+/* Fast errors are cheap; they must not draw the traffic. */
+static void test_failing_upstream_repels(void **state)
+{
+	struct steer_upstream up[4] = {{.slots = 10}, {.slots = 10},
+	                               {.slots = 10}, {.slots = 10}};
+	struct steer_load load[4] = {{.reported = -1, .latency_us = 9000},
+	                             {.reported = -1, .latency_us = 9000},
+	                             {.reported = -1, .latency_us = 50,
+	                              .failures = 900},
+	                             {.reported = -1, .latency_us = 9000}};
+	int hits = 0;
+
+	(void)state;
+	for (uint64_t i = 0; i < 20000; i++) {
+		struct steer_pick p = {.upstream = up, .load = load, .n = 4,
+		                       .choice = i % 2 ? STEER_PROBE
+		                                       : STEER_POWER_OF_TWO,
+		                       .now_ms = 1, .random = prl_hash_pair(i, 9),
+		                       .except = STEER_NONE};
+
+		hits += steer_pick(&p) == 2;
+	}
+	assert_true(hits > 0);
+	assert_true(hits < 600);
+}
+
+static void test_cold_upstream_gets_less(void **state)
+{
+	struct steer_upstream up = {.slots = 10};
+	struct steer_load load = {.reported = -1, .since_ms = 1000};
+	struct steer_pick p = {.upstream = &up, .load = &load, .n = 1,
+	                       .warmup_ms = 1000, .now_ms = 1000,
+	                       .except = STEER_NONE};
+
+	(void)state;
+	load.outstanding = 1;
+	assert_int_equal(steer_pick(&p), 0);
+	load.outstanding = 2;
+	assert_int_equal(steer_pick(&p), STEER_NONE);
+	p.now_ms = 1500;
+	load.outstanding = 5;
+	assert_int_equal(steer_pick(&p), 0);
+	load.outstanding = 6;
+	assert_int_equal(steer_pick(&p), STEER_NONE);
+	p.now_ms = 2000;
+	load.outstanding = 9;
+	assert_int_equal(steer_pick(&p), 0);
+}
+
+static void test_steps(void **state)
+{
+	struct steer_step s = {
+		.shift = {.from = 0, .to = 1, .cap = 100, .step = 40,
+	                  .pace_ms = 1000, .plan = 7},
+		.progress = {.plan = 7, .share = 0}, .seen_ms = 0};
+	struct steer_progress next;
+
+	(void)state;
+	s.now_ms = 999;
+	assert_int_equal(steer_step(&s, &next), 0);
+	s.now_ms = 1000;
+	assert_int_equal(steer_step(&s, &next), 1);
+	assert_int_equal(next.share, 40);
+	s.progress.share = 80;
+	assert_int_equal(steer_step(&s, &next), 1);
+	assert_int_equal(next.share, 100);
+	s.progress.share = 100;
+	assert_int_equal(steer_step(&s, &next), 0);
+	s.latency_percent = 300;
+	s.progress.share = 40;
+	assert_int_equal(steer_step(&s, &next), 0);
+	s.shift.direction = STEER_BACK;
+	assert_int_equal(steer_step(&s, &next), 1);
+	assert_int_equal(next.share, 0);
+	s.shift.direction = STEER_PAUSE;
+	assert_int_equal(steer_step(&s, &next), 0);
+	/* A lowered cap counts at once. */
+	s.shift.cap = 20;
+	s.now_ms = 1;
+	assert_int_equal(steer_share(&s.shift, &s.progress), 20);
+	assert_int_equal(steer_step(&s, &next), 1);
+	assert_int_equal(next.share, 20);
+	/* Progress of another plan moves nothing. */
+	s.progress.plan = 8;
+	assert_int_equal(steer_share(&s.shift, &s.progress), 0);
+}
+
+static void test_never_twice(void **state)
+{
+	struct steer_rule rule[2] = {{"POST", "/accept*"}, {"DELETE", "/x"}};
+	struct steer_service s = {.rule = rule, .nrule = 2};
+
+	(void)state;
+	assert_true(steer_never_twice(&s, "POST", "/accept"));
+	assert_true(steer_never_twice(&s, "POST", "/accept/7"));
+	assert_false(steer_never_twice(&s, "GET", "/accept"));
+	assert_true(steer_never_twice(&s, "DELETE", "/x"));
+	assert_false(steer_never_twice(&s, "DELETE", "/xy"));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lookup_as_naive),
+		cmocka_unit_test(test_loss_moves_own_callers),
+		cmocka_unit_test(test_blocks_spread_evenly),
+		cmocka_unit_test(test_shares_are_nested),
+		cmocka_unit_test(test_route),
+		cmocka_unit_test(test_pick_keeps_the_limits),
+		cmocka_unit_test(test_failing_upstream_repels),
+		cmocka_unit_test(test_cold_upstream_gets_less),
+		cmocka_unit_test(test_steps),
+		cmocka_unit_test(test_never_twice),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/wire/test/test_wire.c
@@ -0,0 +1,171 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "codec.h"
+#include <cmocka.h>
+#include <primroselead/clock.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct wire_args probe_args(struct wire_vm *rumor)
+{
+	struct wire_args a = {.proc = WIRE_PROBE};
+	struct wire_vm vm = {"a", "r", "d", "127.0.0.1:1", "127.0.0.1:2", 3, 0};
+
+	*rumor = vm;
+	a.u.probe.from = vm;
+	a.u.probe.sequence = 77;
+	a.u.probe.digest.complete = 5;
+	a.u.probe.rumor.rumor_val = rumor;
+	a.u.probe.rumor.rumor_len = 1;
+	return a;
+}
+
+static void test_call_round_trip(void **state)
+{
+	struct wire_vm rumor;
+	struct wire_args a = probe_args(&rumor);
+	struct wire_args back;
+	struct wire_request r;
+	char data[2048];
+	size_t n = wire_encode_call(data, sizeof(data), 9, &a);
+
+	(void)state;
+	assert_true(n > 0);
+	assert_int_equal(wire_decode_call(data, n, &r, &back), 0);
+	assert_int_equal(r.xid, 9);
+	assert_int_equal(back.u.probe.sequence, 77);
+	assert_string_equal(back.u.probe.rumor.rumor_val[0].rpc,
+	                    "127.0.0.1:2");
+	wire_args_free(&back);
+	assert_int_equal(wire_encode_call(data, 40, 9, &a), 0);
+}
+
+static void test_reply_round_trip(void **state)
+{
+	struct wire_result r = {.proc = WIRE_CLAIM};
+	struct wire_result back = {.proc = WIRE_CLAIM};
+	char data[256];
+	size_t n;
+
+	(void)state;
+	r.u.verdict.token = 0x1234567890abcdefULL;
+	r.u.verdict.http_status = 201;
+	n = wire_encode_reply(data, sizeof(data), 4, &r);
+	assert_int_equal(wire_decode_reply(data, n, &back), 0);
+	assert_true(back.u.verdict.token == r.u.verdict.token);
+	assert_int_equal(back.u.verdict.http_status, 201);
+	wire_result_free(&back);
+}
+
+/* Valid messages with bytes changed, cut and added: decoded or refused, and
+ * never more in memory than the schema allows. */
+static void test_hostile_messages(void **state)
+{
+	struct wire_vm rumor;
+	struct wire_args a = probe_args(&rumor);
+	char valid[2048];
+	size_t n = wire_encode_call(valid, sizeof(valid), 9, &a);
+	int refused = 0;
+
+	(void)state;
+	srand(3);
+	for (int i = 0; i < 200000; i++) {
+		struct wire_args back;
+		struct wire_request r;
+		size_t len = n;
+		char *data;
+
+		if (rand() % 4 == 0)
+			len = (size_t)rand() % n;
+		/* On the heap, so that a read past its end is seen. */
+		data = malloc(len + 1);
+		memcpy(data, valid, len);
+		for (int k = rand() % 4; k > 0 && len; k--)
+			data[(size_t)rand() % len] = (char)rand();
+		if (wire_decode_call(data, len, &r, &back))
+			refused++;
+		else
+			wire_args_free(&back);
+		free(data);
+	}
+	assert_true(refused > 10000);
+}
+
+static void on_call(void *ctx, const struct wire_request *r,
+                    const struct wire_args *args)
+{
+	struct wire_node *n = ctx;
+	struct wire_result result = {.proc = WIRE_CLAIM};
+
+	if (args->proc != WIRE_CLAIM)
+		return;
+	result.u.verdict.token = args->u.claim.token + 1;
+	wire_reply(n, r, &result, NULL);
+}
+
+struct got {
+	int calls;
+	int answers;
+	uint64_t token;
+};
+
+static void on_done(void *ctx, const struct wire_result *result)
+{
+	struct got *g = ctx;
+
+	g->calls++;
+	if (!result)
+		return;
+	g->answers++;
+	g->token = result->u.verdict.token;
+}
+
+static void test_call_and_timeout(void **state)
+{
+	static struct wire_node a;
+	static struct wire_node b;
+	struct wire_args args = {.proc = WIRE_CLAIM, .u.claim.token = 41};
+	struct got got = {0};
+	struct wire_options o = {.deadline = prl_now_ms() + 1000,
+	                         .done = on_done, .ctx = &got};
+	struct loop l;
+
+	(void)state;
+	loop_init(&l, NULL);
+	assert_int_equal(wire_init(&a, &l, "127.0.0.1:28411", on_call, &a, NULL),
+	                 PRL_OK);
+	assert_int_equal(wire_init(&b, &l, "127.0.0.1:28412", on_call, &b, NULL),
+	                 PRL_OK);
+	wire_call(&a, "127.0.0.1:28412", &args, &o, NULL);
+	while (!got.calls)
+		loop_once(&l, prl_now_ms() + 100);
+	assert_int_equal(got.token, 42);
+	/* A call that nobody answers ends at its deadline, once. */
+	memset(&got, 0, sizeof(got));
+	args.proc = WIRE_PULL;
+	o.deadline = prl_now_ms() + 60;
+	o.repeat_ms = 20;
+	wire_call(&a, "127.0.0.1:28412", &args, &o, NULL);
+	while (!got.calls)
+		loop_once(&l, prl_now_ms() + 100);
+	assert_int_equal(got.answers, 0);
+	assert_true(b.received >= 3);
+	wire_finish(&a);
+	wire_finish(&b);
+	loop_finish(&l);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_call_round_trip),
+		cmocka_unit_test(test_reply_round_trip),
+		cmocka_unit_test(test_hostile_messages),
+		cmocka_unit_test(test_call_and_timeout),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
