--- a/base/test/test_base.c
+++ b/base/test/test_base.c
@@ -16,7 +16,7 @@
 
 	(void)state;
 	assert_int_equal(prl_fail(&err, PRL_E_CONFLICT, "x %d", 7),
-	                 PRL_E_CONFLICT);
+			 PRL_E_CONFLICT);
 	assert_string_equal(err.text, "x 7");
 	assert_string_equal(prl_code_name(err.code), "CONFLICT");
 	assert_string_equal(prl_code_name((enum prl_code)99), "UNKNOWN");
@@ -29,7 +29,7 @@
 	for (int i = 0; i < prl_codes_count; i++)
 		for (int k = 0; k < i; k++)
 			assert_int_not_equal(prl_code_exit((enum prl_code)i),
-			                     prl_code_exit((enum prl_code)k));
+					     prl_code_exit((enum prl_code)k));
 }
 
 static void test_error_text_is_cut(void **state)
@@ -50,8 +50,7 @@
 	char back[PRL_ADDRESS_MAX];
 	socklen_t len;
 
-	assert_int_equal(prl_address_parse(text, &addr, &len),
-	                 valid ? 0 : -1);
+	assert_int_equal(prl_address_parse(text, &addr, &len), valid ? 0 : -1);
 	if (!valid)
 		return;
 	prl_address_format(&addr, back, sizeof(back));
--- a/claim/include/primroselead/claim.h
+++ b/claim/include/primroselead/claim.h
@@ -162,7 +162,7 @@
 
 /** Starts unloaded. Returns PRL_OK or PRL_E_MEMORY. */
 enum prl_code claim_init(struct claim_shard *s, const struct claim_options *o,
-                         struct prl_error *err);
+			 struct prl_error *err);
 
 /** Frees what the shard holds. */
 void claim_finish(struct claim_shard *s);
--- a/claim/src/shard.c
+++ b/claim/src/shard.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 enum prl_code claim_init(struct claim_shard *s, const struct claim_options *o,
-                         struct prl_error *err)
+			 struct prl_error *err)
 {
 	memset(s, 0, sizeof(*s));
 	s->options = *o;
--- a/claim/test/test_claim.c
+++ b/claim/test/test_claim.c
@@ -10,12 +10,12 @@
 
 static struct claim_shard shard;
 static const struct claim_options options = {.retention_ms = 1000,
-                                             .segment_records = 4};
+					     .segment_records = 4};
 
 static struct claim_record record(uint64_t key, uint64_t token)
 {
 	return (struct claim_record){.key = {.high = 1, .low = key},
-	                             .token = token};
+				     .token = token};
 }
 
 static int setup(void **state)
@@ -79,8 +79,8 @@
 	text[w.len] = 0;
 	claim_unsettled(&shard);
 	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_LOAD);
-	seg = (struct claim_segment){.version = 3, .text = text,
-	                             .len = strlen(text)};
+	seg = (struct claim_segment){
+		.version = 3, .text = text, .len = strlen(text)};
 	assert_int_equal(claim_loaded(&shard, &seg, 1, NULL), PRL_OK);
 	assert_int_equal(claim_next(&shard, 5, &w), CLAIM_IDLE);
 	assert_int_equal(take().verdict, CLAIM_GRANTED);
@@ -133,8 +133,8 @@
 	assert_int_equal(granted, CLAIM_SEGMENTS * 4);
 	assert_int_equal(refused, 10);
 	assert_non_null(claim_find(&shard, record(0, 0).key));
-	claim_submit(&shard, &(struct claim_record){.key = {1, 9999},
-	                                            .token = 5}, 7);
+	claim_submit(&shard,
+		     &(struct claim_record){.key = {1, 9999}, .token = 5}, 7);
 	write_all(10 + 1001, &version);
 	assert_int_equal(take().verdict, CLAIM_GRANTED);
 	assert_null(claim_find(&shard, record(0, 0).key));
@@ -191,8 +191,13 @@
 static void test_bad_segments_are_refused(void **state)
 {
 	static const char *const bad[] = {
-		"", "x\n", "0 0 0 1\n", "0 0 0 300\n", "-1 0 0 0\n",
-		"1 0 0 0\n", "0 0 0 1\nzz\n",
+		"",
+		"x\n",
+		"0 0 0 1\n",
+		"0 0 0 300\n",
+		"-1 0 0 0\n",
+		"1 0 0 0\n",
+		"0 0 0 1\nzz\n",
 		"0 0 0 1\n00000000000000010000000000000001 "
 		"0000000000000001 7 000\n"};
 	struct prl_error err;
@@ -203,7 +208,7 @@
 		seg.text = bad[i];
 		seg.len = strlen(bad[i]);
 		assert_int_equal(claim_loaded(&shard, &seg, 1, &err),
-		                 PRL_E_PROTOCOL);
+				 PRL_E_PROTOCOL);
 	}
 	seg.slot = CLAIM_SEGMENTS;
 	assert_int_equal(claim_loaded(&shard, &seg, 1, &err), PRL_E_PROTOCOL);
@@ -226,21 +231,21 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_first_is_granted, setup,
-		                                teardown),
+						teardown),
 		cmocka_unit_test_setup_teardown(
 			test_lost_answer_is_found_by_token, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_store_down_refuses, setup,
-		                                teardown),
+						teardown),
 		cmocka_unit_test_setup_teardown(test_full_ring, setup,
-		                                teardown),
+						teardown),
 		cmocka_unit_test_setup_teardown(test_outcome_is_kept, setup,
-		                                teardown),
+						teardown),
 		cmocka_unit_test_setup_teardown(test_void_frees_the_key, setup,
-		                                teardown),
+						teardown),
 		cmocka_unit_test_setup_teardown(test_bad_segments_are_refused,
-		                                setup, teardown),
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_too_many_wait, setup,
-		                                teardown),
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -159,7 +159,7 @@
 	config_builder_init(&c->builder);
 	region = config_region(&c->builder, s->vm.region);
 	if (init_io(c, err) || claims_init(c, err) || peers_init(c, err) ||
-	    proxy_init(&c->proxy, s, region, &c->claims, err))
+	    proxy_init(&c->proxy, s, region, &c->claims, pool, err))
 		return err->code;
 	sync_init(c);
 	if (proxy_start(&c->proxy, pool, err))
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -20,8 +20,8 @@
 	g->control = c;
 	snprintf(g->service, sizeof(g->service), "%s", s->name);
 	grant_init(&g->capacity, c->settings->vm.name,
-	           c->member.peer[0].vm.incarnation,
-	           c->started_ms + s->deadline_ms);
+		   c->member.peer[0].vm.incarnation,
+		   c->started_ms + s->deadline_ms);
 	g_hash_table_insert(c->grants, g->service, g);
 	return g;
 }
@@ -39,12 +39,12 @@
 		snprintf(after, sizeof(after), "%d", p->row);
 		g->audited[i] = p->row;
 		log_event(LOG_AUDIT_LINE, "capacity", "service", g->service,
-		          "region", p->region, "from", before, "to", after,
-		          NULL);
+			  "region", p->region, "from", before, "to", after,
+			  NULL);
 	}
 	if (g->capacity.reclaimed)
 		log_event(LOG_AUDIT_LINE, "reclaimed", "service", g->service,
-		          NULL);
+			  NULL);
 	g->capacity.reclaimed = 0;
 }
 
@@ -61,10 +61,10 @@
 		grant_failed(&g->capacity);
 	else
 		rc = grant_read(&g->capacity, o->version, o->value, o->len,
-		                &err);
+				&err);
 	if (rc)
 		log_event(LOG_ERROR_LINE, "ledger", "service", g->service,
-		          "error", err.text, NULL);
+			  "error", err.text, NULL);
 	if (grant_trusted(&g->capacity))
 		backoff_reset(&g->backoff);
 	else
@@ -97,7 +97,7 @@
 }
 
 static void start_call(struct grant *g, enum store_op op,
-                       const struct grant_write *w, int64_t now)
+		       const struct grant_write *w, int64_t now)
 {
 	struct control *c = g->control;
 	struct store_call *call = &g->call;
@@ -105,7 +105,7 @@
 	memset(call, 0, sizeof(*call));
 	call->op = op;
 	snprintf(call->key, sizeof(call->key), STORE_PREFIX_GRANT "%s",
-	         g->service);
+		 g->service);
 	call->deadline = now + c->settings->store.timeout;
 	call->done = op == STORE_GET ? read_done : write_done;
 	call->ctx = g;
@@ -182,7 +182,7 @@
 
 /* Names of destroyed VMs whose last requests are over. */
 static struct grant_gone gone_vms(struct control *c, int64_t now,
-                                  const char **name)
+				  const char **name)
 {
 	struct grant_gone gone = {.vm = name};
 	GHashTableIter it;
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -23,8 +23,8 @@
 }
 
 /* The names in a message point into an array that the caller keeps. */
-static void fill_rumors(struct control *c, const char *to,
-                        struct member_vm *vm, struct wire_vm *out, u_int *n)
+static void fill_rumors(struct control *c, const char *to, struct member_vm *vm,
+			struct wire_vm *out, u_int *n)
 {
 	int count = member_rumors(&c->member, to, control_random(), vm);
 
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -10,12 +10,12 @@
 		const struct member_vm *vm = &c->member.peer[i].vm;
 
 		json_array_append_new(
-			list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:I}",
-					"name", vm->name, "state",
-					member_state_name(vm->state), "region",
-					vm->region, "domain", vm->domain,
-					"http", vm->http, "incarnation",
-					(json_int_t)vm->incarnation));
+			list,
+			json_pack("{s:s, s:s, s:s, s:s, s:s, s:I}", "name",
+				  vm->name, "region", vm->region, "state",
+				  member_state_name(vm->state), "domain",
+				  vm->domain, "http", vm->http, "incarnation",
+				  (json_int_t)vm->incarnation));
 	}
 	return list;
 }
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -3,6 +3,7 @@
 #include <primroselead/config.h>
 #include <primroselead/hash.h>
 #include <primroselead/store.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,18 +12,17 @@
 struct built {
 	struct steer_service service;
 	apr_pool_t *pool;
+	_Atomic int refs;
 };
 
-static void built_clear(void *p)
+static void built_release(void *p)
 {
 	struct built *b = p;
+	apr_pool_t *pool = b->pool;
 
-	apr_pool_destroy(b->pool);
-}
-
-static void built_release(void *p)
-{
-	g_atomic_rc_box_release_full(p, built_clear);
+	if (atomic_fetch_sub(&b->refs, 1) > 1)
+		return;
+	apr_pool_destroy(pool);
 }
 
 struct steer_service *config_service_ref(struct steer_service *s)
@@ -30,7 +30,7 @@
 	/* The service is the first member of its box. */
 	struct built *built = (struct built *)(void *)s;
 
-	g_atomic_rc_box_acquire(built);
+	atomic_fetch_add(&built->refs, 1);
 	return s;
 }
 
@@ -284,12 +284,19 @@
 
 static struct built *new_built(int64_t version)
 {
-	struct built *built = g_atomic_rc_box_new0(struct built);
+	apr_pool_t *pool;
+	struct built *built;
 
-	if (apr_pool_create_unmanaged(&built->pool)) {
-		g_atomic_rc_box_release(built);
+	if (apr_pool_create_unmanaged(&pool))
+		return NULL;
+	/* The box lies in its own pool, so that one call frees both. */
+	built = apr_pcalloc(pool, sizeof(*built));
+	if (!built) {
+		apr_pool_destroy(pool);
 		return NULL;
 	}
+	built->pool = pool;
+	atomic_init(&built->refs, 1);
 	built->service.version = version;
 	return built;
 }
--- a/config/src/view.c
+++ b/config/src/view.c
@@ -1,26 +1,34 @@
 #include "box.h"
 #include <primroselead/config.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
-static void view_clear(void *p)
+/* A view that threads share. */
+struct view_box {
+	struct steer_view view;
+	_Atomic int refs;
+};
+
+void config_view_release(struct steer_view *v)
 {
-	struct steer_view *v = p;
+	struct view_box *box = (struct view_box *)(void *)v;
 
+	if (atomic_fetch_sub(&box->refs, 1) > 1)
+		return;
 	for (int i = 0; i < v->nservice; i++)
 		config_service_release(v->service[i]);
 	g_free(v->service);
 	g_free(v->vm);
-}
-
-void config_view_release(struct steer_view *v)
-{
-	g_atomic_rc_box_release_full(v, view_clear);
+	g_free(box);
 }
 
 struct steer_view *config_view_ref(struct steer_view *v)
 {
-	return g_atomic_rc_box_acquire(v);
+	struct view_box *box = (struct view_box *)(void *)v;
+
+	atomic_fetch_add(&box->refs, 1);
+	return v;
 }
 
 static int by_region(const void *a, const void *b)
@@ -60,10 +68,12 @@
 				     const struct steer_vm *vm, int nvm,
 				     int64_t revision)
 {
-	struct steer_view *v = g_atomic_rc_box_new0(struct steer_view);
+	struct view_box *box = g_new0(struct view_box, 1);
+	struct steer_view *v = &box->view;
 	GHashTableIter it;
 	void *value;
 
+	atomic_init(&box->refs, 1);
 	v->revision = revision;
 	v->nregion = b->nregion;
 	memcpy(v->region, b->region, sizeof(v->region));
--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -93,7 +93,7 @@
  * upstreams until the given point of prl_now_ms.
  */
 void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
-                int64_t inherit_until);
+		int64_t inherit_until);
 
 /** Frees what the grant holds. */
 void grant_finish(struct limit_grant *g);
@@ -107,12 +107,12 @@
 
 /** Says what is to be done now. */
 enum grant_work grant_next(struct limit_grant *g, int64_t now,
-                           const struct grant_gone *gone,
-                           struct grant_write *w);
+			   const struct grant_gone *gone,
+			   struct grant_write *w);
 
 /** The ledger was read; a missing one has version 0 and no text. */
 enum prl_code grant_read(struct limit_grant *g, int64_t version,
-                         const char *text, size_t len, struct prl_error *err);
+			 const char *text, size_t len, struct prl_error *err);
 
 /** The write took effect. */
 void grant_written(struct limit_grant *g, int64_t version);
--- a/limit/include/primroselead/ledger.h
+++ b/limit/include/primroselead/ledger.h
@@ -68,7 +68,7 @@
 
 /** Row of a process, or null. */
 struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm,
-                              int64_t incarnation);
+			      int64_t incarnation);
 
 /** Tokens that no row has a share in, at the pool's capacity. */
 int ledger_unused(const struct ledger_pool *p);
@@ -79,8 +79,8 @@
  * sum to more than the whole.
  */
 enum prl_code ledger_set(struct ledger_pool *p, const char *vm,
-                         int64_t incarnation, int tokens,
-                         struct prl_error *err);
+			 int64_t incarnation, int tokens,
+			 struct prl_error *err);
 
 /** Drops the rows of a VM's processes before an incarnation. Returns how many
  * there were. */
--- a/limit/src/codec.c
+++ b/limit/src/codec.c
@@ -11,14 +11,14 @@
 #define WHOLE 1000000000.0
 
 static enum prl_code bad(struct prl_error *err, const char *region,
-                         const char *what)
+			 const char *what)
 {
 	return prl_fail(err, PRL_E_PROTOCOL, "ledger, region \"%s\": %s",
-	                region, what);
+			region, what);
 }
 
 static enum prl_code read_row(struct ledger_pool *p, json_t *item,
-                              double *shares, struct prl_error *err)
+			      double *shares, struct prl_error *err)
 {
 	struct ledger_row row = {0};
 	json_int_t incarnation;
@@ -27,7 +27,7 @@
 	const char *vm;
 
 	if (json_unpack(item, "{s:s, s:I, s:I, s:I}", "vm", &vm, "incarnation",
-	                &incarnation, "tokens", &tokens, "base", &base))
+			&incarnation, "tokens", &tokens, "base", &base))
 		return bad(err, p->region, "a row is not valid");
 	if (!*vm || strlen(vm) >= LEDGER_NAME_MAX ||
 	    ledger_row(p, vm, incarnation))
@@ -43,7 +43,7 @@
 }
 
 static enum prl_code read_rows(struct ledger_pool *p, json_t *rows,
-                               struct prl_error *err)
+			       struct prl_error *err)
 {
 	double shares = 0;
 
@@ -57,7 +57,7 @@
 }
 
 static enum prl_code read_pool(struct ledger *l, json_t *item,
-                               struct prl_error *err)
+			       struct prl_error *err)
 {
 	const char *region;
 	json_int_t capacity;
@@ -66,8 +66,8 @@
 	struct ledger_pool *p;
 
 	if (json_unpack(item, "{s:s, s:I, s:I, s:o}", "region", &region,
-	                "capacity", &capacity, "config", &config, "rows",
-	                &rows))
+			"capacity", &capacity, "config", &config, "rows",
+			&rows))
 		return bad(err, "", "a pool is not valid");
 	if (!*region || strlen(region) >= LEDGER_NAME_MAX || capacity < 0 ||
 	    capacity > TOKENS_MAX)
@@ -81,7 +81,7 @@
 }
 
 enum prl_code ledger_read(struct ledger *l, const char *text, size_t len,
-                          struct prl_error *err)
+			  struct prl_error *err)
 {
 	json_t *root = json_loadb(text, len, 0, NULL);
 	json_t *pools = json_object_get(root, "pools");
@@ -106,14 +106,14 @@
 		const struct ledger_row *r = &p->row[i];
 
 		json_array_append_new(
-			rows, json_pack("{s:s, s:I, s:i, s:i}", "vm", r->vm,
-		                        "incarnation",
-		                        (json_int_t)r->incarnation, "tokens",
-		                        r->tokens, "base", r->base));
+			rows,
+			json_pack("{s:s, s:I, s:i, s:i}", "vm", r->vm,
+				  "incarnation", (json_int_t)r->incarnation,
+				  "tokens", r->tokens, "base", r->base));
 	}
 	return json_pack("{s:s, s:i, s:I, s:o}", "region", p->region,
-	                 "capacity", p->capacity, "config",
-	                 (json_int_t)p->config, "rows", rows);
+			 "capacity", p->capacity, "config",
+			 (json_int_t)p->config, "rows", rows);
 }
 
 char *ledger_write(const struct ledger *l)
--- a/limit/src/grant.c
+++ b/limit/src/grant.c
@@ -7,7 +7,7 @@
 #define READ_AGAIN_MS 2000
 
 void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
-                int64_t inherit_until)
+		int64_t inherit_until)
 {
 	memset(g, 0, sizeof(*g));
 	snprintf(g->vm, sizeof(g->vm), "%s", vm);
@@ -86,7 +86,7 @@
 }
 
 static const struct ledger_row *own_row(struct limit_grant *g,
-                                        const struct grant_pool *p)
+					const struct grant_pool *p)
 {
 	const struct ledger_pool *lp = ledger_pool(&g->ledger, p->region);
 
@@ -127,7 +127,7 @@
 }
 
 enum prl_code grant_read(struct limit_grant *g, int64_t version,
-                         const char *text, size_t len, struct prl_error *err)
+			 const char *text, size_t len, struct prl_error *err)
 {
 	struct ledger fresh;
 	enum prl_code rc;
@@ -208,7 +208,7 @@
 
 /* Drops rows whose process is gone and whose requests are over. */
 static int reclaim(struct limit_grant *g, struct ledger_pool *lp, int64_t now,
-                   const struct grant_gone *gone)
+		   const struct grant_gone *gone)
 {
 	int before = g->reclaimed;
 
@@ -216,13 +216,12 @@
 		g->reclaimed += ledger_drop(lp, g->vm, g->incarnation);
 	for (int i = 0; i < gone->n; i++)
 		if (strcmp(gone->vm[i], g->vm) != 0)
-			g->reclaimed +=
-				ledger_drop(lp, gone->vm[i], INT64_MAX);
+			g->reclaimed += ledger_drop(lp, gone->vm[i], INT64_MAX);
 	return g->reclaimed != before;
 }
 
 static int wish(struct limit_grant *g, struct grant_pool *p,
-                const struct ledger_pool *lp)
+		const struct ledger_pool *lp)
 {
 	int64_t refused = (int64_t)atomic_load(&p->hold->refused);
 	struct ledger_wish w = {
@@ -244,7 +243,7 @@
 
 /* Plans one pool's row. Returns 1 if the ledger must be written. */
 static int plan_pool(struct limit_grant *g, struct grant_pool *p, int64_t now,
-                     const struct grant_gone *gone)
+		     const struct grant_gone *gone)
 {
 	struct ledger_pool *lp = ledger_pool(&g->ledger, p->region);
 	int changed;
@@ -270,7 +269,7 @@
 }
 
 static int plan(struct limit_grant *g, int64_t now,
-                const struct grant_gone *gone)
+		const struct grant_gone *gone)
 {
 	int changed = g->unsure;
 
@@ -282,8 +281,7 @@
 }
 
 enum grant_work grant_next(struct limit_grant *g, int64_t now,
-                           const struct grant_gone *gone,
-                           struct grant_write *w)
+			   const struct grant_gone *gone, struct grant_write *w)
 {
 	grant_settle(g);
 	if (g->busy)
--- a/limit/src/ledger.c
+++ b/limit/src/ledger.c
@@ -32,7 +32,7 @@
 }
 
 struct ledger_row *ledger_row(const struct ledger_pool *p, const char *vm,
-                              int64_t incarnation)
+			      int64_t incarnation)
 {
 	for (int i = 0; i < p->nrow; i++)
 		if (p->row[i].incarnation == incarnation &&
@@ -50,7 +50,7 @@
 }
 
 static int64_t share_of_others(const struct ledger_pool *p,
-                               const struct ledger_row *self)
+			       const struct ledger_row *self)
 {
 	int64_t sum = 0;
 
@@ -92,7 +92,7 @@
 }
 
 static struct ledger_row *add_row(struct ledger_pool *p, const char *vm,
-                                  int64_t incarnation)
+				  int64_t incarnation)
 {
 	struct ledger_row *bigger;
 	struct ledger_row *row;
@@ -113,21 +113,20 @@
 }
 
 enum prl_code ledger_put(struct ledger_pool *p, const struct ledger_row *row,
-                         struct prl_error *err)
+			 struct prl_error *err)
 {
 	struct ledger_row *copy = add_row(p, row->vm, row->incarnation);
 
 	if (!copy)
 		return prl_fail(err, PRL_E_MEMORY, "ledger row of \"%s\"",
-		                row->vm);
+				row->vm);
 	copy->tokens = row->tokens;
 	copy->base = row->base;
 	return PRL_OK;
 }
 
 enum prl_code ledger_set(struct ledger_pool *p, const char *vm,
-                         int64_t incarnation, int tokens,
-                         struct prl_error *err)
+			 int64_t incarnation, int tokens, struct prl_error *err)
 {
 	struct ledger_row *row = ledger_row(p, vm, incarnation);
 	int64_t others = share_of_others(p, row);
@@ -139,10 +138,10 @@
 	}
 	if (tokens < 0 || others + tokens > p->capacity)
 		return prl_fail(err, PRL_E_LIMIT,
-		                "region \"%s\": %d tokens for \"%s\" and %lld "
-		                "of others exceed the capacity of %d",
-		                p->region, tokens, vm, (long long)others,
-		                p->capacity);
+				"region \"%s\": %d tokens for \"%s\" and %lld "
+				"of others exceed the capacity of %d",
+				p->region, tokens, vm, (long long)others,
+				p->capacity);
 	if (!row)
 		row = add_row(p, vm, incarnation);
 	if (!row)
--- a/limit/src/rows.h
+++ b/limit/src/rows.h
@@ -5,6 +5,6 @@
 
 /** Adds a row as it stands; the caller checks the sum of the shares. */
 enum prl_code ledger_put(struct ledger_pool *p, const struct ledger_row *row,
-                         struct prl_error *err);
+			 struct prl_error *err);
 
 #endif
--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -158,7 +158,11 @@
 static void test_ledger_refuses_bad_texts(void **state)
 {
 	static const char *const bad[] = {
-		"", "{}", "[]", "{\"pools\":1}", "{\"pools\":[{}]}",
+		"",
+		"{}",
+		"[]",
+		"{\"pools\":1}",
+		"{\"pools\":[{}]}",
 		"{\"pools\":[{\"region\":\"a\",\"capacity\":-1,\"config\":0,"
 		"\"rows\":[]}]}",
 		"{\"pools\":[{\"region\":\"a\",\"capacity\":2,\"config\":0,"
@@ -175,7 +179,7 @@
 	(void)state;
 	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++)
 		assert_int_equal(ledger_read(&l, bad[i], strlen(bad[i]), &err),
-		                 PRL_E_PROTOCOL);
+				 PRL_E_PROTOCOL);
 }
 
 static void test_plan_stays_in_bounds(void **state)
@@ -183,11 +187,14 @@
 	(void)state;
 	srand(2);
 	for (int i = 0; i < 100000; i++) {
-		struct ledger_wish w = {
-			.mine = rand() % 50, .unused = rand() % 50,
-			.capacity = 100, .local_vms = rand() % 5,
-			.all_vms = 5 + rand() % 8, .local = rand() % 2,
-			.peak = rand() % 50, .refused = rand() % 3};
+		struct ledger_wish w = {.mine = rand() % 50,
+					.unused = rand() % 50,
+					.capacity = 100,
+					.local_vms = rand() % 5,
+					.all_vms = 5 + rand() % 8,
+					.local = rand() % 2,
+					.peak = rand() % 50,
+					.refused = rand() % 3};
 		int n = ledger_plan(&w);
 
 		assert_true(n >= 0);
@@ -196,7 +203,7 @@
 }
 
 static void grant_setup(struct limit_grant *g, struct limit_hold *h,
-                        const char *vm, int capacity, int64_t config)
+			const char *vm, int capacity, int64_t config)
 {
 	struct grant_pool *p;
 
--- a/loop/src/mailbox.c
+++ b/loop/src/mailbox.c
@@ -5,11 +5,21 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+static void *pop(struct mailbox *m)
+{
+	void *item;
+
+	apr_thread_mutex_lock(m->lock);
+	item = g_queue_pop_head(&m->queue);
+	apr_thread_mutex_unlock(m->lock);
+	return item;
+}
+
 static void receive_all(struct mailbox *m)
 {
 	void *item;
 
-	while ((item = g_async_queue_try_pop(m->queue)))
+	while ((item = pop(m)))
 		m->receive(m->ctx, item);
 }
 
@@ -30,12 +40,17 @@
 {
 	m->receive = receive;
 	m->ctx = ctx;
+	g_queue_init(&m->queue);
+	if (apr_pool_create_unmanaged(&m->pool))
+		return prl_fail(err, PRL_E_MEMORY, "mailbox");
+	if (apr_thread_mutex_create(&m->lock, APR_THREAD_MUTEX_DEFAULT,
+				    m->pool))
+		return prl_fail(err, PRL_E_MEMORY, "lock of a mailbox");
 	m->wake.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (m->wake.fd < 0)
 		return prl_fail(err, PRL_E_IO, "eventfd: %s", strerror(errno));
 	m->wake.ready = woken;
 	m->wake.ctx = m;
-	m->queue = g_async_queue_new();
 	return loop_add(l, &m->wake, EPOLLIN, err);
 }
 
@@ -44,14 +59,16 @@
 	receive_all(m);
 	loop_remove(l, &m->wake);
 	close(m->wake.fd);
-	g_async_queue_unref(m->queue);
+	apr_pool_destroy(m->pool);
 }
 
 void mailbox_send(struct mailbox *m, void *item)
 {
 	uint64_t one = 1;
 
-	g_async_queue_push(m->queue, item);
+	apr_thread_mutex_lock(m->lock);
+	g_queue_push_tail(&m->queue, item);
+	apr_thread_mutex_unlock(m->lock);
 	if (write(m->wake.fd, &one, sizeof(one)) < 0)
 		return; /* the counter is full, so the loop is awake */
 }
--- /dev/null
+++ b/loop/test/test_loop.c
@@ -0,0 +1,96 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/clock.h>
+#include <primroselead/mailbox.h>
+#include <pthread.h>
+
+#define SENDERS 4
+#define ITEMS 5000
+
+static struct loop loop;
+static struct mailbox box;
+static int received;
+static int last[SENDERS];
+
+static void receive(void *ctx, void *item)
+{
+	uintptr_t v = (uintptr_t)item;
+	int sender = (int)(v / 100000) - 1;
+	int number = (int)(v % 100000);
+
+	(void)ctx;
+	/* What one thread sends arrives in its order. */
+	assert_int_equal(number, last[sender] + 1);
+	last[sender] = number;
+	if (++received == SENDERS * ITEMS)
+		loop_stop(&loop);
+}
+
+static void *send_all(void *arg)
+{
+	uintptr_t base = ((uintptr_t)arg + 1) * 100000;
+
+	for (uintptr_t i = 1; i <= ITEMS; i++)
+		mailbox_send(&box, (void *)(base + i));
+	return NULL;
+}
+
+static void test_mailbox_keeps_all(void **state)
+{
+	pthread_t t[SENDERS];
+
+	(void)state;
+	loop_init(&loop, NULL);
+	mailbox_init(&box, &loop, receive, NULL, NULL);
+	for (uintptr_t i = 0; i < SENDERS; i++)
+		pthread_create(&t[i], NULL, send_all, (void *)i);
+	loop_run(&loop);
+	for (int i = 0; i < SENDERS; i++)
+		pthread_join(t[i], NULL);
+	assert_int_equal(received, SENDERS * ITEMS);
+	mailbox_finish(&box, &loop);
+	loop_finish(&loop);
+}
+
+static int fired;
+
+static void due(struct loop_timer *t, int64_t now)
+{
+	(void)now;
+	fired++;
+	if (fired < 3)
+		t->deadline = prl_now_ms() + 10;
+	else
+		loop_stop(t->ctx);
+}
+
+static void test_timer(void **state)
+{
+	struct loop l;
+	struct loop_timer t = {.due = due, .ctx = &l};
+	int64_t began = prl_now_ms();
+
+	(void)state;
+	loop_init(&l, NULL);
+	loop_timer_add(&l, &t);
+	t.deadline = began + 10;
+	loop_run(&l);
+	assert_int_equal(fired, 3);
+	assert_true(prl_now_ms() - began >= 30);
+	loop_timer_remove(&l, &t);
+	loop_finish(&l);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_mailbox_keeps_all),
+		cmocka_unit_test(test_timer),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -143,7 +143,7 @@
  * Returns how many.
  */
 int member_rumors(struct member_table *m, const char *to, uint64_t random,
-                  struct member_vm out[MEMBER_RUMORS_MAX]);
+		  struct member_vm out[MEMBER_RUMORS_MAX]);
 
 /** Says that this VM leaves. */
 void member_leave(struct member_table *m);
--- a/member/src/probe.c
+++ b/member/src/probe.c
@@ -173,7 +173,7 @@
 }
 
 static int add_receiver(const struct member_table *m, const char *to,
-                        struct member_vm *out)
+			struct member_vm *out)
 {
 	for (int i = 1; i < m->n; i++) {
 		const struct member_vm *vm = &m->peer[i].vm;
@@ -189,7 +189,7 @@
 }
 
 int member_rumors(struct member_table *m, const char *to, uint64_t random,
-                  struct member_vm out[MEMBER_RUMORS_MAX])
+		  struct member_vm out[MEMBER_RUMORS_MAX])
 {
 	int n = add_receiver(m, to, out);
 	int kept = 0;
--- a/member/src/rank.c
+++ b/member/src/rank.c
@@ -21,6 +21,8 @@
 	int limit = max < MEMBER_RANK_MAX ? max : MEMBER_RANK_MAX;
 	int n = 0;
 
+	if (limit <= 0)
+		return 0;
 	for (int i = 0; i < m->n; i++) {
 		uint64_t w;
 		int k;
--- a/member/test/test_member.c
+++ b/member/test/test_member.c
@@ -41,7 +41,7 @@
 static void start(int i, int64_t incarnation)
 {
 	struct member_options o = {.period_ms = PERIOD_MS,
-	                           .suspect_ms = SUSPECT_MS};
+				   .suspect_ms = SUSPECT_MS};
 	struct member_vm vm = self(i, incarnation);
 
 	member_init(&table[i], &vm, &o, NULL);
@@ -62,7 +62,7 @@
 {
 	struct member_vm rumor[MEMBER_RUMORS_MAX];
 	int n = member_rumors(&table[from], table[to].peer[0].vm.rpc,
-	                      next_random(), rumor);
+			      next_random(), rumor);
 
 	member_hear(&table[to], &table[from].peer[0].vm, now);
 	for (int i = 0; i < n; i++)
@@ -206,10 +206,10 @@
 	for (int i = 0; i < VMS; i++)
 		if (i != 3)
 			member_hear(&table[i],
-			            &(struct member_vm){.name = "vm3",
-			                                .incarnation = 1,
-			                                .state = MEMBER_DEAD},
-			            22000);
+				    &(struct member_vm){.name = "vm3",
+							.incarnation = 1,
+							.state = MEMBER_DEAD},
+				    22000);
 	assert_int_equal(count_state(3, MEMBER_LIVE), VMS);
 	finish_all();
 }
@@ -264,7 +264,7 @@
 		member_rank(&table[i], NULL, 5, rank, VMS);
 		for (int k = 0; k < VMS; k++)
 			assert_string_equal(table[i].peer[rank[k]].vm.name,
-			                    table[0].peer[all[k]].vm.name);
+					    table[0].peer[all[k]].vm.name);
 	}
 	n = member_rank(&table[0], "d1", 5, rank, VMS);
 	assert_int_equal(n, 7);
@@ -276,7 +276,7 @@
 
 		snprintf(name, sizeof(name), "vm%d", i);
 		assert_string_equal(member_find(&table[0], name)->vm.name,
-		                    name);
+				    name);
 	}
 	run(10000, 12000);
 	finish_all();
--- a/mk/model.mk
+++ b/mk/model.mk
@@ -1,10 +1,14 @@
 # The model that the fuzzer and the mutant check drive.
-MODEL_OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(filter-out model/main.c model/fuzz_%.c,$(wildcard model/*.c)))
+MODEL_OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(filter-out model/main.c model/test_%.c model/fuzz_%.c,$(wildcard model/*.c)))
 
 $(OUT)/model/%.o: model/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
 
+$(OUT)/test/model/test_model: $(OUT)/model/test_model.o $(MODEL_OBJECTS) $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS) -lcmocka
+
 $(OUT)/bin/model: $(OUT)/model/main.o $(MODEL_OBJECTS) $(LIBRARIES)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -20,7 +20,7 @@
 	$(CC) $(CFLAGS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
 
 .PHONY: tests check check-one bench fuzz capacity mutants
-tests: $(TESTS) $(SYSTEM_TESTS)
+tests: $(TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model
 
 check:
 	tools/check
--- /dev/null
+++ b/model/fuzz_model.c
@@ -0,0 +1,19 @@
+#include "model.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Bytes choose the events; what they leave open a fixed generator does. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct model_input in = {.bytes = data, .n = size, .seed = 1};
+	struct model_result out;
+
+	in.events = (long)(size / 4 + 50);
+	if (model_run(&in, &out)) {
+		fprintf(stderr, "event %ld: %s\n", out.events, out.failure);
+		abort();
+	}
+	return 0;
+}
--- a/model/main.c
+++ b/model/main.c
@@ -12,7 +12,7 @@
 
 	for (long i = 0; i < runs; i++) {
 		struct model_input in = {.seed = first + (uint64_t)i,
-		                         .events = events};
+					 .events = events};
 		struct model_result r;
 
 		if (model_run(&in, &r)) {
--- a/model/model.c
+++ b/model/model.c
@@ -55,7 +55,7 @@
 	snprintf(text, sizeof(text), "%d", w->nconfig);
 	w->publishing[op] = 1;
 	store_begin(w, CALL_PUBLISH, -1 - op, "steer/services/s",
-	            w->expected[op], text, w->nconfig);
+		    w->expected[op], text, w->nconfig);
 	w->nconfig++;
 }
 
--- a/model/oracle.c
+++ b/model/oracle.c
@@ -66,7 +66,8 @@
 
 		if (v->alive && v->config >= 0 &&
 		    !w->config[v->config].accepted)
-			fail(w, "vm %d has a configuration in force that was "
+			fail(w,
+			     "vm %d has a configuration in force that was "
 			     "not accepted",
 			     i);
 	}
@@ -83,8 +84,30 @@
 		     (long long)w->moved, (long long)w->cap_credit / 1000);
 }
 
+/* No row is left of a process that is gone, else its capacity is lost. */
+static void check_lost_rows(struct world *w)
+{
+	const struct fake_object *o = store_find(w, "grants/s");
+	struct ledger l;
+
+	if (!o || ledger_read(&l, o->value, strlen(o->value), NULL))
+		return;
+	for (int i = 0; i < l.npool; i++)
+		for (int k = 0; k < l.pool[i].nrow; k++) {
+			const struct ledger_row *r = &l.pool[i].row[k];
+			int vm = r->vm[2] - '0';
+
+			if (r->incarnation != w->vm[vm].incarnation)
+				fail(w,
+				     "the row of \"%s\", incarnation %lld, "
+				     "was never dropped",
+				     r->vm, (long long)r->incarnation);
+		}
+	ledger_finish(&l);
+}
+
 /* After everything is mended: the newest configuration is in force on every
- * VM, and capacity is not lost for good. */
+ * VM, no claim waits for ever, and no capacity is lost. */
 void oracle_settled(struct world *w)
 {
 	for (int i = 0; i < VMS; i++) {
@@ -92,9 +115,15 @@
 
 		if (!v->alive || w->current < 0)
 			continue;
+		if (claim_waiting(&v->claims))
+			fail(w, "vm %d has a claim that waits for ever", i);
+		if (!grant_trusted(&v->grant))
+			fail(w, "vm %d does not get hold of the ledger", i);
 		if (v->config != w->current)
-			fail(w, "vm %d has configuration %d in force, the "
+			fail(w,
+			     "vm %d has configuration %d in force, the "
 			     "newest is %d",
 			     i, v->config, w->current);
 	}
+	check_lost_rows(w);
 }
--- a/model/store.c
+++ b/model/store.c
@@ -11,8 +11,8 @@
 }
 
 void store_begin(struct world *w, enum call_purpose purpose, int vm,
-                 const char *key, int64_t version, const char *value,
-                 int config)
+		 const char *key, int64_t version, const char *value,
+		 int config)
 {
 	for (int i = 0; i < CALLS; i++) {
 		struct fake_call *c = &w->call[i];
--- /dev/null
+++ b/model/test_model.c
@@ -0,0 +1,46 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "model.h"
+#include <cmocka.h>
+
+/* A fixed number of runs, which includes every seed that once failed. */
+#define SEEDS 300
+#define EVENTS 2000
+
+static void test_seeds(void **state)
+{
+	struct model_result sum = {0};
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct model_input in = {.seed = seed, .events = EVENTS};
+		struct model_result r;
+
+		if (model_run(&in, &r))
+			fail_msg("seed %llu, event %ld: %s",
+				 (unsigned long long)seed, r.events, r.failure);
+		sum.runs += r.runs;
+		sum.claims_taken += r.claims_taken;
+		sum.moved += r.moved;
+		sum.late_writes += r.late_writes;
+		sum.reclaimed += r.reclaimed;
+	}
+	/* The runs reach what they are meant to test. */
+	assert_true(sum.runs > 10000);
+	assert_true(sum.claims_taken > 100);
+	assert_true(sum.moved > 50);
+	assert_true(sum.late_writes > 100);
+	assert_true(sum.reclaimed > 100);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_seeds),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/model/vm.c
+++ b/model/vm.c
@@ -21,7 +21,7 @@
 	struct fake_vm *v = &w->vm[i];
 	int incarnation = v->incarnation + 1;
 	struct claim_options claims = {.retention_ms = 600000,
-	                               .segment_records = SEGMENT_RECORDS};
+				       .segment_records = SEGMENT_RECORDS};
 	char name[16];
 
 	memset(v, 0, sizeof(*v));
@@ -59,7 +59,7 @@
 
 /* Brings a configuration of the copy into force. */
 static void install_config(struct world *w, struct fake_vm *v, int64_t version,
-                           const char *text)
+			   const char *text)
 {
 	int index = atoi(text);
 	const struct fake_config *c = &w->config[index];
@@ -89,12 +89,15 @@
 			up->slots = 1000;
 			up->region = r;
 			up->state = c->draining == r * UPSTREAMS + u
-			                    ? STEER_LEAVING
-			                    : STEER_ACTIVE;
+					    ? STEER_LEAVING
+					    : STEER_ACTIVE;
 		}
 	}
 	s->shift = (struct steer_shift){
-		.from = c->from, .to = c->to, .cap = c->cap, .step = 50,
+		.from = c->from,
+		.to = c->to,
+		.cap = c->cap,
+		.step = 50,
 		.pace_ms = 1000,
 		.direction = (enum steer_direction)c->direction,
 		.plan = (uint64_t)(c->from * REGIONS + c->to + 1),
@@ -102,7 +105,7 @@
 }
 
 static void install(struct world *w, struct fake_vm *v, const char *key,
-                    int64_t version, const char *value)
+		    int64_t version, const char *value)
 {
 	if (spread_install(&v->copy, key, version, value, strlen(value)))
 		return;
@@ -133,8 +136,8 @@
 		for (int k = 0; k < w->nobject; k++)
 			if (!strncmp(w->object[k].key, "steer/", 6))
 				install(w, v, w->object[k].key,
-				        w->object[k].version,
-				        w->object[k].value);
+					w->object[k].version,
+					w->object[k].value);
 		spread_extend(&v->copy, v->copy.complete, w->revision);
 		return;
 	}
@@ -161,7 +164,7 @@
 }
 
 static struct grant_gone find_gone(const struct world *w, const char **names,
-                                   char store[VMS][16])
+				   char store[VMS][16])
 {
 	struct grant_gone gone = {.vm = names};
 	int64_t rest = LIST_LAG_MS + LEASE_MS + DEADLINE_MS;
@@ -203,7 +206,7 @@
 	case GRANT_WRITE:
 		w->out->reclaimed += v->grant.reclaimed;
 		store_begin(w, CALL_GRANT_WRITE, i, "grants/s", gw.version,
-		            gw.text, 0);
+			    gw.text, 0);
 		break;
 	case GRANT_IDLE:
 		break;
@@ -229,7 +232,7 @@
 		v->claim_busy = 1;
 		snprintf(key, sizeof(key), "claims/0/%d", cw.slot);
 		store_begin(w, CALL_CLAIM_WRITE, i, key, cw.version, cw.text,
-		            0);
+			    0);
 		break;
 	case CLAIM_IDLE:
 		break;
@@ -241,18 +244,19 @@
 {
 	struct fake_vm *v = &w->vm[i];
 	struct steer_progress next;
-	struct steer_step step = {
-		.shift = v->service.shift, .progress = v->progress,
-		.seen_ms = v->progress_seen, .now_ms = w->now};
+	struct steer_step step = {.shift = v->service.shift,
+				  .progress = v->progress,
+				  .seen_ms = v->progress_seen,
+				  .now_ms = w->now};
 	char text[48];
 
 	if (v->step_busy || !steer_step(&step, &next))
 		return;
 	v->step_busy = 1;
 	snprintf(text, sizeof(text), "%llu %d", (unsigned long long)next.plan,
-	         next.share);
+		 next.share);
 	store_begin(w, CALL_STEP, i, "steer/shifts/s", v->progress_version,
-	            text, 0);
+		    text, 0);
 }
 
 static void confirm(struct fake_vm *v)
@@ -296,11 +300,13 @@
 {
 	struct fake_vm *v = &w->vm[i];
 	struct steer_load load[UPSTREAMS] = {0};
-	struct steer_pick p = {
-		.upstream = v->upstream + a->region * UPSTREAMS,
-		.load = load, .n = UPSTREAMS, .choice = STEER_POWER_OF_TWO,
-		.now_ms = w->now, .random = choose(w, 256),
-		.except = STEER_NONE};
+	struct steer_pick p = {.upstream = v->upstream + a->region * UPSTREAMS,
+			       .load = load,
+			       .n = UPSTREAMS,
+			       .choice = STEER_POWER_OF_TWO,
+			       .now_ms = w->now,
+			       .random = choose(w, 256),
+			       .except = STEER_NONE};
 	int u = steer_pick(&p);
 
 	if (u == STEER_NONE) {
@@ -315,10 +321,14 @@
 
 		if (f->used)
 			continue;
-		*f = (struct flight){
-			.used = 1, .vm = i, .incarnation = v->incarnation,
-			.region = a->region, .key = a->key, .token = a->token,
-			.deadline = a->deadline, .config = a->config};
+		*f = (struct flight){.used = 1,
+				     .vm = i,
+				     .incarnation = v->incarnation,
+				     .region = a->region,
+				     .key = a->key,
+				     .token = a->token,
+				     .deadline = a->deadline,
+				     .config = a->config};
 		oracle_ran(w, f);
 		return;
 	}
@@ -387,7 +397,7 @@
 }
 
 static int decide_moved(struct world *w, struct fake_vm *v, int home,
-                        uint64_t block)
+			uint64_t block)
 {
 	const struct steer_shift *h = &v->service.shift;
 
@@ -472,7 +482,7 @@
 		grant_written(&v->grant, c->result);
 	else if (c->nread)
 		grant_read(&v->grant, o->version, o->value, strlen(o->value),
-		           NULL);
+			   NULL);
 	else
 		grant_read(&v->grant, 0, "", 0, NULL);
 }
@@ -495,7 +505,7 @@
 }
 
 static void write_answer(struct world *w, struct fake_vm *v,
-                         const struct fake_call *c)
+			 const struct fake_call *c)
 {
 	switch (c->code) {
 	case PRL_OK:
--- a/model/world.h
+++ b/model/world.h
@@ -180,8 +180,8 @@
 
 /* store.c */
 void store_begin(struct world *w, enum call_purpose purpose, int vm,
-                 const char *key, int64_t version, const char *value,
-                 int config);
+		 const char *key, int64_t version, const char *value,
+		 int config);
 void store_reach(struct world *w, int i);
 void store_return(struct world *w, int i, int lost);
 void store_expire(struct world *w);
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSELEAD_PROXY_H
 #define PRIMROSELEAD_PROXY_H
 
+#include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
@@ -140,13 +141,13 @@
 	/** Counters of the control thread. */
 	struct metrics control;
 	/** Status text, replaced by the control thread. */
-	GMutex status_lock;
+	apr_thread_mutex_t *status_lock;
 	char *status;
 };
 
 /** Makes the shared tables. Returns PRL_OK or PRL_E_MEMORY. */
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims,
+			 int region, struct mailbox *claims, apr_pool_t *pool,
 			 struct prl_error *err);
 
 /** Starts the traffic threads. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY. */
--- a/proxy/src/own.c
+++ b/proxy/src/own.c
@@ -61,12 +61,12 @@
 			   const struct steer_answer *a, char *text,
 			   size_t size)
 {
+	int64_t expires = prl_wall_ms() + s->lookup_ttl_ms;
 	size_t n = (size_t)snprintf(
 		text, size,
 		"{\"service\":\"%s\",\"revision\":%lld,\"expires\":%lld,"
 		"\"vms\":[",
-		s->name, (long long)v->revision,
-		(long long)(prl_wall_ms() + s->lookup_ttl_ms));
+		s->name, (long long)v->revision, (long long)expires);
 
 	for (int i = 0; i < a->n; i++)
 		n += (size_t)snprintf(
@@ -145,14 +145,14 @@
 {
 	enum MHD_Result rc;
 
-	g_mutex_lock(&t->proxy->status_lock);
+	apr_thread_mutex_lock(t->proxy->status_lock);
 	if (t->proxy->status)
 		rc = reply(conn, MHD_HTTP_OK, "application/json",
 			   t->proxy->status, strlen(t->proxy->status));
 	else
 		rc = reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
 				 "there is no status yet");
-	g_mutex_unlock(&t->proxy->status_lock);
+	apr_thread_mutex_unlock(t->proxy->status_lock);
 	return rc;
 }
 
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -12,7 +12,7 @@
 }
 
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims,
+			 int region, struct mailbox *claims, apr_pool_t *pool,
 			 struct prl_error *err)
 {
 	memset(p, 0, sizeof(*p));
@@ -24,8 +24,9 @@
 	p->hold = calloc(CONFIG_CELLS_MAX, sizeof(*p->hold));
 	p->service = calloc(CONFIG_CELLS_MAX, sizeof(*p->service));
 	p->thread = calloc((size_t)p->nthread, sizeof(*p->thread));
-	g_mutex_init(&p->status_lock);
-	if (!p->upstream || !p->hold || !p->service || !p->thread) {
+	if (apr_thread_mutex_create(&p->status_lock, APR_THREAD_MUTEX_DEFAULT,
+				    pool) ||
+	    !p->upstream || !p->hold || !p->service || !p->thread) {
 		proxy_finish(p);
 		return prl_fail(err, PRL_E_MEMORY, "tables of the proxy");
 	}
@@ -40,7 +41,6 @@
 	free(p->service);
 	free(p->thread);
 	free(p->status);
-	g_mutex_clear(&p->status_lock);
 }
 
 static void *APR_THREAD_FUNC run(apr_thread_t *self, void *ctx)
@@ -100,10 +100,10 @@
 {
 	char *old;
 
-	g_mutex_lock(&p->status_lock);
+	apr_thread_mutex_lock(p->status_lock);
 	old = p->status;
 	p->status = text;
-	g_mutex_unlock(&p->status_lock);
+	apr_thread_mutex_unlock(p->status_lock);
 	free(old);
 }
 
--- /dev/null
+++ b/proxy/test/test_proxy.c
@@ -0,0 +1,83 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "body.h"
+#include "request.h"
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Any order of writes and reads gives the bytes back in order, and no more
+ * than the room is ever held. */
+static void test_body_is_a_queue(void **state)
+{
+	struct body b = {0};
+	unsigned char next_in = 0;
+	unsigned char next_out = 0;
+	char buf[40000];
+
+	(void)state;
+	srand(7);
+	for (int i = 0; i < 20000; i++) {
+		size_t n = (size_t)rand() % sizeof(buf);
+		size_t done;
+
+		if (rand() % 2) {
+			size_t room = body_room(&b);
+
+			for (size_t k = 0; k < n; k++)
+				buf[k] = (char)(next_in + k);
+			done = body_write(&b, buf, n);
+			assert_int_equal(done, n < room ? n : room);
+			next_in = (unsigned char)(next_in + done);
+		} else {
+			done = body_read(&b, buf, n);
+			for (size_t k = 0; k < done; k++)
+				assert_int_equal((unsigned char)buf[k],
+						 (unsigned char)(next_out + k));
+			next_out = (unsigned char)(next_out + done);
+		}
+		assert_true(b.len <= BODY_ROOM);
+	}
+	body_finish(&b);
+}
+
+static void test_short_body_can_be_read_again(void **state)
+{
+	struct body b = {0};
+	char buf[BODY_ROOM];
+
+	(void)state;
+	body_write(&b, "hello", 5);
+	assert_int_equal(body_read(&b, buf, 3), 3);
+	assert_int_equal(body_rewind(&b), 0);
+	assert_int_equal(body_read(&b, buf, sizeof(buf)), 5);
+	assert_memory_equal(buf, "hello", 5);
+	memset(buf, 'x', sizeof(buf));
+	body_write(&b, buf, sizeof(buf));
+	assert_int_equal(body_rewind(&b), -1);
+	body_finish(&b);
+}
+
+static void test_hop_by_hop(void **state)
+{
+	(void)state;
+	assert_true(header_is_hop_by_hop("connection", NULL));
+	assert_true(header_is_hop_by_hop("Transfer-Encoding", NULL));
+	assert_true(header_is_hop_by_hop("X-Secret", "close, x-secret"));
+	assert_false(header_is_hop_by_hop("X-Secre", "close, x-secret"));
+	assert_false(header_is_hop_by_hop("Content-Type", "close"));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_body_is_a_queue),
+		cmocka_unit_test(test_short_body_can_be_read_again),
+		cmocka_unit_test(test_hop_by_hop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/schema/src/read.c
+++ b/schema/src/read.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <primroselead/schema.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -258,7 +259,7 @@
 		n = PRL_NAME_MAX - 1;
 	}
 	/* Every section struct begins with its label and its line. */
-	memcpy(out, label, n);
+	snprintf(out, PRL_NAME_MAX, "%.*s", (int)n, label);
 	memcpy(out + PRL_NAME_MAX, &g.line, sizeof(g.line));
 	for (const struct prl_key *k = s->keys; k->name; k++)
 		read_key(&g, k);
--- a/schema/src/scan.c
+++ b/schema/src/scan.c
@@ -1,5 +1,5 @@
 #include "scan.h"
-#include <ctype.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -14,11 +14,11 @@
 
 static void copy_trimmed(char *out, size_t size, const char *from, size_t n)
 {
-	while (n && isspace((unsigned char)*from)) {
+	while (n && g_ascii_isspace(*from)) {
 		from++;
 		n--;
 	}
-	while (n && isspace((unsigned char)from[n - 1]))
+	while (n && g_ascii_isspace(from[n - 1]))
 		n--;
 	if (n >= size)
 		n = size - 1;
--- a/schema/test/test_schema.c
+++ b/schema/test/test_schema.c
@@ -29,14 +29,14 @@
 }
 
 static enum prl_code read_text(const char *text, struct prl_service *s,
-                               struct prl_faults *f)
+			       struct prl_faults *f)
 {
 	struct prl_error err;
 
 	memset(f, 0, sizeof(*f));
 	strcpy(f->file, "x.ini");
 	return prl_schema_read(&prl_service_schema, text, strlen(text), s, pool,
-	                       f, &err);
+			       f, &err);
 }
 
 static void test_defaults_and_values(void **state)
@@ -46,9 +46,9 @@
 
 	(void)state;
 	assert_int_equal(read_text("[service]\nname = a\ndeadline=20\n"
-	                           "[region n]\ncapacity = 3\nspill= s , c\n",
-	                           &s, &f),
-	                 PRL_OK);
+				   "[region n]\ncapacity = 3\nspill= s , c\n",
+				   &s, &f),
+			 PRL_OK);
 	assert_string_equal(s.service.name, "a");
 	assert_int_equal(s.service.deadline, 20);
 	assert_int_equal(s.service.lookup_ttl, 2000);
@@ -84,41 +84,44 @@
 	(void)state;
 	assert_int_equal(
 		read_text("[service]\nname = a\ndeadlin = 5\n"
-	                  "deadline = 1\nchoice = best\nretry_budget = x\n"
-	                  "[regoin n]\n"
-	                  "[upstream u]\nregion = n\ndomain = d\n"
-	                  "address = host:80\n"
-	                  "[service]\nname = b\n",
-	                  &s, &f),
+			  "deadline = 1\nchoice = best\nretry_budget = x\n"
+			  "[regoin n]\n"
+			  "[upstream u]\nregion = n\ndomain = d\n"
+			  "address = host:80\n"
+			  "[service]\nname = b\n",
+			  &s, &f),
 		PRL_E_CONFIG);
 	has_fault(&f, "x.ini:3: [service] deadlin: unknown key, the nearest "
-	              "known key is \"deadline\"");
+		      "known key is \"deadline\"");
 	has_fault(&f, "x.ini:4: [service] deadline: read 1, allowed are 10 to "
-	              "3600000 ms");
-	has_fault(&f,
-	          "x.ini:5: [service] choice: read \"best\", allowed are "
-	          "random, round-robin, least-outstanding, power-of-two, probe");
+		      "3600000 ms");
+	has_fault(
+		&f,
+		"x.ini:5: [service] choice: read \"best\", allowed are "
+		"random, round-robin, least-outstanding, power-of-two, probe");
 	has_fault(&f, "x.ini:6: [service] retry_budget: read \"x\", a whole "
-	              "number from 0 to 100 percent is allowed");
+		      "number from 0 to 100 percent is allowed");
 	has_fault(&f, "x.ini:7: [regoin n]: unknown section, the nearest known "
-	              "one is [region]");
+		      "one is [region]");
 	has_fault(&f, "x.ini:11: [upstream u] address: read \"host:80\", an IP "
-	              "number and port such as 127.0.0.1:80 is allowed");
+		      "number and port such as 127.0.0.1:80 is allowed");
 	has_fault(&f, "x.ini:8: [upstream u] slots: key is missing and has no "
-	              "default");
+		      "default");
 	has_fault(&f, "x.ini:12: [service]: section stands twice, first on "
-	              "line 1");
+		      "line 1");
 	has_fault(&f, "x.ini:13: [service] name: key stands twice, first on "
-	              "line 2");
+		      "line 2");
 }
 
 /* Nothing that a file holds may crash the reader. */
 static void test_random_texts(void **state)
 {
 	static const char *const parts[] = {
-		"[service]", "[region ", "]", "\n", "=", "name", "capacity",
-		"12",        "-",        "#", "[",  " ", "\xff", "spill",
-		",,,",       "99999999999999999999", "[link a", "\r\n"};
+		"[service]", "[region ", "]",	     "\n",
+		"=",	     "name",	 "capacity", "12",
+		"-",	     "#",	 "[",	     " ",
+		"\xff",	     "spill",	 ",,,",	     "99999999999999999999",
+		"[link a",   "\r\n"};
 	struct prl_service s;
 	struct prl_faults f;
 	char text[512];
@@ -129,7 +132,7 @@
 		text[0] = 0;
 		for (int k = rand() % 30; k > 0; k--)
 			strcat(text, parts[rand() % (int)(sizeof(parts) /
-			                                  sizeof(*parts))]);
+							  sizeof(*parts))]);
 		if (!read_text(text, &s, &f))
 			assert_int_equal(f.n, 0);
 		else
--- a/spread/test/test_spread.c
+++ b/spread/test/test_spread.c
@@ -57,13 +57,12 @@
 		spread_init(&copy);
 		for (int64_t rev = 1; rev <= 60; rev++) {
 			int64_t after = rand() % 4 ? source.complete
-			                           : source.complete / 2;
+						   : source.complete / 2;
 			GPtrArray *found;
 
 			snprintf(key, sizeof(key), "k%d", rand() % 7);
 			snprintf(value, sizeof(value), "%d", rand());
-			spread_install(&source, key, rev, value,
-			               strlen(value));
+			spread_install(&source, key, rev, value, strlen(value));
 			spread_extend(&source, rev - 1, rev);
 			if (rand() % 3 == 0)
 				continue;
@@ -73,7 +72,7 @@
 					g_ptr_array_index(found, i - 1);
 
 				spread_install(&copy, o->key, o->version,
-				               o->value, o->len);
+					       o->value, o->len);
 			}
 			g_ptr_array_free(found, TRUE);
 			spread_extend(&copy, after, rev);
--- a/standin/src/upstream.c
+++ b/standin/src/upstream.c
@@ -9,8 +9,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <xxhash.h>
 
+/* Time between two searches for callers that left, in milliseconds. */
+#define SWEEP_MS 50
+
 struct request {
 	struct MHD_Connection *conn;
 	struct loop_timer timer;
@@ -24,7 +28,11 @@
 	int running;
 	int done;
 	int suspended;
+	int left;
 	struct request *next;
+	/* All requests that work or wait. */
+	struct request *all_next;
+	struct request **all_prev;
 };
 
 static struct {
@@ -47,12 +55,33 @@
 	int64_t queued;
 	struct request *first;
 	struct request *last;
+	struct request *all;
+	struct loop_timer sweep;
 	uint64_t ran;
 	uint64_t after_drain;
 	GHashTable *keys;
 	uint64_t repeated;
 } up;
 
+static void list_add(struct request *r)
+{
+	r->all_next = up.all;
+	r->all_prev = &up.all;
+	if (up.all)
+		up.all->all_prev = &r->all_next;
+	up.all = r;
+}
+
+static void list_remove(struct request *r)
+{
+	if (!r->all_prev)
+		return;
+	*r->all_prev = r->all_next;
+	if (r->all_next)
+		r->all_next->all_prev = r->all_prev;
+	r->all_prev = NULL;
+}
+
 static void set_timer(struct request *r, int64_t at)
 {
 	r->timer.deadline = at;
@@ -123,6 +152,25 @@
 	run_next();
 }
 
+/* A caller that closes its connection cancels its request. */
+static void sweep(struct loop_timer *t, int64_t now)
+{
+	for (struct request *r = up.all; r; r = r->all_next) {
+		int fd = MHD_get_connection_info(
+				 r->conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+				 ->connect_fd;
+		char byte;
+
+		if (!r->suspended ||
+		    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
+			continue;
+		r->left = 1;
+		r->suspended = 0;
+		serve_resume(&up.serve, r->conn);
+	}
+	t->deadline = now + SWEEP_MS;
+}
+
 static void count_key(const char *key)
 {
 	gpointer n = g_hash_table_lookup(up.keys, key);
@@ -243,6 +291,7 @@
 		up.queued++;
 	}
 	r->suspended = 1;
+	list_add(r);
 	MHD_suspend_connection(r->conn);
 	return MHD_YES;
 }
@@ -282,6 +331,8 @@
 	}
 	if (!strncmp(url, "/admin/", 7))
 		return admin(r, url);
+	if (r->left)
+		return MHD_NO;
 	if (r->done)
 		return finish(r);
 	if (!r->begun)
@@ -303,6 +354,7 @@
 		up.running--;
 	else if (r->begun && !r->done)
 		unqueue(r);
+	list_remove(r);
 	loop_timer_remove(&up.loop, &r->timer);
 	XXH64_freeState(r->digest);
 	g_free(r);
@@ -336,6 +388,9 @@
 		fprintf(stderr, "upstream stand-in: %s\n", err.text);
 		return 1;
 	}
+	up.sweep.due = sweep;
+	loop_timer_add(&up.loop, &up.sweep);
+	up.sweep.deadline = up.started;
 	loop_run(&up.loop);
 	return 0;
 }
--- a/steer/test/test_steer.c
+++ b/steer/test/test_steer.c
@@ -56,7 +56,7 @@
 /* Naive look-up: for each place in the answer, go through the regions in
  * order and take the VM with the greatest key. */
 static int naive_next(const struct steer_ask *ask, int region,
-                      const struct steer_answer *out)
+		      const struct steer_answer *out)
 {
 	int best = STEER_NONE;
 	uint64_t best_key[2] = {0, 0};
@@ -85,7 +85,7 @@
 }
 
 static void naive_fill(const struct steer_ask *ask, int region, int most,
-                       struct steer_answer *out)
+		       struct steer_answer *out)
 {
 	while (out->n < most) {
 		int i = naive_next(ask, region, out);
@@ -115,7 +115,7 @@
 		make_view(seed);
 		for (uint64_t block = 0; block < 20; block++) {
 			struct steer_ask ask = {.region = (int)(block % 3),
-			                        .block = block};
+						.block = block};
 			struct steer_answer a;
 			struct steer_answer b;
 			int sum = 0;
@@ -147,7 +147,7 @@
 		vm[i].state = STEER_ACTIVE;
 	for (uint64_t b = 0; b < 500; b++)
 		steer_lookup(&view, &(struct steer_ask){.block = b},
-		             &before[b]);
+			     &before[b]);
 	vm[2].state = STEER_GONE;
 	for (uint64_t b = 0; b < 500; b++) {
 		steer_lookup(&view, &(struct steer_ask){.block = b}, &after);
@@ -183,7 +183,8 @@
 
 static void test_shares_are_nested(void **state)
 {
-	struct steer_shift small = {.from = 0, .to = 1, .cap = 300, .share = 50};
+	struct steer_shift small = {
+		.from = 0, .to = 1, .cap = 300, .share = 50};
 	struct steer_shift large = small;
 	int n = 0;
 
@@ -221,11 +222,12 @@
 			assert_true(service.place[home].capacity > 0);
 			steer_route(&service, home, moved, &r);
 			for (int i = 0; i < r.n; i++) {
-				assert_true(service.place[r.region[i]]
-				                    .capacity > 0);
+				assert_true(
+					service.place[r.region[i]].capacity >
+					0);
 				for (int k = 0; k < i; k++)
 					assert_int_not_equal(r.region[i],
-					                     r.region[k]);
+							     r.region[k]);
 			}
 			if (moved && service.place[1].capacity > 0)
 				assert_int_equal(r.reason[0], STEER_SHIFTED);
@@ -243,12 +245,15 @@
 	(void)state;
 	srand(5);
 	for (int round = 0; round < 20000; round++) {
-		struct steer_pick p = {
-			.upstream = up, .load = load, .n = 1 + rand() % 20,
-			.choice = (enum steer_choice)(rand() % 5),
-			.warmup_ms = 1000, .now_ms = 10000,
-			.random = (uint64_t)rand(),
-			.except = rand() % 4 ? STEER_NONE : 0};
+		struct steer_pick p = {.upstream = up,
+				       .load = load,
+				       .n = 1 + rand() % 20,
+				       .choice =
+					       (enum steer_choice)(rand() % 5),
+				       .warmup_ms = 1000,
+				       .now_ms = 10000,
+				       .random = (uint64_t)rand(),
+				       .except = rand() % 4 ? STEER_NONE : 0};
 		int usable = 0;
 		int i;
 
@@ -262,8 +267,8 @@
 			load[i].failures = rand() % 1000;
 			load[i].since_ms = 0;
 			usable += up[i].state == STEER_ACTIVE &&
-			          load[i].outstanding < up[i].slots &&
-			          i != p.except;
+				  load[i].outstanding < up[i].slots &&
+				  i != p.except;
 		}
 		i = steer_pick(&p);
 		if (!usable) {
@@ -280,22 +285,25 @@
 /* Fast errors are cheap; they must not draw the traffic. */
 static void test_failing_upstream_repels(void **state)
 {
-	struct steer_upstream up[4] = {{.slots = 10}, {.slots = 10},
-	                               {.slots = 10}, {.slots = 10}};
-	struct steer_load load[4] = {{.reported = -1, .latency_us = 9000},
-	                             {.reported = -1, .latency_us = 9000},
-	                             {.reported = -1, .latency_us = 50,
-	                              .failures = 900},
-	                             {.reported = -1, .latency_us = 9000}};
+	struct steer_upstream up[4] = {
+		{.slots = 10}, {.slots = 10}, {.slots = 10}, {.slots = 10}};
+	struct steer_load load[4] = {
+		{.reported = -1, .latency_us = 9000},
+		{.reported = -1, .latency_us = 9000},
+		{.reported = -1, .latency_us = 50, .failures = 900},
+		{.reported = -1, .latency_us = 9000}};
 	int hits = 0;
 
 	(void)state;
 	for (uint64_t i = 0; i < 20000; i++) {
-		struct steer_pick p = {.upstream = up, .load = load, .n = 4,
-		                       .choice = i % 2 ? STEER_PROBE
-		                                       : STEER_POWER_OF_TWO,
-		                       .now_ms = 1, .random = prl_hash_pair(i, 9),
-		                       .except = STEER_NONE};
+		struct steer_pick p = {.upstream = up,
+				       .load = load,
+				       .n = 4,
+				       .choice = i % 2 ? STEER_PROBE
+						       : STEER_POWER_OF_TWO,
+				       .now_ms = 1,
+				       .random = prl_hash_pair(i, 9),
+				       .except = STEER_NONE};
 
 		hits += steer_pick(&p) == 2;
 	}
@@ -307,9 +315,12 @@
 {
 	struct steer_upstream up = {.slots = 10};
 	struct steer_load load = {.reported = -1, .since_ms = 1000};
-	struct steer_pick p = {.upstream = &up, .load = &load, .n = 1,
-	                       .warmup_ms = 1000, .now_ms = 1000,
-	                       .except = STEER_NONE};
+	struct steer_pick p = {.upstream = &up,
+			       .load = &load,
+			       .n = 1,
+			       .warmup_ms = 1000,
+			       .now_ms = 1000,
+			       .except = STEER_NONE};
 
 	(void)state;
 	load.outstanding = 1;
@@ -328,10 +339,14 @@
 
 static void test_steps(void **state)
 {
-	struct steer_step s = {
-		.shift = {.from = 0, .to = 1, .cap = 100, .step = 40,
-	                  .pace_ms = 1000, .plan = 7},
-		.progress = {.plan = 7, .share = 0}, .seen_ms = 0};
+	struct steer_step s = {.shift = {.from = 0,
+					 .to = 1,
+					 .cap = 100,
+					 .step = 40,
+					 .pace_ms = 1000,
+					 .plan = 7},
+			       .progress = {.plan = 7, .share = 0},
+			       .seen_ms = 0};
 	struct steer_progress next;
 
 	(void)state;
--- /dev/null
+++ b/system/harness.c
@@ -0,0 +1,377 @@
+#include "harness.h"
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <primroselead/clock.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static char bin_dir[512];
+static char work_dir[64];
+static pid_t process[PROCESSES_MAX];
+static int nprocess;
+
+void harness_init(const char *argv0)
+{
+	char *slash;
+
+	snprintf(bin_dir, sizeof(bin_dir), "%s", argv0);
+	/* build/MODE/test/system/program: the binaries are in build/MODE/bin */
+	for (int i = 0; i < 3; i++) {
+		slash = strrchr(bin_dir, '/');
+		if (slash)
+			*slash = 0;
+	}
+	strncat(bin_dir, "/bin", sizeof(bin_dir) - strlen(bin_dir) - 1);
+	strcpy(work_dir, "/tmp/primroselead-XXXXXX");
+	if (!mkdtemp(work_dir))
+		abort();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+void harness_finish(void)
+{
+	if (getenv("KEEP"))
+		fprintf(stderr, "kept %s\n", work_dir);
+	for (int i = 0; i < nprocess; i++)
+		if (process[i]) {
+			kill(process[i], SIGCONT);
+			harness_end(process[i], SIGKILL);
+		}
+	nprocess = 0;
+}
+
+const char *harness_path(const char *name)
+{
+	static char path[4][256];
+	static int next;
+
+	next = (next + 1) % 4;
+	snprintf(path[next], sizeof(path[next]), "%s/%s", work_dir, name);
+	return path[next];
+}
+
+void harness_write(const char *name, const char *text)
+{
+	FILE *f = fopen(harness_path(name), "w");
+
+	if (!f || fputs(text, f) < 0 || fclose(f))
+		abort();
+}
+
+static void exec_program(const char *program, const char *const *args)
+{
+	const char *argv[32] = {program};
+	char path[600];
+
+	for (int i = 0; i < 30 && args[i]; i++)
+		argv[i + 1] = args[i];
+	snprintf(path, sizeof(path), "%s/%s", bin_dir, program);
+	execv(path, (char *const *)argv);
+	_exit(127);
+}
+
+pid_t harness_start(const char *program, const char *const *args)
+{
+	char name[80];
+	pid_t pid;
+	int out;
+
+	snprintf(name, sizeof(name), "%s-%d.log", program, nprocess);
+	out = open(harness_path(name), O_CREAT | O_WRONLY | O_APPEND, 0600);
+	pid = fork();
+	if (!pid) {
+		dup2(out, 1);
+		dup2(out, 2);
+		exec_program(program, args);
+	}
+	close(out);
+	process[nprocess++ % PROCESSES_MAX] = pid;
+	return pid;
+}
+
+static void forget(pid_t pid)
+{
+	for (int i = 0; i < PROCESSES_MAX; i++)
+		if (process[i] == pid)
+			process[i] = 0;
+}
+
+int harness_wait(pid_t pid)
+{
+	int status = 0;
+
+	waitpid(pid, &status, 0);
+	forget(pid);
+	if (WIFSIGNALED(status))
+		return -WTERMSIG(status);
+	return WEXITSTATUS(status);
+}
+
+int harness_end(pid_t pid, int sig)
+{
+	kill(pid, sig);
+	return harness_wait(pid);
+}
+
+int harness_run(char *out, size_t size, const char *program, ...)
+{
+	const char *args[32];
+	int fds[2];
+	size_t len = 0;
+	int n = 0;
+	ssize_t k;
+	va_list ap;
+	pid_t pid;
+
+	va_start(ap, program);
+	while (n < 30 && (args[n] = va_arg(ap, const char *)))
+		n++;
+	args[n] = NULL;
+	va_end(ap);
+	if (pipe(fds))
+		abort();
+	pid = fork();
+	if (!pid) {
+		dup2(fds[1], 1);
+		dup2(fds[1], 2);
+		close(fds[0]);
+		close(fds[1]);
+		exec_program(program, args);
+	}
+	close(fds[1]);
+	while (len < size - 1 &&
+	       (k = read(fds[0], out + len, size - 1 - len)) > 0)
+		len += (size_t)k;
+	out[len] = 0;
+	close(fds[0]);
+	return harness_wait(pid);
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct answer *a = ctx;
+	size_t room = sizeof(a->body) - 1 - a->len;
+	size_t len = size * n < room ? size * n : room;
+
+	memcpy(a->body + a->len, data, len);
+	a->len += len;
+	return size * n;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct answer *a = ctx;
+
+	if (!strncasecmp(data, "Request-Outcome: ", 17))
+		sscanf(data + 17, "%15[a-z-]", a->outcome);
+	if (!strncasecmp(data, "First-Status: ", 14))
+		a->first_status = atoi(data + 14);
+	return size * n;
+}
+
+static struct curl_slist *headers_of(const struct call *c)
+{
+	struct curl_slist *h = curl_slist_append(NULL, "Expect:");
+	char line[300];
+
+	if (c->host) {
+		snprintf(line, sizeof(line), "Host: %s", c->host);
+		h = curl_slist_append(h, line);
+	}
+	if (c->key) {
+		snprintf(line, sizeof(line), "Idempotency-Key: %s", c->key);
+		h = curl_slist_append(h, line);
+	}
+	return h;
+}
+
+struct answer harness_call(const struct call *c)
+{
+	struct curl_slist *h = headers_of(c);
+	CURL *easy = curl_easy_init();
+	struct answer a = {0};
+	long status = 0;
+
+	curl_easy_setopt(easy, CURLOPT_URL, c->url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 c->timeout_ms ? c->timeout_ms : 15000L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, h);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &a);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, &a);
+	if (c->body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, c->body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+				 (long)strlen(c->body));
+	}
+	if (c->method)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, c->method);
+	if (!curl_easy_perform(easy))
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	a.status = (int)status;
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(h);
+	return a;
+}
+
+struct page {
+	char *text;
+	size_t size;
+	size_t len;
+};
+
+static size_t on_page(char *data, size_t size, size_t n, void *ctx)
+{
+	struct page *p = ctx;
+	size_t room = p->size - 1 - p->len;
+	size_t len = size * n < room ? size * n : room;
+
+	memcpy(p->text + p->len, data, len);
+	p->len += len;
+	p->text[p->len] = 0;
+	return size * n;
+}
+
+int harness_get(const char *url, char *out, size_t size)
+{
+	struct page page = {.text = out, .size = size};
+	CURL *easy = curl_easy_init();
+	long status = 0;
+
+	out[0] = 0;
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 15000L);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_page);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &page);
+	if (!curl_easy_perform(easy))
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	return (int)status;
+}
+
+int64_t harness_number(const char *json, const char *key)
+{
+	char mark[64];
+	const char *at;
+
+	snprintf(mark, sizeof(mark), "\"%s\":", key);
+	at = strstr(json, mark);
+	return at ? strtoll(at + strlen(mark), NULL, 10) : -1;
+}
+
+void harness_sleep(int ms)
+{
+	usleep((useconds_t)ms * 1000);
+}
+
+int64_t harness_metric(int http_port, const char *name)
+{
+	static char text[65536];
+	char mark[80];
+	char url[80];
+	const char *at;
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/metrics", http_port);
+	harness_get(url, text, sizeof(text));
+	snprintf(mark, sizeof(mark), "primroselead_%s ", name);
+	at = strstr(text, mark);
+	return at ? strtoll(at + strlen(mark), NULL, 10) : -1;
+}
+
+int fleet_wait_text(const char *url, const char *text, int ms)
+{
+	int64_t until = prl_now_ms() + ms;
+	static char body[262144];
+
+	do {
+		if (harness_get(url, body, sizeof(body)) && strstr(body, text))
+			return 1;
+		harness_sleep(20);
+	} while (prl_now_ms() < until);
+	return 0;
+}
+
+pid_t fleet_store(int port)
+{
+	char listen[64];
+	char url[80];
+	const char *args[] = {listen, NULL};
+	pid_t pid;
+
+	snprintf(listen, sizeof(listen), "--listen=127.0.0.1:%d", port);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats", port);
+	pid = harness_start("standin-store", args);
+	if (!fleet_wait_text(url, "revision", 5000))
+		abort();
+	return pid;
+}
+
+pid_t fleet_upstream(int port, int slots)
+{
+	char listen[64];
+	char count[32];
+	char url[80];
+	const char *args[] = {listen, count, NULL};
+	pid_t pid;
+
+	snprintf(listen, sizeof(listen), "--listen=127.0.0.1:%d", port);
+	snprintf(count, sizeof(count), "--slots=%d", slots);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats", port);
+	pid = harness_start("standin-upstream", args);
+	if (!fleet_wait_text(url, "ran", 5000))
+		abort();
+	return pid;
+}
+
+pid_t fleet_vm(const struct vm *vm)
+{
+	char text[2048];
+	char name[32];
+	char option[300];
+	const char *args[] = {option, NULL};
+
+	snprintf(name, sizeof(name), "vm%d.ini", vm->n);
+	snprintf(text, sizeof(text),
+		 "[vm]\nname = vm%d\nregion = %s\ndomain = %s\n"
+		 "[listen]\nhttp = 127.0.0.1:%d\nrpc = 127.0.0.1:%d\n"
+		 "[store]\naddress = 127.0.0.1:%d\ntimeout = 1000\n"
+		 "[seed a]\naddress = 127.0.0.1:%d\n"
+		 "[seed b]\naddress = 127.0.0.1:%d\n%s",
+		 vm->n, vm->region, vm->domain, vm->base + vm->n,
+		 vm->base + 100 + vm->n, vm->store, vm->base + 101,
+		 vm->base + 102,
+		 vm->more ? vm->more : "[control]\ndrain = 500\n");
+	harness_write(name, text);
+	snprintf(option, sizeof(option), "--settings=%s", harness_path(name));
+	return harness_start("primroseleadd", args);
+}
+
+int fleet_wait(int http_port, int64_t revision, int ms)
+{
+	static char text[262144];
+	int64_t until = prl_now_ms() + ms;
+	char url[80];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/status", http_port);
+	do {
+		if (harness_get(url, text, sizeof(text)) == 200 &&
+		    harness_number(text, "revision") >= revision &&
+		    strstr(text, "\"state\":\"live\",\"region\""))
+			return 1;
+		harness_sleep(20);
+	} while (prl_now_ms() < until);
+	return 0;
+}
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -37,8 +37,7 @@
 	assert_int_equal(wire_decode_call(data, n, &r, &back), 0);
 	assert_int_equal(r.xid, 9);
 	assert_int_equal(back.u.probe.sequence, 77);
-	assert_string_equal(back.u.probe.rumor.rumor_val[0].rpc,
-	                    "127.0.0.1:2");
+	assert_string_equal(back.u.probe.rumor.rumor_val[0].rpc, "127.0.0.1:2");
 	wire_args_free(&back);
 	assert_int_equal(wire_encode_call(data, 40, 9, &a), 0);
 }
@@ -95,7 +94,7 @@
 }
 
 static void on_call(void *ctx, const struct wire_request *r,
-                    const struct wire_args *args)
+		    const struct wire_args *args)
 {
 	struct wire_node *n = ctx;
 	struct wire_result result = {.proc = WIRE_CLAIM};
@@ -129,16 +128,18 @@
 	static struct wire_node b;
 	struct wire_args args = {.proc = WIRE_CLAIM, .u.claim.token = 41};
 	struct got got = {0};
-	struct wire_options o = {.deadline = prl_now_ms() + 1000,
-	                         .done = on_done, .ctx = &got};
+	struct wire_options o = {
+		.deadline = prl_now_ms() + 1000, .done = on_done, .ctx = &got};
 	struct loop l;
 
 	(void)state;
 	loop_init(&l, NULL);
-	assert_int_equal(wire_init(&a, &l, "127.0.0.1:28411", on_call, &a, NULL),
-	                 PRL_OK);
-	assert_int_equal(wire_init(&b, &l, "127.0.0.1:28412", on_call, &b, NULL),
-	                 PRL_OK);
+	assert_int_equal(
+		wire_init(&a, &l, "127.0.0.1:28411", on_call, &a, NULL),
+		PRL_OK);
+	assert_int_equal(
+		wire_init(&b, &l, "127.0.0.1:28412", on_call, &b, NULL),
+		PRL_OK);
 	wire_call(&a, "127.0.0.1:28412", &args, &o, NULL);
 	while (!got.calls)
 		loop_once(&l, prl_now_ms() + 100);
