Stop a VM from admitting under capacity it no longer has

Cause: capacity was lowered only as far as no request used it, so each place that came free could be taken again before the next look. Ruled out: the ledger, whose rows were right, and a lost write, since none was under way.

A hold may now be set below what is in use and admits nothing until enough has been given back; the tokens "owed" are gone with their bookkeeping. The model also asks whether capacity of lost processes comes back.

--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -30,8 +30,6 @@
 	/** Capacity that the ledger shares out, and its configuration. */
 	int ledger_capacity;
 	int64_t ledger_config;
-	/** Tokens that go as soon as no request uses them. */
-	uint32_t owed;
 	int64_t refused_before;
 };
 
@@ -82,6 +80,9 @@
 	int64_t read_at;
 	/** Requests were refused and nothing was unused. */
 	int starved;
+	/** When the ledger is read in any case, for rows that a last write of
+	 * an earlier process may have left late. */
+	int64_t check_at;
 	int leaving;
 	char *text;
 	/** Rows of destroyed VMs dropped by the last write. */
@@ -102,7 +103,7 @@
  * caller sets its hold, capacity and counts of VMs. */
 struct grant_pool *grant_pool(struct limit_grant *g, const char *region);
 
-/** Gives up what must go, as far as no request uses it. */
+/** Lowers what requests may take to what the configuration allows now. */
 void grant_settle(struct limit_grant *g);
 
 /** Says what is to be done now. */
--- a/limit/include/primroselead/hold.h
+++ b/limit/include/primroselead/hold.h
@@ -7,8 +7,8 @@
 /**
  * Capacity of one region that this process holds, in requests at once. Any
  * thread may take and give back; the control thread alone changes how much
- * there is. Use never exceeds what is held, and what is held can only be
- * lowered as far as it is not in use.
+ * there is. It may set less than is in use: then nothing more is taken until
+ * enough has been given back.
  */
 struct limit_hold {
 	/** Held in the upper half, in use in the lower half. */
@@ -29,11 +29,8 @@
 /** Gives a place back. */
 void limit_hold_give(struct limit_hold *h);
 
-/** Raises what is held. */
-void limit_hold_add(struct limit_hold *h, uint32_t n);
-
-/** Lowers what is held by at most n; returns by how much. */
-uint32_t limit_hold_cut(struct limit_hold *h, uint32_t n);
+/** Sets what is held. */
+void limit_hold_set(struct limit_hold *h, uint32_t n);
 
 /** What is held. */
 uint32_t limit_hold_size(const struct limit_hold *h);
--- a/limit/src/grant.c
+++ b/limit/src/grant.c
@@ -6,6 +6,12 @@
 /* Time between two reads of a VM that has too little, in milliseconds. */
 #define READ_AGAIN_MS 2000
 
+/* Shortest time between two reads of a ledger that seems in order, and the
+ * same for each VM of the fleet, so that the rate of the whole fleet stays
+ * the same as it grows; in milliseconds. */
+#define CHECK_MS 10000
+#define CHECK_EACH_MS 50
+
 void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
 		int64_t inherit_until)
 {
@@ -13,6 +19,7 @@
 	snprintf(g->vm, sizeof(g->vm), "%s", vm);
 	g->incarnation = incarnation;
 	g->inherit_until = inherit_until;
+	g->check_at = inherit_until;
 	ledger_init(&g->ledger);
 }
 
@@ -38,33 +45,15 @@
 	return p;
 }
 
-/* Tokens in use or free, without those that must go. */
-static int usable(const struct grant_pool *p)
+static int held(const struct grant_pool *p)
 {
-	return (int)limit_hold_size(p->hold) - (int)p->owed;
+	return (int)limit_hold_size(p->hold);
 }
 
-/* Lowers what may be used; what is in use now goes once it is free. */
 static void lower(struct grant_pool *p, int to)
 {
-	int excess = usable(p) - to;
-
-	if (excess > 0)
-		p->owed += (uint32_t)excess;
-	if (p->owed)
-		p->owed -= limit_hold_cut(p->hold, p->owed);
-}
-
-static void raise(struct grant_pool *p, int to)
-{
-	int more = to - usable(p);
-	int kept;
-
-	if (more <= 0)
-		return;
-	kept = more < (int)p->owed ? more : (int)p->owed;
-	p->owed -= (uint32_t)kept;
-	limit_hold_add(p->hold, (uint32_t)(more - kept));
+	if (to < held(p))
+		limit_hold_set(p->hold, (uint32_t)to);
 }
 
 /* The newer one of the capacities that this VM and the ledger know. */
@@ -161,8 +150,7 @@
 		struct grant_pool *p = &g->pool[i];
 		set_row(p, own_row(g, p));
 		take_capacity(g, p);
-		lower(p, allowed(p));
-		raise(p, allowed(p));
+		limit_hold_set(p->hold, (uint32_t)allowed(p));
 	}
 }
 
@@ -197,13 +185,28 @@
 	g->leaving = 1;
 }
 
+/* Rows of earlier processes of this VM: their capacity would be lost if this
+ * one left before it drops them. */
+static int has_old_rows(const struct limit_grant *g)
+{
+	for (int i = 0; i < g->ledger.npool; i++) {
+		const struct ledger_pool *lp = &g->ledger.pool[i];
+
+		for (int k = 0; k < lp->nrow; k++)
+			if (lp->row[k].incarnation < g->incarnation &&
+			    !strcmp(lp->row[k].vm, g->vm))
+				return 1;
+	}
+	return 0;
+}
+
 int grant_returned(const struct limit_grant *g)
 {
 	int rows = 0;
 
 	for (int i = 0; i < g->npool; i++)
 		rows += g->pool[i].row;
-	return g->loaded && !g->busy && !g->unsure && !rows;
+	return g->loaded && !g->busy && !g->unsure && !rows && !has_old_rows(g);
 }
 
 /* Drops rows whose process is gone and whose requests are over. */
@@ -259,10 +262,10 @@
 	}
 	want = g->leaving ? 0 : wish(g, p, lp);
 	lower(p, want < allowed(p) ? want : allowed(p));
-	/* Requests that began under a greater capacity keep the row as it is
-	 * until they end. */
-	if ((int)limit_hold_size(p->hold) > want)
-		want = (int)limit_hold_size(p->hold);
+	/* Requests that began before keep their part of the row until they
+	 * end; none is added, since less is held already. */
+	if ((int)limit_hold_used(p->hold) > want)
+		want = (int)limit_hold_used(p->hold);
 	if (want == p->row && (p->base == lp->capacity || !want))
 		return changed;
 	return !ledger_set(lp, g->vm, g->incarnation, want, NULL) || changed;
@@ -280,13 +283,34 @@
 	return changed;
 }
 
+static int64_t check_pause(const struct limit_grant *g)
+{
+	int64_t pause = CHECK_MS;
+
+	for (int i = 0; i < g->npool; i++)
+		if ((int64_t)g->pool[i].all_vms * CHECK_EACH_MS > pause)
+			pause = (int64_t)g->pool[i].all_vms * CHECK_EACH_MS;
+	return pause;
+}
+
+/* Whether the ledger should be read although no write has failed. */
+static int read_is_due(struct limit_grant *g, int64_t now)
+{
+	if (g->starved && now >= g->read_at)
+		return 1;
+	if (now < g->check_at)
+		return 0;
+	g->check_at = now + check_pause(g);
+	return 1;
+}
+
 enum grant_work grant_next(struct limit_grant *g, int64_t now,
 			   const struct grant_gone *gone, struct grant_write *w)
 {
 	grant_settle(g);
 	if (g->busy)
 		return GRANT_IDLE;
-	if (!g->loaded || (g->starved && now >= g->read_at)) {
+	if (!g->loaded || read_is_due(g, now)) {
 		g->busy = 1;
 		g->reading = 1;
 		g->starved = 0;
--- a/limit/src/hold.c
+++ b/limit/src/hold.c
@@ -39,26 +39,14 @@
 	atomic_fetch_sub(&h->state, 1);
 }
 
-void limit_hold_add(struct limit_hold *h, uint32_t n)
-{
-	atomic_fetch_add(&h->state, n * ONE_HELD);
-}
-
-uint32_t limit_hold_cut(struct limit_hold *h, uint32_t n)
+void limit_hold_set(struct limit_hold *h, uint32_t n)
 {
 	uint64_t s = atomic_load(&h->state);
-	uint32_t free_now;
-	uint32_t cut;
 
-	/* A request may be admitted between the load and the exchange. */
-	do {
-		free_now = HELD(s) - USED(s);
-		cut = n < free_now ? n : free_now;
-		if (!cut)
-			return 0;
-	} while (!atomic_compare_exchange_weak(&h->state, &s,
-					       s - cut * ONE_HELD));
-	return cut;
+	/* Requests come and go between the load and the exchange. */
+	while (!atomic_compare_exchange_weak(&h->state, &s,
+					     n * ONE_HELD + USED(s)))
+		;
 }
 
 uint32_t limit_hold_size(const struct limit_hold *h)
--- a/loop/test/test_loop.c
+++ b/loop/test/test_loop.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <apr_general.h>
 #include <cmocka.h>
 #include <primroselead/clock.h>
 #include <primroselead/mailbox.h>
@@ -92,5 +93,6 @@
 		cmocka_unit_test(test_timer),
 	};
 
+	apr_initialize();
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/model/dump.c
@@ -0,0 +1,49 @@
+#include "world.h"
+#include <stdio.h>
+
+static void dump_pool(const struct grant_pool *p)
+{
+	printf("  %s: capacity %d of config %lld, row %d of base %d, ledger %d "
+	       "of config %lld, held %u, used %u\n",
+	       p->region, p->capacity, (long long)p->config, p->row, p->base,
+	       p->ledger_capacity, (long long)p->ledger_config,
+	       limit_hold_size(p->hold), limit_hold_used(p->hold));
+}
+
+static void dump_vm(const struct world *w, int i)
+{
+	const struct fake_vm *v = &w->vm[i];
+
+	printf("vm%d: alive %d, paused %d, cut %d, leaving %d, destroyed %d, "
+	       "incarnation %d, config %lld, lease ends in %lld ms\n",
+	       i, v->alive, v->paused, v->cut, v->leaving, v->destroyed,
+	       v->incarnation, (long long)v->service.version,
+	       (long long)(v->alive_until - w->now));
+	for (int k = 0; v->alive && k < v->grant.npool; k++)
+		dump_pool(&v->grant.pool[k]);
+}
+
+void dump_world(const struct world *w)
+{
+	const struct fake_object *o = store_find(w, "grants/s");
+
+	for (int i = 0; i < VMS; i++)
+		dump_vm(w, i);
+	if (o)
+		printf("ledger %lld: %s\n", (long long)o->version, o->value);
+	for (int i = 0; i < FLIGHTS; i++)
+		if (w->flight[i].used)
+			printf("in flight: region %d, vm %d, incarnation %d, "
+			       "config %lld, ends in %lld ms\n",
+			       w->flight[i].region, w->flight[i].vm,
+			       w->flight[i].incarnation,
+			       (long long)w->flight[i].config,
+			       (long long)(w->flight[i].deadline - w->now));
+	for (int i = 0; i < w->nconfig; i++)
+		if (w->config[i].accepted)
+			printf("config %lld: capacities %d %d %d\n",
+			       (long long)w->config[i].version,
+			       w->config[i].capacity[0],
+			       w->config[i].capacity[1],
+			       w->config[i].capacity[2]);
+}
--- a/model/main.c
+++ b/model/main.c
@@ -2,7 +2,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Usage: model FIRST-SEED RUNS EVENTS. Prints sums, or the first failure. */
+/* Usage: model FIRST-SEED RUNS EVENTS [dump]. Prints sums, or the first
+ * failure and, if asked to, the state at that point. */
 int main(int argc, char **argv)
 {
 	uint64_t first = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
@@ -12,7 +13,9 @@
 
 	for (long i = 0; i < runs; i++) {
 		struct model_input in = {.seed = first + (uint64_t)i,
-					 .events = events};
+
+					 .events = events,
+					 .dump = argc > 4};
 		struct model_result r;
 
 		if (model_run(&in, &r)) {
--- a/model/model.h
+++ b/model/model.h
@@ -17,6 +17,8 @@
 	uint64_t seed;
 	/** Events to run. */
 	long events;
+	/** Prints the state of everything if the oracle finds a failure. */
+	int dump;
 };
 
 /** What a run found. */
--- a/model/world.h
+++ b/model/world.h
@@ -197,6 +197,9 @@
 void vm_end_flight(struct world *w, int i, int refused);
 void vm_finish(struct world *w, int i);
 
+/* dump.c */
+void dump_world(const struct world *w);
+
 /* oracle.c */
 void oracle_check(struct world *w);
 void oracle_ran(struct world *w, const struct flight *f);
