--- a/claim/include/primroselead/claim.h
+++ b/claim/include/primroselead/claim.h
@@ -27,6 +27,10 @@
 /** Longest text of a segment, in bytes. */
 #define CLAIM_SEGMENT_BYTES 32768
 
+/** Time for which a note that a request ran waits for claims to share their
+ * write, in milliseconds. */
+#define CLAIM_NOTE_MS 100
+
 /** Claims that may wait for a write. */
 #define CLAIM_PENDING_MAX 512
 
@@ -151,6 +155,8 @@
 	uint64_t waiter[CLAIM_PENDING_MAX];
 	int npending;
 	int writing;
+	/** When notes are written although no claim waits; 0 if unset. */
+	int64_t notes_at;
 	/** Text of the write that is under way. */
 	char text[CLAIM_SEGMENT_BYTES];
 	size_t len;
--- a/claim/src/shard.c
+++ b/claim/src/shard.c
@@ -172,14 +172,27 @@
 	s->state = CLAIM_WRITING;
 }
 
+/* Whether all that waits are notes that may wait longer: each alone would cost
+ * as many writes as the claims themselves. */
+static int may_wait(struct claim_shard *s, int64_t wall_ms)
+{
+	for (int i = 0; i < s->npending; i++)
+		if (s->pending[i].status != CLAIM_RAN)
+			return 0;
+	if (!s->notes_at || s->notes_at > wall_ms + CLAIM_NOTE_MS)
+		s->notes_at = wall_ms + CLAIM_NOTE_MS;
+	return wall_ms < s->notes_at;
+}
+
 enum claim_work claim_next(struct claim_shard *s, int64_t wall_ms,
 			   struct claim_write *w)
 {
 	int n;
 
 	if (s->state == CLAIM_LOADING || s->state == CLAIM_WRITING ||
-	    !s->npending)
+	    !s->npending || may_wait(s, wall_ms))
 		return CLAIM_IDLE;
+	s->notes_at = 0;
 	if (s->state == CLAIM_UNLOADED) {
 		s->state = CLAIM_LOADING;
 		return CLAIM_LOAD;
--- a/claim/test/test_claim.c
+++ b/claim/test/test_claim.c
@@ -156,7 +156,11 @@
 	a.status = CLAIM_RAN;
 	a.code = 201;
 	claim_submit(&shard, &a, 0);
+	/* A note alone waits for company, but not for ever. */
 	write_all(1, &version);
+	assert_int_equal(claim_waiting(&shard), 1);
+	write_all(1 + CLAIM_NOTE_MS, &version);
+	assert_int_equal(claim_waiting(&shard), 0);
 	claim_submit(&shard, &again, 2);
 	write_all(1, &version);
 	got = take();
--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -202,12 +202,33 @@
 	s->calling = 1;
 }
 
+/* Shards that this VM writes; at least one, for those it takes over. */
+static int owned(struct control *c)
+{
+	if (c->owned && c->owned_at == c->member.changes)
+		return c->owned;
+	c->owned = 0;
+	for (int i = 0; i < c->settings->control.shards; i++)
+		c->owned += owner(c, i) == 0;
+	if (!c->owned)
+		c->owned = 1;
+	c->owned_at = c->member.changes;
+	return c->owned;
+}
+
+static void look_at(struct control *c, int64_t when)
+{
+	if (when < c->claim_timer.deadline)
+		c->claim_timer.deadline = when;
+}
+
 /* This VM's part of the writes that the store can bear. When it is used up,
  * claims gather and the next write carries more of them. */
 static int may_write(struct control *c)
 {
 	int64_t now = prl_now_ms();
-	int64_t rate = c->settings->store.writes * THOUSAND / c->member.n;
+	int64_t rate = c->settings->store.writes * THOUSAND * owned(c) /
+		       c->settings->control.shards;
 	int64_t missing;
 
 	c->write_credit += (now - c->write_credit_at) * rate / THOUSAND;
@@ -217,9 +238,7 @@
 	missing = THOUSAND - c->write_credit;
 	if (missing <= 0)
 		return 1;
-	if (c->claim_timer.deadline == PRL_NEVER)
-		c->claim_timer.deadline =
-			now + 1 + missing * THOUSAND / (rate ? rate : 1);
+	look_at(c, now + 1 + missing * THOUSAND / (rate ? rate : 1));
 	return 0;
 }
 
@@ -238,6 +257,9 @@
 		start_call(s, STORE_PUT, &w);
 		break;
 	case CLAIM_IDLE:
+		/* Notes wait for a while; the timer brings them to their turn.
+		 */
+		look_at(s->control, prl_now_ms() + CLAIM_NOTE_MS);
 		break;
 	}
 	deliver_all(s);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -130,6 +130,9 @@
 	/** Writes of claims that this VM may make now, in thousandths. */
 	int64_t write_credit;
 	int64_t write_credit_at;
+	/** Shards that this VM writes, and the membership it was counted at. */
+	int owned;
+	uint64_t owned_at;
 	/** Due when a claim that waits for credit may be written. */
 	struct loop_timer claim_timer;
 	/** Shard whose turn is next when credit is short. */
--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -250,6 +250,27 @@
 	grant_finish(&g);
 }
 
+/* A VM whose configuration is older than the ledger's takes the ledger's
+ * capacity, and does not write its own back. */
+static void test_older_config_does_not_resize(void **state)
+{
+	static const char found[] =
+		"{\"pools\":[{\"region\":\"norte\",\"capacity\":8,"
+		"\"config\":7,\"rows\":[]}]}";
+	struct grant_gone gone = {0};
+	struct limit_grant g;
+	struct limit_hold h;
+	struct grant_write w;
+
+	(void)state;
+	grant_setup(&g, &h, "a", 20, 1);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	grant_read(&g, 9, found, strlen(found), NULL);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_WRITE);
+	assert_non_null(strstr(w.text, "\"capacity\":8,\"config\":7"));
+	grant_finish(&g);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -261,6 +282,7 @@
 		cmocka_unit_test(test_ledger_refuses_bad_texts),
 		cmocka_unit_test(test_plan_stays_in_bounds),
 		cmocka_unit_test(test_grant_waits_for_the_write),
+		cmocka_unit_test(test_older_config_does_not_resize),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/model/world.h
+++ b/model/world.h
@@ -22,7 +22,7 @@
 
 /* Periods of the model, in milliseconds. */
 #define LEASE_MS 5000
-#define DEADLINE_MS 2000
+#define DEADLINE_MS 6000
 #define LIST_LAG_MS 1000
 #define CALL_TIMEOUT_MS 1000
 
@@ -150,6 +150,8 @@
 	uint64_t random;
 	int64_t now;
 	int store_up;
+	/** Failures come often in this run. */
+	int rough;
 	int64_t revision;
 	struct fake_object object[OBJECTS];
 	int nobject;
--- a/proxy/src/admit.c
+++ b/proxy/src/admit.c
@@ -91,6 +91,10 @@
 static void admitted(struct proxy_request *r)
 {
 	count_reason(r);
+	/* A slot comes first: a claimed key whose request then finds none would
+	 * have to be made free again before the caller may try elsewhere. */
+	if (!request_reserve(r))
+		return;
 	if (r->once && !r->claimed)
 		ask_claim(r);
 	else
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -144,7 +144,11 @@
 /** Writes what became of a claimed request into its shard's log. */
 void request_note(struct proxy_request *r, enum claim_status status);
 
-/** Chooses an upstream and begins an attempt. */
+/** Chooses an upstream and takes a slot there. Returns 1, or 0 if none takes
+ * new work; the request is then given up. */
+int request_reserve(struct proxy_request *r);
+
+/** Begins an attempt at the upstream reserved, or at one chosen now. */
 void request_send(struct proxy_request *r);
 
 /** Ends the attempt and gives the upstream's and the region's place back. */
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -489,13 +489,19 @@
 	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
 
+int request_reserve(struct proxy_request *r)
+{
+	if (r->upstream || choose_and_take(r))
+		return 1;
+	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
+	give_up(r, "no upstream takes new work");
+	return 0;
+}
+
 void request_send(struct proxy_request *r)
 {
-	if (!choose_and_take(r)) {
-		metrics_add(&r->thread->metrics, METRIC_SHED, 1);
-		give_up(r, "no upstream takes new work");
+	if (!request_reserve(r))
 		return;
-	}
 	r->fetch.easy = get_easy(r->thread);
 	if (!r->fetch.easy) {
 		give_up(r, "out of memory");
--- a/standin/src/load.c
+++ b/standin/src/load.c
@@ -422,14 +422,34 @@
 		ld.until_ms = prl_now_ms() + number(argc, argv, "ms", "0");
 }
 
+/* Writes one object of the store, as the platform would. */
+static int put_object(const char *where, const char *value)
+{
+	CURL *easy = curl_easy_init();
+	char url[256];
+	CURLcode rc;
+
+	snprintf(url, sizeof(url), "http://%s", where);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, value);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+	rc = curl_easy_perform(easy);
+	curl_easy_cleanup(easy);
+	return rc ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
+	const char *put = option(argc, argv, "put", NULL);
 	struct prl_error err;
 	int64_t began;
 
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	signal(SIGPIPE, SIG_IGN);
+	if (put)
+		return put_object(put, option(argc, argv, "value", ""));
 	read_options(argc, argv);
 	ld.sample = malloc(sizeof(*ld.sample) * SAMPLES_MAX);
 	ld.caller = calloc((size_t)ld.callers, sizeof(*ld.caller));
