Measure the request path against the HTTP library alone, by make bench

Whether the targets of the request path hold was not known. bench/run measures them in one run: processor time per look-up and per proxied request, added latency, memory of a hundred transfers, time of decisions.

A profile showed the kernel first and then the formatting of the answer; it is now put together by copies.

--- a/mk/model.mk
+++ b/mk/model.mk
@@ -18,3 +18,12 @@
 	$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $(filter %.o,$^) $(LIBS)
 
 -include $(wildcard $(OUT)/model/*.d)
+
+# Programs of the bench.
+$(OUT)/bin/bench-%: $(OUT)/bench/%.o $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
+
+$(OUT)/bench/%.o: bench/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -25,7 +25,7 @@
 check:
 	tools/check
 
-bench: all
+bench: all $(OUT)/bin/bench-decide
 	bench/run
 
 capacity: all
--- a/proxy/src/own.c
+++ b/proxy/src/own.c
@@ -56,24 +56,29 @@
 		0);
 }
 
+/* Longest answer to a look-up in bytes: the names and addresses at their
+ * longest, and what stands around them. */
+#define ANSWER_BYTES 1024
+
+/* One format for the numbers alone: this is the busiest text of all. */
 static size_t write_answer(const struct steer_view *v,
 			   const struct steer_service *s,
-			   const struct steer_answer *a, char *text,
-			   size_t size)
+			   const struct steer_answer *a,
+			   char text[ANSWER_BYTES])
 {
 	int64_t expires = prl_wall_ms() + s->lookup_ttl_ms;
-	size_t n = (size_t)snprintf(
-		text, size,
-		"{\"service\":\"%s\",\"revision\":%lld,\"expires\":%lld,"
-		"\"vms\":[",
-		s->name, (long long)v->revision, (long long)expires);
-
-	for (int i = 0; i < a->n; i++)
-		n += (size_t)snprintf(
-			text + n, size - n,
-			"%s{\"address\":\"%s\",\"weight\":%d}", i ? "," : "",
-			v->vm[a->named[i].vm].address, a->named[i].weight);
-	return n + (size_t)snprintf(text + n, size - n, "]}\n");
+	char *at = stpcpy(text, "{\"service\":\"");
+
+	at = stpcpy(at, s->name);
+	at += sprintf(at, "\",\"revision\":%lld,\"expires\":%lld,\"vms\":[",
+		      (long long)v->revision, (long long)expires);
+	for (int i = 0; i < a->n; i++) {
+		at = stpcpy(at, i ? ",{\"address\":\"" : "{\"address\":\"");
+		at = stpcpy(at, v->vm[a->named[i].vm].address);
+		at += sprintf(at, "\",\"weight\":%d}", a->named[i].weight);
+	}
+	at = stpcpy(at, "]}\n");
+	return (size_t)(at - text);
 }
 
 static enum MHD_Result lookup(struct proxy_thread *t,
@@ -84,7 +89,7 @@
 	const struct steer_view *v = t->view;
 	struct steer_ask ask = {.region = t->proxy->region};
 	struct steer_answer answer;
-	char text[1024];
+	char text[ANSWER_BYTES];
 	size_t n;
 
 	if (!v)
@@ -108,8 +113,7 @@
 	if (!answer.n)
 		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
 				   "no entry VM is live");
-	n = write_answer(v, v->service[ask.service], &answer, text,
-			 sizeof(text));
+	n = write_answer(v, v->service[ask.service], &answer, text);
 	return reply(conn, MHD_HTTP_OK, "application/json", text, n);
 }
 
--- a/standin/src/load.c
+++ b/standin/src/load.c
@@ -52,6 +52,8 @@
 	int64_t rate;
 	int64_t until_ms;
 	int once;
+	/** Takes the path as it is and any answer as whole. */
+	int raw;
 	int blocks;
 	int callers;
 	struct caller *caller;
@@ -132,7 +134,7 @@
 {
 	struct caller *c = ctx;
 
-	for (size_t i = 0; i < size * n && c->status == 200; i++) {
+	for (size_t i = 0; i < size * n && c->status == 200 && !ld.raw; i++) {
 		uint64_t pos = c->received + i;
 
 		if (data[i] != (char)('a' + (pos + c->pattern) % 23))
@@ -201,7 +203,7 @@
 		ld.shed++;
 	} else if (c->status == 409) {
 		ld.replayed++;
-	} else if (c->status == 200 &&
+	} else if (c->status == 200 && !ld.raw &&
 		   (c->wrong || c->received != (uint64_t)ld.size ||
 		    !upload_arrived(c))) {
 		ld.wrong++;
@@ -286,6 +288,8 @@
 			      (ld.nnamed ? ld.nnamed : 1)];
 	snprintf(url, sizeof(url), "http://%s%s?work=%lld&size=%lld", vm,
 		 ld.path, (long long)ld.work, (long long)ld.size);
+	if (ld.raw)
+		snprintf(url, sizeof(url), "http://%s%s", vm, ld.path);
 	c->sent = 0;
 	c->received = 0;
 	c->wrong = 0;
@@ -414,6 +418,7 @@
 	ld.rate = number(argc, argv, "rate", "0");
 	ld.blocks = (int)number(argc, argv, "blocks", "0");
 	ld.once = (int)number(argc, argv, "once", "0");
+	ld.raw = (int)number(argc, argv, "raw", "0");
 	ld.callers = (int)number(argc, argv, "callers", "8");
 	ld.serial = (uint64_t)number(argc, argv, "serial", "0");
 	if (!ld.serial)
--- a/steer/src/lookup.c
+++ b/steer/src/lookup.c
@@ -6,6 +6,58 @@
 
 #define WHOLE_WEIGHT 1000
 
+/* Failure domains of one region that a look-up tells apart. */
+#define DOMAINS_MAX 16
+
+/* A VM and its rank for one caller: highest random weight first. */
+struct ranked {
+	int vm;
+	uint64_t weight;
+};
+
+/* What one pass over a region's VMs leaves: the best ones of all, and the best
+ * one of each failure domain. */
+struct ranking {
+	struct ranked best[STEER_ANSWER_MAX];
+	int nbest;
+	struct ranked of_domain[DOMAINS_MAX];
+	int ndomain;
+};
+
+static void note_best(struct ranking *k, const struct ranked *r)
+{
+	int at = k->nbest;
+
+	if (at == STEER_ANSWER_MAX) {
+		if (r->weight <= k->best[at - 1].weight)
+			return;
+		at--;
+	} else {
+		k->nbest++;
+	}
+	while (at > 0 && k->best[at - 1].weight < r->weight) {
+		k->best[at] = k->best[at - 1];
+		at--;
+	}
+	k->best[at] = *r;
+}
+
+static void note_domain(const struct steer_view *v, struct ranking *k,
+			const struct ranked *r)
+{
+	int domain = v->vm[r->vm].domain;
+
+	for (int i = 0; i < k->ndomain; i++) {
+		if (v->vm[k->of_domain[i].vm].domain != domain)
+			continue;
+		if (r->weight > k->of_domain[i].weight)
+			k->of_domain[i] = *r;
+		return;
+	}
+	if (k->ndomain < DOMAINS_MAX)
+		k->of_domain[k->ndomain++] = *r;
+}
+
 static int domain_named(const struct steer_view *v,
 			const struct steer_answer *out, int domain)
 {
@@ -23,40 +75,52 @@
 	return 0;
 }
 
-/* Highest random weight among a region's VMs; other domains go first. */
-static int best_vm(const struct steer_view *v, const struct steer_ask *ask,
-		   int region, const struct steer_answer *out)
+static void rank_region(const struct steer_view *v, const struct steer_ask *ask,
+			int region, const struct steer_answer *out,
+			struct ranking *k)
 {
-	int best = STEER_NONE;
-	int best_new = 0;
-	uint64_t best_hash = 0;
-
+	k->nbest = 0;
+	k->ndomain = 0;
 	for (int i = v->first_vm[region]; i < v->first_vm[region + 1]; i++) {
-		const struct steer_vm *vm = &v->vm[i];
-		uint64_t hash;
-		int fresh;
+		struct ranked r = {.vm = i};
 
-		if (vm->state != STEER_ACTIVE || vm_named(out, i))
+		if (v->vm[i].state != STEER_ACTIVE || vm_named(out, i))
 			continue;
-		hash = prl_hash_pair(vm->id, ask->block);
-		fresh = !domain_named(v, out, vm->domain);
-		if (best != STEER_NONE && fresh < best_new)
-			continue;
-		if (best != STEER_NONE && fresh == best_new &&
-		    hash <= best_hash)
-			continue;
-		best = i;
-		best_new = fresh;
-		best_hash = hash;
+		r.weight = prl_hash_pair(v->vm[i].id, ask->block);
+		note_best(k, &r);
+		note_domain(v, k, &r);
+	}
+}
+
+/* The best VM of a domain not named yet, else the best one left. */
+static int next_vm(const struct steer_view *v, const struct ranking *k,
+		   const struct steer_answer *out)
+{
+	const struct ranked *best = NULL;
+
+	for (int i = 0; i < k->ndomain; i++) {
+		const struct ranked *r = &k->of_domain[i];
+
+		if (!domain_named(v, out, v->vm[r->vm].domain) &&
+		    (!best || r->weight > best->weight))
+			best = r;
 	}
-	return best;
+	for (int i = 0; !best && i < k->nbest; i++)
+		if (!vm_named(out, k->best[i].vm))
+			best = &k->best[i];
+	return best ? best->vm : STEER_NONE;
 }
 
 static void name_vms(const struct steer_view *v, const struct steer_ask *ask,
 		     int region, int most, struct steer_answer *out)
 {
+	struct ranking k;
+
+	if (out->n >= most)
+		return;
+	rank_region(v, ask, region, out, &k);
 	while (out->n < most) {
-		int vm = best_vm(v, ask, region, out);
+		int vm = next_vm(v, &k, out);
 
 		if (vm == STEER_NONE)
 			return;
