Lend capacity between VMs, and give each its own slots first

VMs now hold an even part and lend each other capacity for up to 10 s in about a round trip. A loan is part of the lender's row; the borrower counts its term from before it asked, and the lender takes an unreturned loan back only after term, lease and last request. Slots of a region are divided among its VMs, which use their own first. Spill waits 20 ms, and remote borrowers get only what the region is unlikely to need.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -6,8 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Beyond the lease and the longest request, a destroyed VM's capacity rests
- * this much longer before others use it, in milliseconds. */
+/* Beyond the term of a loan, the lease and the longest request, a destroyed
+ * VM's capacity rests this much longer before others use it, in milliseconds.
+ */
 #define GONE_MARGIN_MS 2000
 
 static void audit_service(const char *name, int64_t version, int share,
@@ -77,8 +78,8 @@
 	if (g_hash_table_contains(c->gone, name))
 		return;
 	at = g_new(int64_t, 1);
-	*at = prl_now_ms() + c->settings->control.lease + longest_deadline(c) +
-	      GONE_MARGIN_MS;
+	*at = prl_now_ms() + GRANT_TERM_MS + c->settings->control.lease +
+	      longest_deadline(c) + GONE_MARGIN_MS;
 	g_hash_table_insert(c->gone, g_strdup(name), at);
 	member_forget(&c->member, name);
 }
@@ -169,7 +170,9 @@
 		if (vm[n].region >= 0)
 			n++;
 	}
-	v = config_build_view(&c->builder, vm, n, c->sync.copy.complete);
+	v = config_build_view(&c->builder, vm, n,
+			      prl_hash_name(c->settings->vm.name),
+			      c->sync.copy.complete);
 	proxy_set_view(&c->proxy, v);
 	config_view_release(v);
 	g_free(vm);
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -114,6 +114,7 @@
 	if (c->dirty && c->sync.ready)
 		apply_view(c);
 	grants_tick(c, now);
+	loans_tick(c, now);
 	shifts_tick(c, now);
 	if (!c->unconfirmed && !c->unlisted)
 		atomic_store(&c->proxy.alive_until,
@@ -132,6 +133,7 @@
 	if (loop_init(&c->loop, err) ||
 	    fetch_pool_init(&c->fetches, &c->loop, err) ||
 	    mailbox_init(&c->claims, &c->loop, claims_received, c, err) ||
+	    mailbox_init(&c->shortages, &c->loop, loans_short, c, err) ||
 	    watch_signals(c, err))
 		return err->code;
 	store_init(&c->store, &c->fetches, c->settings->store.address);
@@ -159,7 +161,8 @@
 	config_builder_init(&c->builder);
 	region = config_region(&c->builder, s->vm.region);
 	if (init_io(c, err) || claims_init(c, err) || peers_init(c, err) ||
-	    proxy_init(&c->proxy, s, region, &c->claims, pool, err))
+	    proxy_init(&c->proxy, s, region, &c->claims, &c->shortages, pool,
+		       err))
 		return err->code;
 	sync_init(c);
 	if (proxy_start(&c->proxy, pool, err))
@@ -185,6 +188,7 @@
 	grants_finish(c);
 	shifts_finish(c);
 	mailbox_finish(&c->claims, &c->loop);
+	mailbox_finish(&c->shortages, &c->loop);
 	claims_finish(c);
 	wire_finish(&c->wire);
 	fetch_pool_finish(&c->fetches);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -14,6 +14,9 @@
  * It never blocks on a peer or on the store.
  */
 
+/** Time for one answer about a loan, in milliseconds. */
+#define LOAN_CALL_MS 300
+
 /** Time between two ticks in milliseconds. */
 #define TICK_MS 50
 
@@ -58,6 +61,8 @@
 	struct limit_grant capacity;
 	struct store_call call;
 	struct backoff backoff;
+	/** The ask for a loan under way, by pool; 0 if none. */
+	uint64_t asking[LEDGER_POOLS_MAX];
 	/** Rows as they were last written into the audit trail. */
 	int audited[LEDGER_POOLS_MAX];
 	struct control *control;
@@ -100,6 +105,7 @@
 	struct config_builder builder;
 	struct proxy proxy;
 	struct mailbox claims;
+	struct mailbox shortages;
 	struct loop_timer tick;
 	struct loop_fd signals;
 	int64_t started_ms;
@@ -208,8 +214,27 @@
 /** Builds the view and hands it to the traffic threads. */
 void apply_view(struct control *c);
 
+/* loans.c */
+
+/** A traffic thread found no capacity in a pool. */
+void loans_short(void *ctx, void *item);
+
+/** Returns loans that are due. */
+void loans_tick(struct control *c, int64_t now);
+
+/** Another VM asks for capacity. */
+void loans_asked(struct control *c, const struct wire_request *r,
+		 const struct wire_borrow *b);
+
+/** Another VM returns a loan. */
+void loans_returned(struct control *c, const struct wire_request *r,
+		    const struct wire_return *b);
+
 /* grants.c */
 
+/** Capacity of a service, or null if none is held yet. */
+struct grant *grants_find(struct control *c, const char *service);
+
 /** Takes, gives back and reclaims capacity, as is due. */
 void grants_tick(struct control *c, int64_t now);
 
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -21,11 +21,17 @@
 	snprintf(g->service, sizeof(g->service), "%s", s->name);
 	grant_init(&g->capacity, c->settings->vm.name,
 		   c->member.peer[0].vm.incarnation,
-		   c->started_ms + s->deadline_ms);
+		   c->started_ms + s->deadline_ms + GRANT_TERM_MS +
+			   c->settings->control.lease);
 	g_hash_table_insert(c->grants, g->service, g);
 	return g;
 }
 
+struct grant *grants_find(struct control *c, const char *service)
+{
+	return g_hash_table_lookup(c->grants, service);
+}
+
 static void audit(struct grant *g)
 {
 	for (int i = 0; i < g->capacity.npool; i++) {
--- a/cmd/primroseleadd/leave.c
+++ b/cmd/primroseleadd/leave.c
@@ -3,7 +3,7 @@
 #include <primroselead/log.h>
 
 /* Longest time for giving capacity back once nothing is in flight, in ms. */
-#define RETURN_MAX_MS 3000
+#define RETURN_MAX_MS 15000
 
 void leave_begin(struct control *c)
 {
--- /dev/null
+++ b/cmd/primroseleadd/loans.c
@@ -0,0 +1,223 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Tokens asked for at once. */
+#define ASK_TOKENS 4
+
+/* Lenders asked one after another, when the first ones have none. */
+#define LENDERS_MAX 3
+
+/* Time between two repetitions of a message about a loan, in milliseconds. */
+#define REPEAT_MS 100
+
+/* Time for which a return is repeated, in milliseconds. */
+#define RETURN_MAX_MS 2000
+
+/* Returns sent in one tick. */
+#define RETURNS_MAX 32
+
+/* An ask for a loan under way. */
+struct borrowing {
+	struct control *control;
+	char service[PRL_NAME_MAX];
+	int pool;
+	struct grant_terms terms;
+	int64_t until;
+	int tries;
+};
+
+static void ask(struct borrowing *b);
+
+static void send_return(struct control *c, const char *service,
+			const char *region, const char *peer, uint64_t id)
+{
+	const struct member_peer *p = member_find(&c->member, peer);
+	struct wire_args args = {.proc = WIRE_RETURN};
+	struct wire_options o = {
+		.deadline = prl_now_ms() + RETURN_MAX_MS,
+		.repeat_ms = REPEAT_MS,
+	};
+
+	if (!p)
+		return;
+	args.u.give_back.service = (char *)service;
+	args.u.give_back.region = (char *)region;
+	args.u.give_back.id = id;
+	wire_call(&c->wire, p->vm.rpc, &args, &o, NULL);
+}
+
+static void end(struct borrowing *b)
+{
+	struct grant *g = grants_find(b->control, b->service);
+
+	if (g)
+		g->asking[b->pool] = 0;
+	g_free(b);
+}
+
+static void try_next(struct borrowing *b)
+{
+	if (b->tries < LENDERS_MAX)
+		ask(b);
+	else
+		end(b);
+}
+
+static void on_loan(void *ctx, const struct wire_result *result)
+{
+	struct borrowing *b = ctx;
+	struct control *c = b->control;
+	struct grant *g = grants_find(c, b->service);
+	struct grant_terms t = b->terms;
+
+	/* A loan whose answer was lost may exist: it goes back at once. */
+	if (!result)
+		send_return(c, b->service, t.region, t.peer, t.id);
+	if (!result || result->u.loan.tokens <= 0) {
+		try_next(b);
+		return;
+	}
+	t.tokens = result->u.loan.tokens;
+	t.base = result->u.loan.base;
+	if (!g || prl_now_ms() >= b->until ||
+	    !grant_borrow(&g->capacity, &t, b->until))
+		send_return(c, b->service, t.region, t.peer, t.id);
+	else
+		metrics_add(&c->proxy.control, METRIC_BORROWED,
+			    (uint64_t)t.tokens);
+	end(b);
+}
+
+static const struct member_peer *find_lender(struct borrowing *b,
+					     struct grant *g)
+{
+	const char *name = grant_lender(&g->capacity, b->terms.region,
+					control_random() >> 1);
+	const struct member_peer *p;
+
+	p = name ? member_find(&b->control->member, name) : NULL;
+	if (!p || p->vm.state == MEMBER_DEAD)
+		return NULL;
+	return p;
+}
+
+static void ask(struct borrowing *b)
+{
+	struct control *c = b->control;
+	struct grant *g = grants_find(c, b->service);
+	const struct member_peer *p = g ? find_lender(b, g) : NULL;
+	struct wire_args args = {.proc = WIRE_BORROW};
+	struct wire_options o = {
+		.deadline = prl_now_ms() + LOAN_CALL_MS,
+		.repeat_ms = REPEAT_MS,
+		.done = on_loan,
+		.ctx = b,
+	};
+
+	if (!p) {
+		end(b);
+		return;
+	}
+	b->tries++;
+	/* Each lender is asked under a number of its own. */
+	b->terms.id = control_random() | 1;
+	memcpy(b->terms.peer, p->vm.name, sizeof(b->terms.peer));
+	b->until = prl_now_ms() + GRANT_TERM_MS;
+	g->asking[b->pool] = b->terms.id;
+	args.u.borrow.service = b->service;
+	args.u.borrow.region = b->terms.region;
+	args.u.borrow.borrower = (char *)c->settings->vm.name;
+	args.u.borrow.id = b->terms.id;
+	args.u.borrow.tokens = b->terms.tokens;
+	if (wire_call(&c->wire, p->vm.rpc, &args, &o, NULL))
+		end(b);
+}
+
+static void borrow_for(struct grant *g, int pool)
+{
+	struct borrowing *b;
+
+	if (g->asking[pool] || g->control->leaving_since ||
+	    g->control->unconfirmed)
+		return;
+	b = g_new0(struct borrowing, 1);
+	b->control = g->control;
+	b->pool = pool;
+	memcpy(b->service, g->service, sizeof(b->service));
+	memcpy(b->terms.region, g->capacity.pool[pool].region,
+	       sizeof(b->terms.region));
+	b->terms.tokens = ASK_TOKENS;
+	ask(b);
+}
+
+void loans_short(void *ctx, void *item)
+{
+	struct control *c = ctx;
+	struct limit_hold *hold = &c->proxy.hold[GPOINTER_TO_INT(item) - 1];
+	GHashTableIter it;
+	void *value;
+
+	atomic_store(&hold->asked, 0);
+	g_hash_table_iter_init(&it, c->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct grant *g = value;
+
+		for (int i = 0; i < g->capacity.npool; i++)
+			if (g->capacity.pool[i].hold == hold)
+				borrow_for(g, i);
+	}
+}
+
+void loans_tick(struct control *c, int64_t now)
+{
+	struct grant_return back[RETURNS_MAX];
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct grant *g = value;
+		int n = grant_loans(&g->capacity, now, back, RETURNS_MAX);
+
+		for (int i = 0; i < n; i++)
+			send_return(c, g->service, back[i].region,
+				    back[i].peer, back[i].id);
+	}
+}
+
+void loans_asked(struct control *c, const struct wire_request *r,
+		 const struct wire_borrow *b)
+{
+	const struct steer_service *s = config_find(&c->builder, b->service);
+	const struct member_peer *peer = member_find(&c->member, b->borrower);
+	struct grant *g = grants_find(c, b->service);
+	struct wire_result result = {.proc = WIRE_BORROW};
+	struct grant_terms t = {.id = b->id, .tokens = b->tokens};
+	int64_t rest = GRANT_TERM_MS + c->settings->control.lease;
+
+	snprintf(t.region, sizeof(t.region), "%s", b->region);
+	snprintf(t.peer, sizeof(t.peer), "%s", b->borrower);
+	t.remote = !peer || strcmp(peer->vm.region, b->region) != 0;
+	if (g && s && !c->unconfirmed && !c->unlisted)
+		grant_lend(&g->capacity, &t,
+			   prl_now_ms() + rest + s->deadline_ms);
+	else
+		t.tokens = 0;
+	result.u.loan.tokens = t.tokens;
+	result.u.loan.base = t.base;
+	wire_reply(&c->wire, r, &result, NULL);
+}
+
+void loans_returned(struct control *c, const struct wire_request *r,
+		    const struct wire_return *b)
+{
+	struct grant *g = grants_find(c, b->service);
+	struct wire_result result = {.proc = WIRE_RETURN};
+
+	if (g)
+		grant_take_back(&g->capacity, b->region, b->id);
+	wire_reply(&c->wire, r, &result, NULL);
+}
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -275,6 +275,12 @@
 	case WIRE_CLAIM:
 		claims_called(c, r, &args->u.claim);
 		break;
+	case WIRE_BORROW:
+		loans_asked(c, r, &args->u.borrow);
+		break;
+	case WIRE_RETURN:
+		loans_returned(c, r, &args->u.give_back);
+		break;
 	}
 }
 
--- a/config/include/primroselead/config.h
+++ b/config/include/primroselead/config.h
@@ -132,12 +132,13 @@
 				   struct prl_error *err);
 
 /**
- * Builds a view of all services and the given entry VMs, which need no order.
+ * Builds a view of all services and the given entry VMs, which need no order;
+ * "self" is the id of the VM that it is for.
  * It is released by config_view_release from any thread.
  */
 struct steer_view *config_build_view(const struct config_builder *b,
 				     const struct steer_vm *vm, int nvm,
-				     int64_t revision);
+				     uint64_t self, int64_t revision);
 
 /** Takes one more reference to a view. */
 struct steer_view *config_view_ref(struct steer_view *v);
--- a/config/src/view.c
+++ b/config/src/view.c
@@ -64,9 +64,28 @@
 	}
 }
 
+/* The table is sorted, so that every VM ranks the others alike. */
+static void rank_self(struct steer_view *v, uint64_t self)
+{
+	int region = STEER_NONE;
+
+	for (int i = 0; i < v->nvm; i++)
+		if (v->vm[i].id == self && v->vm[i].state == STEER_ACTIVE)
+			region = v->vm[i].region;
+	if (region == STEER_NONE)
+		return;
+	for (int i = v->first_vm[region]; i < v->first_vm[region + 1]; i++) {
+		if (v->vm[i].state != STEER_ACTIVE)
+			continue;
+		if (v->vm[i].id == self)
+			v->rank = v->ranked;
+		v->ranked++;
+	}
+}
+
 struct steer_view *config_build_view(const struct config_builder *b,
 				     const struct steer_vm *vm, int nvm,
-				     int64_t revision)
+				     uint64_t self, int64_t revision)
 {
 	struct view_box *box = g_new0(struct view_box, 1);
 	struct steer_view *v = &box->view;
@@ -78,6 +97,7 @@
 	v->nregion = b->nregion;
 	memcpy(v->region, b->region, sizeof(v->region));
 	fill_vms(v, vm, nvm);
+	rank_self(v, self);
 	v->service = g_new0(struct steer_service *,
 			    g_hash_table_size(b->services) + 1);
 	g_hash_table_iter_init(&it, b->services);
--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -12,6 +12,49 @@
  * lost. Pure: the caller does what grant_next says and reports the result.
  */
 
+/*
+ * Between two writes of the ledger VMs lend each other capacity. A loan is a
+ * part of the lender's row. The borrower counts its term from before it asked,
+ * and gives back or stops by itself; the lender takes an unreturned loan back
+ * only after the term, the borrower's lease and its last request.
+ */
+
+/** Most loans of one pool, in both directions. */
+#define GRANT_LOANS_MAX 16
+
+/** Term of a loan, in milliseconds. */
+#define GRANT_TERM_MS 10000
+
+/** Where a loan stands. */
+enum grant_loan_state {
+	GRANT_LOAN_NONE,
+	GRANT_LOAN_LENT,
+	GRANT_LOAN_BORROWED,
+	/** Nothing new is taken from it; it goes back when it is free. */
+	GRANT_LOAN_RETURNING,
+};
+
+/** One loan. */
+struct grant_loan {
+	enum grant_loan_state state;
+	/** Given by the borrower; names the loan. */
+	uint64_t id;
+	/** The other VM's name. */
+	char peer[LEDGER_NAME_MAX];
+	int tokens;
+	/** Capacity of the pool when it was lent. */
+	int base;
+	/** Lent: when it is taken back; borrowed: when its use ends. */
+	int64_t until;
+};
+
+/** A loan that goes back; to be told to the lender. */
+struct grant_return {
+	uint64_t id;
+	char region[LEDGER_NAME_MAX];
+	char peer[LEDGER_NAME_MAX];
+};
+
 /** One region's part. */
 struct grant_pool {
 	char region[LEDGER_NAME_MAX];
@@ -27,6 +70,9 @@
 	/** This process's row in the ledger, and its base. */
 	int row;
 	int base;
+	/** Part of the row that is not to be given up, loans included. */
+	int own;
+	struct grant_loan loan[GRANT_LOANS_MAX];
 	/** Capacity that the ledger shares out, and its configuration. */
 	int ledger_capacity;
 	int64_t ledger_config;
@@ -136,4 +182,40 @@
 /** Whether everything has been given back. */
 int grant_returned(const struct limit_grant *g);
 
+/** What a borrower asks for, and what it gets. */
+struct grant_terms {
+	uint64_t id;
+	char region[LEDGER_NAME_MAX];
+	char peer[LEDGER_NAME_MAX];
+	int tokens;
+	int base;
+	/** The borrower is in another region than the pool. */
+	int remote;
+};
+
+/**
+ * Lends at most the tokens asked for, if they are free; "until" is when the
+ * loan is taken back if it was not returned. Asked again with the same id, the
+ * answer is the same. Fills in tokens, 0 if none, and their base.
+ */
+void grant_lend(struct limit_grant *g, struct grant_terms *t, int64_t until);
+
+/** Takes a loan into use until a time. Returns 1, or 0 if there is no place
+ * for it; it must then be returned. */
+int grant_borrow(struct limit_grant *g, const struct grant_terms *t,
+		 int64_t until);
+
+/** A borrower has returned a loan. */
+void grant_take_back(struct limit_grant *g, const char *region, uint64_t id);
+
+/** Ends loans that are due and begins to return idle ones. Fills those that go
+ * back now and returns how many. */
+int grant_loans(struct limit_grant *g, int64_t now, struct grant_return *out,
+		int max);
+
+/** Another VM with a row in a region's pool, chosen by a random number; null
+ * if there is none. */
+const char *grant_lender(struct limit_grant *g, const char *region,
+			 uint64_t random);
+
 #endif
--- a/limit/include/primroselead/hold.h
+++ b/limit/include/primroselead/hold.h
@@ -15,16 +15,15 @@
 	_Atomic uint64_t state;
 	/** Requests that found nothing free; for the choice of new amounts. */
 	_Atomic uint64_t refused;
-	/** Greatest use since it was last read. */
-	_Atomic uint32_t peak;
+	/** The control thread has been asked for more and not looked yet. */
+	_Atomic int asked;
 };
 
 /** Starts with nothing held. */
 void limit_hold_init(struct limit_hold *h);
 
-/** Takes a place for one request, if more than "reserve" are free. Returns 1,
- * or 0. */
-int limit_hold_take(struct limit_hold *h, uint32_t reserve);
+/** Takes a place for one request. Returns 1, or 0 if none is free. */
+int limit_hold_take(struct limit_hold *h);
 
 /** Gives a place back. */
 void limit_hold_give(struct limit_hold *h);
@@ -32,13 +31,14 @@
 /** Sets what is held. */
 void limit_hold_set(struct limit_hold *h, uint32_t n);
 
+/** Lowers what is held by at most n, as far as it is free; returns by how
+ * much. */
+uint32_t limit_hold_cut(struct limit_hold *h, uint32_t n);
+
 /** What is held. */
 uint32_t limit_hold_size(const struct limit_hold *h);
 
 /** What is in use. */
 uint32_t limit_hold_used(const struct limit_hold *h);
 
-/** Greatest use since the last call. */
-uint32_t limit_hold_peak(struct limit_hold *h);
-
 #endif
--- a/limit/include/primroselead/ledger.h
+++ b/limit/include/primroselead/ledger.h
@@ -101,8 +101,6 @@
 	int all_vms;
 	/** Whether this VM is in the pool's region. */
 	int local;
-	/** Greatest use since the last decision. */
-	int peak;
 	/** Requests refused since the last decision. */
 	int64_t refused;
 };
--- a/limit/src/grant.c
+++ b/limit/src/grant.c
@@ -1,4 +1,4 @@
-#include <primroselead/grant.h>
+#include "pool.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -45,33 +45,10 @@
 	return p;
 }
 
-static int held(const struct grant_pool *p)
-{
-	return (int)limit_hold_size(p->hold);
-}
-
-static void lower(struct grant_pool *p, int to)
-{
-	if (to < held(p))
-		limit_hold_set(p->hold, (uint32_t)to);
-}
-
-/* The newer one of the capacities that this VM and the ledger know. */
-static int capacity(const struct grant_pool *p)
-{
-	return p->ledger_config > p->config ? p->ledger_capacity : p->capacity;
-}
-
-/* Part of the row that may be used now. */
-static int allowed(const struct grant_pool *p)
-{
-	return ledger_scaled(p->row, p->base, capacity(p));
-}
-
 void grant_settle(struct limit_grant *g)
 {
 	for (int i = 0; i < g->npool; i++)
-		lower(&g->pool[i], allowed(&g->pool[i]));
+		pool_lower(&g->pool[i], pool_allowed(&g->pool[i]));
 }
 
 static const struct ledger_row *own_row(struct limit_grant *g,
@@ -109,7 +86,8 @@
 		if (tokens != p->row || base != p->base)
 			g->unsure = 1;
 		take_capacity(g, p);
-		if (ledger_scaled(tokens, base, capacity(p)) < allowed(p))
+		if (ledger_scaled(tokens, base, pool_capacity(p)) <
+		    pool_allowed(p))
 			set_row(p, row);
 	}
 	grant_settle(g);
@@ -150,7 +128,8 @@
 		struct grant_pool *p = &g->pool[i];
 		set_row(p, own_row(g, p));
 		take_capacity(g, p);
-		limit_hold_set(p->hold, (uint32_t)allowed(p));
+		p->own = pool_allowed(p);
+		pool_refresh(p);
 	}
 }
 
@@ -205,7 +184,7 @@
 	int rows = 0;
 
 	for (int i = 0; i < g->npool; i++)
-		rows += g->pool[i].row;
+		rows += g->pool[i].row + pool_has_loans(&g->pool[i]);
 	return g->loaded && !g->busy && !g->unsure && !rows && !has_old_rows(g);
 }
 
@@ -227,21 +206,22 @@
 		const struct ledger_pool *lp)
 {
 	int64_t refused = (int64_t)atomic_load(&p->hold->refused);
+	int want;
 	struct ledger_wish w = {
-		.mine = allowed(p),
+		.mine = pool_allowed(p),
 		.unused = ledger_unused(lp),
 		.capacity = lp->capacity,
 		.local = p->local,
 		.local_vms = p->local_vms,
 		.all_vms = p->all_vms,
-		.peak = (int)limit_hold_peak(p->hold),
 		.refused = refused - p->refused_before,
 	};
 
 	p->refused_before = refused;
-	if (w.refused && !w.unused)
+	want = ledger_plan(&w);
+	if (w.refused && want <= w.mine)
 		g->starved = 1;
-	return ledger_plan(&w);
+	return want;
 }
 
 /* Plans one pool's row. Returns 1 if the ledger must be written. */
@@ -261,12 +241,15 @@
 		lp->config = p->config;
 	}
 	want = g->leaving ? 0 : wish(g, p, lp);
-	lower(p, want < allowed(p) ? want : allowed(p));
+	if (want < pool_lent(p, lp->capacity))
+		want = pool_lent(p, lp->capacity);
+	pool_lower(p, want);
 	/* Requests that began before keep their part of the row until they
 	 * end; none is added, since less is held already. */
-	if ((int)limit_hold_used(p->hold) > want)
-		want = (int)limit_hold_used(p->hold);
-	if (want == p->row && (p->base == lp->capacity || !want))
+	if (want < pool_needed(p, lp->capacity))
+		want = pool_needed(p, lp->capacity);
+	if (want == p->row && (p->base == lp->capacity || !want) &&
+	    p->own >= pool_allowed(p))
 		return changed;
 	return !ledger_set(lp, g->vm, g->incarnation, want, NULL) || changed;
 }
--- /dev/null
+++ b/limit/src/loan.c
@@ -0,0 +1,197 @@
+#include "pool.h"
+#include <stdio.h>
+#include <string.h>
+
+/* Time before the end of its term at which a loan begins to go back, in
+ * milliseconds, so that what runs on it can end. */
+#define RETURN_AHEAD_MS 3000
+
+/* A lender keeps one in so many free of VMs in other regions. */
+#define REMOTE_DIVISOR 4
+
+static struct grant_pool *find_pool(struct limit_grant *g, const char *region)
+{
+	for (int i = 0; i < g->npool; i++)
+		if (!strcmp(g->pool[i].region, region))
+			return &g->pool[i];
+	return NULL;
+}
+
+static struct grant_loan *find_loan(struct grant_pool *p,
+                                    enum grant_loan_state state, uint64_t id)
+{
+	for (int i = 0; i < GRANT_LOANS_MAX; i++)
+		if (p->loan[i].state == state && p->loan[i].id == id)
+			return &p->loan[i];
+	return NULL;
+}
+
+static struct grant_loan *free_place(struct grant_pool *p)
+{
+	for (int i = 0; i < GRANT_LOANS_MAX; i++)
+		if (p->loan[i].state == GRANT_LOAN_NONE)
+			return &p->loan[i];
+	return NULL;
+}
+
+static void fill(struct grant_loan *l, enum grant_loan_state state,
+                 const struct grant_terms *t, int64_t until)
+{
+	memset(l, 0, sizeof(*l));
+	l->state = state;
+	l->id = t->id;
+	l->tokens = t->tokens;
+	l->base = t->base;
+	l->until = until;
+	snprintf(l->peer, sizeof(l->peer), "%s", t->peer);
+}
+
+/* Half of what is free, so that the lender is not the next one to ask. VMs of
+ * other regions get what the region itself is unlikely to need soon. */
+static int can_lend(const struct grant_pool *p, int remote)
+{
+	int size = (int)limit_hold_size(p->hold);
+	int used = (int)limit_hold_used(p->hold);
+	int own = p->own - pool_lent(p, pool_capacity(p));
+	int spare = size - used - (remote ? size / REMOTE_DIVISOR : 0);
+	int half = spare > 0 ? (spare + 1) / 2 : 0;
+
+	if (own < 0)
+		own = 0;
+	return half < own ? half : own;
+}
+
+void grant_lend(struct limit_grant *g, struct grant_terms *t, int64_t until)
+{
+	struct grant_pool *p = find_pool(g, t->region);
+	struct grant_loan *l = p ? find_loan(p, GRANT_LOAN_LENT, t->id) : NULL;
+	int want = t->tokens;
+
+	t->tokens = 0;
+	t->base = 1;
+	if (l) {
+		t->tokens = l->tokens;
+		t->base = l->base;
+		return;
+	}
+	l = p ? free_place(p) : NULL;
+	if (!l || g->leaving || pool_capacity(p) <= 0)
+		return;
+	if (want > can_lend(p, t->remote))
+		want = can_lend(p, t->remote);
+	if (want <= 0)
+		return;
+	/* Only what is free at this moment, whatever the threads do. */
+	t->tokens = (int)limit_hold_cut(p->hold, (uint32_t)want);
+	t->base = pool_capacity(p);
+	if (t->tokens)
+		fill(l, GRANT_LOAN_LENT, t, until);
+}
+
+int grant_borrow(struct limit_grant *g, const struct grant_terms *t,
+                 int64_t until)
+{
+	struct grant_pool *p = find_pool(g, t->region);
+	struct grant_loan *l = p ? free_place(p) : NULL;
+
+	if (!l || t->tokens <= 0 || t->base < t->tokens || g->leaving)
+		return 0;
+	fill(l, GRANT_LOAN_BORROWED, t, until);
+	pool_refresh(p);
+	return 1;
+}
+
+void grant_take_back(struct limit_grant *g, const char *region, uint64_t id)
+{
+	struct grant_pool *p = find_pool(g, region);
+	struct grant_loan *l = p ? find_loan(p, GRANT_LOAN_LENT, id) : NULL;
+
+	if (!l)
+		return;
+	l->state = GRANT_LOAN_NONE;
+	pool_refresh(p);
+}
+
+/* Whether the pool would do without this loan, with as much to spare. */
+static int is_idle(const struct grant_pool *p, const struct grant_loan *l)
+{
+	return (int)limit_hold_used(p->hold) + 2 * l->tokens <=
+	       (int)limit_hold_size(p->hold);
+}
+
+static void turn_back(struct limit_grant *g, struct grant_pool *p,
+                      struct grant_loan *l, int64_t now)
+{
+	if (!g->leaving && now < l->until - RETURN_AHEAD_MS && !is_idle(p, l))
+		return;
+	l->state = GRANT_LOAN_RETURNING;
+	pool_refresh(p);
+}
+
+/* Returns 1 if the loan goes back now. */
+static int give_back(struct grant_pool *p, struct grant_loan *l,
+                     struct grant_return *out)
+{
+	if (limit_hold_used(p->hold) > limit_hold_size(p->hold))
+		return 0;
+	out->id = l->id;
+	memcpy(out->region, p->region, sizeof(out->region));
+	memcpy(out->peer, l->peer, sizeof(out->peer));
+	l->state = GRANT_LOAN_NONE;
+	return 1;
+}
+
+static int work_loan(struct limit_grant *g, struct grant_pool *p,
+                     struct grant_loan *l, int64_t now,
+                     struct grant_return *out)
+{
+	switch (l->state) {
+	case GRANT_LOAN_NONE:
+		return 0;
+	case GRANT_LOAN_LENT:
+		if (now < l->until)
+			return 0;
+		l->state = GRANT_LOAN_NONE;
+		pool_refresh(p);
+		return 0;
+	case GRANT_LOAN_BORROWED:
+		turn_back(g, p, l, now);
+		return 0;
+	case GRANT_LOAN_RETURNING:
+		/* What still runs ends before the lender takes it back. */
+		if (now >= l->until) {
+			l->state = GRANT_LOAN_NONE;
+			return 0;
+		}
+		return give_back(p, l, out);
+	}
+	return 0;
+}
+
+int grant_loans(struct limit_grant *g, int64_t now, struct grant_return *out,
+                int max)
+{
+	int n = 0;
+
+	for (int i = 0; i < g->npool; i++)
+		for (int k = 0; k < GRANT_LOANS_MAX && n < max; k++)
+			n += work_loan(g, &g->pool[i], &g->pool[i].loan[k],
+			               now, &out[n]);
+	return n;
+}
+
+const char *grant_lender(struct limit_grant *g, const char *region,
+                         uint64_t random)
+{
+	const struct ledger_pool *lp = ledger_pool(&g->ledger, region);
+
+	if (!lp || !lp->nrow)
+		return NULL;
+	for (int k = 0; k < lp->nrow; k++) {
+		int i = (int)((random + (uint64_t)k) % (uint64_t)lp->nrow);
+
+		if (strcmp(lp->row[i].vm, g->vm) != 0)
+			return lp->row[i].vm;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/limit/src/pool.h
@@ -0,0 +1,28 @@
+#ifndef LIMIT_POOL_H
+#define LIMIT_POOL_H
+
+#include <primroselead/grant.h>
+
+/** The newer one of the capacities that this VM and the ledger know. */
+int pool_capacity(const struct grant_pool *p);
+
+/** Part of the row that the capacity allows. */
+int pool_allowed(const struct grant_pool *p);
+
+/** Tokens lent, as a part of a capacity. */
+int pool_lent(const struct grant_pool *p, int capacity);
+
+/** Tokens that the row must cover at a capacity: what is lent, and what is in
+ * use beyond what is borrowed. */
+int pool_needed(const struct grant_pool *p, int capacity);
+
+/** Sets the hold to what may be used now. */
+void pool_refresh(struct grant_pool *p);
+
+/** Lowers the own part, and the hold with it. */
+void pool_lower(struct grant_pool *p, int to);
+
+/** Whether anything is lent or borrowed. */
+int pool_has_loans(const struct grant_pool *p);
+
+#endif
--- a/model/world.h
+++ b/model/world.h
@@ -13,6 +13,7 @@
 #define KEYS 40
 #define OBJECTS 256
 #define CALLS 64
+#define NOTES 32
 #define FLIGHTS 512
 #define VERSIONS 4096
 #define UPSTREAMS 2
@@ -24,6 +25,9 @@
 #define LEASE_MS 5000
 #define DEADLINE_MS 6000
 #define LIST_LAG_MS 1000
+
+/* Time for which others may use what a VM held: loans, leases, requests. */
+#define REST_MS (GRANT_TERM_MS + LEASE_MS + DEADLINE_MS)
 #define CALL_TIMEOUT_MS 1000
 
 /** An object of the fake store. */
@@ -108,6 +112,27 @@
 	int64_t config;
 };
 
+/** What a message about a loan says. */
+enum loan_message {
+	LOAN_FREE,
+	LOAN_ASK,
+	LOAN_ANSWER,
+	LOAN_RETURN,
+};
+
+/** A message between two VMs about a loan. */
+struct loan_note {
+	enum loan_message kind;
+	int from;
+	int to;
+	/** Incarnations of both when it was sent. */
+	int from_incarnation;
+	int to_incarnation;
+	struct grant_terms terms;
+	/** When the borrower asked. */
+	int64_t asked_at;
+};
+
 /** One VM. */
 struct fake_vm {
 	int alive;
@@ -139,7 +164,11 @@
 	struct asking asking[64];
 	/** Highest version ever in force in this incarnation. */
 	int64_t highest;
-	int64_t ledger_retry;
+	/** Pool that a request found empty, or -1. */
+	int short_of;
+	int64_t ask_again;
+	/** The ask under way, or 0. */
+	uint64_t asked_id;
 };
 
 /** The whole model. */
@@ -157,6 +186,7 @@
 	int nobject;
 	struct fake_call call[CALLS];
 	struct flight flight[FLIGHTS];
+	struct loan_note note[NOTES];
 	struct fake_vm vm[VMS];
 	struct fake_config config[VERSIONS];
 	int nconfig;
@@ -190,6 +220,10 @@
 const struct fake_object *store_find(const struct world *w, const char *key);
 void store_free(struct world *w);
 
+/* loans.c */
+void loans_tick(struct world *w, int i);
+void loans_move(struct world *w, int i, int lost, int twice);
+
 /* vm.c */
 void vm_start(struct world *w, int i);
 void vm_kill(struct world *w, int i);
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -29,7 +29,8 @@
 						"rpc_received_bytes",
 						"rpc_rejected",
 						"config_installed",
-						"config_pulls"};
+						"config_pulls",
+						"tokens_borrowed"};
 
 static const char *const latency_names[METRIC_LATENCY_COUNT] = {
 	"request_time_us", "upstream_time_us", "claim_time_us"};
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -130,6 +130,9 @@
 	struct proxy_service_cell *service;
 	/** Claims go here; received by the control thread. */
 	struct mailbox *claims;
+	/** Pools that were found empty go here, as their hold's number plus
+	 * one; received by the control thread. */
+	struct mailbox *shortages;
 	/** Until when capacity may be used, on the clock of prl_now_ms; the
 	 * control thread moves it on as long as it runs. A process that was
 	 * paused finds it passed. */
@@ -147,7 +150,8 @@
 
 /** Makes the shared tables. Returns PRL_OK or PRL_E_MEMORY. */
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims, apr_pool_t *pool,
+			 int region, struct mailbox *claims,
+			 struct mailbox *shortages, apr_pool_t *pool,
 			 struct prl_error *err);
 
 /** Starts the traffic threads. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY. */
--- a/proxy/src/admit.c
+++ b/proxy/src/admit.c
@@ -2,15 +2,15 @@
 #include <primroselead/clock.h>
 
 /* Longest wait for capacity; beyond it the caller is told to come back. */
-#define WAIT_MAX_MS 200
+#define WAIT_MAX_MS 40
+
+/* Wait for the home region before others are tried, in milliseconds. */
+#define SPILL_AFTER_MS 20
 
 /* Time between two looks at the waiting requests: places that other threads
  * give back are not announced. */
 #define WAIT_TICK_MS 2
 
-/* One place in so many is kept for requests that run at most once. */
-#define RESERVE_DIVISOR 16
-
 static int may_admit(const struct proxy *p)
 {
 	return prl_now_ms() < atomic_load(&p->alive_until);
@@ -20,11 +20,16 @@
 {
 	const struct steer_place *place = &r->service->place[region];
 	struct limit_hold *hold = &r->thread->proxy->hold[place->hold];
-	uint32_t reserve = limit_hold_size(hold) / RESERVE_DIVISOR;
 
 	if (!place->nupstream)
 		return 0;
-	return limit_hold_take(hold, r->once ? 0 : reserve);
+	if (limit_hold_take(hold))
+		return 1;
+	/* One word to the control thread until it has looked. */
+	if (!atomic_exchange(&hold->asked, 1))
+		mailbox_send(r->thread->proxy->shortages,
+			     GINT_TO_POINTER(place->hold + 1));
+	return 0;
 }
 
 /* Counts the request for the shift's cap once, on its first try. */
@@ -46,9 +51,22 @@
 	return limit_share_take(&cell->shift);
 }
 
+/* A region that is only full for the moment is waited for; one without any
+ * upstream is not. */
+static int may_spill(const struct proxy_request *r, int64_t now)
+{
+	const struct steer_place *home = &r->service->place[r->home];
+
+	return !home->nupstream || (r->wait_until && now >= r->spill_at);
+}
+
 static int take_any(struct proxy_request *r, const struct steer_route *route)
 {
+	int spill = may_spill(r, prl_now_ms());
+
 	for (int i = 0; i < route->n; i++) {
+		if (route->reason[i] == STEER_SPILLED && !spill)
+			break;
 		if (!take(r, route->region[i]))
 			continue;
 		r->region = route->region[i];
@@ -110,6 +128,7 @@
 	r->wait_until = now + WAIT_MAX_MS;
 	if (r->deadline < r->wait_until)
 		r->wait_until = r->deadline;
+	r->spill_at = now + SPILL_AFTER_MS;
 	r->next_waiting = NULL;
 	if (t->last_waiting)
 		t->last_waiting->next_waiting = r;
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -12,13 +12,15 @@
 }
 
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims, apr_pool_t *pool,
+			 int region, struct mailbox *claims,
+			 struct mailbox *shortages, apr_pool_t *pool,
 			 struct prl_error *err)
 {
 	memset(p, 0, sizeof(*p));
 	p->settings = settings;
 	p->region = region;
 	p->claims = claims;
+	p->shortages = shortages;
 	p->nthread = (int)settings->traffic.threads;
 	p->upstream = calloc(CONFIG_CELLS_MAX, sizeof(*p->upstream));
 	p->hold = calloc(CONFIG_CELLS_MAX, sizeof(*p->hold));
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -49,6 +49,7 @@
 	int64_t began_us;
 	int64_t deadline;
 	int64_t wait_until;
+	int64_t spill_at;
 	struct proxy_request *next_waiting;
 
 	/** Region whose capacity is taken; STEER_NONE if none is. */
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -63,6 +63,7 @@
 {
 	const struct steer_place *place = &r->service->place[r->region];
 	struct steer_load load[CANDIDATES_MAX];
+	int quota[CANDIDATES_MAX];
 	int64_t now = prl_now_ms();
 	struct steer_pick p = {
 		.upstream = r->service->upstream + place->first_upstream,
@@ -81,6 +82,11 @@
 		if (&p.upstream[i] == r->failed && p.n > 1)
 			p.except = i;
 	}
+	if (r->region == r->thread->proxy->region && r->view->ranked) {
+		steer_quota(p.upstream, p.n, r->view->rank, r->view->ranked,
+			    quota);
+		p.quota = quota;
+	}
 	r->thread->random = prl_hash_pair(r->thread->random, (uint64_t)now);
 	p.random = r->thread->random;
 	return steer_pick(&p);
@@ -173,6 +179,9 @@
 	place = &r->service->place[r->region];
 	limit_hold_give(&r->thread->proxy->hold[place->hold]);
 	r->region = STEER_NONE;
+	/* Whoever waits in this thread has the place in the same round. */
+	if (r->thread->nwaiting)
+		r->thread->wait_timer.deadline = prl_now_ms();
 }
 
 /* Another attempt may be made if this one did not run, or may run twice. */
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -133,6 +133,10 @@
 	/** Sorted by region. */
 	struct steer_vm *vm;
 	int nvm;
+	/** Rank of the own VM among the active ones of its region, and their
+	 * number; 0 VMs if it isn't one of them. */
+	int rank;
+	int ranked;
 	int first_vm[STEER_REGIONS_MAX + 1];
 	/** Sorted by name; services that did not change are shared with the
 	 * view before. */
@@ -243,8 +247,20 @@
 	uint64_t random;
 	/** Upstream tried before for this request; STEER_NONE if none. */
 	int except;
+	/** Slots of each upstream that this process uses before any others;
+	 * null if there are none. */
+	const int *quota;
 };
 
+/**
+ * Divides the slots of a region's active upstreams among its entry VMs, so
+ * that VMs which know nothing of each other's requests do not meet at one
+ * upstream while another is idle. Fills the slots of each upstream that the VM
+ * with this rank among "vms" uses first.
+ */
+void steer_quota(const struct steer_upstream *upstream, int n, int rank,
+		 int vms, int *quota);
+
 /**
  * Chooses an upstream that is active and has a free slot as far as this
  * process can tell. Returns its index, or STEER_NONE.
--- a/steer/src/pick.c
+++ b/steer/src/pick.c
@@ -142,10 +142,34 @@
 	return best;
 }
 
+/* Of the slots that no other VM uses first, one of the least loaded upstream:
+ * what this process has there is all that is there. */
+static int best_of_own(const struct steer_pick *p)
+{
+	int start = (int)(p->random % (uint64_t)p->n);
+	int best = STEER_NONE;
+
+	for (int k = 0; k < p->n; k++) {
+		int i = (start + k) % p->n;
+
+		if (p->load[i].outstanding >= p->quota[i] || !usable(p, i) ||
+		    failing(p, i))
+			continue;
+		if (best == STEER_NONE || score(p, i) < score(p, best))
+			best = i;
+	}
+	return best;
+}
+
 int steer_pick(const struct steer_pick *p)
 {
+	int own;
+
 	if (p->n <= 0)
 		return STEER_NONE;
+	own = p->quota ? best_of_own(p) : STEER_NONE;
+	if (own != STEER_NONE)
+		return own;
 	switch (p->choice) {
 	case STEER_RANDOM:
 	case STEER_ROUND_ROBIN:
--- a/steer/test/test_steer.c
+++ b/steer/test/test_steer.c
@@ -337,6 +337,42 @@
 	assert_int_equal(steer_pick(&p), 0);
 }
 
+/* The quotas of all VMs are the slots, each once, in even parts. */
+static void test_quotas_are_a_division(void **state)
+{
+	(void)state;
+	srand(8);
+	for (int round = 0; round < 2000; round++) {
+		struct steer_upstream up[20];
+		int sum[20] = {0};
+		int n = 1 + rand() % 20;
+		int vms = 1 + rand() % 8;
+		int total = 0;
+
+		for (int i = 0; i < n; i++) {
+			up[i].slots = 1 + rand() % 6;
+			up[i].state = (enum steer_state)(rand() % 2);
+			if (up[i].state == STEER_ACTIVE)
+				total += up[i].slots;
+		}
+		for (int k = 0; k < vms; k++) {
+			int quota[20];
+			int mine = 0;
+
+			steer_quota(up, n, k, vms, quota);
+			for (int i = 0; i < n; i++) {
+				sum[i] += quota[i];
+				mine += quota[i];
+			}
+			assert_in_range(mine, total / vms, total / vms + 1);
+		}
+		for (int i = 0; i < n; i++)
+			assert_int_equal(sum[i], up[i].state == STEER_ACTIVE
+							 ? up[i].slots
+							 : 0);
+	}
+}
+
 static void test_steps(void **state)
 {
 	struct steer_step s = {.shift = {.from = 0,
@@ -403,6 +439,7 @@
 		cmocka_unit_test(test_pick_keeps_the_limits),
 		cmocka_unit_test(test_failing_upstream_repels),
 		cmocka_unit_test(test_cold_upstream_gets_less),
+		cmocka_unit_test(test_quotas_are_a_division),
 		cmocka_unit_test(test_steps),
 		cmocka_unit_test(test_never_twice),
 	};
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -10,7 +10,6 @@
 const WIRE_VALUE = 49152;
 const WIRE_RUMORS = 8;
 const WIRE_OBJECTS = 256;
-const WIRE_SPARES = 64;
 
 struct wire_vm {
 	string name<WIRE_NAME>;
@@ -87,6 +86,26 @@
 	int http_status;
 };
 
+/* Asks for capacity of a region; the id is drawn by the borrower. */
+struct wire_borrow {
+	string service<WIRE_NAME>;
+	string region<WIRE_NAME>;
+	string borrower<WIRE_NAME>;
+	unsigned hyper id;
+	int tokens;
+};
+
+struct wire_loan {
+	int tokens;
+	int base;
+};
+
+struct wire_return {
+	string service<WIRE_NAME>;
+	string region<WIRE_NAME>;
+	unsigned hyper id;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -94,5 +113,7 @@
 		void WIRE_PUSH(wire_delta) = 3;
 		wire_delta WIRE_PULL(wire_pull) = 4;
 		wire_verdict WIRE_CLAIM(wire_claim) = 5;
+		wire_loan WIRE_BORROW(wire_borrow) = 6;
+		void WIRE_RETURN(wire_return) = 7;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -19,7 +19,6 @@
 #define WIRE_VALUE 49152
 #define WIRE_RUMORS 8
 #define WIRE_OBJECTS 256
-#define WIRE_SPARES 64
 
 struct wire_vm {
 	char *name;
@@ -112,6 +111,28 @@
 };
 typedef struct wire_verdict wire_verdict;
 
+struct wire_borrow {
+	char *service;
+	char *region;
+	char *borrower;
+	u_quad_t id;
+	int tokens;
+};
+typedef struct wire_borrow wire_borrow;
+
+struct wire_loan {
+	int tokens;
+	int base;
+};
+typedef struct wire_loan wire_loan;
+
+struct wire_return {
+	char *service;
+	char *region;
+	u_quad_t id;
+};
+typedef struct wire_return wire_return;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -131,6 +152,12 @@
 #define WIRE_CLAIM 5
 extern  wire_verdict * wire_claim_1(wire_claim *, CLIENT *);
 extern  wire_verdict * wire_claim_1_svc(wire_claim *, struct svc_req *);
+#define WIRE_BORROW 6
+extern  wire_loan * wire_borrow_1(wire_borrow *, CLIENT *);
+extern  wire_loan * wire_borrow_1_svc(wire_borrow *, struct svc_req *);
+#define WIRE_RETURN 7
+extern  void * wire_return_1(wire_return *, CLIENT *);
+extern  void * wire_return_1_svc(wire_return *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -149,6 +176,12 @@
 #define WIRE_CLAIM 5
 extern  wire_verdict * wire_claim_1();
 extern  wire_verdict * wire_claim_1_svc();
+#define WIRE_BORROW 6
+extern  wire_loan * wire_borrow_1();
+extern  wire_loan * wire_borrow_1_svc();
+#define WIRE_RETURN 7
+extern  void * wire_return_1();
+extern  void * wire_return_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -165,6 +198,9 @@
 extern  bool_t xdr_wire_pull (XDR *, wire_pull*);
 extern  bool_t xdr_wire_claim (XDR *, wire_claim*);
 extern  bool_t xdr_wire_verdict (XDR *, wire_verdict*);
+extern  bool_t xdr_wire_borrow (XDR *, wire_borrow*);
+extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
+extern  bool_t xdr_wire_return (XDR *, wire_return*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -177,6 +213,9 @@
 extern bool_t xdr_wire_pull ();
 extern bool_t xdr_wire_claim ();
 extern bool_t xdr_wire_verdict ();
+extern bool_t xdr_wire_borrow ();
+extern bool_t xdr_wire_loan ();
+extern bool_t xdr_wire_return ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -24,6 +24,8 @@
 		struct wire_delta push;
 		struct wire_pull pull;
 		struct wire_claim claim;
+		struct wire_borrow borrow;
+		struct wire_return give_back;
 	} u;
 };
 
@@ -37,6 +39,8 @@
 		struct wire_delta delta;
 		/** Of WIRE_CLAIM. */
 		struct wire_verdict verdict;
+		/** Of WIRE_BORROW. */
+		struct wire_loan loan;
 	} u;
 };
 
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -29,6 +29,10 @@
 		return (xdrproc_t)xdr_wire_pull;
 	case WIRE_CLAIM:
 		return (xdrproc_t)xdr_wire_claim;
+	case WIRE_BORROW:
+		return (xdrproc_t)xdr_wire_borrow;
+	case WIRE_RETURN:
+		return (xdrproc_t)xdr_wire_return;
 	}
 	return NULL;
 }
@@ -40,11 +44,14 @@
 	case WIRE_INDIRECT:
 		return (xdrproc_t)xdr_wire_ack;
 	case WIRE_PUSH:
+	case WIRE_RETURN:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
 	case WIRE_CLAIM:
 		return (xdrproc_t)xdr_wire_verdict;
+	case WIRE_BORROW:
+		return (xdrproc_t)xdr_wire_loan;
 	}
 	return NULL;
 }
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -165,3 +165,47 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_borrow (XDR *xdrs, wire_borrow *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->borrower, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_loan (XDR *xdrs, wire_loan *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->base))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_return (XDR *xdrs, wire_return *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
