Hold traffic between regions to the rates that service files give

The keys of [link] sections were read and checked and then did nothing. A link is now a pool of the ledger, in Mbit/s, split among the VMs of the region that it leaves; each VM holds its bytes both ways to its part, by pausing transfers, and does not choose a region whose link can carry nothing now.

Measured by system/test_region with real processes: three transfers of 1 MB over 8 Mbit/s take over 2.7 s each way and arrive whole.

--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -126,8 +126,10 @@
 	backoff_later(&g->backoff, now);
 }
 
-static void count_vms(const struct control *c, struct grant_pool *p)
+static void count_vms(const struct control *c, struct grant_pool *p,
+		      const char *region)
 {
+	p->local = !strcmp(region, c->settings->vm.region);
 	p->all_vms = 0;
 	p->local_vms = 0;
 	for (int i = 0; i < c->member.n; i++) {
@@ -136,35 +138,58 @@
 		if (vm->state == MEMBER_DEAD)
 			continue;
 		p->all_vms++;
-		p->local_vms += !strcmp(vm->region, p->region);
+		p->local_vms += !strcmp(vm->region, region);
 	}
 }
 
-/* Regions that the service left keep a pool, which runs down to nothing. */
-static void set_pools(struct grant *g, const struct steer_service *s)
+/* Sets a pool's inputs. One that the service no longer has keeps its hold and
+ * runs down to nothing. */
+static void set_pool(struct grant *g, const char *name, const char *region,
+		     int capacity, int hold, int64_t config)
 {
-	struct control *c = g->control;
+	struct grant_pool *p = grant_pool(&g->capacity, name);
+
+	if (!p)
+		return;
+	if (capacity > 0)
+		p->hold = &g->control->proxy.hold[hold];
+	if (!p->hold) {
+		/* Made just now, and not needed. */
+		g->capacity.npool--;
+		return;
+	}
+	p->capacity = capacity;
+	p->config = config;
+	count_vms(g->control, p, region);
+}
 
-	for (int r = 0; r < c->builder.nregion; r++) {
-		const struct steer_place *place = &s->place[r];
-		struct grant_pool *p;
-
-		p = grant_pool(&g->capacity, c->builder.region[r]);
-		if (!p)
-			return;
-		if (place->capacity > 0)
-			p->hold = &c->proxy.hold[place->hold];
-		if (!p->hold) {
-			g->capacity.npool--;
+/* Links out of this VM's own region; others are not its to use. */
+static void set_links(struct grant *g, const struct steer_service *s)
+{
+	const struct config_builder *b = &g->control->builder;
+	int from = g->control->proxy.region;
+	char name[LEDGER_POOL_NAME_MAX];
+
+	for (int to = 0; to < b->nregion; to++) {
+		if (s->place[from].link[to] == STEER_NONE)
 			continue;
-		}
-		p->capacity = place->capacity;
-		p->config = s->version;
-		p->local = !strcmp(p->region, c->settings->vm.region);
-		count_vms(c, p);
+		snprintf(name, sizeof(name), "%s>%s", b->region[from],
+			 b->region[to]);
+		set_pool(g, name, b->region[from], s->place[from].link_rate[to],
+			 s->place[from].link[to], s->version);
 	}
 }
 
+static void set_pools(struct grant *g, const struct steer_service *s)
+{
+	const struct config_builder *b = &g->control->builder;
+
+	for (int r = 0; r < b->nregion; r++)
+		set_pool(g, b->region[r], b->region[r], s->place[r].capacity,
+			 s->place[r].hold, s->version);
+	set_links(g, s);
+}
+
 static void work(struct grant *g, const struct grant_gone *gone, int64_t now)
 {
 	struct grant_write w;
--- a/cmd/primroseleadd/loans.c
+++ b/cmd/primroseleadd/loans.c
@@ -183,8 +183,8 @@
 		int n = grant_loans(&g->capacity, now, back, RETURNS_MAX);
 
 		for (int i = 0; i < n; i++)
-			send_return(c, g->service, back[i].region,
-				    back[i].peer, back[i].id);
+			send_return(c, g->service, back[i].region, back[i].peer,
+				    back[i].id);
 	}
 }
 
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -48,7 +48,7 @@
 
 static int cell(struct config_cells *c, const char *service, const char *name)
 {
-	char key[PRL_NAME_MAX * 2 + 2];
+	char key[PRL_NAME_MAX * 3 + 4];
 	int i;
 
 	snprintf(key, sizeof(key), "%s %s", service, name);
@@ -167,6 +167,31 @@
 	return PRL_OK;
 }
 
+static enum prl_code fill_links(struct config_builder *b,
+				const struct prl_service *file,
+				struct steer_service *s, struct prl_error *err)
+{
+	char name[PRL_NAME_MAX * 2 + 2];
+
+	for (int r = 0; r < STEER_REGIONS_MAX; r++)
+		for (int k = 0; k < STEER_REGIONS_MAX; k++)
+			s->place[r].link[k] = STEER_NONE;
+	for (int i = 0; i < file->nlink; i++) {
+		const struct prl_service_link *l = &file->link[i];
+		int from = config_region(b, l->from);
+		int to = config_region(b, l->to);
+
+		snprintf(name, sizeof(name), "%s>%s", l->from, l->to);
+		s->place[from].link[to] = cell(&b->hold_cells, s->name, name);
+		s->place[from].link_rate[to] = (int)l->rate;
+		if (s->place[from].link[to] < 0)
+			return prl_fail(err, PRL_E_LIMIT,
+					"more than %d pools of capacity",
+					CONFIG_CELLS_MAX);
+	}
+	return PRL_OK;
+}
+
 static int by_region(const void *a, const void *b)
 {
 	const struct steer_upstream *x = a;
@@ -273,6 +298,8 @@
 	s->choice = (enum steer_choice)file->service.choice;
 	s->cell = cell(&b->service_cells, s->name, "");
 	rc = fill_places(b, file, s, err);
+	if (!rc)
+		rc = fill_links(b, file, s, err);
 	if (!rc)
 		rc = fill_upstreams(b, file, built, err);
 	if (rc)
--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -51,13 +51,13 @@
 /** A loan that goes back; to be told to the lender. */
 struct grant_return {
 	uint64_t id;
-	char region[LEDGER_NAME_MAX];
+	char region[LEDGER_POOL_NAME_MAX];
 	char peer[LEDGER_NAME_MAX];
 };
 
 /** One region's part. */
 struct grant_pool {
-	char region[LEDGER_NAME_MAX];
+	char region[LEDGER_POOL_NAME_MAX];
 	/** What requests take their place from; owned by the caller. */
 	struct limit_hold *hold;
 	/** Capacity by the configuration in force, and its version. */
@@ -109,8 +109,9 @@
 	int64_t incarnation;
 	/** Until when an earlier process's requests may run. */
 	int64_t inherit_until;
-	struct grant_pool pool[LEDGER_POOLS_MAX];
+	struct grant_pool *pool;
 	int npool;
+	int room;
 	struct ledger ledger;
 	int64_t version;
 	/** The ledger was read and no write has failed since. */
@@ -145,8 +146,9 @@
 /** Frees what the grant holds. */
 void grant_finish(struct limit_grant *g);
 
-/** Pool of a region, made if it is missing; null if there are too many. The
- * caller sets its hold, capacity and counts of VMs. */
+/** Pool of a region, made if it is missing; null if there are too many or no
+ * memory. The caller sets its hold, capacity and counts of VMs. The pointer is
+ * good until the next call. */
 struct grant_pool *grant_pool(struct limit_grant *g, const char *region);
 
 /** Lowers what requests may take to what the configuration allows now. */
@@ -185,7 +187,7 @@
 /** What a borrower asks for, and what it gets. */
 struct grant_terms {
 	uint64_t id;
-	char region[LEDGER_NAME_MAX];
+	char region[LEDGER_POOL_NAME_MAX];
 	char peer[LEDGER_NAME_MAX];
 	int tokens;
 	int base;
--- a/limit/include/primroselead/ledger.h
+++ b/limit/include/primroselead/ledger.h
@@ -19,8 +19,12 @@
  * have written their rows anew.
  */
 
+/** Size of a name, and of two joined by a sign for a link. */
 #define LEDGER_NAME_MAX 64
-#define LEDGER_POOLS_MAX 32
+#define LEDGER_POOL_NAME_MAX 132
+
+/** Most pools of one service: its regions and the links between them. */
+#define LEDGER_POOLS_MAX 64
 
 /** What one process holds of one pool. */
 struct ledger_row {
@@ -31,10 +35,10 @@
 	int base;
 };
 
-/** The capacity of one region. */
+/** The capacity of one region, or of a link as "FROM>TO". */
 struct ledger_pool {
-	char region[LEDGER_NAME_MAX];
-	/** Requests at once. */
+	char region[LEDGER_POOL_NAME_MAX];
+	/** Requests at once, or Mbit/s. */
 	int capacity;
 	/** Version of the configuration that the capacity is from. */
 	int64_t config;
--- a/limit/src/codec.c
+++ b/limit/src/codec.c
@@ -69,8 +69,8 @@
 			"capacity", &capacity, "config", &config, "rows",
 			&rows))
 		return bad(err, "", "a pool is not valid");
-	if (!*region || strlen(region) >= LEDGER_NAME_MAX || capacity < 0 ||
-	    capacity > TOKENS_MAX)
+	if (!*region || strlen(region) >= LEDGER_POOL_NAME_MAX ||
+	    capacity < 0 || capacity > TOKENS_MAX)
 		return bad(err, region, "name or capacity is out of range");
 	p = ledger_pool(l, region);
 	if (!p || p->capacity)
--- a/limit/src/grant.c
+++ b/limit/src/grant.c
@@ -27,7 +27,24 @@
 {
 	ledger_finish(&g->ledger);
 	free(g->text);
+	free(g->pool);
 	g->text = NULL;
+	g->pool = NULL;
+}
+
+static enum prl_code grow(struct limit_grant *g)
+{
+	int room = g->room ? g->room * 2 : 4;
+	struct grant_pool *bigger;
+
+	if (g->npool == LEDGER_POOLS_MAX)
+		return PRL_E_LIMIT;
+	bigger = realloc(g->pool, (size_t)room * sizeof(*bigger));
+	if (!bigger)
+		return PRL_E_MEMORY;
+	g->pool = bigger;
+	g->room = room;
+	return PRL_OK;
 }
 
 struct grant_pool *grant_pool(struct limit_grant *g, const char *region)
@@ -37,7 +54,7 @@
 	for (int i = 0; i < g->npool; i++)
 		if (!strcmp(g->pool[i].region, region))
 			return &g->pool[i];
-	if (g->npool == LEDGER_POOLS_MAX)
+	if (g->npool == g->room && grow(g))
 		return NULL;
 	p = &g->pool[g->npool++];
 	memset(p, 0, sizeof(*p));
--- a/limit/src/loan.c
+++ b/limit/src/loan.c
@@ -18,7 +18,7 @@
 }
 
 static struct grant_loan *find_loan(struct grant_pool *p,
-                                    enum grant_loan_state state, uint64_t id)
+				    enum grant_loan_state state, uint64_t id)
 {
 	for (int i = 0; i < GRANT_LOANS_MAX; i++)
 		if (p->loan[i].state == state && p->loan[i].id == id)
@@ -35,7 +35,7 @@
 }
 
 static void fill(struct grant_loan *l, enum grant_loan_state state,
-                 const struct grant_terms *t, int64_t until)
+		 const struct grant_terms *t, int64_t until)
 {
 	memset(l, 0, sizeof(*l));
 	l->state = state;
@@ -89,7 +89,7 @@
 }
 
 int grant_borrow(struct limit_grant *g, const struct grant_terms *t,
-                 int64_t until)
+		 int64_t until)
 {
 	struct grant_pool *p = find_pool(g, t->region);
 	struct grant_loan *l = p ? free_place(p) : NULL;
@@ -120,7 +120,7 @@
 }
 
 static void turn_back(struct limit_grant *g, struct grant_pool *p,
-                      struct grant_loan *l, int64_t now)
+		      struct grant_loan *l, int64_t now)
 {
 	if (!g->leaving && now < l->until - RETURN_AHEAD_MS && !is_idle(p, l))
 		return;
@@ -130,7 +130,7 @@
 
 /* Returns 1 if the loan goes back now. */
 static int give_back(struct grant_pool *p, struct grant_loan *l,
-                     struct grant_return *out)
+		     struct grant_return *out)
 {
 	if (limit_hold_used(p->hold) > limit_hold_size(p->hold))
 		return 0;
@@ -142,8 +142,8 @@
 }
 
 static int work_loan(struct limit_grant *g, struct grant_pool *p,
-                     struct grant_loan *l, int64_t now,
-                     struct grant_return *out)
+		     struct grant_loan *l, int64_t now,
+		     struct grant_return *out)
 {
 	switch (l->state) {
 	case GRANT_LOAN_NONE:
@@ -169,19 +169,19 @@
 }
 
 int grant_loans(struct limit_grant *g, int64_t now, struct grant_return *out,
-                int max)
+		int max)
 {
 	int n = 0;
 
 	for (int i = 0; i < g->npool; i++)
 		for (int k = 0; k < GRANT_LOANS_MAX && n < max; k++)
-			n += work_loan(g, &g->pool[i], &g->pool[i].loan[k],
-			               now, &out[n]);
+			n += work_loan(g, &g->pool[i], &g->pool[i].loan[k], now,
+				       &out[n]);
 	return n;
 }
 
 const char *grant_lender(struct limit_grant *g, const char *region,
-                         uint64_t random)
+			 uint64_t random)
 {
 	const struct ledger_pool *lp = ledger_pool(&g->ledger, region);
 
--- a/limit/src/pool.c
+++ b/limit/src/pool.c
@@ -36,7 +36,7 @@
 		if (l->state == GRANT_LOAN_BORROWED ||
 		    (with_returning && l->state == GRANT_LOAN_RETURNING))
 			sum += ledger_scaled(l->tokens, l->base,
-			                     pool_capacity(p));
+					     pool_capacity(p));
 	}
 	return sum;
 }
--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <primroselead/flow.h>
 #include <primroselead/grant.h>
 #include <primroselead/share.h>
 #include <pthread.h>
@@ -114,6 +115,31 @@
 	assert_int_equal(passed, LIMIT_SHARE_DEPTH);
 }
 
+/* Over any time the bytes are within the rate, but for the burst and the last
+ * block; and a link with a rate is used. */
+static void test_flow_keeps_the_rate(void **state)
+{
+	struct limit_flow f = {0};
+	int64_t rate = 1000000;
+	int64_t block = 16384;
+	int64_t passed = 0;
+	int64_t now;
+
+	(void)state;
+	assert_int_equal(limit_flow_open(&f, 0, 5000000), 0);
+	limit_flow_open(&f, rate, 5000000);
+	for (now = 5000000; now < 15000000; now += 777) {
+		if (!limit_flow_open(&f, rate, now))
+			continue;
+		limit_flow_spend(&f, block);
+		passed += block;
+		assert_true(passed <=
+			    (now - 5000000) * rate / 1000000 +
+				    rate * LIMIT_FLOW_BURST_MS / 1000 + block);
+	}
+	assert_true(passed > rate * 9);
+}
+
 static void test_ledger_bounds(void **state)
 {
 	struct ledger l;
@@ -275,6 +301,7 @@
 		cmocka_unit_test(test_hold_below_use),
 		cmocka_unit_test(test_share_is_kept),
 		cmocka_unit_test(test_share_after_a_pause),
+		cmocka_unit_test(test_flow_keeps_the_rate),
 		cmocka_unit_test(test_ledger_bounds),
 		cmocka_unit_test(test_ledger_refuses_bad_texts),
 		cmocka_unit_test(test_plan_stays_in_bounds),
--- a/model/loans.c
+++ b/model/loans.c
@@ -8,7 +8,7 @@
 static const char *const region_names[REGIONS] = {"norte", "centro", "sur"};
 
 static struct loan_note *new_note(struct world *w, enum loan_message kind,
-                                  int from, int to)
+				  int from, int to)
 {
 	for (int i = 0; i < NOTES; i++) {
 		struct loan_note *n = &w->note[i];
@@ -27,7 +27,7 @@
 }
 
 static void send_return(struct world *w, int from, int to,
-                        const struct grant_terms *t)
+			const struct grant_terms *t)
 {
 	struct loan_note *n = new_note(w, LOAN_RETURN, from, to);
 
@@ -116,7 +116,7 @@
 		break;
 	case LOAN_RETURN:
 		grant_take_back(&w->vm[n->to].grant, n->terms.region,
-		                n->terms.id);
+				n->terms.id);
 		break;
 	case LOAN_FREE:
 		break;
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -6,6 +6,7 @@
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/fetch.h>
+#include <primroselead/flow.h>
 #include <primroselead/hold.h>
 #include <primroselead/mailbox.h>
 #include <primroselead/metrics.h>
@@ -109,6 +110,8 @@
 	int nwaiting;
 	struct loop_timer wait_timer;
 	struct loop_timer sweep_timer;
+	/** Due when transfers that wait for a link may go on. */
+	struct loop_timer flow_timer;
 	/** Easy handles for the next transfers. */
 	CURL *spare[64];
 	int nspare;
@@ -127,6 +130,9 @@
 	int nthread;
 	struct proxy_upstream_cell *upstream;
 	struct limit_hold *hold;
+	/** Bytes over links, by the handles of their holds; a hold's size is
+	 * the rate in Mbit/s. */
+	struct limit_flow *flow;
 	struct proxy_service_cell *service;
 	/** Claims go here; received by the control thread. */
 	struct mailbox *claims;
--- a/proxy/src/admit.c
+++ b/proxy/src/admit.c
@@ -21,7 +21,8 @@
 	const struct steer_place *place = &r->service->place[region];
 	struct limit_hold *hold = &r->thread->proxy->hold[place->hold];
 
-	if (!place->nupstream)
+	if (!place->nupstream ||
+	    !link_open(r->thread->proxy, link_to(r, region)))
 		return 0;
 	if (limit_hold_take(hold))
 		return 1;
@@ -70,6 +71,7 @@
 		if (!take(r, route->region[i]))
 			continue;
 		r->region = route->region[i];
+		r->link = link_to(r, r->region);
 		r->reason = route->reason[i];
 		return 1;
 	}
--- a/proxy/src/answer.c
+++ b/proxy/src/answer.c
@@ -82,7 +82,8 @@
 	size_t n = body_read(&r->down, buf, max);
 
 	(void)pos;
-	if (r->down_paused && body_room(&r->down) >= ANSWER_BLOCK) {
+	if (r->down_paused && !r->link_paused &&
+	    body_room(&r->down) >= ANSWER_BLOCK) {
 		r->down_paused = 0;
 		fetch_unpause(&r->thread->fetches, &r->fetch);
 	}
--- /dev/null
+++ b/proxy/src/link.c
@@ -0,0 +1,62 @@
+#include "request.h"
+#include <primroselead/clock.h>
+
+/* Time after which a link that could carry nothing is looked at again, in
+ * milliseconds. */
+#define LOOK_MS 5
+
+/* Bytes a second of one Mbit/s. */
+#define BYTES_PER_MBIT 125000
+
+int link_to(const struct proxy_request *r, int region)
+{
+	int own = r->thread->proxy->region;
+
+	if (region == own)
+		return STEER_NONE;
+	return r->service->place[own].link[region];
+}
+
+int link_open(struct proxy *p, int link)
+{
+	int64_t rate;
+
+	if (link == STEER_NONE)
+		return 1;
+	rate = (int64_t)limit_hold_size(&p->hold[link]) * BYTES_PER_MBIT;
+	return limit_flow_open(&p->flow[link], rate, prl_now_us());
+}
+
+void link_wait(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+
+	r->link_paused = 1;
+	if (t->flow_timer.deadline == PRL_NEVER)
+		t->flow_timer.deadline = prl_now_ms() + LOOK_MS;
+}
+
+void link_resume(struct loop_timer *timer, int64_t now)
+{
+	struct proxy_thread *t = timer->ctx;
+	int waiting = 0;
+
+	for (int i = 0; i < t->table_size; i++) {
+		struct proxy_request *r = t->table[i];
+
+		if (!r || !r->link_paused)
+			continue;
+		if (!link_open(t->proxy, r->link)) {
+			waiting = 1;
+			continue;
+		}
+		r->link_paused = 0;
+		/* Its callbacks pause it again for what else it waits for. */
+		r->up_paused = 0;
+		r->down_paused = 0;
+		if (r->fetching)
+			fetch_unpause(&t->fetches, &r->fetch);
+	}
+	if (waiting)
+		timer->deadline = now + LOOK_MS;
+}
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -24,11 +24,12 @@
 	p->nthread = (int)settings->traffic.threads;
 	p->upstream = calloc(CONFIG_CELLS_MAX, sizeof(*p->upstream));
 	p->hold = calloc(CONFIG_CELLS_MAX, sizeof(*p->hold));
+	p->flow = calloc(CONFIG_CELLS_MAX, sizeof(*p->flow));
 	p->service = calloc(CONFIG_CELLS_MAX, sizeof(*p->service));
 	p->thread = calloc((size_t)p->nthread, sizeof(*p->thread));
 	if (apr_thread_mutex_create(&p->status_lock, APR_THREAD_MUTEX_DEFAULT,
 				    pool) ||
-	    !p->upstream || !p->hold || !p->service || !p->thread) {
+	    !p->upstream || !p->hold || !p->flow || !p->service || !p->thread) {
 		proxy_finish(p);
 		return prl_fail(err, PRL_E_MEMORY, "tables of the proxy");
 	}
@@ -40,6 +41,7 @@
 {
 	free(p->upstream);
 	free(p->hold);
+	free(p->flow);
 	free(p->service);
 	free(p->thread);
 	free(p->status);
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -37,6 +37,7 @@
 	r->thread = t;
 	r->conn = conn;
 	r->region = STEER_NONE;
+	r->link = STEER_NONE;
 	r->began_us = prl_now_us();
 	r->handle = put_into_table(t, r);
 	if (!r->handle) {
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -55,6 +55,10 @@
 	/** Region whose capacity is taken; STEER_NONE if none is. */
 	int region;
 	enum steer_reason reason;
+	/** Link to that region; STEER_NONE if it isn't limited. */
+	int link;
+	/** The transfer waits until the link may carry more. */
+	int link_paused;
 	/** Upstream in use; STEER_NONE if none is. */
 	const struct steer_upstream *upstream;
 	const struct steer_upstream *failed;
@@ -158,6 +162,18 @@
 /** Queues the upstream's answer, whose headers are complete. */
 enum MHD_Result request_respond(struct proxy_request *r);
 
+/** Link between this VM's region and another one, or STEER_NONE. */
+int link_to(const struct proxy_request *r, int region);
+
+/** Whether a link may carry bytes now. */
+int link_open(struct proxy *p, int link);
+
+/** Notes that a transfer waits for its link. */
+void link_wait(struct proxy_request *r);
+
+/** Goes on with the transfers whose links may carry bytes again. */
+void link_resume(struct loop_timer *timer, int64_t now);
+
 /** Whether a header concerns one connection alone. */
 int header_is_hop_by_hop(const char *name, const char *connection);
 
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -268,12 +268,26 @@
 		request_free(r);
 }
 
+static void spend(struct proxy_request *r, size_t bytes)
+{
+	if (r->link != STEER_NONE)
+		limit_flow_spend(&r->thread->proxy->flow[r->link],
+				 (int64_t)bytes);
+}
+
 static size_t on_upload(char *data, size_t size, size_t n, void *ctx)
 {
 	struct proxy_request *r = ctx;
-	size_t len = body_read(&r->up, data, size * n);
+	size_t len;
 
+	if (!link_open(r->thread->proxy, r->link)) {
+		link_wait(r);
+		r->up_paused = 1;
+		return CURL_READFUNC_PAUSE;
+	}
+	len = body_read(&r->up, data, size * n);
 	if (len) {
+		spend(r, len);
 		request_wake(r);
 		return len;
 	}
@@ -317,12 +331,18 @@
 
 	if (r->gone)
 		return len;
+	if (!link_open(r->thread->proxy, r->link)) {
+		link_wait(r);
+		r->down_paused = 1;
+		return CURL_WRITEFUNC_PAUSE;
+	}
 	if (body_room(&r->down) < len) {
 		r->down_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	if (body_write(&r->down, data, len) != len)
 		return 0;
+	spend(r, len);
 	request_wake(r);
 	return len;
 }
@@ -523,6 +543,7 @@
 	r->refused = 0;
 	r->up_paused = 0;
 	r->down_paused = 0;
+	r->link_paused = 0;
 	r->attempts++;
 	r->sent_us = prl_now_us();
 	metrics_add(&r->thread->metrics, METRIC_ATTEMPTS, 1);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -26,7 +26,7 @@
 	}
 	n = body_write(&r->up, data, *len);
 	*len -= n;
-	if (n && r->up_paused) {
+	if (n && r->up_paused && !r->link_paused) {
 		r->up_paused = 0;
 		fetch_unpause(&r->thread->fetches, &r->fetch);
 	}
@@ -39,7 +39,7 @@
 {
 	if (!r->up_ended) {
 		r->up_ended = 1;
-		if (r->up_paused) {
+		if (r->up_paused && !r->link_paused) {
 			r->up_paused = 0;
 			fetch_unpause(&r->thread->fetches, &r->fetch);
 		}
@@ -237,6 +237,8 @@
 	t->random = prl_hash_pair(g_random_int(), (uint64_t)prl_now_us());
 	t->wait_timer.due = on_wait_timer;
 	t->wait_timer.ctx = t;
+	t->flow_timer.due = link_resume;
+	t->flow_timer.ctx = t;
 	t->sweep_timer.due = sweep;
 	t->sweep_timer.ctx = t;
 	if (init_table(t, err) || loop_init(&t->loop, err) ||
@@ -246,6 +248,7 @@
 		return err->code;
 	loop_timer_add(&t->loop, &t->wait_timer);
 	loop_timer_add(&t->loop, &t->sweep_timer);
+	loop_timer_add(&t->loop, &t->flow_timer);
 	t->sweep_timer.deadline = prl_now_ms() + SWEEP_MS;
 	return PRL_OK;
 }
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -74,6 +74,11 @@
 	int nupstream;
 	/** Handle of the capacity that this process holds there. */
 	int hold;
+	/** Handles of the rate that it holds on the link from this region to
+	 * each other one; STEER_NONE where the link isn't limited. */
+	int link[STEER_REGIONS_MAX];
+	/** Rates of these links for the whole service, in Mbit/s. */
+	int link_rate[STEER_REGIONS_MAX];
 };
 
 /** Direction of a shift. */
--- /dev/null
+++ b/system/test_region.c
@@ -0,0 +1,223 @@
+/* Two regions: links between them, spill, shifts and their caps, as seen from
+ * outside by what the upstreams count. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "harness.h"
+#include <cmocka.h>
+#include <primroselead/clock.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STORE 28000
+#define BASE 28100
+#define UP 28300
+
+static char out[65536];
+
+static const struct vm vms[] = {
+	{1, BASE, STORE, "norte", "norte-a", NULL},
+	{2, BASE, STORE, "norte", "norte-b", NULL},
+	{3, BASE, STORE, "sur", "sur-a", NULL},
+};
+
+/* A file with both regions; the shift and the link are added by the case. */
+static int publish(int norte_capacity, const char *more)
+{
+	char text[2048];
+	const char *at;
+
+	snprintf(text, sizeof(text),
+		 "[service]\nname = s\ndeadline = 30000\nlookup_ttl = 300\n"
+		 "warmup = 0\n"
+		 "[region norte]\ncapacity = %d\nspill = sur\n"
+		 "[region sur]\ncapacity = 40\nspill = norte\n"
+		 "%s"
+		 "[upstream s1]\nregion = sur\ndomain = a\n"
+		 "address = 127.0.0.1:28301\nslots = 40\n%s",
+		 norte_capacity,
+		 norte_capacity
+			 ? "[upstream n1]\nregion = norte\ndomain = a\n"
+			   "address = 127.0.0.1:28300\nslots = 40\n"
+			 : "",
+		 more);
+	harness_write("s.ini", text);
+	assert_int_equal(harness_run(out, sizeof(out), "primroselead",
+				     "publish", "--store=127.0.0.1:28000",
+				     harness_path("s.ini"), NULL),
+			 0);
+	at = strstr(out, "by version ");
+	assert_non_null(at);
+	for (int i = 1; i <= 3; i++)
+		assert_true(fleet_wait(BASE + i, strtoll(at + 11, NULL, 10),
+				       15000));
+	return 0;
+}
+
+static int64_t ran(int upstream)
+{
+	char url[96];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats",
+		 UP + upstream);
+	harness_get(url, out, sizeof(out));
+	return harness_number(out, "ran");
+}
+
+static int start(void **state)
+{
+	(void)state;
+	fleet_store(STORE);
+	fleet_upstream(UP, 40);
+	fleet_upstream(UP + 1, 40);
+	for (int i = 0; i < 3; i++)
+		fleet_vm(&vms[i]);
+	publish(40, "");
+	harness_sleep(3000);
+	return 0;
+}
+
+static int stop(void **state)
+{
+	(void)state;
+	harness_finish();
+	return 0;
+}
+
+/* norte has no upstream, so its requests go to sur over a link of 16 Mbit/s,
+ * of which each of its two VMs has a half: 1 MB/s. */
+static void test_link_rate(void **state)
+{
+	int64_t began;
+	int64_t ms;
+
+	(void)state;
+	publish(0, "[link n]\nfrom = norte\nto = sur\nrate = 16\n");
+	harness_sleep(3000);
+	began = prl_now_ms();
+	assert_int_equal(
+		harness_run(out, sizeof(out), "standin-load",
+			    "--direct=127.0.0.1:28101", "--service=s",
+			    "--requests=3", "--callers=3", "--work=1",
+			    "--size=1048576", NULL),
+		0);
+	ms = prl_now_ms() - began;
+	assert_int_equal(harness_number(out, "ok"), 3);
+	/* 3 MB at 1 MB/s; the burst and a block for each transfer are free. */
+	assert_true(ms > 2700);
+	assert_true(ms < 9000);
+	began = prl_now_ms();
+	assert_int_equal(
+		harness_run(out, sizeof(out), "standin-load",
+			    "--direct=127.0.0.1:28101", "--service=s",
+			    "--requests=3", "--callers=3", "--work=1",
+			    "--method=PUT", "--upload=1048576", NULL),
+		0);
+	ms = prl_now_ms() - began;
+	assert_int_equal(harness_number(out, "ok"), 3);
+	assert_true(ms > 2700);
+	publish(40, "");
+	harness_sleep(3000);
+}
+
+/* Under load the moved part of norte's requests, as sur's upstream counts it,
+ * is never above the cap, and comes near it. */
+static void test_shift_stays_under_its_cap(void **state)
+{
+	const char *args[] = {"--vm=127.0.0.1:28101", "--service=s",
+			      "--region=norte", "--ms=9000", "--callers=12",
+			      "--blocks=400", "--work=5", NULL};
+	int64_t norte = ran(0);
+	int64_t sur = ran(1);
+	int64_t moved = 0;
+	int64_t total = 0;
+	pid_t load;
+
+	(void)state;
+	publish(40, "[shift]\nfrom = norte\nto = sur\ncap = 200\n"
+		    "step = 100\npace = 1000\n");
+	load = harness_start("standin-load", args);
+	for (int i = 0; i < 40; i++) {
+		harness_sleep(200);
+		/* The moved ones are read first: the total can only be
+		 * greater by then. */
+		moved = ran(1) - sur;
+		total = ran(0) - norte + moved;
+		assert_true(moved * 1000 <= total * 200);
+	}
+	assert_int_equal(harness_wait(load), 0);
+	print_message("moved %lld of %lld\n", (long long)moved,
+		      (long long)total);
+	assert_true(total > 1000);
+	assert_true(moved * 1000 > total * 80);
+	/* Back again: nothing is moved any more. */
+	publish(40, "[shift]\nfrom = norte\nto = sur\ncap = 200\n"
+		    "step = 200\npace = 500\nstate = back\n");
+	harness_sleep(4000);
+	sur = ran(1);
+	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
+				     "--vm=127.0.0.1:28101", "--service=s",
+				     "--region=norte", "--requests=500",
+				     "--callers=8", "--blocks=400", NULL),
+			 0);
+	assert_int_equal(ran(1), sur);
+}
+
+/* Offered three times what both regions carry: what runs at an upstream is
+ * never above the capacity, and afterwards all is well at once. */
+static void test_overload(void **state)
+{
+	const char *args[] = {"--vm=127.0.0.1:28101,127.0.0.1:28103",
+			      "--service=s", "--ms=8000", "--callers=300",
+			      "--rate=2400", "--work=50", NULL};
+	char url[96];
+	int64_t most = 0;
+	pid_t load;
+
+	(void)state;
+	publish(20, "");
+	harness_sleep(3000);
+	load = harness_start("standin-load", args);
+	for (int i = 0; i < 35; i++) {
+		int64_t running;
+
+		harness_sleep(200);
+		snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats",
+			 UP);
+		harness_get(url, out, sizeof(out));
+		running = harness_number(out, "running") +
+			  harness_number(out, "queued");
+		if (running > most)
+			most = running;
+	}
+	harness_wait(load);
+	print_message("most at norte's upstream: %lld\n", (long long)most);
+	assert_true(most > 10);
+	assert_true(most <= 20);
+	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
+				     "--vm=127.0.0.1:28101", "--service=s",
+				     "--requests=300", "--callers=8", NULL),
+			 0);
+	assert_int_equal(harness_number(out, "ok"), 300);
+	assert_true(harness_number(out, "p99_us") < 100000);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_link_rate),
+		cmocka_unit_test(test_shift_stays_under_its_cap),
+		cmocka_unit_test(test_overload),
+	};
+	int rc;
+
+	(void)argc;
+	harness_init(argv[0]);
+	rc = cmocka_run_group_tests(tests, start, stop);
+	harness_finish();
+	return rc;
+}
