Make the control thread's cost follow changes, not the size of the fleet

With 12 to 200 daemons the control thread's processor time grew from 0.30 to 0.79 percent of a core, which does not lead to 1.8 percent at 7,900. Causes by reading: every tick counted the VMs of each region for each pool, ranked all members to find watchers, writers of shards and steppers, and every 200 ms wrote a status text that names every member.

What follows from the membership is now found when the set of usable members changes, which a suspicion does not; a member's hash is kept; the status text is written on demand, else at a pause that grows with the fleet.

Paths are also forwarded as they came, escapes included, and compared unescaped, so that an escape hides no request from its never_twice rule (a test sends one); answers to HEAD keep their length. A file under another service's key is refused.

--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -39,9 +39,9 @@
 	return s;
 }
 
-/* The VM that writes a shard unless something is wrong; two writers by
- * mistake only cost each other conflicts. */
-static int owner(const struct control *c, int index)
+/* The VM that writes a shard unless something is wrong; two writers by mistake
+ * only cost each other conflicts. */
+static int find_owner(const struct control *c, int index)
 {
 	int rank[1];
 
@@ -52,6 +52,18 @@
 	return rank[0];
 }
 
+void claims_find_owners(struct control *c)
+{
+	c->owned = 0;
+	for (int i = 0; i < c->settings->control.shards; i++) {
+		c->shard_owner[i] = find_owner(c, i);
+		c->owned += c->shard_owner[i] == 0;
+	}
+	/* Those of others may have to be taken over. */
+	if (!c->owned)
+		c->owned = 1;
+}
+
 static void answer_local(struct proxy_claim *claim,
 			 const struct claim_answer *a)
 {
@@ -202,20 +214,6 @@
 	s->calling = 1;
 }
 
-/* Shards that this VM writes; at least one, for those it takes over. */
-static int owned(struct control *c)
-{
-	if (c->owned && c->owned_at == c->member.changes)
-		return c->owned;
-	c->owned = 0;
-	for (int i = 0; i < c->settings->control.shards; i++)
-		c->owned += owner(c, i) == 0;
-	if (!c->owned)
-		c->owned = 1;
-	c->owned_at = c->member.changes;
-	return c->owned;
-}
-
 static void look_at(struct control *c, int64_t when)
 {
 	if (when < c->claim_timer.deadline)
@@ -227,7 +225,7 @@
 static int may_write(struct control *c)
 {
 	int64_t now = prl_now_ms();
-	int64_t rate = c->settings->store.writes * THOUSAND * owned(c) /
+	int64_t rate = c->settings->store.writes * THOUSAND * c->owned /
 		       c->settings->control.shards;
 	int64_t missing;
 
@@ -382,9 +380,10 @@
 	struct proxy_claim *claim = item;
 	int index = claim_shard_of(claim->record.key,
 				   (int)c->settings->control.shards);
-	int peer = owner(c, index);
+	int peer = c->shard_owner[index];
 
-	if (peer)
+	/* Members may have been renumbered since the owners were found. */
+	if (peer && peer < c->member.n)
 		ask_owner(c, index, peer, claim);
 	else
 		submit_local(c, index, claim);
@@ -412,7 +411,9 @@
 	c->shard = calloc((size_t)c->settings->control.shards,
 			  sizeof(struct shard *));
 	c->write_credit = WRITE_BURST * THOUSAND;
-	if (!c->shard)
+	c->shard_owner = calloc((size_t)c->settings->control.shards,
+				sizeof(*c->shard_owner));
+	if (!c->shard || !c->shard_owner)
 		return prl_fail(err, PRL_E_MEMORY, "table of claim shards");
 	c->claim_timer.due = credit_due;
 	c->claim_timer.ctx = c;
@@ -433,4 +434,5 @@
 		g_free(s);
 	}
 	free(c->shard);
+	free(c->shard_owner);
 }
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -17,8 +17,10 @@
 /* Doublings until the longest pause. */
 #define BACKOFF_DOUBLINGS 7
 
-/* Time between two status texts, in milliseconds. */
+/* Time between two status texts while somebody asks for them, in milliseconds,
+ * and for each member while nobody does: the text grows with the fleet. */
 #define STATUS_MS 200
+#define STATUS_IDLE_EACH_MS 2
 
 uint64_t control_random(void)
 {
@@ -104,6 +106,19 @@
 	metrics_set(m, METRIC_RPC_REJECTED, c->wire.rejected);
 }
 
+static void update_status(struct control *c, int64_t now)
+{
+	int wanted = now >= c->status_due &&
+		     atomic_exchange(&c->proxy.status_wanted, 0);
+
+	if (!wanted && now < c->status_idle_due)
+		return;
+	status_update(c, now);
+	c->status_due = now + STATUS_MS;
+	c->status_idle_due =
+		now + STATUS_MS + (int64_t)c->member.n * STATUS_IDLE_EACH_MS;
+}
+
 static void on_tick(struct loop_timer *t, int64_t now)
 {
 	struct control *c = t->ctx;
@@ -120,11 +135,8 @@
 		atomic_store(&c->proxy.alive_until,
 			     now + c->settings->control.lease);
 	leave_tick(c, now);
-	if (now >= c->status_due) {
-		status_update(c, now);
-		publish_metrics(c);
-		c->status_due = now + STATUS_MS;
-	}
+	publish_metrics(c);
+	update_status(c, now);
 	t->deadline = now + TICK_MS;
 }
 
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -52,6 +52,10 @@
 	struct store_call call;
 	char text[64];
 	int calling;
+	/** Place of this VM in the order of steppers, and the membership that
+	 * it was found at. */
+	int place;
+	uint64_t place_at;
 	struct control *control;
 };
 
@@ -116,8 +120,14 @@
 	int doubted;
 	/** The view must be built anew. */
 	int dirty;
+	/** What follows from the membership is kept until it changes. */
 	uint64_t member_changes;
+	int region_vms[STEER_REGIONS_MAX];
+	int all_vms;
+	int is_watcher;
+	int *shard_owner;
 	int64_t status_due;
+	int64_t status_idle_due;
 	/** Names of VMs that the platform destroyed, and when their capacity
 	 * may be used by others. */
 	GHashTable *gone;
@@ -136,9 +146,8 @@
 	/** Writes of claims that this VM may make now, in thousandths. */
 	int64_t write_credit;
 	int64_t write_credit_at;
-	/** Shards that this VM writes, and the membership it was counted at. */
+	/** Shards that this VM writes, at least 1. */
 	int owned;
-	uint64_t owned_at;
 	/** Due when a claim that waits for credit may be written. */
 	struct loop_timer claim_timer;
 	/** Shard whose turn is next when credit is short. */
@@ -185,6 +194,9 @@
 
 /* sync.c */
 
+/** Whether this VM is one of its failure domain's watchers. */
+int sync_is_watcher(const struct control *c);
+
 /** Starts with an empty copy. */
 void sync_init(struct control *c);
 
@@ -257,6 +269,9 @@
 /** Makes the table of shards. */
 enum prl_code claims_init(struct control *c, struct prl_error *err);
 
+/** Finds the writer of each shard anew. */
+void claims_find_owners(struct control *c);
+
 /** A claim or note comes from a traffic thread. */
 void claims_received(void *ctx, void *item);
 
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -126,25 +126,9 @@
 	backoff_later(&g->backoff, now);
 }
 
-static void count_vms(const struct control *c, struct grant_pool *p,
-		      const char *region)
-{
-	p->local = !strcmp(region, c->settings->vm.region);
-	p->all_vms = 0;
-	p->local_vms = 0;
-	for (int i = 0; i < c->member.n; i++) {
-		const struct member_vm *vm = &c->member.peer[i].vm;
-
-		if (vm->state == MEMBER_DEAD)
-			continue;
-		p->all_vms++;
-		p->local_vms += !strcmp(vm->region, region);
-	}
-}
-
 /* Sets a pool's inputs. One that the service no longer has keeps its hold and
  * runs down to nothing. */
-static void set_pool(struct grant *g, const char *name, const char *region,
+static void set_pool(struct grant *g, const char *name, int region,
 		     int capacity, int hold, int64_t config)
 {
 	struct grant_pool *p = grant_pool(&g->capacity, name);
@@ -160,7 +144,9 @@
 	}
 	p->capacity = capacity;
 	p->config = config;
-	count_vms(g->control, p, region);
+	p->local = region == g->control->proxy.region;
+	p->local_vms = g->control->region_vms[region];
+	p->all_vms = g->control->all_vms;
 }
 
 /* Links out of this VM's own region; others are not its to use. */
@@ -175,7 +161,7 @@
 			continue;
 		snprintf(name, sizeof(name), "%s>%s", b->region[from],
 			 b->region[to]);
-		set_pool(g, name, b->region[from], s->place[from].link_rate[to],
+		set_pool(g, name, from, s->place[from].link_rate[to],
 			 s->place[from].link[to], s->version);
 	}
 }
@@ -185,7 +171,7 @@
 	const struct config_builder *b = &g->control->builder;
 
 	for (int r = 0; r < b->nregion; r++)
-		set_pool(g, b->region[r], b->region[r], s->place[r].capacity,
+		set_pool(g, b->region[r], r, s->place[r].capacity,
 			 s->place[r].hold, s->version);
 	set_links(g, s);
 }
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -173,6 +173,32 @@
 	}
 }
 
+static void count_vms(struct control *c)
+{
+	memset(c->region_vms, 0, sizeof(c->region_vms));
+	c->all_vms = 0;
+	for (int i = 0; i < c->member.n; i++) {
+		const struct member_peer *p = &c->member.peer[i];
+		int region;
+
+		if (!member_is_usable(p))
+			continue;
+		region = config_region(&c->builder, p->vm.region);
+		c->all_vms++;
+		if (region >= 0)
+			c->region_vms[region]++;
+	}
+}
+
+static void members_changed(struct control *c)
+{
+	c->member_changes = c->member.changes;
+	c->dirty = 1;
+	count_vms(c);
+	c->is_watcher = sync_is_watcher(c);
+	claims_find_owners(c);
+}
+
 void peers_tick(struct control *c, int64_t now)
 {
 	struct member_out out[MEMBER_OUT_MAX];
@@ -184,10 +210,8 @@
 	if (begins && c->member.n == 1)
 		probe_seeds(c);
 	audit_members(c);
-	if (c->member.changes != c->member_changes) {
-		c->member_changes = c->member.changes;
-		c->dirty = 1;
-	}
+	if (c->member.changes != c->member_changes)
+		members_changed(c);
 }
 
 int peers_allow(const struct control *c, const struct wire_request *r)
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -41,7 +41,7 @@
 			(int64_t)(control_random() % PEERS_FIRST_MS);
 }
 
-static int is_watcher(const struct control *c)
+int sync_is_watcher(const struct control *c)
 {
 	int rank[16];
 	int n = member_rank(&c->member, c->settings->vm.domain, watch_topic(),
@@ -221,7 +221,7 @@
 		return;
 	if (!s->ready && now >= s->ask_store_at)
 		ask_store(c, STORE_LIST, now);
-	else if (s->ready && is_watcher(c))
+	else if (s->ready && c->is_watcher)
 		ask_store(c, STORE_WATCH, now);
 }
 
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -351,6 +351,10 @@
 	text = config_unwrap(o->value, &history);
 	rc = config_service(text, strlen(text), &file, built->pool, &faults,
 			    err);
+	if (!rc && strcmp(name, file.service.name))
+		rc = prl_fail(err, PRL_E_CONFIG,
+			      "object \"%s\" holds the file of service \"%s\"",
+			      name, file.service.name);
 	if (!rc)
 		rc = fill(b, &file, progress, built, err);
 	if (rc) {
--- a/limit/include/primroselead/flow.h
+++ b/limit/include/primroselead/flow.h
@@ -10,7 +10,8 @@
  * time has paid for it. Any thread may use it.
  */
 struct limit_flow {
-	/** Bytes that may pass; below 0 for those that have to be waited for. */
+	/** Bytes that may pass; below 0 for those that have to be waited for.
+	 */
 	_Atomic int64_t credit;
 	/** When the credit was last added to, in microseconds. */
 	_Atomic int64_t at_us;
--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -19,7 +19,8 @@
 	void *ctx;
 };
 
-/** An HTTP listener run by one loop. Several may share one address. */
+/** An HTTP listener run by one loop. Several may share one address. Paths and
+ * arguments reach the handler as they came, without any unescaping. */
 struct serve {
 	struct MHD_Daemon *mhd;
 	struct loop *loop;
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -28,6 +28,15 @@
 	run(t->ctx);
 }
 
+/* Leaves paths and arguments as they came: whoever forwards them must not
+ * change them, and whoever compares them decodes them itself. */
+static size_t keep_escapes(void *ctx, struct MHD_Connection *conn, char *text)
+{
+	(void)ctx;
+	(void)conn;
+	return strlen(text);
+}
+
 static struct MHD_Daemon *start(const struct serve_options *o,
 				const struct sockaddr *addr)
 {
@@ -41,6 +50,7 @@
 		MHD_OPTION_CONNECTION_LIMIT, o->connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, o->idle_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->connection_bytes,
+		MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, NULL,
 		MHD_OPTION_NOTIFY_COMPLETED, o->completed, o->ctx,
 		MHD_OPTION_END);
 }
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -50,6 +50,8 @@
 /** A VM and what this one keeps about it. */
 struct member_peer {
 	struct member_vm vm;
+	/** Hash of the name. */
+	uint64_t id;
 	/** When a suspected one is given up; else PRL_NEVER. */
 	int64_t deadline;
 	/** Messages that still carry its state. */
@@ -111,7 +113,8 @@
 	int nhot;
 	struct member_event event[MEMBER_EVENTS_MAX];
 	int nevent;
-	/** Counts every change of the set or of a state. */
+	/** Counts changes of the set of members that take work: who comes, who
+	 * leaves, who dies. A suspicion is none of them. */
 	uint64_t changes;
 };
 
@@ -155,6 +158,9 @@
 const struct member_peer *member_find(const struct member_table *m,
 				      const char *name);
 
+/** Whether a member takes work, so far as is known. */
+int member_is_usable(const struct member_peer *p);
+
 /** Whether an address is that of a VM that isn't dead. */
 int member_knows(const struct member_table *m, const char *rpc);
 
--- a/member/src/internal.h
+++ b/member/src/internal.h
@@ -3,7 +3,8 @@
 
 #include <primroselead/member.h>
 
-/** Makes a peer's state news and records an event. */
-void member_changed(struct member_table *m, int i);
+/** Makes a peer's state news and records an event; "before" tells whether it
+ * took work before. */
+void member_changed(struct member_table *m, int i, int before);
 
 #endif
--- a/member/src/probe.c
+++ b/member/src/probe.c
@@ -63,19 +63,20 @@
 	/* One that leaves stays so until it is given up. */
 	if (p->vm.state == MEMBER_LIVE)
 		p->vm.state = MEMBER_SUSPECT;
-	member_changed(m, i);
+	member_changed(m, i, member_is_usable(p));
 }
 
 static void give_up(struct member_table *m, int64_t now)
 {
 	for (int i = 1; i < m->n; i++) {
 		struct member_peer *p = &m->peer[i];
+		int before = member_is_usable(p);
 
 		if (p->deadline > now)
 			continue;
 		p->deadline = PRL_NEVER;
 		p->vm.state = MEMBER_DEAD;
-		member_changed(m, i);
+		member_changed(m, i, before);
 	}
 }
 
--- a/member/src/rank.c
+++ b/member/src/rank.c
@@ -2,16 +2,15 @@
 #include <primroselead/member.h>
 #include <string.h>
 
-static int usable(const struct member_peer *p, const char *domain)
+int member_is_usable(const struct member_peer *p)
 {
-	if (p->vm.state != MEMBER_LIVE && p->vm.state != MEMBER_SUSPECT)
-		return 0;
-	return !domain || !strcmp(p->vm.domain, domain);
+	return p->vm.state == MEMBER_LIVE || p->vm.state == MEMBER_SUSPECT;
 }
 
-static uint64_t weight(const struct member_peer *p, uint64_t topic)
+static int takes_part(const struct member_peer *p, const char *domain)
 {
-	return prl_hash_pair(prl_hash_name(p->vm.name), topic);
+	return member_is_usable(p) &&
+	       (!domain || !strcmp(p->vm.domain, domain));
 }
 
 int member_rank(const struct member_table *m, const char *domain,
@@ -27,9 +26,9 @@
 		uint64_t w;
 		int k;
 
-		if (!usable(&m->peer[i], domain))
+		if (!takes_part(&m->peer[i], domain))
 			continue;
-		w = weight(&m->peer[i], topic);
+		w = prl_hash_pair(m->peer[i].id, topic);
 		if (n == limit && w <= held[n - 1])
 			continue;
 		k = n < limit ? n++ : n - 1;
--- a/member/src/table.c
+++ b/member/src/table.c
@@ -1,5 +1,6 @@
 #include "internal.h"
 #include <primroselead/clock.h>
+#include <primroselead/hash.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -46,13 +47,14 @@
 	m->hot[m->nhot++] = i;
 }
 
-void member_changed(struct member_table *m, int i)
+void member_changed(struct member_table *m, int i, int before)
 {
 	const struct member_vm *vm = &m->peer[i].vm;
 	struct member_event *e;
 
 	make_hot(m, i);
-	m->changes++;
+	if (before != member_is_usable(&m->peer[i]))
+		m->changes++;
 	if (m->nevent == MEMBER_EVENTS_MAX)
 		return;
 	e = &m->event[m->nevent++];
@@ -99,11 +101,12 @@
 	p = &m->peer[m->n];
 	memset(p, 0, sizeof(*p));
 	p->vm = *vm;
+	p->id = prl_hash_name(vm->name);
 	p->deadline = PRL_NEVER;
 	g_hash_table_insert(m->by_name, g_strdup(vm->name),
 			    GINT_TO_POINTER(m->n + 1));
 	m->n++;
-	member_changed(m, m->n - 1);
+	member_changed(m, m->n - 1, 0);
 	return PRL_OK;
 }
 
@@ -159,7 +162,7 @@
 	if (vm->incarnation < self->incarnation || vm->state <= self->state)
 		return;
 	self->incarnation = vm->incarnation + 1;
-	member_changed(m, 0);
+	member_changed(m, 0, 1);
 	if (vm->state == MEMBER_DEAD && m->nevent)
 		m->event[m->nevent - 1].given_up = 1;
 }
@@ -176,6 +179,7 @@
 {
 	int i = index_of(m, vm->name);
 	struct member_peer *p;
+	int before;
 
 	if (i == 0) {
 		hear_of_self(m, vm);
@@ -191,8 +195,9 @@
 	} else {
 		if (!is_news(&m->peer[i].vm, vm))
 			return PRL_OK;
+		before = member_is_usable(&m->peer[i]);
 		m->peer[i].vm = *vm;
-		member_changed(m, i);
+		member_changed(m, i, before);
 	}
 	p = &m->peer[i];
 	p->deadline = PRL_NEVER;
@@ -206,7 +211,7 @@
 	if (m->peer[0].vm.state == MEMBER_LEAVING)
 		return;
 	m->peer[0].vm.state = MEMBER_LEAVING;
-	member_changed(m, 0);
+	member_changed(m, 0, 1);
 }
 
 static void renumber(struct member_table *m, int from, int to)
--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -1,6 +1,6 @@
 # The two binaries, the stand-ins and the example.
 BINARIES := $(foreach p,$(PROGRAMS),$(OUT)/bin/$(p))
-STANDIN_PROGRAMS := store upstream load bare
+STANDIN_PROGRAMS := store upstream load bare fleet
 STANDINS := $(foreach p,$(STANDIN_PROGRAMS),$(OUT)/bin/standin-$(p))
 EXAMPLES := $(OUT)/bin/example-steer
 
@@ -27,10 +27,10 @@
 
 $(OUT)/standin/%.o: standin/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -Iwire/src -c -o $@ $<
 
 $(OUT)/examples/%.o: examples/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -Iwire/src -c -o $@ $<
 
 -include $(wildcard $(OUT)/cmd/*/*.d $(OUT)/standin/src/*.d)
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -149,6 +149,8 @@
 	_Atomic int active;
 	/** Counters of the control thread. */
 	struct metrics control;
+	/** Somebody has asked for the status since it was last written. */
+	_Atomic int status_wanted;
 	/** Status text, replaced by the control thread. */
 	apr_thread_mutex_t *status_lock;
 	char *status;
--- a/proxy/src/answer.c
+++ b/proxy/src/answer.c
@@ -134,7 +134,8 @@
 	uint64_t length = r->down_length < 0 ? MHD_SIZE_UNKNOWN
 					     : (uint64_t)r->down_length;
 
-	if (r->down_ended && !r->down_failed &&
+	/* The answer to HEAD has the length of a body that does not come. */
+	if (strcmp(r->method, "HEAD") && r->down_ended && !r->down_failed &&
 	    (uint64_t)body_left(&r->down) == r->down.len)
 		r->response = MHD_create_response_from_buffer(
 			r->down.len, r->down.data, MHD_RESPMEM_PERSISTENT);
@@ -144,11 +145,5 @@
 	if (!r->response)
 		return MHD_NO;
 	copy_headers(r);
-	if (!strcmp(r->method, "HEAD") && r->down_length >= 0) {
-		char text[24];
-
-		snprintf(text, sizeof(text), "%lld", (long long)r->down_length);
-		MHD_add_response_header(r->response, "Content-Length", text);
-	}
 	return queue(r);
 }
--- a/proxy/src/begin.c
+++ b/proxy/src/begin.c
@@ -97,28 +97,21 @@
 				    const char *key, const char *value)
 {
 	GString *out = ctx;
-	char *k = g_uri_escape_string(key, NULL, FALSE);
-	char *v = value ? g_uri_escape_string(value, NULL, FALSE) : NULL;
 
 	(void)kind;
 	g_string_append_c(out, strchr(out->str, '?') ? '&' : '?');
-	g_string_append(out, k);
-	if (v)
-		g_string_append_printf(out, "=%s", v);
-	g_free(k);
-	g_free(v);
+	g_string_append(out, key);
+	if (value)
+		g_string_append_printf(out, "=%s", value);
 	return MHD_YES;
 }
 
-/* The path and the query as the caller wrote them, but for escapes that
- * need not be. */
+/* The path and the query as the caller wrote them. */
 static char *target(const struct proxy_request *r, const char *url)
 {
-	char *path = g_uri_escape_string(url, "/:@!$&'()*+,;=~", FALSE);
-	GString *out = g_string_new(path);
+	GString *out = g_string_new(url);
 	char *copy;
 
-	g_free(path);
 	MHD_get_connection_values(r->conn, MHD_GET_ARGUMENT_KIND, add_argument,
 				  out);
 	copy = strdup(out->str);
@@ -126,6 +119,16 @@
 	return copy;
 }
 
+/* A path that is written with escapes is the same request. */
+static int never_twice(const struct proxy_request *r, const char *url)
+{
+	char plain[2048];
+
+	g_strlcpy(plain, url, sizeof(plain));
+	MHD_http_unescape(plain);
+	return steer_never_twice(r->service, r->method, plain);
+}
+
 void request_begin(struct proxy_request *r, const char *url, const char *method)
 {
 	if (!r->view) {
@@ -150,7 +153,7 @@
 			     "Content-Length is not a number");
 		return;
 	}
-	r->once = steer_never_twice(r->service, method, url);
+	r->once = never_twice(r, url);
 	if (r->once && set_claim(r)) {
 		request_fail(r, MHD_HTTP_BAD_REQUEST,
 			     "this request needs an Idempotency-Key of "
--- a/proxy/src/own.c
+++ b/proxy/src/own.c
@@ -149,6 +149,7 @@
 {
 	enum MHD_Result rc;
 
+	atomic_store(&t->proxy->status_wanted, 1);
 	apr_thread_mutex_lock(t->proxy->status_lock);
 	if (t->proxy->status)
 		rc = reply(conn, MHD_HTTP_OK, "application/json",
--- /dev/null
+++ b/standin/src/fleet.c
@@ -0,0 +1,283 @@
+/* Plays a fleet of thousands of VMs to one real daemon: answers its probes from
+ * the address of each member, probes it as often as a fleet would, and relays
+ * changes of the configuration to it. Members are 127.1.0.0 and upwards, all on
+ * one port. */
+#include "answer.h"
+#include "codec.h"
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <primroselead/clock.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define BASE_IP 0x7f010000U
+#define PERIOD_MS 500
+#define REGIONS 18
+#define DOMAINS 51
+#define RUMORS 8
+
+struct member {
+	char name[16];
+	char region[16];
+	char domain[16];
+	char address[32];
+};
+
+static struct {
+	struct loop loop;
+	struct loop_fd fd;
+	struct loop_timer probe;
+	struct loop_timer change;
+	struct member *member;
+	int n;
+	int port;
+	int introduced;
+	int64_t change_ms;
+	int64_t revision;
+	int value_bytes;
+	char *value;
+	uint32_t xid;
+	struct sockaddr_storage target;
+	socklen_t target_len;
+	uint64_t sent, received;
+	char data[WIRE_DATAGRAM_MAX];
+} fl;
+
+static void fill_vm(const struct member *m, struct wire_vm *out)
+{
+	out->name = (char *)m->name;
+	out->region = (char *)m->region;
+	out->domain = (char *)m->domain;
+	out->http = (char *)m->address;
+	out->rpc = (char *)m->address;
+	out->incarnation = 1;
+	out->state = 0;
+}
+
+/* Sends from the address of a member. */
+static void send_as(int member, const void *data, size_t len,
+		    const struct sockaddr_storage *to, socklen_t to_len)
+{
+	union {
+		struct cmsghdr head;
+		char room[CMSG_SPACE(sizeof(struct in_pktinfo))];
+	} control = {0};
+	struct iovec iov = {.iov_base = (void *)data, .iov_len = len};
+	struct msghdr msg = {
+		.msg_name = (void *)to,
+		.msg_namelen = to_len,
+		.msg_iov = &iov,
+		.msg_iovlen = 1,
+		.msg_control = &control,
+		.msg_controllen = sizeof(control.room),
+	};
+	struct in_pktinfo info = {0};
+
+	info.ipi_spec_dst.s_addr = htonl(BASE_IP + (uint32_t)member);
+	control.head.cmsg_level = IPPROTO_IP;
+	control.head.cmsg_type = IP_PKTINFO;
+	control.head.cmsg_len = CMSG_LEN(sizeof(info));
+	memcpy(CMSG_DATA(&control.head), &info, sizeof(info));
+	if (sendmsg(fl.fd.fd, &msg, 0) > 0)
+		fl.sent++;
+}
+
+static void fill_rumors(struct wire_vm *rumor, int first)
+{
+	for (int i = 0; i < RUMORS; i++)
+		fill_vm(&fl.member[first < 0 ? rand() % fl.n
+					     : (first + i) % fl.n],
+			&rumor[i]);
+}
+
+static void answer_call(int member, const struct wire_request *r,
+			const struct wire_args *args)
+{
+	struct wire_result result = {.proc = r->proc};
+	struct wire_vm rumor[RUMORS];
+	char data[4096];
+	size_t n;
+
+	if (r->proc == WIRE_PROBE) {
+		fill_vm(&fl.member[member], &result.u.ack.from);
+		result.u.ack.sequence = args->u.probe.sequence;
+		fill_rumors(rumor, -1);
+		result.u.ack.rumor.rumor_val = rumor;
+		result.u.ack.rumor.rumor_len = RUMORS;
+	} else if (r->proc != WIRE_PUSH) {
+		return;
+	}
+	n = wire_encode_reply(data, sizeof(data), r->xid, &result);
+	if (n)
+		send_as(member, data, n, &r->from, r->from_len);
+}
+
+static int destination(const struct msghdr *msg)
+{
+	struct in_pktinfo info;
+
+	for (struct cmsghdr *c = CMSG_FIRSTHDR(msg); c;
+	     c = CMSG_NXTHDR((struct msghdr *)msg, c)) {
+		if (c->cmsg_level != IPPROTO_IP || c->cmsg_type != IP_PKTINFO)
+			continue;
+		memcpy(&info, CMSG_DATA(c), sizeof(info));
+		return (int)(ntohl(info.ipi_addr.s_addr) - BASE_IP);
+	}
+	return -1;
+}
+
+static void on_ready(struct loop_fd *f, uint32_t events)
+{
+	union {
+		struct cmsghdr head;
+		char room[256];
+	} control;
+	struct wire_request r = {0};
+	struct wire_args args;
+	struct iovec iov = {.iov_base = fl.data, .iov_len = sizeof(fl.data)};
+	struct msghdr msg = {
+		.msg_name = &r.from,
+		.msg_namelen = sizeof(r.from),
+		.msg_iov = &iov,
+		.msg_iovlen = 1,
+		.msg_control = &control,
+		.msg_controllen = sizeof(control),
+	};
+	ssize_t n = recvmsg(f->fd, &msg, 0);
+	int member = n > 0 ? destination(&msg) : -1;
+
+	(void)events;
+	if (member < 0 || member >= fl.n)
+		return;
+	fl.received++;
+	r.from_len = msg.msg_namelen;
+	if (wire_decode_call(fl.data, (size_t)n, &r, &args))
+		return;
+	answer_call(member, &r, &args);
+	wire_args_free(&args);
+}
+
+static void send_call(int member, const struct wire_args *args)
+{
+	size_t n = wire_encode_call(fl.data, sizeof(fl.data), ++fl.xid, args);
+
+	if (n)
+		send_as(member, fl.data, n, &fl.target, fl.target_len);
+}
+
+static void probe_from(int member, int first)
+{
+	struct wire_args args = {.proc = WIRE_PROBE};
+	struct wire_vm rumor[RUMORS];
+
+	fill_vm(&fl.member[member], &args.u.probe.from);
+	args.u.probe.sequence = (int64_t)fl.xid;
+	fill_rumors(rumor, first);
+	args.u.probe.rumor.rumor_val = rumor;
+	args.u.probe.rumor.rumor_len = RUMORS;
+	send_call(member, &args);
+}
+
+/* First every member is named once; then one probe a period, as each VM of a
+ * fleet gets on average. */
+static void on_probe(struct loop_timer *t, int64_t now)
+{
+	if (fl.introduced < fl.n) {
+		probe_from(fl.introduced, fl.introduced);
+		fl.introduced += RUMORS;
+		t->deadline = now + 2;
+		return;
+	}
+	probe_from(rand() % fl.n, -1);
+	t->deadline = now + PERIOD_MS;
+}
+
+static void on_change(struct loop_timer *t, int64_t now)
+{
+	struct wire_args args = {.proc = WIRE_PUSH};
+	struct wire_object object;
+	char key[64];
+
+	t->deadline = now + fl.change_ms;
+	if (fl.introduced < fl.n)
+		return;
+	snprintf(key, sizeof(key), "steer/services/s%lld",
+		 (long long)(fl.revision % 1000));
+	snprintf(fl.value, (size_t)fl.value_bytes,
+		 "[service]\nname = s%lld\n[region r0]\ncapacity = 5\n#",
+		 (long long)(fl.revision % 1000));
+	args.u.push.after = fl.revision;
+	args.u.push.complete = ++fl.revision;
+	args.u.push.object.object_val = &object;
+	args.u.push.object.object_len = 1;
+	object.key = key;
+	object.revision = fl.revision;
+	object.value.value_val = fl.value;
+	object.value.value_len = (u_int)strlen(fl.value);
+	/* The rest of a file of the usual size, as a comment. */
+	memset(fl.value + strlen(fl.value), 'x',
+	       (size_t)fl.value_bytes - strlen(fl.value) - 1);
+	object.value.value_len = (u_int)strlen(fl.value);
+	send_call(rand() % fl.n, &args);
+}
+
+static void make_members(void)
+{
+	fl.member = calloc((size_t)fl.n, sizeof(*fl.member));
+	if (!fl.member)
+		abort();
+	for (int i = 0; i < fl.n; i++) {
+		struct member *m = &fl.member[i];
+		struct in_addr ip = {.s_addr = htonl(BASE_IP + (uint32_t)i)};
+
+		snprintf(m->name, sizeof(m->name), "f%d", i);
+		snprintf(m->region, sizeof(m->region), "r%d", i % REGIONS);
+		snprintf(m->domain, sizeof(m->domain), "d%d", i % DOMAINS);
+		snprintf(m->address, sizeof(m->address), "%s:%d",
+			 inet_ntoa(ip), fl.port);
+	}
+}
+
+static int open_socket(void)
+{
+	struct sockaddr_in any = {.sin_family = AF_INET};
+	int yes = 1;
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	any.sin_port = htons((uint16_t)fl.port);
+	setsockopt(fd, IPPROTO_IP, IP_PKTINFO, &yes, sizeof(yes));
+	if (fd < 0 || bind(fd, (struct sockaddr *)&any, sizeof(any)))
+		return -1;
+	return fd;
+}
+
+int main(int argc, char **argv)
+{
+	fl.n = atoi(option(argc, argv, "members", "7900"));
+	fl.port = atoi(option(argc, argv, "port", "21900"));
+	fl.change_ms = atoi(option(argc, argv, "change-ms", "2107"));
+	fl.value_bytes = atoi(option(argc, argv, "value", "2048"));
+	fl.revision = 1000000;
+	fl.value = malloc((size_t)fl.value_bytes + 1);
+	if (!fl.value ||
+	    prl_address_parse(option(argc, argv, "target", ""), &fl.target,
+			      &fl.target_len))
+		return 2;
+	make_members();
+	fl.fd.fd = open_socket();
+	fl.fd.ready = on_ready;
+	if (fl.fd.fd < 0 || loop_init(&fl.loop, NULL) ||
+	    loop_add(&fl.loop, &fl.fd, EPOLLIN, NULL))
+		return 1;
+	fl.probe.due = on_probe;
+	fl.change.due = on_change;
+	loop_timer_add(&fl.loop, &fl.probe);
+	loop_timer_add(&fl.loop, &fl.change);
+	fl.probe.deadline = prl_now_ms();
+	fl.change.deadline = prl_now_ms() + fl.change_ms;
+	loop_run(&fl.loop);
+	return 0;
+}
--- a/system/test_path.c
+++ b/system/test_path.c
@@ -195,6 +195,22 @@
 	assert_int_equal(a.status, 200);
 }
 
+/* A path written with escapes is still the acceptance that it names. */
+static void test_escapes_do_not_hide_a_rule(void **state)
+{
+	struct call c = {.method = "POST",
+			 .url = VM1 "/%61ccept?a=%20b&c",
+			 .host = "s",
+			 .body = "x"};
+
+	(void)state;
+	assert_int_equal(harness_call(&c).status, 400);
+	c.key = "escaped-1";
+	assert_int_equal(harness_call(&c).status, 200);
+	assert_int_equal(accept_at(2, "escaped-1").status, 409);
+	assert_int_equal(key_count("escaped-1"), 1);
+}
+
 struct same_key {
 	pthread_t thread;
 	int vm;
@@ -520,6 +536,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_are_whole),
 		cmocka_unit_test(test_bad_requests_are_told),
+		cmocka_unit_test(test_escapes_do_not_hide_a_rule),
 		cmocka_unit_test(test_same_key_runs_once),
 		cmocka_unit_test(test_closed_without_answer),
 		cmocka_unit_test(test_replay_is_told_the_first_outcome),
--- a/system/test_region.c
+++ b/system/test_region.c
@@ -40,10 +40,9 @@
 		 "[upstream s1]\nregion = sur\ndomain = a\n"
 		 "address = 127.0.0.1:28301\nslots = 40\n%s",
 		 norte_capacity,
-		 norte_capacity
-			 ? "[upstream n1]\nregion = norte\ndomain = a\n"
-			   "address = 127.0.0.1:28300\nslots = 40\n"
-			 : "",
+		 norte_capacity ? "[upstream n1]\nregion = norte\ndomain = a\n"
+				  "address = 127.0.0.1:28300\nslots = 40\n"
+				: "",
 		 more);
 	harness_write("s.ini", text);
 	assert_int_equal(harness_run(out, sizeof(out), "primroselead",
@@ -99,24 +98,22 @@
 	publish(0, "[link n]\nfrom = norte\nto = sur\nrate = 16\n");
 	harness_sleep(3000);
 	began = prl_now_ms();
-	assert_int_equal(
-		harness_run(out, sizeof(out), "standin-load",
-			    "--direct=127.0.0.1:28101", "--service=s",
-			    "--requests=3", "--callers=3", "--work=1",
-			    "--size=1048576", NULL),
-		0);
+	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
+				     "--direct=127.0.0.1:28101", "--service=s",
+				     "--requests=3", "--callers=3", "--work=1",
+				     "--size=1048576", NULL),
+			 0);
 	ms = prl_now_ms() - began;
 	assert_int_equal(harness_number(out, "ok"), 3);
 	/* 3 MB at 1 MB/s; the burst and a block for each transfer are free. */
 	assert_true(ms > 2700);
 	assert_true(ms < 9000);
 	began = prl_now_ms();
-	assert_int_equal(
-		harness_run(out, sizeof(out), "standin-load",
-			    "--direct=127.0.0.1:28101", "--service=s",
-			    "--requests=3", "--callers=3", "--work=1",
-			    "--method=PUT", "--upload=1048576", NULL),
-		0);
+	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
+				     "--direct=127.0.0.1:28101", "--service=s",
+				     "--requests=3", "--callers=3", "--work=1",
+				     "--method=PUT", "--upload=1048576", NULL),
+			 0);
 	ms = prl_now_ms() - began;
 	assert_int_equal(harness_number(out, "ok"), 3);
 	assert_true(ms > 2700);
@@ -128,9 +125,14 @@
  * is never above the cap, and comes near it. */
 static void test_shift_stays_under_its_cap(void **state)
 {
-	const char *args[] = {"--vm=127.0.0.1:28101", "--service=s",
-			      "--region=norte", "--ms=9000", "--callers=12",
-			      "--blocks=400", "--work=5", NULL};
+	const char *args[] = {"--vm=127.0.0.1:28101",
+			      "--service=s",
+			      "--region=norte",
+			      "--ms=9000",
+			      "--callers=12",
+			      "--blocks=400",
+			      "--work=5",
+			      NULL};
 	int64_t norte = ran(0);
 	int64_t sur = ran(1);
 	int64_t moved = 0;
@@ -172,8 +174,12 @@
 static void test_overload(void **state)
 {
 	const char *args[] = {"--vm=127.0.0.1:28101,127.0.0.1:28103",
-			      "--service=s", "--ms=8000", "--callers=300",
-			      "--rate=2400", "--work=50", NULL};
+			      "--service=s",
+			      "--ms=8000",
+			      "--callers=300",
+			      "--rate=2400",
+			      "--work=50",
+			      NULL};
 	char url[96];
 	int64_t most = 0;
 	pid_t load;
