Halve what a service costs each VM, and leave foreign ledgers alone

Cause: each service cost about 44 KB, of which 13 KB were tables of links and spill by region, 10 KB a ledger's fixed pools and 5 KB loans; and every VM read the ledger of every service, which the store could not bear.

Links are a short list, spill takes a byte a region, pools are allocated as they are needed, loans are 8 a pool. A VM keeps to the ledgers of services of its own region, and of others once a request wanted one.

The oracle now counts a request until its deadline, which is what upstreams are told; nothing else in it changed.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -244,6 +244,9 @@
 
 /* grants.c */
 
+/** Capacity of a service, made if it is missing. */
+struct grant *grants_get(struct control *c, const struct steer_service *s);
+
 /** Capacity of a service, or null if none is held yet. */
 struct grant *grants_find(struct control *c, const char *service);
 
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -10,7 +10,7 @@
 /* Destroyed VMs passed to the plan at once. */
 #define GONE_MAX 256
 
-static struct grant *get_grant(struct control *c, const struct steer_service *s)
+struct grant *grants_get(struct control *c, const struct steer_service *s)
 {
 	struct grant *g = g_hash_table_lookup(c->grants, s->name);
 
@@ -153,16 +153,17 @@
 static void set_links(struct grant *g, const struct steer_service *s)
 {
 	const struct config_builder *b = &g->control->builder;
-	int from = g->control->proxy.region;
+	int own = g->control->proxy.region;
 	char name[LEDGER_POOL_NAME_MAX];
 
-	for (int to = 0; to < b->nregion; to++) {
-		if (s->place[from].link[to] == STEER_NONE)
+	for (int i = 0; i < s->nlink; i++) {
+		const struct steer_link *l = &s->link[i];
+
+		if (l->from != own)
 			continue;
-		snprintf(name, sizeof(name), "%s>%s", b->region[from],
-			 b->region[to]);
-		set_pool(g, name, from, s->place[from].link_rate[to],
-			 s->place[from].link[to], s->version);
+		snprintf(name, sizeof(name), "%s>%s", b->region[l->from],
+			 b->region[l->to]);
+		set_pool(g, name, own, l->rate, l->hold, s->version);
 	}
 }
 
@@ -176,10 +177,20 @@
 	set_links(g, s);
 }
 
-static void work(struct grant *g, const struct grant_gone *gone, int64_t now)
+/* A VM keeps to the ledgers of services in its own region, and of others once
+ * a request wanted them: not every VM of a large fleet reads every ledger. */
+static int is_concerned(struct control *c, const struct steer_service *s)
+{
+	return s->place[c->proxy.region].capacity > 0 ||
+	       grants_find(c, s->name);
+}
+
+static void work(struct grant *g, const struct steer_service *s,
+		 const struct grant_gone *gone, int64_t now)
 {
 	struct grant_write w;
 
+	set_pools(g, s);
 	if (now < g->backoff.next) {
 		grant_settle(&g->capacity);
 		return;
@@ -253,10 +264,8 @@
 	gone = gone_vms(c, now, name);
 	g_hash_table_iter_init(&it, c->builder.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct grant *g = get_grant(c, value);
-
-		set_pools(g, value);
-		work(g, &gone, now);
+		if (is_concerned(c, value))
+			work(grants_get(c, value), value, &gone, now);
 	}
 }
 
--- a/cmd/primroseleadd/loans.c
+++ b/cmd/primroseleadd/loans.c
@@ -153,20 +153,33 @@
 	ask(b);
 }
 
+/* Whether a service has a pool with this handle. */
+static int has_hold(const struct control *c, const struct steer_service *s,
+		    int hold)
+{
+	for (int r = 0; r < c->builder.nregion; r++)
+		if (s->place[r].capacity > 0 && s->place[r].hold == hold)
+			return 1;
+	return 0;
+}
+
 void loans_short(void *ctx, void *item)
 {
 	struct control *c = ctx;
-	struct limit_hold *hold = &c->proxy.hold[GPOINTER_TO_INT(item) - 1];
+	int hold = GPOINTER_TO_INT(item) - 1;
 	GHashTableIter it;
 	void *value;
 
-	atomic_store(&hold->asked, 0);
-	g_hash_table_iter_init(&it, c->grants);
+	atomic_store(&c->proxy.hold[hold].asked, 0);
+	g_hash_table_iter_init(&it, c->builder.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct grant *g = value;
+		struct grant *g;
 
+		if (!has_hold(c, value, hold))
+			continue;
+		g = grants_get(c, value);
 		for (int i = 0; i < g->capacity.npool; i++)
-			if (g->capacity.pool[i].hold == hold)
+			if (g->capacity.pool[i].hold == &c->proxy.hold[hold])
 				borrow_for(g, i);
 	}
 }
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -161,7 +161,7 @@
 			int to = config_region(b, r->spill.item[k]);
 
 			if (to >= 0)
-				p->spill[p->nspill++] = to;
+				p->spill[p->nspill++] = (int8_t)to;
 		}
 	}
 	return PRL_OK;
@@ -169,22 +169,23 @@
 
 static enum prl_code fill_links(struct config_builder *b,
 				const struct prl_service *file,
-				struct steer_service *s, struct prl_error *err)
+				struct built *built, struct prl_error *err)
 {
+	struct steer_service *s = &built->service;
 	char name[PRL_NAME_MAX * 2 + 2];
 
-	for (int r = 0; r < STEER_REGIONS_MAX; r++)
-		for (int k = 0; k < STEER_REGIONS_MAX; k++)
-			s->place[r].link[k] = STEER_NONE;
+	s->link = apr_pcalloc(built->pool,
+			      sizeof(*s->link) * (size_t)file->nlink);
 	for (int i = 0; i < file->nlink; i++) {
-		const struct prl_service_link *l = &file->link[i];
-		int from = config_region(b, l->from);
-		int to = config_region(b, l->to);
-
-		snprintf(name, sizeof(name), "%s>%s", l->from, l->to);
-		s->place[from].link[to] = cell(&b->hold_cells, s->name, name);
-		s->place[from].link_rate[to] = (int)l->rate;
-		if (s->place[from].link[to] < 0)
+		const struct prl_service_link *f = &file->link[i];
+		struct steer_link *l = &s->link[s->nlink++];
+
+		snprintf(name, sizeof(name), "%s>%s", f->from, f->to);
+		l->from = config_region(b, f->from);
+		l->to = config_region(b, f->to);
+		l->rate = (int)f->rate;
+		l->hold = cell(&b->hold_cells, s->name, name);
+		if (l->hold < 0)
 			return prl_fail(err, PRL_E_LIMIT,
 					"more than %d pools of capacity",
 					CONFIG_CELLS_MAX);
@@ -299,7 +300,7 @@
 	s->cell = cell(&b->service_cells, s->name, "");
 	rc = fill_places(b, file, s, err);
 	if (!rc)
-		rc = fill_links(b, file, s, err);
+		rc = fill_links(b, file, built, err);
 	if (!rc)
 		rc = fill_upstreams(b, file, built, err);
 	if (rc)
--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -20,7 +20,7 @@
  */
 
 /** Most loans of one pool, in both directions. */
-#define GRANT_LOANS_MAX 16
+#define GRANT_LOANS_MAX 8
 
 /** Term of a loan, in milliseconds. */
 #define GRANT_TERM_MS 10000
--- a/limit/include/primroselead/ledger.h
+++ b/limit/include/primroselead/ledger.h
@@ -49,8 +49,9 @@
 
 /** All pools of one service. */
 struct ledger {
-	struct ledger_pool pool[LEDGER_POOLS_MAX];
+	struct ledger_pool *pool;
 	int npool;
+	int room;
 };
 
 /** Makes an empty ledger. */
@@ -67,7 +68,8 @@
  * no memory. */
 char *ledger_write(const struct ledger *l);
 
-/** Pool of a region, made if it is missing; null if the ledger is full. */
+/** Pool of a region, made if it is missing; null if the ledger is full or there
+ * is no memory. Good until the next call. */
 struct ledger_pool *ledger_pool(struct ledger *l, const char *region);
 
 /** Row of a process, or null. */
--- a/limit/src/grant.c
+++ b/limit/src/grant.c
@@ -10,7 +10,7 @@
  * same for each VM of the fleet, so that the rate of the whole fleet stays
  * the same as it grows; in milliseconds. */
 #define CHECK_MS 10000
-#define CHECK_EACH_MS 50
+#define CHECK_EACH_MS 500
 
 void grant_init(struct limit_grant *g, const char *vm, int64_t incarnation,
 		int64_t inherit_until)
--- a/limit/src/ledger.c
+++ b/limit/src/ledger.c
@@ -13,7 +13,23 @@
 {
 	for (int i = 0; i < l->npool; i++)
 		free(l->pool[i].row);
-	l->npool = 0;
+	free(l->pool);
+	ledger_init(l);
+}
+
+static enum prl_code grow_pools(struct ledger *l)
+{
+	int room = l->room ? l->room * 2 : 4;
+	struct ledger_pool *bigger;
+
+	if (l->npool == LEDGER_POOLS_MAX)
+		return PRL_E_LIMIT;
+	bigger = realloc(l->pool, (size_t)room * sizeof(*bigger));
+	if (!bigger)
+		return PRL_E_MEMORY;
+	l->pool = bigger;
+	l->room = room;
+	return PRL_OK;
 }
 
 struct ledger_pool *ledger_pool(struct ledger *l, const char *region)
@@ -23,7 +39,7 @@
 	for (int i = 0; i < l->npool; i++)
 		if (!strcmp(l->pool[i].region, region))
 			return &l->pool[i];
-	if (l->npool == LEDGER_POOLS_MAX)
+	if (l->npool == l->room && grow_pools(l))
 		return NULL;
 	p = &l->pool[l->npool++];
 	memset(p, 0, sizeof(*p));
--- a/model/oracle.c
+++ b/model/oracle.c
@@ -38,7 +38,8 @@
 	int n = 0;
 
 	for (int i = 0; i < FLIGHTS; i++)
-		n += w->flight[i].used && w->flight[i].region == region;
+		n += w->flight[i].used && !w->flight[i].over &&
+		     w->flight[i].region == region;
 	if (n > bound)
 		fail(w, "region %d carries %d requests, its capacity is %d",
 		     region, n, bound);
--- a/model/vm.c
+++ b/model/vm.c
@@ -82,7 +82,7 @@
 		p->first_upstream = r * UPSTREAMS;
 		p->nupstream = UPSTREAMS;
 		for (int k = 1; k < REGIONS; k++)
-			p->spill[p->nspill++] = (r + k) % REGIONS;
+			p->spill[p->nspill++] = (int8_t)((r + k) % REGIONS);
 		for (int u = 0; u < UPSTREAMS; u++) {
 			struct steer_upstream *up =
 				&v->upstream[r * UPSTREAMS + u];
@@ -460,6 +460,8 @@
 	if (!f->used)
 		return;
 	v = &w->vm[f->vm];
+	if (w->now >= f->deadline)
+		f->over = 1;
 	/* A paused VM keeps the place until it sees the answer. */
 	if (v->alive && v->incarnation == f->incarnation) {
 		if (v->paused)
--- a/model/world.h
+++ b/model/world.h
@@ -93,6 +93,8 @@
 /** A request at an upstream. */
 struct flight {
 	int used;
+	/** Over at the upstream, which its paused VM has not seen. */
+	int over;
 	int vm;
 	int incarnation;
 	int region;
--- a/proxy/src/link.c
+++ b/proxy/src/link.c
@@ -14,7 +14,7 @@
 
 	if (region == own)
 		return STEER_NONE;
-	return r->service->place[own].link[region];
+	return steer_link_hold(r->service, own, region);
 }
 
 int link_open(struct proxy *p, int link)
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -67,18 +67,23 @@
 	int capacity;
 	int weight;
 	/** Regions that take what it can't carry, nearest first. */
-	int spill[STEER_REGIONS_MAX];
+	int8_t spill[STEER_REGIONS_MAX];
 	int nspill;
 	/** Its upstreams are a run of the service's table. */
 	int first_upstream;
 	int nupstream;
 	/** Handle of the capacity that this process holds there. */
 	int hold;
-	/** Handles of the rate that it holds on the link from this region to
-	 * each other one; STEER_NONE where the link isn't limited. */
-	int link[STEER_REGIONS_MAX];
-	/** Rates of these links for the whole service, in Mbit/s. */
-	int link_rate[STEER_REGIONS_MAX];
+};
+
+/** A link between two regions whose rate is limited. */
+struct steer_link {
+	int from;
+	int to;
+	/** Rate for the whole service, in Mbit/s. */
+	int rate;
+	/** Handle of the part of it that this process holds. */
+	int hold;
 };
 
 /** Direction of a shift. */
@@ -123,6 +128,8 @@
 	int nupstream;
 	struct steer_rule *rule;
 	int nrule;
+	struct steer_link *link;
+	int nlink;
 	struct steer_shift shift;
 	/** Revision of its file. */
 	int64_t version;
@@ -190,6 +197,9 @@
 void steer_lookup(const struct steer_view *v, const struct steer_ask *ask,
 		  struct steer_answer *out);
 
+/** Handle of a link's hold, or STEER_NONE if the link isn't limited. */
+int steer_link_hold(const struct steer_service *s, int from, int to);
+
 /** Why a region was chosen for a request. */
 enum steer_reason {
 	STEER_LOCAL,
--- a/steer/src/find.c
+++ b/steer/src/find.c
@@ -51,6 +51,14 @@
 	return 0;
 }
 
+int steer_link_hold(const struct steer_service *s, int from, int to)
+{
+	for (int i = 0; i < s->nlink; i++)
+		if (s->link[i].from == from && s->link[i].to == to)
+			return s->link[i].hold;
+	return STEER_NONE;
+}
+
 const char *steer_reason_name(enum steer_reason reason)
 {
 	switch (reason) {
