--- a/mk/lint.mk
+++ b/mk/lint.mk
@@ -15,5 +15,5 @@
 
 build/tidy/%.ok: % .clang-tidy $(HEADERS)
 	@mkdir -p $(@D)
-	clang-tidy --quiet $< -- $(WARN) $(DEP_CFLAGS) $(PUBLIC) -I$(dir $<) -I$(dir $<)../src -Isystem -DPRL_VERSION='""'
+	clang-tidy --quiet $< -- $(WARN) $(DEP_CFLAGS) $(PUBLIC) -I$(dir $<) -I$(dir $<)../src -Isystem -Iwire/src -DPRL_VERSION='""'
 	@touch $@
--- a/schema/src/scan.c
+++ b/schema/src/scan.c
@@ -29,7 +29,7 @@
 /* Reads one line; the group stays until the next heading. */
 static int next_line(struct line *l)
 {
-	char buf[LINE_MAX_BYTES];
+	char buf[LINE_MAX_BYTES] = "";
 	const char *end;
 	char *mark;
 
