--- a/claim/test/test_claim.c
+++ b/claim/test/test_claim.c
@@ -202,8 +202,8 @@
 		"-1 0 0 0\n",
 		"1 0 0 0\n",
 		"0 0 0 1\nzz\n",
-		"0 0 0 1\n00000000000000010000000000000001 "
-		"0000000000000001 7 000\n"};
+		("0 0 0 1\n00000000000000010000000000000001 "
+		 "0000000000000001 7 000\n")};
 	struct prl_error err;
 	struct claim_segment seg = {.slot = 0, .version = 1};
 
--- a/cmd/primroselead/command.c
+++ b/cmd/primroselead/command.c
@@ -126,18 +126,6 @@
 	return PRL_OK;
 }
 
-static void print_faults(const struct prl_faults *f)
-{
-	char line[512];
-
-	for (int i = 0; i < f->n; i++) {
-		prl_fault_format(f, i, line, sizeof(line));
-		fprintf(stderr, "%s\n", line);
-	}
-	if (f->dropped)
-		fprintf(stderr, "%s: %d more faults\n", f->file, f->dropped);
-}
-
 static enum prl_code read_one(struct command *c, const char *path,
 			      struct service_file *out)
 {
@@ -156,7 +144,7 @@
 	out->text = text;
 	rc = config_service(text, len, &out->service, c->pool, &faults,
 			    &c->err);
-	print_faults(&faults);
+	prl_faults_print(&faults, stderr);
 	return rc;
 }
 
--- a/cmd/primroseleadd/main.c
+++ b/cmd/primroseleadd/main.c
@@ -18,18 +18,6 @@
 	return out == stderr ? prl_code_exit(PRL_E_USAGE) : 0;
 }
 
-static void print_faults(const struct prl_faults *f)
-{
-	char line[512];
-
-	for (int i = 0; i < f->n; i++) {
-		prl_fault_format(f, i, line, sizeof(line));
-		fprintf(stderr, "%s\n", line);
-	}
-	if (f->dropped)
-		fprintf(stderr, "%s: %d more faults\n", f->file, f->dropped);
-}
-
 static enum prl_code read_settings(const char *path, apr_pool_t *pool,
 				   struct prl_settings *s,
 				   struct prl_error *err)
@@ -43,7 +31,7 @@
 	rc = prl_file_read(path, SETTINGS_MAX, pool, &text, &len, err);
 	if (!rc)
 		rc = config_settings(text, len, s, pool, &faults, err);
-	print_faults(&faults);
+	prl_faults_print(&faults, stderr);
 	return rc;
 }
 
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -1,21 +1,12 @@
-#include "request.h"
+#include "upstream.h"
 #include <primroselead/clock.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Upstreams weighed in one choice. */
-#define CANDIDATES_MAX 256
-
-/* Choices repeated when another thread took the last slot meanwhile. */
-#define CHOICES_MAX 4
-
 /* Attempts of one request. */
 #define ATTEMPTS_MAX 3
 
-/* Part of a new sample in a smoothed value: one in this many. */
-#define SMOOTHING 8
-
 /* Buffer of one transfer for what it receives, in bytes. */
 #define RECEIVE_BUFFER 8192L
 
@@ -29,121 +20,6 @@
  * upstream may just be closing it, and nobody could tell what ran. */
 #define ONCE_IDLE_MAX_S 1L
 
-#define PERMILLE 1000
-
-static struct proxy_upstream_cell *cell_of(const struct proxy_request *r,
-					   const struct steer_upstream *u)
-{
-	return &r->thread->proxy->upstream[u->cell];
-}
-
-static struct proxy_service_cell *service_cell(const struct proxy_request *r)
-{
-	return &r->thread->proxy->service[r->service->cell];
-}
-
-static void read_load(struct proxy_upstream_cell *c, int64_t now,
-		      struct steer_load *out)
-{
-	int64_t since = atomic_load(&c->since_ms);
-
-	if (!since) {
-		atomic_store(&c->since_ms, now);
-		since = now;
-	}
-	out->outstanding = atomic_load(&c->outstanding);
-	out->reported = atomic_load(&c->reported);
-	out->reported_ms = atomic_load(&c->reported_ms);
-	out->latency_us = atomic_load(&c->latency_us);
-	out->failures = atomic_load(&c->failures);
-	out->since_ms = since;
-}
-
-static int choose(struct proxy_request *r)
-{
-	const struct steer_place *place = &r->service->place[r->region];
-	struct steer_load load[CANDIDATES_MAX];
-	int quota[CANDIDATES_MAX];
-	int64_t now = prl_now_ms();
-	struct steer_pick p = {
-		.upstream = r->service->upstream + place->first_upstream,
-		.load = load,
-		.n = place->nupstream,
-		.choice = r->service->choice,
-		.warmup_ms = r->service->warmup_ms,
-		.now_ms = now,
-		.except = STEER_NONE,
-	};
-
-	if (p.n > CANDIDATES_MAX)
-		p.n = CANDIDATES_MAX;
-	for (int i = 0; i < p.n; i++) {
-		read_load(cell_of(r, &p.upstream[i]), now, &load[i]);
-		if (&p.upstream[i] == r->failed && p.n > 1)
-			p.except = i;
-	}
-	if (r->region == r->thread->proxy->region && r->view->ranked) {
-		steer_quota(p.upstream, p.n, r->view->rank, r->view->ranked,
-			    quota);
-		p.quota = quota;
-	}
-	r->thread->random = prl_hash_pair(r->thread->random, (uint64_t)now);
-	p.random = r->thread->random;
-	return steer_pick(&p);
-}
-
-/* Takes a slot; two threads may have chosen the last one together. */
-static int take_slot(struct proxy_request *r, int i)
-{
-	const struct steer_place *place = &r->service->place[r->region];
-	const struct steer_upstream *u =
-		&r->service->upstream[place->first_upstream + i];
-	struct proxy_upstream_cell *c = cell_of(r, u);
-
-	if (atomic_fetch_add(&c->outstanding, 1) >= u->slots) {
-		atomic_fetch_sub(&c->outstanding, 1);
-		return 0;
-	}
-	r->upstream = u;
-	return 1;
-}
-
-static int choose_and_take(struct proxy_request *r)
-{
-	for (int k = 0; k < CHOICES_MAX; k++) {
-		int i = choose(r);
-
-		if (i == STEER_NONE)
-			return 0;
-		if (take_slot(r, i))
-			return 1;
-	}
-	return 0;
-}
-
-static int64_t smooth(int64_t old, int64_t sample)
-{
-	return old ? old + (sample - old) / SMOOTHING : sample;
-}
-
-static void learn(struct proxy_request *r, int failed)
-{
-	struct proxy_upstream_cell *c = cell_of(r, r->upstream);
-	struct proxy_service_cell *s = service_cell(r);
-	int64_t us = prl_now_us() - r->sent_us;
-	int failures = atomic_load(&c->failures);
-
-	failures += ((failed ? PERMILLE : 0) - failures) / SMOOTHING;
-	atomic_store(&c->failures, failures);
-	if (failed)
-		return;
-	atomic_store(&c->latency_us, smooth(atomic_load(&c->latency_us), us));
-	atomic_store(&s->latency_us[r->region],
-		     smooth(atomic_load(&s->latency_us[r->region]), us));
-	limit_share_count(&s->retry, r->service->retry_percent * 10);
-	metrics_latency(&r->thread->metrics, METRIC_UPSTREAM_TIME, us);
-}
-
 static void end_fetch(struct proxy_request *r)
 {
 	struct proxy_thread *t = r->thread;
@@ -157,14 +33,6 @@
 		curl_easy_cleanup(r->fetch.easy);
 }
 
-static void give_slot(struct proxy_request *r)
-{
-	if (!r->upstream)
-		return;
-	atomic_fetch_sub(&cell_of(r, r->upstream)->outstanding, 1);
-	r->upstream = NULL;
-}
-
 void request_release(struct proxy_request *r)
 {
 	const struct steer_place *place;
@@ -173,7 +41,7 @@
 		fetch_cancel(&r->thread->fetches, &r->fetch);
 		end_fetch(r);
 	}
-	give_slot(r);
+	upstream_give(r);
 	if (r->region == STEER_NONE)
 		return;
 	place = &r->service->place[r->region];
@@ -193,13 +61,13 @@
 		return 0;
 	if (prl_now_ms() >= r->deadline || body_rewind(&r->up))
 		return 0;
-	return limit_share_take(&service_cell(r)->retry);
+	return limit_share_take(&upstream_service(r)->retry);
 }
 
 static void retry(struct proxy_request *r)
 {
 	r->failed = r->upstream;
-	give_slot(r);
+	upstream_give(r);
 	metrics_add(&r->thread->metrics, METRIC_RETRIES, 1);
 	request_send(r);
 }
@@ -215,7 +83,7 @@
 {
 	int did_not_run = !r->issued || r->refused;
 
-	learn(r, 1);
+	upstream_learn(r, 1);
 	if (r->state == REQUEST_ANSWERED) {
 		r->down_failed = 1;
 		r->outcome = OUTCOME_UNKNOWN;
@@ -245,7 +113,7 @@
 	r->outcome = r->refused ? OUTCOME_NOT_RUN : OUTCOME_RAN;
 	if (r->refused && r->maybe_ran)
 		r->outcome = OUTCOME_UNKNOWN;
-	learn(r, r->status >= MHD_HTTP_INTERNAL_SERVER_ERROR);
+	upstream_learn(r, r->status >= MHD_HTTP_INTERNAL_SERVER_ERROR);
 	if (r->claimed && r->outcome == OUTCOME_RAN) {
 		r->claim.code = r->status;
 		request_note(r, CLAIM_RAN);
@@ -349,7 +217,7 @@
 
 static void note_header(struct proxy_request *r, const char *line)
 {
-	struct proxy_upstream_cell *c = cell_of(r, r->upstream);
+	struct proxy_upstream_cell *c = upstream_cell(r, r->upstream);
 
 	if (!strncasecmp(line, "Upstream-Running:", 17)) {
 		atomic_store(&c->reported, atoi(line + 17));
@@ -513,14 +381,14 @@
 
 static void give_up(struct proxy_request *r, const char *cause)
 {
-	give_slot(r);
+	upstream_give(r);
 	request_release(r);
 	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
 
 int request_reserve(struct proxy_request *r)
 {
-	if (r->upstream || choose_and_take(r))
+	if (r->upstream || upstream_take(r))
 		return 1;
 	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
 	give_up(r, "no upstream takes new work");
--- /dev/null
+++ b/proxy/src/upstream.c
@@ -0,0 +1,153 @@
+#include "upstream.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+
+/* Upstreams weighed in one choice. */
+#define CANDIDATES_MAX 256
+
+/* Choices repeated when another thread took the last slot meanwhile. */
+#define CHOICES_MAX 4
+
+/* Part of a new sample in a smoothed value: one in this many. */
+#define SMOOTHING 8
+
+#define PERMILLE 1000
+
+struct proxy_upstream_cell *upstream_cell(const struct proxy_request *r,
+					   const struct steer_upstream *u)
+{
+	return &r->thread->proxy->upstream[u->cell];
+}
+
+struct proxy_service_cell *upstream_service(const struct proxy_request *r)
+{
+	return &r->thread->proxy->service[r->service->cell];
+}
+
+static void read_load(struct proxy_upstream_cell *c, int64_t now,
+		      struct steer_load *out)
+{
+	int64_t since = atomic_load(&c->since_ms);
+
+	if (!since) {
+		atomic_store(&c->since_ms, now);
+		since = now;
+	}
+	out->outstanding = atomic_load(&c->outstanding);
+	out->reported = atomic_load(&c->reported);
+	out->reported_ms = atomic_load(&c->reported_ms);
+	out->latency_us = atomic_load(&c->latency_us);
+	out->failures = atomic_load(&c->failures);
+	out->since_ms = since;
+}
+
+/* Where a region has more upstreams than one choice weighs, each VM weighs a
+ * run of them, and the VMs together all. */
+static int window(const struct proxy_request *r, int n)
+{
+	const struct steer_view *v = r->view;
+	int64_t beyond = n - CANDIDATES_MAX;
+
+	if (beyond <= 0 || v->ranked < 2)
+		return 0;
+	return (int)(beyond * v->rank / (v->ranked - 1));
+}
+
+static int choose(struct proxy_request *r)
+{
+	const struct steer_place *place = &r->service->place[r->region];
+	struct steer_load load[CANDIDATES_MAX];
+	int quota[CANDIDATES_MAX];
+	int64_t now = prl_now_ms();
+	int skip;
+	int i;
+	struct steer_pick p = {
+		.upstream = r->service->upstream + place->first_upstream,
+		.load = load,
+		.n = place->nupstream,
+		.choice = r->service->choice,
+		.warmup_ms = r->service->warmup_ms,
+		.now_ms = now,
+		.except = STEER_NONE,
+	};
+
+	skip = window(r, p.n);
+	p.upstream += skip;
+	if (p.n > CANDIDATES_MAX)
+		p.n = CANDIDATES_MAX;
+	for (i = 0; i < p.n; i++) {
+		read_load(upstream_cell(r, &p.upstream[i]), now, &load[i]);
+		if (&p.upstream[i] == r->failed && p.n > 1)
+			p.except = i;
+	}
+	if (r->region == r->thread->proxy->region && r->view->ranked &&
+	    place->nupstream <= CANDIDATES_MAX) {
+		steer_quota(p.upstream, p.n, r->view->rank, r->view->ranked,
+			    quota);
+		p.quota = quota;
+	}
+	r->thread->random = prl_hash_pair(r->thread->random, (uint64_t)now);
+	p.random = r->thread->random;
+	i = steer_pick(&p);
+	return i == STEER_NONE ? STEER_NONE : i + skip;
+}
+
+/* Takes a slot; two threads may have chosen the last one together. */
+static int take_slot(struct proxy_request *r, int i)
+{
+	const struct steer_place *place = &r->service->place[r->region];
+	const struct steer_upstream *u =
+		&r->service->upstream[place->first_upstream + i];
+	struct proxy_upstream_cell *c = upstream_cell(r, u);
+
+	if (atomic_fetch_add(&c->outstanding, 1) >= u->slots) {
+		atomic_fetch_sub(&c->outstanding, 1);
+		return 0;
+	}
+	r->upstream = u;
+	return 1;
+}
+
+int upstream_take(struct proxy_request *r)
+{
+	for (int k = 0; k < CHOICES_MAX; k++) {
+		int i = choose(r);
+
+		if (i == STEER_NONE)
+			return 0;
+		if (take_slot(r, i))
+			return 1;
+	}
+	return 0;
+}
+
+static int64_t smooth(int64_t old, int64_t sample)
+{
+	return old ? old + (sample - old) / SMOOTHING : sample;
+}
+
+void upstream_learn(struct proxy_request *r, int failed)
+{
+	struct proxy_upstream_cell *c = upstream_cell(r, r->upstream);
+	struct proxy_service_cell *s = upstream_service(r);
+	int64_t us = prl_now_us() - r->sent_us;
+	int failures = atomic_load(&c->failures);
+
+	failures += ((failed ? PERMILLE : 0) - failures) / SMOOTHING;
+	atomic_store(&c->failures, failures);
+	if (failed)
+		return;
+	atomic_store(&c->latency_us, smooth(atomic_load(&c->latency_us), us));
+	atomic_store(&s->latency_us[r->region],
+		     smooth(atomic_load(&s->latency_us[r->region]), us));
+	limit_share_count(&s->retry, r->service->retry_percent * 10);
+	metrics_latency(&r->thread->metrics, METRIC_UPSTREAM_TIME, us);
+}
+
+void upstream_give(struct proxy_request *r)
+{
+	if (!r->upstream)
+		return;
+	atomic_fetch_sub(&upstream_cell(r, r->upstream)->outstanding, 1);
+	r->upstream = NULL;
+}
--- a/schema/include/primroselead/schema.h
+++ b/schema/include/primroselead/schema.h
@@ -6,6 +6,7 @@
 #include <primroselead/error.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 
 /** Size of a name or path in bytes, its end included. */
 #define PRL_NAME_MAX 64
@@ -83,6 +84,9 @@
 		   const char *key, const char *fmt, ...)
 	__attribute__((format(printf, 5, 6)));
 
+/** Prints the faults, a line each. */
+void prl_faults_print(const struct prl_faults *faults, FILE *out);
+
 /** Puts the faults into the order of their lines. */
 void prl_faults_sort(struct prl_faults *faults);
 
--- a/schema/src/fault.c
+++ b/schema/src/fault.c
@@ -49,3 +49,16 @@
 	snprintf(text, size, "%s:%d: [%s] %s: %s", faults->file, f->line,
 		 f->section, f->key, f->text);
 }
+
+void prl_faults_print(const struct prl_faults *faults, FILE *out)
+{
+	char line[512];
+
+	for (int i = 0; i < faults->n; i++) {
+		prl_fault_format(faults, i, line, sizeof(line));
+		fprintf(out, "%s\n", line);
+	}
+	if (faults->dropped)
+		fprintf(out, "%s: %d more faults\n", faults->file,
+			faults->dropped);
+}
