--- a/proxy/src/upstream.c
+++ b/proxy/src/upstream.c
@@ -14,7 +14,7 @@
 #define PERMILLE 1000
 
 struct proxy_upstream_cell *upstream_cell(const struct proxy_request *r,
-					   const struct steer_upstream *u)
+					  const struct steer_upstream *u)
 {
 	return &r->thread->proxy->upstream[u->cell];
 }
