--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -30,6 +30,7 @@
 
 capacity: all
 	bench/capacity
+	bench/fullsize
 
 fuzz:
 	bench/fuzz
