--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -273,6 +273,54 @@
 	grant_finish(&g);
 }
 
+/* The row of an earlier process stays until its last request is over. */
+static void test_old_row_is_kept_for_its_time(void **state)
+{
+	static const char found[] =
+		"{\"pools\":[{\"region\":\"norte\",\"capacity\":20,"
+		"\"config\":1,\"rows\":[{\"vm\":\"a\",\"incarnation\":4,"
+		"\"tokens\":8,\"base\":20}]}]}";
+	struct grant_gone gone = {0};
+	struct limit_grant g;
+	struct limit_hold h;
+	struct grant_write w;
+
+	(void)state;
+	grant_setup(&g, &h, "a", 20, 1);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	grant_read(&g, 9, found, strlen(found), NULL);
+	assert_int_equal(grant_next(&g, 100, &gone, &w), GRANT_WRITE);
+	assert_non_null(strstr(w.text, "\"incarnation\":4,"));
+	grant_written(&g, 10);
+	assert_int_equal(grant_next(&g, 2001, &gone, &w), GRANT_READ);
+	grant_read(&g, 9, found, strlen(found), NULL);
+	assert_int_equal(grant_next(&g, 2002, &gone, &w), GRANT_WRITE);
+	assert_null(strstr(w.text, "\"incarnation\":4,"));
+	grant_finish(&g);
+}
+
+/* After a pause nothing is trusted but a read that began since. */
+static void test_doubt_wants_a_new_read(void **state)
+{
+	struct grant_gone gone = {0};
+	struct limit_grant g;
+	struct limit_hold h;
+	struct grant_write w;
+
+	(void)state;
+	grant_setup(&g, &h, "a", 20, 1);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	grant_doubt(&g);
+	grant_read(&g, 0, "", 0, NULL);
+	assert_int_equal(grant_trusted(&g), 0);
+	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
+	grant_read(&g, 0, "", 0, NULL);
+	assert_int_equal(grant_trusted(&g), 1);
+	grant_doubt(&g);
+	assert_int_equal(grant_trusted(&g), 0);
+	grant_finish(&g);
+}
+
 /* A VM whose configuration is older than the ledger's takes the ledger's
  * capacity, and does not write its own back. */
 static void test_older_config_does_not_resize(void **state)
@@ -307,6 +355,8 @@
 		cmocka_unit_test(test_plan_stays_in_bounds),
 		cmocka_unit_test(test_grant_waits_for_the_write),
 		cmocka_unit_test(test_older_config_does_not_resize),
+		cmocka_unit_test(test_old_row_is_kept_for_its_time),
+		cmocka_unit_test(test_doubt_wants_a_new_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
