--- a/system/test_path.c
+++ b/system/test_path.c
@@ -450,6 +450,9 @@
 		&(struct call){.url = "http://127.0.0.1:27103/x", .host = "s"});
 	assert_int_equal(a.status, 503);
 	assert_string_equal(a.outcome, "not-run");
+	/* The text from before the pause says "live" as well. */
+	assert_true(fleet_wait_text("http://127.0.0.1:27103/-/status",
+				    "\"state\":\"unconfirmed\"", 2500));
 	assert_true(fleet_wait_text("http://127.0.0.1:27103/-/status",
 				    "\"state\":\"live\",\"region\"", 15000));
 	a = harness_call(
