Free what calls between VMs carry when the node is closed

test_planned_stop_cuts_nothing failed once under ASan: the VM cut nothing, but ended with a leak of 168 bytes, so with status 1. Cause: a probe without its answer at the very end; wire_finish dropped the call and nobody freed its context. Ruled out: a cut request, since the load's report has none.

A call now names what frees its context if the node is closed first, and the four kinds of calls that carry one do so.

--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -347,6 +347,14 @@
 	g_free(a);
 }
 
+static void asked_discard(void *ctx)
+{
+	struct asked *a = ctx;
+
+	g_free(a->claim);
+	g_free(a);
+}
+
 static void ask_owner(struct control *c, int index, int peer,
 		      struct proxy_claim *claim)
 {
@@ -356,6 +364,7 @@
 		.deadline = prl_now_ms() + OWNER_MAX_MS,
 		.repeat_ms = OWNER_REPEAT_MS,
 		.done = asked_done,
+		.discard = asked_discard,
 		.ctx = a,
 	};
 
--- a/cmd/primroseleadd/loans.c
+++ b/cmd/primroseleadd/loans.c
@@ -114,6 +114,7 @@
 		.deadline = prl_now_ms() + LOAN_CALL_MS,
 		.repeat_ms = REPEAT_MS,
 		.done = on_loan,
+		.discard = g_free,
 		.ctx = b,
 	};
 
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -93,6 +93,7 @@
 	struct wire_options o = {
 		.deadline = prl_now_ms() + c->settings->control.heartbeat,
 		.done = probe_done,
+		.discard = g_free,
 		.ctx = p,
 	};
 
@@ -112,6 +113,7 @@
 	struct wire_options o = {
 		.deadline = prl_now_ms() + c->settings->control.heartbeat,
 		.done = probe_done,
+		.discard = g_free,
 		.ctx = p,
 	};
 
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -275,6 +275,7 @@
 		.deadline = now + PULL_MAX_MS,
 		.repeat_ms = PULL_MAX_MS / 3,
 		.done = pull_done,
+		.discard = g_free,
 		.ctx = p,
 	};
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -70,6 +70,8 @@
 	size_t len;
 	/** Called once with the result, or with null if there was none. */
 	void (*done)(void *ctx, const struct wire_result *result);
+	/** Called in its place if the node is closed first; may be null. */
+	void (*discard)(void *ctx);
 	void *ctx;
 };
 
@@ -101,7 +103,7 @@
 				       const struct wire_args *args),
 			void *ctx, struct prl_error *err);
 
-/** Closes the socket; calls that wait end without a callback. */
+/** Closes the socket; calls that wait are discarded. */
 void wire_finish(struct wire_node *n);
 
 /** What a call asks for beside its arguments. */
@@ -112,6 +114,8 @@
 	int64_t repeat_ms;
 	/** May be null. */
 	void (*done)(void *ctx, const struct wire_result *result);
+	/** Frees the context if the node is closed first; may be null. */
+	void (*discard)(void *ctx);
 	void *ctx;
 };
 
--- a/wire/src/node.c
+++ b/wire/src/node.c
@@ -210,11 +210,22 @@
 	return loop_add(l, &n->fd, EPOLLIN, err);
 }
 
+static void discard_call(void *key, void *value, void *ctx)
+{
+	struct wire_call *c = value;
+
+	(void)key;
+	(void)ctx;
+	if (c->discard)
+		c->discard(c->ctx);
+}
+
 void wire_finish(struct wire_node *n)
 {
 	loop_remove(n->loop, &n->fd);
 	loop_timer_remove(n->loop, &n->timer);
 	close(n->fd.fd);
+	g_hash_table_foreach(n->calls, discard_call, NULL);
 	g_hash_table_destroy(n->calls);
 }
 
@@ -241,6 +252,7 @@
 	if (o->repeat_ms)
 		c->repeat_at = prl_now_ms() + o->repeat_ms;
 	c->done = o->done;
+	c->discard = o->discard;
 	c->ctx = o->ctx;
 	c->len = wire_encode_call(c->bytes, size, c->xid, args);
 	return c;
