--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -33,7 +33,6 @@
 	int watching;
 	struct backoff store_backoff;
 	int pulling;
-	int64_t pull_after_ms;
 	/** The copy is good enough to answer from. */
 	int ready;
 	/** The store answered the last call. */
--- a/model/vm.c
+++ b/model/vm.c
@@ -567,7 +567,6 @@
 		v->step_busy = 0;
 		break;
 	case CALL_PUBLISH:
-	case CALL_SETTLE:
 		break;
 	}
 	take_answers(w, c->vm);
--- a/model/world.h
+++ b/model/world.h
@@ -45,7 +45,6 @@
 	CALL_CLAIM_WRITE,
 	CALL_STEP,
 	CALL_PUBLISH,
-	CALL_SETTLE,
 };
 
 /** Where a call stands between its sender and the store. */
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -312,7 +312,4 @@
 int steer_share(const struct steer_shift *shift,
 		const struct steer_progress *progress);
 
-/** Name of a reason, as in logs and counters. */
-const char *steer_reason_name(enum steer_reason reason);
-
 #endif
--- a/steer/src/find.c
+++ b/steer/src/find.c
@@ -58,16 +58,3 @@
 			return s->link[i].hold;
 	return STEER_NONE;
 }
-
-const char *steer_reason_name(enum steer_reason reason)
-{
-	switch (reason) {
-	case STEER_LOCAL:
-		return "local";
-	case STEER_SHIFTED:
-		return "shifted";
-	case STEER_SPILLED:
-		return "spilled";
-	}
-	return "unknown";
-}
