--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -64,5 +64,5 @@
 }
 
 put() { # store port, key, value
-	$bin/standin-load --put="127.0.0.1:$1/v1/objects/$2" --value="$3" >/dev/null 2>&1
+	$bin/standin-load --put="127.0.0.1:$1/admin/objects/$2" --value="$3" >/dev/null 2>&1
 }
--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -157,6 +157,18 @@
 	memcpy(out->address, vm->http, sizeof(out->address));
 }
 
+static struct steer_view *build_view(struct control *c,
+				     const struct steer_vm *vm, int n)
+{
+	uint64_t self = prl_hash_name(c->settings->vm.name);
+
+	if (control_follows_manifest(c))
+		return knowledge_view(&c->fleet.known, &c->builder, vm, n,
+				      self);
+	return config_build_view(&c->builder, vm, n, self,
+				 c->sync.copy.complete);
+}
+
 void apply_view(struct control *c)
 {
 	struct steer_vm *vm = g_new0(struct steer_vm, (gsize)c->member.n);
@@ -170,11 +182,11 @@
 		if (vm[n].region >= 0)
 			n++;
 	}
-	v = config_build_view(&c->builder, vm, n,
-			      prl_hash_name(c->settings->vm.name),
-			      c->sync.copy.complete);
-	proxy_set_view(&c->proxy, v);
-	config_view_release(v);
+	v = build_view(c, vm, n);
+	if (v) {
+		proxy_set_view(&c->proxy, v);
+		config_view_release(v);
+		c->dirty = 0;
+	}
 	g_free(vm);
-	c->dirty = 0;
 }
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -3,6 +3,7 @@
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <primroselead/log.h>
+#include <primroselead/platform.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -125,8 +126,11 @@
 
 	check_pause(c, now);
 	peers_tick(c, now);
-	sync_tick(c, now);
-	if (c->dirty && c->sync.ready)
+	if (control_follows_manifest(c))
+		fleet_tick(c, now);
+	else
+		sync_tick(c, now);
+	if (c->dirty && (c->sync.ready || c->fleet.ready))
 		apply_view(c);
 	grants_tick(c, now);
 	loans_tick(c, now);
@@ -152,6 +156,24 @@
 	return PRL_OK;
 }
 
+static enum prl_code read_bounds(struct control *c, struct prl_error *err)
+{
+	const struct prl_settings *s = c->settings;
+
+	fleet_bounds_init(&c->bounds);
+	for (int i = 0; i < s->nbound; i++)
+		if (platform_bound_read(s->bound[i].is, &c->bounds))
+			return prl_fail(err, PRL_E_CONFIG,
+					"bound \"%s\" has no number",
+					s->bound[i].is);
+	return PRL_OK;
+}
+
+int control_follows_manifest(const struct control *c)
+{
+	return c->settings->steering.source == PRL_STEERING_SOURCE_MANIFEST;
+}
+
 enum prl_code control_init(struct control *c, const struct prl_settings *s,
 			   apr_pool_t *pool, struct prl_error *err)
 {
@@ -172,11 +194,13 @@
 					   g_free);
 	config_builder_init(&c->builder);
 	region = config_region(&c->builder, s->vm.region);
-	if (init_io(c, err) || claims_init(c, err) || peers_init(c, err) ||
-	    proxy_init(&c->proxy, s, region, &c->claims, &c->shortages, pool,
-		       err))
+	if (read_bounds(c, err) || init_io(c, err) || claims_init(c, err) ||
+	    peers_init(c, err) ||
+	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claims,
+		       &c->shortages, pool, err))
 		return err->code;
 	sync_init(c);
+	fleet_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick.due = on_tick;
@@ -197,6 +221,7 @@
 {
 	proxy_stop(&c->proxy);
 	sync_finish(c);
+	fleet_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
 	mailbox_finish(&c->claims, &c->loop);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,7 +3,9 @@
 
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
+#include <primroselead/follow.h>
 #include <primroselead/grant.h>
+#include <primroselead/knowledge.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
 #include <primroselead/store.h>
@@ -35,12 +37,33 @@
 	int pulling;
 	/** The copy is good enough to answer from. */
 	int ready;
+	/** The store has dropped changes that this copy lacks. */
+	int forgotten;
 	/** The store answered the last call. */
 	int store_up;
 	/** When the daemon asks the store if no VM has answered. */
 	int64_t ask_store_at;
 };
 
+/** What a VM of a fleet that follows the platform's manifest keeps. */
+struct fleet {
+	struct knowledge known;
+	struct store_follow manifest;
+	struct store_follow upstream;
+	struct store_follow evacuation;
+	struct store_follow vm;
+	/** The other VMs that registered themselves, by name. */
+	GHashTable *vms;
+	/** Routes, upstreams and evacuations are known. */
+	int ready;
+	/** This VM's own entry: its call, and the version in the store. */
+	struct store_call register_call;
+	int registering;
+	int registered;
+	int64_t own_version;
+	struct backoff register_backoff;
+};
+
 /** Progress of one service's shift as this VM sees it. */
 struct stepper {
 	char service[PRL_NAME_MAX];
@@ -98,6 +121,7 @@
 /** Everything that the control thread has. */
 struct control {
 	const struct prl_settings *settings;
+	struct fleet_bounds bounds;
 	apr_pool_t *pool;
 	struct loop loop;
 	struct fetch_pool fetches;
@@ -105,6 +129,7 @@
 	struct wire_node wire;
 	struct member_table member;
 	struct sync sync;
+	struct fleet fleet;
 	struct config_builder builder;
 	struct proxy proxy;
 	struct mailbox claims;
@@ -162,6 +187,9 @@
 enum prl_code control_init(struct control *c, const struct prl_settings *s,
 			   apr_pool_t *pool, struct prl_error *err);
 
+/** Whether routes come from the platform's manifest, not service files. */
+int control_follows_manifest(const struct control *c);
+
 /** Runs until the VM has left. */
 void control_run(struct control *c);
 
@@ -217,6 +245,20 @@
 /** Ends the calls to the store. */
 void sync_finish(struct control *c);
 
+/* fleet.c */
+
+/** Prepares the followers. */
+void fleet_init(struct control *c);
+
+/** Follows the store, and registers this VM once it can serve. */
+void fleet_tick(struct control *c, int64_t now);
+
+/** Takes this VM's entry out of the store. */
+void fleet_leave(struct control *c);
+
+/** Ends the calls to the store. */
+void fleet_finish(struct control *c);
+
 /* apply.c */
 
 /** Brings one changed object into the builder. */
--- a/cmd/primroseleadd/leave.c
+++ b/cmd/primroseleadd/leave.c
@@ -2,6 +2,9 @@
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 
+/* Time before the kill at which a leaving VM must have ended, in ms. */
+#define GRACE_MARGIN_MS 600
+
 /* Longest time for giving capacity back once nothing is in flight, in ms. */
 #define RETURN_MAX_MS 15000
 
@@ -12,6 +15,8 @@
 	c->leaving_since = prl_now_ms();
 	atomic_store(&c->proxy.leaving, 1);
 	member_leave(&c->member);
+	if (control_follows_manifest(c))
+		fleet_leave(c);
 	log_event(LOG_AUDIT_LINE, "leaving", NULL);
 }
 
@@ -30,6 +35,10 @@
 static int is_idle(struct control *c, int64_t now)
 {
 	int64_t idle_ms = c->settings->traffic.idle * 1000;
+	int64_t end = c->leaving_since + c->bounds.grace_ms - GRACE_MARGIN_MS;
+
+	if (control_follows_manifest(c) && now >= end)
+		return 1;
 
 	if (!proxy_open(&c->proxy))
 		return 1;
--- a/cmd/primroseleadd/main.c
+++ b/cmd/primroseleadd/main.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Names the settings file where the command line does not. */
+#define SETTINGS_VARIABLE "PRIMROSELEAD_SETTINGS"
+
 /* Longest settings file in bytes. */
 #define SETTINGS_MAX (64 << 10)
 
@@ -75,6 +78,7 @@
 	void *table[] = {file, version, help, end};
 	struct prl_error err = {0};
 	apr_pool_t *pool;
+	const char *path;
 	int faults = arg_parse(argc, argv, table);
 
 	if (help->count)
@@ -83,14 +87,15 @@
 		printf("primroseleadd %s\n", PRL_VERSION);
 		return 0;
 	}
-	if (faults || !file->count) {
+	path = file->count ? file->filename[0] : getenv(SETTINGS_VARIABLE);
+	if (faults || !path) {
 		arg_print_errors(stderr, end, "primroseleadd");
 		return usage(table, stderr);
 	}
 	if (apr_initialize() || apr_pool_create(&pool, NULL))
 		return prl_code_exit(PRL_E_MEMORY);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	if (run(file->filename[0], pool, &err)) {
+	if (run(path, pool, &err)) {
 		fprintf(stderr, "primroseleadd: %s (%s)\n", err.text,
 			prl_code_name(err.code));
 		return prl_code_exit(err.code);
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -157,6 +157,35 @@
 	}
 }
 
+static int is_known(const struct control *c, const struct fleet_vm *vm)
+{
+	const struct member_peer *p = member_find(&c->member, vm->name);
+
+	return p && (p->vm.state != MEMBER_DEAD ||
+		     p->vm.incarnation >= vm->incarnation);
+}
+
+/* A registered VM counts once it has answered: its entry stays in the store
+ * when it dies. */
+static void probe_registered(struct control *c)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->fleet.vms);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fleet_vm *vm = value;
+		struct probing *p;
+
+		if (is_known(c, vm))
+			continue;
+		p = g_new0(struct probing, 1);
+		p->control = c;
+		p->sequence = -1;
+		send_probe(c, vm->rpc, p);
+	}
+}
+
 static void audit_members(struct control *c)
 {
 	struct member_event e;
@@ -201,16 +230,28 @@
 	claims_find_owners(c);
 }
 
+/* A VM that can't serve yet takes no part: the others would name it. */
+static int is_silent(const struct control *c)
+{
+	return control_follows_manifest(c) && !c->fleet.ready;
+}
+
 void peers_tick(struct control *c, int64_t now)
 {
 	struct member_out out[MEMBER_OUT_MAX];
 	int begins = now >= c->member.period_deadline;
-	int n = member_tick(&c->member, now, control_random(), out);
+	int n;
+
+	if (is_silent(c))
+		return;
+	n = member_tick(&c->member, now, control_random(), out);
 
 	for (int i = 0; i < n; i++)
 		send_out(c, &out[i]);
 	if (begins && c->member.n == 1)
 		probe_seeds(c);
+	if (begins)
+		probe_registered(c);
 	audit_members(c);
 	if (c->member.changes != c->member_changes)
 		members_changed(c);
@@ -278,6 +319,8 @@
 	struct wire_result nothing = {.proc = WIRE_PUSH};
 	char from[PRL_ADDRESS_MAX];
 
+	if (is_silent(c))
+		return;
 	if (args->proc == WIRE_PROBE) {
 		on_probe(c, r, &args->u.probe);
 		return;
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -160,17 +160,49 @@
 	log_event(LOG_AUDIT_LINE, "store", "state", up ? "up" : "down", NULL);
 }
 
+static int is_listed(const struct store_call *call, const char *key)
+{
+	for (int i = 0; i < call->nobject; i++)
+		if (!strcmp(call->object[i].key, key))
+			return 1;
+	return 0;
+}
+
+/* After the store has dropped its history, what a list lacks was removed. */
+static int take_removals(struct control *c, const struct store_call *call)
+{
+	GPtrArray *known = spread_after(&c->sync.copy, 0);
+	int news = 0;
+
+	for (guint i = 0; i < known->len; i++) {
+		const struct spread_object *o = g_ptr_array_index(known, i);
+
+		if (o->len && o->version <= call->revision &&
+		    !is_listed(call, o->key))
+			news += install(c, o->key, call->revision, "", 0);
+	}
+	g_ptr_array_free(known, TRUE);
+	return news;
+}
+
 static void take_store_objects(struct control *c, const struct store_call *call)
 {
 	int64_t after = c->sync.copy.complete;
 	int news = 0;
 
+	if (call->op == STORE_LIST) {
+		news += take_removals(c, call);
+		c->sync.forgotten = 0;
+	}
+
 	for (int i = 0; i < call->nobject; i++) {
 		const struct store_object *o = &call->object[i];
 
 		news += install(c, o->key, o->version, o->value, o->len);
 	}
-	spread_extend(&c->sync.copy, call->version, call->revision);
+	spread_extend(&c->sync.copy,
+		      call->op == STORE_LIST ? after : call->version,
+		      call->revision);
 	become_ready(c, "store");
 	if (news && after)
 		relay_after(c, after);
@@ -182,7 +214,9 @@
 	int64_t now = prl_now_ms();
 
 	c->sync.watching = 0;
-	if (call->err.code) {
+	if (call->err.code == PRL_E_STALE) {
+		c->sync.forgotten = 1;
+	} else if (call->err.code) {
 		store_seen(c, 0);
 		backoff_later(&c->sync.store_backoff, now);
 	} else {
@@ -219,7 +253,7 @@
 
 	if (s->watching || now < s->store_backoff.next)
 		return;
-	if (!s->ready && now >= s->ask_store_at)
+	if (s->forgotten || (!s->ready && now >= s->ask_store_at))
 		ask_store(c, STORE_LIST, now);
 	else if (s->ready && c->is_watcher)
 		ask_store(c, STORE_WATCH, now);
--- /dev/null
+++ b/config/include/primroselead/knowledge.h
@@ -0,0 +1,99 @@
+#ifndef PRIMROSELEAD_KNOWLEDGE_H
+#define PRIMROSELEAD_KNOWLEDGE_H
+
+#include <primroselead/config.h>
+#include <primroselead/fleet.h>
+
+/*
+ * What one VM knows from the platform's objects: the manifest in force, the
+ * upstreams, the evacuated domains. Decides which of them count; pure, the
+ * caller passes the time in.
+ */
+
+/** An upstream and what this VM noted about it. */
+struct knowledge_upstream {
+	struct fleet_upstream said;
+	/** Point of prl_now_ms until which it is taken as cold. */
+	int64_t cold_until;
+	/** When it is to be taken as gone although its entry is missing only
+	 * because it lapsed in an outage; PRL_NEVER while the entry is there.
+	 */
+	int64_t gone_at;
+	/** The list under way has it. */
+	int seen;
+};
+
+/** An evacuation of a failure domain. */
+struct knowledge_evacuation {
+	/** In force now. */
+	int on;
+	/** When it was taken back, on the clock of prl_now_ms. */
+	int64_t ended_ms;
+	int seen;
+};
+
+/** All of it; belongs to the control thread. */
+struct knowledge {
+	struct fleet_manifest manifest;
+	/** By instance. */
+	GHashTable *upstream;
+	/** By failure domain. */
+	GHashTable *evacuation;
+	/** Regions by failure domain. */
+	GHashTable *region;
+	/** A whole list of upstreams was taken in. */
+	int listed;
+};
+
+/** Starts knowing nothing but the regions of the failure domains. */
+void knowledge_init(struct knowledge *k);
+
+/** Frees everything. */
+void knowledge_finish(struct knowledge *k);
+
+/** Notes the region of a failure domain. */
+void knowledge_domain(struct knowledge *k, const char *domain,
+		      const char *region);
+
+/** Takes over a manifest. Returns PRL_OK, or PRL_E_STALE if it isn't newer
+ * than the one in force, which then stays; the new one is freed. */
+enum prl_code knowledge_manifest(struct knowledge *k, struct fleet_manifest *m,
+				 struct prl_error *err);
+
+/** Takes in an upstream's entry. Returns PRL_OK, or PRL_E_STALE if an entry of
+ * a later start, or a later one of the same start, is known. */
+enum prl_code knowledge_upstream(struct knowledge *k,
+				 const struct fleet_upstream *u, int64_t now,
+				 struct prl_error *err);
+
+/** An entry is gone, or can't be read; its upstream may be used until
+ * "gone_at". Returns 1 if an upstream was known by it. */
+int knowledge_upstream_gone(struct knowledge *k, const char *instance,
+			    int64_t gone_at);
+
+/** A whole list of upstreams begins, or has ended: what it lacked may be used
+ * until "gone_at". */
+void knowledge_list_begin(struct knowledge *k);
+void knowledge_list_end(struct knowledge *k, int64_t gone_at);
+
+/** A failure domain is evacuated, or taken back. */
+void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
+			int64_t now);
+
+/** The same for a whole list of evacuations. */
+void knowledge_evacuations_begin(struct knowledge *k);
+void knowledge_evacuations_end(struct knowledge *k, int64_t now);
+
+/** Forgets upstreams whose time is over. Returns 1 if there were any. */
+int knowledge_expire(struct knowledge *k, int64_t now);
+
+/**
+ * Builds a view from it, with the given entry VMs; "self" is the id of this
+ * VM. Null while no manifest is in force or no upstreams were listed.
+ */
+struct steer_view *knowledge_view(const struct knowledge *k,
+				  struct config_builder *b,
+				  const struct steer_vm *vm, int nvm,
+				  uint64_t self);
+
+#endif
--- a/config/src/box.h
+++ b/config/src/box.h
@@ -1,7 +1,20 @@
 #ifndef CONFIG_BOX_H
 #define CONFIG_BOX_H
 
-#include <primroselead/steer.h>
+#include <apr_pools.h>
+#include <primroselead/config.h>
+#include <stdatomic.h>
+
+/** A built service; a reference-counted box with a pool of its own. */
+struct config_box {
+	/** First, so that a pointer to it is one to the box. */
+	struct steer_service service;
+	apr_pool_t *pool;
+	_Atomic int refs;
+};
+
+/** Makes a box with one reference; null if there is no memory. */
+struct config_box *config_box_new(int64_t version);
 
 /** Takes one more reference to a built service. */
 struct steer_service *config_service_ref(struct steer_service *s);
@@ -9,4 +22,22 @@
 /** Gives a reference back. */
 void config_service_release(struct steer_service *s);
 
+/** Makes an empty table of cells. */
+void config_cells_init(struct config_cells *c);
+
+/** Number of a name in a table of cells, given out when first asked for; -1 if
+ * there are too many. */
+int config_cell(struct config_cells *c, const char *service, const char *name);
+
+/** Sorts a service's upstreams by region and finds each region's run. */
+void config_index_upstreams(struct steer_service *s);
+
+/** Begins a view with one reference: regions, entry VMs and their ranks. */
+struct steer_view *config_view_new(const struct config_builder *b,
+				   const struct steer_vm *vm, int nvm,
+				   uint64_t self, int64_t revision);
+
+/** Puts the services, one reference each, into their order. */
+void config_view_sort(struct steer_view *v);
+
 #endif
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -1,64 +1,14 @@
 #include "box.h"
-#include <apr_general.h>
 #include <primroselead/config.h>
 #include <primroselead/hash.h>
 #include <primroselead/store.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* A built service; a reference-counted box with a pool of its own. */
-struct built {
-	struct steer_service service;
-	apr_pool_t *pool;
-	_Atomic int refs;
-};
-
-static void built_release(void *p)
-{
-	struct built *b = p;
-	apr_pool_t *pool = b->pool;
-
-	if (atomic_fetch_sub(&b->refs, 1) > 1)
-		return;
-	apr_pool_destroy(pool);
-}
-
-struct steer_service *config_service_ref(struct steer_service *s)
-{
-	/* The service is the first member of its box. */
-	struct built *built = (struct built *)(void *)s;
-
-	atomic_fetch_add(&built->refs, 1);
-	return s;
-}
-
-void config_service_release(struct steer_service *s)
+static void box_release(void *box)
 {
-	built_release(s);
-}
-
-static void cells_init(struct config_cells *c)
-{
-	c->by_name =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	c->n = 0;
-}
-
-static int cell(struct config_cells *c, const char *service, const char *name)
-{
-	char key[PRL_NAME_MAX * 3 + 4];
-	int i;
-
-	snprintf(key, sizeof(key), "%s %s", service, name);
-	i = GPOINTER_TO_INT(g_hash_table_lookup(c->by_name, key));
-	if (i)
-		return i - 1;
-	if (c->n == CONFIG_CELLS_MAX)
-		return -1;
-	g_hash_table_insert(c->by_name, g_strdup(key), GINT_TO_POINTER(++c->n));
-	return c->n - 1;
+	config_service_release(box);
 }
 
 void config_builder_init(struct config_builder *b)
@@ -66,11 +16,11 @@
 	memset(b, 0, sizeof(*b));
 	b->domains =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	cells_init(&b->upstream_cells);
-	cells_init(&b->hold_cells);
-	cells_init(&b->service_cells);
+	config_cells_init(&b->upstream_cells);
+	config_cells_init(&b->hold_cells);
+	config_cells_init(&b->service_cells);
 	b->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    built_release);
+					    box_release);
 	b->vm_state =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -131,7 +81,7 @@
 const struct steer_service *config_find(const struct config_builder *b,
 					const char *name)
 {
-	const struct built *s = g_hash_table_lookup(b->services, name);
+	const struct config_box *s = g_hash_table_lookup(b->services, name);
 
 	return s ? &s->service : NULL;
 }
@@ -152,7 +102,7 @@
 		p = &s->place[index];
 		p->capacity = (int)r->capacity;
 		p->weight = (int)r->weight;
-		p->hold = cell(&b->hold_cells, s->name, r->label);
+		p->hold = config_cell(&b->hold_cells, s->name, r->label);
 		if (p->hold < 0)
 			return prl_fail(err, PRL_E_LIMIT,
 					"more than %d pools of capacity",
@@ -169,13 +119,13 @@
 
 static enum prl_code fill_links(struct config_builder *b,
 				const struct prl_service *file,
-				struct built *built, struct prl_error *err)
+				struct config_box *box, struct prl_error *err)
 {
-	struct steer_service *s = &built->service;
+	struct steer_service *s = &box->service;
 	char name[PRL_NAME_MAX * 2 + 2];
 
-	s->link = apr_pcalloc(built->pool,
-			      sizeof(*s->link) * (size_t)file->nlink);
+	s->link =
+		apr_pcalloc(box->pool, sizeof(*s->link) * (size_t)file->nlink);
 	for (int i = 0; i < file->nlink; i++) {
 		const struct prl_service_link *f = &file->link[i];
 		struct steer_link *l = &s->link[s->nlink++];
@@ -184,7 +134,7 @@
 		l->from = config_region(b, f->from);
 		l->to = config_region(b, f->to);
 		l->rate = (int)f->rate;
-		l->hold = cell(&b->hold_cells, s->name, name);
+		l->hold = config_cell(&b->hold_cells, s->name, name);
 		if (l->hold < 0)
 			return prl_fail(err, PRL_E_LIMIT,
 					"more than %d pools of capacity",
@@ -193,33 +143,15 @@
 	return PRL_OK;
 }
 
-static int by_region(const void *a, const void *b)
-{
-	const struct steer_upstream *x = a;
-	const struct steer_upstream *y = b;
-
-	return x->region - y->region;
-}
-
-static void index_upstreams(struct steer_service *s)
-{
-	for (int i = 0; i < s->nupstream; i++) {
-		struct steer_place *p = &s->place[s->upstream[i].region];
-
-		if (!p->nupstream)
-			p->first_upstream = i;
-		p->nupstream++;
-	}
-}
-
 static enum prl_code fill_upstreams(struct config_builder *b,
 				    const struct prl_service *file,
-				    struct built *built, struct prl_error *err)
+				    struct config_box *box,
+				    struct prl_error *err)
 {
-	struct steer_service *s = &built->service;
+	struct steer_service *s = &box->service;
 
-	s->upstream = apr_pcalloc(built->pool, sizeof(*s->upstream) *
-						       (size_t)file->nupstream);
+	s->upstream = apr_pcalloc(box->pool, sizeof(*s->upstream) *
+						     (size_t)file->nupstream);
 	for (int i = 0; i < file->nupstream; i++) {
 		const struct prl_service_upstream *f = &file->upstream[i];
 		struct steer_upstream *u = &s->upstream[s->nupstream++];
@@ -232,25 +164,23 @@
 		u->state = f->state == PRL_UPSTREAM_STATE_DRAIN
 				   ? STEER_LEAVING
 				   : listed_state(b, f->address);
-		u->cell = cell(&b->upstream_cells, s->name, f->address);
+		u->cell = config_cell(&b->upstream_cells, s->name, f->address);
 		if (u->cell < 0)
 			return prl_fail(err, PRL_E_LIMIT,
 					"more than %d upstreams",
 					CONFIG_CELLS_MAX);
 	}
-	qsort(s->upstream, (size_t)s->nupstream, sizeof(*s->upstream),
-	      by_region);
-	index_upstreams(s);
+	config_index_upstreams(s);
 	return PRL_OK;
 }
 
-static void fill_rules(const struct prl_service *file, struct built *built)
+static void fill_rules(const struct prl_service *file, struct config_box *box)
 {
 	static const char *const methods[] = {"GET", "HEAD",   "POST",
 					      "PUT", "DELETE", "PATCH"};
-	struct steer_service *s = &built->service;
+	struct steer_service *s = &box->service;
 
-	s->rule = apr_pcalloc(built->pool,
+	s->rule = apr_pcalloc(box->pool,
 			      sizeof(*s->rule) * (size_t)file->nnever_twice);
 	for (int i = 0; i < file->nnever_twice; i++) {
 		const struct prl_service_never_twice *f = &file->never_twice[i];
@@ -286,9 +216,9 @@
 static enum prl_code fill(struct config_builder *b,
 			  const struct prl_service *file,
 			  const struct steer_progress *progress,
-			  struct built *built, struct prl_error *err)
+			  struct config_box *box, struct prl_error *err)
 {
-	struct steer_service *s = &built->service;
+	struct steer_service *s = &box->service;
 	enum prl_code rc;
 
 	memcpy(s->name, file->service.name, sizeof(s->name));
@@ -297,38 +227,19 @@
 	s->warmup_ms = file->service.warmup;
 	s->retry_percent = (int)file->service.retry_budget;
 	s->choice = (enum steer_choice)file->service.choice;
-	s->cell = cell(&b->service_cells, s->name, "");
+	s->cell = config_cell(&b->service_cells, s->name, "");
 	rc = fill_places(b, file, s, err);
 	if (!rc)
-		rc = fill_links(b, file, built, err);
+		rc = fill_links(b, file, box, err);
 	if (!rc)
-		rc = fill_upstreams(b, file, built, err);
+		rc = fill_upstreams(b, file, box, err);
 	if (rc)
 		return rc;
-	fill_rules(file, built);
+	fill_rules(file, box);
 	fill_shift(b, file, progress, s);
 	return PRL_OK;
 }
 
-static struct built *new_built(int64_t version)
-{
-	apr_pool_t *pool;
-	struct built *built;
-
-	if (apr_pool_create_unmanaged(&pool))
-		return NULL;
-	/* The box lies in its own pool, so that one call frees both. */
-	built = apr_pcalloc(pool, sizeof(*built));
-	if (!built) {
-		apr_pool_destroy(pool);
-		return NULL;
-	}
-	built->pool = pool;
-	atomic_init(&built->refs, 1);
-	built->service.version = version;
-	return built;
-}
-
 enum prl_code config_build_service(struct config_builder *b,
 				   const struct spread_object *o,
 				   const struct steer_progress *progress,
@@ -338,7 +249,7 @@
 	struct config_history history;
 	struct prl_faults faults = {.file = "published"};
 	struct prl_service file;
-	struct built *built;
+	struct config_box *box;
 	const char *text;
 	enum prl_code rc;
 
@@ -346,22 +257,21 @@
 		g_hash_table_remove(b->services, name);
 		return PRL_OK;
 	}
-	built = new_built(o->version);
-	if (!built)
+	box = config_box_new(o->version);
+	if (!box)
 		return prl_fail(err, PRL_E_MEMORY, "service \"%s\"", name);
 	text = config_unwrap(o->value, &history);
-	rc = config_service(text, strlen(text), &file, built->pool, &faults,
-			    err);
+	rc = config_service(text, strlen(text), &file, box->pool, &faults, err);
 	if (!rc && strcmp(name, file.service.name))
 		rc = prl_fail(err, PRL_E_CONFIG,
 			      "object \"%s\" holds the file of service \"%s\"",
 			      name, file.service.name);
 	if (!rc)
-		rc = fill(b, &file, progress, built, err);
+		rc = fill(b, &file, progress, box, err);
 	if (rc) {
-		built_release(built);
+		config_service_release(&box->service);
 		return rc;
 	}
-	g_hash_table_replace(b->services, built->service.name, built);
+	g_hash_table_replace(b->services, box->service.name, box);
 	return PRL_OK;
 }
--- /dev/null
+++ b/config/src/knowledge.c
@@ -0,0 +1,208 @@
+#include <primroselead/clock.h>
+#include <primroselead/knowledge.h>
+#include <string.h>
+
+void knowledge_init(struct knowledge *k)
+{
+	memset(k, 0, sizeof(*k));
+	k->upstream =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	k->evacuation =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	k->region =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void knowledge_finish(struct knowledge *k)
+{
+	fleet_manifest_finish(&k->manifest);
+	g_hash_table_destroy(k->upstream);
+	g_hash_table_destroy(k->evacuation);
+	g_hash_table_destroy(k->region);
+}
+
+void knowledge_domain(struct knowledge *k, const char *domain,
+		      const char *region)
+{
+	g_hash_table_replace(k->region, g_strdup(domain), g_strdup(region));
+}
+
+enum prl_code knowledge_manifest(struct knowledge *k, struct fleet_manifest *m,
+				 struct prl_error *err)
+{
+	int64_t have = k->manifest.version;
+
+	if (m->version <= have) {
+		prl_fail(err, PRL_E_STALE,
+			 "manifest %lld is not newer than %lld in force",
+			 (long long)m->version, (long long)have);
+		fleet_manifest_finish(m);
+		return PRL_E_STALE;
+	}
+	fleet_manifest_finish(&k->manifest);
+	k->manifest = *m;
+	return PRL_OK;
+}
+
+static int is_older(const struct fleet_upstream *u,
+		    const struct fleet_upstream *known)
+{
+	if (u->born_ms != known->born_ms)
+		return u->born_ms < known->born_ms;
+	return u->sequence < known->sequence;
+}
+
+static int64_t cold_of_service(const struct knowledge *k, const char *name)
+{
+	const struct fleet_service *s = fleet_find_service(&k->manifest, name);
+
+	return s ? s->cold_ms : 0;
+}
+
+static void note_cold(const struct knowledge *k, struct knowledge_upstream *u,
+		      int64_t ms, int64_t now)
+{
+	(void)k;
+	if (now + ms > u->cold_until)
+		u->cold_until = now + ms;
+}
+
+enum prl_code knowledge_upstream(struct knowledge *k,
+				 const struct fleet_upstream *said, int64_t now,
+				 struct prl_error *err)
+{
+	struct knowledge_upstream *u =
+		g_hash_table_lookup(k->upstream, said->instance);
+	int started = !u || u->said.born_ms != said->born_ms;
+
+	if (u && is_older(said, &u->said)) {
+		u->seen = 1;
+		return prl_fail(err, PRL_E_STALE,
+				"entry of upstream \"%s\" is older than the "
+				"one known",
+				said->instance);
+	}
+	if (!u) {
+		u = g_new0(struct knowledge_upstream, 1);
+		u->said = *said;
+		g_hash_table_insert(k->upstream, u->said.instance, u);
+	}
+	u->said = *said;
+	u->seen = 1;
+	u->gone_at = PRL_NEVER;
+	note_cold(k, u, said->cold_ms, now);
+	/* One that joins has just started, whatever its first entry says. */
+	if (started && k->listed)
+		note_cold(k, u, cold_of_service(k, said->service), now);
+	return PRL_OK;
+}
+
+int knowledge_upstream_gone(struct knowledge *k, const char *instance,
+			    int64_t gone_at)
+{
+	struct knowledge_upstream *u =
+		g_hash_table_lookup(k->upstream, instance);
+
+	if (!u)
+		return 0;
+	if (gone_at < u->gone_at)
+		u->gone_at = gone_at;
+	return 1;
+}
+
+void knowledge_list_begin(struct knowledge *k)
+{
+	GHashTableIter it;
+	void *u;
+
+	g_hash_table_iter_init(&it, k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &u))
+		((struct knowledge_upstream *)u)->seen = 0;
+}
+
+void knowledge_list_end(struct knowledge *k, int64_t gone_at)
+{
+	GHashTableIter it;
+	void *value;
+
+	k->listed = 1;
+	g_hash_table_iter_init(&it, k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct knowledge_upstream *u = value;
+
+		if (!u->seen && gone_at < u->gone_at)
+			u->gone_at = gone_at;
+	}
+}
+
+/* Upstreams of a domain may have become cold while it was evacuated. */
+static void chill(struct knowledge *k, const char *domain, int64_t now)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct knowledge_upstream *u = value;
+
+		if (!strcmp(u->said.domain, domain))
+			note_cold(k, u, cold_of_service(k, u->said.service),
+				  now);
+	}
+}
+
+void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
+			int64_t now)
+{
+	struct knowledge_evacuation *e =
+		g_hash_table_lookup(k->evacuation, domain);
+
+	if (!e) {
+		e = g_new0(struct knowledge_evacuation, 1);
+		g_hash_table_insert(k->evacuation, g_strdup(domain), e);
+	}
+	if (e->on && !on) {
+		e->ended_ms = now;
+		chill(k, domain, now);
+	}
+	e->on = on;
+	e->seen = 1;
+}
+
+void knowledge_evacuations_begin(struct knowledge *k)
+{
+	GHashTableIter it;
+	void *e;
+
+	g_hash_table_iter_init(&it, k->evacuation);
+	while (g_hash_table_iter_next(&it, NULL, &e))
+		((struct knowledge_evacuation *)e)->seen = 0;
+}
+
+void knowledge_evacuations_end(struct knowledge *k, int64_t now)
+{
+	GHashTableIter it;
+	void *domain;
+	void *e;
+
+	g_hash_table_iter_init(&it, k->evacuation);
+	while (g_hash_table_iter_next(&it, &domain, &e))
+		if (!((struct knowledge_evacuation *)e)->seen)
+			knowledge_evacuate(k, domain, 0, now);
+}
+
+int knowledge_expire(struct knowledge *k, int64_t now)
+{
+	GHashTableIter it;
+	int n = 0;
+	void *u;
+
+	g_hash_table_iter_init(&it, k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &u)) {
+		if (now < ((struct knowledge_upstream *)u)->gone_at)
+			continue;
+		g_hash_table_iter_remove(&it);
+		n++;
+	}
+	return n > 0;
+}
--- /dev/null
+++ b/config/src/routes.c
@@ -0,0 +1,224 @@
+/* The view of a fleet that follows the platform's manifest. */
+#include "box.h"
+#include <primroselead/hash.h>
+#include <primroselead/knowledge.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* VMs that send to one cold upstream: few, so that each may send often enough
+ * to warm it, and more than one, since any may die. */
+#define FEEDERS 2
+
+/* What one view is built from. */
+struct building {
+	const struct knowledge *k;
+	struct config_builder *b;
+	struct steer_view *view;
+	uint64_t self;
+};
+
+static int is_evacuated(const struct knowledge *k, const char *domain)
+{
+	const struct knowledge_evacuation *e =
+		g_hash_table_lookup(k->evacuation, domain);
+
+	return e && e->on;
+}
+
+static int may_use(const struct knowledge *k, const struct fleet_upstream *u)
+{
+	return !u->leaving && !is_evacuated(k, u->domain) &&
+	       g_hash_table_contains(k->region, u->domain);
+}
+
+/* Whether a VM is among those that an upstream's region has for it. */
+static int counts(const struct steer_vm *vm, int region)
+{
+	return vm->state == STEER_ACTIVE &&
+	       (region == STEER_NONE || vm->region == region);
+}
+
+/* Rank of this VM for an upstream among the active VMs of a region, or of all
+ * regions; fills their number. */
+static int feeder_rank(const struct building *g, uint64_t upstream, int region,
+		       int *total)
+{
+	const struct steer_view *v = g->view;
+	uint64_t own = prl_hash_pair(upstream, g->self);
+	int rank = 0;
+
+	*total = 0;
+	for (int i = 0; i < v->nvm; i++) {
+		if (!counts(&v->vm[i], region))
+			continue;
+		++*total;
+		if (prl_hash_pair(upstream, v->vm[i].id) > own)
+			rank++;
+	}
+	return rank;
+}
+
+/* Requests a second that this VM may send to a cold upstream. The bound holds
+ * over all VMs, so a few of the upstream's region divide it. */
+static int64_t cold_rate(const struct building *g,
+			 const struct steer_upstream *u, int64_t rate)
+{
+	const struct steer_view *v = g->view;
+	int total;
+	int rank = feeder_rank(g, u->id, u->region, &total);
+	int here = g->self && total;
+	int own = 0;
+
+	for (int i = 0; i < v->nvm; i++)
+		own |= v->vm[i].id == g->self && counts(&v->vm[i], u->region);
+	if (!here)
+		rank = feeder_rank(g, u->id, STEER_NONE, &total);
+	else if (!own)
+		return 0;
+	if (!total || rank >= FEEDERS)
+		return 0;
+	return rate / (total < FEEDERS ? total : FEEDERS);
+}
+
+static int fill_upstream(const struct building *g,
+			 const struct knowledge_upstream *from,
+			 const struct fleet_service *file,
+			 struct steer_upstream *u)
+{
+	const struct fleet_upstream *said = &from->said;
+	char start[FLEET_NAME_MAX + 24];
+
+	memset(u, 0, sizeof(*u));
+	snprintf(start, sizeof(start), "%s %lld", said->instance,
+		 (long long)said->born_ms);
+	u->id = prl_hash_name(start);
+	memcpy(u->instance, said->instance, sizeof(u->instance));
+	memcpy(u->address, said->address, sizeof(u->address));
+	u->region = config_region(
+		g->b, g_hash_table_lookup(g->k->region, said->domain));
+	u->domain = config_domain(g->b, said->domain);
+	u->state = STEER_ACTIVE;
+	u->slots = said->slots;
+	u->connections = file->connections;
+	u->cold_until = from->cold_until;
+	u->cell = config_cell(&g->b->upstream_cells, said->service, start);
+	if (u->region < 0 || u->cell < 0)
+		return -1;
+	u->cold_rate = cold_rate(g, u, file->cold_rate);
+	return 0;
+}
+
+static void fill_upstreams(const struct building *g,
+			   const struct fleet_service *file,
+			   struct config_box *box)
+{
+	struct steer_service *s = &box->service;
+	GHashTableIter it;
+	void *value;
+
+	s->upstream = apr_pcalloc(box->pool,
+				  sizeof(*s->upstream) *
+					  g_hash_table_size(g->k->upstream));
+	g_hash_table_iter_init(&it, g->k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct knowledge_upstream *u = value;
+
+		if (strcmp(u->said.service, file->name) ||
+		    !may_use(g->k, &u->said))
+			continue;
+		if (!fill_upstream(g, u, file, &s->upstream[s->nupstream]))
+			s->nupstream++;
+	}
+	config_index_upstreams(s);
+}
+
+static void add_service(const struct building *g,
+			const struct fleet_service *file)
+{
+	struct config_box *box = config_box_new(g->k->manifest.version);
+	struct steer_service *s;
+
+	if (!box)
+		return;
+	s = &box->service;
+	memcpy(s->name, file->name, sizeof(s->name));
+	s->shift.from = STEER_NONE;
+	s->shift.to = STEER_NONE;
+	s->cell = config_cell(&g->b->service_cells, s->name, "");
+	fill_upstreams(g, file, box);
+	g->view->service[g->view->nservice++] = s;
+}
+
+static void fill_policy(const struct building *g,
+			const struct fleet_route *from, struct steer_policy *p)
+{
+	p->kind = from->kind;
+	p->timeout_ms = from->timeout_ms;
+	p->objective_ms = from->objective_ms;
+	p->attempts = from->attempts < 1 ? 1 : from->attempts;
+	p->priority = from->priority;
+	p->sticky = from->sticky;
+	for (int i = 0; i < from->nhome; i++) {
+		int region = config_region(g->b, from->home[i]);
+
+		if (region >= 0)
+			p->homes |= (uint32_t)1 << region;
+	}
+}
+
+static void add_route(const struct building *g, const struct fleet_route *from)
+{
+	struct steer_route *r = &g->view->route[g->view->nroute++];
+
+	memcpy(r->host, from->host, sizeof(r->host));
+	memcpy(r->prefix, from->prefix, sizeof(r->prefix));
+	fill_policy(g, from, &r->policy);
+	for (int i = 0; i < from->npart; i++) {
+		struct steer_part *p = &r->part[r->npart++];
+
+		memcpy(p->service, from->part[i].service, sizeof(p->service));
+		p->weight = from->part[i].weight;
+	}
+	r->cell = config_cell(&g->b->hold_cells, "route", from->name);
+}
+
+static int by_host(const void *a, const void *b)
+{
+	const struct steer_route *x = a;
+	const struct steer_route *y = b;
+	int order = g_ascii_strcasecmp(x->host, y->host);
+
+	if (order)
+		return order;
+	return (int)strlen(y->prefix) - (int)strlen(x->prefix);
+}
+
+struct steer_view *knowledge_view(const struct knowledge *k,
+				  struct config_builder *b,
+				  const struct steer_vm *vm, int nvm,
+				  uint64_t self)
+{
+	const struct fleet_manifest *m = &k->manifest;
+	struct building g = {.k = k, .b = b, .self = self};
+	struct steer_view *v;
+
+	if (!m->version || !k->listed)
+		return NULL;
+	v = config_view_new(b, vm, nvm, self, m->version);
+	g.view = v;
+	v->manifest = m->version;
+	v->limits = m->limits;
+	v->service = g_new0(struct steer_service *, (gsize)m->nservice + 1);
+	for (int i = 0; i < m->nservice; i++)
+		add_service(&g, &m->service[i]);
+	config_view_sort(v);
+	v->route = g_new0(struct steer_route, (gsize)m->nroute + 1);
+	for (int i = 0; i < m->nroute; i++)
+		add_route(&g, &m->route[i]);
+	qsort(v->route, (size_t)v->nroute, sizeof(*v->route), by_host);
+	/* Regions may have been named for the first time. */
+	v->nregion = b->nregion;
+	memcpy(v->region, b->region, sizeof(v->region));
+	return v;
+}
--- a/config/src/view.c
+++ b/config/src/view.c
@@ -19,6 +19,7 @@
 	for (int i = 0; i < v->nservice; i++)
 		config_service_release(v->service[i]);
 	g_free(v->service);
+	g_free(v->route);
 	g_free(v->vm);
 	g_free(box);
 }
@@ -69,6 +70,8 @@
 {
 	int region = STEER_NONE;
 
+	for (int i = 0; i < v->nvm; i++)
+		v->nactive += v->vm[i].state == STEER_ACTIVE;
 	for (int i = 0; i < v->nvm; i++)
 		if (v->vm[i].id == self && v->vm[i].state == STEER_ACTIVE)
 			region = v->vm[i].region;
@@ -83,14 +86,12 @@
 	}
 }
 
-struct steer_view *config_build_view(const struct config_builder *b,
-				     const struct steer_vm *vm, int nvm,
-				     uint64_t self, int64_t revision)
+struct steer_view *config_view_new(const struct config_builder *b,
+				   const struct steer_vm *vm, int nvm,
+				   uint64_t self, int64_t revision)
 {
 	struct view_box *box = g_new0(struct view_box, 1);
 	struct steer_view *v = &box->view;
-	GHashTableIter it;
-	void *value;
 
 	atomic_init(&box->refs, 1);
 	v->revision = revision;
@@ -98,11 +99,29 @@
 	memcpy(v->region, b->region, sizeof(v->region));
 	fill_vms(v, vm, nvm);
 	rank_self(v, self);
+	return v;
+}
+
+void config_view_sort(struct steer_view *v)
+{
+	if (v->nservice)
+		qsort(v->service, (size_t)v->nservice, sizeof(*v->service),
+		      by_name);
+}
+
+struct steer_view *config_build_view(const struct config_builder *b,
+				     const struct steer_vm *vm, int nvm,
+				     uint64_t self, int64_t revision)
+{
+	struct steer_view *v = config_view_new(b, vm, nvm, self, revision);
+	GHashTableIter it;
+	void *value;
+
 	v->service = g_new0(struct steer_service *,
 			    g_hash_table_size(b->services) + 1);
 	g_hash_table_iter_init(&it, b->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		v->service[v->nservice++] = config_service_ref(value);
-	qsort(v->service, (size_t)v->nservice, sizeof(*v->service), by_name);
+	config_view_sort(v);
 	return v;
 }
--- /dev/null
+++ b/fleet/src/bounds.c
@@ -0,0 +1,13 @@
+#include <primroselead/fleet.h>
+
+void fleet_bounds_init(struct fleet_bounds *b)
+{
+	*b = (struct fleet_bounds){
+		.retry_permille = 100,
+		.retry_extra = 0,
+		.retry_window_ms = 10000,
+		.shift_permille = 150,
+		.lookup_ttl_s = 5,
+		.grace_ms = 10000,
+	};
+}
--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -14,6 +14,11 @@
 	unsigned int idle_s;
 	/** Memory of one connection for headers and answer, in bytes. */
 	size_t connection_bytes;
+	/** May be null. Gets each request's target as it came, before anything
+	 * else; what it returns is the request's state at the first call of
+	 * "handle". */
+	void *(*begin)(void *ctx, const char *target,
+		       struct MHD_Connection *conn);
 	MHD_AccessHandlerCallback handle;
 	MHD_RequestCompletedCallback completed;
 	void *ctx;
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -52,7 +52,8 @@
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->connection_bytes,
 		MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, NULL,
 		MHD_OPTION_NOTIFY_COMPLETED, o->completed, o->ctx,
-		MHD_OPTION_END);
+		o->begin ? MHD_OPTION_URI_LOG_CALLBACK : MHD_OPTION_END,
+		o->begin, o->ctx, MHD_OPTION_END);
 }
 
 enum prl_code serve_init(struct serve *s, struct loop *l,
--- a/mk/packages.mk
+++ b/mk/packages.mk
@@ -1,24 +1,28 @@
 # One static library a package. A package sees only the public headers of the
 # packages that it names here, so an arrow the wrong way does not compile.
 base_USES :=
+fleet_USES := base
+platform_USES := base fleet
 schema_USES := base
 loop_USES := base
-store_USES := base loop
-config_USES := base schema steer store spread loop
-steer_USES := base
+store_USES := base loop fleet platform
+config_USES := base fleet schema steer store spread loop
+steer_USES := base fleet
 limit_USES := base
 claim_USES := base
 wire_USES := base loop
 member_USES := base
 spread_USES := base
 observe_USES := base
-proxy_USES := base loop schema spread steer limit claim config observe
+proxy_USES := base fleet platform loop schema spread steer limit claim config observe
 
 # Libraries of others that a package needs, by their pkg-config names.
 base_NEEDS := apr-1 libxxhash
 schema_NEEDS := apr-1 glib-2.0
+fleet_NEEDS :=
+platform_NEEDS := jansson
 loop_NEEDS := libmicrohttpd libcurl glib-2.0
-store_NEEDS := libcurl jansson
+store_NEEDS := libcurl glib-2.0
 config_NEEDS := apr-1 glib-2.0 jansson
 limit_NEEDS := jansson
 wire_NEEDS := libtirpc glib-2.0
--- a/model/vm.c
+++ b/model/vm.c
@@ -417,7 +417,7 @@
 void vm_request(struct world *w, int i)
 {
 	struct fake_vm *v = &w->vm[i];
-	struct steer_route route;
+	struct steer_order route;
 	struct asking a = {.token = ++w->next_token, .key = -1};
 	uint64_t block = choose(w, 200);
 	int moved;
@@ -429,7 +429,7 @@
 	a.deadline = w->now + DEADLINE_MS;
 	a.config = v->service.version;
 	moved = decide_moved(w, v, region_of(i), block);
-	steer_route(&v->service, region_of(i), moved, &route);
+	steer_order(&v->service, region_of(i), moved, &route);
 	for (int k = 0; k < route.n; k++) {
 		a.region = route.region[k];
 		if (!limit_hold_take(&v->hold[a.region])) {
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -3,6 +3,7 @@
 
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
+#include <primroselead/budget.h>
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/fetch.h>
@@ -58,6 +59,35 @@
 	_Atomic uint64_t from_total;
 };
 
+/** What one thread believes of one upstream that routes lead to. */
+struct proxy_belief {
+	/** Requests of others there, by its last report, in thousandths. */
+	int64_t others;
+	int64_t others_ms;
+	/** Smoothed time of a request in microseconds; 0 if none is known. */
+	int64_t latency_us;
+	int64_t sampled_ms;
+	/** Smoothed share of failures, in permille. */
+	int failures;
+	int64_t failed_ms;
+	/** Failures to reach it in a row; it is left alone until then. */
+	int strikes;
+	int64_t closed_until;
+	struct limit_rate cold;
+	/** Idle time after which it closes a connection, in s; 0 if unknown. */
+	int keep_alive_s;
+};
+
+/** What one thread keeps for one service that routes lead to. */
+struct proxy_service_state {
+	struct steer_shares shares;
+	struct limit_budget retry;
+	/** Holds placements outside of the shares to a part of all. */
+	struct limit_budget overflow;
+	/** Smoothed time of a request without a queue by region, in us. */
+	int64_t hold_us[STEER_REGIONS_MAX];
+};
+
 struct proxy;
 
 /** A claim or note on its way to the control thread. */
@@ -94,6 +124,9 @@
 	struct proxy *proxy;
 	struct loop loop;
 	struct serve serve;
+	/** Listeners for look-ups, readiness and metrics alone. */
+	struct serve extra[3];
+	int nextra;
 	struct fetch_pool fetches;
 	struct mailbox mail;
 	struct metrics metrics;
@@ -112,6 +145,10 @@
 	struct loop_timer sweep_timer;
 	/** Due when transfers that wait for a link may go on. */
 	struct loop_timer flow_timer;
+	/** For routed requests, by the handles of the view. */
+	struct proxy_belief *belief;
+	struct proxy_service_state *state;
+	int64_t (*part_credit)[FLEET_PARTS_MAX];
 	/** Easy handles for the next transfers. */
 	CURL *spare[64];
 	int nspare;
@@ -124,6 +161,9 @@
 /** All traffic threads and what they share. */
 struct proxy {
 	const struct prl_settings *settings;
+	struct fleet_bounds bounds;
+	/** Routes come from the platform's manifest, not from service files. */
+	int follows_manifest;
 	/** Region of this VM in the views. */
 	int region;
 	struct proxy_thread *thread;
@@ -158,9 +198,9 @@
 
 /** Makes the shared tables. Returns PRL_OK or PRL_E_MEMORY. */
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims,
-			 struct mailbox *shortages, apr_pool_t *pool,
-			 struct prl_error *err);
+			 const struct fleet_bounds *bounds, int region,
+			 struct mailbox *claims, struct mailbox *shortages,
+			 apr_pool_t *pool, struct prl_error *err);
 
 /** Starts the traffic threads. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY. */
 enum prl_code proxy_start(struct proxy *p, apr_pool_t *pool,
--- a/proxy/src/admit.c
+++ b/proxy/src/admit.c
@@ -61,7 +61,7 @@
 	return !home->nupstream || (r->wait_until && now >= r->spill_at);
 }
 
-static int take_any(struct proxy_request *r, const struct steer_route *route)
+static int take_any(struct proxy_request *r, const struct steer_order *route)
 {
 	int spill = may_spill(r, prl_now_ms());
 
@@ -170,11 +170,11 @@
 
 static int try_admit(struct proxy_request *r)
 {
-	struct steer_route route;
+	struct steer_order route;
 
 	if (!may_admit(r->thread->proxy))
 		return 0;
-	steer_route(r->service, r->home, r->moved, &route);
+	steer_order(r->service, r->home, r->moved, &route);
 	return take_any(r, &route);
 }
 
--- a/proxy/src/answer.c
+++ b/proxy/src/answer.c
@@ -1,4 +1,6 @@
 #include "request.h"
+#include <primroselead/clock.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -8,6 +10,9 @@
 /* Block in which the answer's body is handed to the listener, in bytes. */
 #define ANSWER_BLOCK 8192
 
+/* Time for which the rest of a refused request's body is read, in ms. */
+#define DROP_MAX_MS 3000
+
 static const char *outcome_name(enum request_outcome outcome)
 {
 	switch (outcome) {
@@ -27,6 +32,7 @@
 	r->state = REQUEST_FAILED;
 	r->status = (int)status;
 	r->cause = cause;
+	r->drop_until = prl_now_ms() + DROP_MAX_MS;
 	request_wake(r);
 }
 
@@ -49,6 +55,19 @@
 				  r->response);
 }
 
+static void add_retry_after(struct proxy_request *r)
+{
+	char seconds[32];
+
+	if (r->routed)
+		snprintf(seconds, sizeof(seconds), "%lld.%03d",
+			 (long long)(r->retry_after_ms / 1000),
+			 (int)(r->retry_after_ms % 1000));
+	else
+		strcpy(seconds, RETRY_AFTER);
+	MHD_add_response_header(r->response, "Retry-After", seconds);
+}
+
 enum MHD_Result request_respond_failed(struct proxy_request *r)
 {
 	char text[256];
@@ -65,9 +84,11 @@
 		return MHD_NO;
 	MHD_add_response_header(r->response, "Content-Type",
 				"application/json");
+	if (r->routed && r->asked.id[0])
+		MHD_add_response_header(r->response, platform_id_header(),
+					r->asked.id);
 	if (r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
-		MHD_add_response_header(r->response, "Retry-After",
-					RETRY_AFTER);
+		add_retry_after(r);
 	if (r->status == MHD_HTTP_CONFLICT && r->outcome == OUTCOME_RAN) {
 		snprintf(replayed, sizeof(replayed), "%d", r->claim.code);
 		MHD_add_response_header(r->response, "First-Status", replayed);
--- a/proxy/src/begin.c
+++ b/proxy/src/begin.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *header(const struct proxy_request *r, const char *name)
+const char *request_header(const struct proxy_request *r, const char *name)
 {
 	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
 }
@@ -15,7 +15,7 @@
 /* The first label of the host names the service. */
 static const struct steer_service *find_service(const struct proxy_request *r)
 {
-	const char *host = header(r, "Host");
+	const char *host = request_header(r, "Host");
 	int i;
 
 	if (!host)
@@ -29,7 +29,7 @@
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		r->conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-	const char *said = header(r, "Caller-Block");
+	const char *said = request_header(r, "Caller-Block");
 	const struct sockaddr_in *v4;
 	const struct sockaddr_in6 *v6;
 
@@ -50,7 +50,7 @@
 {
 	int64_t now = prl_now_ms();
 	int64_t limit = now + r->service->deadline_ms;
-	const char *said = header(r, "Request-Deadline");
+	const char *said = request_header(r, "Request-Deadline");
 	int64_t left;
 
 	if (!said)
@@ -61,10 +61,9 @@
 	return now + left;
 }
 
-/* Returns 0, or -1 if the length isn't a number. */
-static int read_length(struct proxy_request *r)
+int request_read_length(struct proxy_request *r)
 {
-	const char *length = header(r, "Content-Length");
+	const char *length = request_header(r, "Content-Length");
 	char *end;
 
 	r->up_length = -1;
@@ -73,13 +72,13 @@
 		if (*end || end == length || r->up_length < 0)
 			return -1;
 	}
-	r->has_body = length || header(r, "Transfer-Encoding");
+	r->has_body = length || request_header(r, "Transfer-Encoding");
 	return 0;
 }
 
 static int set_claim(struct proxy_request *r)
 {
-	const char *key = header(r, "Idempotency-Key");
+	const char *key = request_header(r, "Idempotency-Key");
 	char full[PRL_NAME_MAX + PROXY_KEY_MAX + 2];
 	int n;
 
@@ -93,32 +92,6 @@
 	return 0;
 }
 
-static enum MHD_Result add_argument(void *ctx, enum MHD_ValueKind kind,
-				    const char *key, const char *value)
-{
-	GString *out = ctx;
-
-	(void)kind;
-	g_string_append_c(out, strchr(out->str, '?') ? '&' : '?');
-	g_string_append(out, key);
-	if (value)
-		g_string_append_printf(out, "=%s", value);
-	return MHD_YES;
-}
-
-/* The path and the query as the caller wrote them. */
-static char *target(const struct proxy_request *r, const char *url)
-{
-	GString *out = g_string_new(url);
-	char *copy;
-
-	MHD_get_connection_values(r->conn, MHD_GET_ARGUMENT_KIND, add_argument,
-				  out);
-	copy = strdup(out->str);
-	g_string_free(out, TRUE);
-	return copy;
-}
-
 /* A path that is written with escapes is the same request. */
 static int never_twice(const struct proxy_request *r, const char *url)
 {
@@ -129,8 +102,13 @@
 	return steer_never_twice(r->service, r->method, plain);
 }
 
-void request_begin(struct proxy_request *r, const char *url, const char *method)
+void request_begin(struct proxy_request *r, const char *url)
 {
+	if (request_read_length(r)) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST,
+			     "Content-Length is not a number");
+		return;
+	}
 	if (!r->view) {
 		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
 			     "no configuration is in force yet");
@@ -142,17 +120,6 @@
 			     "the host names no service");
 		return;
 	}
-	if (strlen(method) >= sizeof(r->method)) {
-		request_fail(r, MHD_HTTP_METHOD_NOT_ALLOWED,
-			     "the method is not known");
-		return;
-	}
-	strcpy(r->method, method);
-	if (read_length(r)) {
-		request_fail(r, MHD_HTTP_BAD_REQUEST,
-			     "Content-Length is not a number");
-		return;
-	}
 	r->once = never_twice(r, url);
 	if (r->once && set_claim(r)) {
 		request_fail(r, MHD_HTTP_BAD_REQUEST,
@@ -160,11 +127,6 @@
 			     "1 to 200 bytes");
 		return;
 	}
-	r->target = target(r, url);
-	if (!r->target) {
-		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, "out of memory");
-		return;
-	}
 	r->block = caller_block(r);
 	r->deadline = deadline(r);
 	r->home = steer_home(r->service, r->view->nregion,
--- a/proxy/src/body.c
+++ b/proxy/src/body.c
@@ -2,6 +2,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Least bytes allocated; they double as they are needed. */
+#define ROOM_MIN 2048
+
+static size_t most(const struct body *b)
+{
+	return b->max ? b->max : BODY_ROOM;
+}
+
 size_t body_left(const struct body *b)
 {
 	return b->len - b->read;
@@ -9,7 +17,7 @@
 
 size_t body_room(const struct body *b)
 {
-	return BODY_ROOM - body_left(b);
+	return most(b) - body_left(b);
 }
 
 static void drop_read(struct body *b)
@@ -20,17 +28,35 @@
 	b->dropped = 1;
 }
 
+/* Allocates up to the most that is allowed; less may come. */
+static void grow(struct body *b, size_t want)
+{
+	size_t room = b->room ? b->room : ROOM_MIN;
+	char *data;
+
+	while (room < want && room < most(b))
+		room *= 2;
+	if (room > most(b))
+		room = most(b);
+	if (room <= b->room)
+		return;
+	data = realloc(b->data, room);
+	if (!data)
+		return;
+	b->data = data;
+	b->room = room;
+}
+
 size_t body_write(struct body *b, const char *data, size_t n)
 {
-	if (!b->data)
-		b->data = malloc(BODY_ROOM);
-	if (!b->data)
-		return 0;
-	if (n > BODY_ROOM - b->len && b->read)
+	if (b->len + n > b->room)
+		grow(b, b->len + n);
+	if (n > b->room - b->len && b->read)
 		drop_read(b);
-	if (n > BODY_ROOM - b->len)
-		n = BODY_ROOM - b->len;
-	memcpy(b->data + b->len, data, n);
+	if (n > b->room - b->len)
+		n = b->room - b->len;
+	if (n)
+		memcpy(b->data + b->len, data, n);
 	b->len += n;
 	return n;
 }
@@ -57,6 +83,9 @@
 
 void body_finish(struct body *b)
 {
+	size_t max = b->max;
+
 	free(b->data);
 	memset(b, 0, sizeof(*b));
+	b->max = max;
 }
--- a/proxy/src/body.h
+++ b/proxy/src/body.h
@@ -3,7 +3,7 @@
 
 #include <stddef.h>
 
-/** Room of a body buffer in bytes; no more of a body is in memory. */
+/** Room of a body buffer in bytes where none is set. */
 #define BODY_ROOM 16384
 
 /**
@@ -11,6 +11,10 @@
  * as long as there is room, so that a short body can be read once more.
  */
 struct body {
+	/** Most bytes in memory; 0 stands for BODY_ROOM. */
+	size_t max;
+	/** Bytes allocated. */
+	size_t room;
 	char *data;
 	size_t len;
 	size_t read;
--- a/proxy/src/own.c
+++ b/proxy/src/own.c
@@ -3,7 +3,9 @@
 #include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define METRICS_BYTES 32768
@@ -117,6 +119,52 @@
 	return reply(conn, MHD_HTTP_OK, "application/json", text, n);
 }
 
+/* Callers use an answer for this long; a VM that stops is named no longer. */
+#define LOOKUP_TTL_S 2
+
+static int64_t lookup_ttl(const struct proxy *p)
+{
+	int64_t most = p->bounds.lookup_ttl_s;
+
+	return most < LOOKUP_TTL_S ? most : LOOKUP_TTL_S;
+}
+
+static const char *read_argument(void *ctx, const char *name)
+{
+	return argument(ctx, name);
+}
+
+/* A look-up in the platform's form. */
+static enum MHD_Result lookup_near(struct proxy_thread *t,
+				   struct MHD_Connection *conn)
+{
+	const struct steer_view *v = t->view;
+	const char *address[STEER_NEAR_MAX];
+	int vm[STEER_NEAR_MAX];
+	struct fleet_lookup ask;
+	enum MHD_Result rc;
+	int region;
+	char *text;
+	int n;
+
+	platform_lookup_read(read_argument, conn, &ask);
+	region =
+		v && ask.region ? steer_find_region(v, ask.region) : STEER_NONE;
+	n = v ? steer_near(v, region, vm) : 0;
+	if (!n)
+		return reply_error(conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+				   "no entry VM is known to be live");
+	for (int i = 0; i < n; i++)
+		address[i] = v->vm[vm[i]].address;
+	metrics_add(&t->metrics, METRIC_LOOKUPS, 1);
+	text = platform_lookup_write(address, n, lookup_ttl(t->proxy));
+	if (!text)
+		return MHD_NO;
+	rc = reply(conn, MHD_HTTP_OK, "application/json", text, strlen(text));
+	free(text);
+	return rc;
+}
+
 static enum MHD_Result health(struct proxy_thread *t,
 			      struct MHD_Connection *conn)
 {
@@ -164,11 +212,17 @@
 enum MHD_Result own_answer(struct proxy_thread *t, struct MHD_Connection *conn,
 			   const char *url, const char *method)
 {
-	const char *name = url + strlen(PROXY_OWN_PATH);
+	const char *name = url + strnlen(url, strlen(PROXY_OWN_PATH));
 
 	if (strcmp(method, "GET") && strcmp(method, "HEAD"))
 		return reply_error(conn, MHD_HTTP_METHOD_NOT_ALLOWED,
 				   "only GET is allowed here");
+	if (platform_is_lookup_path(url))
+		return lookup_near(t, conn);
+	if (platform_is_ready_path(url))
+		return health(t, conn);
+	if (strncmp(url, PROXY_OWN_PATH, strlen(PROXY_OWN_PATH)))
+		return reply_error(conn, MHD_HTTP_NOT_FOUND, "no such page");
 	if (!strcmp(name, "lookup"))
 		return lookup(t, conn);
 	if (!strcmp(name, "health"))
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -12,12 +12,15 @@
 }
 
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
-			 int region, struct mailbox *claims,
-			 struct mailbox *shortages, apr_pool_t *pool,
-			 struct prl_error *err)
+			 const struct fleet_bounds *bounds, int region,
+			 struct mailbox *claims, struct mailbox *shortages,
+			 apr_pool_t *pool, struct prl_error *err)
 {
 	memset(p, 0, sizeof(*p));
 	p->settings = settings;
+	p->bounds = *bounds;
+	p->follows_manifest =
+		settings->steering.source == PRL_STEERING_SOURCE_MANIFEST;
 	p->region = region;
 	p->claims = claims;
 	p->shortages = shortages;
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -28,7 +28,8 @@
 }
 
 struct proxy_request *request_new(struct proxy_thread *t,
-				  struct MHD_Connection *conn)
+				  struct MHD_Connection *conn,
+				  const char *target)
 {
 	struct proxy_request *r = calloc(1, sizeof(*r));
 
@@ -39,8 +40,10 @@
 	r->region = STEER_NONE;
 	r->link = STEER_NONE;
 	r->began_us = prl_now_us();
-	r->handle = put_into_table(t, r);
+	r->target = strdup(target);
+	r->handle = r->target ? put_into_table(t, r) : 0;
 	if (!r->handle) {
+		free(r->target);
 		free(r);
 		return NULL;
 	}
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -2,6 +2,7 @@
 #define PROXY_REQUEST_H
 
 #include "body.h"
+#include "verdict.h"
 #include <primroselead/proxy.h>
 
 /** Where a request stands. */
@@ -36,7 +37,10 @@
 	const struct steer_service *service;
 	enum request_state state;
 	enum request_outcome outcome;
-	char method[8];
+	/** The headers have been read. */
+	int begun;
+	char method[16];
+	/** Path and query as the caller wrote them. */
 	char *target;
 	/** Runs at most once. */
 	int once;
@@ -52,6 +56,22 @@
 	int64_t spill_at;
 	struct proxy_request *next_waiting;
 
+	/** A route of the manifest matched; the fields to "retry_after" are
+	 * for such requests alone. */
+	int routed;
+	struct steer_policy policy;
+	char service_name[STEER_NAME_MAX];
+	struct fleet_request asked;
+	struct fleet_answer answer;
+	enum verdict verdict;
+	uint64_t tried[STEER_TRIED_MAX];
+	int ntried;
+	/** Expected when it was placed. */
+	int64_t wait_ms;
+	int rank;
+	/** Time that a refused caller is told to stay away, in ms. */
+	int64_t retry_after_ms;
+
 	/** Region whose capacity is taken; STEER_NONE if none is. */
 	int region;
 	enum steer_reason reason;
@@ -87,6 +107,8 @@
 	int64_t down_length;
 	struct curl_slist *answer_headers;
 	const char *cause;
+	/** How libcurl ended the last attempt that failed. */
+	CURLcode curl_result;
 	/** The upstream said that it did not run the request. */
 	int refused;
 	/** The attempt's answer is dropped and another attempt made. */
@@ -97,6 +119,10 @@
 	struct MHD_Response *response;
 	int responded;
 	int suspended;
+	/** When a refused caller must have sent the rest of its body, which is
+	 * dropped; and how much of it was. */
+	int64_t drop_until;
+	size_t dropped;
 	/** The caller closed its connection while nobody read from it. */
 	int left;
 	/** The caller has left; what runs at most once goes on without it. */
@@ -106,7 +132,8 @@
 /** Makes a request and puts it into the thread's table; null if there is no
  * memory. */
 struct proxy_request *request_new(struct proxy_thread *t,
-				  struct MHD_Connection *conn);
+				  struct MHD_Connection *conn,
+				  const char *target);
 
 /** Ends everything that the request has and frees it. */
 void request_free(struct proxy_request *r);
@@ -121,8 +148,17 @@
 void request_sleep(struct proxy_request *r);
 
 /** Reads the headers and decides what to do. */
-void request_begin(struct proxy_request *r, const char *url,
-		   const char *method);
+void request_begin(struct proxy_request *r, const char *url);
+
+/** The same for a fleet that follows the platform's manifest. */
+void request_begin_routed(struct proxy_request *r);
+
+/** Value of a request's header, or null. */
+const char *request_header(const struct proxy_request *r, const char *name);
+
+/** Reads whether and how long a body is. Returns 0, or -1 if the length isn't
+ * a number. */
+int request_read_length(struct proxy_request *r);
 
 /** Gives up with a status and a cause; the handler sends the answer. */
 void request_fail(struct proxy_request *r, unsigned int status,
--- /dev/null
+++ b/proxy/src/routed.c
@@ -0,0 +1,114 @@
+/* Requests for the routes of the platform's manifest. */
+#include "place.h"
+#include <primroselead/clock.h>
+#include <primroselead/platform.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Bytes of a caller's body that are kept for a repeated send. */
+#define BODY_KEPT (512 << 10)
+
+/* Bytes of an answer's body that are read before it is passed on: what breaks
+ * off earlier can be asked for again. */
+#define ANSWER_KEPT (64 << 10)
+
+/* Time told to a caller while this VM knows no routes, in ms. */
+#define RETRY_UNREADY_MS 300
+
+static const char *read_header(void *ctx, const char *name)
+{
+	return request_header(ctx, name);
+}
+
+static void refuse(struct proxy_request *r, const char *cause)
+{
+	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+}
+
+/* The path alone, as routes match it. */
+static const struct steer_route *find_route(const struct proxy_request *r)
+{
+	const char *host = request_header(r, MHD_HTTP_HEADER_HOST);
+	size_t len = strcspn(r->target, "?");
+	char path[FLEET_PATH_MAX];
+
+	if (!host)
+		return NULL;
+	/* No prefix is longer than the buffer. */
+	if (len >= sizeof(path))
+		len = sizeof(path) - 1;
+	memcpy(path, r->target, len);
+	path[len] = 0;
+	return steer_find_route(r->view, host, path);
+}
+
+static int choose_service(struct proxy_request *r,
+			  const struct steer_route *route)
+{
+	int i = steer_next_part(route, r->thread->part_credit[route->cell]);
+
+	if (i == STEER_NONE)
+		return -1;
+	memcpy(r->service_name, route->part[i].service,
+	       sizeof(r->service_name));
+	return 0;
+}
+
+static void set_deadline(struct proxy_request *r)
+{
+	int64_t left = r->policy.timeout_ms;
+
+	if (r->asked.left_ms >= 0 && r->asked.left_ms < left)
+		left = r->asked.left_ms;
+	r->deadline = r->began_us / 1000 + left;
+}
+
+static int is_too_large(const struct proxy_request *r)
+{
+	int64_t most = r->view->limits.body_bytes;
+
+	return most > 0 && r->up_length > most;
+}
+
+void request_begin_routed(struct proxy_request *r)
+{
+	const struct steer_route *route;
+
+	r->routed = 1;
+	r->up.max = BODY_KEPT;
+	r->down.max = ANSWER_KEPT;
+	platform_request_read(read_header, r, &r->asked);
+	r->retry_after_ms = RETRY_UNREADY_MS;
+	if (request_read_length(r)) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST,
+			     "Content-Length is not a number");
+		return;
+	}
+	if (!r->view) {
+		refuse(r, "no configuration is in force yet");
+		return;
+	}
+	route = find_route(r);
+	if (!route) {
+		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
+		return;
+	}
+	r->policy = route->policy;
+	r->once = route->policy.kind != FLEET_SAFE;
+	set_deadline(r);
+	if (is_too_large(r)) {
+		request_fail(r, MHD_HTTP_CONTENT_TOO_LARGE,
+			     "the body is too large");
+		return;
+	}
+	if (choose_service(r, route)) {
+		refuse(r, "the route leads to no service");
+		return;
+	}
+	if (r->deadline <= prl_now_ms()) {
+		refuse(r, "the deadline has passed");
+		return;
+	}
+	request_send(r);
+}
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -1,5 +1,9 @@
+#include "place.h"
 #include "upstream.h"
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <primroselead/clock.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +24,26 @@
  * upstream may just be closing it, and nobody could tell what ran. */
 #define ONCE_IDLE_MAX_S 1L
 
+/* Longest time to a connection of a routed request, in milliseconds: a lost
+ * first packet is sent again after a second only. */
+#define CONNECT_ROUTED_MAX_MS 700L
+
+/* Time without an acknowledgement after which a connection is dead, in ms. */
+#define SILENT_MAX_MS 1500
+
+/* Keep-alive probes of a connection that waits: idle time and distance, in
+ * seconds. */
+#define PROBE_S 1L
+
+/* A transfer that ends this near to its deadline ran out of time, in ms. */
+#define LATE_MS 20
+
+/* Least time left in which another attempt is of use, in milliseconds. */
+#define ATTEMPT_MIN_MS 50
+
+/* Longest header line of an answer, in bytes; libcurl's own bound. */
+#define HEADER_MAX (100 << 10)
+
 static void end_fetch(struct proxy_request *r)
 {
 	struct proxy_thread *t = r->thread;
@@ -42,7 +66,7 @@
 		end_fetch(r);
 	}
 	upstream_give(r);
-	if (r->region == STEER_NONE)
+	if (r->region == STEER_NONE || r->routed)
 		return;
 	place = &r->service->place[r->region];
 	limit_hold_give(&r->thread->proxy->hold[place->hold]);
@@ -55,12 +79,17 @@
 /* Another attempt may be made if this one did not run, or may run twice. */
 static int may_retry(struct proxy_request *r, int did_not_run)
 {
-	if (r->gone || r->responded || r->attempts >= ATTEMPTS_MAX)
+	int most = r->routed ? r->policy.attempts : ATTEMPTS_MAX;
+	int64_t least = r->routed ? ATTEMPT_MIN_MS : 0;
+
+	if (r->gone || r->responded || r->attempts >= most)
 		return 0;
 	if (r->once && !did_not_run)
 		return 0;
-	if (prl_now_ms() >= r->deadline || body_rewind(&r->up))
+	if (prl_now_ms() + least >= r->deadline || body_rewind(&r->up))
 		return 0;
+	if (r->routed)
+		return place_may_repeat(r);
 	return limit_share_take(&upstream_service(r)->retry);
 }
 
@@ -79,6 +108,92 @@
 	r->outcome = r->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
 }
 
+/* Answers for the upstream. A status that promises "not run" is given only if
+ * that is sure for all attempts. */
+static void give_up_routed(struct proxy_request *r, const char *cause)
+{
+	int late = prl_now_ms() + LATE_MS >= r->deadline;
+
+	if (r->outcome == OUTCOME_NOT_RUN)
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+	else
+		request_fail(r,
+			     late ? MHD_HTTP_GATEWAY_TIMEOUT
+				  : MHD_HTTP_BAD_GATEWAY,
+			     cause);
+}
+
+static void retry_or_give_up(struct proxy_request *r, int did_not_run,
+			     const char *cause)
+{
+	settle_outcome(r, did_not_run);
+	if (may_retry(r, did_not_run)) {
+		retry(r);
+		return;
+	}
+	request_release(r);
+	give_up_routed(r, cause);
+}
+
+static void attempt_failed_routed(struct proxy_request *r, CURLcode result)
+{
+	int late = prl_now_ms() + LATE_MS >= r->deadline;
+
+	/* A request that ran out of time says little about its upstream. */
+	place_learn(r, late ? PLACE_FAILED : PLACE_BROKEN);
+	r->curl_result = result;
+	if (r->state == REQUEST_ANSWERED) {
+		r->down_failed = 1;
+		r->outcome = OUTCOME_UNKNOWN;
+		request_release(r);
+		request_wake(r);
+		return;
+	}
+	retry_or_give_up(r, !r->issued,
+			 late ? "the deadline passed before the upstream's "
+				"answer"
+			      : "the connection to the upstream failed");
+}
+
+static void pass_on(struct proxy_request *r)
+{
+	r->outcome = OUTCOME_RAN;
+	r->state = REQUEST_ANSWERED;
+	r->down_ended = 1;
+	request_release(r);
+	request_wake(r);
+}
+
+static void attempt_ended_routed(struct proxy_request *r)
+{
+	switch (r->verdict) {
+	case VERDICT_PASS:
+		place_learn(r, PLACE_ANSWERED);
+		pass_on(r);
+		return;
+	case VERDICT_FAILED:
+		place_learn(r, PLACE_FAILED);
+		r->maybe_ran = 1;
+		if (r->state != REQUEST_ANSWERED && may_retry(r, 0))
+			retry(r);
+		else
+			pass_on(r);
+		return;
+	case VERDICT_REFUSED:
+		place_learn(r, PLACE_REFUSED);
+		retry_or_give_up(r, 1, "the upstream refused the request");
+		return;
+	case VERDICT_AMBIGUOUS:
+		place_learn(r, PLACE_FAILED);
+		retry_or_give_up(r, 0, "the upstream failed");
+		return;
+	case VERDICT_BROKEN:
+		place_learn(r, PLACE_BROKEN);
+		retry_or_give_up(r, 0, "the upstream's answer is not valid");
+		return;
+	}
+}
+
 static void attempt_failed(struct proxy_request *r, CURLcode result)
 {
 	int did_not_run = !r->issued || r->refused;
@@ -128,7 +243,11 @@
 	struct proxy_request *r = f->ctx;
 
 	end_fetch(r);
-	if (result || r->state != REQUEST_ANSWERED)
+	if (r->routed && (result || !r->status))
+		attempt_failed_routed(r, result);
+	else if (r->routed)
+		attempt_ended_routed(r);
+	else if (result || r->state != REQUEST_ANSWERED)
 		attempt_failed(r, result);
 	else
 		attempt_ended(r);
@@ -197,7 +316,7 @@
 	struct proxy_request *r = ctx;
 	size_t len = size * n;
 
-	if (r->gone)
+	if (r->gone || (r->routed && r->verdict >= VERDICT_AMBIGUOUS))
 		return len;
 	if (!link_open(r->thread->proxy, r->link)) {
 		link_wait(r);
@@ -205,13 +324,18 @@
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	if (body_room(&r->down) < len) {
+		/* A long answer is passed on while it comes. */
+		if (r->routed)
+			r->state = REQUEST_ANSWERED;
+		request_wake(r);
 		r->down_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	if (body_write(&r->down, data, len) != len)
 		return 0;
 	spend(r, len);
-	request_wake(r);
+	if (r->state == REQUEST_ANSWERED)
+		request_wake(r);
 	return len;
 }
 
@@ -219,13 +343,15 @@
 {
 	struct proxy_upstream_cell *c = upstream_cell(r, r->upstream);
 
+	if (r->routed)
+		platform_answer_line(line, &r->answer);
 	if (!strncasecmp(line, "Upstream-Running:", 17)) {
 		atomic_store(&c->reported, atoi(line + 17));
 		atomic_store(&c->reported_ms, prl_now_ms());
 	}
 	if (!strncasecmp(line, "Content-Length:", 15))
 		r->down_length = strtoll(line + 15, NULL, 10);
-	if (!strncasecmp(line, "Request-Outcome:", 16) &&
+	if (!r->routed && !strncasecmp(line, "Request-Outcome:", 16) &&
 	    r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		r->refused = strstr(line + 16, "not-run") != NULL;
 	r->answer_headers = curl_slist_append(r->answer_headers, line);
@@ -239,6 +365,11 @@
 
 	if (r->status < MHD_HTTP_OK)
 		return 0;
+	if (r->routed) {
+		r->verdict = verdict_of(&r->answer, r->status, r->asked.id);
+		place_heard(r);
+		return r->verdict == VERDICT_BROKEN ? -1 : 0;
+	}
 	if (failed && may_retry(r, r->refused)) {
 		r->retrying = 1;
 		return -1;
@@ -256,6 +387,7 @@
 	r->answer_headers = NULL;
 	r->down_length = -1;
 	r->refused = 0;
+	platform_answer_begin(&r->answer);
 	r->status = space ? atoi(space + 1) : 0;
 }
 
@@ -263,22 +395,25 @@
 {
 	struct proxy_request *r = ctx;
 	size_t len = size * n;
-	char line[2048];
 	size_t k = len;
+	char *line;
+	int rc = 0;
 
 	while (k && (data[k - 1] == '\r' || data[k - 1] == '\n'))
 		k--;
-	if (k >= sizeof(line) || r->state == REQUEST_ANSWERED)
-		return len; /* too long to pass on, or a trailer */
-	memcpy(line, data, k);
-	line[k] = 0;
+	if (r->state == REQUEST_ANSWERED)
+		return len; /* a trailer */
+	if (k > HEADER_MAX)
+		return 0;
+	line = g_strndup(data, k);
 	if (!strncmp(line, "HTTP/", 5))
 		begin_headers(r, line);
 	else if (k)
 		note_header(r, line);
-	else if (headers_ended(r))
-		return 0;
-	return len;
+	else
+		rc = headers_ended(r);
+	g_free(line);
+	return rc ? 0 : len;
 }
 
 struct header_copy {
@@ -286,39 +421,67 @@
 	const char *connection;
 };
 
+/* Headers that this VM sets itself. */
+static int is_own_header(const struct proxy_request *r, const char *key)
+{
+	if (!strcasecmp(key, "Content-Length") || !strcasecmp(key, "Expect"))
+		return 1;
+	if (r->routed)
+		return platform_request_sets(key);
+	return !strcasecmp(key, "Request-Deadline");
+}
+
 static enum MHD_Result copy_header(void *ctx, enum MHD_ValueKind kind,
 				   const char *key, const char *value)
 {
 	const struct header_copy *copy = ctx;
 	struct proxy_request *r = copy->r;
-	char line[4096];
+	char *line;
 
 	(void)kind;
 	if (header_is_hop_by_hop(key, copy->connection) ||
-	    !strcasecmp(key, "Content-Length") || !strcasecmp(key, "Expect") ||
-	    !strcasecmp(key, "Request-Deadline"))
+	    is_own_header(r, key))
 		return MHD_YES;
 	/* libcurl takes a header without a value in this form. */
-	snprintf(line, sizeof(line), value && *value ? "%s: %s" : "%s;", key,
-		 value);
+	if (value && *value)
+		line = g_strdup_printf("%s: %s", key, value);
+	else
+		line = g_strdup_printf("%s;", key);
 	r->headers = curl_slist_append(r->headers, line);
+	g_free(line);
 	return MHD_YES;
 }
 
+static void add_left(struct proxy_request *r, int64_t left)
+{
+	char line[STEER_NAME_MAX + 64];
+
+	if (!r->routed) {
+		snprintf(line, sizeof(line), "Request-Deadline: %lld",
+			 (long long)(prl_wall_ms() + left));
+		r->headers = curl_slist_append(r->headers, line);
+		return;
+	}
+	platform_left_write(line, sizeof(line), left);
+	r->headers = curl_slist_append(r->headers, line);
+	platform_instance_write(line, sizeof(line), r->upstream->instance);
+	r->headers = curl_slist_append(r->headers, line);
+}
+
 static void set_headers(struct proxy_request *r)
 {
 	struct header_copy copy = {
 		.r = r,
-		.connection = MHD_lookup_connection_value(
-			r->conn, MHD_HEADER_KIND, "Connection"),
+		.connection = request_header(r, "Connection"),
 	};
-	char line[64];
-	long long at = prl_wall_ms() + r->deadline - prl_now_ms();
+	int64_t left = r->deadline - prl_now_ms();
 
 	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, copy_header, &copy);
-	snprintf(line, sizeof(line), "Request-Deadline: %lld", at);
-	r->headers = curl_slist_append(r->headers, line);
+	add_left(r, left > 0 ? left : 1);
+	/* What libcurl would add by itself. */
 	r->headers = curl_slist_append(r->headers, "Expect:");
+	if (!request_header(r, "Accept"))
+		r->headers = curl_slist_append(r->headers, "Accept:");
 	curl_easy_setopt(r->fetch.easy, CURLOPT_HTTPHEADER, r->headers);
 }
 
@@ -343,8 +506,35 @@
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->method);
 }
 
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	int ms = SILENT_MAX_MS;
+
+	(void)ctx;
+	(void)purpose;
+	/* Without it a silent connection is noticed later. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void set_liveness(struct proxy_request *r)
+{
+	CURL *easy = r->fetch.easy;
+
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, PROBE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, PROBE_S);
+	if (r->routed)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+				 place_idle_max_s(r));
+	else if (r->once)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, ONCE_IDLE_MAX_S);
+}
+
 static void set_transfer(struct proxy_request *r)
 {
+	long connect = r->routed ? CONNECT_ROUTED_MAX_MS : CONNECT_MAX_MS;
 	CURL *easy = r->fetch.easy;
 	char url[PRL_ADDRESS_MAX + 16];
 	int64_t now = prl_now_ms();
@@ -355,7 +545,7 @@
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, r->target);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-			 left < CONNECT_MAX_MS ? left : CONNECT_MAX_MS);
+			 left < connect ? left : connect);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER);
@@ -365,8 +555,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, r);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, r);
-	if (r->once)
-		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, ONCE_IDLE_MAX_S);
+	set_liveness(r);
 	set_body(r);
 	set_headers(r);
 }
@@ -383,12 +572,15 @@
 {
 	upstream_give(r);
 	request_release(r);
-	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+	if (r->routed)
+		give_up_routed(r, cause);
+	else
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
 
 int request_reserve(struct proxy_request *r)
 {
-	if (r->upstream || upstream_take(r))
+	if (r->upstream || (r->routed ? place_take(r) : upstream_take(r)))
 		return 1;
 	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
 	give_up(r, "no upstream takes new work");
@@ -409,6 +601,9 @@
 	r->state = REQUEST_SENT;
 	r->issued = 0;
 	r->refused = 0;
+	r->status = 0;
+	r->verdict = VERDICT_PASS;
+	body_finish(&r->down);
 	r->up_paused = 0;
 	r->down_paused = 0;
 	r->link_paused = 0;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -7,7 +7,17 @@
 #include <sys/socket.h>
 
 /* Memory of one caller's connection, in bytes: bounds its headers. */
-#define CONNECTION_BYTES 12288
+#define CONNECTION_BYTES 32768
+
+/* Bytes of a refused request's body that are read and dropped, so that the
+ * answer is not overtaken by a reset. */
+#define DROP_MAX (32 << 20)
+
+/* Memory of a connection to one of the further listeners, in bytes. */
+#define EXTRA_BYTES 4096
+
+/* Descriptors left for files, the store and the other VMs. */
+#define DESCRIPTORS_SPARE 400
 
 /* Time between two searches for callers that left, in milliseconds. */
 #define SWEEP_MS 200
@@ -21,7 +31,11 @@
 	size_t n;
 
 	if (r->state == REQUEST_FAILED || r->down_ended) {
+		r->dropped += *len;
 		*len = 0;
+		if (r->dropped > DROP_MAX ||
+		    (r->drop_until && prl_now_ms() > r->drop_until))
+			return MHD_NO;
 		return MHD_YES;
 	}
 	n = body_write(&r->up, data, *len);
@@ -56,22 +70,30 @@
 	return MHD_YES;
 }
 
-static enum MHD_Result begin(struct proxy_thread *t,
-			     struct MHD_Connection *conn, const char *url,
-			     const char *method, void **state)
+static void *begin(void *ctx, const char *target, struct MHD_Connection *conn)
 {
-	struct proxy_request *r;
+	struct proxy_thread *t = ctx;
+	int own = !strncmp(target, PROXY_OWN_PATH, strlen(PROXY_OWN_PATH));
 
-	if (!strncmp(url, PROXY_OWN_PATH, strlen(PROXY_OWN_PATH))) {
-		*state = &own_request;
-		return MHD_YES;
-	}
-	r = request_new(t, conn);
-	if (!r)
+	if (own && !t->proxy->follows_manifest)
+		return &own_request;
+	return request_new(t, conn, target);
+}
+
+static enum MHD_Result decide(struct proxy_request *r, const char *url,
+			      const char *method)
+{
+	r->begun = 1;
+	if (strlen(method) >= sizeof(r->method))
 		return MHD_NO;
-	*state = r;
-	request_begin(r, url, method);
-	if (r->state == REQUEST_FAILED)
+	strcpy(r->method, method);
+	if (r->thread->proxy->follows_manifest)
+		request_begin_routed(r);
+	else
+		request_begin(r, url);
+	/* With a body, the answer waits until that has been read. */
+	if (r->state == REQUEST_FAILED &&
+	    (!r->has_body || request_header(r, "Expect")))
 		return request_respond_failed(r);
 	return MHD_YES;
 }
@@ -82,10 +104,11 @@
 			      size_t *len, void **state)
 {
 	struct proxy_thread *t = ctx;
+	struct proxy_request *r = *state;
 
 	(void)version;
-	if (!*state)
-		return begin(t, conn, url, method, state);
+	if (!r)
+		return MHD_NO;
 	if (*state == &own_request) {
 		if (*len) {
 			*len = 0;
@@ -93,9 +116,11 @@
 		}
 		return own_answer(t, conn, url, method);
 	}
+	if (!r->begun)
+		return decide(r, url, method);
 	if (*len)
-		return take_body(*state, data, len);
-	return go_on(*state);
+		return take_body(r, data, len);
+	return go_on(r);
 }
 
 static void completed(void *ctx, struct MHD_Connection *conn, void **state,
@@ -208,6 +233,81 @@
 	g_free(m);
 }
 
+static enum MHD_Result handle_extra(void *ctx, struct MHD_Connection *conn,
+				    const char *url, const char *method,
+				    const char *version, const char *data,
+				    size_t *len, void **state)
+{
+	(void)version;
+	(void)data;
+	if (!*state) {
+		*state = &own_request;
+		return MHD_YES;
+	}
+	if (*len) {
+		*len = 0;
+		return MHD_YES;
+	}
+	return own_answer(ctx, conn, url, method);
+}
+
+static void completed_extra(void *ctx, struct MHD_Connection *conn,
+			    void **state, enum MHD_RequestTerminationCode why)
+{
+	(void)ctx;
+	(void)conn;
+	(void)why;
+	*state = NULL;
+}
+
+/* Listeners for what callers and operators ask this VM itself. */
+static enum prl_code listen_extra(struct proxy_thread *t, struct prl_error *err)
+{
+	const struct prl_settings *s = t->proxy->settings;
+	const char *address[] = {s->listen.lookup, s->listen.ready,
+				 s->listen.metrics};
+	struct serve_options o = {
+		.connections = (unsigned int)s->traffic.connections,
+		.idle_s = (unsigned int)s->traffic.idle,
+		.connection_bytes = EXTRA_BYTES,
+		.handle = handle_extra,
+		.completed = completed_extra,
+		.ctx = t,
+	};
+
+	for (size_t i = 0; i < sizeof(address) / sizeof(address[0]); i++) {
+		if (!address[i][0])
+			continue;
+		o.address = address[i];
+		if (serve_init(&t->extra[t->nextra], &t->loop, &o, err))
+			return err->code;
+		t->nextra++;
+	}
+	return PRL_OK;
+}
+
+static enum prl_code init_tables_routed(struct proxy_thread *t,
+					struct prl_error *err)
+{
+	t->belief = calloc(CONFIG_CELLS_MAX, sizeof(*t->belief));
+	t->state = calloc(CONFIG_CELLS_MAX, sizeof(*t->state));
+	t->part_credit = calloc(CONFIG_CELLS_MAX, sizeof(*t->part_credit));
+	if (!t->belief || !t->state || !t->part_credit)
+		return prl_fail(err, PRL_E_MEMORY, "tables of a thread");
+	return PRL_OK;
+}
+
+/* A request has a caller's connection and one to an upstream. */
+static unsigned int most_connections(const struct prl_settings *s)
+{
+	int64_t n = s->traffic.connections;
+	int64_t fit = (s->traffic.descriptors - DESCRIPTORS_SPARE) / 2;
+
+	if (s->traffic.descriptors && fit < n)
+		n = fit > 16 ? fit : 16;
+	return (unsigned int)n;
+}
+
 static enum prl_code init_table(struct proxy_thread *t, struct prl_error *err)
 {
 	t->table_size = (int)t->proxy->settings->traffic.connections;
@@ -225,9 +325,10 @@
 	const struct prl_settings *s = p->settings;
 	struct serve_options o = {
 		.address = s->listen.http,
-		.connections = (unsigned int)s->traffic.connections,
+		.connections = most_connections(s),
 		.idle_s = (unsigned int)s->traffic.idle,
 		.connection_bytes = CONNECTION_BYTES,
+		.begin = begin,
 		.handle = handle,
 		.completed = completed,
 		.ctx = t,
@@ -244,7 +345,8 @@
 	if (init_table(t, err) || loop_init(&t->loop, err) ||
 	    fetch_pool_init(&t->fetches, &t->loop, err) ||
 	    mailbox_init(&t->mail, &t->loop, receive, t, err) ||
-	    serve_init(&t->serve, &t->loop, &o, err))
+	    serve_init(&t->serve, &t->loop, &o, err) || listen_extra(t, err) ||
+	    (p->follows_manifest && init_tables_routed(t, err)))
 		return err->code;
 	loop_timer_add(&t->loop, &t->wait_timer);
 	loop_timer_add(&t->loop, &t->sweep_timer);
@@ -256,6 +358,8 @@
 void proxy_thread_finish(struct proxy_thread *t)
 {
 	serve_finish(&t->serve);
+	while (t->nextra)
+		serve_finish(&t->extra[--t->nextra]);
 	for (int i = 0; i < t->table_size; i++)
 		if (t->table[i])
 			request_free(t->table[i]);
@@ -268,4 +372,7 @@
 		config_view_release(t->view);
 	free(t->table);
 	free(t->generation);
+	free(t->belief);
+	free(t->state);
+	free(t->part_credit);
 }
--- /dev/null
+++ b/proxy/src/verdict.c
@@ -0,0 +1,34 @@
+#include "verdict.h"
+#include <microhttpd.h>
+#include <string.h>
+
+/* Statuses that tell a caller that its request did not run. */
+static int promises_not_run(int status)
+{
+	return status == MHD_HTTP_REQUEST_TIMEOUT ||
+	       status == MHD_HTTP_MISDIRECTED_REQUEST ||
+	       status == MHD_HTTP_TOO_MANY_REQUESTS ||
+	       status == MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
+static int is_success(int status)
+{
+	return status >= 200 && status < 300;
+}
+
+enum verdict verdict_of(const struct fleet_answer *a, int status,
+			const char *id)
+{
+	/* Another one, late or doubled, may stand where this one is due. */
+	if (a->id[0] && strcmp(a->id, id))
+		return VERDICT_BROKEN;
+	if (a->not_run || status == MHD_HTTP_MISDIRECTED_REQUEST)
+		return VERDICT_REFUSED;
+	if (a->encoded || !a->id[0])
+		return VERDICT_BROKEN;
+	if (is_success(status) && !a->stamped)
+		return VERDICT_BROKEN;
+	if (promises_not_run(status))
+		return VERDICT_AMBIGUOUS;
+	return status >= 500 ? VERDICT_FAILED : VERDICT_PASS;
+}
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -5,6 +5,12 @@
 #include <primroselead/schema.h>
 #include <stdint.h>
 
+/** Values of steering.source. */
+enum prl_steering_source {
+	PRL_STEERING_SOURCE_FILES = 0,
+	PRL_STEERING_SOURCE_MANIFEST = 1,
+};
+
 /** [vm] The VM itself. */
 struct prl_settings_vm {
 	/** Second word of the section's heading; empty if none. */
@@ -31,6 +37,23 @@
 	char http[PRL_ADDRESS_MAX];
 	/** Address of the UDP socket for other VMs. */
 	char rpc[PRL_ADDRESS_MAX];
+	/** Address of a further listener for look-ups. */
+	char lookup[PRL_ADDRESS_MAX];
+	/** Address of a further listener that tells if this VM is ready. */
+	char ready[PRL_ADDRESS_MAX];
+	/** Address of a further listener for metrics. */
+	char metrics[PRL_ADDRESS_MAX];
+};
+
+/** [steering] Where the configuration comes from. */
+struct prl_settings_steering {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Service files that are published, or the platform's manifest and
+	 * entries. */
+	int source;
 };
 
 /** [store] The platform's object store. */
@@ -57,6 +80,9 @@
 	int64_t threads;
 	/** Callers' connections accepted by one traffic thread. */
 	int64_t connections;
+	/** Descriptors that the process may open; 0 sets no bound beside the
+	 * number of connections. */
+	int64_t descriptors;
 	/** Idle time after which a caller's connection is closed. Unit: s. */
 	int64_t idle;
 };
@@ -84,6 +110,26 @@
 	int64_t drain;
 };
 
+/** [domain] A failure domain of the fleet; its label is its name. */
+struct prl_settings_domain {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Region that it lies in. */
+	char region[PRL_NAME_MAX];
+};
+
+/** [bound] A figure that the platform holds the fleet to. */
+struct prl_settings_bound {
+	/** Second word of the section's heading; empty if none. */
+	char label[PRL_NAME_MAX];
+	/** Line of the section's heading; 0 if it is absent. */
+	int line;
+	/** Name and value, "name=value" in the platform's words. */
+	char is[PRL_NAME_MAX];
+};
+
 /** [seed] Another VM from which this one joins the fleet. */
 struct prl_settings_seed {
 	/** Second word of the section's heading; empty if none. */
@@ -98,9 +144,14 @@
 struct prl_settings {
 	struct prl_settings_vm vm;
 	struct prl_settings_listen listen;
+	struct prl_settings_steering steering;
 	struct prl_settings_store store;
 	struct prl_settings_traffic traffic;
 	struct prl_settings_control control;
+	struct prl_settings_domain *domain;
+	int ndomain;
+	struct prl_settings_bound *bound;
+	int nbound;
 	struct prl_settings_seed *seed;
 	int nseed;
 };
--- a/schema/src/settings.c
+++ b/schema/src/settings.c
@@ -2,6 +2,8 @@
 #include <primroselead/settings.h>
 #include <stddef.h>
 
+static const char *const steering_source_values[] = {"files", "manifest", 0};
+
 static const struct prl_key vm_keys[] = {
 	{.name = "name",
 	 .type = PRL_TYPE_STRING,
@@ -39,6 +41,28 @@
 	 .offset = offsetof(struct prl_settings_listen, rpc),
 	 .required = 1,
 	 .unit = ""},
+	{.name = "lookup",
+	 .type = PRL_TYPE_ADDRESS,
+	 .offset = offsetof(struct prl_settings_listen, lookup),
+	 .unit = ""},
+	{.name = "ready",
+	 .type = PRL_TYPE_ADDRESS,
+	 .offset = offsetof(struct prl_settings_listen, ready),
+	 .unit = ""},
+	{.name = "metrics",
+	 .type = PRL_TYPE_ADDRESS,
+	 .offset = offsetof(struct prl_settings_listen, metrics),
+	 .unit = ""},
+	{0},
+};
+
+static const struct prl_key steering_keys[] = {
+	{.name = "source",
+	 .type = PRL_TYPE_ENUM,
+	 .offset = offsetof(struct prl_settings_steering, source),
+	 .preset = "files",
+	 .values = steering_source_values,
+	 .unit = ""},
 	{0},
 };
 
@@ -80,6 +104,13 @@
 	 .min = 16,
 	 .max = 65536,
 	 .unit = ""},
+	{.name = "descriptors",
+	 .type = PRL_TYPE_INT,
+	 .offset = offsetof(struct prl_settings_traffic, descriptors),
+	 .preset = "0",
+	 .min = 0,
+	 .max = 1048576,
+	 .unit = ""},
 	{.name = "idle",
 	 .type = PRL_TYPE_INT,
 	 .offset = offsetof(struct prl_settings_traffic, idle),
@@ -143,6 +174,24 @@
 	{0},
 };
 
+static const struct prl_key domain_keys[] = {
+	{.name = "region",
+	 .type = PRL_TYPE_STRING,
+	 .offset = offsetof(struct prl_settings_domain, region),
+	 .required = 1,
+	 .unit = ""},
+	{0},
+};
+
+static const struct prl_key bound_keys[] = {
+	{.name = "is",
+	 .type = PRL_TYPE_STRING,
+	 .offset = offsetof(struct prl_settings_bound, is),
+	 .required = 1,
+	 .unit = ""},
+	{0},
+};
+
 static const struct prl_key seed_keys[] = {
 	{.name = "address",
 	 .type = PRL_TYPE_ADDRESS,
@@ -163,6 +212,11 @@
 	 .keys = listen_keys,
 	 .size = sizeof(struct prl_settings_listen),
 	 .offset = offsetof(struct prl_settings, listen)},
+	{.name = "steering",
+	 .many = 0,
+	 .keys = steering_keys,
+	 .size = sizeof(struct prl_settings_steering),
+	 .offset = offsetof(struct prl_settings, steering)},
 	{.name = "store",
 	 .many = 0,
 	 .keys = store_keys,
@@ -178,6 +232,18 @@
 	 .keys = control_keys,
 	 .size = sizeof(struct prl_settings_control),
 	 .offset = offsetof(struct prl_settings, control)},
+	{.name = "domain",
+	 .many = 1,
+	 .keys = domain_keys,
+	 .size = sizeof(struct prl_settings_domain),
+	 .offset = offsetof(struct prl_settings, domain),
+	 .count_offset = offsetof(struct prl_settings, ndomain)},
+	{.name = "bound",
+	 .many = 1,
+	 .keys = bound_keys,
+	 .size = sizeof(struct prl_settings_bound),
+	 .offset = offsetof(struct prl_settings, bound),
+	 .count_offset = offsetof(struct prl_settings, nbound)},
 	{.name = "seed",
 	 .many = 1,
 	 .keys = seed_keys,
--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -1,5 +1,6 @@
-/* Stand-in for the platform's object store: versions, conditional updates
- * and watches over HTTP, with outages, slowness and lost answers on demand. */
+/* Stand-in for the platform's object store: kinds of objects in pages,
+ * conditional updates and watches over HTTP, with outages, slowness, lost
+ * answers and lost history on demand. */
 #include "answer.h"
 #include <apr_general.h>
 #include <glib.h>
@@ -12,27 +13,35 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Objects in one page of a list. */
+#define PAGE 100
+
+#define OBJECTS "/api/objects/"
+
+/* An object; the key is its kind, a slash and its name. A removed one has no
+ * value and stays as long as the history does. */
 struct object {
 	char *key;
 	int64_t version;
-	char *value;
-	size_t len;
+	json_t *value;
 };
 
 /* A request, from its first line until its answer is sent. */
 struct request {
 	struct MHD_Connection *conn;
 	char method[8];
-	char path[STORE_KEY_MAX + 32];
+	char path[STORE_KEY_MAX * 3 + 32];
+	/** Kind and name that the path names; the name may be empty. */
+	char kind[STORE_KEY_MAX];
+	char key[STORE_KEY_MAX * 3];
 	GString *body;
 	struct loop_timer timer;
 	int suspended;
 	int ready;
 	/* A write takes effect once, before its answer is delayed or lost. */
 	int applied;
-	int64_t result;
 	unsigned int status;
-	char prefix[STORE_KEY_MAX];
+	char *result;
 	int64_t after;
 	struct request *next;
 };
@@ -42,8 +51,11 @@
 	struct serve serve;
 	GHashTable *objects;
 	int64_t revision;
+	/** Changes up to this revision are forgotten. */
+	int64_t compacted;
 	struct request *watches;
 	int64_t down_until;
+	int64_t busy_until;
 	int64_t slow_ms;
 	int64_t lose;
 	int64_t vm_lag_ms;
@@ -73,7 +85,7 @@
 	struct object *o = p;
 
 	g_free(o->key);
-	g_free(o->value);
+	json_decref(o->value);
 	g_free(o);
 }
 
@@ -85,7 +97,23 @@
 	return x->version < y->version ? -1 : x->version > y->version;
 }
 
-static GPtrArray *collect(const char *prefix, int64_t after)
+static int by_key(const void *a, const void *b)
+{
+	const struct object *x = *(struct object *const *)a;
+	const struct object *y = *(struct object *const *)b;
+
+	return strcmp(x->key, y->key);
+}
+
+static int is_kind(const char *key, const char *kind)
+{
+	size_t n = strlen(kind);
+
+	return !strncmp(key, kind, n) && key[n] == '/';
+}
+
+/* Objects of a kind that changed after a revision, removed ones too. */
+static GPtrArray *collect(const char *kind, int64_t after)
 {
 	GPtrArray *found = g_ptr_array_new();
 	GHashTableIter it;
@@ -95,38 +123,77 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct object *o = value;
 
-		if (o->version > after && g_str_has_prefix(o->key, prefix))
+		if (o->version > after && is_kind(o->key, kind))
 			g_ptr_array_add(found, o);
 	}
-	g_ptr_array_sort(found, by_version);
 	return found;
 }
 
-static enum MHD_Result answer_list(struct MHD_Connection *conn,
-				   const char *prefix, int64_t after)
+static json_t *object_json(const struct object *o)
+{
+	return json_pack(
+		"{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata", "name",
+		strchr(o->key, '/') + 1, "revision", (json_int_t)o->version,
+		"created", (json_int_t)o->version, "finalizers", "deleting", 0,
+		"specification", o->value ? o->value : json_null(), "status");
+}
+
+static enum MHD_Result answer_json(struct MHD_Connection *conn,
+				   unsigned int status, json_t *root)
 {
-	GPtrArray *found = collect(prefix, after);
-	json_t *objects = json_array();
-	enum MHD_Result rc;
-	json_t *root;
-	char *text;
+	char *text = json_dumps(root, JSON_COMPACT);
+	enum MHD_Result rc = answer_bytes(conn, status, text, strlen(text));
 
+	json_decref(root);
+	free(text);
+	return rc;
+}
+
+static enum MHD_Result answer_list(struct request *r)
+{
+	const char *after = MHD_lookup_connection_value(
+		r->conn, MHD_GET_ARGUMENT_KIND, "after");
+	GPtrArray *found = collect(r->kind, 0);
+	json_t *items = json_array();
+	char *from = g_strdup(after ? after : "");
+	int more = 0;
+
+	MHD_http_unescape(from);
+	g_ptr_array_sort(found, by_key);
+	for (guint i = 0; i < found->len && !more; i++) {
+		const struct object *o = g_ptr_array_index(found, i);
+
+		if (!o->value || strcmp(strchr(o->key, '/') + 1, from) <= 0)
+			continue;
+		more = json_array_size(items) == PAGE;
+		if (!more)
+			json_array_append_new(items, object_json(o));
+	}
+	g_free(from);
+	g_ptr_array_free(found, TRUE);
+	return answer_json(r->conn, MHD_HTTP_OK,
+			   json_pack("{s:o, s:b, s:I}", "items", items,
+				     "has_more", more, "current_rev",
+				     (json_int_t)st.revision));
+}
+
+static enum MHD_Result answer_events(struct request *r)
+{
+	GPtrArray *found = collect(r->kind, r->after);
+	json_t *events = json_array();
+
+	g_ptr_array_sort(found, by_version);
 	for (guint i = 0; i < found->len; i++) {
 		const struct object *o = g_ptr_array_index(found, i);
 
-		json_array_append_new(
-			objects, json_pack("{s:s, s:I, s:s%}", "key", o->key,
-					   "version", (json_int_t)o->version,
-					   "value", o->value, o->len));
+		json_array_append_new(events, json_pack("{s:b, s:o}", "removed",
+							!o->value, "object",
+							object_json(o)));
 	}
 	g_ptr_array_free(found, TRUE);
-	root = json_pack("{s:I, s:o}", "revision", (json_int_t)st.revision,
-			 "objects", objects);
-	text = json_dumps(root, JSON_COMPACT);
-	rc = answer_bytes(conn, MHD_HTTP_OK, text, strlen(text));
-	json_decref(root);
-	free(text);
-	return rc;
+	return answer_json(r->conn, MHD_HTTP_OK,
+			   json_pack("{s:o, s:I}", "events", events,
+				     "current_rev", (json_int_t)st.revision));
 }
 
 static void resume(struct request *r)
@@ -152,7 +219,7 @@
 	while (*p) {
 		struct request *r = *p;
 
-		if (!g_str_has_prefix(key, r->prefix)) {
+		if (key && !is_kind(key, r->kind)) {
 			p = &r->next;
 			continue;
 		}
@@ -161,25 +228,24 @@
 	}
 }
 
-static int64_t put_now(const char *key, const char *value, size_t len)
+/* Takes over the value; null removes the object. */
+static const struct object *put_now(const char *key, json_t *value)
 {
 	struct object *o = g_new0(struct object, 1);
 
 	o->key = g_strdup(key);
 	o->version = ++st.revision;
-	o->value = g_memdup2(value, len + 1);
-	o->len = len;
+	o->value = value;
 	g_hash_table_replace(st.objects, o->key, o);
 	wake_watches(key);
-	return o->version;
+	return o;
 }
 
 /* A change of the VM list that shows only after its lag. */
 struct late_put {
 	struct loop_timer timer;
 	char *key;
-	char *value;
-	size_t len;
+	json_t *value;
 };
 
 static void late_due(struct loop_timer *t, int64_t now)
@@ -187,85 +253,112 @@
 	struct late_put *late = t->ctx;
 
 	(void)now;
-	put_now(late->key, late->value, late->len);
+	put_now(late->key, late->value);
 	loop_timer_remove(&st.loop, t);
 	g_free(late->key);
-	g_free(late->value);
 	g_free(late);
 }
 
-static void put_late(const char *key, const char *value, size_t len)
+static void put_late(const char *key, json_t *value)
 {
 	struct late_put *late = g_new0(struct late_put, 1);
 
 	late->key = g_strdup(key);
-	late->value = g_memdup2(value, len + 1);
-	late->len = len;
+	late->value = value;
 	late->timer.due = late_due;
 	late->timer.ctx = late;
 	loop_timer_add(&st.loop, &late->timer);
 	late->timer.deadline = prl_now_ms() + st.vm_lag_ms;
 }
 
-static void apply_put(struct request *r)
+static void refuse_write(struct request *r, unsigned int status,
+			 const struct object *o)
 {
-	const char *key = r->path + strlen("/v1/objects/");
-	const struct object *o = g_hash_table_lookup(st.objects, key);
-	const char *want = MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND,
-						       "If-Version");
-	int64_t have = o && o->len ? o->version : 0;
+	json_t *root = o && o->value ? object_json(o) : json_object();
+
+	r->status = status;
+	r->result = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	st.conflicts += status == MHD_HTTP_CONFLICT;
+}
+
+static void write_done(struct request *r, const struct object *o)
+{
+	json_t *root = object_json(o);
 
-	r->applied = 1;
-	st.writes++;
-	/* A removed object counts as absent, or as its last version. */
-	if (want && strtoll(want, NULL, 10) != have &&
-	    !(o && strtoll(want, NULL, 10) == o->version)) {
-		st.conflicts++;
-		r->status = MHD_HTTP_CONFLICT;
-		r->result = o ? o->version : 0;
-		return;
-	}
 	r->status = MHD_HTTP_OK;
-	if (st.vm_lag_ms && g_str_has_prefix(key, STORE_PREFIX_VM)) {
-		put_late(key, r->body->str, r->body->len);
-		r->result = st.revision;
+	r->result = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+}
+
+static void apply_removal(struct request *r)
+{
+	const struct object *o = g_hash_table_lookup(st.objects, r->key);
+	int64_t want = query_int(r->conn, "revision", 0);
+
+	if (!o || !o->value)
+		refuse_write(r, MHD_HTTP_NOT_FOUND, NULL);
+	else if (want && want != o->version)
+		refuse_write(r, MHD_HTTP_CONFLICT, o);
+	else
+		write_done(r, put_now(r->key, NULL));
+}
+
+static void apply_body(struct request *r, json_t *body)
+{
+	json_t *meta = json_object_get(body, "metadata");
+	const char *name = json_string_value(json_object_get(meta, "name"));
+	int64_t want = json_integer_value(json_object_get(meta, "revision"));
+	int create = !strcmp(r->method, "POST");
+	const struct object *o;
+
+	if (!name) {
+		refuse_write(r, MHD_HTTP_BAD_REQUEST, NULL);
 		return;
 	}
-	r->result = put_now(key, r->body->str, r->body->len);
+	g_snprintf(r->key, sizeof(r->key), "%s/%s", r->kind, name);
+	o = g_hash_table_lookup(st.objects, r->key);
+	if (!create && (!o || !o->value))
+		refuse_write(r, MHD_HTTP_NOT_FOUND, NULL);
+	else if (o && o->value && (create || (want && want != o->version)))
+		refuse_write(r, MHD_HTTP_CONFLICT, o);
+	else
+		write_done(r, put_now(r->key, json_incref(json_object_get(
+						      body, "specification"))));
 }
 
-static enum MHD_Result finish_put(struct request *r)
+/* A write takes effect once, before its answer is delayed or lost. */
+static void apply_write(struct request *r)
 {
-	char version[32];
+	json_t *body;
 
+	r->applied = 1;
+	st.writes++;
+	if (!strcmp(r->method, "DELETE")) {
+		apply_removal(r);
+		return;
+	}
+	body = json_loadb(r->body->str, r->body->len, 0, NULL);
+	apply_body(r, body);
+	json_decref(body);
+}
+
+static enum MHD_Result finish_write(struct request *r)
+{
 	if (st.lose > 0) {
 		st.lose--;
 		return MHD_NO;
 	}
-	snprintf(version, sizeof(version), "%lld", (long long)r->result);
-	return answer_header(r->conn, r->status, "", 0, "Version", version);
+	return answer_bytes(r->conn, r->status, r->result, strlen(r->result));
 }
 
 static enum MHD_Result answer_get(struct request *r)
 {
-	const char *key = r->path + strlen("/v1/objects/");
-	const struct object *o = g_hash_table_lookup(st.objects, key);
-	char version[32];
+	const struct object *o = g_hash_table_lookup(st.objects, r->key);
 
-	if (!o)
+	if (!o || !o->value)
 		return answer_bytes(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
-	snprintf(version, sizeof(version), "%lld", (long long)o->version);
-	return answer_header(r->conn, MHD_HTTP_OK, o->value, o->len, "Version",
-			     version);
-}
-
-static void read_prefix(struct request *r)
-{
-	const char *prefix = MHD_lookup_connection_value(
-		r->conn, MHD_GET_ARGUMENT_KIND, "prefix");
-
-	snprintf(r->prefix, sizeof(r->prefix), "%s", prefix ? prefix : "");
-	r->after = query_int(r->conn, "after", 0);
+	return answer_json(r->conn, MHD_HTTP_OK, object_json(o));
 }
 
 static enum MHD_Result handle_watch(struct request *r)
@@ -273,32 +366,71 @@
 	GPtrArray *found;
 	guint n;
 
+	if (r->after < st.compacted)
+		return answer_bytes(r->conn, MHD_HTTP_GONE, "{}", 2);
 	if (r->ready)
-		return answer_list(r->conn, r->prefix, r->after);
-	read_prefix(r);
+		return answer_events(r);
 	r->ready = 1;
 	st.waits++;
-	found = collect(r->prefix, r->after);
+	found = collect(r->kind, r->after);
 	n = found->len;
 	g_ptr_array_free(found, TRUE);
 	if (n)
-		return answer_list(r->conn, r->prefix, r->after);
+		return answer_events(r);
 	r->next = st.watches;
 	st.watches = r;
-	suspend(r, prl_now_ms() + query_int(r->conn, "wait", 1000));
+	suspend(r, prl_now_ms() + query_int(r->conn, "wait_ms", 1000));
 	return MHD_YES;
 }
 
+static gboolean is_removed(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct object *o = value;
+
+	(void)key;
+	(void)ctx;
+	return !o->value;
+}
+
+/* Forgets the history: watches from before must list again. */
+static void compact(void)
+{
+	g_hash_table_foreach_remove(st.objects, is_removed, NULL);
+	st.compacted = ++st.revision;
+	wake_watches(NULL);
+}
+
+/* What the platform itself writes: a value at a key, after its lag. */
+static void admin_put(const struct request *r)
+{
+	const char *key = r->path + strlen("/admin/objects/");
+	json_t *value = NULL;
+
+	if (r->body->len)
+		value = json_loadb(r->body->str, r->body->len, 0, NULL);
+	if (r->body->len && !value)
+		value = json_stringn(r->body->str, r->body->len);
+	if (st.vm_lag_ms && g_str_has_prefix(key, STORE_PREFIX_VM))
+		put_late(key, value);
+	else
+		put_now(key, value);
+}
+
 static enum MHD_Result handle_admin(struct request *r)
 {
 	char text[320];
 
 	if (!strcmp(r->path, "/admin/faults")) {
 		st.down_until = prl_now_ms() + query_int(r->conn, "down_ms", 0);
+		st.busy_until = prl_now_ms() + query_int(r->conn, "busy_ms", 0);
 		st.slow_ms = query_int(r->conn, "slow_ms", st.slow_ms);
 		st.lose = query_int(r->conn, "lose", st.lose);
 		st.vm_lag_ms = query_int(r->conn, "vm_lag_ms", st.vm_lag_ms);
+		if (query_int(r->conn, "compact", 0))
+			compact();
 	}
+	if (g_str_has_prefix(r->path, "/admin/objects/"))
+		admin_put(r);
 	snprintf(text, sizeof(text),
 		 "{\"reads\":%llu,\"writes\":%llu,\"watches\":%llu,"
 		 "\"conflicts\":%llu,\"busiest_second\":%lld,"
@@ -309,22 +441,44 @@
 	return answer_bytes(r->conn, MHD_HTTP_OK, text, strlen(text));
 }
 
+static int is_write(const struct request *r)
+{
+	return strcmp(r->method, "GET") != 0;
+}
+
+/* Reads the kind and the name out of the path. Returns 0, or -1. */
+static int read_path(struct request *r)
+{
+	const char *kind = r->path + strlen(OBJECTS);
+	const char *slash;
+	char *name;
+
+	if (!g_str_has_prefix(r->path, OBJECTS) ||
+	    strlen(kind) >= STORE_KEY_MAX)
+		return -1;
+	slash = strchr(kind, '/');
+	snprintf(r->kind, sizeof(r->kind), "%.*s", (int)strcspn(kind, "/"),
+		 kind);
+	r->key[0] = 0;
+	if (!slash)
+		return 0;
+	name = g_strdup(slash + 1);
+	MHD_http_unescape(name);
+	g_snprintf(r->key, sizeof(r->key), "%s/%s", r->kind, name);
+	g_free(name);
+	return 0;
+}
+
 static enum MHD_Result handle_call(struct request *r)
 {
-	if (!strcmp(r->method, "PUT"))
-		return finish_put(r);
-	if (g_str_has_prefix(r->path, "/v1/objects/")) {
-		st.reads++;
-		return answer_get(r);
-	}
-	if (!strcmp(r->path, "/v1/list")) {
-		st.reads++;
-		read_prefix(r);
-		return answer_list(r->conn, r->prefix, r->after);
-	}
-	if (!strcmp(r->path, "/v1/watch"))
+	if (is_write(r))
+		return finish_write(r);
+	if (query_int(r->conn, "watch", -1) >= 0)
 		return handle_watch(r);
-	return answer_bytes(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
+	st.reads++;
+	if (r->key[0])
+		return answer_get(r);
+	return answer_list(r);
 }
 
 static enum MHD_Result handle_whole(struct request *r)
@@ -333,12 +487,18 @@
 		return handle_admin(r);
 	if (prl_now_ms() < st.down_until)
 		return MHD_NO;
+	if (prl_now_ms() < st.busy_until)
+		return answer_bytes(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE, "",
+				    0);
+	if (!r->applied && read_path(r))
+		return answer_bytes(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
+	r->after = query_int(r->conn, "watch", 0);
 	if (!r->ready)
 		count_call();
-	if (!strcmp(r->method, "PUT") && !r->applied)
-		apply_put(r);
+	if (is_write(r) && !r->applied)
+		apply_write(r);
 	if (st.slow_ms && !r->ready) {
-		r->ready = strcmp(r->path, "/v1/watch") != 0;
+		r->ready = query_int(r->conn, "watch", -1) < 0;
 		if (r->ready) {
 			suspend(r, prl_now_ms() + st.slow_ms);
 			return MHD_YES;
@@ -389,7 +549,7 @@
 		return MHD_YES;
 	}
 	if (*len) {
-		if (r->body->len + *len > STORE_VALUE_MAX)
+		if (r->body->len + *len > 2 * STORE_VALUE_MAX)
 			return MHD_NO;
 		g_string_append_len(r->body, data, (gssize)*len);
 		*len = 0;
@@ -415,6 +575,7 @@
 		*p = r->next;
 	loop_timer_remove(&st.loop, &r->timer);
 	g_string_free(r->body, TRUE);
+	free(r->result);
 	g_free(r);
 	*state = NULL;
 }
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEAD_STEER_H
 
 #include <primroselead/address.h>
+#include <primroselead/fleet.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -53,12 +54,20 @@
 struct steer_upstream {
 	uint64_t id;
 	int region;
+	int domain;
 	enum steer_state state;
 	int slots;
 	int connections;
 	/** Handle of its counters in the process that sends to it. */
 	int cell;
 	char address[PRL_ADDRESS_MAX];
+	/** Name of its present start; empty if it has none. */
+	char instance[STEER_NAME_MAX];
+	/** Cold until this point of prl_now_ms. */
+	int64_t cold_until;
+	/** Requests that this VM may send it while it is cold, in thousandths
+	 * a second. */
+	int64_t cold_rate;
 };
 
 /** One region of a service. */
@@ -137,6 +146,37 @@
 	int cell;
 };
 
+/** A service's part of a route. */
+struct steer_part {
+	char service[STEER_NAME_MAX];
+	int weight;
+};
+
+/** How the requests of a route are to be treated. */
+struct steer_policy {
+	enum fleet_kind kind;
+	int64_t timeout_ms;
+	int64_t objective_ms;
+	/** Upstreams that one request may be sent to. */
+	int attempts;
+	/** Rank; 0 is the most urgent. */
+	int priority;
+	int sticky;
+	/** Regions that may serve it, a bit each; 0 means all. */
+	uint32_t homes;
+};
+
+/** A route of the operators' manifest. */
+struct steer_route {
+	char host[FLEET_HOST_MAX];
+	char prefix[FLEET_PATH_MAX];
+	struct steer_policy policy;
+	struct steer_part part[FLEET_PARTS_MAX];
+	int npart;
+	/** Handle of its counters in this process. */
+	int cell;
+};
+
 /** All that decisions are made from; immutable once built. */
 struct steer_view {
 	int64_t revision;
@@ -154,6 +194,14 @@
 	 * view before. */
 	struct steer_service **service;
 	int nservice;
+	/** Version of the operators' manifest; 0 if services are published as
+	 * files. Its routes are sorted by host, longest prefix first. */
+	int64_t manifest;
+	struct steer_route *route;
+	int nroute;
+	struct fleet_limits limits;
+	/** Entry VMs that take work, this one included. */
+	int nactive;
 };
 
 /** Index of a service by name, or STEER_NONE. */
@@ -163,6 +211,11 @@
 /** Index of a region by name, or STEER_NONE. */
 int steer_find_region(const struct steer_view *v, const char *name);
 
+/** Route with the longest prefix of a path for a host, without regard to its
+ * port and case; null if there is none. */
+const struct steer_route *steer_find_route(const struct steer_view *v,
+					   const char *host, const char *path);
+
 /** Whether the service's file says that a request runs at most once. */
 int steer_never_twice(const struct steer_service *s, const char *method,
 		      const char *path);
@@ -197,6 +250,13 @@
 void steer_lookup(const struct steer_view *v, const struct steer_ask *ask,
 		  struct steer_answer *out);
 
+/** Most entry VMs that one look-up by place names. */
+#define STEER_NEAR_MAX 64
+
+/** Fills the active entry VMs of a region, and returns their number. Those of
+ * all regions if the region has too few to bear a loss, or is STEER_NONE. */
+int steer_near(const struct steer_view *v, int region, int vm[STEER_NEAR_MAX]);
+
 /** Handle of a link's hold, or STEER_NONE if the link isn't limited. */
 int steer_link_hold(const struct steer_service *s, int from, int to);
 
@@ -210,7 +270,7 @@
 };
 
 /** Regions to try for one request, in order. */
-struct steer_route {
+struct steer_order {
 	int region[STEER_REGIONS_MAX];
 	enum steer_reason reason[STEER_REGIONS_MAX];
 	int n;
@@ -231,8 +291,8 @@
 int steer_moved(const struct steer_shift *shift, int home, uint64_t block);
 
 /** Regions to try for a request with this home; moved as decided before. */
-void steer_route(const struct steer_service *s, int home, int moved,
-		 struct steer_route *out);
+void steer_order(const struct steer_service *s, int home, int moved,
+		 struct steer_order *out);
 
 /** What this process knows of an upstream's load. */
 struct steer_load {
@@ -282,6 +342,102 @@
  */
 int steer_pick(const struct steer_pick *p);
 
+/** What this process believes of one upstream when it places a request. */
+struct steer_belief {
+	/** It may be sent a request now. */
+	int open;
+	/** Requests that run or wait there, in thousandths. */
+	int64_t inflight;
+	/** Its time for a request against that of its region, in thousandths.
+	 */
+	int64_t slowness;
+	/** Smoothed share of failures, in permille. */
+	int failures;
+};
+
+/** Most upstreams that one request is tried at. */
+#define STEER_TRIED_MAX 8
+
+/** A request that is to be placed at an upstream of one region. */
+struct steer_placing {
+	const struct steer_upstream *upstream;
+	const struct steer_belief *belief;
+	int n;
+	/** Hash of its object; upstreams that handled it are faster. */
+	uint64_t object;
+	/** The object decides which upstream is fast. */
+	int sticky;
+	/** Ids of upstreams tried before. */
+	const uint64_t *tried;
+	int ntried;
+	/** Time of a request at an upstream without a queue, in ms. */
+	int64_t hold_ms;
+	/** Longest wait in an upstream's queue that is of use, in ms. */
+	int64_t wait_max_ms;
+};
+
+/** Where a request was placed. */
+struct steer_placed {
+	/** Index of the upstream, or STEER_NONE. */
+	int upstream;
+	/** Expected wait there; without an upstream, the shortest found. */
+	int64_t wait_ms;
+	/** Place of the upstream in the object's order; 0 is its home. */
+	int rank;
+};
+
+/**
+ * Places a request by rendezvous hashing of its object with bounded load: the
+ * object's first upstream while it has room, further ones of its order as far
+ * as their room makes up for objects that they don't have at hand. All VMs
+ * have the same order without talk, and an upstream that comes or goes moves
+ * only its own objects. Answers the load of many requests for few objects that
+ * are several times faster where they were handled lately.
+ */
+void steer_place_request(const struct steer_placing *p,
+			 struct steer_placed *out);
+
+/** What is believed of a region's upstreams when shares are decided. */
+struct steer_region_load {
+	/** Slots of upstreams that take work. */
+	int64_t slots;
+	/** Requests that run or wait there, in thousandths. */
+	int64_t inflight;
+};
+
+/** Shares of one region's requests among the regions that serve them. */
+struct steer_shares {
+	/** In millionths; they sum to a million, or all are 0. */
+	int64_t weight[STEER_REGIONS_MAX];
+	/** Debts of the regions to their shares, for an even sequence. */
+	int64_t credit[STEER_REGIONS_MAX];
+	int64_t updated_ms;
+	int ready;
+};
+
+/**
+ * Moves the shares towards the regions with room, at a bounded pace. Answers
+ * waves of callers that outgrow their own region: how fast requests may change
+ * the region that serves them is limited, so the shares follow the smoothed
+ * load instead of the moment's. A region without any slots loses its share at
+ * once. "pace" is the greatest change of a share, in millionths a second.
+ */
+void steer_shares_update(struct steer_shares *s,
+			 const struct steer_region_load *load, int nregion,
+			 int own, int64_t pace, int64_t now_ms);
+
+/**
+ * Region for the next request, so that any run of requests has the shares
+ * nearly exactly. Only regions in the mask count. STEER_NONE if none has a
+ * share.
+ */
+int steer_shares_next(struct steer_shares *s, uint32_t mask);
+
+/** Part of a route for the next request, in the proportion of the weights;
+ * "credit" holds the debts to the parts. STEER_NONE if no part has weight. */
+int steer_next_part(const struct steer_route *r,
+		    int64_t credit[FLEET_PARTS_MAX]);
+
 /** Progress of a shift, as kept in the store. */
 struct steer_progress {
 	uint64_t plan;
--- /dev/null
+++ b/steer/src/match.c
@@ -0,0 +1,44 @@
+#include <primroselead/steer.h>
+#include <string.h>
+#include <strings.h>
+
+/* Order of a host as a caller wrote it, its port left out, and a route's. */
+static int compare_host(const char *host, size_t len, const char *route)
+{
+	int order = strncasecmp(host, route, len);
+
+	return order ? order : -(route[len] != 0);
+}
+
+static int first_of_host(const struct steer_view *v, const char *host,
+			 size_t len)
+{
+	int low = 0;
+	int high = v->nroute;
+
+	while (low < high) {
+		int mid = (low + high) / 2;
+
+		if (compare_host(host, len, v->route[mid].host) > 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+const struct steer_route *steer_find_route(const struct steer_view *v,
+					   const char *host, const char *path)
+{
+	size_t len = strcspn(host, ":");
+
+	for (int i = first_of_host(v, host, len); i < v->nroute; i++) {
+		const struct steer_route *r = &v->route[i];
+
+		if (compare_host(host, len, r->host))
+			return NULL;
+		if (!strncmp(path, r->prefix, strlen(r->prefix)))
+			return r;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/steer/src/near.c
@@ -0,0 +1,24 @@
+#include <primroselead/steer.h>
+
+/* VMs of a region that are enough for its callers. */
+#define ENOUGH 2
+
+static int fill(const struct steer_view *v, int first, int end,
+		int vm[STEER_NEAR_MAX])
+{
+	int n = 0;
+
+	for (int i = first; i < end && n < STEER_NEAR_MAX; i++)
+		if (v->vm[i].state == STEER_ACTIVE)
+			vm[n++] = i;
+	return n;
+}
+
+int steer_near(const struct steer_view *v, int region, int vm[STEER_NEAR_MAX])
+{
+	int n = 0;
+
+	if (region != STEER_NONE)
+		n = fill(v, v->first_vm[region], v->first_vm[region + 1], vm);
+	return n >= ENOUGH ? n : fill(v, 0, v->nvm, vm);
+}
--- a/steer/src/route.c
+++ b/steer/src/order.c
@@ -43,7 +43,7 @@
 	return prl_hash_pair(block, SHIFT_SEED) % PERMILLE < (uint64_t)share;
 }
 
-static void add(const struct steer_service *s, struct steer_route *out,
+static void add(const struct steer_service *s, struct steer_order *out,
 		int region, enum steer_reason reason)
 {
 	if (s->place[region].capacity <= 0)
@@ -56,8 +56,8 @@
 	out->n++;
 }
 
-void steer_route(const struct steer_service *s, int home, int moved,
-		 struct steer_route *out)
+void steer_order(const struct steer_service *s, int home, int moved,
+		 struct steer_order *out)
 {
 	const struct steer_place *place = &s->place[home];
 
--- /dev/null
+++ b/steer/src/place.c
@@ -0,0 +1,123 @@
+#include <primroselead/hash.h>
+#include <primroselead/steer.h>
+
+/* Upstreams of an object's order that are weighed one by one. */
+#define RANKS 4
+
+/* Expected share of requests that find their object at hand no more, a rank
+ * further down the object's order, in permille of the time they then lose. */
+#define RANK_LOSS_PERMILLE 500
+
+/* Cost of a failure in requests' times. */
+#define FAILURE_COST 2
+
+#define THOUSAND 1000
+
+static int was_tried(const struct steer_placing *p, int i)
+{
+	for (int k = 0; k < p->ntried; k++)
+		if (p->tried[k] == p->upstream[i].id)
+			return 1;
+	return 0;
+}
+
+static int usable(const struct steer_placing *p, int i)
+{
+	return p->upstream[i].state == STEER_ACTIVE && p->belief[i].open &&
+	       !was_tried(p, i);
+}
+
+static int64_t wait_at(const struct steer_placing *p, int i)
+{
+	int64_t slots = p->upstream[i].slots;
+	int64_t beyond = p->belief[i].inflight + THOUSAND - slots * THOUSAND;
+
+	if (beyond <= 0)
+		return 0;
+	return beyond * p->hold_ms / (slots * THOUSAND);
+}
+
+/* Expected time of the request there, in ms. */
+static int64_t cost_at(const struct steer_placing *p, int i, int rank)
+{
+	const struct steer_belief *b = &p->belief[i];
+	int64_t time = wait_at(p, i) + p->hold_ms;
+
+	if (b->slowness > THOUSAND)
+		time = time * b->slowness / THOUSAND;
+	time += p->hold_ms * FAILURE_COST * b->failures / THOUSAND;
+	if (p->sticky)
+		time += p->hold_ms * RANK_LOSS_PERMILLE * rank / THOUSAND;
+	return time;
+}
+
+static uint64_t affinity(const struct steer_placing *p, int i)
+{
+	return prl_hash_pair(p->object, p->upstream[i].id);
+}
+
+/* The usable upstream with the greatest hash below a bound. */
+static int next_ranked(const struct steer_placing *p, uint64_t below)
+{
+	uint64_t most = 0;
+	int best = STEER_NONE;
+
+	for (int i = 0; i < p->n; i++) {
+		uint64_t h;
+
+		if (!usable(p, i))
+			continue;
+		h = affinity(p, i);
+		if (h < below && h >= most) {
+			most = h;
+			best = i;
+		}
+	}
+	return best;
+}
+
+/* Takes an upstream if it is the cheapest so far and its wait is of use. */
+static void consider(const struct steer_placing *p, int i, int rank,
+		     int64_t *least, struct steer_placed *out)
+{
+	int64_t wait = wait_at(p, i);
+	int64_t cost;
+
+	if (out->upstream == STEER_NONE &&
+	    (out->wait_ms < 0 || wait < out->wait_ms))
+		out->wait_ms = wait;
+	if (wait > p->wait_max_ms)
+		return;
+	cost = cost_at(p, i, rank);
+	if (out->upstream != STEER_NONE && cost >= *least)
+		return;
+	*least = cost;
+	out->upstream = i;
+	out->wait_ms = wait;
+	out->rank = rank;
+}
+
+void steer_place_request(const struct steer_placing *p,
+			 struct steer_placed *out)
+{
+	uint64_t below = UINT64_MAX;
+	int64_t least = 0;
+	int rank = 0;
+
+	out->upstream = STEER_NONE;
+	out->wait_ms = -1;
+	out->rank = 0;
+	for (; rank < RANKS; rank++) {
+		int i = next_ranked(p, below);
+
+		if (i == STEER_NONE)
+			break;
+		below = affinity(p, i);
+		consider(p, i, rank, &least, out);
+	}
+	for (int i = 0; rank == RANKS && i < p->n; i++)
+		if (usable(p, i) && affinity(p, i) < below)
+			consider(p, i, RANKS, &least, out);
+	if (out->wait_ms < 0)
+		out->wait_ms = 0;
+}
--- a/steer/test/test_steer.c
+++ b/steer/test/test_steer.c
@@ -209,7 +209,7 @@
 
 static void test_route(void **state)
 {
-	struct steer_route r;
+	struct steer_order r;
 
 	(void)state;
 	for (unsigned int seed = 0; seed < 300; seed++) {
@@ -221,7 +221,7 @@
 			if (home == STEER_NONE)
 				continue;
 			assert_true(service.place[home].capacity > 0);
-			steer_route(&service, home, moved, &r);
+			steer_order(&service, home, moved, &r);
 			for (int i = 0; i < r.n; i++) {
 				assert_true(
 					service.place[r.region[i]].capacity >
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -27,8 +27,11 @@
 /** Ledgers of capacity, by service. */
 #define STORE_PREFIX_GRANT "grants/"
 
-/** Logs of claims, by shard and slot. */
-#define STORE_PREFIX_CLAIM "claims/"
+/** Logs of claims, by shard and slot; a kind for each shard. */
+#define STORE_PREFIX_CLAIM "claims-"
+
+/** Entry VMs that registered themselves, by name. */
+#define STORE_KIND_VM "entry-vms"
 
 /** What a call asks of the store. */
 enum store_op {
@@ -36,13 +39,15 @@
 	STORE_GET,
 	/** Conditional update of one object; an empty value removes it. */
 	STORE_PUT,
-	/** All objects whose key begins with the given text. */
+	/** All objects of the key's kind. */
 	STORE_LIST,
-	/** As list, those changed after a revision; waits for a change. */
+	/** As list, those changed after a revision, a removed one with an
+	 * empty value; waits for a change. */
 	STORE_WATCH,
 };
 
-/** One object. Versions are revisions of the store; 0 means none. */
+/** One object. The key is its kind, a slash, and its name. Versions are
+ * revisions of the store; 0 means none. */
 struct store_object {
 	char key[STORE_KEY_MAX];
 	int64_t version;
@@ -66,14 +71,14 @@
 	void *ctx;
 
 	/** PRL_OK, PRL_E_NOT_FOUND, PRL_E_CONFLICT (PUT: nothing written),
-	 * PRL_E_STORE_DOWN (PUT: certainly nothing written) or
-	 * PRL_E_UNSETTLED (PUT: may have been written). */
+	 * PRL_E_STALE (WATCH: list again), PRL_E_STORE_DOWN (PUT: certainly
+	 * nothing written) or PRL_E_UNSETTLED (PUT: may have been written). */
 	struct prl_error err;
 	/** Objects read; freed by store_call_finish. */
 	struct store_object *object;
 	int nobject;
-	/** PUT: the new version, or at a conflict the current one; else the
-	 * revision of the store that the answer shows. */
+	/** PUT: the new version, or at a conflict the current one, 0 if the
+	 * answer did not say; else the revision that the answer shows. */
 	int64_t revision;
 
 	/* The rest belongs to the client. */
@@ -82,7 +87,8 @@
 	struct curl_slist *headers;
 	char *answer;
 	size_t nanswer;
-	size_t sent;
+	char *body;
+	int more;
 	int active;
 	int issued;
 };
--- a/store/src/answer.c
+++ b/store/src/answer.c
@@ -1,72 +1,76 @@
 #include "answer.h"
-#include <jansson.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static enum prl_code bad(struct store_call *c, const char *what)
+/* Takes over one object of a page. */
+static enum prl_code take(struct store_call *c, struct platform_object *from)
 {
-	return prl_fail(&c->err, PRL_E_PROTOCOL, "store, list \"%s\": %s",
-			c->key, what);
-}
-
-static enum prl_code read_object(struct store_call *c, json_t *item,
-				 struct store_object *o)
-{
-	const char *key;
-	const char *value;
-	json_int_t version;
-	size_t len;
+	struct store_object *o = &c->object[c->nobject];
+	int kind = (int)strcspn(c->key, "/");
+	int n = snprintf(o->key, sizeof(o->key), "%.*s/%s", kind, c->key,
+			 from->name);
 
-	if (json_unpack(item, "{s:s, s:I, s:s%}", "key", &key, "version",
-			&version, "value", &value, &len))
-		return bad(c, "an object is not valid");
-	if (strlen(key) >= sizeof(o->key) || len > STORE_VALUE_MAX)
-		return bad(c, "an object is too long");
-	strcpy(o->key, key);
-	o->version = version;
-	o->value = malloc(len + 1);
+	if (n >= (int)sizeof(o->key))
+		return prl_fail(&c->err, PRL_E_PROTOCOL,
+				"store: the name \"%.60s\" is too long",
+				from->name);
+	o->version = from->version;
+	o->value = from->value ? from->value : calloc(1, 1);
+	from->value = NULL;
 	if (!o->value)
-		return prl_fail(&c->err, PRL_E_MEMORY, "store, \"%s\"", key);
-	memcpy(o->value, value, len);
-	o->value[len] = 0;
-	o->len = len;
+		return prl_fail(&c->err, PRL_E_MEMORY, "store: object \"%s\"",
+				o->key);
+	o->len = strlen(o->value);
 	c->nobject++;
 	return PRL_OK;
 }
 
-static enum prl_code read_objects(struct store_call *c, json_t *objects)
+static enum prl_code take_all(struct store_call *c, struct platform_page *page)
 {
-	size_t n = json_array_size(objects);
-	enum prl_code rc;
+	size_t n = (size_t)(c->nobject + page->n + 1);
+	struct store_object *more = realloc(c->object, n * sizeof(*more));
+	enum prl_code rc = PRL_OK;
+
+	if (!more)
+		return prl_fail(&c->err, PRL_E_MEMORY, "store: a list");
+	c->object = more;
+	for (int i = 0; i < page->n && !rc; i++)
+		rc = take(c, &page->object[i]);
+	return rc;
+}
 
-	c->object = calloc(n + 1, sizeof(*c->object));
-	if (!c->object)
-		return prl_fail(&c->err, PRL_E_MEMORY, "store, list");
-	for (size_t i = 0; i < n; i++) {
-		rc = read_object(c, json_array_get(objects, i), &c->object[i]);
-		if (rc)
-			return rc;
+static enum platform_form form_of(const struct store_call *c)
+{
+	switch (c->op) {
+	case STORE_LIST:
+		return PLATFORM_LIST;
+	case STORE_WATCH:
+		return PLATFORM_EVENTS;
+	case STORE_GET:
+	case STORE_PUT:
+		break;
 	}
-	return PRL_OK;
+	return PLATFORM_ONE;
 }
 
-enum prl_code store_read_list(struct store_call *c)
+enum prl_code store_read_answer(struct store_call *c)
 {
-	json_t *root = json_loadb(c->answer, c->nanswer, 0, NULL);
-	json_t *objects;
-	json_int_t revision;
+	struct platform_page page;
 	enum prl_code rc;
 
-	if (!root)
-		return bad(c, "the answer is not JSON");
-	if (json_unpack(root, "{s:I, s:o}", "revision", &revision, "objects",
-			&objects)) {
-		json_decref(root);
-		return bad(c, "the answer has no revision or no objects");
-	}
-	c->revision = revision;
-	rc = read_objects(c, objects);
-	json_decref(root);
+	/* The answer to a removal may be empty. */
+	if (c->op == STORE_PUT && !c->len)
+		return PRL_OK;
+	if (platform_page_read(c->answer, c->nanswer, form_of(c), &page,
+			       &c->err))
+		return c->err.code;
+	/* Changes since the first page of a list are yet to come. */
+	if (!c->revision)
+		c->revision = page.revision;
+	c->more = page.more && page.n;
+	rc = c->op == STORE_PUT ? PRL_OK : take_all(c, &page);
+	platform_page_finish(&page);
 	return rc;
 }
--- a/store/src/answer.h
+++ b/store/src/answer.h
@@ -3,7 +3,7 @@
 
 #include <primroselead/store.h>
 
-/** Reads the JSON answer of a list or watch into the call. */
-enum prl_code store_read_list(struct store_call *c);
+/** Reads the store's answer into the call; pages of a list add up. */
+enum prl_code store_read_answer(struct store_call *c);
 
 #endif
--- /dev/null
+++ b/store/src/follow.c
@@ -0,0 +1,136 @@
+#include <primroselead/clock.h>
+#include <primroselead/follow.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Time for a list, in milliseconds; the store may be slow. */
+#define LIST_MAX_MS 3000
+
+/* Time for a watch, in milliseconds; the store answers before. */
+#define WATCH_MAX_MS 14000
+
+/* Pause after a failed call, in milliseconds; it doubles up to the longest. */
+#define PAUSE_MIN_MS 100
+#define PAUSE_MAX_MS 800
+
+void store_follow_init(struct store_follow *f, struct store *s,
+		       const char *kind)
+{
+	memset(f, 0, sizeof(*f));
+	f->store = s;
+	snprintf(f->kind, sizeof(f->kind), "%s", kind);
+}
+
+/* Half of the pause is random, so that VMs do not come together. */
+static int64_t pause_ms(const struct store_follow *f, uint64_t random)
+{
+	int64_t pause = PAUSE_MIN_MS;
+
+	for (int i = 1; i < f->failures && pause < PAUSE_MAX_MS; i++)
+		pause *= 2;
+	return pause / 2 + (int64_t)(random % (uint64_t)pause);
+}
+
+static void call_failed(struct store_follow *f)
+{
+	if (f->call.err.code == PRL_E_STALE) {
+		f->listed = 0;
+		f->next_call = 0;
+		return;
+	}
+	if (!f->failures++ && f->reached)
+		f->reached(f, 0, &f->call.err);
+	/* The tick that finds it due draws the pause. */
+	f->next_call = PRL_NEVER;
+}
+
+static void call_went_well(struct store_follow *f)
+{
+	if (f->failures) {
+		f->failures = 0;
+		f->regained_ms = prl_now_ms();
+		if (f->reached)
+			f->reached(f, 1, NULL);
+	}
+	f->next_call = 0;
+}
+
+static const char *name_of(const struct store_follow *f,
+			   const struct store_object *o)
+{
+	return o->key + strlen(f->kind) + 1;
+}
+
+static void report_list(struct store_follow *f)
+{
+	f->changed(f, STORE_CHANGE_BEGIN, NULL, NULL);
+	for (int i = 0; i < f->call.nobject; i++)
+		f->changed(f, STORE_CHANGE_PUT, name_of(f, &f->call.object[i]),
+			   &f->call.object[i]);
+	f->listed = 1;
+	f->changed(f, STORE_CHANGE_END, NULL, NULL);
+}
+
+static void report_changes(struct store_follow *f)
+{
+	for (int i = 0; i < f->call.nobject; i++) {
+		const struct store_object *o = &f->call.object[i];
+
+		f->changed(f, o->len ? STORE_CHANGE_PUT : STORE_CHANGE_GONE,
+			   name_of(f, o), o);
+	}
+}
+
+static void on_done(struct store_call *call)
+{
+	struct store_follow *f = call->ctx;
+
+	f->calling = 0;
+	if (call->err.code) {
+		call_failed(f);
+		store_call_finish(call);
+		return;
+	}
+	call_went_well(f);
+	f->confirmed_ms = prl_now_ms();
+	f->revision = call->revision;
+	if (call->op == STORE_LIST)
+		report_list(f);
+	else
+		report_changes(f);
+	store_call_finish(call);
+}
+
+static void start(struct store_follow *f, int64_t now)
+{
+	struct store_call *call = &f->call;
+
+	memset(call, 0, sizeof(*call));
+	snprintf(call->key, sizeof(call->key), "%.100s/", f->kind);
+	call->op = f->listed ? STORE_WATCH : STORE_LIST;
+	call->version = f->revision;
+	call->deadline = now + (f->listed ? WATCH_MAX_MS : LIST_MAX_MS);
+	call->done = on_done;
+	call->ctx = f;
+	if (store_start(f->store, call, &call->err))
+		call_failed(f);
+	else
+		f->calling = 1;
+}
+
+void store_follow_tick(struct store_follow *f, int64_t now, uint64_t random)
+{
+	if (f->calling)
+		return;
+	if (f->next_call == PRL_NEVER)
+		f->next_call = now + pause_ms(f, random);
+	if (now >= f->next_call)
+		start(f, now);
+}
+
+void store_follow_finish(struct store_follow *f)
+{
+	if (f->calling)
+		store_cancel(&f->call);
+	f->calling = 0;
+}
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -1,16 +1,31 @@
 #include "answer.h"
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <primroselead/clock.h>
-#include <primroselead/store.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Room for a list of many objects in one answer, in bytes. */
 #define ANSWER_MAX (64 << 20)
 
+/* A dead connection shows by unanswered keep-alive probes: the first after
+ * this idle time, further ones as far apart, in seconds. */
+#define PROBE_S 1L
+
+/* Time without an acknowledgement after which a connection is dead, in ms. */
+#define SILENT_MAX_MS 2500
+
 #define HTTP_OK 200
+#define HTTP_CREATED 201
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
+#define HTTP_GONE 410
+#define HTTP_TOO_MANY 429
+#define HTTP_UNAVAILABLE 503
 
 void store_init(struct store *s, struct fetch_pool *pool, const char *address)
 {
@@ -37,29 +52,6 @@
 	return len;
 }
 
-static size_t on_header(char *data, size_t size, size_t n, void *ctx)
-{
-	struct store_call *c = ctx;
-	static const char name[] = "Version:";
-
-	if (size * n > sizeof(name) &&
-	    !strncasecmp(data, name, sizeof(name) - 1))
-		c->revision = strtoll(data + sizeof(name) - 1, NULL, 10);
-	return size * n;
-}
-
-static size_t on_upload(char *data, size_t size, size_t n, void *ctx)
-{
-	struct store_call *c = ctx;
-	size_t len = c->len - c->sent;
-
-	if (len > size * n)
-		len = size * n;
-	memcpy(data, c->value + c->sent, len);
-	c->sent += len;
-	return len;
-}
-
 /* A write that libcurl sends again on a second connection could take effect
  * twice, so the second attempt is refused. */
 static int on_attempt(void *ctx, char *ip, char *local, int port, int lport)
@@ -76,43 +68,43 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-static enum prl_code read_value(struct store_call *c)
+/* Whether an answer says that nothing was written. */
+static int wrote_nothing(long status)
 {
-	c->object = calloc(1, sizeof(*c->object));
-	if (!c->object)
-		return prl_fail(&c->err, PRL_E_MEMORY, "store, \"%s\"", c->key);
-	memcpy(c->object->key, c->key, sizeof(c->key));
-	c->object->version = c->revision;
-	c->object->value = c->answer ? c->answer : calloc(1, 1);
-	c->object->len = c->nanswer;
-	c->answer = NULL;
-	c->nobject = 1;
-	return PRL_OK;
+	return status == HTTP_UNAVAILABLE || status == HTTP_TOO_MANY ||
+	       status < 500;
 }
 
-static enum prl_code read_answer(struct store_call *c, long status)
+static enum prl_code conflict(struct store_call *c)
 {
-	if (status == HTTP_OK) {
-		switch (c->op) {
-		case STORE_GET:
-			return read_value(c);
-		case STORE_LIST:
-		case STORE_WATCH:
-			return store_read_list(c);
-		case STORE_PUT:
-			return PRL_OK;
-		}
+	struct platform_page page;
+
+	/* The answer has the object as it is, if there is one. */
+	if (!platform_page_read(c->answer, c->nanswer, PLATFORM_ONE, &page,
+				NULL)) {
+		c->revision = page.revision;
+		platform_page_finish(&page);
 	}
-	if (status == HTTP_NOT_FOUND)
+	return prl_fail(&c->err, PRL_E_CONFLICT,
+			"store: object \"%s\" has version %lld, not %lld",
+			c->key, (long long)c->revision, (long long)c->version);
+}
+
+static enum prl_code read_answer(struct store_call *c, long status)
+{
+	if (status == HTTP_OK || status == HTTP_CREATED)
+		return store_read_answer(c);
+	if (status == HTTP_NOT_FOUND && c->op != STORE_PUT)
 		return prl_fail(&c->err, PRL_E_NOT_FOUND,
 				"store: object \"%s\" does not exist", c->key);
-	if (status == HTTP_CONFLICT)
-		return prl_fail(&c->err, PRL_E_CONFLICT,
-				"store: object \"%s\" has version %lld, not "
-				"%lld",
-				c->key, (long long)c->revision,
-				(long long)c->version);
-	if (c->op == STORE_PUT && status >= 500)
+	if (status == HTTP_CONFLICT || status == HTTP_NOT_FOUND)
+		return conflict(c);
+	if (status == HTTP_GONE)
+		return prl_fail(&c->err, PRL_E_STALE,
+				"store: the history of \"%s\" after revision "
+				"%lld is gone",
+				c->key, (long long)c->version);
+	if (c->op == STORE_PUT && !wrote_nothing(status))
 		return prl_fail(&c->err, PRL_E_UNSETTLED,
 				"store: write of \"%s\" answered %ld", c->key,
 				status);
@@ -133,11 +125,15 @@
 {
 	curl_slist_free_all(c->headers);
 	curl_easy_cleanup(c->fetch.easy);
+	free(c->body);
 	c->headers = NULL;
 	c->fetch.easy = NULL;
+	c->body = NULL;
 	c->active = 0;
 }
 
+static enum prl_code send_call(struct store_call *c, struct prl_error *err);
+
 static void on_done(struct fetch *f, CURLcode result)
 {
 	struct store_call *c = f->ctx;
@@ -149,91 +145,166 @@
 	else
 		read_answer(c, status);
 	release(c);
+	/* A long list comes in pages. */
+	if (!c->err.code && c->more && !send_call(c, &c->err))
+		return;
 	c->done(c);
 }
 
-static void set_url(struct store_call *c, int64_t now)
+/* Splits a key: the kind is its first part, the name the rest. */
+static const char *split_key(const char *key, char *kind)
+{
+	size_t n = strcspn(key, "/");
+
+	memcpy(kind, key, n);
+	kind[n] = 0;
+	return key[n] ? key + n + 1 : key + n;
+}
+
+static char *call_path(struct store_call *c, int64_t now)
 {
-	char url[STORE_KEY_MAX * 2 + 128];
-	const char *host = c->store->address;
-	long long wait = c->deadline - now;
+	char kind[STORE_KEY_MAX];
+	const char *name = split_key(c->key, kind);
+	const char *after = NULL;
 
 	switch (c->op) {
 	case STORE_GET:
-	case STORE_PUT:
-		snprintf(url, sizeof(url), "http://%s/v1/objects/%s", host,
-			 c->key);
-		break;
+		return platform_object_path(kind, name, 0);
 	case STORE_LIST:
-		snprintf(url, sizeof(url), "http://%s/v1/list?prefix=%s", host,
-			 c->key);
-		break;
+		if (c->nobject)
+			split_key(c->object[c->nobject - 1].key, kind);
+		if (c->nobject)
+			after = c->object[c->nobject - 1].key + strlen(kind) +
+				1;
+		return platform_list_path(kind, after);
 	case STORE_WATCH:
 		/* The store answers before the call itself times out. */
-		snprintf(url, sizeof(url),
-			 "http://%s/v1/watch?prefix=%s&after=%lld&wait=%lld",
-			 host, c->key, (long long)c->version, wait * 3 / 4);
+		return platform_watch_path(kind, c->version,
+					   (c->deadline - now) * 3 / 4);
+	case STORE_PUT:
 		break;
 	}
+	if (!c->len)
+		return platform_object_path(kind, name, c->version);
+	/* A new object is named in the body alone. */
+	if (!c->version)
+		return platform_list_path(kind, NULL);
+	return platform_object_path(kind, name, 0);
+}
+
+static enum prl_code set_url(struct store_call *c, int64_t now,
+			     struct prl_error *err)
+{
+	char *path = call_path(c, now);
+	char *url;
+
+	if (!path)
+		return prl_fail(err, PRL_E_MEMORY, "store call");
+	url = g_strdup_printf("http://%s%s", c->store->address, path);
 	curl_easy_setopt(c->fetch.easy, CURLOPT_URL, url);
+	g_free(url);
+	free(path);
+	return PRL_OK;
 }
 
-static void set_upload(struct store_call *c)
+static enum prl_code set_write(struct store_call *c, struct prl_error *err)
 {
 	CURL *easy = c->fetch.easy;
-	char line[64];
+	char kind[STORE_KEY_MAX];
+	const char *name = split_key(c->key, kind);
 
-	snprintf(line, sizeof(line), "If-Version: %lld", (long long)c->version);
-	c->headers = curl_slist_append(c->headers, line);
+	if (!c->len) {
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+		return PRL_OK;
+	}
+	c->body = platform_object_write(name, c->version, c->value, c->len);
+	if (!c->body)
+		return prl_fail(err, PRL_E_LIMIT,
+				"store: the value of \"%s\" is no text",
+				c->key);
+	c->headers =
+		curl_slist_append(c->headers, "Content-Type: application/json");
 	c->headers = curl_slist_append(c->headers, "Expect:");
-	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
-	curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)c->len);
-	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload);
-	curl_easy_setopt(easy, CURLOPT_READDATA, c);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, c->body);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, c->headers);
+	if (c->version)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+	return PRL_OK;
 }
 
-enum prl_code store_start(struct store *s, struct store_call *c,
-			  struct prl_error *err)
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
-	int64_t now = prl_now_ms();
+	int ms = SILENT_MAX_MS;
+
+	(void)ctx;
+	(void)purpose;
+	/* Without it a silent connection is noticed later. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void set_transfer(struct store_call *c, int64_t now)
+{
+	CURL *easy = c->fetch.easy;
 	long left = (long)(c->deadline > now ? c->deadline - now : 1);
+
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_attempt);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, c);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, PROBE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, PROBE_S);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+}
+
+static enum prl_code send_call(struct store_call *c, struct prl_error *err)
+{
+	int64_t now = prl_now_ms();
 	CURL *easy = curl_easy_init();
+	enum prl_code rc;
 
 	if (!easy)
 		return prl_fail(err, PRL_E_MEMORY, "store call");
-	memset(&c->err, 0, sizeof(c->err));
-	c->store = s;
-	c->object = NULL;
-	c->nobject = 0;
-	c->revision = 0;
-	c->headers = NULL;
+	free(c->answer);
 	c->answer = NULL;
 	c->nanswer = 0;
-	c->sent = 0;
+	c->more = 0;
 	c->issued = 0;
 	c->active = 1;
 	c->fetch = (struct fetch){.easy = easy, .done = on_done, .ctx = c};
-	set_url(c, now);
-	if (c->op == STORE_PUT)
-		set_upload(c);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, c);
-	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_attempt);
-	curl_easy_setopt(easy, CURLOPT_PREREQDATA, c);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	s->calls[c->op]++;
-	if (fetch_start(s->pool, &c->fetch, err)) {
+	rc = set_url(c, now, err);
+	if (!rc && c->op == STORE_PUT)
+		rc = set_write(c, err);
+	if (!rc) {
+		set_transfer(c, now);
+		rc = fetch_start(c->store->pool, &c->fetch, err);
+	}
+	if (rc) {
 		release(c);
-		return PRL_E_IO;
+		return rc;
 	}
+	c->store->calls[c->op]++;
 	return PRL_OK;
 }
 
+enum prl_code store_start(struct store *s, struct store_call *c,
+			  struct prl_error *err)
+{
+	memset(&c->err, 0, sizeof(c->err));
+	c->store = s;
+	c->object = NULL;
+	c->nobject = 0;
+	c->revision = 0;
+	c->headers = NULL;
+	c->answer = NULL;
+	c->body = NULL;
+	return send_call(c, err);
+}
+
 void store_cancel(struct store_call *c)
 {
 	if (!c->active)
--- a/system/test_path.c
+++ b/system/test_path.c
@@ -468,7 +468,7 @@
 		"--vm=127.0.0.1:27101", "--service=s", "--ms=9000",
 		"--callers=6",		"--work=20",   NULL};
 	struct call put = {.method = "PUT",
-			   .url = "http://127.0.0.1:27000/v1/objects/"
+			   .url = "http://127.0.0.1:27000/admin/objects/"
 				  "steer/vms/n1",
 			   .body = "{\"kind\":\"upstream\",\"state\":"
 				   "\"leaving\",\"http\":\"127.0.0.1:27300\"}"};
