--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -57,8 +57,12 @@
 	struct signalfd_siginfo info;
 
 	(void)events;
-	while (read(f->fd, &info, sizeof(info)) == sizeof(info))
-		leave_begin(f->ctx);
+	while (read(f->fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			reload_signalled(f->ctx);
+		else
+			leave_begin(f->ctx);
+	}
 }
 
 static enum prl_code watch_signals(struct control *c, struct prl_error *err)
@@ -68,6 +72,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	c->signals.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	if (c->signals.fd < 0)
 		return prl_fail(err, PRL_E_IO, "signalfd: %s", strerror(errno));
@@ -125,6 +130,7 @@
 	struct control *c = t->ctx;
 
 	check_pause(c, now);
+	reload_tick(c, now);
 	peers_tick(c, now);
 	if (control_follows_manifest(c))
 		fleet_tick(c, now);
@@ -156,13 +162,13 @@
 	return PRL_OK;
 }
 
-static enum prl_code read_bounds(struct control *c, struct prl_error *err)
+enum prl_code control_read_bounds(const struct prl_settings *s,
+				  struct fleet_bounds *out,
+				  struct prl_error *err)
 {
-	const struct prl_settings *s = c->settings;
-
-	fleet_bounds_init(&c->bounds);
+	fleet_bounds_init(out);
 	for (int i = 0; i < s->nbound; i++)
-		if (platform_bound_read(s->bound[i].is, &c->bounds))
+		if (platform_bound_read(s->bound[i].is, out))
 			return prl_fail(err, PRL_E_CONFIG,
 					"bound \"%s\" has no number",
 					s->bound[i].is);
@@ -175,12 +181,14 @@
 }
 
 enum prl_code control_init(struct control *c, const struct prl_settings *s,
-			   apr_pool_t *pool, struct prl_error *err)
+			   const char *path, apr_pool_t *pool,
+			   struct prl_error *err)
 {
 	int region;
 
 	memset(c, 0, sizeof(*c));
 	c->settings = s;
+	c->settings_path = path;
 	c->pool = pool;
 	c->started_ms = prl_now_ms();
 	c->last_tick = c->started_ms;
@@ -194,7 +202,7 @@
 					   g_free);
 	config_builder_init(&c->builder);
 	region = config_region(&c->builder, s->vm.region);
-	if (read_bounds(c, err) || init_io(c, err) || claims_init(c, err) ||
+	if (control_read_bounds(s, &c->bounds, err) || init_io(c, err) || claims_init(c, err) ||
 	    peers_init(c, err) ||
 	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claims,
 		       &c->shortages, pool, err))
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -54,6 +54,7 @@
 	struct store_follow vm;
 	/** The other VMs that registered themselves, by name. */
 	GHashTable *vms;
+	int64_t probe_at;
 	/** Routes, upstreams and evacuations are known. */
 	int ready;
 	/** This VM's own entry: its call, and the version in the store. */
@@ -121,6 +122,10 @@
 /** Everything that the control thread has. */
 struct control {
 	const struct prl_settings *settings;
+	/** The file that they came from. */
+	const char *settings_path;
+	int64_t settings_look_at;
+	int64_t settings_changed;
 	struct fleet_bounds bounds;
 	apr_pool_t *pool;
 	struct loop loop;
@@ -185,7 +190,17 @@
 
 /** Makes the control thread's state and starts the traffic threads. */
 enum prl_code control_init(struct control *c, const struct prl_settings *s,
-			   apr_pool_t *pool, struct prl_error *err);
+			   const char *path, apr_pool_t *pool,
+			   struct prl_error *err);
+
+/** Reads a settings file into a pool; its faults are printed. */
+enum prl_code settings_read(const char *path, apr_pool_t *pool,
+			    struct prl_settings *s, struct prl_error *err);
+
+/** Reads the platform's figures out of the settings. */
+enum prl_code control_read_bounds(const struct prl_settings *s,
+				  struct fleet_bounds *out,
+				  struct prl_error *err);
 
 /** Whether routes come from the platform's manifest, not service files. */
 int control_follows_manifest(const struct control *c);
@@ -331,6 +346,13 @@
 /** Writes the status text for the traffic threads. */
 void status_update(struct control *c, int64_t now);
 
+/* reload.c */
+
+/** Reads the settings again: always after a signal, else if the file has
+ * changed. Figures of the platform come into force; the rest at a start. */
+void reload_signalled(struct control *c);
+void reload_tick(struct control *c, int64_t now);
+
 /* leave.c */
 
 /** Begins to leave; a second call changes nothing. */
--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -15,6 +15,10 @@
  */
 #define OUTAGE_NEAR_MS 3000
 
+/* Time between two lists of the registered VMs, in ms: a VM that starts probes
+ * those that it finds, so the others learn of it without the store. */
+#define VM_LIST_MS 20000
+
 /* Time for the call that registers this VM, in ms. */
 #define REGISTER_MAX_MS 2000
 
@@ -225,6 +229,7 @@
 	follow(c, &f->upstream, PLATFORM_KIND_UPSTREAM, upstream_changed);
 	follow(c, &f->evacuation, PLATFORM_KIND_EVACUATION, evacuation_changed);
 	follow(c, &f->vm, STORE_KIND_VM, vm_changed);
+	f->vm.poll_ms = VM_LIST_MS;
 }
 
 /* This VM can serve: it has routes, upstreams and evacuations, each whole. */
--- a/cmd/primroseleadd/main.c
+++ b/cmd/primroseleadd/main.c
@@ -9,9 +9,6 @@
 /* Names the settings file where the command line does not. */
 #define SETTINGS_VARIABLE "PRIMROSELEAD_SETTINGS"
 
-/* Longest settings file in bytes. */
-#define SETTINGS_MAX (64 << 10)
-
 static int usage(void **table, FILE *out)
 {
 	fprintf(out, "Usage: primroseleadd");
@@ -21,23 +18,6 @@
 	return out == stderr ? prl_code_exit(PRL_E_USAGE) : 0;
 }
 
-static enum prl_code read_settings(const char *path, apr_pool_t *pool,
-				   struct prl_settings *s,
-				   struct prl_error *err)
-{
-	static struct prl_faults faults;
-	enum prl_code rc;
-	char *text;
-	size_t len;
-
-	snprintf(faults.file, sizeof(faults.file), "%s", path);
-	rc = prl_file_read(path, SETTINGS_MAX, pool, &text, &len, err);
-	if (!rc)
-		rc = config_settings(text, len, s, pool, &faults, err);
-	prl_faults_print(&faults, stderr);
-	return rc;
-}
-
 /* Every thread inherits the mask; the control thread reads the signals. */
 static void block_signals(void)
 {
@@ -46,6 +26,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 }
@@ -56,11 +37,11 @@
 	static struct prl_settings settings;
 	static struct control control;
 
-	if (read_settings(path, pool, &settings, err))
+	if (settings_read(path, pool, &settings, err))
 		return err->code;
 	block_signals();
 	log_init(settings.vm.name);
-	if (control_init(&control, &settings, pool, err))
+	if (control_init(&control, &settings, path, pool, err))
 		return err->code;
 	control_run(&control);
 	control_finish(&control);
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Time between two probes of registered VMs that aren't live, in ms. */
+#define REGISTERED_PROBE_MS 500
+
 /* A probe that may be answered through another VM. */
 struct probing {
 	struct control *control;
@@ -157,27 +160,29 @@
 	}
 }
 
-static int is_known(const struct control *c, const struct fleet_vm *vm)
+static int is_live(const struct control *c, const struct fleet_vm *vm)
 {
 	const struct member_peer *p = member_find(&c->member, vm->name);
 
-	return p && (p->vm.state != MEMBER_DEAD ||
-		     p->vm.incarnation >= vm->incarnation);
+	return p && p->vm.state != MEMBER_DEAD;
 }
 
 /* A registered VM counts once it has answered: its entry stays in the store
- * when it dies. */
-static void probe_registered(struct control *c)
+ * when it dies. One that was taken for dead may only have been cut off. */
+static void probe_registered(struct control *c, int64_t now)
 {
 	GHashTableIter it;
 	void *value;
 
+	if (now < c->fleet.probe_at)
+		return;
+	c->fleet.probe_at = now + REGISTERED_PROBE_MS;
 	g_hash_table_iter_init(&it, c->fleet.vms);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct fleet_vm *vm = value;
 		struct probing *p;
 
-		if (is_known(c, vm))
+		if (is_live(c, vm))
 			continue;
 		p = g_new0(struct probing, 1);
 		p->control = c;
@@ -251,7 +256,7 @@
 	if (begins && c->member.n == 1)
 		probe_seeds(c);
 	if (begins)
-		probe_registered(c);
+		probe_registered(c, now);
 	audit_members(c);
 	if (c->member.changes != c->member_changes)
 		members_changed(c);
--- /dev/null
+++ b/cmd/primroseleadd/reload.c
@@ -0,0 +1,83 @@
+#include "control.h"
+#include <apr_file_info.h>
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+#include <string.h>
+
+/* Longest settings file in bytes. */
+#define SETTINGS_MAX (64 << 10)
+
+/* Time between two looks at the settings file, in ms. */
+#define LOOK_MS 1000
+
+enum prl_code settings_read(const char *path, apr_pool_t *pool,
+			    struct prl_settings *s, struct prl_error *err)
+{
+	struct prl_faults *faults = apr_pcalloc(pool, sizeof(*faults));
+	enum prl_code rc;
+	char *text;
+	size_t len;
+
+	if (!faults)
+		return prl_fail(err, PRL_E_MEMORY, "settings \"%s\"", path);
+	g_strlcpy(faults->file, path, sizeof(faults->file));
+	rc = prl_file_read(path, SETTINGS_MAX, pool, &text, &len, err);
+	if (!rc)
+		rc = config_settings(text, len, s, pool, faults, err);
+	prl_faults_print(faults, stderr);
+	return rc;
+}
+
+static void reload(struct control *c, const char *why)
+{
+	struct prl_settings *s;
+	struct fleet_bounds bounds;
+	struct prl_error err = {0};
+	apr_pool_t *pool;
+
+	if (apr_pool_create(&pool, c->pool))
+		return;
+	s = apr_pcalloc(pool, sizeof(*s));
+	if (s && !settings_read(c->settings_path, pool, s, &err) &&
+	    !control_read_bounds(s, &bounds, &err)) {
+		c->bounds = bounds;
+		proxy_set_bounds(&c->proxy, &bounds);
+	}
+	log_event(LOG_AUDIT_LINE, "reload", "why", why, "error", err.text,
+		  NULL);
+	apr_pool_destroy(pool);
+}
+
+static int64_t changed_at(const struct control *c)
+{
+	apr_finfo_t info;
+	apr_pool_t *pool;
+	int64_t at = 0;
+
+	if (apr_pool_create(&pool, c->pool))
+		return 0;
+	if (!apr_stat(&info, c->settings_path, APR_FINFO_MTIME, pool))
+		at = info.mtime;
+	apr_pool_destroy(pool);
+	return at;
+}
+
+void reload_signalled(struct control *c)
+{
+	c->settings_changed = changed_at(c);
+	reload(c, "signal");
+}
+
+void reload_tick(struct control *c, int64_t now)
+{
+	int64_t at;
+
+	if (now < c->settings_look_at)
+		return;
+	c->settings_look_at = now + LOOK_MS;
+	at = changed_at(c);
+	if (c->settings_changed && at && at != c->settings_changed)
+		reload(c, "file");
+	if (at)
+		c->settings_changed = at;
+}
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -104,6 +104,7 @@
 enum proxy_mail_kind {
 	PROXY_MAIL_VIEW,
 	PROXY_MAIL_CLAIM,
+	PROXY_MAIL_BOUNDS,
 	PROXY_MAIL_QUIESCE,
 	PROXY_MAIL_STOP,
 };
@@ -114,6 +115,7 @@
 	union {
 		struct steer_view *view;
 		struct proxy_claim *claim;
+		struct fleet_bounds bounds;
 	} u;
 };
 
@@ -130,6 +132,7 @@
 	struct fetch_pool fetches;
 	struct mailbox mail;
 	struct metrics metrics;
+	struct fleet_bounds bounds;
 	struct steer_view *view;
 	/** Requests by handle. */
 	struct proxy_request **table;
@@ -161,7 +164,6 @@
 /** All traffic threads and what they share. */
 struct proxy {
 	const struct prl_settings *settings;
-	struct fleet_bounds bounds;
 	/** Routes come from the platform's manifest, not from service files. */
 	int follows_manifest;
 	/** Region of this VM in the views. */
@@ -209,6 +211,9 @@
 /** Hands a view to every thread; the caller keeps its own reference. */
 void proxy_set_view(struct proxy *p, struct steer_view *v);
 
+/** Hands new figures of the platform to every thread. */
+void proxy_set_bounds(struct proxy *p, const struct fleet_bounds *b);
+
 /** Hands a claim's answer back to the thread that asked. */
 void proxy_answer_claim(struct proxy_claim *c);
 
--- a/proxy/src/own.c
+++ b/proxy/src/own.c
@@ -122,9 +122,9 @@
 /* Callers use an answer for this long; a VM that stops is named no longer. */
 #define LOOKUP_TTL_S 2
 
-static int64_t lookup_ttl(const struct proxy *p)
+static int64_t lookup_ttl(const struct proxy_thread *t)
 {
-	int64_t most = p->bounds.lookup_ttl_s;
+	int64_t most = t->bounds.lookup_ttl_s;
 
 	return most < LOOKUP_TTL_S ? most : LOOKUP_TTL_S;
 }
@@ -157,7 +157,7 @@
 	for (int i = 0; i < n; i++)
 		address[i] = v->vm[vm[i]].address;
 	metrics_add(&t->metrics, METRIC_LOOKUPS, 1);
-	text = platform_lookup_write(address, n, lookup_ttl(t->proxy));
+	text = platform_lookup_write(address, n, lookup_ttl(t));
 	if (!text)
 		return MHD_NO;
 	rc = reply(conn, MHD_HTTP_OK, "application/json", text, strlen(text));
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -224,7 +224,7 @@
 {
 	const struct proxy *p = r->thread->proxy;
 	int vms = r->view->nactive > 0 ? r->view->nactive : 1;
-	int64_t most = p->bounds.retry_extra * BUDGET_PERCENT / PERCENT /
+	int64_t most = r->thread->bounds.retry_extra * BUDGET_PERCENT / PERCENT /
 		       (vms * p->nthread);
 
 	limit_budget_set(&state_of(r)->retry, most > 1 ? most : 1);
@@ -232,7 +232,7 @@
 
 static void count_request(struct placement *p)
 {
-	int64_t ratio = p->t->proxy->bounds.retry_permille;
+	int64_t ratio = p->t->bounds.retry_permille;
 
 	set_budget(p->r);
 	if (!p->r->attempts)
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -18,7 +18,6 @@
 {
 	memset(p, 0, sizeof(*p));
 	p->settings = settings;
-	p->bounds = *bounds;
 	p->follows_manifest =
 		settings->steering.source == PRL_STEERING_SOURCE_MANIFEST;
 	p->region = region;
@@ -36,6 +35,8 @@
 		proxy_finish(p);
 		return prl_fail(err, PRL_E_MEMORY, "tables of the proxy");
 	}
+	for (int i = 0; i < p->nthread; i++)
+		p->thread[i].bounds = *bounds;
 	init_cells(p);
 	return PRL_OK;
 }
@@ -94,6 +95,17 @@
 	}
 }
 
+void proxy_set_bounds(struct proxy *p, const struct fleet_bounds *b)
+{
+	for (int i = 0; i < p->nthread; i++) {
+		struct proxy_mail *m = g_new0(struct proxy_mail, 1);
+
+		m->kind = PROXY_MAIL_BOUNDS;
+		m->u.bounds = *b;
+		mailbox_send(&p->thread[i].mail, m);
+	}
+}
+
 void proxy_answer_claim(struct proxy_claim *c)
 {
 	struct proxy_mail *m = g_new0(struct proxy_mail, 1);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -220,6 +220,9 @@
 			config_view_release(t->view);
 		t->view = m->u.view;
 		break;
+	case PROXY_MAIL_BOUNDS:
+		t->bounds = m->u.bounds;
+		break;
 	case PROXY_MAIL_CLAIM:
 		receive_claim(t, m->u.claim);
 		break;
--- a/store/include/primroselead/follow.h
+++ b/store/include/primroselead/follow.h
@@ -30,6 +30,8 @@
 	void (*reached)(struct store_follow *f, int up,
 			const struct prl_error *why);
 	void *ctx;
+	/** Set: a list again this long after the last one, no watches. */
+	int64_t poll_ms;
 	struct store_call call;
 	int calling;
 	/** A list was taken in, and the revision seen since. */
--- a/store/src/follow.c
+++ b/store/src/follow.c
@@ -6,8 +6,12 @@
 /* Time for a list, in milliseconds; the store may be slow. */
 #define LIST_MAX_MS 3000
 
-/* Time for a watch, in milliseconds; the store answers before. */
-#define WATCH_MAX_MS 14000
+/* Time for a watch, in milliseconds; the store answers before. A watch that
+ * the store has dropped without a word shows only by it. */
+#define WATCH_MAX_MS 2000
+
+/* Pause after changes, in milliseconds: those of many come together. */
+#define GATHER_MS 100
 
 /* Pause after a failed call, in milliseconds; it doubles up to the longest. */
 #define PAUSE_MIN_MS 100
@@ -55,6 +59,13 @@
 	f->next_call = 0;
 }
 
+static int64_t next_after(const struct store_follow *f, int64_t now)
+{
+	if (f->poll_ms)
+		return now + f->poll_ms;
+	return f->call.nobject ? now + GATHER_MS : 0;
+}
+
 static const char *name_of(const struct store_follow *f,
 			   const struct store_object *o)
 {
@@ -98,6 +109,7 @@
 		report_list(f);
 	else
 		report_changes(f);
+	f->next_call = next_after(f, f->confirmed_ms);
 	store_call_finish(call);
 }
 
@@ -107,9 +119,10 @@
 
 	memset(call, 0, sizeof(*call));
 	snprintf(call->key, sizeof(call->key), "%.100s/", f->kind);
-	call->op = f->listed ? STORE_WATCH : STORE_LIST;
+	call->op = f->listed && !f->poll_ms ? STORE_WATCH : STORE_LIST;
 	call->version = f->revision;
-	call->deadline = now + (f->listed ? WATCH_MAX_MS : LIST_MAX_MS);
+	call->deadline =
+		now + (call->op == STORE_WATCH ? WATCH_MAX_MS : LIST_MAX_MS);
 	call->done = on_done;
 	call->ctx = f;
 	if (store_start(f->store, call, &call->err))
