List the registered VMs often at the start; a line for each request

Cause: VMs that start together list each other before anyone is registered, and the next list came 20 s later: each took itself for its region's only VM, so a cold upstream was fed by all (FAILBACK, 18 of 15.4 a second). Ruled out: the rate of one VM; it kept to its share.

--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -16,8 +16,11 @@
 #define OUTAGE_NEAR_MS 3000
 
 /* Time between two lists of the registered VMs, in ms: a VM that starts probes
- * those that it finds, so the others learn of it without the store. */
+ * those that it finds, so the others learn of it without the store. VMs that
+ * start together find each other only by lists soon after it. */
 #define VM_LIST_MS 20000
+#define VM_LIST_EARLY_MS 1000
+#define VM_EARLY_MS 5000
 
 /* Time for the call that registers this VM, in ms. */
 #define REGISTER_MAX_MS 2000
@@ -229,7 +232,7 @@
 	follow(c, &f->upstream, PLATFORM_KIND_UPSTREAM, upstream_changed);
 	follow(c, &f->evacuation, PLATFORM_KIND_EVACUATION, evacuation_changed);
 	follow(c, &f->vm, STORE_KIND_VM, vm_changed);
-	f->vm.poll_ms = VM_LIST_MS;
+	f->vm.poll_ms = VM_LIST_EARLY_MS;
 }
 
 /* This VM can serve: it has routes, upstreams and evacuations, each whole. */
@@ -333,6 +336,8 @@
 	store_follow_tick(&f->upstream, now, control_random());
 	store_follow_tick(&f->evacuation, now, control_random());
 	store_follow_tick(&f->vm, now, control_random());
+	if (now > c->started_ms + VM_EARLY_MS)
+		f->vm.poll_ms = VM_LIST_MS;
 	if (knowledge_expire(&f->known, now))
 		c->dirty = 1;
 	become_ready(c);
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -266,6 +266,8 @@
 	atomic_fetch_add(&p->t->proxy->upstream[u->cell].outstanding, 1);
 	if (p->now < u->cold_until)
 		limit_rate_count(&b->cold, u->cold_rate, p->now_us);
+	memcpy(r->instance, u->instance, sizeof(r->instance));
+	r->inflight = inflight(p, u);
 	r->wait_ms = p->placed.wait_ms;
 	r->rank = p->placed.rank;
 	if (r->ntried < STEER_TRIED_MAX)
@@ -362,11 +364,16 @@
 	b->closed_until = now + pause;
 }
 
+static const char *const result_names[] = {"answered", "failed", "refused",
+					    "broken"};
+
 void place_learn(struct proxy_request *r, enum place_result result)
 {
 	struct proxy_belief *b = belief_of(r);
 	int64_t now = prl_now_ms();
 
+	if (result != PLACE_ANSWERED)
+		request_log_attempt(r, result_names[result]);
 	switch (result) {
 	case PLACE_ANSWERED:
 		b->strikes = 0;
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -85,6 +85,7 @@
 	struct proxy_thread *t = r->thread;
 	uint32_t i = (uint32_t)r->handle - 1;
 
+	request_log(r);
 	request_unwait(r);
 	if (r->claimed && r->outcome == OUTCOME_NOT_RUN)
 		request_note(r, CLAIM_VOID);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -66,9 +66,13 @@
 	enum verdict verdict;
 	uint64_t tried[STEER_TRIED_MAX];
 	int ntried;
-	/** Expected when it was placed. */
+	/** Expected when it was placed, and the requests believed to be there
+	 * then, in thousandths. */
 	int64_t wait_ms;
+	int64_t inflight;
 	int rank;
+	/** Instance of the last attempt's upstream. */
+	char instance[STEER_NAME_MAX];
 	/** Time that a refused caller is told to stay away, in ms. */
 	int64_t retry_after_ms;
 
@@ -138,6 +142,12 @@
 /** Ends everything that the request has and frees it. */
 void request_free(struct proxy_request *r);
 
+/** Writes the line that tells what became of a request, and why. */
+void request_log(const struct proxy_request *r);
+
+/** Writes a line for an attempt that did not go well. */
+void request_log_attempt(const struct proxy_request *r, const char *result);
+
 /** Request by handle, or null if it is gone. */
 struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle);
 
