Bound the homes of an object, and believe a load report for a second

Reports of load were let fade over 1.5 s, the time between two of them, so full upstreams looked empty: 5685 answers 504. Ruled out: too few slots; with objects at hand the load needs half of them.

Change: two homes an object, later ones of its order only while half idle; a report counts whole for 1 s and fades until 3 s.

--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -6,8 +6,10 @@
 /* Upstreams of one service and region that are weighed. */
 #define CANDIDATES_MAX 1024
 
-/* Age at which a report of an upstream's load says nothing any more, in ms. */
-#define REPORT_AGE_MAX_MS 1500
+/* A report of an upstream's load counts whole up to an age, and then the less
+ * the older it is, in ms. One VM hears from an upstream about once a second. */
+#define REPORT_FRESH_MS 1000
+#define REPORT_AGE_MAX_MS 3000
 
 /* Age at which failures and latencies of an upstream are forgotten, in ms. */
 #define MEMORY_MS 4000
--- a/steer/src/place.c
+++ b/steer/src/place.c
@@ -4,9 +4,16 @@
 /* Upstreams of an object's order that are weighed one by one. */
 #define RANKS 4
 
-/* Expected share of requests that find their object at hand no more, a rank
- * further down the object's order, in permille of the time they then lose. */
-#define RANK_LOSS_PERMILLE 500
+/* Time lost, in permille of a request's, where an object is not at hand: it
+ * may be at the second upstream of its order, and hardly is at later ones. */
+#define SECOND_LOSS_PERMILLE 700
+#define LATER_LOSS_PERMILLE 2000
+
+/* Upstreams of an object's order that may have it at hand. Others are used
+ * only while at most this part of their slots is taken, in permille: what they
+ * lose by it is capacity that requests for their own objects lack. */
+#define HOMES 2
+#define IDLE_PERMILLE 500
 
 /* Cost of a failure in requests' times. */
 #define FAILURE_COST 2
@@ -37,6 +44,20 @@
 	return beyond * p->hold_ms / (slots * THOUSAND);
 }
 
+static int64_t rank_loss(const struct steer_placing *p, int rank)
+{
+	if (!p->sticky || !rank)
+		return 0;
+	return rank < HOMES ? SECOND_LOSS_PERMILLE : LATER_LOSS_PERMILLE;
+}
+
+/* Whether an upstream may take an object that is hardly at hand there. */
+static int is_idle(const struct steer_placing *p, int i)
+{
+	return p->belief[i].inflight <=
+	       (int64_t)p->upstream[i].slots * IDLE_PERMILLE;
+}
+
 /* Expected time of the request there, in ms. */
 static int64_t cost_at(const struct steer_placing *p, int i, int rank)
 {
@@ -46,9 +67,7 @@
 	if (b->slowness > THOUSAND)
 		time = time * b->slowness / THOUSAND;
 	time += p->hold_ms * FAILURE_COST * b->failures / THOUSAND;
-	if (p->sticky)
-		time += p->hold_ms * RANK_LOSS_PERMILLE * rank / THOUSAND;
-	return time;
+	return time + p->hold_ms * rank_loss(p, rank) / THOUSAND;
 }
 
 static uint64_t affinity(const struct steer_placing *p, int i)
@@ -88,6 +107,8 @@
 		out->wait_ms = wait;
 	if (wait > p->wait_max_ms)
 		return;
+	if (p->sticky && rank >= HOMES && !is_idle(p, i))
+		return;
 	cost = cost_at(p, i, rank);
 	if (out->upstream != STEER_NONE && cost >= *least)
 		return;
