End a planned stop without cutting: refuse what comes late, close what hangs

Ruled out: callers with old look-ups only; they come for three times the life of an answer.

Change: from the end of its drain on, a leaving VM refuses routed requests (not run, come back at once elsewhere) and ends when none is open; what is open at the end of the grace is closed in the loop's last round.

Test: test_stop_with_a_request_that_hangs, -6 before, 0 after.

--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -190,6 +190,8 @@
 	_Atomic int64_t alive_until;
 	/** This VM is leaving: look-ups do not name it. */
 	_Atomic int leaving;
+	/** It is about to end: routed requests that still come are refused. */
+	_Atomic int refusing;
 	/** Requests in all threads that have no final answer yet. */
 	_Atomic int active;
 	/** Counters of the control thread. */
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -15,6 +15,10 @@
 /* Time told to a caller while this VM knows no routes, in ms. */
 #define RETRY_UNREADY_MS 300
 
+/* Time told to a caller that came to a VM which is about to end, in ms: others
+ * have room. */
+#define RETRY_LEAVING_MS 10
+
 static const char *read_header(void *ctx, const char *name)
 {
 	return request_header(ctx, name);
@@ -85,6 +89,11 @@
 			     "Content-Length is not a number");
 		return;
 	}
+	if (atomic_load(&r->thread->proxy->refusing)) {
+		r->retry_after_ms = RETRY_LEAVING_MS;
+		refuse(r, "this VM is about to end");
+		return;
+	}
 	if (!r->view) {
 		refuse(r, "no configuration is in force yet");
 		return;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -59,10 +59,10 @@
 			fetch_unpause(&r->thread->fetches, &r->fetch);
 		}
 	}
-	if (r->responded)
-		return MHD_YES;
 	if (r->left)
 		return MHD_NO;
+	if (r->responded)
+		return MHD_YES;
 	if (r->state == REQUEST_FAILED)
 		return request_respond_failed(r);
 	if (r->state == REQUEST_ANSWERED)
@@ -210,6 +210,20 @@
 	g_free(c);
 }
 
+/* The listener can't be closed while connections are suspended; the round of
+ * the loop that this is called in closes them. */
+static void cut_all(struct proxy_thread *t)
+{
+	for (int i = 0; i < t->table_size; i++) {
+		struct proxy_request *r = t->table[i];
+
+		if (!r || !r->suspended)
+			continue;
+		r->left = 1;
+		request_wake(r);
+	}
+}
+
 static void receive(void *ctx, void *item)
 {
 	struct proxy_thread *t = ctx;
@@ -231,6 +245,7 @@
 		serve_quiesce(&t->serve);
 		break;
 	case PROXY_MAIL_STOP:
+		cut_all(t);
 		loop_stop(&t->loop);
 		break;
 	}
--- a/system/test_routes.c
+++ b/system/test_routes.c
@@ -6,12 +6,16 @@
 #include <stdint.h>
 
 #include "harness.h"
+#include <arpa/inet.h>
 #include <cmocka.h>
+#include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define BASE 29000
 #define STORE (BASE + 0)
@@ -491,6 +495,25 @@
 	harness_sleep(600);
 }
 
+/* Sends a request and does not wait for its answer. */
+static int start_hanging(int port, const char *path)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons((uint16_t)port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char text[200];
+	int n = snprintf(text, sizeof(text),
+			 "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+			 "X-Request-Id: hang\r\nContent-Length: 0\r\n\r\n",
+			 path);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	assert_int_equal(write(fd, text, (size_t)n), n);
+	return fd;
+}
+
 static int is_ready(int n)
 {
 	char url[80];
@@ -528,6 +551,23 @@
 	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
 }
 
+/* A request that outlasts the grace is cut, and the process ends by itself. */
+static void test_stop_with_a_request_that_hangs(void **state)
+{
+	int64_t began = prl_now_ms();
+	int fd;
+
+	(void)state;
+	fd = start_hanging(FRONT(2), "/up/mute");
+	harness_sleep(200);
+	kill(vm_pid[2], SIGTERM);
+	assert_int_equal(harness_wait(vm_pid[2]), 0);
+	assert_true(prl_now_ms() - began < 6200);
+	close(fd);
+	start_vm(2);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
+}
+
 /* A VM that dies is named no longer, also while the store is down. */
 static void test_dead_vm_is_not_named(void **state)
 {
@@ -562,6 +602,7 @@
 		cmocka_unit_test(test_outage_of_the_store),
 		cmocka_unit_test(test_hangup_reloads),
 		cmocka_unit_test(test_planned_stop),
+		cmocka_unit_test(test_stop_with_a_request_that_hangs),
 		cmocka_unit_test(test_dead_vm_is_not_named),
 	};
 
