Learn from other VMs what the store does not tell

Ruled out: shorter watches; the store serves such a VM nothing at all.

Change: what followers read goes into the copy that VMs already exchange; a VM whose copy the store has not confirmed for 2.5 s pulls from one whose digest differs. A VM that starts without the store asks the seeds. What a list lacks is found by one function for both forms.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -126,7 +126,9 @@
 {
 	const struct spread_object *o = spread_find(&c->sync.copy, key);
 
-	if (g_str_has_prefix(key, STORE_PREFIX_SERVICE))
+	if (control_follows_manifest(c))
+		fleet_apply(c, o);
+	else if (g_str_has_prefix(key, STORE_PREFIX_SERVICE))
 		build(c, key + strlen(STORE_PREFIX_SERVICE));
 	else if (g_str_has_prefix(key, STORE_PREFIX_SHIFT))
 		build(c, key + strlen(STORE_PREFIX_SHIFT));
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -136,7 +136,7 @@
 		fleet_tick(c, now);
 	else
 		sync_tick(c, now);
-	if (c->dirty && (c->sync.ready || c->fleet.ready))
+	if (c->dirty && c->sync.ready)
 		apply_view(c);
 	grants_tick(c, now);
 	loans_tick(c, now);
@@ -202,8 +202,8 @@
 					   g_free);
 	config_builder_init(&c->builder);
 	region = config_region(&c->builder, s->vm.region);
-	if (control_read_bounds(s, &c->bounds, err) || init_io(c, err) || claims_init(c, err) ||
-	    peers_init(c, err) ||
+	if (control_read_bounds(s, &c->bounds, err) || init_io(c, err) ||
+	    claims_init(c, err) || peers_init(c, err) ||
 	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claims,
 		       &c->shortages, pool, err))
 		return err->code;
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -55,7 +55,10 @@
 	/** The other VMs that registered themselves, by name. */
 	GHashTable *vms;
 	int64_t probe_at;
-	/** Routes, upstreams and evacuations are known. */
+	int64_t ask_seed_at;
+	/** The copy has been whole: read from the store or another VM. */
+	int whole;
+	/** This VM serves. */
 	int ready;
 	/** This VM's own entry: its call, and the version in the store. */
 	struct store_call register_call;
@@ -239,12 +242,26 @@
 /** Whether this VM is one of its failure domain's watchers. */
 int sync_is_watcher(const struct control *c);
 
+/** Takes in one object, from the store or another VM; an empty one was
+ * removed. Returns 1 if it was news. */
+int sync_install(struct control *c, const char *key, int64_t version,
+		 const char *value, size_t len);
+
+/** Removes what a whole list of the store lacks. Returns how many. */
+int sync_take_removals(struct control *c, const struct store_call *call);
+
+/** The copy is whole: this VM may answer from it. */
+void sync_become_ready(struct control *c, const char *from);
+
 /** Starts with an empty copy. */
 void sync_init(struct control *c);
 
 /** Watches the store or asks other VMs, as is due. */
 void sync_tick(struct control *c, int64_t now);
 
+/** Asks a VM for what this one lacks. */
+void sync_pull_from(struct control *c, const char *address);
+
 /** Looks at how far another VM has come. */
 void sync_heard(struct control *c, const struct wire_digest *d,
 		const char *from);
@@ -268,6 +285,19 @@
 /** Follows the store, and registers this VM once it can serve. */
 void fleet_tick(struct control *c, int64_t now);
 
+/** Whether an object is one that this VM follows. */
+int fleet_wants(const char *key);
+
+/** Brings one changed object into what is known. */
+void fleet_apply(struct control *c, const struct spread_object *o);
+
+/** Whether the store has not confirmed the copy lately, so that another VM's
+ * may be newer. */
+int fleet_is_stale(const struct control *c, int64_t now);
+
+/** All that another VM knew was taken in. */
+void fleet_pulled(struct control *c);
+
 /** Takes this VM's entry out of the store. */
 void fleet_leave(struct control *c);
 
--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -22,6 +22,15 @@
 #define VM_LIST_EARLY_MS 1000
 #define VM_EARLY_MS 5000
 
+/* Age at which another VM's copy may be newer, in ms; a watch confirms the copy
+ * more often. */
+#define STALE_MS 2500
+
+/* Time given to the store at the start before other VMs are asked, and between
+ * two of them, in ms. */
+#define SEED_AFTER_MS 600
+#define SEED_EACH_MS 400
+
 /* Time for the call that registers this VM, in ms. */
 #define REGISTER_MAX_MS 2000
 
@@ -42,14 +51,18 @@
 }
 
 /* Until when an upstream may be used whose entry is missing now. */
-static int64_t gone_at(const struct store_follow *f, int64_t now)
+static int64_t gone_at(const struct control *c, int64_t now)
 {
+	const struct store_follow *f = &c->fleet.upstream;
+
+	if (f->failures)
+		return now + LAPSED_MS;
 	if (f->regained_ms && now - f->regained_ms < OUTAGE_NEAR_MS)
 		return f->regained_ms + LAPSED_MS;
 	return now;
 }
 
-static void take_manifest(struct control *c, const struct store_object *o)
+static void apply_manifest(struct control *c, const struct spread_object *o)
 {
 	struct fleet_manifest m;
 	struct prl_error err = {0};
@@ -61,15 +74,6 @@
 		rc = knowledge_manifest(&c->fleet.known, &m, &err);
 	log_event(rc ? LOG_WARNING_LINE : LOG_AUDIT_LINE, "manifest", "version",
 		  version, "error", rc ? err.text : "", NULL);
-	if (!rc)
-		c->dirty = 1;
-}
-
-static void manifest_changed(struct store_follow *f, enum store_change change,
-			     const char *name, const struct store_object *o)
-{
-	if (change == STORE_CHANGE_PUT && !strcmp(name, PLATFORM_MANIFEST_NAME))
-		take_manifest(f->ctx, o);
 }
 
 static void log_upstream(const struct fleet_upstream *u)
@@ -100,13 +104,16 @@
 		  "in_ms", in_ms, "error", why, NULL);
 }
 
-static void take_upstream(struct control *c, const char *name,
-			  const struct store_object *o, int64_t now)
+static void apply_upstream(struct control *c, const char *name,
+			   const struct spread_object *o)
 {
+	int64_t now = prl_now_ms();
 	struct fleet_upstream u;
 	struct prl_error err = {0};
 
-	if (platform_upstream_read(name, o->value, &u, &err))
+	if (!o->len)
+		upstream_gone(c, name, gone_at(c, now), "");
+	else if (platform_upstream_read(name, o->value, &u, &err))
 		upstream_gone(c, name, now, err.text);
 	else if (knowledge_upstream(&c->fleet.known, &u, now, &err))
 		log_event(LOG_WARNING_LINE, "upstream", "instance", name,
@@ -115,55 +122,78 @@
 		log_upstream(&u);
 }
 
-static void upstream_changed(struct store_follow *f, enum store_change change,
-			     const char *name, const struct store_object *o)
+static void apply_evacuation(struct control *c, const char *name,
+			     const struct spread_object *o)
 {
-	struct control *c = f->ctx;
-	int64_t now = prl_now_ms();
-	char n[24];
+	knowledge_evacuate(&c->fleet.known, name, o->len > 0, prl_now_ms());
+	log_event(LOG_AUDIT_LINE, "evacuation", "domain", name, "state",
+		  o->len ? "on" : "off", NULL);
+}
+
+/* Name of an object of a kind, or null if it is of another one. */
+static const char *name_in(const char *key, const char *kind)
+{
+	size_t n = strlen(kind);
+
+	return !strncmp(key, kind, n) && key[n] == '/' ? key + n + 1 : NULL;
+}
+
+int fleet_wants(const char *key)
+{
+	return name_in(key, PLATFORM_KIND_MANIFEST) ||
+	       name_in(key, PLATFORM_KIND_UPSTREAM) ||
+	       name_in(key, PLATFORM_KIND_EVACUATION);
+}
+
+void fleet_apply(struct control *c, const struct spread_object *o)
+{
+	const char *name;
 
-	switch (change) {
-	case STORE_CHANGE_BEGIN:
-		knowledge_list_begin(&c->fleet.known);
-		return;
-	case STORE_CHANGE_PUT:
-		take_upstream(c, name, o, now);
-		break;
-	case STORE_CHANGE_GONE:
-		upstream_gone(c, name, gone_at(f, now), "");
-		break;
-	case STORE_CHANGE_END:
-		knowledge_list_end(&c->fleet.known, gone_at(f, now));
-		number(n, g_hash_table_size(c->fleet.known.upstream));
-		log_event(LOG_AUDIT_LINE, "upstreams_listed", "known", n, NULL);
-		break;
-	}
 	c->dirty = 1;
+	name = name_in(o->key, PLATFORM_KIND_MANIFEST);
+	if (name && !strcmp(name, PLATFORM_MANIFEST_NAME) && o->len)
+		apply_manifest(c, o);
+	name = name_in(o->key, PLATFORM_KIND_UPSTREAM);
+	if (name)
+		apply_upstream(c, name, o);
+	name = name_in(o->key, PLATFORM_KIND_EVACUATION);
+	if (name)
+		apply_evacuation(c, name, o);
 }
 
-static void evacuation_changed(struct store_follow *f, enum store_change change,
-			       const char *name, const struct store_object *o)
+/* Whether a removed object is there again in the same answer. */
+static int is_back(const struct store_follow *f, const struct store_object *o)
+{
+	const struct store_object *end = f->call.object + f->call.nobject;
+
+	for (const struct store_object *next = o + 1; next < end; next++)
+		if (next->len && !strcmp(next->key, o->key))
+			return 1;
+	return 0;
+}
+
+static void object_changed(struct store_follow *f, enum store_change change,
+			   const char *name, const struct store_object *o)
 {
 	struct control *c = f->ctx;
-	int64_t now = prl_now_ms();
 
-	(void)o;
+	(void)name;
 	switch (change) {
 	case STORE_CHANGE_BEGIN:
-		knowledge_evacuations_begin(&c->fleet.known);
-		return;
-	case STORE_CHANGE_END:
-		knowledge_evacuations_end(&c->fleet.known, now);
 		break;
 	case STORE_CHANGE_PUT:
+		sync_install(c, o->key, o->version, o->value, o->len);
+		break;
 	case STORE_CHANGE_GONE:
-		knowledge_evacuate(&c->fleet.known, name,
-				   change == STORE_CHANGE_PUT, now);
-		log_event(LOG_AUDIT_LINE, "evacuation", "domain", name, "state",
-			  change == STORE_CHANGE_PUT ? "on" : "off", NULL);
+		/* The event has the version that was removed, not the
+		 * removal's. */
+		if (!is_back(f, o))
+			sync_install(c, o->key, f->call.revision, "", 0);
+		break;
+	case STORE_CHANGE_END:
+		sync_take_removals(c, &f->call);
 		break;
 	}
-	c->dirty = 1;
 }
 
 static void take_vm(struct control *c, const char *name,
@@ -228,30 +258,61 @@
 		knowledge_domain(&f->known, s->domain[i].label,
 				 s->domain[i].region);
 	f->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	follow(c, &f->manifest, PLATFORM_KIND_MANIFEST, manifest_changed);
-	follow(c, &f->upstream, PLATFORM_KIND_UPSTREAM, upstream_changed);
-	follow(c, &f->evacuation, PLATFORM_KIND_EVACUATION, evacuation_changed);
+	follow(c, &f->manifest, PLATFORM_KIND_MANIFEST, object_changed);
+	follow(c, &f->upstream, PLATFORM_KIND_UPSTREAM, object_changed);
+	follow(c, &f->evacuation, PLATFORM_KIND_EVACUATION, object_changed);
 	follow(c, &f->vm, STORE_KIND_VM, vm_changed);
 	f->vm.poll_ms = VM_LIST_EARLY_MS;
 }
 
-/* This VM can serve: it has routes, upstreams and evacuations, each whole. */
-static int is_whole(const struct fleet *f)
+static int64_t least(int64_t a, int64_t b)
 {
-	return f->known.manifest.version && f->known.listed &&
-	       f->evacuation.confirmed_ms;
+	return a < b ? a : b;
 }
 
+/* All kinds are known up to the least of their revisions. */
+static void extend(struct control *c)
+{
+	const struct fleet *f = &c->fleet;
+	int64_t revision = least(f->manifest.revision, f->upstream.revision);
+
+	if (!f->manifest.listed || !f->upstream.listed || !f->evacuation.listed)
+		return;
+	revision = least(revision, f->evacuation.revision);
+	spread_extend(&c->sync.copy, c->sync.copy.complete, revision);
+	c->fleet.whole = 1;
+}
+
+void fleet_pulled(struct control *c)
+{
+	c->fleet.whole = 1;
+}
+
+static int is_stale(const struct store_follow *f, int64_t now)
+{
+	return f->failures || now - f->confirmed_ms > STALE_MS;
+}
+
+int fleet_is_stale(const struct control *c, int64_t now)
+{
+	const struct fleet *f = &c->fleet;
+
+	return is_stale(&f->manifest, now) || is_stale(&f->upstream, now) ||
+	       is_stale(&f->evacuation, now);
+}
+
+/* What is known of upstreams counts as a whole list from the first time on. */
 static void become_ready(struct control *c)
 {
-	char version[24];
+	struct fleet *f = &c->fleet;
 
-	if (c->fleet.ready || !is_whole(&c->fleet))
+	if (f->ready || !f->whole)
 		return;
-	c->fleet.ready = 1;
-	number(version, c->fleet.known.manifest.version);
-	log_event(LOG_AUDIT_LINE, "ready", "from", "store", "manifest", version,
-		  NULL);
+	f->known.listed = 1;
+	if (!f->known.manifest.version)
+		return;
+	f->ready = 1;
+	sync_become_ready(c, f->upstream.listed ? "store" : "peer");
 }
 
 static void registered(struct store_call *call)
@@ -328,6 +389,23 @@
 		start_register(c, "", prl_now_ms());
 }
 
+/* A VM that starts while the store is away learns from those named in its
+ * settings; it takes no part before. */
+static void ask_seeds(struct control *c, int64_t now)
+{
+	const struct prl_settings *s = c->settings;
+	struct fleet *f = &c->fleet;
+	const char *seed;
+
+	if (f->ready || !s->nseed || now < f->ask_seed_at ||
+	    now < c->started_ms + SEED_AFTER_MS)
+		return;
+	f->ask_seed_at = now + SEED_EACH_MS;
+	seed = s->seed[control_random() % (uint64_t)s->nseed].address;
+	if (strcmp(seed, s->listen.rpc))
+		sync_pull_from(c, seed);
+}
+
 void fleet_tick(struct control *c, int64_t now)
 {
 	struct fleet *f = &c->fleet;
@@ -340,6 +418,8 @@
 		f->vm.poll_ms = VM_LIST_MS;
 	if (knowledge_expire(&f->known, now))
 		c->dirty = 1;
+	extend(c);
+	ask_seeds(c, now);
 	become_ready(c);
 	if (f->ready)
 		register_self(c, now);
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -330,7 +330,9 @@
 		on_probe(c, r, &args->u.probe);
 		return;
 	}
-	if (!peers_allow(c, r)) {
+	/* One that can't serve yet is no member, and may ask. */
+	if (!peers_allow(c, r) &&
+	    (args->proc != WIRE_PULL || !control_follows_manifest(c))) {
 		c->wire.rejected++;
 		return;
 	}
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -53,7 +53,7 @@
 	return 0;
 }
 
-static void become_ready(struct control *c, const char *from)
+void sync_become_ready(struct control *c, const char *from)
 {
 	char revision[24];
 
@@ -67,11 +67,18 @@
 		  NULL);
 }
 
-/* Returns 1 if the object was news. */
-static int install(struct control *c, const char *key, int64_t version,
-		   const char *value, size_t len)
+/* Whether an object is of those that this fleet's configuration is made of. */
+static int is_wanted(const struct control *c, const char *key)
 {
-	if (strncmp(key, STORE_PREFIX_STEER, strlen(STORE_PREFIX_STEER)) ||
+	if (control_follows_manifest(c))
+		return fleet_wants(key);
+	return g_str_has_prefix(key, STORE_PREFIX_STEER);
+}
+
+int sync_install(struct control *c, const char *key, int64_t version,
+		 const char *value, size_t len)
+{
+	if (!is_wanted(c, key) ||
 	    spread_install(&c->sync.copy, key, version, value, len))
 		return 0;
 	metrics_add(&c->proxy.control, METRIC_INSTALLED, 1);
@@ -160,28 +167,23 @@
 	log_event(LOG_AUDIT_LINE, "store", "state", up ? "up" : "down", NULL);
 }
 
-static int is_listed(const struct store_call *call, const char *key)
+int sync_take_removals(struct control *c, const struct store_call *call)
 {
-	for (int i = 0; i < call->nobject; i++)
-		if (!strcmp(call->object[i].key, key))
-			return 1;
-	return 0;
-}
-
-/* After the store has dropped its history, what a list lacks was removed. */
-static int take_removals(struct control *c, const struct store_call *call)
-{
-	GPtrArray *known = spread_after(&c->sync.copy, 0);
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *lacking;
 	int news = 0;
 
-	for (guint i = 0; i < known->len; i++) {
-		const struct spread_object *o = g_ptr_array_index(known, i);
+	for (int i = 0; i < call->nobject; i++)
+		g_hash_table_add(listed, call->object[i].key);
+	lacking = spread_lacking(&c->sync.copy, call->key, call->revision,
+				 listed);
+	for (guint i = 0; i < lacking->len; i++) {
+		const struct spread_object *o = g_ptr_array_index(lacking, i);
 
-		if (o->len && o->version <= call->revision &&
-		    !is_listed(call, o->key))
-			news += install(c, o->key, call->revision, "", 0);
+		news += sync_install(c, o->key, call->revision, "", 0);
 	}
-	g_ptr_array_free(known, TRUE);
+	g_ptr_array_free(lacking, TRUE);
+	g_hash_table_destroy(listed);
 	return news;
 }
 
@@ -191,19 +193,19 @@
 	int news = 0;
 
 	if (call->op == STORE_LIST) {
-		news += take_removals(c, call);
+		news += sync_take_removals(c, call);
 		c->sync.forgotten = 0;
 	}
 
 	for (int i = 0; i < call->nobject; i++) {
 		const struct store_object *o = &call->object[i];
 
-		news += install(c, o->key, o->version, o->value, o->len);
+		news += sync_install(c, o->key, o->version, o->value, o->len);
 	}
 	spread_extend(&c->sync.copy,
 		      call->op == STORE_LIST ? after : call->version,
 		      call->revision);
-	become_ready(c, "store");
+	sync_become_ready(c, "store");
 	if (news && after)
 		relay_after(c, after);
 }
@@ -266,6 +268,14 @@
 
 static void pull(struct control *c, const char *from);
 
+static void pulled_whole(struct control *c)
+{
+	if (control_follows_manifest(c))
+		fleet_pulled(c);
+	else
+		sync_become_ready(c, "peer");
+}
+
 static int take_delta(struct control *c, const struct wire_delta *d)
 {
 	int news = 0;
@@ -273,8 +283,8 @@
 	for (u_int i = 0; i < d->object.object_len; i++) {
 		const struct wire_object *o = &d->object.object_val[i];
 
-		news += install(c, o->key, o->revision, o->value.value_val,
-				o->value.value_len);
+		news += sync_install(c, o->key, o->revision, o->value.value_val,
+				     o->value.value_len);
 	}
 	return news;
 }
@@ -292,7 +302,7 @@
 		take_delta(c, d);
 		spread_extend(&c->sync.copy, d->after, d->complete);
 		if (!d->hops)
-			become_ready(c, "peer");
+			pulled_whole(c);
 		/* A long answer comes in parts; "hops" counts what is left. */
 		else if (c->sync.copy.complete > before)
 			pull(c, p->from);
@@ -324,10 +334,30 @@
 	metrics_add(&c->proxy.control, METRIC_PULLS, 1);
 }
 
+/* Whether another VM's copy is worth asking for. Of several kinds of objects,
+ * one may have changed while the others' watches still wait, so that "complete"
+ * has not moved yet. A VM that reads the store itself is only a moment behind.
+ */
+static int is_ahead(const struct control *c, const struct wire_digest *d)
+{
+	const struct spread_copy *copy = &c->sync.copy;
+
+	if (!control_follows_manifest(c))
+		return d->complete > copy->complete;
+	return fleet_is_stale(c, prl_now_ms()) && d->complete &&
+	       (d->complete > copy->complete || d->sum != copy->sum);
+}
+
+void sync_pull_from(struct control *c, const char *address)
+{
+	if (!c->sync.pulling)
+		pull(c, address);
+}
+
 void sync_heard(struct control *c, const struct wire_digest *d,
 		const char *from)
 {
-	if (!c->sync.pulling && d->complete > c->sync.copy.complete)
+	if (!c->sync.pulling && is_ahead(c, d))
 		pull(c, from);
 }
 
--- a/config/include/primroselead/knowledge.h
+++ b/config/include/primroselead/knowledge.h
@@ -19,8 +19,6 @@
 	 * because it lapsed in an outage; PRL_NEVER while the entry is there.
 	 */
 	int64_t gone_at;
-	/** The list under way has it. */
-	int seen;
 };
 
 /** An evacuation of a failure domain. */
@@ -29,7 +27,6 @@
 	int on;
 	/** When it was taken back, on the clock of prl_now_ms. */
 	int64_t ended_ms;
-	int seen;
 };
 
 /** All of it; belongs to the control thread. */
@@ -41,7 +38,8 @@
 	GHashTable *evacuation;
 	/** Regions by failure domain. */
 	GHashTable *region;
-	/** A whole list of upstreams was taken in. */
+	/** What is known is whole; upstreams that come later have just
+	 * started. */
 	int listed;
 };
 
@@ -71,19 +69,10 @@
 int knowledge_upstream_gone(struct knowledge *k, const char *instance,
 			    int64_t gone_at);
 
-/** A whole list of upstreams begins, or has ended: what it lacked may be used
- * until "gone_at". */
-void knowledge_list_begin(struct knowledge *k);
-void knowledge_list_end(struct knowledge *k, int64_t gone_at);
-
 /** A failure domain is evacuated, or taken back. */
 void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
 			int64_t now);
 
-/** The same for a whole list of evacuations. */
-void knowledge_evacuations_begin(struct knowledge *k);
-void knowledge_evacuations_end(struct knowledge *k, int64_t now);
-
 /** Forgets upstreams whose time is over. Returns 1 if there were any. */
 int knowledge_expire(struct knowledge *k, int64_t now);
 
--- a/config/src/knowledge.c
+++ b/config/src/knowledge.c
@@ -59,10 +59,8 @@
 	return s ? s->cold_ms : 0;
 }
 
-static void note_cold(const struct knowledge *k, struct knowledge_upstream *u,
-		      int64_t ms, int64_t now)
+static void note_cold(struct knowledge_upstream *u, int64_t ms, int64_t now)
 {
-	(void)k;
 	if (now + ms > u->cold_until)
 		u->cold_until = now + ms;
 }
@@ -75,25 +73,22 @@
 		g_hash_table_lookup(k->upstream, said->instance);
 	int started = !u || u->said.born_ms != said->born_ms;
 
-	if (u && is_older(said, &u->said)) {
-		u->seen = 1;
+	if (u && is_older(said, &u->said))
 		return prl_fail(err, PRL_E_STALE,
 				"entry of upstream \"%s\" is older than the "
 				"one known",
 				said->instance);
-	}
 	if (!u) {
 		u = g_new0(struct knowledge_upstream, 1);
 		u->said = *said;
 		g_hash_table_insert(k->upstream, u->said.instance, u);
 	}
 	u->said = *said;
-	u->seen = 1;
 	u->gone_at = PRL_NEVER;
-	note_cold(k, u, said->cold_ms, now);
+	note_cold(u, said->cold_ms, now);
 	/* One that joins has just started, whatever its first entry says. */
 	if (started && k->listed)
-		note_cold(k, u, cold_of_service(k, said->service), now);
+		note_cold(u, cold_of_service(k, said->service), now);
 	return PRL_OK;
 }
 
@@ -110,31 +105,6 @@
 	return 1;
 }
 
-void knowledge_list_begin(struct knowledge *k)
-{
-	GHashTableIter it;
-	void *u;
-
-	g_hash_table_iter_init(&it, k->upstream);
-	while (g_hash_table_iter_next(&it, NULL, &u))
-		((struct knowledge_upstream *)u)->seen = 0;
-}
-
-void knowledge_list_end(struct knowledge *k, int64_t gone_at)
-{
-	GHashTableIter it;
-	void *value;
-
-	k->listed = 1;
-	g_hash_table_iter_init(&it, k->upstream);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct knowledge_upstream *u = value;
-
-		if (!u->seen && gone_at < u->gone_at)
-			u->gone_at = gone_at;
-	}
-}
-
 /* Upstreams of a domain may have become cold while it was evacuated. */
 static void chill(struct knowledge *k, const char *domain, int64_t now)
 {
@@ -146,8 +116,7 @@
 		struct knowledge_upstream *u = value;
 
 		if (!strcmp(u->said.domain, domain))
-			note_cold(k, u, cold_of_service(k, u->said.service),
-				  now);
+			note_cold(u, cold_of_service(k, u->said.service), now);
 	}
 }
 
@@ -166,29 +135,6 @@
 		chill(k, domain, now);
 	}
 	e->on = on;
-	e->seen = 1;
-}
-
-void knowledge_evacuations_begin(struct knowledge *k)
-{
-	GHashTableIter it;
-	void *e;
-
-	g_hash_table_iter_init(&it, k->evacuation);
-	while (g_hash_table_iter_next(&it, NULL, &e))
-		((struct knowledge_evacuation *)e)->seen = 0;
-}
-
-void knowledge_evacuations_end(struct knowledge *k, int64_t now)
-{
-	GHashTableIter it;
-	void *domain;
-	void *e;
-
-	g_hash_table_iter_init(&it, k->evacuation);
-	while (g_hash_table_iter_next(&it, &domain, &e))
-		if (!((struct knowledge_evacuation *)e)->seen)
-			knowledge_evacuate(k, domain, 0, now);
 }
 
 int knowledge_expire(struct knowledge *k, int64_t now)
--- a/config/test/test_knowledge.c
+++ b/config/test/test_knowledge.c
@@ -20,8 +20,8 @@
 
 static void give_manifest(int64_t version, enum prl_code want)
 {
-	struct fleet_manifest m = {.version = version, .nroute = 2,
-				   .nservice = 1};
+	struct fleet_manifest m = {
+		.version = version, .nroute = 2, .nservice = 1};
 
 	m.route = calloc(2, sizeof(*m.route));
 	m.service = calloc(1, sizeof(*m.service));
@@ -40,8 +40,8 @@
 static struct fleet_upstream entry(const char *instance, const char *domain,
 				   int64_t born, int64_t sequence)
 {
-	struct fleet_upstream u = {.slots = 6, .born_ms = born,
-				   .sequence = sequence};
+	struct fleet_upstream u = {
+		.slots = 6, .born_ms = born, .sequence = sequence};
 
 	strcpy(u.instance, instance);
 	strcpy(u.service, "s");
@@ -104,8 +104,7 @@
 	assert_null(view(0));
 	give_manifest(3, PRL_OK);
 	assert_null(view(0));
-	knowledge_list_begin(&k);
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	assert_int_equal(count_upstreams(), 0);
 }
 
@@ -121,38 +120,28 @@
 	assert_int_equal(k.manifest.version, 9);
 }
 
-static void list(int64_t now, const char *const *instance, int64_t gone_at)
+static void test_removed_entry_is_gone(void **state)
 {
-	knowledge_list_begin(&k);
-	for (int i = 0; instance[i]; i++)
-		give(instance[i], "n-a", 1, 1, now);
-	knowledge_list_end(&k, gone_at);
-	knowledge_expire(&k, now);
-}
-
-static void test_what_a_list_lacks_is_gone(void **state)
-{
-	static const char *const all[] = {"i1", "i2", NULL};
-	static const char *const one[] = {"i1", NULL};
-
 	(void)state;
 	give_manifest(3, PRL_OK);
-	list(1000, all, 1000);
+	give("i1", "n-a", 1, 1, 1000);
+	give("i2", "n-a", 1, 1, 1000);
+	k.listed = 1;
 	assert_int_equal(count_upstreams(), 2);
-	list(2000, one, 2000);
+	assert_int_equal(knowledge_upstream_gone(&k, "i2", 2000), 1);
+	assert_int_equal(knowledge_expire(&k, 2000), 1);
 	assert_int_equal(count_upstreams(), 1);
 }
 
 /* An entry that lapsed while the store was away may come back. */
 static void test_lapsed_entry_is_kept_for_a_while(void **state)
 {
-	static const char *const all[] = {"i1", "i2", NULL};
-	static const char *const one[] = {"i1", NULL};
-
 	(void)state;
 	give_manifest(3, PRL_OK);
-	list(1000, all, 1000);
-	list(9000, one, 11000);
+	give("i1", "n-a", 1, 1, 1000);
+	give("i2", "n-a", 1, 1, 1000);
+	k.listed = 1;
+	assert_int_equal(knowledge_upstream_gone(&k, "i2", 11000), 1);
 	assert_int_equal(count_upstreams(), 2);
 	assert_int_equal(knowledge_expire(&k, 10999), 0);
 	give("i2", "n-a", 1, 2, 10999);
@@ -171,7 +160,7 @@
 	(void)state;
 	give_manifest(3, PRL_OK);
 	give("i1", "n-a", 50, 8, 0);
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	u = entry("i1", "n-a", 50, 7);
 	u.leaving = 1;
 	assert_int_equal(knowledge_upstream(&k, &u, 0, NULL), PRL_E_STALE);
@@ -195,7 +184,7 @@
 	(void)state;
 	give_manifest(3, PRL_OK);
 	give("i1", "n-a", 50, 8, 0);
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	v = view(0);
 	cell = v->service[0]->upstream[0].cell;
 	id = v->service[0]->upstream[0].id;
@@ -217,17 +206,16 @@
 	give_manifest(3, PRL_OK);
 	give("i1", "n-a", 1, 1, 0);
 	give("i2", "s-a", 1, 1, 0);
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	knowledge_evacuate(&k, "n-a", 1, 1000);
 	assert_int_equal(count_upstreams(), 1);
-	knowledge_evacuations_begin(&k);
-	knowledge_evacuations_end(&k, 5000);
+	knowledge_evacuate(&k, "n-a", 0, 5000);
 	assert_int_equal(count_upstreams(), 2);
 	v = view(0);
 	for (int i = 0; i < 2; i++)
 		if (!strcmp(v->service[0]->upstream[i].instance, "i1"))
-			assert_int_equal(
-				v->service[0]->upstream[i].cold_until, 8000);
+			assert_int_equal(v->service[0]->upstream[i].cold_until,
+					 8000);
 	config_view_release(v);
 }
 
@@ -243,7 +231,7 @@
 		snprintf(name, sizeof(name), "i%d", i);
 		give(name, i % 2 ? "n-b" : "s-a", 1, 1, 0);
 	}
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	for (int lost = 0; lost < 3; lost++) {
 		int64_t sum[20] = {0};
 
@@ -267,7 +255,7 @@
 
 	(void)state;
 	give_manifest(3, PRL_OK);
-	knowledge_list_end(&k, 0);
+	k.listed = 1;
 	v = view(0);
 	assert_string_equal(v->route[0].prefix, "/a/b/");
 	assert_string_equal(steer_find_route(v, "h", "/a/x")->prefix, "/a/");
@@ -281,7 +269,7 @@
 			test_no_view_before_all_is_known, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_manifest_never_reverts,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(test_what_a_list_lacks_is_gone,
+		cmocka_unit_test_setup_teardown(test_removed_entry_is_gone,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_lapsed_entry_is_kept_for_a_while, setup, teardown),
@@ -294,8 +282,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_cold_rate_is_divided,
 						setup, teardown),
-		cmocka_unit_test_setup_teardown(
-			test_longest_prefix_comes_first, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_longest_prefix_comes_first,
+						setup, teardown),
 	};
 
 	apr_initialize();
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -32,10 +32,10 @@
 	number(rank, r->rank);
 	log_event(LOG_INFO_LINE, "request", "id", r->asked.id, "service",
 		  r->service_name, "status", status, "outcome",
-		  outcomes[r->outcome], "cause", r->cause ? r->cause : "",
-		  "ms", ms, "attempts", attempts, "upstream", r->instance,
-		  "manifest", version, "wait_ms", wait, "inflight_milli",
-		  inflight, "rank", rank, NULL);
+		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
+		  ms, "attempts", attempts, "upstream", r->instance, "manifest",
+		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
+		  rank, NULL);
 }
 
 void request_log_attempt(const struct proxy_request *r, const char *result)
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -241,8 +241,8 @@
 {
 	const struct proxy *p = r->thread->proxy;
 	int vms = r->view->nactive > 0 ? r->view->nactive : 1;
-	int64_t most = r->thread->bounds.retry_extra * BUDGET_PERCENT / PERCENT /
-		       (vms * p->nthread);
+	int64_t most = r->thread->bounds.retry_extra * BUDGET_PERCENT /
+		       PERCENT / (vms * p->nthread);
 
 	limit_budget_set(&state_of(r)->retry, most > 1 ? most : 1);
 }
@@ -382,7 +382,7 @@
 }
 
 static const char *const result_names[] = {"answered", "failed", "refused",
-					    "broken"};
+					   "broken"};
 
 void place_learn(struct proxy_request *r, enum place_result result)
 {
--- a/spread/include/primroselead/spread.h
+++ b/spread/include/primroselead/spread.h
@@ -65,6 +65,14 @@
  */
 GPtrArray *spread_after(const struct spread_copy *c, int64_t after);
 
+/**
+ * Fills an array with the objects that a whole list lacks: held, with this
+ * beginning of their key, no newer than the list's revision, and not among its
+ * keys. The pointers are good until the next change of the copy.
+ */
+GPtrArray *spread_lacking(const struct spread_copy *c, const char *prefix,
+			  int64_t revision, GHashTable *listed);
+
 /**
  * Place in a relay tree: fills the ranks of a node's children and returns how
  * many there are. The root has rank 0.
--- a/spread/src/copy.c
+++ b/spread/src/copy.c
@@ -97,3 +97,22 @@
 	g_ptr_array_sort(found, by_version);
 	return found;
 }
+
+GPtrArray *spread_lacking(const struct spread_copy *c, const char *prefix,
+			  int64_t revision, GHashTable *listed)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->by_key);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct spread_object *o = value;
+
+		if (o->len && o->version <= revision &&
+		    g_str_has_prefix(o->key, prefix) &&
+		    !g_hash_table_contains(listed, o->key))
+			g_ptr_array_add(found, o);
+	}
+	return found;
+}
--- a/spread/test/test_spread.c
+++ b/spread/test/test_spread.c
@@ -86,6 +86,31 @@
 	}
 }
 
+/* What a list lacks was removed, unless it is newer than the list, of another
+ * kind, or removed already. */
+static void test_what_a_list_lacks(void **state)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct spread_copy c;
+	GPtrArray *found;
+
+	(void)state;
+	spread_init(&c);
+	spread_install(&c, "k/a", 5, "x", 1);
+	spread_install(&c, "k/b", 6, "x", 1);
+	spread_install(&c, "k/c", 9, "x", 1);
+	spread_install(&c, "k/d", 7, "", 0);
+	spread_install(&c, "m/e", 3, "x", 1);
+	g_hash_table_add(listed, "k/a");
+	found = spread_lacking(&c, "k/", 8, listed);
+	assert_int_equal(found->len, 1);
+	assert_string_equal(((struct spread_object *)found->pdata[0])->key,
+			    "k/b");
+	g_ptr_array_free(found, TRUE);
+	g_hash_table_destroy(listed);
+	spread_finish(&c);
+}
+
 /* Every VM of a tree has exactly one parent, also where a fan-out ends. */
 static void test_tree_reaches_all_once(void **state)
 {
@@ -112,6 +137,7 @@
 		cmocka_unit_test(test_older_is_stale),
 		cmocka_unit_test(test_gap_is_seen),
 		cmocka_unit_test(test_any_order_as_naive),
+		cmocka_unit_test(test_what_a_list_lacks),
 		cmocka_unit_test(test_tree_reaches_all_once),
 	};
 
--- a/steer/test/test_place.c
+++ b/steer/test/test_place.c
@@ -333,8 +333,11 @@
 
 static void test_near_names_the_region(void **state)
 {
-	struct steer_vm vms[5] = {{.region = 0}, {.region = 0}, {.region = 1},
-				  {.region = 1}, {.region = 1}};
+	struct steer_vm vms[5] = {{.region = 0},
+				  {.region = 0},
+				  {.region = 1},
+				  {.region = 1},
+				  {.region = 1}};
 	struct steer_view v = {.vm = vms, .nvm = 5, .nregion = 2};
 	int vm[STEER_NEAR_MAX];
 
--- a/system/harness.c
+++ b/system/harness.c
@@ -217,8 +217,7 @@
 	if (!c->upload)
 		return;
 	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
-	curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
-			 (curl_off_t)c->upload);
+	curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)c->upload);
 	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload);
 	curl_easy_setopt(easy, CURLOPT_READDATA, left);
 	curl_easy_setopt(easy, CURLOPT_MAX_SEND_SPEED_LARGE,
@@ -385,8 +384,8 @@
 		 "[seed a]\naddress = 127.0.0.1:%d\n"
 		 "[seed b]\naddress = 127.0.0.1:%d\n%s",
 		 vm->n, vm->region, vm->domain, vm->base + vm->n,
-		 vm->base + 100 + vm->n, vm->listen ? vm->listen : "", vm->store, vm->base + 101,
-		 vm->base + 102,
+		 vm->base + 100 + vm->n, vm->listen ? vm->listen : "",
+		 vm->store, vm->base + 101, vm->base + 102,
 		 vm->more ? vm->more : "[control]\ndrain = 500\n");
 	harness_write(name, text);
 	snprintf(option, sizeof(option), "--settings=%s", harness_path(name));
--- a/system/test_routes.c
+++ b/system/test_routes.c
@@ -19,13 +19,15 @@
 
 #define BASE 29000
 #define STORE (BASE + 0)
+/* Nothing listens there. */
+#define NO_STORE (BASE + 9)
 #define FRONT(n) (BASE + (n))
 #define LOOKUP(n) (BASE + 20 + (n))
 #define READY(n) (BASE + 40 + (n))
 #define METRICS(n) (BASE + 60 + (n))
 #define UPSTREAM(n) (BASE + 200 + (n))
 
-static pid_t vm_pid[3];
+static pid_t vm_pid[4];
 
 static void put(const char *key, const char *value)
 {
@@ -123,13 +125,17 @@
 	"[bound 0]\nis = grace_period_s=6\n"
 	"[bound 1]\nis = budget_extra_retries=600\n";
 
-static void start_vm(int n)
+static void start_vm_at(int n, int store)
 {
 	char listen[200];
 	char url[80];
-	struct vm vm = {.n = n, .base = BASE, .store = STORE,
-			.region = "norte", .domain = "norte-a",
-			.listen = listen, .more = more};
+	struct vm vm = {.n = n,
+			.base = BASE,
+			.store = store,
+			.region = "norte",
+			.domain = "norte-a",
+			.listen = listen,
+			.more = more};
 
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
@@ -140,6 +146,11 @@
 		 READY(n));
 	assert_true(fleet_wait_text(url, "live", 5000));
 }
+static void start_vm(int n)
+{
+	start_vm_at(n, STORE);
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -171,7 +182,9 @@
 	char url[160];
 	const char *headers[] = {id, "X-Deadline-Remaining-Ms: 4000",
 				 "X-Affinity-Key: 7", NULL};
-	struct call c = {.method = method, .url = url, .host = "h.example",
+	struct call c = {.method = method,
+			 .url = url,
+			 .host = "h.example",
 			 .headers = headers};
 
 	snprintf(id, sizeof(id), "X-Request-Id: r%d", ++serial);
@@ -219,7 +232,7 @@
 static void test_broken_answers(void **state)
 {
 	static const char *const modes[] = {"cut",   "unframed-cut", "other",
-					    "close", "garbage",      "encoded",
+					    "close", "garbage",	     "encoded",
 					    "bare"};
 	char path[64];
 
@@ -309,8 +322,12 @@
 	char id[64];
 	char url[160];
 	const char *headers[] = {id, "X-Deadline-Remaining-Ms: 20000", NULL};
-	struct call c = {.method = "POST", .url = url, .host = "h.example",
-			 .headers = headers, .upload = length, .rate = rate,
+	struct call c = {.method = "POST",
+			 .url = url,
+			 .host = "h.example",
+			 .headers = headers,
+			 .upload = length,
+			 .rate = rate,
 			 .timeout_ms = 30000};
 
 	snprintf(id, sizeof(id), "X-Request-Id: u%d", ++serial);
@@ -580,6 +597,30 @@
 	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
 }
 
+/* A VM that the store does not serve learns from the others, at its start and
+ * later, and is as good as they are. */
+static void test_vm_without_the_store(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	start_vm_at(3, NO_STORE);
+	assert_int_equal(ask_vm(3, "GET", "/safe/plain").status, 200);
+	put_upstream("i-1", "s", UPSTREAM(1), "draining", 14);
+	harness_sleep(1200);
+	before = stat_of(UPSTREAM(1), "ran");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(ask_vm(3, "GET", "/safe/plain").status, 200);
+	assert_int_equal(stat_of(UPSTREAM(1), "ran"), before);
+	put("evacuations/norte-a", "{}");
+	harness_sleep(1200);
+	assert_int_equal(ask_vm(3, "POST", "/once/plain").status, 503);
+	put("evacuations/norte-a", "");
+	put_upstream("i-1", "s", UPSTREAM(1), "ready", 15);
+	harness_sleep(1200);
+	assert_int_equal(ask_vm(3, "GET", "/safe/plain").status, 200);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -604,6 +645,7 @@
 		cmocka_unit_test(test_planned_stop),
 		cmocka_unit_test(test_stop_with_a_request_that_hangs),
 		cmocka_unit_test(test_dead_vm_is_not_named),
+		cmocka_unit_test(test_vm_without_the_store),
 	};
 
 	(void)argc;
