Keep an object in one region as well, within a few requests of the shares

Change: the region of an object by rendezvous hashing weighted with the shares; no region gets ahead of its share by more than three requests, so the pace of moves between regions still holds.

--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -20,6 +20,7 @@
 	char wait[24];
 	char inflight[24];
 	char rank[24];
+	char object[24];
 
 	if (!r->routed)
 		return;
@@ -30,12 +31,14 @@
 	number(wait, r->wait_ms);
 	number(inflight, r->inflight);
 	number(rank, r->rank);
+	snprintf(object, sizeof(object), "%016llx",
+		 (unsigned long long)r->asked.object);
 	log_event(LOG_INFO_LINE, "request", "id", r->asked.id, "service",
 		  r->service_name, "status", status, "outcome",
 		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
 		  ms, "attempts", attempts, "upstream", r->instance, "manifest",
 		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
-		  rank, NULL);
+		  rank, "object", object, NULL);
 }
 
 void request_log_attempt(const struct proxy_request *r, const char *result)
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -260,11 +260,12 @@
 static int choose(struct placement *p)
 {
 	uint32_t mask = p->r->policy.homes ? p->r->policy.homes : UINT32_MAX;
+	uint64_t object = p->r->policy.sticky ? p->r->asked.object : 0;
 	int planned;
 
 	count_request(p);
 	update_shares(p);
-	planned = steer_shares_next(&p->state->shares, mask);
+	planned = steer_shares_next(&p->state->shares, mask, object);
 	limit_budget_set(&p->state->overflow, OVERFLOW_MOST);
 	limit_budget_count(&p->state->overflow, OVERFLOW_PERMILLE);
 	if (planned != STEER_NONE && try_region(p, planned))
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -427,11 +427,12 @@
 			 int own, int64_t pace, int64_t now_ms);
 
 /**
- * Region for the next request, so that any run of requests has the shares
- * nearly exactly. Only regions in the mask count. STEER_NONE if none has a
- * share.
+ * Region for the next request: that of its object, so that an object is at
+ * hand in one region, as long as no region gets ahead of its share by more
+ * than a few requests; without an object (0) the region owed most. Only
+ * regions in the mask count. STEER_NONE if none has a share.
  */
-int steer_shares_next(struct steer_shares *s, uint32_t mask);
+int steer_shares_next(struct steer_shares *s, uint32_t mask, uint64_t object);
 
 /** Part of a route for the next request, in the proportion of the weights;
  * "credit" holds the debts to the parts. STEER_NONE if no part has weight. */
--- a/steer/src/shares.c
+++ b/steer/src/shares.c
@@ -1,3 +1,5 @@
+#include <math.h>
+#include <primroselead/hash.h>
 #include <primroselead/steer.h>
 #include <string.h>
 
@@ -9,6 +11,16 @@
 #define OCCUPANCY_HIGH 850
 #define OCCUPANCY_LOW 650
 
+/* Requests by which a region may be ahead of its share for the sake of objects
+ * that it has at hand: the shares of any two windows hardly differ by it. */
+#define DEBT_MAX 3
+
+/* Keeps the hashes of regions apart from those of upstreams. */
+#define REGION_SEED 0x526567696f6eULL
+
+/* Values that a hash takes once it has been cut to 53 bits. */
+#define HASH_STEPS 9007199254740992.0
+
 /* Least room counted of a region that is full, in permille of its slots: what
  * is believed of a far region is old. */
 #define ROOM_LEAST 50
@@ -139,19 +151,58 @@
 		s->weight[r] += (target[r] - s->weight[r]) * most / gap;
 }
 
-int steer_shares_next(struct steer_shares *s, uint32_t mask)
+/* Region of an object by rendezvous hashing with the shares as weights: a share
+ * that moves a little moves few objects. */
+static int region_of(const struct steer_shares *s, uint32_t mask,
+		     uint64_t object)
+{
+	double least = 0;
+	int best = STEER_NONE;
+
+	for (int r = 0; r < STEER_REGIONS_MAX; r++) {
+		uint64_t h = prl_hash_pair(object, (uint64_t)r + REGION_SEED);
+		double score;
+
+		if (!s->weight[r] || !(mask >> r & 1))
+			continue;
+		/* In (0, 1]; its logarithm is never positive. */
+		score = -log(((double)(h >> 11) + 1) / HASH_STEPS) /
+			(double)s->weight[r];
+		if (best == STEER_NONE || score < least) {
+			least = score;
+			best = r;
+		}
+	}
+	return best;
+}
+
+static int region_owed_most(const struct steer_shares *s, uint32_t mask)
 {
-	int64_t total = 0;
 	int best = STEER_NONE;
 
 	for (int r = 0; r < STEER_REGIONS_MAX; r++) {
 		if (!s->weight[r] || !(mask >> r & 1))
 			continue;
-		s->credit[r] += s->weight[r];
-		total += s->weight[r];
 		if (best == STEER_NONE || s->credit[r] > s->credit[best])
 			best = r;
 	}
+	return best;
+}
+
+int steer_shares_next(struct steer_shares *s, uint32_t mask, uint64_t object)
+{
+	int64_t total = 0;
+	int best;
+
+	for (int r = 0; r < STEER_REGIONS_MAX; r++) {
+		if (!(mask >> r & 1))
+			continue;
+		s->credit[r] += s->weight[r];
+		total += s->weight[r];
+	}
+	best = object ? region_of(s, mask, object) : STEER_NONE;
+	if (best == STEER_NONE || s->credit[best] - total < -total * DEBT_MAX)
+		best = region_owed_most(s, mask);
 	if (best != STEER_NONE)
 		s->credit[best] -= total;
 	return best;
--- a/steer/test/test_place.c
+++ b/steer/test/test_place.c
@@ -262,13 +262,66 @@
 
 	(void)state;
 	for (int i = 0; i < 200; i++)
-		n[steer_shares_next(&s, UINT32_MAX)]++;
+		n[steer_shares_next(&s, UINT32_MAX, 0)]++;
 	assert_in_range(n[0], 69, 71);
 	assert_in_range(n[1], 49, 51);
 	assert_in_range(n[2], 79, 81);
 	for (int i = 0; i < 50; i++)
-		assert_int_equal(steer_shares_next(&s, 1u << 2), 2);
-	assert_int_equal(steer_shares_next(&s, 1u << 5), STEER_NONE);
+		assert_int_equal(steer_shares_next(&s, 1u << 2, 0), 2);
+	assert_int_equal(steer_shares_next(&s, 1u << 5, 0), STEER_NONE);
+}
+
+/* Objects stay in one region, and yet no run of requests strays from the shares
+ * by more than a few. */
+static void test_objects_keep_their_region(void **state)
+{
+	struct steer_shares s = {.weight = {350000, 250000, 400000}};
+	int seen[OBJECTS][3] = {{0}};
+	int n[3] = {0};
+	int stayed = 0;
+	int all = 0;
+
+	(void)state;
+	srand(23);
+	for (int i = 1; i <= 9000; i++) {
+		uint64_t o = (uint64_t)rand() % OBJECTS;
+		int r = steer_shares_next(&s, UINT32_MAX, prl_hash_pair(o, 99));
+
+		seen[o][r]++;
+		n[r]++;
+		for (int k = 0; k < 3; k++) {
+			double due = (double)i * (double)s.weight[k] / 1e6;
+
+			assert_true(n[k] < due + 4.01 && n[k] > due - 7);
+		}
+	}
+	for (int o = 0; o < OBJECTS; o++) {
+		int most = 0;
+
+		for (int k = 0; k < 3; k++) {
+			all += seen[o][k];
+			if (seen[o][k] > most)
+				most = seen[o][k];
+		}
+		stayed += most;
+	}
+	assert_true(stayed > all * 8 / 10);
+}
+
+/* A share that moves by a tenth moves few objects. */
+static void test_small_moves_move_few_objects(void **state)
+{
+	int moved = 0;
+
+	(void)state;
+	for (uint64_t o = 1; o < 2000; o++) {
+		struct steer_shares a = {.weight = {400000, 300000, 300000}};
+		struct steer_shares b = {.weight = {360000, 320000, 320000}};
+
+		moved += steer_shares_next(&a, UINT32_MAX, o) !=
+			 steer_shares_next(&b, UINT32_MAX, o);
+	}
+	assert_in_range(moved, 20, 140);
 }
 
 static void test_lost_region_has_no_share(void **state)
@@ -365,6 +418,8 @@
 		cmocka_unit_test(test_shares_start_by_slots),
 		cmocka_unit_test(test_shares_move_at_the_pace),
 		cmocka_unit_test(test_shares_are_exact),
+		cmocka_unit_test(test_objects_keep_their_region),
+		cmocka_unit_test(test_small_moves_move_few_objects),
 		cmocka_unit_test(test_lost_region_has_no_share),
 		cmocka_unit_test(test_longest_prefix_of_the_host),
 		cmocka_unit_test(test_parts_keep_their_weights),
