--- a/config/include/primroselead/knowledge.h
+++ b/config/include/primroselead/knowledge.h
@@ -61,7 +61,7 @@
 /** Takes in an upstream's entry. Returns PRL_OK, or PRL_E_STALE if an entry of
  * a later start, or a later one of the same start, is known. */
 enum prl_code knowledge_upstream(struct knowledge *k,
-				 const struct fleet_upstream *u, int64_t now,
+				 const struct fleet_upstream *said, int64_t now,
 				 struct prl_error *err);
 
 /** An entry is gone, or can't be read; its upstream may be used until
--- /dev/null
+++ b/proxy/src/outcome.c
@@ -0,0 +1,198 @@
+/* How an attempt at an upstream ended, and what follows from it. */
+#include "attempt.h"
+#include "place.h"
+#include "upstream.h"
+#include <primroselead/clock.h>
+
+/* Attempts of one request. */
+#define ATTEMPTS_MAX 3
+
+/* A transfer that ends this near to its deadline ran out of time, in ms. */
+#define LATE_MS 20
+
+/* Least time left in which another attempt is of use, in milliseconds. */
+#define ATTEMPT_MIN_MS 50
+
+/* Connections found stale before an attempt is given up. */
+#define STALE_MAX 8
+
+int request_may_retry(struct proxy_request *r, int did_not_run)
+{
+	int most = r->routed ? r->policy.attempts : ATTEMPTS_MAX;
+	int64_t least = r->routed ? ATTEMPT_MIN_MS : 0;
+
+	if (r->gone || r->responded || r->attempts >= most)
+		return 0;
+	if (r->once && !did_not_run)
+		return 0;
+	if (prl_now_ms() + least >= r->deadline || body_rewind(&r->up))
+		return 0;
+	if (r->routed)
+		return place_may_repeat(r);
+	return limit_share_take(&upstream_service(r)->retry);
+}
+
+static void retry(struct proxy_request *r)
+{
+	r->failed = r->upstream;
+	upstream_give(r);
+	metrics_add(&r->thread->metrics, METRIC_RETRIES, 1);
+	request_send(r);
+}
+
+static void settle_outcome(struct proxy_request *r, int did_not_run)
+{
+	if (!did_not_run)
+		r->maybe_ran = 1;
+	r->outcome = r->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+}
+
+void request_give_up_routed(struct proxy_request *r, const char *cause)
+{
+	int late = prl_now_ms() + LATE_MS >= r->deadline;
+
+	if (r->outcome == OUTCOME_NOT_RUN)
+		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+	else
+		request_fail(r,
+			     late ? MHD_HTTP_GATEWAY_TIMEOUT
+				  : MHD_HTTP_BAD_GATEWAY,
+			     cause);
+}
+
+static void retry_or_give_up(struct proxy_request *r, int did_not_run,
+			     const char *cause)
+{
+	settle_outcome(r, did_not_run);
+	if (request_may_retry(r, did_not_run)) {
+		retry(r);
+		return;
+	}
+	request_release(r);
+	request_give_up_routed(r, cause);
+}
+
+static void attempt_failed_routed(struct proxy_request *r, CURLcode result)
+{
+	int late = prl_now_ms() + LATE_MS >= r->deadline;
+
+	/* A request that ran out of time says little about its upstream. */
+	place_learn(r, late ? PLACE_FAILED : PLACE_BROKEN);
+	r->curl_result = result;
+	if (r->state == REQUEST_ANSWERED) {
+		r->down_failed = 1;
+		r->outcome = OUTCOME_UNKNOWN;
+		request_release(r);
+		request_wake(r);
+		return;
+	}
+	retry_or_give_up(r, !r->issued,
+			 late ? "the deadline passed before the upstream's "
+				"answer"
+			      : "the connection to the upstream failed");
+}
+
+static void pass_on(struct proxy_request *r)
+{
+	r->outcome = OUTCOME_RAN;
+	r->state = REQUEST_ANSWERED;
+	r->down_ended = 1;
+	request_release(r);
+	request_wake(r);
+}
+
+static void attempt_ended_routed(struct proxy_request *r)
+{
+	switch (r->verdict) {
+	case VERDICT_PASS:
+		place_learn(r, PLACE_ANSWERED);
+		pass_on(r);
+		return;
+	case VERDICT_FAILED:
+		place_learn(r, PLACE_FAILED);
+		r->maybe_ran = 1;
+		if (r->state != REQUEST_ANSWERED && request_may_retry(r, 0))
+			retry(r);
+		else
+			pass_on(r);
+		return;
+	case VERDICT_REFUSED:
+		place_learn(r, PLACE_REFUSED);
+		retry_or_give_up(r, 1, "the upstream refused the request");
+		return;
+	case VERDICT_AMBIGUOUS:
+		place_learn(r, PLACE_FAILED);
+		retry_or_give_up(r, 0, "the upstream failed");
+		return;
+	case VERDICT_BROKEN:
+		place_learn(r, PLACE_BROKEN);
+		retry_or_give_up(r, 0, "the upstream's answer is not valid");
+		return;
+	}
+}
+
+static void attempt_failed(struct proxy_request *r, CURLcode result)
+{
+	int did_not_run = !r->issued || r->refused;
+
+	upstream_learn(r, 1);
+	if (r->state == REQUEST_ANSWERED) {
+		r->down_failed = 1;
+		r->outcome = OUTCOME_UNKNOWN;
+		request_release(r);
+		request_wake(r);
+		return;
+	}
+	if (r->retrying || request_may_retry(r, did_not_run)) {
+		r->retrying = 0;
+		settle_outcome(r, did_not_run);
+		retry(r);
+		return;
+	}
+	settle_outcome(r, did_not_run);
+	request_release(r);
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		request_fail(
+			r, MHD_HTTP_GATEWAY_TIMEOUT,
+			"the deadline passed before the upstream's answer");
+	else
+		request_fail(r, MHD_HTTP_BAD_GATEWAY,
+			     "the connection to the upstream failed");
+}
+
+static void attempt_ended(struct proxy_request *r)
+{
+	r->outcome = r->refused ? OUTCOME_NOT_RUN : OUTCOME_RAN;
+	if (r->refused && r->maybe_ran)
+		r->outcome = OUTCOME_UNKNOWN;
+	upstream_learn(r, r->status >= MHD_HTTP_INTERNAL_SERVER_ERROR);
+	if (r->claimed && r->outcome == OUTCOME_RAN) {
+		r->claim.code = r->status;
+		request_note(r, CLAIM_RAN);
+	}
+	r->down_ended = 1;
+	request_release(r);
+	request_wake(r);
+}
+
+void request_attempt_done(struct fetch *f, CURLcode result)
+{
+	struct proxy_request *r = f->ctx;
+
+	request_end_fetch(r);
+	if (result && r->stale && r->stale <= STALE_MAX && !r->issued) {
+		/* That connection is closed now; the next may be good. */
+		request_start_transfer(r);
+		return;
+	}
+	if (r->routed && (result || !r->status))
+		attempt_failed_routed(r, result);
+	else if (r->routed)
+		attempt_ended_routed(r);
+	else if (result || r->state != REQUEST_ANSWERED)
+		attempt_failed(r, result);
+	else
+		attempt_ended(r);
+	if (r->gone && !r->fetching)
+		request_free(r);
+}
--- a/store/src/answer.c
+++ b/store/src/answer.c
@@ -29,7 +29,7 @@
 
 static enum prl_code take_all(struct store_call *c, struct platform_page *page)
 {
-	size_t n = (size_t)(c->nobject + page->n + 1);
+	size_t n = (size_t)c->nobject + (size_t)page->n + 1;
 	struct store_object *more = realloc(c->object, n * sizeof(*more));
 	enum prl_code rc = PRL_OK;
 
