Bound the log by kind, and never wait for its reader; split large test files

Cause: a line was written with printf and a flush, which waits when the output is not read, and nothing bounded lines under load. Test: 20,000 lines into a pipe that nobody reads return, 800 lines at most. The store's stand-in and the tests of routes are split by subject.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -110,6 +110,7 @@
 	metrics_set(m, METRIC_RPC_RECEIVED, c->wire.received);
 	metrics_set(m, METRIC_RPC_RECEIVED_BYTES, c->wire.received_bytes);
 	metrics_set(m, METRIC_RPC_REJECTED, c->wire.rejected);
+	metrics_set(m, METRIC_LOG_LOST, (uint64_t)log_lost());
 }
 
 static void update_status(struct control *c, int64_t now)
--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -13,6 +13,8 @@
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program,$(p))))
 
+$(OUT)/bin/standin-store: $(OUT)/standin/src/objects.o
+
 $(OUT)/bin/standin-%: $(OUT)/standin/src/%.o $(OUT)/standin/src/answer.o $(LIBRARIES)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIBS)
--- a/observe/include/primroselead/log.h
+++ b/observe/include/primroselead/log.h
@@ -17,10 +17,15 @@
 void log_init(const char *vm);
 
 /**
- * Writes one line: an event, then pairs of key and value up to a null key.
- * Callable from any thread.
+ * Writes one line: an event, which must be a literal, then pairs of key and
+ * value up to a null key. Callable from any thread; never waits. Lines of one
+ * event pass at a bounded rate; the next that passes says how many were left
+ * out before it ("left_out").
  */
 void log_event(enum log_level level, const char *event, ...)
 	__attribute__((sentinel));
 
+/** Lines that were lost because the output was not read. */
+long long log_lost(void);
+
 #endif
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -31,6 +31,9 @@
 						"config_installed",
 						"config_pulls",
 						"tokens_borrowed"};
+"log_lines_lost"
+}
+;
 
 static const char *const latency_names[METRIC_LATENCY_COUNT] = {
 	"request_time_us", "upstream_time_us", "claim_time_us"};
--- a/observe/test/test_observe.c
+++ b/observe/test/test_observe.c
@@ -4,8 +4,11 @@
 #include <stdint.h>
 
 #include <cmocka.h>
+#include <primroselead/log.h>
 #include <primroselead/metrics.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 static void test_sum_over_threads(void **state)
 {
@@ -48,9 +51,73 @@
 	assert_int_equal(text[n - 1], '\n');
 }
 
+/* Reads what a run of the function wrote to standard output. */
+static size_t capture(void (*run)(void), char *out, size_t size)
+{
+	int saved = dup(STDOUT_FILENO);
+	int fds[2];
+	ssize_t n;
+
+	fflush(stdout);
+	assert_int_equal(pipe(fds), 0);
+	dup2(fds[1], STDOUT_FILENO);
+	run();
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	close(fds[1]);
+	n = read(fds[0], out, size - 1);
+	close(fds[0]);
+	out[n > 0 ? n : 0] = 0;
+	return n > 0 ? (size_t)n : 0;
+}
+
+static void write_some(void)
+{
+	for (int i = 0; i < 300; i++)
+		log_event(LOG_INFO_LINE, "some", "k", "v", NULL);
+}
+
+static void write_many(void)
+{
+	for (int i = 0; i < 20000; i++)
+		log_event(LOG_INFO_LINE, "many", "k", "v", NULL);
+}
+
+static int count_lines(const char *text)
+{
+	int n = 0;
+
+	for (; *text; text++)
+		n += *text == '\n';
+	return n;
+}
+
+/* A reader that does not read makes nobody wait: the pipe holds 64 KB, the
+ * lines are more, and the call returns. */
+static void test_log_never_waits_and_is_bounded(void **state)
+{
+	static char text[300000];
+	long long before = log_lost();
+
+	(void)state;
+	log_init("v");
+	capture(write_some, text, sizeof(text));
+	assert_int_equal(count_lines(text), 300);
+	assert_non_null(strstr(text, "\"event\":\"some\""));
+	assert_int_equal(log_lost(), before);
+	capture(write_many, text, sizeof(text));
+	assert_true(count_lines(text) <= 800);
+	assert_true(count_lines(text) >= 300);
+	usleep(50000);
+	capture(write_some, text, sizeof(text));
+	capture(write_many, text, sizeof(text));
+	assert_non_null(strstr(text, "\"left_out\":\"1"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_log_never_waits_and_is_bounded),
 		cmocka_unit_test(test_sum_over_threads),
 		cmocka_unit_test(test_bounds_grow),
 		cmocka_unit_test(test_text_is_cut_at_a_line),
--- /dev/null
+++ b/standin/src/objects.c
@@ -0,0 +1,133 @@
+#include "objects.h"
+#include <string.h>
+
+/* Objects in one page of a list. */
+#define PAGE 100
+
+static void object_free(void *p)
+{
+	struct object *o = p;
+
+	g_free(o->key);
+	json_decref(o->value);
+	g_free(o);
+}
+
+static int by_version(const void *a, const void *b)
+{
+	const struct object *x = *(struct object *const *)a;
+	const struct object *y = *(struct object *const *)b;
+
+	return x->version < y->version ? -1 : x->version > y->version;
+}
+
+static int by_key(const void *a, const void *b)
+{
+	const struct object *x = *(struct object *const *)a;
+	const struct object *y = *(struct object *const *)b;
+
+	return strcmp(x->key, y->key);
+}
+
+int objects_is_kind(const char *key, const char *kind)
+{
+	size_t n = strlen(kind);
+
+	return !strncmp(key, kind, n) && key[n] == '/';
+}
+
+/* Objects of a kind that changed after a revision, removed ones too. */
+static GPtrArray *collect(GHashTable *objects, const char *kind, int64_t after)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, objects);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct object *o = value;
+
+		if (o->version > after && objects_is_kind(o->key, kind))
+			g_ptr_array_add(found, o);
+	}
+	return found;
+}
+
+json_t *objects_json(const struct object *o)
+{
+	return json_pack(
+		"{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata", "name",
+		strchr(o->key, '/') + 1, "revision", (json_int_t)o->version,
+		"created", (json_int_t)o->version, "finalizers", "deleting", 0,
+		"specification", o->value ? o->value : json_null(), "status");
+}
+
+json_t *objects_list(GHashTable *objects, const char *kind, const char *from,
+		     int64_t revision)
+{
+	GPtrArray *found = collect(objects, kind, 0);
+	json_t *items = json_array();
+	int more = 0;
+
+	g_ptr_array_sort(found, by_key);
+	for (guint i = 0; i < found->len && !more; i++) {
+		const struct object *o = g_ptr_array_index(found, i);
+
+		if (!o->value || strcmp(strchr(o->key, '/') + 1, from) <= 0)
+			continue;
+		more = json_array_size(items) == PAGE;
+		if (!more)
+			json_array_append_new(items, objects_json(o));
+	}
+	g_ptr_array_free(found, TRUE);
+	return json_pack("{s:o, s:b, s:I}", "items", items, "has_more", more,
+			 "current_rev", (json_int_t)revision);
+}
+
+json_t *objects_events(GHashTable *objects, const char *kind, int64_t after,
+		       int64_t revision)
+{
+	GPtrArray *found = collect(objects, kind, after);
+	json_t *events = json_array();
+
+	g_ptr_array_sort(found, by_version);
+	for (guint i = 0; i < found->len; i++) {
+		const struct object *o = g_ptr_array_index(found, i);
+
+		json_array_append_new(events, json_pack("{s:b, s:o}", "removed",
+							!o->value, "object",
+							objects_json(o)));
+	}
+	g_ptr_array_free(found, TRUE);
+	return json_pack("{s:o, s:I}", "events", events, "current_rev",
+			 (json_int_t)revision);
+}
+
+int objects_changed(GHashTable *objects, const char *kind, int64_t after)
+{
+	GPtrArray *found = collect(objects, kind, after);
+	int n = (int)found->len;
+
+	g_ptr_array_free(found, TRUE);
+	return n;
+}
+
+static gboolean is_removed(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct object *o = value;
+
+	(void)key;
+	(void)ctx;
+	return !o->value;
+}
+
+void objects_forget(GHashTable *objects)
+{
+	g_hash_table_foreach_remove(objects, is_removed, NULL);
+}
+
+GHashTable *objects_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				     object_free);
+}
--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -2,6 +2,7 @@
  * conditional updates and watches over HTTP, with outages, slowness, lost
  * answers and lost history on demand. */
 #include "answer.h"
+#include "objects.h"
 #include <apr_general.h>
 #include <glib.h>
 #include <jansson.h>
@@ -13,19 +14,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Objects in one page of a list. */
-#define PAGE 100
-
 #define OBJECTS "/api/objects/"
 
-/* An object; the key is its kind, a slash and its name. A removed one has no
- * value and stays as long as the history does. */
-struct object {
-	char *key;
-	int64_t version;
-	json_t *value;
-};
-
 /* A request, from its first line until its answer is sent. */
 struct request {
 	struct MHD_Connection *conn;
@@ -80,64 +70,6 @@
 		st.busiest = st.in_second;
 }
 
-static void object_free(void *p)
-{
-	struct object *o = p;
-
-	g_free(o->key);
-	json_decref(o->value);
-	g_free(o);
-}
-
-static int by_version(const void *a, const void *b)
-{
-	const struct object *x = *(struct object *const *)a;
-	const struct object *y = *(struct object *const *)b;
-
-	return x->version < y->version ? -1 : x->version > y->version;
-}
-
-static int by_key(const void *a, const void *b)
-{
-	const struct object *x = *(struct object *const *)a;
-	const struct object *y = *(struct object *const *)b;
-
-	return strcmp(x->key, y->key);
-}
-
-static int is_kind(const char *key, const char *kind)
-{
-	size_t n = strlen(kind);
-
-	return !strncmp(key, kind, n) && key[n] == '/';
-}
-
-/* Objects of a kind that changed after a revision, removed ones too. */
-static GPtrArray *collect(const char *kind, int64_t after)
-{
-	GPtrArray *found = g_ptr_array_new();
-	GHashTableIter it;
-	void *value;
-
-	g_hash_table_iter_init(&it, st.objects);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct object *o = value;
-
-		if (o->version > after && is_kind(o->key, kind))
-			g_ptr_array_add(found, o);
-	}
-	return found;
-}
-
-static json_t *object_json(const struct object *o)
-{
-	return json_pack(
-		"{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata", "name",
-		strchr(o->key, '/') + 1, "revision", (json_int_t)o->version,
-		"created", (json_int_t)o->version, "finalizers", "deleting", 0,
-		"specification", o->value ? o->value : json_null(), "status");
-}
-
 static enum MHD_Result answer_json(struct MHD_Connection *conn,
 				   unsigned int status, json_t *root)
 {
@@ -153,47 +85,20 @@
 {
 	const char *after = MHD_lookup_connection_value(
 		r->conn, MHD_GET_ARGUMENT_KIND, "after");
-	GPtrArray *found = collect(r->kind, 0);
-	json_t *items = json_array();
 	char *from = g_strdup(after ? after : "");
-	int more = 0;
+	json_t *root;
 
 	MHD_http_unescape(from);
-	g_ptr_array_sort(found, by_key);
-	for (guint i = 0; i < found->len && !more; i++) {
-		const struct object *o = g_ptr_array_index(found, i);
-
-		if (!o->value || strcmp(strchr(o->key, '/') + 1, from) <= 0)
-			continue;
-		more = json_array_size(items) == PAGE;
-		if (!more)
-			json_array_append_new(items, object_json(o));
-	}
+	root = objects_list(st.objects, r->kind, from, st.revision);
 	g_free(from);
-	g_ptr_array_free(found, TRUE);
-	return answer_json(r->conn, MHD_HTTP_OK,
-			   json_pack("{s:o, s:b, s:I}", "items", items,
-				     "has_more", more, "current_rev",
-				     (json_int_t)st.revision));
+	return answer_json(r->conn, MHD_HTTP_OK, root);
 }
 
 static enum MHD_Result answer_events(struct request *r)
 {
-	GPtrArray *found = collect(r->kind, r->after);
-	json_t *events = json_array();
-
-	g_ptr_array_sort(found, by_version);
-	for (guint i = 0; i < found->len; i++) {
-		const struct object *o = g_ptr_array_index(found, i);
-
-		json_array_append_new(events, json_pack("{s:b, s:o}", "removed",
-							!o->value, "object",
-							object_json(o)));
-	}
-	g_ptr_array_free(found, TRUE);
-	return answer_json(r->conn, MHD_HTTP_OK,
-			   json_pack("{s:o, s:I}", "events", events,
-				     "current_rev", (json_int_t)st.revision));
+	return answer_json(
+		r->conn, MHD_HTTP_OK,
+		objects_events(st.objects, r->kind, r->after, st.revision));
 }
 
 static void resume(struct request *r)
@@ -219,7 +124,7 @@
 	while (*p) {
 		struct request *r = *p;
 
-		if (key && !is_kind(key, r->kind)) {
+		if (key && !objects_is_kind(key, r->kind)) {
 			p = &r->next;
 			continue;
 		}
@@ -274,7 +179,7 @@
 static void refuse_write(struct request *r, unsigned int status,
 			 const struct object *o)
 {
-	json_t *root = o && o->value ? object_json(o) : json_object();
+	json_t *root = o && o->value ? objects_json(o) : json_object();
 
 	r->status = status;
 	r->result = json_dumps(root, JSON_COMPACT);
@@ -284,7 +189,7 @@
 
 static void write_done(struct request *r, const struct object *o)
 {
-	json_t *root = object_json(o);
+	json_t *root = objects_json(o);
 
 	r->status = MHD_HTTP_OK;
 	r->result = json_dumps(root, JSON_COMPACT);
@@ -358,24 +263,18 @@
 
 	if (!o || !o->value)
 		return answer_bytes(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
-	return answer_json(r->conn, MHD_HTTP_OK, object_json(o));
+	return answer_json(r->conn, MHD_HTTP_OK, objects_json(o));
 }
 
 static enum MHD_Result handle_watch(struct request *r)
 {
-	GPtrArray *found;
-	guint n;
-
 	if (r->after < st.compacted)
 		return answer_bytes(r->conn, MHD_HTTP_GONE, "{}", 2);
 	if (r->ready)
 		return answer_events(r);
 	r->ready = 1;
 	st.waits++;
-	found = collect(r->kind, r->after);
-	n = found->len;
-	g_ptr_array_free(found, TRUE);
-	if (n)
+	if (objects_changed(st.objects, r->kind, r->after))
 		return answer_events(r);
 	r->next = st.watches;
 	st.watches = r;
@@ -383,19 +282,10 @@
 	return MHD_YES;
 }
 
-static gboolean is_removed(gpointer key, gpointer value, gpointer ctx)
-{
-	const struct object *o = value;
-
-	(void)key;
-	(void)ctx;
-	return !o->value;
-}
-
 /* Forgets the history: watches from before must list again. */
 static void compact(void)
 {
-	g_hash_table_foreach_remove(st.objects, is_removed, NULL);
+	objects_forget(st.objects);
 	st.compacted = ++st.revision;
 	wake_watches(NULL);
 }
@@ -594,8 +484,7 @@
 
 	apr_initialize();
 	signal(SIGPIPE, SIG_IGN);
-	st.objects = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   object_free);
+	st.objects = objects_new();
 	st.vm_lag_ms = strtoll(option(argc, argv, "vm-lag", "0"), NULL, 10);
 	if (loop_init(&st.loop, &err) ||
 	    serve_init(&st.serve, &st.loop, &o, &err)) {
--- /dev/null
+++ b/system/routes.c
@@ -0,0 +1,187 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "routes.h"
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+pid_t routes_vm[4];
+
+void routes_put(const char *key, const char *value)
+{
+	char url[160];
+	struct call c = {.method = "PUT", .url = url, .body = value};
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/objects/%s",
+		 STORE, key);
+	assert_int_equal(harness_call(&c).status, 200);
+}
+
+void routes_put_manifest(int version, const char *safe_service)
+{
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":%d,\"routes\":{"
+		 "\"a\":{\"host\":\"h.example\",\"path_prefix\":\"/safe/\","
+		 "\"kind\":\"safe\",\"timeout_ms\":2000,"
+		 "\"target_latency_ms\":500,\"priority\":2,\"service\":\"%s\","
+		 "\"max_attempts\":2,\"sticky_sessions\":true},"
+		 "\"b\":{\"host\":\"h.example\",\"path_prefix\":\"/once/\","
+		 "\"kind\":\"unsafe\",\"timeout_ms\":1500,"
+		 "\"target_latency_ms\":500,\"priority\":1,\"service\":\"s\","
+		 "\"max_attempts\":2},"
+		 "\"c\":{\"host\":\"h.example\",\"path_prefix\":\"/up/\","
+		 "\"kind\":\"upload\",\"timeout_ms\":20000,"
+		 "\"target_latency_ms\":500,\"priority\":1,\"service\":\"s\","
+		 "\"max_attempts\":2},"
+		 "\"d\":{\"host\":\"h.example\",\"path_prefix\":\"/none/\","
+		 "\"kind\":\"upload\",\"timeout_ms\":20000,"
+		 "\"target_latency_ms\":500,\"priority\":1,"
+		 "\"service\":\"empty\",\"max_attempts\":2}},"
+		 "\"services\":{\"s\":{\"max_connections\":100,"
+		 "\"cold_start_s\":0,\"cold_per_s\":5},"
+		 "\"t\":{\"max_connections\":100,\"cold_start_s\":0,"
+		 "\"cold_per_s\":5},\"empty\":{}},"
+		 "\"limits\":{\"max_header_bytes\":16384,"
+		 "\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
+		 "\"idle_timeout_ms\":15000}}",
+		 version, safe_service);
+	routes_put("config/main", text);
+}
+
+void routes_put_upstream(const char *instance, const char *service, int port,
+			 const char *state, int sequence)
+{
+	char key[80];
+	char text[400];
+
+	snprintf(key, sizeof(key), "servers/%s", instance);
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
+		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":6,"
+		 "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d,"
+		 "\"born\":1700000000000}",
+		 service, port, state, sequence);
+	routes_put(key, text);
+}
+
+static void start_upstream(const char *instance, int port)
+{
+	char listen[64];
+	char name[64];
+	const char *args[] = {listen, name, NULL};
+	char url[80];
+
+	snprintf(listen, sizeof(listen), "--listen=127.0.0.1:%d", port);
+	snprintf(name, sizeof(name), "--instance=%s", instance);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats", port);
+	harness_start("standin-odd", args);
+	assert_true(fleet_wait_text(url, "ran", 5000));
+}
+
+int64_t routes_stat(int port, const char *name)
+{
+	char url[80];
+	char text[400];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats", port);
+	harness_get(url, text, sizeof(text));
+	return harness_number(text, name);
+}
+
+int64_t routes_ran(void)
+{
+	return routes_stat(UPSTREAM(1), "ran") +
+	       routes_stat(UPSTREAM(2), "ran");
+}
+
+static const char more[] =
+	"[steering]\nsource = manifest\n"
+	"[traffic]\nthreads = 1\nidle = 5\n"
+	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\n"
+	"[domain norte-a]\nregion = norte\n"
+	"[bound 0]\nis = grace_period_s=6\n"
+	"[bound 1]\nis = budget_extra_retries=600\n";
+
+void routes_start_vm_at(int n, int store)
+{
+	char listen[200];
+	char url[80];
+	struct vm vm = {.n = n,
+			.base = BASE,
+			.store = store,
+			.region = "norte",
+			.domain = "norte-a",
+			.listen = listen,
+			.more = more};
+
+	snprintf(listen, sizeof(listen),
+		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
+		 "metrics = 127.0.0.1:%d\n",
+		 LOOKUP(n), READY(n), METRICS(n));
+	routes_vm[n] = fleet_vm(&vm);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
+		 READY(n));
+	assert_true(fleet_wait_text(url, "live", 5000));
+}
+void routes_start_vm(int n)
+{
+	routes_start_vm_at(n, STORE);
+}
+
+int routes_setup(void **state)
+{
+	(void)state;
+	fleet_store(STORE);
+	start_upstream("i-1", UPSTREAM(1));
+	start_upstream("i-2", UPSTREAM(2));
+	start_upstream("i-3", UPSTREAM(3));
+	routes_put_manifest(3, "s");
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 1);
+	routes_put_upstream("i-2", "s", UPSTREAM(2), "ready", 1);
+	routes_put_upstream("i-3", "t", UPSTREAM(3), "ready", 1);
+	routes_put("servers/forged", "{\"service\":7}");
+	routes_start_vm(1);
+	routes_start_vm(2);
+	return 0;
+}
+
+int routes_teardown(void **state)
+{
+	(void)state;
+	harness_finish();
+	return 0;
+}
+
+struct answer routes_ask_vm(int n, const char *method, const char *path)
+{
+	static int serial;
+	char id[64];
+	char url[160];
+	const char *headers[] = {id, "X-Deadline-Remaining-Ms: 4000",
+				 "X-Affinity-Key: 7", NULL};
+	struct call c = {.method = method,
+			 .url = url,
+			 .host = "h.example",
+			 .headers = headers};
+
+	snprintf(id, sizeof(id), "X-Request-Id: r%d", ++serial);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", FRONT(n), path);
+	return harness_call(&c);
+}
+
+struct answer routes_ask(const char *method, const char *path)
+{
+	return routes_ask_vm(1, method, path);
+}
+
+void routes_expect_whole(const struct answer *a)
+{
+	assert_int_equal(a->status, 200);
+	assert_int_equal(a->stamped, 1);
+	assert_string_equal(a->body, "hello world\n");
+}
--- /dev/null
+++ b/system/routes.h
@@ -0,0 +1,54 @@
+#ifndef SYSTEM_ROUTES_H
+#define SYSTEM_ROUTES_H
+
+#include "harness.h"
+
+/*
+ * A fleet of two VMs that follows the platform's manifest: the stand-in of the
+ * store, two upstreams of service "s" and one of service "t" that misbehave as
+ * the path of a request asks, and routes for each kind of request.
+ */
+
+#define BASE 29000
+#define STORE (BASE + 0)
+/* Nothing listens there. */
+#define NO_STORE (BASE + 9)
+#define FRONT(n) (BASE + (n))
+#define LOOKUP(n) (BASE + 20 + (n))
+#define READY(n) (BASE + 40 + (n))
+#define METRICS(n) (BASE + 60 + (n))
+#define UPSTREAM(n) (BASE + 200 + (n))
+
+/** Processes of the VMs, by number from 1 on. */
+extern pid_t routes_vm[4];
+
+/** Starts everything; and ends it. */
+int routes_setup(void **state);
+int routes_teardown(void **state);
+
+/** Starts a VM and waits until it is ready; at another store's port. */
+void routes_start_vm(int n);
+void routes_start_vm_at(int n, int store);
+
+/** Writes an object as the platform would; an empty value removes it. */
+void routes_put(const char *key, const char *value);
+
+/** Writes the manifest; the service is that of the idempotent route. */
+void routes_put_manifest(int version, const char *safe_service);
+
+/** Writes an upstream's entry. */
+void routes_put_upstream(const char *instance, const char *service, int port,
+			 const char *state, int sequence);
+
+/** A figure of an upstream; what both of service "s" ran. */
+int64_t routes_stat(int port, const char *name);
+int64_t routes_ran(void);
+
+/** Makes a request at the first VM, or at one by number. */
+struct answer routes_ask(const char *method, const char *path);
+struct answer routes_ask_vm(int n, const char *method, const char *path);
+
+/** Fails the test unless the answer is an upstream's whole one. */
+void routes_expect_whole(const struct answer *a);
+
+#endif
--- /dev/null
+++ b/system/test_fleet.c
@@ -0,0 +1,290 @@
+/* A fleet that follows the platform's manifest, under changes, outages of the
+ * store, stops and deaths. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "routes.h"
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <netinet/in.h>
+#include <primroselead/clock.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static int lookup_names(int n, const char *address)
+{
+	static char text[1024];
+	char url[160];
+
+	snprintf(url, sizeof(url),
+		 "http://127.0.0.1:%d/api/resolve?name=h.example&region=norte"
+		 "&zone=norte-a",
+		 LOOKUP(n));
+	if (harness_get(url, text, sizeof(text)) != 200)
+		return 0;
+	return strstr(text, address) != NULL;
+}
+
+static int wait_lookup(int n, const char *address, int named, int ms)
+{
+	for (int i = 0; i < ms / 50; i++) {
+		if (lookup_names(n, address) == named)
+			return 1;
+		harness_sleep(50);
+	}
+	return 0;
+}
+
+static void test_lookups_name_all_that_are_ready(void **state)
+{
+	(void)state;
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 3000));
+	assert_true(wait_lookup(2, "127.0.0.1:29001", 1, 3000));
+}
+
+static void test_address_of_another_instance(void **state)
+{
+	struct answer a;
+
+	(void)state;
+	/* The address is another upstream's now; its entry lags behind. */
+	routes_put_upstream("i-1", "s", UPSTREAM(3), "ready", 2);
+	routes_put_upstream("i-2", "s", UPSTREAM(3), "ready", 2);
+	harness_sleep(600);
+	a = routes_ask("POST", "/once/plain");
+	assert_int_equal(a.status, 503);
+	assert_string_equal(a.outcome, "not-run");
+	assert_true(routes_stat(UPSTREAM(3), "misdirected") >= 1);
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 3);
+	routes_put_upstream("i-2", "s", UPSTREAM(2), "ready", 3);
+	harness_sleep(600);
+}
+
+static void test_leaving_upstream_gets_nothing(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "draining", 4);
+	harness_sleep(600);
+	before = routes_stat(UPSTREAM(1), "ran");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_int_equal(routes_stat(UPSTREAM(1), "ran"), before);
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 5);
+	harness_sleep(600);
+}
+
+static void test_evacuated_domain_gets_nothing(void **state)
+{
+	struct answer a;
+
+	(void)state;
+	routes_put("evacuations/norte-a", "{}");
+	harness_sleep(600);
+	a = routes_ask("POST", "/once/plain");
+	assert_int_equal(a.status, 503);
+	assert_string_equal(a.outcome, "not-run");
+	routes_put("evacuations/norte-a", "");
+	harness_sleep(600);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+}
+
+static void test_manifest_comes_into_force_and_stays(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	routes_put_manifest(9, "t");
+	harness_sleep(600);
+	before = routes_stat(UPSTREAM(3), "ran");
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_int_equal(routes_stat(UPSTREAM(3), "ran"), before + 1);
+	/* An older version is written by mistake. */
+	routes_put_manifest(8, "s");
+	harness_sleep(600);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_int_equal(routes_stat(UPSTREAM(3), "ran"), before + 2);
+	routes_put_manifest(12, "s");
+	harness_sleep(600);
+}
+
+static void store_fault(const char *query)
+{
+	char url[160];
+	char text[400];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/faults?%s", STORE,
+		 query);
+	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
+}
+
+/* What changed while the history was dropped is found by a list. */
+static void test_dropped_history(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	store_fault("compact=1");
+	routes_put_upstream("i-2", "s", UPSTREAM(2), "draining", 6);
+	harness_sleep(800);
+	before = routes_stat(UPSTREAM(2), "ran");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_int_equal(routes_stat(UPSTREAM(2), "ran"), before);
+	routes_put_upstream("i-2", "s", UPSTREAM(2), "ready", 7);
+	harness_sleep(600);
+}
+
+static void test_outage_of_the_store(void **state)
+{
+	int64_t end = prl_now_ms() + 4000;
+
+	(void)state;
+	store_fault("down_ms=4000");
+	while (prl_now_ms() < end)
+		assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	routes_put_manifest(20, "t");
+	harness_sleep(1800);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_true(routes_stat(UPSTREAM(3), "ran") > 0);
+	routes_put_manifest(21, "s");
+	harness_sleep(600);
+}
+
+/* Sends a request and does not wait for its answer. */
+static int start_hanging(int port, const char *path)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons((uint16_t)port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char text[200];
+	int n = snprintf(text, sizeof(text),
+			 "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+			 "X-Request-Id: hang\r\nContent-Length: 0\r\n\r\n",
+			 path);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	assert_int_equal(write(fd, text, (size_t)n), n);
+	return fd;
+}
+
+static int is_ready(int n)
+{
+	char url[80];
+	char text[200];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
+		 READY(n));
+	return harness_get(url, text, sizeof(text)) == 200;
+}
+
+static void test_hangup_reloads(void **state)
+{
+	(void)state;
+	kill(routes_vm[1], SIGHUP);
+	harness_sleep(300);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+	assert_true(is_ready(1));
+}
+
+/* A planned stop: not ready at once, named no longer, serves what still comes,
+ * and ends well before it is killed. */
+static void test_planned_stop(void **state)
+{
+	int64_t began = prl_now_ms();
+
+	(void)state;
+	kill(routes_vm[2], SIGTERM);
+	harness_sleep(200);
+	assert_false(is_ready(2));
+	assert_int_equal(routes_ask_vm(2, "GET", "/safe/plain").status, 200);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 0, 1500));
+	assert_int_equal(harness_wait(routes_vm[2]), 0);
+	assert_true(prl_now_ms() - began < 5800);
+	routes_start_vm(2);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
+}
+
+/* A request that outlasts the grace is cut, and the process ends by itself. */
+static void test_stop_with_a_request_that_hangs(void **state)
+{
+	int64_t began = prl_now_ms();
+	int fd;
+
+	(void)state;
+	fd = start_hanging(FRONT(2), "/up/mute");
+	harness_sleep(200);
+	kill(routes_vm[2], SIGTERM);
+	assert_int_equal(harness_wait(routes_vm[2]), 0);
+	assert_true(prl_now_ms() - began < 6200);
+	close(fd);
+	routes_start_vm(2);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
+}
+
+/* A VM that dies is named no longer, also while the store is down. */
+static void test_dead_vm_is_not_named(void **state)
+{
+	(void)state;
+	store_fault("down_ms=6000");
+	harness_end(routes_vm[2], SIGKILL);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 0, 5000));
+	harness_sleep(3000);
+	routes_start_vm(2);
+	assert_true(wait_lookup(1, "127.0.0.1:29002", 1, 5000));
+}
+
+/* A VM that the store does not serve learns from the others, at its start and
+ * later, and is as good as they are. */
+static void test_vm_without_the_store(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	routes_start_vm_at(3, NO_STORE);
+	assert_int_equal(routes_ask_vm(3, "GET", "/safe/plain").status, 200);
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "draining", 14);
+	harness_sleep(1200);
+	before = routes_stat(UPSTREAM(1), "ran");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(routes_ask_vm(3, "GET", "/safe/plain").status,
+				 200);
+	assert_int_equal(routes_stat(UPSTREAM(1), "ran"), before);
+	routes_put("evacuations/norte-a", "{}");
+	harness_sleep(1200);
+	assert_int_equal(routes_ask_vm(3, "POST", "/once/plain").status, 503);
+	routes_put("evacuations/norte-a", "");
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 15);
+	harness_sleep(1200);
+	assert_int_equal(routes_ask_vm(3, "GET", "/safe/plain").status, 200);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lookups_name_all_that_are_ready),
+		cmocka_unit_test(test_address_of_another_instance),
+		cmocka_unit_test(test_leaving_upstream_gets_nothing),
+		cmocka_unit_test(test_evacuated_domain_gets_nothing),
+		cmocka_unit_test(test_manifest_comes_into_force_and_stays),
+		cmocka_unit_test(test_dropped_history),
+		cmocka_unit_test(test_outage_of_the_store),
+		cmocka_unit_test(test_hangup_reloads),
+		cmocka_unit_test(test_planned_stop),
+		cmocka_unit_test(test_stop_with_a_request_that_hangs),
+		cmocka_unit_test(test_dead_vm_is_not_named),
+		cmocka_unit_test(test_vm_without_the_store),
+	};
+
+	(void)argc;
+	harness_init(argv[0]);
+	return cmocka_run_group_tests(tests, routes_setup, routes_teardown);
+}
