--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -30,10 +30,8 @@
 						"rpc_rejected",
 						"config_installed",
 						"config_pulls",
-						"tokens_borrowed"};
-"log_lines_lost"
-}
-;
+						"tokens_borrowed",
+						"log_lines_lost"};
 
 static const char *const latency_names[METRIC_LATENCY_COUNT] = {
 	"request_time_us", "upstream_time_us", "claim_time_us"};
