--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -76,9 +76,9 @@
 {
 	int late = prl_now_ms() + LATE_MS >= r->deadline;
 
+	r->curl_result = result;
 	/* A request that ran out of time says little about its upstream. */
 	place_learn(r, late ? PLACE_FAILED : PLACE_BROKEN);
-	r->curl_result = result;
 	if (r->state == REQUEST_ANSWERED) {
 		r->down_failed = 1;
 		r->outcome = OUTCOME_UNKNOWN;
