Watch peers of both clients by one function; shorter steps where a routed request begins

No change of behaviour: the same socket options stood in store/ and proxy/; an evacuation is a name in a set; request_begin_routed is split by what it decides.

--- a/config/include/primroselead/knowledge.h
+++ b/config/include/primroselead/knowledge.h
@@ -21,20 +21,12 @@
 	int64_t gone_at;
 };
 
-/** An evacuation of a failure domain. */
-struct knowledge_evacuation {
-	/** In force now. */
-	int on;
-	/** When it was taken back, on the clock of prl_now_ms. */
-	int64_t ended_ms;
-};
-
 /** All of it; belongs to the control thread. */
 struct knowledge {
 	struct fleet_manifest manifest;
 	/** By instance. */
 	GHashTable *upstream;
-	/** By failure domain. */
+	/** Failure domains that are evacuated. */
 	GHashTable *evacuation;
 	/** Regions by failure domain. */
 	GHashTable *region;
--- a/config/src/knowledge.c
+++ b/config/src/knowledge.c
@@ -8,7 +8,7 @@
 	k->upstream =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	k->evacuation =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	k->region =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -123,18 +123,10 @@
 void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
 			int64_t now)
 {
-	struct knowledge_evacuation *e =
-		g_hash_table_lookup(k->evacuation, domain);
-
-	if (!e) {
-		e = g_new0(struct knowledge_evacuation, 1);
-		g_hash_table_insert(k->evacuation, g_strdup(domain), e);
-	}
-	if (e->on && !on) {
-		e->ended_ms = now;
+	if (on)
+		g_hash_table_add(k->evacuation, g_strdup(domain));
+	else if (g_hash_table_remove(k->evacuation, domain))
 		chill(k, domain, now);
-	}
-	e->on = on;
 }
 
 int knowledge_expire(struct knowledge *k, int64_t now)
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -18,17 +18,10 @@
 	uint64_t self;
 };
 
-static int is_evacuated(const struct knowledge *k, const char *domain)
-{
-	const struct knowledge_evacuation *e =
-		g_hash_table_lookup(k->evacuation, domain);
-
-	return e && e->on;
-}
-
 static int may_use(const struct knowledge *k, const struct fleet_upstream *u)
 {
-	return !u->leaving && !is_evacuated(k, u->domain) &&
+	return !u->leaving &&
+	       !g_hash_table_contains(k->evacuation, u->domain) &&
 	       g_hash_table_contains(k->region, u->domain);
 }
 
--- a/loop/include/primroselead/fetch.h
+++ b/loop/include/primroselead/fetch.h
@@ -26,6 +26,13 @@
 /** Ends the pool; every transfer must have ended or been cancelled. */
 void fetch_pool_finish(struct fetch_pool *p);
 
+/**
+ * Makes a transfer's connection show within seconds that its peer is dead or
+ * cut off: unacknowledged bytes for longer than "silent_ms" or unanswered
+ * probes end it. The number must outlive the handle's use.
+ */
+void fetch_watch_peer(CURL *easy, const int *silent_ms);
+
 /** Starts a transfer whose easy handle is set up. */
 enum prl_code fetch_start(struct fetch_pool *p, struct fetch *f,
 			  struct prl_error *err);
--- a/loop/src/fetch.c
+++ b/loop/src/fetch.c
@@ -1,8 +1,14 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <primroselead/clock.h>
 #include <primroselead/fetch.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+
+/* Idle time before a connection is probed, and between two probes, in s. */
+#define PROBE_S 1L
 
 static void finish_ended(struct fetch_pool *p)
 {
@@ -128,6 +134,25 @@
 	loop_timer_remove(p->loop, &p->timer);
 }
 
+static int set_silence(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	const int *ms = ctx;
+
+	(void)purpose;
+	/* Without it a silent connection is noticed later. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, ms, sizeof(*ms));
+	return CURL_SOCKOPT_OK;
+}
+
+void fetch_watch_peer(CURL *easy, const int *silent_ms)
+{
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_silence);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, silent_ms);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, PROBE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, PROBE_S);
+}
+
 enum prl_code fetch_start(struct fetch_pool *p, struct fetch *f,
 			  struct prl_error *err)
 {
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -75,49 +75,63 @@
 	return most > 0 && r->up_length > most;
 }
 
-void request_begin_routed(struct proxy_request *r)
+/* Whether this VM can take routed requests at all; refuses if not. */
+static int can_serve(struct proxy_request *r)
 {
-	const struct steer_route *route;
-
-	r->routed = 1;
-	r->up.max = BODY_KEPT;
-	r->down.max = ANSWER_KEPT;
-	platform_request_read(read_header, r, &r->asked);
-	r->retry_after_ms = RETRY_UNREADY_MS;
-	if (request_read_length(r)) {
-		request_fail(r, MHD_HTTP_BAD_REQUEST,
-			     "Content-Length is not a number");
-		return;
-	}
 	if (atomic_load(&r->thread->proxy->refusing)) {
 		r->retry_after_ms = RETRY_LEAVING_MS;
 		refuse(r, "this VM is about to end");
-		return;
+		return 0;
 	}
 	if (!r->view) {
 		refuse(r, "no configuration is in force yet");
-		return;
-	}
-	route = find_route(r);
-	if (!route) {
-		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
-		return;
+		return 0;
 	}
+	return 1;
+}
+
+/* Takes over what the route says; refuses if the request does not fit it. */
+static int follow_route(struct proxy_request *r,
+			const struct steer_route *route)
+{
 	r->policy = route->policy;
 	r->once = route->policy.kind != FLEET_SAFE;
 	set_deadline(r);
 	if (is_too_large(r)) {
 		request_fail(r, MHD_HTTP_CONTENT_TOO_LARGE,
 			     "the body is too large");
-		return;
+		return 0;
 	}
 	if (choose_service(r, route)) {
 		refuse(r, "the route leads to no service");
-		return;
+		return 0;
 	}
 	if (r->deadline <= prl_now_ms()) {
 		refuse(r, "the deadline has passed");
+		return 0;
+	}
+	return 1;
+}
+
+void request_begin_routed(struct proxy_request *r)
+{
+	const struct steer_route *route;
+
+	r->routed = 1;
+	r->up.max = BODY_KEPT;
+	r->down.max = ANSWER_KEPT;
+	r->retry_after_ms = RETRY_UNREADY_MS;
+	platform_request_read(read_header, r, &r->asked);
+	if (request_read_length(r)) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST,
+			     "Content-Length is not a number");
 		return;
 	}
-	request_send(r);
+	if (!can_serve(r))
+		return;
+	route = find_route(r);
+	if (!route)
+		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
+	else if (follow_route(r, route))
+		request_send(r);
 }
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -4,8 +4,6 @@
 #include "sockets.h"
 #include "upstream.h"
 #include <inttypes.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdio.h>
@@ -32,11 +30,7 @@
 #define CONNECT_ROUTED_MAX_MS 700L
 
 /* Time without an acknowledgement after which a connection is dead, in ms. */
-#define SILENT_MAX_MS 1500
-
-/* Keep-alive probes of a connection that waits: idle time and distance, in
- * seconds. */
-#define PROBE_S 1L
+static const int silent_ms = 1500;
 
 /* Longest header line of an answer, in bytes; libcurl's own bound. */
 #define HEADER_MAX (100 << 10)
@@ -322,29 +316,15 @@
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->method);
 }
 
-static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
-{
-	int ms = SILENT_MAX_MS;
-
-	(void)ctx;
-	(void)purpose;
-	/* Without it a silent connection is noticed later. */
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
-	return CURL_SOCKOPT_OK;
-}
-
 static void set_liveness(struct proxy_request *r)
 {
 	CURL *easy = r->fetch.easy;
 
-	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	fetch_watch_peer(easy, &silent_ms);
 	curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
 	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, r);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, r->thread);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, PROBE_S);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, PROBE_S);
 	if (r->routed)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
 				 place_idle_max_s(r));
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -1,23 +1,16 @@
 #include "answer.h"
 #include <glib.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 /* Room for a list of many objects in one answer, in bytes. */
 #define ANSWER_MAX (64 << 20)
 
-/* A dead connection shows by unanswered keep-alive probes: the first after
- * this idle time, further ones as far apart, in seconds. */
-#define PROBE_S 1L
-
 /* Time without an acknowledgement after which a connection is dead, in ms. */
-#define SILENT_MAX_MS 2500
+static const int silent_ms = 2500;
 
 #define HTTP_OK 200
 #define HTTP_CREATED 201
@@ -232,17 +225,6 @@
 	return PRL_OK;
 }
 
-static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
-{
-	int ms = SILENT_MAX_MS;
-
-	(void)ctx;
-	(void)purpose;
-	/* Without it a silent connection is noticed later. */
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
-	return CURL_SOCKOPT_OK;
-}
-
 static void set_transfer(struct store_call *c, int64_t now)
 {
 	CURL *easy = c->fetch.easy;
@@ -253,10 +235,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_attempt);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, c);
-	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, PROBE_S);
-	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, PROBE_S);
+	fetch_watch_peer(easy, &silent_ms);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 }
