Add primroselead explain; name estimates and the inventory as the field does

The command reads the logs of VMs and prints what became of a request: its lines, those of its upstreams around it, and the newest of what its VM knew. No change of behaviour.

--- a/cmd/primroselead/command.h
+++ b/cmd/primroselead/command.h
@@ -57,6 +57,7 @@
 int command_history(int argc, char **argv);
 int command_show(int argc, char **argv);
 int command_lookup(int argc, char **argv);
+int command_explain(int argc, char **argv);
 
 /** Prints an error to standard error; returns its exit status. */
 int command_fail(const struct prl_error *err);
--- /dev/null
+++ b/cmd/primroselead/explain.c
@@ -0,0 +1,240 @@
+/* Tells from the log lines of VMs what became of one request, and why. */
+#include "command.h"
+#include <argtable2.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Time before a request's start in which an upstream's lines bear on it, and
+ * after its end, in milliseconds. */
+#define BEFORE_MS 3000
+#define AFTER_MS 1000
+
+/* The request that is asked for. */
+struct question {
+	const char *id;
+	/** VM that took it; empty while it wasn't found. */
+	char vm[PRL_NAME_MAX];
+	int64_t began;
+	int64_t ended;
+	/** Instances that it was sent to. */
+	GHashTable *upstreams;
+};
+
+static const char *text_of(const json_t *line, const char *key)
+{
+	const char *text = json_string_value(json_object_get(line, key));
+
+	return text ? text : "";
+}
+
+static int64_t time_of(const json_t *line)
+{
+	return json_integer_value(json_object_get(line, "time"));
+}
+
+static int is(const json_t *line, const char *key, const char *value)
+{
+	return !strcmp(text_of(line, key), value);
+}
+
+/* Lines of other requests are not kept: they are most of a log. */
+static int is_kept(const json_t *line, const char *id)
+{
+	int of_request =
+		is(line, "event", "request") || is(line, "event", "lookup");
+
+	return !of_request || is(line, "id", id);
+}
+
+static void read_file(FILE *f, const char *id, GPtrArray *lines)
+{
+	char *text = NULL;
+	size_t room = 0;
+
+	while (getline(&text, &room, f) > 0) {
+		/* A collector may have put something before the line. */
+		const char *at = strchr(text, '{');
+		json_t *line = at ? json_loads(at, JSON_DISABLE_EOF_CHECK, NULL)
+				  : NULL;
+
+		if (line && is_kept(line, id))
+			g_ptr_array_add(lines, line);
+		else
+			json_decref(line);
+	}
+	free(text);
+}
+
+static enum prl_code read_files(struct arg_file *files, const char *id,
+				GPtrArray *lines, struct prl_error *err)
+{
+	for (int i = 0; i < files->count; i++) {
+		FILE *f = fopen(files->filename[i], "r");
+
+		if (!f)
+			return prl_fail(err, PRL_E_IO,
+					"log \"%s\" can't be read",
+					files->filename[i]);
+		read_file(f, id, lines);
+		fclose(f);
+	}
+	return PRL_OK;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	int64_t x = time_of(*(json_t *const *)a);
+	int64_t y = time_of(*(json_t *const *)b);
+
+	return x < y ? -1 : x > y;
+}
+
+static void find_request(const GPtrArray *lines, struct question *q)
+{
+	for (guint i = 0; i < lines->len; i++) {
+		json_t *line = g_ptr_array_index(lines, i);
+
+		if (!is(line, "id", q->id))
+			continue;
+		g_hash_table_add(q->upstreams,
+				 g_strdup(text_of(line, "upstream")));
+		if (!is(line, "event", "request"))
+			continue;
+		g_strlcpy(q->vm, text_of(line, "vm"), sizeof(q->vm));
+		q->ended = time_of(line);
+		q->began = q->ended - atoll(text_of(line, "ms"));
+	}
+	g_hash_table_remove(q->upstreams, "");
+}
+
+static int is_of_upstream(const json_t *line, const struct question *q)
+{
+	return g_hash_table_contains(q->upstreams, text_of(line, "upstream")) ||
+	       g_hash_table_contains(q->upstreams, text_of(line, "instance"));
+}
+
+/* What the VM knew: the newest line of each subject before the request ended.
+ * Two lines of one subject have the same event and kind. */
+static int is_newest(const GPtrArray *lines, guint at, const struct question *q)
+{
+	const json_t *line = g_ptr_array_index(lines, at);
+
+	for (guint i = at + 1; i < lines->len; i++) {
+		const json_t *later = g_ptr_array_index(lines, i);
+
+		if (time_of(later) > q->ended)
+			break;
+		if (is(later, "vm", q->vm) &&
+		    is(later, "event", text_of(line, "event")) &&
+		    is(later, "kind", text_of(line, "kind")) &&
+		    is(later, "domain", text_of(line, "domain")))
+			return 0;
+	}
+	return 1;
+}
+
+static int bears_on(const GPtrArray *lines, guint at, const struct question *q)
+{
+	static const char *const state[] = {
+		"started",    "ready",	  "manifest",	"store",
+		"evacuation", "quiesced", "leaving",	"paused",
+		"confirmed",  "reload",	  "registered", NULL};
+	const json_t *line = g_ptr_array_index(lines, at);
+	int64_t time = time_of(line);
+
+	if (is(line, "id", q->id))
+		return 1;
+	if (!is(line, "vm", q->vm))
+		return 0;
+	if (is_of_upstream(line, q))
+		return time >= q->began - BEFORE_MS &&
+		       time <= q->ended + AFTER_MS;
+	for (int i = 0; state[i]; i++)
+		if (is(line, "event", state[i]) && time <= q->ended)
+			return is_newest(lines, at, q);
+	return 0;
+}
+
+static void print_line(const json_t *line, const struct question *q)
+{
+	const char *key;
+	json_t *value;
+
+	printf("%+8lld ms  %-10s", (long long)(time_of(line) - q->ended),
+	       text_of(line, "event"));
+	json_object_foreach((json_t *)line, key, value)
+	{
+		if (!strcmp(key, "time") || !strcmp(key, "vm") ||
+		    !strcmp(key, "event") || !strcmp(key, "level") ||
+		    !strcmp(key, "audit") || !*json_string_value(value))
+			continue;
+		printf(" %s=%s", key, json_string_value(value));
+	}
+	printf("\n");
+}
+
+static enum prl_code explain(const GPtrArray *lines, struct question *q,
+			     struct prl_error *err)
+{
+	find_request(lines, q);
+	if (!q->vm[0])
+		return prl_fail(err, PRL_E_NOT_FOUND,
+				"request \"%s\" is in none of the logs", q->id);
+	printf("request %s at %s, in force and known when it ended:\n", q->id,
+	       q->vm);
+	for (guint i = 0; i < lines->len; i++)
+		if (bears_on(lines, i, q))
+			print_line(g_ptr_array_index(lines, i), q);
+	return PRL_OK;
+}
+
+static void free_line(void *line)
+{
+	json_decref(line);
+}
+
+static int run(const char *id, struct arg_file *files)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(free_line);
+	struct question q = {.id = id};
+	struct prl_error err = {0};
+	int status = 0;
+
+	q.upstreams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (read_files(files, id, lines, &err)) {
+		status = command_fail(&err);
+	} else {
+		if (lines->len)
+			g_ptr_array_sort(lines, by_time);
+		if (explain(lines, &q, &err))
+			status = command_fail(&err);
+	}
+	g_hash_table_destroy(q.upstreams);
+	g_ptr_array_free(lines, TRUE);
+	return status;
+}
+
+int command_explain(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "the request's id");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 1, 256, "logs of the VMs");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, id, files, end};
+	int status;
+
+	if (!command_parse(argc, argv, table,
+			   "Tells from the logs of VMs what became of a "
+			   "request: its own lines, those of its upstreams, "
+			   "and what the VM knew, each with its age.",
+			   &status))
+		return status;
+	status = run(id->sval[0], files);
+	arg_freetable(table, 4);
+	return status;
+}
--- a/cmd/primroselead/main.c
+++ b/cmd/primroselead/main.c
@@ -25,6 +25,7 @@
 	{"history", command_history, "show a service's publications"},
 	{"show", command_show, "print a service file as published"},
 	{"lookup", command_lookup, "ask which entry VMs to use"},
+	{"explain", command_explain, "tell from logs what became of a request"},
 	{"version", run_version, "print the version"},
 	{0},
 };
--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -165,7 +165,7 @@
 	uint64_t self = prl_hash_name(c->settings->vm.name);
 
 	if (control_follows_manifest(c))
-		return knowledge_view(&c->fleet.known, &c->builder, vm, n,
+		return inventory_view(&c->fleet.known, &c->builder, vm, n,
 				      self);
 	return config_build_view(&c->builder, vm, n, self,
 				 c->sync.copy.complete);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -5,7 +5,7 @@
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
 #include <primroselead/grant.h>
-#include <primroselead/knowledge.h>
+#include <primroselead/inventory.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
 #include <primroselead/store.h>
@@ -47,7 +47,7 @@
 
 /** What a VM of a fleet that follows the platform's manifest keeps. */
 struct fleet {
-	struct knowledge known;
+	struct inventory known;
 	struct store_follow manifest;
 	struct store_follow upstream;
 	struct store_follow evacuation;
--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -71,7 +71,7 @@
 
 	number(version, rc ? 0 : m.version);
 	if (!rc)
-		rc = knowledge_manifest(&c->fleet.known, &m, &err);
+		rc = inventory_manifest(&c->fleet.known, &m, &err);
 	log_event(rc ? LOG_WARNING_LINE : LOG_AUDIT_LINE, "manifest", "version",
 		  version, "error", rc ? err.text : "", NULL);
 }
@@ -97,7 +97,7 @@
 {
 	char in_ms[24];
 
-	if (!knowledge_upstream_gone(&c->fleet.known, name, at))
+	if (!inventory_upstream_gone(&c->fleet.known, name, at))
 		return;
 	number(in_ms, at - prl_now_ms());
 	log_event(LOG_AUDIT_LINE, "upstream", "instance", name, "state", "gone",
@@ -115,7 +115,7 @@
 		upstream_gone(c, name, gone_at(c, now), "");
 	else if (platform_upstream_read(name, o->value, &u, &err))
 		upstream_gone(c, name, now, err.text);
-	else if (knowledge_upstream(&c->fleet.known, &u, now, &err))
+	else if (inventory_upstream(&c->fleet.known, &u, now, &err))
 		log_event(LOG_WARNING_LINE, "upstream", "instance", name,
 			  "error", err.text, NULL);
 	else if (c->fleet.known.listed || u.leaving)
@@ -125,7 +125,7 @@
 static void apply_evacuation(struct control *c, const char *name,
 			     const struct spread_object *o)
 {
-	knowledge_evacuate(&c->fleet.known, name, o->len > 0, prl_now_ms());
+	inventory_evacuate(&c->fleet.known, name, o->len > 0, prl_now_ms());
 	log_event(LOG_AUDIT_LINE, "evacuation", "domain", name, "state",
 		  o->len ? "on" : "off", NULL);
 }
@@ -253,9 +253,9 @@
 	const struct prl_settings *s = c->settings;
 	struct fleet *f = &c->fleet;
 
-	knowledge_init(&f->known);
+	inventory_init(&f->known);
 	for (int i = 0; i < s->ndomain; i++)
-		knowledge_domain(&f->known, s->domain[i].label,
+		inventory_domain(&f->known, s->domain[i].label,
 				 s->domain[i].region);
 	f->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	follow(c, &f->manifest, PLATFORM_KIND_MANIFEST, object_changed);
@@ -416,7 +416,7 @@
 	store_follow_tick(&f->vm, now, control_random());
 	if (now > c->started_ms + VM_EARLY_MS)
 		f->vm.poll_ms = VM_LIST_MS;
-	if (knowledge_expire(&f->known, now))
+	if (inventory_expire(&f->known, now))
 		c->dirty = 1;
 	extend(c);
 	ask_seeds(c, now);
@@ -435,6 +435,6 @@
 	store_follow_finish(&f->upstream);
 	store_follow_finish(&f->evacuation);
 	store_follow_finish(&f->vm);
-	knowledge_finish(&f->known);
+	inventory_finish(&f->known);
 	g_hash_table_destroy(f->vms);
 }
--- a/config/include/primroselead/knowledge.h
+++ b/config/include/primroselead/inventory.h
@@ -1,5 +1,5 @@
-#ifndef PRIMROSELEAD_KNOWLEDGE_H
-#define PRIMROSELEAD_KNOWLEDGE_H
+#ifndef PRIMROSELEAD_INVENTORY_H
+#define PRIMROSELEAD_INVENTORY_H
 
 #include <primroselead/config.h>
 #include <primroselead/fleet.h>
@@ -11,7 +11,7 @@
  */
 
 /** An upstream and what this VM noted about it. */
-struct knowledge_upstream {
+struct inventory_upstream {
 	struct fleet_upstream said;
 	/** Point of prl_now_ms until which it is taken as cold. */
 	int64_t cold_until;
@@ -22,7 +22,7 @@
 };
 
 /** All of it; belongs to the control thread. */
-struct knowledge {
+struct inventory {
 	struct fleet_manifest manifest;
 	/** By instance. */
 	GHashTable *upstream;
@@ -36,43 +36,43 @@
 };
 
 /** Starts knowing nothing but the regions of the failure domains. */
-void knowledge_init(struct knowledge *k);
+void inventory_init(struct inventory *k);
 
 /** Frees everything. */
-void knowledge_finish(struct knowledge *k);
+void inventory_finish(struct inventory *k);
 
 /** Notes the region of a failure domain. */
-void knowledge_domain(struct knowledge *k, const char *domain,
+void inventory_domain(struct inventory *k, const char *domain,
 		      const char *region);
 
 /** Takes over a manifest. Returns PRL_OK, or PRL_E_STALE if it isn't newer
  * than the one in force, which then stays; the new one is freed. */
-enum prl_code knowledge_manifest(struct knowledge *k, struct fleet_manifest *m,
+enum prl_code inventory_manifest(struct inventory *k, struct fleet_manifest *m,
 				 struct prl_error *err);
 
 /** Takes in an upstream's entry. Returns PRL_OK, or PRL_E_STALE if an entry of
  * a later start, or a later one of the same start, is known. */
-enum prl_code knowledge_upstream(struct knowledge *k,
+enum prl_code inventory_upstream(struct inventory *k,
 				 const struct fleet_upstream *said, int64_t now,
 				 struct prl_error *err);
 
 /** An entry is gone, or can't be read; its upstream may be used until
  * "gone_at". Returns 1 if an upstream was known by it. */
-int knowledge_upstream_gone(struct knowledge *k, const char *instance,
+int inventory_upstream_gone(struct inventory *k, const char *instance,
 			    int64_t gone_at);
 
 /** A failure domain is evacuated, or taken back. */
-void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
+void inventory_evacuate(struct inventory *k, const char *domain, int on,
 			int64_t now);
 
 /** Forgets upstreams whose time is over. Returns 1 if there were any. */
-int knowledge_expire(struct knowledge *k, int64_t now);
+int inventory_expire(struct inventory *k, int64_t now);
 
 /**
  * Builds a view from it, with the given entry VMs; "self" is the id of this
  * VM. Null while no manifest is in force or no upstreams were listed.
  */
-struct steer_view *knowledge_view(const struct knowledge *k,
+struct steer_view *inventory_view(const struct inventory *k,
 				  struct config_builder *b,
 				  const struct steer_vm *vm, int nvm,
 				  uint64_t self);
--- a/config/src/knowledge.c
+++ b/config/src/inventory.c
@@ -1,8 +1,8 @@
 #include <primroselead/clock.h>
-#include <primroselead/knowledge.h>
+#include <primroselead/inventory.h>
 #include <string.h>
 
-void knowledge_init(struct knowledge *k)
+void inventory_init(struct inventory *k)
 {
 	memset(k, 0, sizeof(*k));
 	k->upstream =
@@ -13,7 +13,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
-void knowledge_finish(struct knowledge *k)
+void inventory_finish(struct inventory *k)
 {
 	fleet_manifest_finish(&k->manifest);
 	g_hash_table_destroy(k->upstream);
@@ -21,13 +21,13 @@
 	g_hash_table_destroy(k->region);
 }
 
-void knowledge_domain(struct knowledge *k, const char *domain,
+void inventory_domain(struct inventory *k, const char *domain,
 		      const char *region)
 {
 	g_hash_table_replace(k->region, g_strdup(domain), g_strdup(region));
 }
 
-enum prl_code knowledge_manifest(struct knowledge *k, struct fleet_manifest *m,
+enum prl_code inventory_manifest(struct inventory *k, struct fleet_manifest *m,
 				 struct prl_error *err)
 {
 	int64_t have = k->manifest.version;
@@ -52,24 +52,24 @@
 	return u->sequence < known->sequence;
 }
 
-static int64_t cold_of_service(const struct knowledge *k, const char *name)
+static int64_t cold_of_service(const struct inventory *k, const char *name)
 {
 	const struct fleet_service *s = fleet_find_service(&k->manifest, name);
 
 	return s ? s->cold_ms : 0;
 }
 
-static void note_cold(struct knowledge_upstream *u, int64_t ms, int64_t now)
+static void note_cold(struct inventory_upstream *u, int64_t ms, int64_t now)
 {
 	if (now + ms > u->cold_until)
 		u->cold_until = now + ms;
 }
 
-enum prl_code knowledge_upstream(struct knowledge *k,
+enum prl_code inventory_upstream(struct inventory *k,
 				 const struct fleet_upstream *said, int64_t now,
 				 struct prl_error *err)
 {
-	struct knowledge_upstream *u =
+	struct inventory_upstream *u =
 		g_hash_table_lookup(k->upstream, said->instance);
 	int started = !u || u->said.born_ms != said->born_ms;
 
@@ -79,7 +79,7 @@
 				"one known",
 				said->instance);
 	if (!u) {
-		u = g_new0(struct knowledge_upstream, 1);
+		u = g_new0(struct inventory_upstream, 1);
 		u->said = *said;
 		g_hash_table_insert(k->upstream, u->said.instance, u);
 	}
@@ -92,10 +92,10 @@
 	return PRL_OK;
 }
 
-int knowledge_upstream_gone(struct knowledge *k, const char *instance,
+int inventory_upstream_gone(struct inventory *k, const char *instance,
 			    int64_t gone_at)
 {
-	struct knowledge_upstream *u =
+	struct inventory_upstream *u =
 		g_hash_table_lookup(k->upstream, instance);
 
 	if (!u)
@@ -106,30 +106,30 @@
 }
 
 /* Upstreams of a domain may have become cold while it was evacuated. */
-static void chill(struct knowledge *k, const char *domain, int64_t now)
+static void mark_cold(struct inventory *k, const char *domain, int64_t now)
 {
 	GHashTableIter it;
 	void *value;
 
 	g_hash_table_iter_init(&it, k->upstream);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct knowledge_upstream *u = value;
+		struct inventory_upstream *u = value;
 
 		if (!strcmp(u->said.domain, domain))
 			note_cold(u, cold_of_service(k, u->said.service), now);
 	}
 }
 
-void knowledge_evacuate(struct knowledge *k, const char *domain, int on,
+void inventory_evacuate(struct inventory *k, const char *domain, int on,
 			int64_t now)
 {
 	if (on)
 		g_hash_table_add(k->evacuation, g_strdup(domain));
 	else if (g_hash_table_remove(k->evacuation, domain))
-		chill(k, domain, now);
+		mark_cold(k, domain, now);
 }
 
-int knowledge_expire(struct knowledge *k, int64_t now)
+int inventory_expire(struct inventory *k, int64_t now)
 {
 	GHashTableIter it;
 	int n = 0;
@@ -137,7 +137,7 @@
 
 	g_hash_table_iter_init(&it, k->upstream);
 	while (g_hash_table_iter_next(&it, NULL, &u)) {
-		if (now < ((struct knowledge_upstream *)u)->gone_at)
+		if (now < ((struct inventory_upstream *)u)->gone_at)
 			continue;
 		g_hash_table_iter_remove(&it);
 		n++;
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -1,24 +1,24 @@
 /* The view of a fleet that follows the platform's manifest. */
 #include "box.h"
 #include <primroselead/hash.h>
-#include <primroselead/knowledge.h>
+#include <primroselead/inventory.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* VMs that send to one cold upstream: few, so that each may send often enough
  * to warm it, and more than one, since any may die. */
-#define FEEDERS 2
+#define COLD_SENDERS 2
 
 /* What one view is built from. */
 struct building {
-	const struct knowledge *k;
+	const struct inventory *k;
 	struct config_builder *b;
 	struct steer_view *view;
 	uint64_t self;
 };
 
-static int may_use(const struct knowledge *k, const struct fleet_upstream *u)
+static int may_use(const struct inventory *k, const struct fleet_upstream *u)
 {
 	return !u->leaving &&
 	       !g_hash_table_contains(k->evacuation, u->domain) &&
@@ -34,7 +34,7 @@
 
 /* Rank of this VM for an upstream among the active VMs of a region, or of all
  * regions; fills their number. */
-static int feeder_rank(const struct building *g, uint64_t upstream, int region,
+static int sender_rank(const struct building *g, uint64_t upstream, int region,
 		       int *total)
 {
 	const struct steer_view *v = g->view;
@@ -59,23 +59,23 @@
 {
 	const struct steer_view *v = g->view;
 	int total;
-	int rank = feeder_rank(g, u->id, u->region, &total);
+	int rank = sender_rank(g, u->id, u->region, &total);
 	int here = g->self && total;
 	int own = 0;
 
 	for (int i = 0; i < v->nvm; i++)
 		own |= v->vm[i].id == g->self && counts(&v->vm[i], u->region);
 	if (!here)
-		rank = feeder_rank(g, u->id, STEER_NONE, &total);
+		rank = sender_rank(g, u->id, STEER_NONE, &total);
 	else if (!own)
 		return 0;
-	if (!total || rank >= FEEDERS)
+	if (!total || rank >= COLD_SENDERS)
 		return 0;
-	return rate / (total < FEEDERS ? total : FEEDERS);
+	return rate / (total < COLD_SENDERS ? total : COLD_SENDERS);
 }
 
 static int fill_upstream(const struct building *g,
-			 const struct knowledge_upstream *from,
+			 const struct inventory_upstream *from,
 			 const struct fleet_service *file,
 			 struct steer_upstream *u)
 {
@@ -115,7 +115,7 @@
 					  g_hash_table_size(g->k->upstream));
 	g_hash_table_iter_init(&it, g->k->upstream);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct knowledge_upstream *u = value;
+		const struct inventory_upstream *u = value;
 
 		if (strcmp(u->said.service, file->name) ||
 		    !may_use(g->k, &u->said))
@@ -187,7 +187,7 @@
 	return (int)strlen(y->prefix) - (int)strlen(x->prefix);
 }
 
-struct steer_view *knowledge_view(const struct knowledge *k,
+struct steer_view *inventory_view(const struct inventory *k,
 				  struct config_builder *b,
 				  const struct steer_vm *vm, int nvm,
 				  uint64_t self)
--- a/config/test/test_knowledge.c
+++ b/config/test/test_inventory.c
@@ -7,14 +7,14 @@
 #include <cmocka.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
-#include <primroselead/knowledge.h>
+#include <primroselead/inventory.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define VMS 4
 
-static struct knowledge k;
+static struct inventory k;
 static struct config_builder b;
 static struct steer_vm vm[VMS];
 
@@ -34,7 +34,7 @@
 	strcpy(m.route[1].name, "long");
 	strcpy(m.route[1].host, "h");
 	strcpy(m.route[1].prefix, "/a/b/");
-	assert_int_equal(knowledge_manifest(&k, &m, NULL), want);
+	assert_int_equal(inventory_manifest(&k, &m, NULL), want);
 }
 
 static struct fleet_upstream entry(const char *instance, const char *domain,
@@ -55,17 +55,17 @@
 {
 	struct fleet_upstream u = entry(instance, domain, born, sequence);
 
-	assert_int_equal(knowledge_upstream(&k, &u, now, NULL), PRL_OK);
+	assert_int_equal(inventory_upstream(&k, &u, now, NULL), PRL_OK);
 }
 
 static int setup(void **state)
 {
 	(void)state;
-	knowledge_init(&k);
+	inventory_init(&k);
 	config_builder_init(&b);
-	knowledge_domain(&k, "n-a", "n");
-	knowledge_domain(&k, "n-b", "n");
-	knowledge_domain(&k, "s-a", "s");
+	inventory_domain(&k, "n-a", "n");
+	inventory_domain(&k, "n-b", "n");
+	inventory_domain(&k, "s-a", "s");
 	config_region(&b, "n");
 	config_region(&b, "s");
 	memset(vm, 0, sizeof(vm));
@@ -79,14 +79,14 @@
 static int teardown(void **state)
 {
 	(void)state;
-	knowledge_finish(&k);
+	inventory_finish(&k);
 	config_builder_finish(&b);
 	return 0;
 }
 
 static struct steer_view *view(int self)
 {
-	return knowledge_view(&k, &b, vm, VMS, vm[self].id);
+	return inventory_view(&k, &b, vm, VMS, vm[self].id);
 }
 
 static int count_upstreams(void)
@@ -128,8 +128,8 @@
 	give("i2", "n-a", 1, 1, 1000);
 	k.listed = 1;
 	assert_int_equal(count_upstreams(), 2);
-	assert_int_equal(knowledge_upstream_gone(&k, "i2", 2000), 1);
-	assert_int_equal(knowledge_expire(&k, 2000), 1);
+	assert_int_equal(inventory_upstream_gone(&k, "i2", 2000), 1);
+	assert_int_equal(inventory_expire(&k, 2000), 1);
 	assert_int_equal(count_upstreams(), 1);
 }
 
@@ -141,16 +141,16 @@
 	give("i1", "n-a", 1, 1, 1000);
 	give("i2", "n-a", 1, 1, 1000);
 	k.listed = 1;
-	assert_int_equal(knowledge_upstream_gone(&k, "i2", 11000), 1);
+	assert_int_equal(inventory_upstream_gone(&k, "i2", 11000), 1);
 	assert_int_equal(count_upstreams(), 2);
-	assert_int_equal(knowledge_expire(&k, 10999), 0);
+	assert_int_equal(inventory_expire(&k, 10999), 0);
 	give("i2", "n-a", 1, 2, 10999);
-	assert_int_equal(knowledge_expire(&k, 20000), 0);
+	assert_int_equal(inventory_expire(&k, 20000), 0);
 	assert_int_equal(count_upstreams(), 2);
-	assert_int_equal(knowledge_upstream_gone(&k, "i2", 21000), 1);
-	assert_int_equal(knowledge_expire(&k, 21000), 1);
+	assert_int_equal(inventory_upstream_gone(&k, "i2", 21000), 1);
+	assert_int_equal(inventory_expire(&k, 21000), 1);
 	assert_int_equal(count_upstreams(), 1);
-	assert_int_equal(knowledge_upstream_gone(&k, "i9", 21000), 0);
+	assert_int_equal(inventory_upstream_gone(&k, "i9", 21000), 0);
 }
 
 static void test_older_entries_count_nothing(void **state)
@@ -163,15 +163,15 @@
 	k.listed = 1;
 	u = entry("i1", "n-a", 50, 7);
 	u.leaving = 1;
-	assert_int_equal(knowledge_upstream(&k, &u, 0, NULL), PRL_E_STALE);
+	assert_int_equal(inventory_upstream(&k, &u, 0, NULL), PRL_E_STALE);
 	u = entry("i1", "n-a", 40, 100);
 	u.leaving = 1;
-	assert_int_equal(knowledge_upstream(&k, &u, 0, NULL), PRL_E_STALE);
+	assert_int_equal(inventory_upstream(&k, &u, 0, NULL), PRL_E_STALE);
 	assert_int_equal(count_upstreams(), 1);
 	/* A new start of the same name begins to count anew. */
 	u = entry("i1", "n-a", 60, 1);
 	u.leaving = 1;
-	assert_int_equal(knowledge_upstream(&k, &u, 0, NULL), PRL_OK);
+	assert_int_equal(inventory_upstream(&k, &u, 0, NULL), PRL_OK);
 	assert_int_equal(count_upstreams(), 0);
 }
 
@@ -207,9 +207,9 @@
 	give("i1", "n-a", 1, 1, 0);
 	give("i2", "s-a", 1, 1, 0);
 	k.listed = 1;
-	knowledge_evacuate(&k, "n-a", 1, 1000);
+	inventory_evacuate(&k, "n-a", 1, 1000);
 	assert_int_equal(count_upstreams(), 1);
-	knowledge_evacuate(&k, "n-a", 0, 5000);
+	inventory_evacuate(&k, "n-a", 0, 5000);
 	assert_int_equal(count_upstreams(), 2);
 	v = view(0);
 	for (int i = 0; i < 2; i++)
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -59,8 +59,8 @@
 	_Atomic uint64_t from_total;
 };
 
-/** What one thread believes of one upstream that routes lead to. */
-struct proxy_belief {
+/** What one thread estimates of one upstream that routes lead to. */
+struct proxy_estimate {
 	/** Requests of others there, by its last report, in thousandths. */
 	int64_t others;
 	int64_t others_ms;
@@ -71,7 +71,7 @@
 	int failures;
 	int64_t failed_ms;
 	/** Failures to reach it in a row; it is left alone until then. */
-	int strikes;
+	int unreachable;
 	int64_t closed_until;
 	struct limit_rate cold;
 	/** Idle time after which it closes a connection, in s; 0 if unknown. */
@@ -150,7 +150,7 @@
 	/** Due when transfers that wait for a link may go on. */
 	struct loop_timer flow_timer;
 	/** For routed requests, by the handles of the view. */
-	struct proxy_belief *belief;
+	struct proxy_estimate *estimate;
 	struct proxy_service_state *state;
 	int64_t (*part_credit)[FLEET_PARTS_MAX];
 	/** Open connections to upstreams. */
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -65,14 +65,14 @@
 	struct proxy_service_state *state;
 	int64_t now;
 	int64_t now_us;
-	struct steer_belief belief[CANDIDATES_MAX];
+	struct steer_estimate estimate[CANDIDATES_MAX];
 	struct steer_placed placed;
 	int64_t shortest_wait;
 };
 
-static struct proxy_belief *belief_of(const struct proxy_request *r)
+static struct proxy_estimate *estimate_of(const struct proxy_request *r)
 {
-	return &r->thread->belief[r->upstream->cell];
+	return &r->thread->estimate[r->upstream->cell];
 }
 
 static struct proxy_service_state *state_of(const struct proxy_request *r)
@@ -90,7 +90,7 @@
 static int64_t inflight(const struct placement *p,
 			const struct steer_upstream *u)
 {
-	const struct proxy_belief *b = &p->t->belief[u->cell];
+	const struct proxy_estimate *b = &p->t->estimate[u->cell];
 	int64_t age = p->now - b->others_ms;
 	int64_t own = (int64_t)outstanding(p->t, u->cell) * THOUSAND;
 
@@ -106,7 +106,7 @@
 
 static int is_open(const struct placement *p, const struct steer_upstream *u)
 {
-	const struct proxy_belief *b = &p->t->belief[u->cell];
+	const struct proxy_estimate *b = &p->t->estimate[u->cell];
 
 	if (p->now < b->closed_until)
 		return 0;
@@ -115,11 +115,11 @@
 	return u->cold_rate > 0 && limit_rate_open(&b->cold, p->now_us);
 }
 
-static void read_belief(const struct placement *p,
-			const struct steer_upstream *u,
-			struct steer_belief *out)
+static void read_estimate(const struct placement *p,
+			  const struct steer_upstream *u,
+			  struct steer_estimate *out)
 {
-	const struct proxy_belief *b = &p->t->belief[u->cell];
+	const struct proxy_estimate *b = &p->t->estimate[u->cell];
 
 	out->open = is_open(p, u);
 	out->inflight = inflight(p, u);
@@ -141,7 +141,7 @@
 		const struct steer_upstream *u =
 			&s->upstream[place->first_upstream + i];
 
-		if (p->now < p->t->belief[u->cell].closed_until ||
+		if (p->now < p->t->estimate[u->cell].closed_until ||
 		    p->now < u->cold_until)
 			continue;
 		out->slots += u->slots;
@@ -173,18 +173,18 @@
 
 /* Where every upstream is left alone, they are tried all the same: what made
  * them unreachable may lie on this side. */
-static void read_beliefs(struct placement *p, const struct steer_placing *ask)
+static void read_estimates(struct placement *p, const struct steer_placing *ask)
 {
 	int closed = 0;
 
 	for (int i = 0; i < ask->n; i++) {
 		int cell = ask->upstream[i].cell;
 
-		read_belief(p, &ask->upstream[i], &p->belief[i]);
-		closed += p->now < p->t->belief[cell].closed_until;
+		read_estimate(p, &ask->upstream[i], &p->estimate[i]);
+		closed += p->now < p->t->estimate[cell].closed_until;
 	}
 	for (int i = 0; closed == ask->n && i < ask->n; i++)
-		p->belief[i].open = p->now >= ask->upstream[i].cold_until;
+		p->estimate[i].open = p->now >= ask->upstream[i].cold_until;
 }
 
 static int try_region(struct placement *p, int region)
@@ -194,7 +194,7 @@
 	int64_t hold_ms = region_hold(p->state, region) / THOUSAND;
 	struct steer_placing ask = {
 		.upstream = r->service->upstream + place->first_upstream,
-		.belief = p->belief,
+		.estimate = p->estimate,
 		.n = place->nupstream,
 		.object = r->asked.object,
 		.sticky = r->policy.sticky && r->asked.object,
@@ -210,7 +210,7 @@
 		ask.n = CANDIDATES_MAX;
 	if (!ask.sticky)
 		ask.object = prl_hash_pair(p->t->random++, r->handle);
-	read_beliefs(p, &ask);
+	read_estimates(p, &ask);
 	steer_place_request(&ask, &p->placed);
 	if (p->placed.upstream == STEER_NONE) {
 		if (p->placed.wait_ms < p->shortest_wait)
@@ -279,7 +279,7 @@
 {
 	struct proxy_request *r = p->r;
 	const struct steer_upstream *u = r->upstream;
-	struct proxy_belief *b = &p->t->belief[u->cell];
+	struct proxy_estimate *b = &p->t->estimate[u->cell];
 
 	atomic_fetch_add(&p->t->proxy->upstream[u->cell].outstanding, 1);
 	if (p->now < u->cold_until)
@@ -348,7 +348,7 @@
 
 static void learn_time(struct proxy_request *r)
 {
-	struct proxy_belief *b = belief_of(r);
+	struct proxy_estimate *b = estimate_of(r);
 	struct proxy_service_state *s = state_of(r);
 	int64_t now = prl_now_ms();
 	int64_t us = prl_now_us() - r->sent_us;
@@ -363,7 +363,7 @@
 		s->hold_us[r->region] = smooth(s->hold_us[r->region], us);
 }
 
-static void learn_failure(struct proxy_belief *b, int failed, int64_t now)
+static void learn_failure(struct proxy_estimate *b, int failed, int64_t now)
 {
 	if (now - b->failed_ms >= MEMORY_MS)
 		b->failures = 0;
@@ -372,13 +372,13 @@
 		b->failed_ms = now;
 }
 
-static void strike(struct proxy_belief *b, int64_t now)
+static void leave_alone(struct proxy_estimate *b, int64_t now)
 {
 	int64_t pause = CLOSED_MIN_MS;
 
-	for (int i = 0; i < b->strikes && pause < CLOSED_MAX_MS; i++)
+	for (int i = 0; i < b->unreachable && pause < CLOSED_MAX_MS; i++)
 		pause *= 2;
-	b->strikes++;
+	b->unreachable++;
 	b->closed_until = now + pause;
 }
 
@@ -387,23 +387,23 @@
 
 void place_learn(struct proxy_request *r, enum place_result result)
 {
-	struct proxy_belief *b = belief_of(r);
+	struct proxy_estimate *b = estimate_of(r);
 	int64_t now = prl_now_ms();
 
 	if (result != PLACE_ANSWERED)
 		request_log_attempt(r, result_names[result]);
 	switch (result) {
 	case PLACE_ANSWERED:
-		b->strikes = 0;
+		b->unreachable = 0;
 		learn_failure(b, 0, now);
 		learn_time(r);
 		break;
 	case PLACE_FAILED:
-		b->strikes = 0;
+		b->unreachable = 0;
 		learn_failure(b, 1, now);
 		break;
 	case PLACE_REFUSED:
-		b->strikes = 0;
+		b->unreachable = 0;
 		learn_failure(b, 1, now);
 		if (r->answer.slots < 0)
 			b->closed_until = now + FULL_MS;
@@ -412,14 +412,14 @@
 		learn_failure(b, 1, now);
 		/* One that takes connections may break few answers only. */
 		if (!r->issued)
-			strike(b, now);
+			leave_alone(b, now);
 		break;
 	}
 }
 
 void place_heard(struct proxy_request *r)
 {
-	struct proxy_belief *b = belief_of(r);
+	struct proxy_estimate *b = estimate_of(r);
 	int own = outstanding(r->thread, r->upstream->cell);
 	int others = r->answer.running + r->answer.waiting - own;
 
@@ -439,7 +439,7 @@
 
 long place_idle_max_s(const struct proxy_request *r)
 {
-	int said = belief_of(r)->keep_alive_s;
+	int said = estimate_of(r)->keep_alive_s;
 
 	/* One that closes just as a request comes leaves it unsettled. */
 	return said > 1 ? said - 1 : said ? 1 : IDLE_UNKNOWN_S;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -66,7 +66,7 @@
 	enum verdict verdict;
 	uint64_t tried[STEER_TRIED_MAX];
 	int ntried;
-	/** Expected when it was placed, and the requests believed to be there
+	/** Expected when it was placed, and the requests estimated to be there
 	 * then, in thousandths. */
 	int64_t wait_ms;
 	int64_t inflight;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -308,10 +308,10 @@
 static enum prl_code init_tables_routed(struct proxy_thread *t,
 					struct prl_error *err)
 {
-	t->belief = calloc(CONFIG_CELLS_MAX, sizeof(*t->belief));
+	t->estimate = calloc(CONFIG_CELLS_MAX, sizeof(*t->estimate));
 	t->state = calloc(CONFIG_CELLS_MAX, sizeof(*t->state));
 	t->part_credit = calloc(CONFIG_CELLS_MAX, sizeof(*t->part_credit));
-	if (!t->belief || !t->state || !t->part_credit)
+	if (!t->estimate || !t->state || !t->part_credit)
 		return prl_fail(err, PRL_E_MEMORY, "tables of a thread");
 	return PRL_OK;
 }
@@ -398,7 +398,7 @@
 	if (t->sockets)
 		sockets_finish(t->sockets);
 	free(t->sockets);
-	free(t->belief);
+	free(t->estimate);
 	free(t->state);
 	free(t->part_credit);
 }
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -342,8 +342,8 @@
  */
 int steer_pick(const struct steer_pick *p);
 
-/** What this process believes of one upstream when it places a request. */
-struct steer_belief {
+/** What this process estimates of one upstream when it places a request. */
+struct steer_estimate {
 	/** It may be sent a request now. */
 	int open;
 	/** Requests that run or wait there, in thousandths. */
@@ -361,7 +361,7 @@
 /** A request that is to be placed at an upstream of one region. */
 struct steer_placing {
 	const struct steer_upstream *upstream;
-	const struct steer_belief *belief;
+	const struct steer_estimate *estimate;
 	int n;
 	/** Hash of its object; upstreams that handled it are faster. */
 	uint64_t object;
@@ -397,7 +397,7 @@
 void steer_place_request(const struct steer_placing *p,
 			 struct steer_placed *out);
 
-/** What is believed of a region's upstreams when shares are decided. */
+/** What is estimated of a region's upstreams when shares are decided. */
 struct steer_region_load {
 	/** Slots of upstreams that take work. */
 	int64_t slots;
--- a/steer/src/place.c
+++ b/steer/src/place.c
@@ -30,14 +30,14 @@
 
 static int usable(const struct steer_placing *p, int i)
 {
-	return p->upstream[i].state == STEER_ACTIVE && p->belief[i].open &&
+	return p->upstream[i].state == STEER_ACTIVE && p->estimate[i].open &&
 	       !was_tried(p, i);
 }
 
 static int64_t wait_at(const struct steer_placing *p, int i)
 {
 	int64_t slots = p->upstream[i].slots;
-	int64_t beyond = p->belief[i].inflight + THOUSAND - slots * THOUSAND;
+	int64_t beyond = p->estimate[i].inflight + THOUSAND - slots * THOUSAND;
 
 	if (beyond <= 0)
 		return 0;
@@ -54,14 +54,14 @@
 /* Whether an upstream may take an object that is hardly at hand there. */
 static int is_idle(const struct steer_placing *p, int i)
 {
-	return p->belief[i].inflight <=
+	return p->estimate[i].inflight <=
 	       (int64_t)p->upstream[i].slots * IDLE_PERMILLE;
 }
 
 /* Expected time of the request there, in ms. */
 static int64_t cost_at(const struct steer_placing *p, int i, int rank)
 {
-	const struct steer_belief *b = &p->belief[i];
+	const struct steer_estimate *b = &p->estimate[i];
 	int64_t time = wait_at(p, i) + p->hold_ms;
 
 	if (b->slowness > THOUSAND)
--- a/steer/src/shares.c
+++ b/steer/src/shares.c
@@ -22,7 +22,7 @@
 #define HASH_STEPS 9007199254740992.0
 
 /* Least room counted of a region that is full, in permille of its slots: what
- * is believed of a far region is old. */
+ * is known of a far region is old. */
 #define ROOM_LEAST 50
 
 static int64_t occupancy(const struct steer_region_load *l)
--- a/steer/test/test_place.c
+++ b/steer/test/test_place.c
@@ -15,18 +15,18 @@
 #define OBJECTS 90
 
 static struct steer_upstream upstream[UPSTREAMS];
-static struct steer_belief belief[UPSTREAMS];
+static struct steer_estimate estimate[UPSTREAMS];
 
 static void make(void)
 {
 	memset(upstream, 0, sizeof(upstream));
-	memset(belief, 0, sizeof(belief));
+	memset(estimate, 0, sizeof(estimate));
 	for (int i = 0; i < UPSTREAMS; i++) {
 		upstream[i].id = prl_hash_pair(7, (uint64_t)i);
 		upstream[i].state = STEER_ACTIVE;
 		upstream[i].slots = SLOTS;
-		belief[i].open = 1;
-		belief[i].slowness = 1000;
+		estimate[i].open = 1;
+		estimate[i].slowness = 1000;
 	}
 }
 
@@ -34,7 +34,7 @@
 {
 	return (struct steer_placing){
 		.upstream = upstream,
-		.belief = belief,
+		.estimate = estimate,
 		.n = UPSTREAMS,
 		.object = prl_hash_pair(object, 1),
 		.sticky = 1,
@@ -106,10 +106,10 @@
 		int home = place(o).upstream;
 		struct steer_placed p;
 
-		belief[home].inflight = 20 * SLOTS * 1000;
+		estimate[home].inflight = 20 * SLOTS * 1000;
 		p = place(o);
 		assert_int_equal(naive_rank(o, p.upstream), 1);
-		belief[home].inflight = 0;
+		estimate[home].inflight = 0;
 	}
 }
 
@@ -120,31 +120,31 @@
 	(void)state;
 	make();
 	for (int i = 0; i < UPSTREAMS; i++)
-		belief[i].inflight = SLOTS * 1000;
+		estimate[i].inflight = SLOTS * 1000;
 	for (uint64_t o = 0; o < OBJECTS; o++) {
 		struct steer_placed p;
 		int first = place(o).upstream;
 		int second;
 
-		belief[first].inflight = 20 * SLOTS * 1000;
+		estimate[first].inflight = 20 * SLOTS * 1000;
 		second = place(o).upstream;
-		belief[second].inflight = 20 * SLOTS * 1000;
+		estimate[second].inflight = 20 * SLOTS * 1000;
 		p = place(o);
 		assert_int_equal(p.upstream, STEER_NONE);
 		assert_true(p.wait_ms > 0);
-		belief[(first + 1) % UPSTREAMS == second
-			       ? (first + 2) % UPSTREAMS
-			       : (first + 1) % UPSTREAMS]
+		estimate[(first + 1) % UPSTREAMS == second
+				 ? (first + 2) % UPSTREAMS
+				 : (first + 1) % UPSTREAMS]
 			.inflight = 0;
 		assert_int_not_equal(place(o).upstream, STEER_NONE);
 		for (int i = 0; i < UPSTREAMS; i++)
-			belief[i].inflight = SLOTS * 1000;
+			estimate[i].inflight = SLOTS * 1000;
 	}
 }
 
 /* No wait beyond what is of use, and never an upstream that is closed, gone or
- * tried before, whatever is believed. */
-static void test_random_beliefs(void **state)
+ * tried before, whatever is estimated. */
+static void test_random_estimates(void **state)
 {
 	(void)state;
 	srand(11);
@@ -156,10 +156,10 @@
 
 		make();
 		for (int i = 0; i < UPSTREAMS; i++) {
-			belief[i].open = rand() % 3 > 0;
-			belief[i].inflight = rand() % 20000;
-			belief[i].slowness = rand() % 5000;
-			belief[i].failures = rand() % 1000;
+			estimate[i].open = rand() % 3 > 0;
+			estimate[i].inflight = rand() % 20000;
+			estimate[i].slowness = rand() % 5000;
+			estimate[i].failures = rand() % 1000;
 			upstream[i].state =
 				rand() % 4 ? STEER_ACTIVE : STEER_LEAVING;
 		}
@@ -170,14 +170,14 @@
 		p.sticky = rand() % 2;
 		p.wait_max_ms = rand() % 400;
 		for (int i = 0; i < UPSTREAMS; i++)
-			usable += belief[i].open &&
+			usable += estimate[i].open &&
 				  upstream[i].state == STEER_ACTIVE;
 		steer_place_request(&p, &out);
 		if (!usable)
 			assert_int_equal(out.upstream, STEER_NONE);
 		if (out.upstream == STEER_NONE)
 			continue;
-		assert_true(belief[out.upstream].open);
+		assert_true(estimate[out.upstream].open);
 		assert_int_equal(upstream[out.upstream].state, STEER_ACTIVE);
 		assert_true(out.wait_ms <= p.wait_max_ms);
 		for (int k = 0; k < p.ntried; k++)
@@ -202,7 +202,7 @@
 		struct steer_placed p;
 
 		for (int i = 0; i < UPSTREAMS; i++)
-			belief[i].inflight = rand() % (SLOTS * 1200);
+			estimate[i].inflight = rand() % (SLOTS * 1200);
 		p = place(o);
 		if (p.upstream == STEER_NONE)
 			continue;
@@ -413,7 +413,7 @@
 		cmocka_unit_test(test_loss_moves_only_its_objects),
 		cmocka_unit_test(test_full_home_gives_to_the_second),
 		cmocka_unit_test(test_others_only_while_idle),
-		cmocka_unit_test(test_random_beliefs),
+		cmocka_unit_test(test_random_estimates),
 		cmocka_unit_test(test_objects_stay_at_hand),
 		cmocka_unit_test(test_shares_start_by_slots),
 		cmocka_unit_test(test_shares_move_at_the_pace),
