--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -47,6 +47,15 @@
 	r->outcome = r->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
 }
 
+/* The answer breaks off after a part of it was passed on. */
+static void cut_answer(struct proxy_request *r)
+{
+	r->down_failed = 1;
+	r->outcome = OUTCOME_UNKNOWN;
+	request_release(r);
+	request_wake(r);
+}
+
 void request_give_up_routed(struct proxy_request *r, const char *cause)
 {
 	int late = prl_now_ms() + LATE_MS >= r->deadline;
@@ -80,10 +89,7 @@
 	/* A request that ran out of time says little about its upstream. */
 	place_learn(r, late ? PLACE_FAILED : PLACE_BROKEN);
 	if (r->state == REQUEST_ANSWERED) {
-		r->down_failed = 1;
-		r->outcome = OUTCOME_UNKNOWN;
-		request_release(r);
-		request_wake(r);
+		cut_answer(r);
 		return;
 	}
 	retry_or_give_up(r, !r->issued,
@@ -137,10 +143,7 @@
 
 	upstream_learn(r, 1);
 	if (r->state == REQUEST_ANSWERED) {
-		r->down_failed = 1;
-		r->outcome = OUTCOME_UNKNOWN;
-		request_release(r);
-		request_wake(r);
+		cut_answer(r);
 		return;
 	}
 	if (r->retrying || request_may_retry(r, did_not_run)) {
