--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -34,17 +34,12 @@
 /* Time for the call that registers this VM, in ms. */
 #define REGISTER_MAX_MS 2000
 
-static void number(char out[24], int64_t n)
-{
-	snprintf(out, 24, "%lld", (long long)n);
-}
-
 static void log_store(struct store_follow *f, int up,
 		      const struct prl_error *why)
 {
-	char age[24];
+	char age[LOG_NUMBER_MAX];
 
-	number(age, f->confirmed_ms ? prl_now_ms() - f->confirmed_ms : -1);
+	log_number(age, f->confirmed_ms ? prl_now_ms() - f->confirmed_ms : -1);
 	log_event(LOG_AUDIT_LINE, "store", "kind", f->kind, "state",
 		  up ? "up" : "down", "error", why ? why->text : "",
 		  "confirmed_ms_ago", age, NULL);
@@ -66,10 +61,10 @@
 {
 	struct fleet_manifest m;
 	struct prl_error err = {0};
-	char version[24];
+	char version[LOG_NUMBER_MAX];
 	enum prl_code rc = platform_manifest_read(o->value, &m, &err);
 
-	number(version, rc ? 0 : m.version);
+	log_number(version, rc ? 0 : m.version);
 	if (!rc)
 		rc = inventory_manifest(&c->fleet.known, &m, &err);
 	log_event(rc ? LOG_WARNING_LINE : LOG_AUDIT_LINE, "manifest", "version",
@@ -78,13 +73,13 @@
 
 static void log_upstream(const struct fleet_upstream *u)
 {
-	char slots[24];
-	char cold[24];
-	char sequence[24];
+	char slots[LOG_NUMBER_MAX];
+	char cold[LOG_NUMBER_MAX];
+	char sequence[LOG_NUMBER_MAX];
 
-	number(slots, u->slots);
-	number(cold, u->cold_ms);
-	number(sequence, u->sequence);
+	log_number(slots, u->slots);
+	log_number(cold, u->cold_ms);
+	log_number(sequence, u->sequence);
 	log_event(LOG_AUDIT_LINE, "upstream", "instance", u->instance,
 		  "service", u->service, "address", u->address, "domain",
 		  u->domain, "state", u->leaving ? "leaving" : "active",
@@ -95,11 +90,11 @@
 static void upstream_gone(struct control *c, const char *name, int64_t at,
 			  const char *why)
 {
-	char in_ms[24];
+	char in_ms[LOG_NUMBER_MAX];
 
 	if (!inventory_upstream_gone(&c->fleet.known, name, at))
 		return;
-	number(in_ms, at - prl_now_ms());
+	log_number(in_ms, at - prl_now_ms());
 	log_event(LOG_AUDIT_LINE, "upstream", "instance", name, "state", "gone",
 		  "in_ms", in_ms, "error", why, NULL);
 }
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -167,12 +167,8 @@
 	memcpy(r->host, from->host, sizeof(r->host));
 	memcpy(r->prefix, from->prefix, sizeof(r->prefix));
 	fill_policy(g, from, &r->policy);
-	for (int i = 0; i < from->npart; i++) {
-		struct steer_part *p = &r->part[r->npart++];
-
-		memcpy(p->service, from->part[i].service, sizeof(p->service));
-		p->weight = from->part[i].weight;
-	}
+	memcpy(r->part, from->part, sizeof(r->part));
+	r->npart = from->npart;
 	r->cell = config_cell(&g->b->hold_cells, "route", from->name);
 }
 
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -146,8 +146,6 @@
 	int stamped;
 	/** The body is encoded, so it isn't the upstream's own. */
 	int encoded;
-	/** It says that it closes the connection. */
-	int closes;
 	/** Request that it belongs to; empty if it does not say. */
 	char id[FLEET_NAME_MAX];
 	/** Requests that run and wait there, and its slots; -1 if not said. */
--- a/observe/include/primroselead/log.h
+++ b/observe/include/primroselead/log.h
@@ -25,6 +25,12 @@
 void log_event(enum log_level level, const char *event, ...)
 	__attribute__((sentinel));
 
+/** Size of a number's text in a line, its end included. */
+#define LOG_NUMBER_MAX 24
+
+/** Writes a number as the value of a line's key. */
+void log_number(char out[LOG_NUMBER_MAX], long long n);
+
 /** Lines that were lost because the output was not read. */
 long long log_lost(void);
 
--- a/observe/src/log.c
+++ b/observe/src/log.c
@@ -100,6 +100,11 @@
 		atomic_fetch_add(&lost, 1);
 }
 
+void log_number(char out[LOG_NUMBER_MAX], long long n)
+{
+	snprintf(out, LOG_NUMBER_MAX, "%lld", n);
+}
+
 long long log_lost(void)
 {
 	return atomic_load(&lost);
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -6,31 +6,26 @@
 
 static const char *const outcomes[] = {"not-run", "unknown", "ran"};
 
-static void number(char out[24], int64_t n)
-{
-	snprintf(out, 24, "%lld", (long long)n);
-}
-
 void request_log(const struct proxy_request *r)
 {
-	char status[24];
-	char ms[24];
-	char attempts[24];
-	char version[24];
-	char wait[24];
-	char inflight[24];
-	char rank[24];
-	char object[24];
+	char status[LOG_NUMBER_MAX];
+	char ms[LOG_NUMBER_MAX];
+	char attempts[LOG_NUMBER_MAX];
+	char version[LOG_NUMBER_MAX];
+	char wait[LOG_NUMBER_MAX];
+	char inflight[LOG_NUMBER_MAX];
+	char rank[LOG_NUMBER_MAX];
+	char object[LOG_NUMBER_MAX];
 
 	if (!r->routed)
 		return;
-	number(status, r->responded ? r->status : 0);
-	number(ms, (prl_now_us() - r->began_us) / 1000);
-	number(attempts, r->attempts);
-	number(version, r->view ? r->view->manifest : 0);
-	number(wait, r->wait_ms);
-	number(inflight, r->inflight);
-	number(rank, r->rank);
+	log_number(status, r->responded ? r->status : 0);
+	log_number(ms, (prl_now_us() - r->began_us) / 1000);
+	log_number(attempts, r->attempts);
+	log_number(version, r->view ? r->view->manifest : 0);
+	log_number(wait, r->wait_ms);
+	log_number(inflight, r->inflight);
+	log_number(rank, r->rank);
 	snprintf(object, sizeof(object), "%016llx",
 		 (unsigned long long)r->asked.object);
 	log_event(LOG_INFO_LINE, "request", "id", r->asked.id, "service",
@@ -43,13 +38,13 @@
 
 void request_log_attempt(const struct proxy_request *r, const char *result)
 {
-	char status[24];
-	char ms[24];
-	char code[24];
+	char status[LOG_NUMBER_MAX];
+	char ms[LOG_NUMBER_MAX];
+	char code[LOG_NUMBER_MAX];
 
-	number(status, r->status);
-	number(ms, (prl_now_us() - r->sent_us) / 1000);
-	number(code, r->curl_result);
+	log_number(status, r->status);
+	log_number(ms, (prl_now_us() - r->sent_us) / 1000);
+	log_number(code, r->curl_result);
 	log_event(LOG_WARNING_LINE, "attempt", "id", r->asked.id, "upstream",
 		  r->instance, "result", result, "status", status, "ms", ms,
 		  "sent", r->issued ? "yes" : "no", "client_code", code, NULL);
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -146,12 +146,6 @@
 	int cell;
 };
 
-/** A service's part of a route. */
-struct steer_part {
-	char service[STEER_NAME_MAX];
-	int weight;
-};
-
 /** How the requests of a route are to be treated. */
 struct steer_policy {
 	enum fleet_kind kind;
@@ -171,7 +165,7 @@
 	char host[FLEET_HOST_MAX];
 	char prefix[FLEET_PATH_MAX];
 	struct steer_policy policy;
-	struct steer_part part[FLEET_PARTS_MAX];
+	struct fleet_part part[FLEET_PARTS_MAX];
 	int npart;
 	/** Handle of its counters in this process. */
 	int cell;
