Say that an answer ran as soon as it is passed on

Cause: the outcome was set when an answer had ended, but an answer that is passed on while it comes has its headers sent before. It then said "Request-Outcome: not-run", the value a request starts with, although it ran.

Ruled out: the claim log (the status was 200, the upstream had run the key) and an upstream's own header (copied neither way).

Change: request_answered sets the outcome where the headers become ready, for both forms.

--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -15,6 +15,10 @@
 /** The transfer has ended: answers the caller or makes another attempt. */
 void request_attempt_done(struct fetch *f, CURLcode result);
 
+/** The answer's headers may go to the caller: notes what they say of whether
+ * the request ran. */
+void request_answered(struct proxy_request *r);
+
 /** Whether another attempt may be made; takes it from the budget if so. */
 int request_may_retry(struct proxy_request *r, int did_not_run);
 
--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -98,10 +98,17 @@
 			      : "the connection to the upstream failed");
 }
 
-static void pass_on(struct proxy_request *r)
+void request_answered(struct proxy_request *r)
 {
-	r->outcome = OUTCOME_RAN;
+	r->outcome = r->refused ? OUTCOME_NOT_RUN : OUTCOME_RAN;
+	if (r->refused && r->maybe_ran)
+		r->outcome = OUTCOME_UNKNOWN;
 	r->state = REQUEST_ANSWERED;
+}
+
+static void pass_on(struct proxy_request *r)
+{
+	request_answered(r);
 	r->down_ended = 1;
 	request_release(r);
 	request_wake(r);
@@ -165,9 +172,6 @@
 
 static void attempt_ended(struct proxy_request *r)
 {
-	r->outcome = r->refused ? OUTCOME_NOT_RUN : OUTCOME_RAN;
-	if (r->refused && r->maybe_ran)
-		r->outcome = OUTCOME_UNKNOWN;
 	upstream_learn(r, r->status >= MHD_HTTP_INTERNAL_SERVER_ERROR);
 	if (r->claimed && r->outcome == OUTCOME_RAN) {
 		r->claim.code = r->status;
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -136,7 +136,7 @@
 	if (body_room(&r->down) < len) {
 		/* A long answer is passed on while it comes. */
 		if (r->routed)
-			r->state = REQUEST_ANSWERED;
+			request_answered(r);
 		request_wake(r);
 		r->down_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
@@ -184,7 +184,7 @@
 		r->retrying = 1;
 		return -1;
 	}
-	r->state = REQUEST_ANSWERED;
+	request_answered(r);
 	request_wake(r);
 	return 0;
 }
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -5,7 +5,7 @@
  * request), "garbage", "close" (runs, no answer), "shed" (did not run), "bare"
  * (503 without the word that it did not run), "early" (answers before the body
  * has come, then reads on), "encoded", "slow" (a second), "mute" (runs, never
- * answers). */
+ * answers), "long" (a body of LONG_BYTES). */
 #include "answer.h"
 #include <apr_general.h>
 #include <apr_thread_proc.h>
@@ -24,6 +24,9 @@
 /* Longest head of a request, in bytes. */
 #define HEAD_MAX 32768
 
+/* Length of a long body, in bytes: more than a VM keeps of an answer. */
+#define LONG_BYTES (4 << 20)
+
 static const char *instance;
 static _Atomic int ran;
 static _Atomic int refused;
@@ -170,6 +173,24 @@
 #define STAMP "X-Server-Stamp: 1.2.3\r\n"
 #define WHOLE STAMP "Content-Length: 12\r\n"
 
+static int answer_long(const struct peer *p)
+{
+	char length[64];
+	char block[8192];
+
+	snprintf(length, sizeof(length), STAMP "Content-Length: %d\r\n",
+		 LONG_BYTES);
+	answer(p, "200 OK", p->id, length, "");
+	memset(block, 'x', sizeof(block) - 1);
+	block[sizeof(block) - 1] = 0;
+	for (int sent = 0; sent < LONG_BYTES; sent += (int)sizeof(block) - 1) {
+		if (LONG_BYTES - sent < (int)sizeof(block) - 1)
+			block[LONG_BYTES - sent] = 0;
+		say(p, block);
+	}
+	return 1;
+}
+
 /* Answers. Returns 1 if the connection goes on. */
 static int act(struct peer *p)
 {
@@ -212,6 +233,8 @@
 		       "hello world\n");
 		return 1;
 	}
+	if (!strcmp(p->mode, "long"))
+		return answer_long(p);
 	if (!strcmp(p->mode, "slow"))
 		sleep(1);
 	answer(p, "200 OK", p->id, WHOLE, "hello world\n");
--- a/system/test_routes.c
+++ b/system/test_routes.c
@@ -24,6 +24,17 @@
 	routes_expect_whole(&a);
 }
 
+/* An answer that is passed on while it comes says already that it ran. */
+static void test_long_answer_says_that_it_ran(void **state)
+{
+	struct answer a = routes_ask("GET", "/safe/long");
+
+	(void)state;
+	assert_int_equal(a.status, 200);
+	assert_int_equal(a.stamped, 1);
+	assert_string_equal(a.outcome, "ran");
+}
+
 static void test_unknown_routes(void **state)
 {
 	struct answer a = routes_ask("GET", "/other/plain");
@@ -181,6 +192,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_are_whole),
+		cmocka_unit_test(test_long_answer_says_that_it_ran),
 		cmocka_unit_test(test_unknown_routes),
 		cmocka_unit_test(test_broken_answers),
 		cmocka_unit_test(test_extra_answer_is_dropped),
