Ask upstreams for their health while the store is silent

Upstreams of an evacuated domain turn cold at 26.4 s, before the evacuation can be read.

Ruled out: a late VM (all had heard nothing), one VM's rate.

Change: while the store is silent, the first VM of each upstream's order asks it four times a second, notes how long it stays cold, and tells the others by a new procedure, WIRE_COLD. The decision who asks is made where the cold rate is divided; test_inventory checks that it is one VM, with VMs lost as well.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -187,6 +187,8 @@
 	v = build_view(c, vm, n);
 	if (v) {
 		proxy_set_view(&c->proxy, v);
+		if (control_follows_manifest(c))
+			health_view(c, v);
 		config_view_release(v);
 		c->dirty = 0;
 	}
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -133,10 +133,12 @@
 	check_pause(c, now);
 	reload_tick(c, now);
 	peers_tick(c, now);
-	if (control_follows_manifest(c))
+	if (control_follows_manifest(c)) {
 		fleet_tick(c, now);
-	else
+		health_tick(c, now);
+	} else {
 		sync_tick(c, now);
+	}
 	if (c->dirty && c->sync.ready)
 		apply_view(c);
 	grants_tick(c, now);
@@ -210,6 +212,7 @@
 		return err->code;
 	sync_init(c);
 	fleet_init(c);
+	health_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick.due = on_tick;
@@ -230,6 +233,7 @@
 {
 	proxy_stop(&c->proxy);
 	sync_finish(c);
+	health_finish(c);
 	fleet_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSELEADD_CONTROL_H
 #define PRIMROSELEADD_CONTROL_H
 
+#include "health.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
@@ -138,6 +139,7 @@
 	struct member_table member;
 	struct sync sync;
 	struct fleet fleet;
+	struct health health;
 	struct config_builder builder;
 	struct proxy proxy;
 	struct mailbox claims;
--- /dev/null
+++ b/cmd/primroseleadd/health.c
@@ -0,0 +1,299 @@
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+#include <primroselead/platform.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Time between two questions to one upstream, in ms. A cold one bears a second
+ * of its rate and a few more; this leaves most of that to its requests. */
+#define ASK_EACH_MS 250
+
+/* Time for an answer, in ms: a busy upstream lets the question wait. */
+#define ASK_MAX_MS 1000
+
+/* Longest time that an upstream may say that it stays cold, in ms. */
+#define COLD_MAX_MS 600000
+
+/* For telling another VM, and between two repetitions, in ms. */
+#define TELL_MAX_MS 400
+#define TELL_REPEAT_MS 100
+
+/* An upstream that this VM asks. */
+struct check {
+	struct control *control;
+	uint64_t id;
+	char instance[STEER_NAME_MAX];
+	char url[PRL_ADDRESS_MAX + FLEET_PATH_MAX + 16];
+	/** Still among those that the view names. */
+	int named;
+	int64_t next_at;
+	struct fetch fetch;
+	int asking;
+	struct curl_slist *headers;
+	/** Names this question in the answer. */
+	char question[FLEET_NAME_MAX];
+	int status;
+	struct fleet_answer answer;
+	/** The last question got no answer, which was logged. */
+	int failed;
+};
+
+static void end_transfer(struct check *k)
+{
+	curl_slist_free_all(k->headers);
+	curl_easy_cleanup(k->fetch.easy);
+	k->headers = NULL;
+	k->fetch.easy = NULL;
+	k->asking = 0;
+}
+
+static void check_free(void *p)
+{
+	struct check *k = p;
+
+	if (k->asking) {
+		fetch_cancel(&k->control->fetches, &k->fetch);
+		end_transfer(k);
+	}
+	g_free(k);
+}
+
+static void log_cold(const char *instance, int64_t left_ms, const char *from)
+{
+	char left[LOG_NUMBER_MAX];
+
+	log_number(left, left_ms);
+	log_event(LOG_AUDIT_LINE, "cold", "instance", instance, "left_ms", left,
+		  "from", from, NULL);
+}
+
+static void tell_others(struct control *c, const char *instance,
+			int64_t left_ms)
+{
+	struct wire_args args = {.proc = WIRE_COLD};
+	struct wire_options o = {
+		.deadline = prl_now_ms() + TELL_MAX_MS,
+		.repeat_ms = TELL_REPEAT_MS,
+	};
+
+	args.u.cold.instance = (char *)instance;
+	args.u.cold.left_ms = left_ms;
+	for (int i = 1; i < c->member.n; i++)
+		if (member_is_usable(&c->member.peer[i]))
+			wire_call(&c->wire, c->member.peer[i].vm.rpc, &args, &o,
+				  NULL);
+}
+
+/* Returns 1 if it is news. */
+static int note_cold(struct control *c, const char *instance, int64_t left_ms,
+		     const char *from)
+{
+	if (left_ms <= 0 || left_ms > COLD_MAX_MS ||
+	    !inventory_cold(&c->fleet.known, instance, prl_now_ms() + left_ms))
+		return 0;
+	log_cold(instance, left_ms, from);
+	c->dirty = 1;
+	return 1;
+}
+
+/* Bytes that an upstream sends beyond another answer are not this one's. Most
+ * upstreams don't say which question they answer here. */
+static int is_answer(const struct check *k)
+{
+	if (k->answer.id[0] && strcmp(k->answer.id, k->question) != 0)
+		return 0;
+	return !strcmp(k->answer.instance, k->instance);
+}
+
+static void log_unanswered(const struct check *k, CURLcode result)
+{
+	char status[LOG_NUMBER_MAX];
+
+	log_number(status, k->status);
+	log_event(LOG_WARNING_LINE, "health", "instance", k->instance, "status",
+		  status, "answered_by", k->answer.instance, "error",
+		  result ? curl_easy_strerror(result) : "", NULL);
+}
+
+static void check_done(struct fetch *f, CURLcode result)
+{
+	struct check *k = f->ctx;
+	int64_t left = k->answer.cold_ms;
+
+	end_transfer(k);
+	if (result || !is_answer(k)) {
+		if (!k->failed)
+			log_unanswered(k, result);
+		k->failed = 1;
+		return;
+	}
+	k->failed = 0;
+	if (!note_cold(k->control, k->instance, left, "upstream"))
+		return;
+	/* Until then it bears little, and its answer is known. */
+	k->next_at = prl_now_ms() + left;
+	tell_others(k->control, k->instance, left);
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct check *k = ctx;
+	size_t len = size * n;
+	char *line = g_strndup(data, len);
+	const char *space = strchr(line, ' ');
+
+	g_strchomp(line);
+	if (!strncmp(line, "HTTP/", 5))
+		k->status = space ? atoi(space + 1) : 0;
+	platform_answer_line(line, &k->answer);
+	g_free(line);
+	return len;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	(void)data;
+	(void)ctx;
+	return size * n;
+}
+
+static void set_headers(struct check *k)
+{
+	char line[FLEET_NAME_MAX + 64];
+
+	snprintf(k->question, sizeof(k->question), "health-%016llx",
+		 (unsigned long long)control_random());
+	snprintf(line, sizeof(line), "%s: %s", platform_id_header(),
+		 k->question);
+	k->headers = curl_slist_append(k->headers, line);
+	platform_left_write(line, sizeof(line), ASK_MAX_MS);
+	k->headers = curl_slist_append(k->headers, line);
+	platform_instance_write(line, sizeof(line), k->instance);
+	k->headers = curl_slist_append(k->headers, line);
+}
+
+static void ask(struct check *k, int64_t now)
+{
+	CURL *easy = curl_easy_init();
+	struct prl_error err = {0};
+
+	k->next_at = now + ASK_EACH_MS;
+	if (!easy)
+		return;
+	k->fetch = (struct fetch){.easy = easy, .done = check_done, .ctx = k};
+	k->asking = 1;
+	k->status = 0;
+	platform_answer_begin(&k->answer);
+	set_headers(k);
+	curl_easy_setopt(easy, CURLOPT_URL, k->url);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, k->headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)ASK_MAX_MS);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, k);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	if (!fetch_start(&k->control->fetches, &k->fetch, &err))
+		return;
+	log_event(LOG_WARNING_LINE, "health", "instance", k->instance, "error",
+		  err.text, NULL);
+	end_transfer(k);
+}
+
+static void name_check(struct control *c, const struct steer_upstream *u,
+		       const char *path)
+{
+	struct check *k = g_hash_table_lookup(c->health.checks, &u->id);
+
+	if (!k) {
+		k = g_new0(struct check, 1);
+		k->control = c;
+		k->id = u->id;
+		memcpy(k->instance, u->instance, sizeof(k->instance));
+		/* Not all at the same moment. */
+		k->next_at = prl_now_ms() +
+			     (int64_t)(control_random() % ASK_EACH_MS);
+		g_hash_table_insert(c->health.checks, &k->id, k);
+	}
+	snprintf(k->url, sizeof(k->url), "http://%s%s", u->address, path);
+	k->named = 1;
+}
+
+static void name_checks(struct control *c, const struct steer_service *s)
+{
+	const struct fleet_service *said =
+		fleet_find_service(&c->fleet.known.manifest, s->name);
+
+	if (!said || said->health_path[0] != '/')
+		return;
+	for (int i = 0; i < s->nupstream; i++)
+		if (s->upstream[i].asks)
+			name_check(c, &s->upstream[i], said->health_path);
+}
+
+void health_view(struct control *c, const struct steer_view *v)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->health.checks);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct check *)value)->named = 0;
+	for (int i = 0; i < v->nservice; i++)
+		name_checks(c, v->service[i]);
+	g_hash_table_iter_init(&it, c->health.checks);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (!((struct check *)value)->named)
+			g_hash_table_iter_remove(&it);
+}
+
+static void log_asking(const struct control *c)
+{
+	char n[LOG_NUMBER_MAX];
+
+	log_number(n, g_hash_table_size(c->health.checks));
+	log_event(LOG_AUDIT_LINE, "health", "state",
+		  c->health.asking ? "asking" : "idle", "upstreams", n, NULL);
+}
+
+void health_tick(struct control *c, int64_t now)
+{
+	int asking = c->fleet.ready && fleet_is_stale(c, now);
+	GHashTableIter it;
+	void *value;
+
+	if (asking != c->health.asking) {
+		c->health.asking = asking;
+		log_asking(c);
+	}
+	if (!asking)
+		return;
+	g_hash_table_iter_init(&it, c->health.checks);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct check *k = value;
+
+		if (!k->asking && now >= k->next_at)
+			ask(k, now);
+	}
+}
+
+void health_told(struct control *c, const struct wire_request *r,
+		 const struct wire_cold *cold)
+{
+	struct wire_result nothing = {.proc = WIRE_COLD};
+
+	note_cold(c, cold->instance, cold->left_ms, "peer");
+	wire_reply(&c->wire, r, &nothing, NULL);
+}
+
+void health_init(struct control *c)
+{
+	c->health.checks = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, check_free);
+}
+
+void health_finish(struct control *c)
+{
+	g_hash_table_destroy(c->health.checks);
+}
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -357,6 +357,9 @@
 	case WIRE_RETURN:
 		loans_returned(c, r, &args->u.give_back);
 		break;
+	case WIRE_COLD:
+		health_told(c, r, &args->u.cold);
+		break;
 	}
 }
 
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -61,6 +61,10 @@
 int inventory_upstream_gone(struct inventory *k, const char *instance,
 			    int64_t gone_at);
 
+/** An upstream said that it is cold until then. Returns 1 if that is news. */
+int inventory_cold(struct inventory *k, const char *instance,
+		   int64_t cold_until);
+
 /** A failure domain is evacuated, or taken back. */
 void inventory_evacuate(struct inventory *k, const char *domain, int on,
 			int64_t now);
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -105,6 +105,18 @@
 	return 1;
 }
 
+int inventory_cold(struct inventory *k, const char *instance,
+		   int64_t cold_until)
+{
+	struct inventory_upstream *u =
+		g_hash_table_lookup(k->upstream, instance);
+
+	if (!u || cold_until <= u->cold_until)
+		return 0;
+	u->cold_until = cold_until;
+	return 1;
+}
+
 /* Upstreams of a domain may have become cold while it was evacuated. */
 static void mark_cold(struct inventory *k, const char *domain, int64_t now)
 {
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -52,26 +52,46 @@
 	return rank;
 }
 
-/* Requests a second that this VM may send to a cold upstream. The bound holds
- * over all VMs, so a few of the upstream's region divide it. */
-static int64_t cold_rate(const struct building *g,
-			 const struct steer_upstream *u, int64_t rate)
+/* Whether a region has VMs that take work, and whether this VM is one. */
+static void count_region(const struct building *g, int region, int *any,
+			 int *own)
 {
 	const struct steer_view *v = g->view;
+
+	*any = 0;
+	*own = 0;
+	for (int i = 0; i < v->nvm; i++) {
+		if (!counts(&v->vm[i], region))
+			continue;
+		*any = 1;
+		*own |= v->vm[i].id == g->self;
+	}
+}
+
+/* Decides what this VM may send an upstream while it is cold, and whether it
+ * is the one that asks it. The bound on a cold one holds over all VMs, so a few
+ * of the upstream's region divide it; without any there, a few of all. */
+static void fill_cold(const struct building *g, struct steer_upstream *u,
+		      int64_t rate)
+{
+	int region = u->region;
 	int total;
-	int rank = sender_rank(g, u->id, u->region, &total);
-	int here = g->self && total;
-	int own = 0;
-
-	for (int i = 0; i < v->nvm; i++)
-		own |= v->vm[i].id == g->self && counts(&v->vm[i], u->region);
-	if (!here)
-		rank = sender_rank(g, u->id, STEER_NONE, &total);
-	else if (!own)
-		return 0;
-	if (!total || rank >= COLD_SENDERS)
-		return 0;
-	return rate / (total < COLD_SENDERS ? total : COLD_SENDERS);
+	int rank;
+	int any;
+	int own;
+
+	count_region(g, region, &any, &own);
+	if (!any) {
+		region = STEER_NONE;
+		count_region(g, region, &any, &own);
+	}
+	if (!own)
+		return;
+	rank = sender_rank(g, u->id, region, &total);
+	u->asks = rank == 0;
+	if (rank < COLD_SENDERS)
+		u->cold_rate =
+			rate / (total < COLD_SENDERS ? total : COLD_SENDERS);
 }
 
 static int fill_upstream(const struct building *g,
@@ -98,7 +118,7 @@
 	u->cell = config_cell(&g->b->upstream_cells, said->service, start);
 	if (u->region < 0 || u->cell < 0)
 		return -1;
-	u->cold_rate = cold_rate(g, u, file->cold_rate);
+	fill_cold(g, u, file->cold_rate);
 	return 0;
 }
 
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -220,7 +220,7 @@
 }
 
 /* Over all VMs a cold upstream is sent no more than it bears, by VMs of its
- * own region; without one there, by others. */
+ * own region; without one there, by others. One VM asks it. */
 static void test_cold_rate_is_divided(void **state)
 {
 	(void)state;
@@ -234,18 +234,23 @@
 	k.listed = 1;
 	for (int lost = 0; lost < 3; lost++) {
 		int64_t sum[20] = {0};
+		int asked_by[20] = {0};
 
 		for (int i = 0; i < lost; i++)
 			vm[i].state = STEER_GONE;
 		for (int self = lost; self < VMS; self++) {
 			struct steer_view *v = view(self);
 
-			for (int i = 0; i < 20; i++)
+			for (int i = 0; i < 20; i++) {
 				sum[i] += v->service[0]->upstream[i].cold_rate;
+				asked_by[i] += v->service[0]->upstream[i].asks;
+			}
 			config_view_release(v);
 		}
-		for (int i = 0; i < 20; i++)
+		for (int i = 0; i < 20; i++) {
 			assert_int_equal(sum[i], 6000);
+			assert_int_equal(asked_by[i], 1);
+		}
 	}
 }
 
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -157,6 +157,8 @@
 	int keep_alive_s;
 	/** Time for which the upstream stays cold in ms; -1 if not said. */
 	int64_t cold_ms;
+	/** Start of the upstream that answered; empty if not said. */
+	char instance[FLEET_NAME_MAX];
 };
 
 /** A caller's question which VMs to use. */
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -5,13 +5,15 @@
  * request), "garbage", "close" (runs, no answer), "shed" (did not run), "bare"
  * (503 without the word that it did not run), "early" (answers before the body
  * has come, then reads on), "encoded", "slow" (a second), "mute" (runs, never
- * answers), "long" (a body of LONG_BYTES). */
+ * answers), "long" (a body of LONG_BYTES), "health" (says how long it stays
+ * cold, which /admin/cold/MS sets). */
 #include "answer.h"
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <ctype.h>
 #include <netinet/in.h>
 #include <primroselead/address.h>
+#include <primroselead/clock.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -31,6 +33,9 @@
 static _Atomic int ran;
 static _Atomic int refused;
 static _Atomic int misdirected;
+static _Atomic int checked;
+/* On the clock of prl_now_ms. */
+static _Atomic long long cold_until;
 static _Atomic long long body_bytes;
 
 /* A connection and what of it has been read. */
@@ -243,16 +248,33 @@
 	return 1;
 }
 
+/* Unlike other answers this one does not name its request. */
+static int answer_health(const struct peer *p)
+{
+	char text[256];
+	long long left = cold_until - prl_now_ms();
+
+	checked++;
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
+		 "X-Cold-Remaining-Ms: %lld\r\nContent-Length: 0\r\n\r\n",
+		 instance, left > 0 ? left : 0);
+	say(p, text);
+	return 1;
+}
+
 static int is_admin(struct peer *p)
 {
 	char text[256];
 
 	if (strncmp(p->head, "GET /admin/", 11))
 		return 0;
+	if (!strncmp(p->head, "GET /admin/cold/", 16))
+		cold_until = prl_now_ms() + atoll(p->head + 16);
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
-		 "\"body_bytes\":%lld}\n",
-		 ran, refused, misdirected, (long long)body_bytes);
+		 "\"checked\":%d,\"body_bytes\":%lld}\n",
+		 ran, refused, misdirected, checked, (long long)body_bytes);
 	say(p, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
 	say(p, text);
 	return 1;
@@ -275,6 +297,8 @@
 		       "X-Not-Executed: 1\r\nContent-Length: 0\r\n", "");
 		return !read_body(p);
 	}
+	if (!strcmp(p->mode, "health"))
+		return !read_body(p) && answer_health(p);
 	ran++;
 	if (!strcmp(p->mode, "early")) {
 		answer(p, "413 Too Long", p->id, WHOLE, "hello world\n");
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -68,6 +68,8 @@
 	/** Requests that this VM may send it while it is cold, in thousandths
 	 * a second. */
 	int64_t cold_rate;
+	/** Of all VMs, this one asks it how it is when nobody else tells. */
+	int asks;
 };
 
 /** One region of a service. */
--- a/system/routes.c
+++ b/system/routes.c
@@ -43,6 +43,7 @@
 		 "\"target_latency_ms\":500,\"priority\":1,"
 		 "\"service\":\"empty\",\"max_attempts\":2}},"
 		 "\"services\":{\"s\":{\"max_connections\":100,"
+		 "\"health_check_path\":\"/health\","
 		 "\"cold_start_s\":0,\"cold_per_s\":5},"
 		 "\"t\":{\"max_connections\":100,\"cold_start_s\":0,"
 		 "\"cold_per_s\":5},\"empty\":{}},"
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -157,6 +157,49 @@
 	harness_sleep(IN_FORCE_MS);
 }
 
+/* While the store is away only the upstream itself tells that it is cold. Once
+ * it was asked, all VMs together send it no more than it bears. */
+static void test_cold_is_seen_without_the_store(void **state)
+{
+	int64_t began;
+	int64_t checked;
+	int64_t sent[2];
+	char url[80];
+	char text[200];
+
+	(void)state;
+	checked = routes_stat(UPSTREAM(1), "checked");
+	store_fault("down_ms=9000");
+	harness_sleep(3500);
+	/* Four questions a second by one VM, from the first failure on. */
+	assert_in_range(routes_stat(UPSTREAM(1), "checked") - checked, 2, 16);
+	for (int i = 1; i <= 2; i++) {
+		snprintf(url, sizeof(url),
+			 "http://127.0.0.1:%d/admin/cold/8000", UPSTREAM(i));
+		harness_get(url, text, sizeof(text));
+	}
+	harness_sleep(800);
+	for (int i = 0; i < 2; i++)
+		sent[i] = -routes_stat(UPSTREAM(1 + i), "ran");
+	began = prl_now_ms();
+	for (int i = 0; i < 60; i++)
+		routes_ask_vm(1 + i % 2, "GET", "/safe/plain");
+	assert_true(prl_now_ms() - began < 1000);
+	for (int i = 0; i < 2; i++) {
+		sent[i] += routes_stat(UPSTREAM(1 + i), "ran");
+		assert_in_range(sent[i], 1, 5 * 3 / 2 + 5);
+	}
+	/* No more is asked while it is known to be cold, nor with the store. */
+	checked = routes_stat(UPSTREAM(1), "checked");
+	harness_sleep(1000);
+	assert_int_equal(routes_stat(UPSTREAM(1), "checked"), checked);
+	harness_sleep(6500);
+	checked = routes_stat(UPSTREAM(1), "checked");
+	harness_sleep(1000);
+	assert_int_equal(routes_stat(UPSTREAM(1), "checked"), checked);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+}
+
 /* Sends a request and does not wait for its answer. */
 static int start_hanging(int port, const char *path)
 {
@@ -277,6 +320,7 @@
 		cmocka_unit_test(test_manifest_comes_into_force_and_stays),
 		cmocka_unit_test(test_dropped_history),
 		cmocka_unit_test(test_outage_of_the_store),
+		cmocka_unit_test(test_cold_is_seen_without_the_store),
 		cmocka_unit_test(test_hangup_reloads),
 		cmocka_unit_test(test_planned_stop),
 		cmocka_unit_test(test_stop_with_a_request_that_hangs),
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -106,6 +106,12 @@
 	unsigned hyper id;
 };
 
+/* An upstream, by the name of its start, said that it stays cold. */
+struct wire_cold {
+	string instance<WIRE_NAME>;
+	hyper left_ms;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -115,5 +121,6 @@
 		wire_verdict WIRE_CLAIM(wire_claim) = 5;
 		wire_loan WIRE_BORROW(wire_borrow) = 6;
 		void WIRE_RETURN(wire_return) = 7;
+		void WIRE_COLD(wire_cold) = 8;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -133,6 +133,12 @@
 };
 typedef struct wire_return wire_return;
 
+struct wire_cold {
+	char *instance;
+	quad_t left_ms;
+};
+typedef struct wire_cold wire_cold;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -158,6 +164,9 @@
 #define WIRE_RETURN 7
 extern  void * wire_return_1(wire_return *, CLIENT *);
 extern  void * wire_return_1_svc(wire_return *, struct svc_req *);
+#define WIRE_COLD 8
+extern  void * wire_cold_1(wire_cold *, CLIENT *);
+extern  void * wire_cold_1_svc(wire_cold *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -182,6 +191,9 @@
 #define WIRE_RETURN 7
 extern  void * wire_return_1();
 extern  void * wire_return_1_svc();
+#define WIRE_COLD 8
+extern  void * wire_cold_1();
+extern  void * wire_cold_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -201,6 +213,7 @@
 extern  bool_t xdr_wire_borrow (XDR *, wire_borrow*);
 extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
 extern  bool_t xdr_wire_return (XDR *, wire_return*);
+extern  bool_t xdr_wire_cold (XDR *, wire_cold*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -216,6 +229,7 @@
 extern bool_t xdr_wire_borrow ();
 extern bool_t xdr_wire_loan ();
 extern bool_t xdr_wire_return ();
+extern bool_t xdr_wire_cold ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -26,6 +26,7 @@
 		struct wire_claim claim;
 		struct wire_borrow borrow;
 		struct wire_return give_back;
+		struct wire_cold cold;
 	} u;
 };
 
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -33,6 +33,8 @@
 		return (xdrproc_t)xdr_wire_borrow;
 	case WIRE_RETURN:
 		return (xdrproc_t)xdr_wire_return;
+	case WIRE_COLD:
+		return (xdrproc_t)xdr_wire_cold;
 	}
 	return NULL;
 }
@@ -45,6 +47,7 @@
 		return (xdrproc_t)xdr_wire_ack;
 	case WIRE_PUSH:
 	case WIRE_RETURN:
+	case WIRE_COLD:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -209,3 +209,15 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_cold (XDR *xdrs, wire_cold *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
