Hold the connections to an upstream to the manifest's number

Cause: max_connections was decoded and never used, so a VM could open one for each request up to what placement allows; beyond the number an upstream resets them.

Change: an upstream is closed to a VM that has its part of the connections in use. Weighed: libcurl's own limit a host (it queues, and holds the request past what its caller can use).

--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -104,11 +104,31 @@
 	return s->hold_us[region] ? s->hold_us[region] : HOLD_UNKNOWN_US;
 }
 
+/* VMs and threads that divide what is for all of them together. */
+static int dividers(const struct proxy_request *r)
+{
+	int vms = r->view->nactive > 0 ? r->view->nactive : 1;
+
+	return vms * r->thread->proxy->nthread;
+}
+
+/* Whether this VM may open one more connection. A thread keeps as many as it
+ * had requests there at one time, and does not lend them to others. */
+static int may_connect(const struct placement *p,
+		       const struct steer_upstream *u)
+{
+	int share = u->connections / dividers(p->r);
+
+	if (!u->connections)
+		return 1;
+	return outstanding(p->t, u->cell) < (share > 1 ? share : 1);
+}
+
 static int is_open(const struct placement *p, const struct steer_upstream *u)
 {
 	const struct proxy_estimate *b = &p->t->estimate[u->cell];
 
-	if (p->now < b->closed_until)
+	if (p->now < b->closed_until || !may_connect(p, u))
 		return 0;
 	if (p->now >= u->cold_until)
 		return 1;
@@ -184,7 +204,8 @@
 		closed += p->now < p->t->estimate[cell].closed_until;
 	}
 	for (int i = 0; closed == ask->n && i < ask->n; i++)
-		p->estimate[i].open = p->now >= ask->upstream[i].cold_until;
+		p->estimate[i].open = p->now >= ask->upstream[i].cold_until &&
+				      may_connect(p, &ask->upstream[i]);
 }
 
 static int try_region(struct placement *p, int region)
@@ -239,10 +260,8 @@
 /* The constant part of the budget is for all VMs and threads together. */
 static void set_budget(struct proxy_request *r)
 {
-	const struct proxy *p = r->thread->proxy;
-	int vms = r->view->nactive > 0 ? r->view->nactive : 1;
 	int64_t most = r->thread->bounds.retry_extra * BUDGET_PERCENT /
-		       PERCENT / (vms * p->nthread);
+		       PERCENT / dividers(r);
 
 	limit_budget_set(&state_of(r)->retry, most > 1 ? most : 1);
 }
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -34,6 +34,8 @@
 static _Atomic int refused;
 static _Atomic int misdirected;
 static _Atomic int checked;
+static _Atomic int open_now;
+static _Atomic int open_most;
 /* On the clock of prl_now_ms. */
 static _Atomic long long cold_until;
 static _Atomic long long body_bytes;
@@ -50,6 +52,8 @@
 	char mode[32];
 	long long length;
 	int chunked;
+	/** Among the connections that are counted. */
+	int counted;
 };
 
 static void say(const struct peer *p, const char *text)
@@ -273,18 +277,33 @@
 		cold_until = prl_now_ms() + atoll(p->head + 16);
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
-		 "\"checked\":%d,\"body_bytes\":%lld}\n",
-		 ran, refused, misdirected, checked, (long long)body_bytes);
+		 "\"checked\":%d,\"open_most\":%d,\"body_bytes\":%lld}\n",
+		 ran, refused, misdirected, checked, open_most,
+		 (long long)body_bytes);
 	say(p, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
 	say(p, text);
 	return 1;
 }
 
+/* Counts a connection of VMs once. */
+static void count_connection(struct peer *p)
+{
+	int now;
+
+	if (p->counted)
+		return;
+	p->counted = 1;
+	now = ++open_now;
+	if (now > open_most)
+		open_most = now;
+}
+
 /* Serves one request. Returns 1 if the connection goes on. */
 static int serve_one(struct peer *p)
 {
 	if (read_head(p) || is_admin(p))
 		return 0;
+	count_connection(p);
 	if (p->expected[0] && strcmp(p->expected, instance)) {
 		misdirected++;
 		answer(p, "421 Misdirected", p->id, "Content-Length: 0\r\n",
@@ -314,6 +333,8 @@
 	(void)self;
 	while (serve_one(p))
 		;
+	if (p->counted)
+		open_now--;
 	close(p->fd);
 	free(p);
 	return NULL;
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -57,6 +57,7 @@
 	int domain;
 	enum steer_state state;
 	int slots;
+	/** Connections that it accepts from all VMs; 0 if that isn't known. */
 	int connections;
 	/** Handle of its counters in the process that sends to it. */
 	int cell;
--- a/system/routes.c
+++ b/system/routes.c
@@ -45,7 +45,7 @@
 		 "\"services\":{\"s\":{\"max_connections\":100,"
 		 "\"health_check_path\":\"/health\","
 		 "\"cold_start_s\":0,\"cold_per_s\":5},"
-		 "\"t\":{\"max_connections\":100,\"cold_start_s\":0,"
+		 "\"t\":{\"max_connections\":4,\"cold_start_s\":0,"
 		 "\"cold_per_s\":5},\"empty\":{}},"
 		 "\"limits\":{\"max_header_bytes\":16384,"
 		 "\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
--- a/system/test_routes.c
+++ b/system/test_routes.c
@@ -7,6 +7,7 @@
 #include "routes.h"
 #include <cmocka.h>
 #include <primroselead/clock.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -188,6 +189,51 @@
 	routes_expect_whole(&a);
 }
 
+/* Requests at one time through one VM. */
+#define TOGETHER 6
+
+static void *ask_slow(void *arg)
+{
+	struct answer *a = arg;
+	const char *headers[] = {"X-Request-Id: c", "X-Affinity-Key: 7", NULL};
+	struct call c = {.method = "GET", .headers = headers};
+	char url[80];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/safe/slow", FRONT(1));
+	c.url = url;
+	c.host = "h.example";
+	*a = harness_call(&c);
+	return NULL;
+}
+
+/* An upstream accepts 4 connections, so each of the two VMs has 2; a request
+ * for which there is none is refused at once. */
+static void test_connections_are_divided(void **state)
+{
+	pthread_t thread[TOGETHER];
+	struct answer a[TOGETHER];
+	int ok = 0;
+
+	(void)state;
+	routes_put_manifest(30, "t");
+	harness_sleep(IN_FORCE_MS);
+	for (int i = 0; i < TOGETHER; i++)
+		pthread_create(&thread[i], NULL, ask_slow, &a[i]);
+	for (int i = 0; i < TOGETHER; i++) {
+		pthread_join(thread[i], NULL);
+		ok += a[i].status == 200;
+		if (a[i].status == 200)
+			continue;
+		assert_int_equal(a[i].status, 503);
+		assert_string_equal(a[i].outcome, "not-run");
+		assert_true(a[i].retry_after > 0);
+	}
+	assert_int_equal(ok, 2);
+	assert_int_equal(routes_stat(UPSTREAM(3), "open_most"), 2);
+	routes_put_manifest(31, "s");
+	harness_sleep(IN_FORCE_MS);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -202,6 +248,7 @@
 		cmocka_unit_test(test_early_refusal_of_an_upload),
 		cmocka_unit_test(test_early_answer_of_an_upstream),
 		cmocka_unit_test(test_refused_upload_is_sent_again),
+		cmocka_unit_test(test_connections_are_divided),
 	};
 
 	(void)argc;
