--- a/model/fuzz_platform.c
+++ b/model/fuzz_platform.c
@@ -67,12 +67,19 @@
 
 static void read_entry(const char *text)
 {
+	struct fleet_manifest m = {.version = 1};
 	struct fleet_upstream u;
-	struct prl_error err = {0};
 
-	if (!platform_upstream_read("i", text, &u, &err) &&
-	    (u.slots < 1 || !u.address[0]))
+	if (platform_upstream_read("i", text, &u, NULL))
+		return;
+	if (u.slots < 1 || !u.address[0])
+		abort();
+	m.service = calloc(1, sizeof(*m.service));
+	if (!m.service)
 		abort();
+	m.nservice = 1;
+	memcpy(m.service[0].name, u.service, sizeof(u.service));
+	use_manifest(&m, &u);
 }
 
 static void read_vm(const char *text)
