--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -370,6 +370,21 @@
 	assert_true(total > 900);
 }
 
+/* What was not used in a calm is not at hand in the storm after it. */
+static void test_budget_after_a_calm(void **state)
+{
+	struct limit_budget budget = {0};
+	int passed = 0;
+
+	(void)state;
+	limit_budget_set(&budget, 6);
+	for (int i = 0; i < 2000; i++)
+		limit_budget_count(&budget, 200);
+	for (int i = 0; i < 100; i++)
+		passed += limit_budget_take(&budget);
+	assert_int_equal(passed, 6);
+}
+
 static void test_rate(void **state)
 {
 	struct limit_rate r = {0};
@@ -390,6 +405,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_budget_holds_in_every_span),
+		cmocka_unit_test(test_budget_after_a_calm),
 		cmocka_unit_test(test_rate),
 		cmocka_unit_test(test_hold_with_threads),
 		cmocka_unit_test(test_hold_below_use),
