Give the counters of ended upstreams to later ones

Cause: each start of an upstream had a number of its own for its counters, and none was ever given back.

Change: a view asks for the numbers of all names in use; one that no view asked for in ten minutes is given to another name. Ten minutes is longer than any request runs and than placement remembers. Weighed: clearing the counters at once (a request may still be counted there). Cells move to a file of their own.

test_counters_are_given_back starts 49,152 upstreams in one process: without the change the 16,385th is left out.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -165,8 +165,8 @@
 	uint64_t self = prl_hash_name(c->settings->vm.name);
 
 	if (control_follows_manifest(c))
-		return inventory_view(&c->fleet.known, &c->builder, vm, n,
-				      self);
+		return inventory_view(&c->fleet.known, &c->builder, vm, n, self,
+				      prl_now_ms());
 	return config_build_view(&c->builder, vm, n, self,
 				 c->sync.copy.complete);
 }
--- a/config/include/primroselead/config.h
+++ b/config/include/primroselead/config.h
@@ -86,7 +86,10 @@
 /** Gives lasting numbers to names. */
 struct config_cells {
 	GHashTable *by_name;
+	/** Numbers given out so far, and those given back. */
 	int n;
+	GArray *spare;
+	uint64_t round;
 };
 
 /** A view under construction; belongs to the control thread. */
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -79,6 +79,6 @@
 struct steer_view *inventory_view(const struct inventory *k,
 				  struct config_builder *b,
 				  const struct steer_vm *vm, int nvm,
-				  uint64_t self);
+				  uint64_t self, int64_t now);
 
 #endif
--- a/config/src/box.c
+++ b/config/src/box.c
@@ -40,28 +40,6 @@
 	apr_pool_destroy(pool);
 }
 
-void config_cells_init(struct config_cells *c)
-{
-	c->by_name =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	c->n = 0;
-}
-
-int config_cell(struct config_cells *c, const char *service, const char *name)
-{
-	char key[PRL_NAME_MAX * 3 + 4];
-	int i;
-
-	snprintf(key, sizeof(key), "%s %s", service, name);
-	i = GPOINTER_TO_INT(g_hash_table_lookup(c->by_name, key));
-	if (i)
-		return i - 1;
-	if (c->n == CONFIG_CELLS_MAX)
-		return -1;
-	g_hash_table_insert(c->by_name, g_strdup(key), GINT_TO_POINTER(++c->n));
-	return c->n - 1;
-}
-
 static int by_region(const void *a, const void *b)
 {
 	const struct steer_upstream *x = a;
--- a/config/src/box.h
+++ b/config/src/box.h
@@ -1,6 +1,7 @@
 #ifndef CONFIG_BOX_H
 #define CONFIG_BOX_H
 
+#include "cells.h"
 #include <apr_pools.h>
 #include <primroselead/config.h>
 #include <stdatomic.h>
@@ -22,13 +23,6 @@
 /** Gives a reference back. */
 void config_service_release(struct steer_service *s);
 
-/** Makes an empty table of cells. */
-void config_cells_init(struct config_cells *c);
-
-/** Number of a name in a table of cells, given out when first asked for; -1 if
- * there are too many. */
-int config_cell(struct config_cells *c, const char *service, const char *name);
-
 /** Sorts a service's upstreams by region and finds each region's run. */
 void config_index_upstreams(struct steer_service *s);
 
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -28,9 +28,9 @@
 void config_builder_finish(struct config_builder *b)
 {
 	g_hash_table_destroy(b->domains);
-	g_hash_table_destroy(b->upstream_cells.by_name);
-	g_hash_table_destroy(b->hold_cells.by_name);
-	g_hash_table_destroy(b->service_cells.by_name);
+	config_cells_finish(&b->upstream_cells);
+	config_cells_finish(&b->hold_cells);
+	config_cells_finish(&b->service_cells);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->vm_state);
 }
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -206,7 +206,7 @@
 struct steer_view *inventory_view(const struct inventory *k,
 				  struct config_builder *b,
 				  const struct steer_vm *vm, int nvm,
-				  uint64_t self)
+				  uint64_t self, int64_t now)
 {
 	const struct fleet_manifest *m = &k->manifest;
 	struct building g = {.k = k, .b = b, .self = self};
@@ -219,8 +219,10 @@
 	v->manifest = m->version;
 	v->limits = m->limits;
 	v->service = g_new0(struct steer_service *, (gsize)m->nservice + 1);
+	config_cells_begin(&b->upstream_cells);
 	for (int i = 0; i < m->nservice; i++)
 		add_service(&g, &m->service[i]);
+	config_cells_end(&b->upstream_cells, now);
 	config_view_sort(v);
 	v->route = g_new0(struct steer_route, (gsize)m->nroute + 1);
 	for (int i = 0; i < m->nroute; i++)
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -84,9 +84,11 @@
 	return 0;
 }
 
+static int64_t now_ms;
+
 static struct steer_view *view(int self)
 {
-	return inventory_view(&k, &b, vm, VMS, vm[self].id);
+	return inventory_view(&k, &b, vm, VMS, vm[self].id, now_ms);
 }
 
 static int count_upstreams(void)
@@ -254,6 +256,37 @@
 	}
 }
 
+/* Upstreams may start any number of times in a process's life; each start has
+ * counters of its own, not soon after another one had them. */
+static void test_counters_are_given_back(void **state)
+{
+	static int64_t used_ms[CONFIG_CELLS_MAX];
+	char name[24];
+
+	(void)state;
+	give_manifest(3, PRL_OK);
+	k.listed = 1;
+	for (int i = 1; i <= 3 * CONFIG_CELLS_MAX; i++) {
+		struct steer_view *v;
+		int cell;
+
+		now_ms = (int64_t)i * 1000;
+		snprintf(name, sizeof(name), "i%d", i);
+		give(name, "n-a", 1, 1, 0);
+		v = view(0);
+		assert_int_equal(v->service[0]->nupstream, 1);
+		cell = v->service[0]->upstream[0].cell;
+		assert_in_range(cell, 0, CONFIG_CELLS_MAX - 1);
+		if (used_ms[cell])
+			assert_true(now_ms - used_ms[cell] >= 600000);
+		used_ms[cell] = now_ms;
+		config_view_release(v);
+		inventory_upstream_gone(&k, name, now_ms);
+		inventory_expire(&k, now_ms);
+	}
+	now_ms = 0;
+}
+
 static void test_longest_prefix_comes_first(void **state)
 {
 	struct steer_view *v;
@@ -287,6 +320,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_cold_rate_is_divided,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_counters_are_given_back,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_longest_prefix_comes_first,
 						setup, teardown),
 	};
--- a/model/fuzz_platform.c
+++ b/model/fuzz_platform.c
@@ -35,7 +35,7 @@
 	if (inventory_manifest(&k, m, NULL))
 		goto end;
 	inventory_upstream(&k, upstream, 1000, NULL);
-	v = inventory_view(&k, &b, &vm, 1, 1);
+	v = inventory_view(&k, &b, &vm, 1, 1, 1000);
 	if (v) {
 		for (int i = 0; i < v->nroute; i++)
 			expect_route(v, &v->route[i]);
--- a/system/harness.c
+++ b/system/harness.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/stat.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -71,6 +72,9 @@
 	const char *argv[32] = {program};
 	char path[600];
 
+	/* A test program that crashes leaves nothing behind that would have the
+	 * ports of the next one. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	for (int i = 0; i < 30 && args[i]; i++)
 		argv[i + 1] = args[i];
 	snprintf(path, sizeof(path), "%s/%s", bin_dir, program);
--- a/system/test_routes.c
+++ b/system/test_routes.c
@@ -189,6 +189,20 @@
 	routes_expect_whole(&a);
 }
 
+/* A route with homes is served there or not at all. */
+static void test_homes_are_kept(void **state)
+{
+	int64_t before = routes_ran();
+	struct answer a = routes_ask("GET", "/far/plain");
+
+	(void)state;
+	assert_int_equal(a.status, 503);
+	assert_string_equal(a.outcome, "not-run");
+	assert_int_equal(routes_ran(), before);
+	a = routes_ask("GET", "/near/plain");
+	routes_expect_whole(&a);
+}
+
 /* Requests at one time through one VM. */
 #define TOGETHER 6
 
@@ -248,6 +262,7 @@
 		cmocka_unit_test(test_early_refusal_of_an_upload),
 		cmocka_unit_test(test_early_answer_of_an_upstream),
 		cmocka_unit_test(test_refused_upload_is_sent_again),
+		cmocka_unit_test(test_homes_are_kept),
 		cmocka_unit_test(test_connections_are_divided),
 	};
 
