--- a/model/vm.c
+++ b/model/vm.c
@@ -5,12 +5,6 @@
 
 static const char *const region_names[REGIONS] = {"norte", "centro", "sur"};
 
-/* VMs 0 and 1 are in the first region, the others one each. */
-static int region_of(int vm)
-{
-	return vm < 2 ? 0 : vm - 1;
-}
-
 static void vm_name(int vm, char *name, size_t size)
 {
 	snprintf(name, size, "vm%d", vm);
@@ -159,7 +153,7 @@
 	int n = 0;
 
 	for (int i = 0; i < VMS; i++)
-		if (w->vm[i].alive && (region < 0 || region_of(i) == region))
+		if (w->vm[i].alive && (region < 0 || vm_region(i) == region))
 			n++;
 	return n;
 }
@@ -194,7 +188,7 @@
 		p->hold = &v->hold[r];
 		p->capacity = v->service.place[r].capacity;
 		p->config = v->service.version;
-		p->local = region_of(i) == r;
+		p->local = vm_region(i) == r;
 		p->local_vms = count_live(w, r);
 		p->all_vms = count_live(w, -1);
 	}
@@ -214,8 +208,6 @@
 	}
 }
 
-static void take_answers(struct world *w, int i);
-
 static void tick_claims(struct world *w, int i)
 {
 	struct fake_vm *v = &w->vm[i];
@@ -238,7 +230,7 @@
 	case CLAIM_IDLE:
 		break;
 	}
-	take_answers(w, i);
+	vm_take_answers(w, i);
 }
 
 static void tick_shift(struct world *w, int i)
@@ -299,184 +291,6 @@
 		vm_finish(w, i);
 }
 
-static void send_on(struct world *w, int i, const struct asking *a)
-{
-	struct fake_vm *v = &w->vm[i];
-	struct steer_load load[UPSTREAMS] = {0};
-	struct steer_pick p = {.upstream = v->upstream + a->region * UPSTREAMS,
-			       .load = load,
-			       .n = UPSTREAMS,
-			       .choice = STEER_POWER_OF_TWO,
-			       .now_ms = w->now,
-			       .random = choose(w, 256),
-			       .except = STEER_NONE};
-	int u = steer_pick(&p);
-
-	if (u == STEER_NONE) {
-		limit_hold_give(&v->hold[a->region]);
-		w->out->not_run++;
-		return;
-	}
-	if (p.upstream[u].state != STEER_ACTIVE)
-		fail(w, "an upstream that leaves got new work");
-	for (int k = 0; k < FLIGHTS; k++) {
-		struct flight *f = &w->flight[k];
-
-		if (f->used)
-			continue;
-		*f = (struct flight){.used = 1,
-				     .vm = i,
-				     .incarnation = v->incarnation,
-				     .region = a->region,
-				     .key = a->key,
-				     .token = a->token,
-				     .deadline = a->deadline,
-				     .config = a->config};
-		oracle_ran(w, f);
-		return;
-	}
-	limit_hold_give(&v->hold[a->region]);
-}
-
-/* As the proxy does it: admission is checked again before the first byte. */
-static void claimed(struct world *w, int i, const struct claim_answer *ans)
-{
-	struct fake_vm *v = &w->vm[i];
-	struct claim_record note = {.status = CLAIM_VOID};
-	struct asking a = {0};
-
-	for (int k = 0; k < 64; k++) {
-		if (!v->asking[k].used || v->asking[k].token != ans->waiter)
-			continue;
-		a = v->asking[k];
-		v->asking[k].used = 0;
-	}
-	if (!a.used)
-		return;
-	if (ans->verdict == CLAIM_GRANTED && w->now < a.deadline &&
-	    w->now < v->alive_until) {
-		w->out->claims_granted++;
-		send_on(w, i, &a);
-		return;
-	}
-	limit_hold_give(&v->hold[a.region]);
-	w->out->claims_taken += ans->verdict == CLAIM_TAKEN;
-	if (ans->verdict == CLAIM_TAKEN)
-		return;
-	w->out->not_run++;
-	if (ans->verdict != CLAIM_GRANTED)
-		return;
-	note.key = ans->record.key;
-	note.token = a.token;
-	claim_submit(&v->claims, &note, 0);
-}
-
-static void take_answers(struct world *w, int i)
-{
-	struct claim_answer a;
-
-	while (w->vm[i].alive && claim_take(&w->vm[i].claims, &a))
-		claimed(w, i, &a);
-}
-
-static void ask_claim(struct world *w, int i, const struct asking *a)
-{
-	struct fake_vm *v = &w->vm[i];
-	struct claim_record r = {.token = a->token};
-
-	r.key.low = (uint64_t)a->key;
-	r.key.high = 1;
-	for (int k = 0; k < 64; k++) {
-		if (v->asking[k].used)
-			continue;
-		if (claim_submit(&v->claims, &r, a->token))
-			break;
-		v->asking[k] = *a;
-		v->asking[k].used = 1;
-		return;
-	}
-	limit_hold_give(&v->hold[a->region]);
-	w->out->not_run++;
-}
-
-static int decide_moved(struct world *w, struct fake_vm *v, int home,
-			uint64_t block)
-{
-	const struct steer_shift *h = &v->service.shift;
-
-	if (h->from != home)
-		return 0;
-	if (v->plan != h->plan)
-		limit_share_reset(&v->share);
-	v->plan = h->plan;
-	limit_share_count(&v->share, h->cap);
-	w->cap_credit += h->cap;
-	return steer_moved(h, home, block) && limit_share_take(&v->share);
-}
-
-void vm_request(struct world *w, int i)
-{
-	struct fake_vm *v = &w->vm[i];
-	struct steer_order route;
-	struct asking a = {.token = ++w->next_token, .key = -1};
-	uint64_t block = choose(w, 200);
-	int moved;
-
-	if (!v->alive || v->paused || v->config < 0 || w->now >= v->alive_until)
-		return;
-	if (choose(w, 3) == 0)
-		a.key = (int)choose(w, KEYS);
-	a.deadline = w->now + DEADLINE_MS;
-	a.config = v->service.version;
-	moved = decide_moved(w, v, region_of(i), block);
-	steer_order(&v->service, region_of(i), moved, &route);
-	for (int k = 0; k < route.n; k++) {
-		a.region = route.region[k];
-		if (!limit_hold_take(&v->hold[a.region])) {
-			v->short_of = a.region;
-			continue;
-		}
-		w->out->admitted++;
-		if (route.reason[k] == STEER_SHIFTED) {
-			w->moved++;
-			w->out->moved++;
-		}
-		if (a.key >= 0)
-			ask_claim(w, i, &a);
-		else
-			send_on(w, i, &a);
-		return;
-	}
-	w->out->not_run++;
-}
-
-void vm_end_flight(struct world *w, int i, int refused)
-{
-	struct flight *f = &w->flight[i];
-	struct fake_vm *v;
-	struct claim_record note = {.status = CLAIM_RAN, .code = 200};
-
-	(void)refused;
-	if (!f->used)
-		return;
-	v = &w->vm[f->vm];
-	if (w->now >= f->deadline)
-		f->over = 1;
-	/* A paused VM keeps the place until it sees the answer. */
-	if (v->alive && v->incarnation == f->incarnation) {
-		if (v->paused)
-			return;
-		limit_hold_give(&v->hold[f->region]);
-		if (f->key >= 0) {
-			note.key.low = (uint64_t)f->key;
-			note.key.high = 1;
-			note.token = f->token;
-			claim_submit(&v->claims, &note, 0);
-		}
-	}
-	f->used = 0;
-}
-
 static void grant_answer(struct fake_vm *v, const struct fake_call *c)
 {
 	const struct fake_object *o = c->read;
@@ -569,5 +383,5 @@
 	case CALL_PUBLISH:
 		break;
 	}
-	take_answers(w, c->vm);
+	vm_take_answers(w, c->vm);
 }
--- a/model/world.h
+++ b/model/world.h
@@ -229,11 +229,15 @@
 void vm_start(struct world *w, int i);
 void vm_kill(struct world *w, int i);
 void vm_tick(struct world *w, int i);
-void vm_request(struct world *w, int i);
 void vm_answer(struct world *w, struct fake_call *c);
-void vm_end_flight(struct world *w, int i, int refused);
 void vm_finish(struct world *w, int i);
 
+/* request.c */
+int vm_region(int vm);
+void vm_request(struct world *w, int i);
+void vm_take_answers(struct world *w, int i);
+void vm_end_flight(struct world *w, int i, int refused);
+
 /* dump.c */
 void dump_world(const struct world *w);
 
