--- a/standin/src/load.c
+++ b/standin/src/load.c
@@ -271,6 +271,11 @@
 	c->headers = curl_slist_append(NULL, line);
 	snprintf(line, sizeof(line), "Request-Id: %s", c->id);
 	c->headers = curl_slist_append(c->headers, line);
+	/* Routes of the users' platform want the name in their own header. */
+	if (ld.raw) {
+		snprintf(line, sizeof(line), "X-Request-Id: %s", c->id);
+		c->headers = curl_slist_append(c->headers, line);
+	}
 	snprintf(line, sizeof(line), "Caller-Block: %lld",
 		 (long long)(c->named - ld.set));
 	c->headers = curl_slist_append(c->headers, line);
