Let an upstream rest that was found to be cold

Ruled out: late telling (all VMs knew within 10 ms of the answer). Weighed: asking eight times a second (each question is one of the few requests it bears).

Change: one that was found to be cold, and was not known to be, is sent nothing for 800 ms. test_found_cold_rests, and test_cold_is_seen_without_the_store, which fails without the rest (200 for 503).

--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -89,8 +89,10 @@
 static int note_cold(struct control *c, const char *instance, int64_t left_ms,
 		     const char *from)
 {
+	int64_t now = prl_now_ms();
+
 	if (left_ms <= 0 || left_ms > COLD_MAX_MS ||
-	    !inventory_cold(&c->fleet.known, instance, prl_now_ms() + left_ms))
+	    !inventory_cold(&c->fleet.known, instance, now + left_ms, now))
 		return 0;
 	log_cold(instance, left_ms, from);
 	c->dirty = 1;
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -15,6 +15,9 @@
 	struct fleet_upstream said;
 	/** Point of prl_now_ms until which it is taken as cold. */
 	int64_t cold_until;
+	/** Point until which it is sent nothing: its coldness was found late,
+	 * and what it got before counts. */
+	int64_t rest_until;
 	/** When it is to be taken as gone although its entry is missing only
 	 * because it lapsed in an outage; PRL_NEVER while the entry is there.
 	 */
@@ -61,9 +64,10 @@
 int inventory_upstream_gone(struct inventory *k, const char *instance,
 			    int64_t gone_at);
 
-/** An upstream said that it is cold until then. Returns 1 if that is news. */
+/** An upstream itself said that it is cold until then, which the store did not
+ * tell: it rests for a while. Returns 1 if that is news. */
 int inventory_cold(struct inventory *k, const char *instance,
-		   int64_t cold_until);
+		   int64_t cold_until, int64_t now);
 
 /** A failure domain is evacuated, or taken back. */
 void inventory_evacuate(struct inventory *k, const char *domain, int on,
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -2,6 +2,10 @@
 #include <primroselead/inventory.h>
 #include <string.h>
 
+/* Time for which an upstream that was found to be cold rests, in ms. Its bound
+ * holds in any second; until it was found it got requests at its full rate. */
+#define REST_MS 800
+
 void inventory_init(struct inventory *k)
 {
 	memset(k, 0, sizeof(*k));
@@ -106,13 +110,16 @@
 }
 
 int inventory_cold(struct inventory *k, const char *instance,
-		   int64_t cold_until)
+		   int64_t cold_until, int64_t now)
 {
 	struct inventory_upstream *u =
 		g_hash_table_lookup(k->upstream, instance);
 
 	if (!u || cold_until <= u->cold_until)
 		return 0;
+	/* One that is known to be cold has had no more than it bears. */
+	if (now >= u->cold_until)
+		u->rest_until = now + REST_MS;
 	u->cold_until = cold_until;
 	return 1;
 }
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -115,6 +115,7 @@
 	u->slots = said->slots;
 	u->connections = file->connections;
 	u->cold_until = from->cold_until;
+	u->rest_until = from->rest_until;
 	u->cell = config_cell(&g->b->upstream_cells, said->service, start);
 	if (u->region < 0 || u->cell < 0)
 		return -1;
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -256,6 +256,26 @@
 	}
 }
 
+/* One that was found to be cold rests once; told again, or by the store, it
+ * does not. */
+static void test_found_cold_rests(void **state)
+{
+	struct steer_view *v;
+
+	(void)state;
+	give_manifest(3, PRL_OK);
+	give("i1", "n-a", 1, 1, 0);
+	k.listed = 1;
+	assert_int_equal(inventory_cold(&k, "i2", 9000, 5000), 0);
+	assert_int_equal(inventory_cold(&k, "i1", 9000, 5000), 1);
+	assert_int_equal(inventory_cold(&k, "i1", 9000, 5010), 0);
+	assert_int_equal(inventory_cold(&k, "i1", 9020, 5500), 1);
+	v = view(0);
+	assert_int_equal(v->service[0]->upstream[0].cold_until, 9020);
+	assert_int_equal(v->service[0]->upstream[0].rest_until, 5800);
+	config_view_release(v);
+}
+
 /* Upstreams may start any number of times in a process's life; each start has
  * counters of its own, not soon after another one had them. */
 static void test_counters_are_given_back(void **state)
@@ -320,6 +340,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_cold_rate_is_divided,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_found_cold_rests, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_counters_are_given_back,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_longest_prefix_comes_first,
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -128,7 +128,8 @@
 {
 	const struct proxy_estimate *b = &p->t->estimate[u->cell];
 
-	if (p->now < b->closed_until || !may_connect(p, u))
+	if (p->now < b->closed_until || p->now < u->rest_until ||
+	    !may_connect(p, u))
 		return 0;
 	if (p->now >= u->cold_until)
 		return 1;
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -66,6 +66,8 @@
 	char instance[STEER_NAME_MAX];
 	/** Cold until this point of prl_now_ms. */
 	int64_t cold_until;
+	/** Sent nothing until this point of prl_now_ms. */
+	int64_t rest_until;
 	/** Requests that this VM may send it while it is cold, in thousandths
 	 * a second. */
 	int64_t cold_rate;
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -183,6 +183,12 @@
 	assert_in_range(routes_stat(UPSTREAM(1), "checked") - checked, 2, 16);
 	set_cold(1, 8000);
 	set_cold(2, 8000);
+	/* Once found they rest: what came before counts in the same second. */
+	harness_sleep(400);
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(
+			routes_ask_vm(1 + i % 2, "GET", "/safe/plain").status,
+			503);
 	harness_sleep(800);
 	for (int i = 0; i < 2; i++)
 		sent[i] = -routes_stat(UPSTREAM(1 + i), "ran");
