--- a/base/test/test_base.c
+++ b/base/test/test_base.c
@@ -5,6 +5,7 @@
 
 #include <cmocka.h>
 #include <primroselead/address.h>
+#include <primroselead/backoff.h>
 #include <primroselead/clock.h>
 #include <primroselead/error.h>
 #include <primroselead/hash.h>
@@ -81,6 +82,17 @@
 	assert_true(prl_hash128("a", 1).low != prl_hash128("a", 1).high);
 }
 
+static void test_backoff(void **state)
+{
+	(void)state;
+	assert_int_equal(prl_backoff(100, 800, 0), 100);
+	assert_int_equal(prl_backoff(100, 800, 2), 400);
+	assert_int_equal(prl_backoff(100, 800, 1000), 800);
+	assert_int_equal(prl_backoff(100, 10000, 7), 10000);
+	for (uint64_t random = 0; random < 1000; random += 7)
+		assert_in_range(prl_jitter(100, random), 50, 149);
+}
+
 static void test_clock_does_not_go_back(void **state)
 {
 	int64_t before = prl_now_us();
@@ -102,6 +114,7 @@
 		cmocka_unit_test(test_error_text_is_cut),
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_hash_order_matters),
+		cmocka_unit_test(test_backoff),
 		cmocka_unit_test(test_clock_does_not_go_back),
 	};
 
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -1,5 +1,6 @@
 #include "control.h"
 #include <errno.h>
+#include <primroselead/backoff.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <primroselead/log.h>
@@ -15,9 +16,6 @@
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 10000
 
-/* Doublings until the longest pause. */
-#define BACKOFF_DOUBLINGS 7
-
 /* Time between two status texts while somebody asks for them, in milliseconds,
  * and for each member while nobody does: the text grows with the fleet. */
 #define STATUS_MS 200
@@ -35,15 +33,10 @@
 
 void backoff_later(struct backoff *b, int64_t now)
 {
-	int n = b->tries < BACKOFF_DOUBLINGS ? b->tries : BACKOFF_DOUBLINGS;
-	int64_t pause = (int64_t)BACKOFF_MIN_MS << n;
+	int64_t pause = prl_backoff(BACKOFF_MIN_MS, BACKOFF_MAX_MS, b->tries);
 
-	if (pause > BACKOFF_MAX_MS)
-		pause = BACKOFF_MAX_MS;
 	b->tries++;
-	/* Half is fixed and half random, so that VMs do not come together. */
-	pause = pause / 2 + (int64_t)(control_random() % (uint64_t)pause);
-	b->next = now + pause;
+	b->next = now + prl_jitter(pause, control_random());
 }
 
 void backoff_reset(struct backoff *b)
--- a/cmd/primroseleadd/fleet.c
+++ b/cmd/primroseleadd/fleet.c
@@ -260,20 +260,15 @@
 	f->vm.poll_ms = VM_LIST_EARLY_MS;
 }
 
-static int64_t least(int64_t a, int64_t b)
-{
-	return a < b ? a : b;
-}
-
 /* All kinds are known up to the least of their revisions. */
 static void extend(struct control *c)
 {
 	const struct fleet *f = &c->fleet;
-	int64_t revision = least(f->manifest.revision, f->upstream.revision);
+	int64_t revision = MIN(f->manifest.revision, f->upstream.revision);
 
 	if (!f->manifest.listed || !f->upstream.listed || !f->evacuation.listed)
 		return;
-	revision = least(revision, f->evacuation.revision);
+	revision = MIN(revision, f->evacuation.revision);
 	spread_extend(&c->sync.copy, c->sync.copy.complete, revision);
 	c->fleet.whole = 1;
 }
--- a/config/src/routes.c
+++ b/config/src/routes.c
@@ -33,12 +33,13 @@
 }
 
 /* Rank of this VM for an upstream among the active VMs of a region, or of all
- * regions; fills their number. */
+ * regions, or STEER_NONE if it isn't one of them; fills their number. */
 static int sender_rank(const struct building *g, uint64_t upstream, int region,
 		       int *total)
 {
 	const struct steer_view *v = g->view;
 	uint64_t own = prl_hash_pair(upstream, g->self);
+	int among = 0;
 	int rank = 0;
 
 	*total = 0;
@@ -46,26 +47,11 @@
 		if (!counts(&v->vm[i], region))
 			continue;
 		++*total;
+		among |= v->vm[i].id == g->self;
 		if (prl_hash_pair(upstream, v->vm[i].id) > own)
 			rank++;
 	}
-	return rank;
-}
-
-/* Whether a region has VMs that take work, and whether this VM is one. */
-static void count_region(const struct building *g, int region, int *any,
-			 int *own)
-{
-	const struct steer_view *v = g->view;
-
-	*any = 0;
-	*own = 0;
-	for (int i = 0; i < v->nvm; i++) {
-		if (!counts(&v->vm[i], region))
-			continue;
-		*any = 1;
-		*own |= v->vm[i].id == g->self;
-	}
+	return among ? rank : STEER_NONE;
 }
 
 /* Decides what this VM may send an upstream while it is cold, and whether it
@@ -74,20 +60,13 @@
 static void fill_cold(const struct building *g, struct steer_upstream *u,
 		      int64_t rate)
 {
-	int region = u->region;
 	int total;
-	int rank;
-	int any;
-	int own;
-
-	count_region(g, region, &any, &own);
-	if (!any) {
-		region = STEER_NONE;
-		count_region(g, region, &any, &own);
-	}
-	if (!own)
+	int rank = sender_rank(g, u->id, u->region, &total);
+
+	if (!total)
+		rank = sender_rank(g, u->id, STEER_NONE, &total);
+	if (rank == STEER_NONE)
 		return;
-	rank = sender_rank(g, u->id, region, &total);
 	u->asks = rank == 0;
 	if (rank < COLD_SENDERS)
 		u->cold_rate =
@@ -164,21 +143,18 @@
 	g->view->service[g->view->nservice++] = s;
 }
 
-static void fill_policy(const struct building *g,
-			const struct fleet_route *from, struct steer_policy *p)
+static uint32_t home_mask(const struct building *g,
+			  const struct fleet_route *from)
 {
-	p->kind = from->kind;
-	p->timeout_ms = from->timeout_ms;
-	p->objective_ms = from->objective_ms;
-	p->attempts = from->attempts < 1 ? 1 : from->attempts;
-	p->priority = from->priority;
-	p->sticky = from->sticky;
+	uint32_t mask = 0;
+
 	for (int i = 0; i < from->nhome; i++) {
 		int region = config_region(g->b, from->home[i]);
 
 		if (region >= 0)
-			p->homes |= (uint32_t)1 << region;
+			mask |= (uint32_t)1 << region;
 	}
+	return mask;
 }
 
 static void add_route(const struct building *g, const struct fleet_route *from)
@@ -187,7 +163,10 @@
 
 	memcpy(r->host, from->host, sizeof(r->host));
 	memcpy(r->prefix, from->prefix, sizeof(r->prefix));
-	fill_policy(g, from, &r->policy);
+	r->policy = from->policy;
+	if (r->policy.attempts < 1)
+		r->policy.attempts = 1;
+	r->homes = home_mask(g, from);
 	memcpy(r->part, from->part, sizeof(r->part));
 	r->npart = from->npart;
 	r->cell = config_cell(&g->b->hold_cells, "route", from->name);
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -41,11 +41,8 @@
 	int weight;
 };
 
-/** A route: requests for one host below one path. */
-struct fleet_route {
-	char name[FLEET_NAME_MAX];
-	char host[FLEET_HOST_MAX];
-	char prefix[FLEET_PATH_MAX];
+/** How the requests of a route are to be treated. */
+struct fleet_policy {
 	enum fleet_kind kind;
 	/** Longest time that a caller is kept waiting, in ms. */
 	int64_t timeout_ms;
@@ -57,6 +54,14 @@
 	int priority;
 	/** Upstreams are faster for an object that they handled lately. */
 	int sticky;
+};
+
+/** A route: requests for one host below one path. */
+struct fleet_route {
+	char name[FLEET_NAME_MAX];
+	char host[FLEET_HOST_MAX];
+	char prefix[FLEET_PATH_MAX];
+	struct fleet_policy policy;
 	/** Regions that may serve it; none means all. */
 	char home[FLEET_HOMES_MAX][FLEET_NAME_MAX];
 	int nhome;
--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -147,19 +147,20 @@
 static void attempt_failed(struct proxy_request *r, CURLcode result)
 {
 	int did_not_run = !r->issued || r->refused;
+	int again;
 
 	upstream_learn(r, 1);
 	if (r->state == REQUEST_ANSWERED) {
 		cut_answer(r);
 		return;
 	}
-	if (r->retrying || request_may_retry(r, did_not_run)) {
-		r->retrying = 0;
-		settle_outcome(r, did_not_run);
+	again = r->retrying || request_may_retry(r, did_not_run);
+	r->retrying = 0;
+	settle_outcome(r, did_not_run);
+	if (again) {
 		retry(r);
 		return;
 	}
-	settle_outcome(r, did_not_run);
 	request_release(r);
 	if (result == CURLE_OPERATION_TIMEDOUT)
 		request_fail(
--- a/proxy/src/place.c
+++ b/proxy/src/place.c
@@ -1,4 +1,5 @@
 #include "place.h"
+#include <primroselead/backoff.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <string.h>
@@ -65,7 +66,8 @@
 	struct proxy_service_state *state;
 	int64_t now;
 	int64_t now_us;
-	struct steer_estimate estimate[CANDIDATES_MAX];
+	/** Room for the candidates of one region. */
+	struct steer_estimate *estimate;
 	struct steer_placed placed;
 	int64_t shortest_wait;
 };
@@ -279,7 +281,7 @@
 
 static int choose(struct placement *p)
 {
-	uint32_t mask = p->r->policy.homes ? p->r->policy.homes : UINT32_MAX;
+	uint32_t mask = p->r->homes ? p->r->homes : UINT32_MAX;
 	uint64_t object = p->r->policy.sticky ? p->r->asked.object : 0;
 	int planned;
 
@@ -335,9 +337,12 @@
 
 int place_take(struct proxy_request *r)
 {
+	/* Not cleared: 32 KB for each request, of which few are used. */
+	struct steer_estimate estimate[CANDIDATES_MAX];
 	struct placement p = {
 		.r = r,
 		.t = r->thread,
+		.estimate = estimate,
 		.now = prl_now_ms(),
 		.now_us = prl_now_us(),
 		.shortest_wait = INT64_MAX,
@@ -394,12 +399,9 @@
 
 static void leave_alone(struct proxy_estimate *b, int64_t now)
 {
-	int64_t pause = CLOSED_MIN_MS;
-
-	for (int i = 0; i < b->unreachable && pause < CLOSED_MAX_MS; i++)
-		pause *= 2;
+	b->closed_until =
+		now + prl_backoff(CLOSED_MIN_MS, CLOSED_MAX_MS, b->unreachable);
 	b->unreachable++;
-	b->closed_until = now + pause;
 }
 
 static const char *const result_names[] = {"answered", "failed", "refused",
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -59,7 +59,9 @@
 	/** A route of the manifest matched; the fields to "retry_after" are
 	 * for such requests alone. */
 	int routed;
-	struct steer_policy policy;
+	struct fleet_policy policy;
+	/** Regions that may serve it, a bit each; 0 means all. */
+	uint32_t homes;
 	char service_name[STEER_NAME_MAX];
 	struct fleet_request asked;
 	struct fleet_answer answer;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -95,6 +95,7 @@
 			const struct steer_route *route)
 {
 	r->policy = route->policy;
+	r->homes = route->homes;
 	r->once = route->policy.kind != FLEET_SAFE;
 	set_deadline(r);
 	if (is_too_large(r)) {
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -149,21 +149,28 @@
 	return len;
 }
 
-static void note_header(struct proxy_request *r, const char *line)
+/* What an upstream of a service file says beside its answer. */
+static void note_own_header(struct proxy_request *r, const char *line)
 {
 	struct proxy_upstream_cell *c = upstream_cell(r, r->upstream);
 
-	if (r->routed)
-		platform_answer_line(line, &r->answer);
 	if (!strncasecmp(line, "Upstream-Running:", 17)) {
 		atomic_store(&c->reported, atoi(line + 17));
 		atomic_store(&c->reported_ms, prl_now_ms());
 	}
-	if (!strncasecmp(line, "Content-Length:", 15))
-		r->down_length = strtoll(line + 15, NULL, 10);
-	if (!r->routed && !strncasecmp(line, "Request-Outcome:", 16) &&
+	if (!strncasecmp(line, "Request-Outcome:", 16) &&
 	    r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		r->refused = strstr(line + 16, "not-run") != NULL;
+}
+
+static void note_header(struct proxy_request *r, const char *line)
+{
+	if (r->routed)
+		platform_answer_line(line, &r->answer);
+	else
+		note_own_header(r, line);
+	if (!strncasecmp(line, "Content-Length:", 15))
+		r->down_length = strtoll(line + 15, NULL, 10);
 	r->answer_headers = curl_slist_append(r->answer_headers, line);
 }
 
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -151,25 +151,13 @@
 	int cell;
 };
 
-/** How the requests of a route are to be treated. */
-struct steer_policy {
-	enum fleet_kind kind;
-	int64_t timeout_ms;
-	int64_t objective_ms;
-	/** Upstreams that one request may be sent to. */
-	int attempts;
-	/** Rank; 0 is the most urgent. */
-	int priority;
-	int sticky;
-	/** Regions that may serve it, a bit each; 0 means all. */
-	uint32_t homes;
-};
-
 /** A route of the operators' manifest. */
 struct steer_route {
 	char host[FLEET_HOST_MAX];
 	char prefix[FLEET_PATH_MAX];
-	struct steer_policy policy;
+	struct fleet_policy policy;
+	/** Regions that may serve it, a bit each; 0 means all. */
+	uint32_t homes;
 	struct fleet_part part[FLEET_PARTS_MAX];
 	int npart;
 	/** Handle of its counters in this process. */
--- a/store/src/follow.c
+++ b/store/src/follow.c
@@ -1,3 +1,4 @@
+#include <primroselead/backoff.h>
 #include <primroselead/clock.h>
 #include <primroselead/follow.h>
 #include <stdio.h>
@@ -25,14 +26,11 @@
 	snprintf(f->kind, sizeof(f->kind), "%s", kind);
 }
 
-/* Half of the pause is random, so that VMs do not come together. */
 static int64_t pause_ms(const struct store_follow *f, uint64_t random)
 {
-	int64_t pause = PAUSE_MIN_MS;
-
-	for (int i = 1; i < f->failures && pause < PAUSE_MAX_MS; i++)
-		pause *= 2;
-	return pause / 2 + (int64_t)(random % (uint64_t)pause);
+	return prl_jitter(
+		prl_backoff(PAUSE_MIN_MS, PAUSE_MAX_MS, f->failures - 1),
+		random);
 }
 
 static void call_failed(struct store_follow *f)
