Let one piece serve the tests' repeated steps

An upstream's entry, twenty requests that an upstream must not see, a key that becomes free, a grant that has read a ledger: each stood two or three times.

--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -274,6 +274,18 @@
 	grant_finish(&g);
 }
 
+/* A grant of 20 for "a" that has read this ledger. */
+static void grant_begin(struct limit_grant *g, struct limit_hold *h,
+			const char *found)
+{
+	struct grant_gone gone = {0};
+	struct grant_write w;
+
+	grant_setup(g, h, "a", 20, 1);
+	assert_int_equal(grant_next(g, 0, &gone, &w), GRANT_READ);
+	grant_read(g, 9, found, strlen(found), NULL);
+}
+
 /* The row of an earlier process stays until its last request is over. */
 static void test_old_row_is_kept_for_its_time(void **state)
 {
@@ -287,9 +299,7 @@
 	struct grant_write w;
 
 	(void)state;
-	grant_setup(&g, &h, "a", 20, 1);
-	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
-	grant_read(&g, 9, found, strlen(found), NULL);
+	grant_begin(&g, &h, found);
 	assert_int_equal(grant_next(&g, 100, &gone, &w), GRANT_WRITE);
 	assert_non_null(strstr(w.text, "\"incarnation\":4,"));
 	grant_written(&g, 10);
@@ -335,9 +345,7 @@
 	struct grant_write w;
 
 	(void)state;
-	grant_setup(&g, &h, "a", 20, 1);
-	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_READ);
-	grant_read(&g, 9, found, strlen(found), NULL);
+	grant_begin(&g, &h, found);
 	assert_int_equal(grant_next(&g, 0, &gone, &w), GRANT_WRITE);
 	assert_non_null(strstr(w.text, "\"capacity\":8,\"config\":7"));
 	grant_finish(&g);
--- a/system/path.c
+++ b/system/path.c
@@ -13,6 +13,9 @@
 const struct vm path_vm2 = {2, BASE, STORE, "norte", "norte-b", NULL, NULL};
 static const struct vm vm3 = {3, BASE, STORE, "sur", "sur-a", NULL, NULL};
 
+/* Time between two tries, in ms. */
+#define RETRY_MS 20
+
 pid_t path_vm[4];
 pid_t path_upstream[3];
 char path_out[65536];
@@ -119,6 +122,17 @@
 	return harness_call(&c);
 }
 
+struct answer path_accept_free(int vm, const char *key, int ms)
+{
+	struct answer a = path_accept_at(vm, key);
+
+	for (int left = ms; a.status != 200 && left > 0; left -= RETRY_MS) {
+		harness_sleep(RETRY_MS);
+		a = path_accept_at(vm, key);
+	}
+	return a;
+}
+
 int path_setup(void **state)
 {
 	(void)state;
--- a/system/path.h
+++ b/system/path.h
@@ -52,6 +52,10 @@
 /** Sends an acceptance to a VM by number. */
 struct answer path_accept_at(int vm, const char *key);
 
+/** The same again until its key is free and it runs, or the time is over;
+ * returns the last answer. */
+struct answer path_accept_free(int vm, const char *key, int ms);
+
 /** Runs the load tool with more arguments; no answer may be cut or wrong. */
 void path_run_load(const char *const *more);
 
--- a/system/routes.c
+++ b/system/routes.c
@@ -60,8 +60,8 @@
 	routes_put("config/main", text);
 }
 
-void routes_put_cold_upstream(const char *instance, const char *service,
-			      int port, int cold_ms, int sequence)
+static void put_entry(const char *instance, const char *service, int port,
+		      const char *state, int cold_ms, int sequence)
 {
 	char key[80];
 	char text[400];
@@ -70,26 +70,22 @@
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
 		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":6,"
-		 "\"state\":\"ready\",\"cold_remaining_ms\":%d,"
-		 "\"sequence\":%d,\"born\":1700000000000}",
-		 service, port, cold_ms, sequence);
+		 "\"state\":\"%s\",\"cold_remaining_ms\":%d,\"sequence\":%d,"
+		 "\"born\":1700000000000}",
+		 service, port, state, cold_ms, sequence);
 	routes_put(key, text);
 }
 
+void routes_put_cold_upstream(const char *instance, const char *service,
+			      int port, int cold_ms, int sequence)
+{
+	put_entry(instance, service, port, "ready", cold_ms, sequence);
+}
+
 void routes_put_upstream(const char *instance, const char *service, int port,
 			 const char *state, int sequence)
 {
-	char key[80];
-	char text[400];
-
-	snprintf(key, sizeof(key), "servers/%s", instance);
-	snprintf(text, sizeof(text),
-		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":6,"
-		 "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d,"
-		 "\"born\":1700000000000}",
-		 service, port, state, sequence);
-	routes_put(key, text);
+	put_entry(instance, service, port, state, 0, sequence);
 }
 
 static void start_upstream(const char *instance, int port)
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -65,17 +65,23 @@
 	harness_sleep(IN_FORCE_MS);
 }
 
-static void test_leaving_upstream_gets_nothing(void **state)
+/* Requests are served through a VM, and none of them by an upstream. */
+static void expect_unused(int n, int upstream)
 {
-	int64_t before;
+	int64_t before = routes_stat(UPSTREAM(upstream), "ran");
 
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(routes_ask_vm(n, "GET", "/safe/plain").status,
+				 200);
+	assert_int_equal(routes_stat(UPSTREAM(upstream), "ran"), before);
+}
+
+static void test_leaving_upstream_gets_nothing(void **state)
+{
 	(void)state;
 	routes_put_upstream("i-1", "s", UPSTREAM(1), "draining", 4);
 	harness_sleep(IN_FORCE_MS);
-	before = routes_stat(UPSTREAM(1), "ran");
-	for (int i = 0; i < 20; i++)
-		assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
-	assert_int_equal(routes_stat(UPSTREAM(1), "ran"), before);
+	expect_unused(1, 1);
 	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 5);
 	harness_sleep(IN_FORCE_MS);
 }
@@ -127,16 +133,11 @@
 /* What changed while the history was dropped is found by a list. */
 static void test_dropped_history(void **state)
 {
-	int64_t before;
-
 	(void)state;
 	store_fault("compact=1");
 	routes_put_upstream("i-2", "s", UPSTREAM(2), "draining", 6);
 	harness_sleep(IN_FORCE_MS);
-	before = routes_stat(UPSTREAM(2), "ran");
-	for (int i = 0; i < 20; i++)
-		assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
-	assert_int_equal(routes_stat(UPSTREAM(2), "ran"), before);
+	expect_unused(1, 2);
 	routes_put_upstream("i-2", "s", UPSTREAM(2), "ready", 7);
 	harness_sleep(IN_FORCE_MS);
 }
@@ -316,18 +317,12 @@
  * later, and is as good as they are. */
 static void test_vm_without_the_store(void **state)
 {
-	int64_t before;
-
 	(void)state;
 	routes_start_vm_at(3, NO_STORE);
 	assert_int_equal(routes_ask_vm(3, "GET", "/safe/plain").status, 200);
 	routes_put_upstream("i-1", "s", UPSTREAM(1), "draining", 14);
 	harness_sleep(IN_FORCE_MS);
-	before = routes_stat(UPSTREAM(1), "ran");
-	for (int i = 0; i < 20; i++)
-		assert_int_equal(routes_ask_vm(3, "GET", "/safe/plain").status,
-				 200);
-	assert_int_equal(routes_stat(UPSTREAM(1), "ran"), before);
+	expect_unused(3, 1);
 	routes_put("evacuations/norte-a", "{}");
 	harness_sleep(IN_FORCE_MS);
 	assert_int_equal(routes_ask_vm(3, "POST", "/once/plain").status, 503);
--- a/system/test_outage.c
+++ b/system/test_outage.c
@@ -24,12 +24,7 @@
 	assert_string_equal(a.outcome, "not-run");
 	assert_int_equal(path_key_count("outage-1"), 0);
 	path_store_faults("down_ms=0");
-	for (int tries = 0; tries < 100; tries++) {
-		a = path_accept_at(1, "outage-1");
-		if (a.status == 200)
-			break;
-		harness_sleep(50);
-	}
+	a = path_accept_free(1, "outage-1", 4950);
 	assert_int_equal(a.status, 200);
 	assert_int_equal(path_key_count("outage-1"), 1);
 }
--- a/system/test_path.c
+++ b/system/test_path.c
@@ -178,12 +178,7 @@
 	for (int i = 0; i < 3; i++)
 		path_upstream_set(i, "refuse=0");
 	/* So its key is free, once the log says so. */
-	for (int tries = 0; tries < 50; tries++) {
-		a = path_accept_at(2, "refused-1");
-		if (a.status == 200)
-			break;
-		harness_sleep(20);
-	}
+	a = path_accept_free(2, "refused-1", 980);
 	assert_int_equal(a.status, 200);
 	assert_int_equal(path_key_count("refused-1"), 1);
 }
