--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -16,7 +16,8 @@
 	/** Point of prl_now_ms until which it is taken as cold. */
 	int64_t cold_until;
 	/** Point until which it is sent nothing: its coldness was found late,
-	 * and what it got before counts. */
+	 * and what it got before counts; or another one of its domain turned
+	 * cold and this one has not been heard since. */
 	int64_t rest_until;
 	/** When it is to be taken as gone although its entry is missing only
 	 * because it lapsed in an outage; PRL_NEVER while the entry is there.
@@ -65,7 +66,9 @@
 			    int64_t gone_at);
 
 /** An upstream itself said that it is cold until then, which the store did not
- * tell: it rests for a while. Returns 1 if that is news. */
+ * tell: it rests for a while. Those of a domain often turn cold together, so
+ * the others of its domain rest until they can have been asked. Returns 1 if
+ * that is news. */
 int inventory_cold(struct inventory *k, const char *instance,
 		   int64_t cold_until, int64_t now);
 
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -6,6 +6,14 @@
  * holds in any second; until it was found it got requests at its full rate. */
 #define REST_MS 800
 
+/* Time for which the others of its domain rest, in ms: by then each has been
+ * asked and, since it gets no work, has answered. */
+#define SUSPECT_MS 1300
+
+/* Time after such a rest without another one, in ms: upstreams that are
+ * restarted one after the other must not take their whole domain away. */
+#define SUSPECT_AGAIN_MS 5000
+
 void inventory_init(struct inventory *k)
 {
 	memset(k, 0, sizeof(*k));
@@ -109,6 +117,24 @@
 	return 1;
 }
 
+/* Those that are known to be cold are paced already. */
+static void suspect_domain(struct inventory *k, const char *domain, int64_t now)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, k->upstream);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct inventory_upstream *u = value;
+
+		if (now < u->cold_until || strcmp(u->said.domain, domain) != 0)
+			continue;
+		if (u->rest_until && now < u->rest_until + SUSPECT_AGAIN_MS)
+			continue;
+		u->rest_until = now + SUSPECT_MS;
+	}
+}
+
 int inventory_cold(struct inventory *k, const char *instance,
 		   int64_t cold_until, int64_t now)
 {
@@ -118,8 +144,10 @@
 	if (!u || cold_until <= u->cold_until)
 		return 0;
 	/* One that is known to be cold has had no more than it bears. */
-	if (now >= u->cold_until)
+	if (now >= u->cold_until) {
+		suspect_domain(k, u->said.domain, now);
 		u->rest_until = now + REST_MS;
+	}
 	u->cold_until = cold_until;
 	return 1;
 }
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -276,6 +276,59 @@
 	config_view_release(v);
 }
 
+static int64_t rest_of(const struct steer_view *v, const char *instance)
+{
+	const struct steer_service *s = v->service[0];
+
+	for (int i = 0; i < s->nupstream; i++)
+		if (!strcmp(s->upstream[i].instance, instance))
+			return s->upstream[i].rest_until;
+	fail_msg("upstream \"%s\" is not in the view", instance);
+	return 0;
+}
+
+/* The others of its domain, which have not been heard, rest as well until they
+ * can have answered; those of other domains and known cold ones go on. */
+static void test_others_of_a_cold_domain_rest(void **state)
+{
+	struct steer_view *v;
+
+	(void)state;
+	give_manifest(3, PRL_OK);
+	k.listed = 1;
+	give("i1", "n-a", 1, 1, 0);
+	give("i2", "n-a", 1, 1, 0);
+	give("i3", "n-a", 1, 1, 0);
+	give("i4", "n-b", 1, 1, 0);
+	assert_int_equal(inventory_cold(&k, "i3", 30000, 4000), 1);
+	assert_int_equal(inventory_cold(&k, "i1", 20000, 14000), 1);
+	v = view(0);
+	assert_int_equal(rest_of(v, "i1"), 14800);
+	assert_int_equal(rest_of(v, "i2"), 15300);
+	assert_int_equal(rest_of(v, "i3"), 4800);
+	assert_int_equal(rest_of(v, "i4"), 0);
+	config_view_release(v);
+}
+
+/* Upstreams that are restarted one after the other don't keep their domain at
+ * rest all the while. */
+static void test_domain_rests_once_in_a_while(void **state)
+{
+	struct steer_view *v;
+
+	(void)state;
+	give_manifest(3, PRL_OK);
+	k.listed = 1;
+	give("i1", "n-a", 1, 1, 0);
+	give("i2", "n-a", 1, 1, 0);
+	give("i3", "n-a", 1, 1, 0);
+	assert_int_equal(inventory_cold(&k, "i1", 9000, 5000), 1);
+	assert_int_equal(inventory_cold(&k, "i2", 12000, 8000), 1);
+	v = view(0);
+	assert_int_equal(rest_of(v, "i3"), 6300);
+	config_view_release(v);
+}
+
 /* Upstreams may start any number of times in a process's life; each start has
  * counters of its own, not soon after another one had them. */
 static void test_counters_are_given_back(void **state)
@@ -342,6 +395,10 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_found_cold_rests, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(
+			test_others_of_a_cold_domain_rest, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_domain_rests_once_in_a_while, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_counters_are_given_back,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_longest_prefix_comes_first,
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -212,6 +212,29 @@
 	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
 }
 
+/* Others of its domain rest until they have been asked, and then go on. */
+static void test_others_of_a_cold_one_rest(void **state)
+{
+	int64_t sent;
+
+	(void)state;
+	store_fault("down_ms=5500");
+	harness_sleep(3000);
+	set_cold(2, 4000);
+	harness_sleep(400);
+	sent = -routes_stat(UPSTREAM(1), "ran");
+	for (int i = 0; i < 10; i++)
+		routes_ask_vm(1 + i % 2, "GET", "/safe/plain");
+	assert_int_equal(sent + routes_stat(UPSTREAM(1), "ran"), 0);
+	harness_sleep(1300);
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(
+			routes_ask_vm(1 + i % 2, "GET", "/safe/plain").status,
+			200);
+	harness_sleep(3500);
+	assert_int_equal(routes_ask("GET", "/safe/plain").status, 200);
+}
+
 /* One that the store had said to be cold is asked once: each question is among
  * the few requests that it bears. */
 static void test_known_cold_is_asked_once(void **state)
@@ -343,6 +366,7 @@
 		cmocka_unit_test(test_dropped_history),
 		cmocka_unit_test(test_outage_of_the_store),
 		cmocka_unit_test(test_cold_is_seen_without_the_store),
+		cmocka_unit_test(test_others_of_a_cold_one_rest),
 		cmocka_unit_test(test_known_cold_is_asked_once),
 		cmocka_unit_test(test_hangup_reloads),
 		cmocka_unit_test(test_planned_stop),
