--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Root build. Targets: all, check, lint, format, bench, demo, fuzz, capacity,
 # install, generate, clean. MODE is release, asan or tsan.
 
-PACKAGES := base fleet platform schema loop store config steer limit claim wire member \
+PACKAGES := base fleet platform schema loop store config steer limit place claim wire member \
 	spread observe proxy
 PROGRAMS := primroseleadd primroselead
 MODE ?= release
--- a/mk/packages.mk
+++ b/mk/packages.mk
@@ -9,12 +9,13 @@
 config_USES := base fleet schema steer store spread loop
 steer_USES := base fleet
 limit_USES := base
+place_USES := base fleet steer limit
 claim_USES := base
 wire_USES := base loop
 member_USES := base
 spread_USES := base
 observe_USES := base
-proxy_USES := base fleet platform loop schema spread steer limit claim config observe
+proxy_USES := base fleet platform loop schema spread steer limit place claim config observe
 
 # Libraries of others that a package needs, by their pkg-config names.
 base_NEEDS := apr-1 libxxhash
--- /dev/null
+++ b/place/src/choose.c
@@ -0,0 +1,219 @@
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/place.h>
+#include <string.h>
+
+/* Upstreams of one service and region that are weighed. */
+#define CANDIDATES_MAX 1024
+
+/* Time of a request while none is known, in us. */
+#define HOLD_UNKNOWN_US 200000
+
+/* Greatest change of a region's share, in millionths a second. */
+#define SHARE_PACE 40000
+
+/* Requests placed outside of the shares, in permille of all, and how many may
+ * come at once. */
+#define OVERFLOW_PERMILLE 40
+#define OVERFLOW_MOST 2
+
+/* Wait in a queue that is of use, in percent of the objective; the most urgent
+ * requests of a service may wait for longer. */
+#define WAIT_PERCENT 45
+#define WAIT_URGENT_PERCENT 90
+
+#define THOUSAND 1000
+#define PERCENT 100
+
+/* One choice while it is made. */
+struct choice {
+	const struct place_ask *ask;
+	/** Room for the candidates of one region. */
+	struct place_estimate *estimate;
+	struct place_chosen *out;
+};
+
+static struct place_known *known(const struct choice *c,
+				 const struct steer_upstream *u)
+{
+	return &c->ask->known[u->cell];
+}
+
+static int outstanding(const struct choice *c, const struct steer_upstream *u)
+{
+	return c->ask->outstanding(c->ask->ctx, u->cell);
+}
+
+static int64_t region_hold(const struct choice *c, int region)
+{
+	int64_t us = c->ask->state->hold_us[region];
+
+	return us ? us : HOLD_UNKNOWN_US;
+}
+
+/* Whether this VM may open one more connection. A thread keeps as many as it
+ * had requests there at one time, and does not lend them to others. */
+static int may_connect(const struct choice *c, const struct steer_upstream *u)
+{
+	int share = u->connections / c->ask->dividers;
+
+	if (!u->connections)
+		return 1;
+	return outstanding(c, u) < (share > 1 ? share : 1);
+}
+
+static int is_open(const struct choice *c, const struct steer_upstream *u)
+{
+	const struct place_known *k = known(c, u);
+	int64_t now = c->ask->now_ms;
+
+	if (now < k->closed_until || now < u->rest_until || !may_connect(c, u))
+		return 0;
+	if (now >= u->cold_until)
+		return 1;
+	return u->cold_rate > 0 && limit_rate_open(&k->cold, c->ask->now_us);
+}
+
+/* Where every upstream is left alone, they are tried all the same: what made
+ * them unreachable may lie on this side. */
+static void read_estimates(const struct choice *c,
+			   const struct steer_upstream *u, int n, int region)
+{
+	int64_t now = c->ask->now_ms;
+	int closed = 0;
+
+	for (int i = 0; i < n; i++) {
+		place_estimate(known(c, &u[i]), outstanding(c, &u[i]),
+			       region_hold(c, region), now, &c->estimate[i]);
+		c->estimate[i].open = is_open(c, &u[i]);
+		closed += now < known(c, &u[i])->closed_until;
+	}
+	for (int i = 0; closed == n && i < n; i++)
+		c->estimate[i].open =
+			now >= u[i].cold_until && may_connect(c, &u[i]);
+}
+
+static int64_t wait_max(const struct place_ask *a, int64_t hold_ms)
+{
+	int64_t percent = a->priority <= 1 ? WAIT_URGENT_PERCENT : WAIT_PERCENT;
+	int64_t wait = a->objective_ms * percent / PERCENT;
+	int64_t left = a->deadline - a->now_ms - hold_ms;
+
+	return wait < left ? wait : left;
+}
+
+static void take(const struct choice *c, int region,
+		 const struct place_ranked *found)
+{
+	const struct place_ask *a = c->ask;
+	int i = a->service->place[region].first_upstream + found->upstream;
+	const struct steer_upstream *u = &a->service->upstream[i];
+
+	c->out->region = region;
+	c->out->upstream = i;
+	c->out->wait_ms = found->wait_ms;
+	c->out->rank = found->rank;
+	c->out->inflight = c->estimate[found->upstream].inflight + THOUSAND;
+	if (a->now_ms < u->cold_until)
+		limit_rate_count(&known(c, u)->cold, u->cold_rate, a->now_us);
+}
+
+static int try_region(const struct choice *c, int region)
+{
+	const struct place_ask *a = c->ask;
+	const struct steer_place *place = &a->service->place[region];
+	int64_t hold_ms = region_hold(c, region) / THOUSAND;
+	struct place_ranking ranking = {
+		.upstream = a->service->upstream + place->first_upstream,
+		.estimate = c->estimate,
+		.n = place->nupstream < CANDIDATES_MAX ? place->nupstream
+						       : CANDIDATES_MAX,
+		.object = a->sticky ? a->object : a->random,
+		.sticky = a->sticky,
+		.tried = a->tried,
+		.ntried = a->ntried,
+		.hold_ms = hold_ms,
+		.wait_max_ms = wait_max(a, hold_ms),
+		.weights = a->weights,
+	};
+	struct place_ranked found;
+
+	if (!ranking.n)
+		return 0;
+	read_estimates(c, ranking.upstream, ranking.n, region);
+	place_rank(&ranking, &found);
+	if (found.upstream != STEER_NONE) {
+		take(c, region, &found);
+		return 1;
+	}
+	if (found.wait_ms < c->out->wait_ms)
+		c->out->wait_ms = found.wait_ms;
+	return 0;
+}
+
+/* The other regions, the own one first. */
+static int try_others(const struct choice *c, int planned)
+{
+	const struct place_ask *a = c->ask;
+
+	if (a->own != planned && (a->mask >> a->own & 1) &&
+	    try_region(c, a->own))
+		return 1;
+	for (int i = 0; i < a->nregion; i++)
+		if (i != a->own && i != planned && (a->mask >> i & 1) &&
+		    try_region(c, i))
+			return 1;
+	return 0;
+}
+
+static void region_load(const struct choice *c, int region,
+			struct place_region_load *out)
+{
+	const struct steer_service *s = c->ask->service;
+	const struct steer_place *place = &s->place[region];
+	int64_t now = c->ask->now_ms;
+
+	memset(out, 0, sizeof(*out));
+	for (int i = 0; i < place->nupstream; i++) {
+		const struct steer_upstream *u =
+			&s->upstream[place->first_upstream + i];
+
+		if (now < known(c, u)->closed_until || now < u->cold_until)
+			continue;
+		out->slots += u->slots;
+		out->inflight +=
+			place_inflight(known(c, u), outstanding(c, u), now);
+	}
+}
+
+static void update_shares(const struct choice *c)
+{
+	const struct place_ask *a = c->ask;
+	struct place_region_load load[STEER_REGIONS_MAX];
+
+	for (int i = 0; i < a->nregion; i++)
+		region_load(c, i, &load[i]);
+	place_shares_update(&a->state->shares, load, a->nregion, a->own,
+			    SHARE_PACE, a->now_ms);
+}
+
+int place_choose(const struct place_ask *ask, struct place_chosen *out)
+{
+	/* Not cleared: 32 KB for each request, of which few are used. */
+	struct place_estimate estimate[CANDIDATES_MAX];
+	struct choice c = {.ask = ask, .estimate = estimate, .out = out};
+	struct limit_budget *overflow = &ask->state->overflow;
+	int planned;
+
+	out->wait_ms = PRL_NEVER;
+	update_shares(&c);
+	planned = place_shares_next(&ask->state->shares, ask->mask,
+				    ask->sticky ? ask->object : 0);
+	limit_budget_set(overflow, OVERFLOW_MOST);
+	limit_budget_count(overflow, OVERFLOW_PERMILLE);
+	if (planned != STEER_NONE && try_region(&c, planned))
+		return 1;
+	if (planned != STEER_NONE && !limit_budget_take(overflow))
+		return 0;
+	return try_others(&c, planned);
+}
--- /dev/null
+++ b/place/src/known.c
@@ -0,0 +1,113 @@
+/* What one thread learns of an upstream from its own requests there. */
+#include <primroselead/backoff.h>
+#include <primroselead/place.h>
+
+/* Age at which a report of an upstream's load counts nothing, in ms; it counts
+ * the less the older it is. One VM hears from an upstream about once a second.
+ */
+#define REPORT_AGE_MAX_MS 3000
+
+/* Age at which failures and latencies of an upstream are forgotten, in ms. */
+#define MEMORY_MS 4000
+
+/* Time for which an unreachable upstream is left alone after the first
+ * failure, in ms; it doubles with each further one. */
+#define CLOSED_MIN_MS 200
+#define CLOSED_MAX_MS 3200
+
+/* Time for which one that refused without a report is taken as full, in ms. */
+#define FULL_MS 100
+
+/* Part of a new sample in a smoothed value: one in this many. */
+#define SMOOTHING 8
+
+#define THOUSAND 1000
+
+int64_t place_inflight(const struct place_known *k, int own, int64_t now_ms)
+{
+	int64_t age = now_ms - k->others_ms;
+	int64_t mine = (int64_t)own * THOUSAND;
+
+	if (age >= REPORT_AGE_MAX_MS)
+		return mine;
+	return mine + k->others * (REPORT_AGE_MAX_MS - age) / REPORT_AGE_MAX_MS;
+}
+
+void place_estimate(const struct place_known *k, int own, int64_t hold_us,
+		    int64_t now_ms, struct place_estimate *out)
+{
+	out->inflight = place_inflight(k, own, now_ms);
+	out->slowness = THOUSAND;
+	if (k->latency_us && now_ms - k->sampled_ms < MEMORY_MS)
+		out->slowness = k->latency_us * THOUSAND / hold_us;
+	out->failures = now_ms - k->failed_ms < MEMORY_MS ? k->failures : 0;
+}
+
+static int64_t smooth(int64_t old, int64_t sample)
+{
+	return old ? old + (sample - old) / SMOOTHING : sample;
+}
+
+static void learn_time(struct place_known *k, struct place_service *s,
+		       const struct place_end *e, int64_t now)
+{
+	if (now - k->sampled_ms >= MEMORY_MS)
+		k->latency_us = 0;
+	k->latency_us = smooth(k->latency_us, e->us);
+	k->sampled_ms = now;
+	/* A request that waited there says nothing of its own time. */
+	if (!e->waited)
+		s->hold_us[e->region] = smooth(s->hold_us[e->region], e->us);
+}
+
+static void learn_failure(struct place_known *k, int failed, int64_t now)
+{
+	if (now - k->failed_ms >= MEMORY_MS)
+		k->failures = 0;
+	k->failures += ((failed ? THOUSAND : 0) - k->failures) / SMOOTHING;
+	if (failed)
+		k->failed_ms = now;
+}
+
+static void leave_alone(struct place_known *k, int64_t now)
+{
+	k->closed_until =
+		now + prl_backoff(CLOSED_MIN_MS, CLOSED_MAX_MS, k->unreachable);
+	k->unreachable++;
+}
+
+void place_learn(struct place_known *k, struct place_service *s,
+		 const struct place_end *e, int64_t now_ms)
+{
+	learn_failure(k, e->result != PLACE_ANSWERED, now_ms);
+	switch (e->result) {
+	case PLACE_ANSWERED:
+		k->unreachable = 0;
+		learn_time(k, s, e, now_ms);
+		break;
+	case PLACE_FAILED:
+		k->unreachable = 0;
+		break;
+	case PLACE_REFUSED:
+		k->unreachable = 0;
+		if (!e->told_load)
+			k->closed_until = now_ms + FULL_MS;
+		break;
+	case PLACE_BROKEN:
+		/* One that takes connections may break few answers only. */
+		break;
+	case PLACE_UNREACHED:
+		leave_alone(k, now_ms);
+		break;
+	}
+}
+
+void place_heard(struct place_known *k, int running, int waiting, int own,
+		 int64_t now_ms)
+{
+	int others = running + waiting - own;
+
+	/* The report may still count the request that it answers. */
+	k->others = others > 0 ? (int64_t)others * THOUSAND : 0;
+	k->others_ms = now_ms;
+}
--- a/steer/src/place.c
+++ b/place/src/rank.c
@@ -1,26 +1,20 @@
 #include <primroselead/hash.h>
-#include <primroselead/steer.h>
+#include <primroselead/place.h>
 
 /* Upstreams of an object's order that are weighed one by one. */
 #define RANKS 4
 
-/* Time lost, in permille of a request's, where an object is not at hand: it
- * may be at the second upstream of its order, and hardly is at later ones. */
-#define SECOND_LOSS_PERMILLE 700
-#define LATER_LOSS_PERMILLE 2000
-
-/* Upstreams of an object's order that may have it at hand. Others are used
- * only while at most this part of their slots is taken, in permille: what they
- * lose by it is capacity that requests for their own objects lack. */
-#define HOMES 2
-#define IDLE_PERMILLE 500
-
-/* Cost of a failure in requests' times. */
-#define FAILURE_COST 2
+const struct place_weights place_weights = {
+	.homes = 2,
+	.second_loss = 700,
+	.later_loss = 2000,
+	.idle = 500,
+	.failure = 2000,
+};
 
 #define THOUSAND 1000
 
-static int was_tried(const struct steer_placing *p, int i)
+static int was_tried(const struct place_ranking *p, int i)
 {
 	for (int k = 0; k < p->ntried; k++)
 		if (p->tried[k] == p->upstream[i].id)
@@ -28,13 +22,13 @@
 	return 0;
 }
 
-static int usable(const struct steer_placing *p, int i)
+static int usable(const struct place_ranking *p, int i)
 {
 	return p->upstream[i].state == STEER_ACTIVE && p->estimate[i].open &&
 	       !was_tried(p, i);
 }
 
-static int64_t wait_at(const struct steer_placing *p, int i)
+static int64_t wait_at(const struct place_ranking *p, int i)
 {
 	int64_t slots = p->upstream[i].slots;
 	int64_t beyond = p->estimate[i].inflight + THOUSAND - slots * THOUSAND;
@@ -44,39 +38,41 @@
 	return beyond * p->hold_ms / (slots * THOUSAND);
 }
 
-static int64_t rank_loss(const struct steer_placing *p, int rank)
+static int64_t rank_loss(const struct place_ranking *p, int rank)
 {
 	if (!p->sticky || !rank)
 		return 0;
-	return rank < HOMES ? SECOND_LOSS_PERMILLE : LATER_LOSS_PERMILLE;
+	return rank < p->weights->homes ? p->weights->second_loss
+					: p->weights->later_loss;
 }
 
 /* Whether an upstream may take an object that is hardly at hand there. */
-static int is_idle(const struct steer_placing *p, int i)
+static int is_idle(const struct place_ranking *p, int i)
 {
 	return p->estimate[i].inflight <=
-	       (int64_t)p->upstream[i].slots * IDLE_PERMILLE;
+	       (int64_t)p->upstream[i].slots * p->weights->idle;
 }
 
 /* Expected time of the request there, in ms. */
-static int64_t cost_at(const struct steer_placing *p, int i, int rank)
+static int64_t cost_at(const struct place_ranking *p, int i, int rank)
 {
-	const struct steer_estimate *b = &p->estimate[i];
+	const struct place_estimate *b = &p->estimate[i];
 	int64_t time = wait_at(p, i) + p->hold_ms;
 
 	if (b->slowness > THOUSAND)
 		time = time * b->slowness / THOUSAND;
-	time += p->hold_ms * FAILURE_COST * b->failures / THOUSAND;
+	time += p->hold_ms * p->weights->failure * b->failures /
+		(THOUSAND * THOUSAND);
 	return time + p->hold_ms * rank_loss(p, rank) / THOUSAND;
 }
 
-static uint64_t affinity(const struct steer_placing *p, int i)
+static uint64_t affinity(const struct place_ranking *p, int i)
 {
 	return prl_hash_pair(p->object, p->upstream[i].id);
 }
 
 /* The usable upstream with the greatest hash below a bound. */
-static int next_ranked(const struct steer_placing *p, uint64_t below)
+static int next_ranked(const struct place_ranking *p, uint64_t below)
 {
 	uint64_t most = 0;
 	int best = STEER_NONE;
@@ -96,8 +92,8 @@
 }
 
 /* Takes an upstream if it is the cheapest so far and its wait is of use. */
-static void consider(const struct steer_placing *p, int i, int rank,
-		     int64_t *least, struct steer_placed *out)
+static void consider(const struct place_ranking *p, int i, int rank,
+		     int64_t *least, struct place_ranked *out)
 {
 	int64_t wait = wait_at(p, i);
 	int64_t cost;
@@ -107,7 +103,7 @@
 		out->wait_ms = wait;
 	if (wait > p->wait_max_ms)
 		return;
-	if (p->sticky && rank >= HOMES && !is_idle(p, i))
+	if (p->sticky && rank >= p->weights->homes && !is_idle(p, i))
 		return;
 	cost = cost_at(p, i, rank);
 	if (out->upstream != STEER_NONE && cost >= *least)
@@ -118,8 +114,7 @@
 	out->rank = rank;
 }
 
-void steer_place_request(const struct steer_placing *p,
-			 struct steer_placed *out)
+void place_rank(const struct place_ranking *p, struct place_ranked *out)
 {
 	uint64_t below = UINT64_MAX;
 	int64_t least = 0;
--- a/steer/src/shares.c
+++ b/place/src/shares.c
@@ -1,6 +1,6 @@
 #include <math.h>
 #include <primroselead/hash.h>
-#include <primroselead/steer.h>
+#include <primroselead/place.h>
 #include <string.h>
 
 #define WHOLE 1000000
@@ -25,19 +25,19 @@
  * is known of a far region is old. */
 #define ROOM_LEAST 50
 
-static int64_t occupancy(const struct steer_region_load *l)
+static int64_t occupancy(const struct place_region_load *l)
 {
 	return l->slots ? l->inflight / l->slots : THOUSAND;
 }
 
-static int64_t room(const struct steer_region_load *l)
+static int64_t room(const struct place_region_load *l)
 {
 	int64_t free = THOUSAND - occupancy(l);
 
 	return l->slots * (free > ROOM_LEAST ? free : ROOM_LEAST);
 }
 
-static int64_t total_slots(const struct steer_region_load *load, int nregion)
+static int64_t total_slots(const struct place_region_load *load, int nregion)
 {
 	int64_t total = 0;
 
@@ -48,7 +48,7 @@
 
 /* Share of the own region while nothing is known of the demand: as if each
  * region's callers asked for as much. */
-static int64_t first_share(const struct steer_region_load *load, int nregion,
+static int64_t first_share(const struct place_region_load *load, int nregion,
 			   int own)
 {
 	int64_t total = total_slots(load, nregion);
@@ -57,8 +57,8 @@
 	return share < WHOLE ? share : WHOLE;
 }
 
-static int64_t own_target(const struct steer_shares *s,
-			  const struct steer_region_load *load, int nregion,
+static int64_t own_target(const struct place_shares *s,
+			  const struct place_region_load *load, int nregion,
 			  int own)
 {
 	int64_t full = occupancy(&load[own]);
@@ -74,8 +74,8 @@
 	return s->weight[own];
 }
 
-static void set_targets(const struct steer_shares *s,
-			const struct steer_region_load *load, int nregion,
+static void set_targets(const struct place_shares *s,
+			const struct place_region_load *load, int nregion,
 			int own, int64_t *target)
 {
 	int64_t rest = 0;
@@ -92,8 +92,8 @@
 }
 
 /* A region that can serve nothing gives its share to the others. */
-static void drop_lost(struct steer_shares *s,
-		      const struct steer_region_load *load, int nregion)
+static void drop_lost(struct place_shares *s,
+		      const struct place_region_load *load, int nregion)
 {
 	int64_t left = 0;
 
@@ -108,7 +108,7 @@
 		s->weight[r] = s->weight[r] * WHOLE / left;
 }
 
-static int64_t greatest_gap(const struct steer_shares *s, const int64_t *target,
+static int64_t greatest_gap(const struct place_shares *s, const int64_t *target,
 			    int nregion)
 {
 	int64_t up = 0;
@@ -119,8 +119,8 @@
 	return up;
 }
 
-void steer_shares_update(struct steer_shares *s,
-			 const struct steer_region_load *load, int nregion,
+void place_shares_update(struct place_shares *s,
+			 const struct place_region_load *load, int nregion,
 			 int own, int64_t pace, int64_t now_ms)
 {
 	int64_t target[STEER_REGIONS_MAX];
@@ -153,7 +153,7 @@
 
 /* Region of an object by rendezvous hashing with the shares as weights: a share
  * that moves a little moves few objects. */
-static int region_of(const struct steer_shares *s, uint32_t mask,
+static int region_of(const struct place_shares *s, uint32_t mask,
 		     uint64_t object)
 {
 	double least = 0;
@@ -176,7 +176,7 @@
 	return best;
 }
 
-static int region_owed_most(const struct steer_shares *s, uint32_t mask)
+static int region_owed_most(const struct place_shares *s, uint32_t mask)
 {
 	int best = STEER_NONE;
 
@@ -189,7 +189,7 @@
 	return best;
 }
 
-int steer_shares_next(struct steer_shares *s, uint32_t mask, uint64_t object)
+int place_shares_next(struct place_shares *s, uint32_t mask, uint64_t object)
 {
 	int64_t total = 0;
 	int best;
@@ -207,22 +207,3 @@
 		s->credit[best] -= total;
 	return best;
 }
-
-int steer_next_part(const struct steer_route *r,
-		    int64_t credit[FLEET_PARTS_MAX])
-{
-	int64_t total = 0;
-	int best = STEER_NONE;
-
-	for (int i = 0; i < r->npart; i++) {
-		if (r->part[i].weight <= 0)
-			continue;
-		credit[i] += r->part[i].weight;
-		total += r->part[i].weight;
-		if (best == STEER_NONE || credit[i] > credit[best])
-			best = i;
-	}
-	if (best != STEER_NONE)
-		credit[best] -= total;
-	return best;
-}
--- /dev/null
+++ b/place/test/test_choose.c
@@ -0,0 +1,389 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <primroselead/place.h>
+#include <string.h>
+
+#define REGIONS 2
+#define EACH 3
+#define UPSTREAMS (REGIONS * EACH)
+#define SLOTS 4
+
+static struct steer_upstream upstream[UPSTREAMS];
+static struct steer_service service;
+static struct place_known known[UPSTREAMS];
+static struct place_service state;
+static int own[UPSTREAMS];
+static int64_t now_ms;
+
+static int outstanding(const void *ctx, int cell)
+{
+	return ((const int *)ctx)[cell];
+}
+
+static int setup(void **unused)
+{
+	(void)unused;
+	memset(upstream, 0, sizeof(upstream));
+	memset(&service, 0, sizeof(service));
+	memset(known, 0, sizeof(known));
+	memset(&state, 0, sizeof(state));
+	memset(own, 0, sizeof(own));
+	now_ms = 100000;
+	service.upstream = upstream;
+	service.nupstream = UPSTREAMS;
+	for (int r = 0; r < REGIONS; r++) {
+		service.place[r].first_upstream = r * EACH;
+		service.place[r].nupstream = EACH;
+	}
+	for (int i = 0; i < UPSTREAMS; i++) {
+		upstream[i].id = prl_hash_pair(5, (uint64_t)i);
+		upstream[i].region = i / EACH;
+		upstream[i].state = STEER_ACTIVE;
+		upstream[i].slots = SLOTS;
+		upstream[i].cell = i;
+	}
+	return 0;
+}
+
+static struct place_ask ask(uint64_t object)
+{
+	return (struct place_ask){
+		.service = &service,
+		.nregion = REGIONS,
+		.own = 0,
+		.mask = UINT32_MAX,
+		.known = known,
+		.state = &state,
+		.outstanding = outstanding,
+		.ctx = own,
+		.dividers = 1,
+		.object = prl_hash_pair(object, 11),
+		.sticky = 1,
+		.priority = 2,
+		.objective_ms = 400,
+		.deadline = now_ms + 2000,
+		.now_ms = now_ms,
+		.now_us = now_ms * 1000,
+		.weights = &place_weights,
+	};
+}
+
+static int choose(uint64_t object, struct place_chosen *out)
+{
+	struct place_ask a = ask(object);
+
+	return place_choose(&a, out);
+}
+
+static void fill(int region, int requests)
+{
+	for (int i = 0; i < EACH; i++)
+		own[region * EACH + i] = requests;
+}
+
+static void test_calm_stays_in_the_own_region(void **unused)
+{
+	struct place_chosen c;
+
+	(void)unused;
+	for (uint64_t o = 0; o < 100; o++) {
+		assert_int_equal(choose(o, &c), 1);
+		assert_int_equal(c.region, 0);
+		assert_in_range(c.upstream, 0, EACH - 1);
+		assert_int_equal(c.wait_ms, 0);
+		assert_int_equal(c.inflight, 1000);
+	}
+}
+
+/* Once the own region is full only a small part of the requests goes beyond
+ * the shares at once; the others are turned away, with the shortest wait. */
+static void test_full_region_overflows_slowly(void **unused)
+{
+	struct place_chosen c;
+	int moved = 0;
+
+	(void)unused;
+	assert_int_equal(choose(1, &c), 1);
+	fill(0, 20 * SLOTS);
+	for (uint64_t o = 0; o < 100; o++) {
+		if (choose(o, &c)) {
+			assert_int_equal(c.region, 1);
+			moved++;
+			continue;
+		}
+		assert_in_range(c.wait_ms, 400, 200 * 20);
+	}
+	assert_in_range(moved, 2, 100 * 40 / 1000 + 2);
+}
+
+/* With the time the shares follow, at their pace. */
+static void test_shares_follow_the_load(void **unused)
+{
+	struct place_chosen c;
+	int moved = 0;
+
+	(void)unused;
+	assert_int_equal(choose(1, &c), 1);
+	fill(0, 20 * SLOTS);
+	for (int i = 0; i < 1000; i++) {
+		now_ms += 10;
+		moved += choose((uint64_t)i, &c) && c.region == 1;
+	}
+	/* 4 percent a second: 20 percent on the way of ten seconds, and the
+	 * overflow of 4 in 100. */
+	assert_in_range(moved, 150, 300);
+}
+
+static void test_homes_bind(void **unused)
+{
+	struct place_ask a;
+	struct place_chosen c;
+
+	(void)unused;
+	fill(0, 20 * SLOTS);
+	for (uint64_t o = 0; o < 50; o++) {
+		a = ask(o);
+		a.mask = 1u << 0;
+		assert_int_equal(place_choose(&a, &c), 0);
+		a.mask = 1u << 1;
+		assert_int_equal(place_choose(&a, &c), 1);
+		assert_int_equal(c.region, 1);
+	}
+}
+
+static void test_urgent_ones_wait_longer(void **unused)
+{
+	struct place_ask a;
+	struct place_chosen c;
+
+	(void)unused;
+	/* A wait of 250 ms at 200 ms a request: 45 percent of 400 ms are 180,
+	 * 90 percent are 360. */
+	fill(0, 2 * SLOTS);
+	fill(1, 2 * SLOTS);
+	a = ask(1);
+	assert_int_equal(place_choose(&a, &c), 0);
+	a.priority = 1;
+	assert_int_equal(place_choose(&a, &c), 1);
+	assert_int_equal(c.wait_ms, 250);
+}
+
+static void test_tried_ones_are_left_out(void **unused)
+{
+	uint64_t tried[EACH];
+	struct place_ask a = ask(3);
+	struct place_chosen c;
+
+	(void)unused;
+	a.tried = tried;
+	a.mask = 1;
+	for (int i = 0; i < EACH; i++) {
+		assert_int_equal(place_choose(&a, &c), 1);
+		for (int k = 0; k < i; k++)
+			assert_true(tried[k] != upstream[c.upstream].id);
+		tried[a.ntried++] = upstream[c.upstream].id;
+	}
+	assert_int_equal(place_choose(&a, &c), 0);
+}
+
+/* A cold one gets what it bears, one that rests nothing. */
+static void test_cold_ones_are_paced(void **unused)
+{
+	struct place_ask a;
+	struct place_chosen c;
+	int taken = 0;
+
+	(void)unused;
+	for (int i = 0; i < EACH; i++) {
+		upstream[i].cold_until = now_ms + 10000;
+		upstream[i].cold_rate = i ? 0 : 5000;
+	}
+	for (int i = 0; i < 1000; i++) {
+		now_ms++;
+		a = ask((uint64_t)i);
+		a.mask = 1;
+		taken += place_choose(&a, &c);
+	}
+	assert_int_equal(taken, 5);
+	upstream[0].rest_until = now_ms + 2000;
+	for (int i = 0; i < 1000; i++) {
+		now_ms++;
+		a = ask((uint64_t)i);
+		a.mask = 1;
+		assert_int_equal(place_choose(&a, &c), 0);
+	}
+}
+
+static void test_connections_are_divided(void **unused)
+{
+	struct place_ask a = ask(1);
+	struct place_chosen c;
+
+	(void)unused;
+	for (int i = 0; i < UPSTREAMS; i++)
+		upstream[i].connections = 8;
+	a.dividers = 4;
+	fill(0, 1);
+	fill(1, 2);
+	assert_int_equal(place_choose(&a, &c), 1);
+	assert_int_equal(c.region, 0);
+	fill(0, 2);
+	assert_int_equal(place_choose(&a, &c), 0);
+}
+
+static void learn(int i, enum place_result result, int64_t us, int told)
+{
+	struct place_end e = {
+		.result = result, .us = us, .told_load = told, .region = 0};
+
+	place_learn(&known[i], &state, &e, now_ms);
+}
+
+static int chosen_of(int rounds, int which)
+{
+	struct place_chosen c;
+	int n = 0;
+
+	for (int i = 0; i < rounds; i++) {
+		struct place_ask a = ask((uint64_t)i);
+
+		a.mask = 1;
+		if (place_choose(&a, &c))
+			n += c.upstream == which;
+	}
+	return n;
+}
+
+/* Left alone for twice as long with each failure to reach it. */
+static void test_unreachable_one_is_left_alone(void **unused)
+{
+	(void)unused;
+	assert_true(chosen_of(100, 0) > 10);
+	learn(0, PLACE_UNREACHED, 0, 0);
+	assert_int_equal(chosen_of(100, 0), 0);
+	now_ms += 201;
+	assert_true(chosen_of(100, 0) > 0);
+	learn(0, PLACE_UNREACHED, 0, 0);
+	now_ms += 201;
+	assert_int_equal(chosen_of(100, 0), 0);
+	learn(0, PLACE_ANSWERED, 1000, 1);
+	learn(0, PLACE_UNREACHED, 0, 0);
+	now_ms += 201;
+	assert_true(chosen_of(100, 0) > 0);
+}
+
+/* With all of them unreachable the fault may lie on this side. */
+static void test_all_unreachable_are_tried(void **unused)
+{
+	struct place_chosen c;
+
+	(void)unused;
+	for (int i = 0; i < UPSTREAMS; i++)
+		learn(i, PLACE_UNREACHED, 0, 0);
+	assert_int_equal(choose(1, &c), 1);
+}
+
+/* One that refuses without a report is full for a moment; a report says it
+ * better. */
+static void test_refusal_without_a_report(void **unused)
+{
+	(void)unused;
+	learn(0, PLACE_REFUSED, 0, 1);
+	assert_true(chosen_of(100, 0) > 10);
+	learn(0, PLACE_REFUSED, 0, 0);
+	assert_int_equal(chosen_of(100, 0), 0);
+	now_ms += 101;
+	assert_true(chosen_of(100, 0) > 0);
+}
+
+/* One that breaks answers is avoided, and forgiven when time has passed. */
+static void test_failures_are_forgotten(void **unused)
+{
+	int before;
+
+	(void)unused;
+	before = chosen_of(100, 0);
+	for (int i = 0; i < 30; i++)
+		learn(0, PLACE_FAILED, 0, 1);
+	assert_true(chosen_of(100, 0) * 4 < before);
+	now_ms += 4001;
+	assert_int_equal(chosen_of(100, 0), before);
+}
+
+static void test_slow_one_is_avoided(void **unused)
+{
+	int before;
+
+	(void)unused;
+	before = chosen_of(100, 0);
+	for (int i = 0; i < 50; i++)
+		for (int k = 0; k < EACH; k++)
+			learn(k, PLACE_ANSWERED, k ? 100000 : 900000, 1);
+	assert_true(chosen_of(100, 0) * 4 < before);
+	now_ms += 4001;
+	assert_int_equal(chosen_of(100, 0), before);
+}
+
+/* A report counts the less the older it is, and without the own requests. */
+static void test_reports_age(void **unused)
+{
+	struct place_known k = {0};
+
+	(void)unused;
+	place_heard(&k, 3, 5, 2, 1000);
+	assert_int_equal(place_inflight(&k, 2, 1000), 8000);
+	assert_int_equal(place_inflight(&k, 1, 2500), 4000);
+	assert_int_equal(place_inflight(&k, 1, 4000), 1000);
+	place_heard(&k, 1, 0, 4, 5000);
+	assert_int_equal(place_inflight(&k, 0, 5000), 0);
+}
+
+/* Not sooner than the queue has shrunk, and not all at one moment. */
+static void test_retry_after_is_spread(void **unused)
+{
+	int64_t first = place_retry_after(300, 1);
+	int different = 0;
+
+	(void)unused;
+	for (uint64_t i = 0; i < 100; i++) {
+		int64_t ms = place_retry_after(300, prl_hash_pair(i, 1));
+
+		assert_in_range(ms, 300, 599);
+		different += ms != first;
+		assert_in_range(place_retry_after(0, i), 100, 199);
+		assert_in_range(place_retry_after(PRL_NEVER, i), 500, 999);
+	}
+	assert_true(different > 90);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup(test_calm_stays_in_the_own_region,
+				       setup),
+		cmocka_unit_test_setup(test_full_region_overflows_slowly,
+				       setup),
+		cmocka_unit_test_setup(test_shares_follow_the_load, setup),
+		cmocka_unit_test_setup(test_homes_bind, setup),
+		cmocka_unit_test_setup(test_urgent_ones_wait_longer, setup),
+		cmocka_unit_test_setup(test_tried_ones_are_left_out, setup),
+		cmocka_unit_test_setup(test_cold_ones_are_paced, setup),
+		cmocka_unit_test_setup(test_connections_are_divided, setup),
+		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
+				       setup),
+		cmocka_unit_test_setup(test_all_unreachable_are_tried, setup),
+		cmocka_unit_test_setup(test_refusal_without_a_report, setup),
+		cmocka_unit_test_setup(test_failures_are_forgotten, setup),
+		cmocka_unit_test_setup(test_slow_one_is_avoided, setup),
+		cmocka_unit_test_setup(test_reports_age, setup),
+		cmocka_unit_test_setup(test_retry_after_is_spread, setup),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/steer/test/test_place.c
+++ b/place/test/test_place.c
@@ -5,7 +5,7 @@
 
 #include <cmocka.h>
 #include <primroselead/hash.h>
-#include <primroselead/steer.h>
+#include <primroselead/place.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,7 +15,7 @@
 #define OBJECTS 90
 
 static struct steer_upstream upstream[UPSTREAMS];
-static struct steer_estimate estimate[UPSTREAMS];
+static struct place_estimate estimate[UPSTREAMS];
 
 static void make(void)
 {
@@ -30,11 +30,12 @@
 	}
 }
 
-static struct steer_placing ask(uint64_t object)
+static struct place_ranking ask(uint64_t object)
 {
-	return (struct steer_placing){
+	return (struct place_ranking){
 		.upstream = upstream,
 		.estimate = estimate,
+		.weights = &place_weights,
 		.n = UPSTREAMS,
 		.object = prl_hash_pair(object, 1),
 		.sticky = 1,
@@ -43,12 +44,12 @@
 	};
 }
 
-static struct steer_placed place(uint64_t object)
+static struct place_ranked place(uint64_t object)
 {
-	struct steer_placing p = ask(object);
-	struct steer_placed out;
+	struct place_ranking p = ask(object);
+	struct place_ranked out;
 
-	steer_place_request(&p, &out);
+	place_rank(&p, &out);
 	return out;
 }
 
@@ -69,7 +70,7 @@
 	(void)state;
 	make();
 	for (uint64_t o = 0; o < OBJECTS; o++) {
-		struct steer_placed p = place(o);
+		struct place_ranked p = place(o);
 
 		assert_int_equal(naive_rank(o, p.upstream), 0);
 		assert_int_equal(p.rank, 0);
@@ -104,7 +105,7 @@
 	make();
 	for (uint64_t o = 0; o < OBJECTS; o++) {
 		int home = place(o).upstream;
-		struct steer_placed p;
+		struct place_ranked p;
 
 		estimate[home].inflight = 20 * SLOTS * 1000;
 		p = place(o);
@@ -122,7 +123,7 @@
 	for (int i = 0; i < UPSTREAMS; i++)
 		estimate[i].inflight = SLOTS * 1000;
 	for (uint64_t o = 0; o < OBJECTS; o++) {
-		struct steer_placed p;
+		struct place_ranked p;
 		int first = place(o).upstream;
 		int second;
 
@@ -150,8 +151,8 @@
 	srand(11);
 	for (int round = 0; round < 20000; round++) {
 		uint64_t tried[2];
-		struct steer_placing p = ask((uint64_t)rand());
-		struct steer_placed out;
+		struct place_ranking p = ask((uint64_t)rand());
+		struct place_ranked out;
 		int usable = 0;
 
 		make();
@@ -172,7 +173,7 @@
 		for (int i = 0; i < UPSTREAMS; i++)
 			usable += estimate[i].open &&
 				  upstream[i].state == STEER_ACTIVE;
-		steer_place_request(&p, &out);
+		place_rank(&p, &out);
 		if (!usable)
 			assert_int_equal(out.upstream, STEER_NONE);
 		if (out.upstream == STEER_NONE)
@@ -199,7 +200,7 @@
 	srand(5);
 	for (int64_t now = 1; now < 20000; now++) {
 		uint64_t o = (uint64_t)rand() % OBJECTS;
-		struct steer_placed p;
+		struct place_ranked p;
 
 		for (int i = 0; i < UPSTREAMS; i++)
 			estimate[i].inflight = rand() % (SLOTS * 1200);
@@ -213,23 +214,23 @@
 	assert_true(hits > n * 9 / 10);
 }
 
-static struct steer_region_load load[3];
+static struct place_region_load load[3];
 
 static void test_shares_start_by_slots(void **state)
 {
-	struct steer_shares s = {0};
+	struct place_shares s = {0};
 
 	(void)state;
-	load[0] = (struct steer_region_load){.slots = 24};
-	load[1] = (struct steer_region_load){.slots = 84};
-	load[2] = (struct steer_region_load){.slots = 96};
-	steer_shares_update(&s, load, 3, 0, 40000, 0);
+	load[0] = (struct place_region_load){.slots = 24};
+	load[1] = (struct place_region_load){.slots = 84};
+	load[2] = (struct place_region_load){.slots = 96};
+	place_shares_update(&s, load, 3, 0, 40000, 0);
 	/* A third of the callers against 24 of 204 slots. */
 	assert_in_range(s.weight[0], 340000, 360000);
 	assert_in_range(s.weight[0] + s.weight[1] + s.weight[2], 999990,
 			1000000);
 	memset(&s, 0, sizeof(s));
-	steer_shares_update(&s, load, 3, 1, 40000, 0);
+	place_shares_update(&s, load, 3, 1, 40000, 0);
 	assert_int_equal(s.weight[1], 1000000);
 }
 
@@ -237,7 +238,7 @@
  * see in two neighbouring windows differs by hardly more. */
 static void test_shares_move_at_the_pace(void **state)
 {
-	struct steer_shares s = {0};
+	struct place_shares s = {0};
 	int64_t before[3];
 
 	(void)state;
@@ -248,7 +249,7 @@
 			load[r].inflight = rand() % (load[r].slots * 2000);
 		}
 		memcpy(before, s.weight, sizeof(before));
-		steer_shares_update(&s, load, 3, 0, 40000, now);
+		place_shares_update(&s, load, 3, 0, 40000, now);
 		for (int r = 0; r < 3 && now; r++)
 			assert_in_range(s.weight[r] - before[r] + 4010, 0,
 					8020);
@@ -257,25 +258,25 @@
 
 static void test_shares_are_exact(void **state)
 {
-	struct steer_shares s = {.weight = {350000, 250000, 400000}};
+	struct place_shares s = {.weight = {350000, 250000, 400000}};
 	int n[3] = {0};
 
 	(void)state;
 	for (int i = 0; i < 200; i++)
-		n[steer_shares_next(&s, UINT32_MAX, 0)]++;
+		n[place_shares_next(&s, UINT32_MAX, 0)]++;
 	assert_in_range(n[0], 69, 71);
 	assert_in_range(n[1], 49, 51);
 	assert_in_range(n[2], 79, 81);
 	for (int i = 0; i < 50; i++)
-		assert_int_equal(steer_shares_next(&s, 1u << 2, 0), 2);
-	assert_int_equal(steer_shares_next(&s, 1u << 5, 0), STEER_NONE);
+		assert_int_equal(place_shares_next(&s, 1u << 2, 0), 2);
+	assert_int_equal(place_shares_next(&s, 1u << 5, 0), STEER_NONE);
 }
 
 /* Objects stay in one region, and yet no run of requests strays from the shares
  * by more than a few. */
 static void test_objects_keep_their_region(void **state)
 {
-	struct steer_shares s = {.weight = {350000, 250000, 400000}};
+	struct place_shares s = {.weight = {350000, 250000, 400000}};
 	int seen[OBJECTS][3] = {{0}};
 	int n[3] = {0};
 	int stayed = 0;
@@ -285,7 +286,7 @@
 	srand(23);
 	for (int i = 1; i <= 9000; i++) {
 		uint64_t o = (uint64_t)rand() % OBJECTS;
-		int r = steer_shares_next(&s, UINT32_MAX, prl_hash_pair(o, 99));
+		int r = place_shares_next(&s, UINT32_MAX, prl_hash_pair(o, 99));
 
 		seen[o][r]++;
 		n[r]++;
@@ -315,97 +316,30 @@
 
 	(void)state;
 	for (uint64_t o = 1; o < 2000; o++) {
-		struct steer_shares a = {.weight = {400000, 300000, 300000}};
-		struct steer_shares b = {.weight = {360000, 320000, 320000}};
+		struct place_shares a = {.weight = {400000, 300000, 300000}};
+		struct place_shares b = {.weight = {360000, 320000, 320000}};
 
-		moved += steer_shares_next(&a, UINT32_MAX, o) !=
-			 steer_shares_next(&b, UINT32_MAX, o);
+		moved += place_shares_next(&a, UINT32_MAX, o) !=
+			 place_shares_next(&b, UINT32_MAX, o);
 	}
 	assert_in_range(moved, 20, 140);
 }
 
 static void test_lost_region_has_no_share(void **state)
 {
-	struct steer_shares s = {0};
+	struct place_shares s = {0};
 
 	(void)state;
 	for (int r = 0; r < 3; r++)
-		load[r] = (struct steer_region_load){.slots = 50};
-	steer_shares_update(&s, load, 3, 0, 40000, 0);
+		load[r] = (struct place_region_load){.slots = 50};
+	place_shares_update(&s, load, 3, 0, 40000, 0);
 	assert_int_equal(s.weight[0], 1000000);
 	load[0].slots = 0;
-	steer_shares_update(&s, load, 3, 0, 40000, 100);
+	place_shares_update(&s, load, 3, 0, 40000, 100);
 	assert_int_equal(s.weight[0], 0);
 	assert_in_range(s.weight[1] + s.weight[2], 999990, 1000000);
 }
 
-static struct steer_route routes[4];
-
-static void test_longest_prefix_of_the_host(void **state)
-{
-	static const char *const rows[][2] = {{"a.example", "/long/er/"},
-					      {"a.example", "/long/"},
-					      {"b.example", "/long/"},
-					      {"b.example", "/"}};
-	struct steer_view v = {.route = routes, .nroute = 4};
-
-	(void)state;
-	for (int i = 0; i < 4; i++) {
-		strcpy(routes[i].host, rows[i][0]);
-		strcpy(routes[i].prefix, rows[i][1]);
-	}
-	assert_ptr_equal(steer_find_route(&v, "a.example", "/long/er/x"),
-			 &routes[0]);
-	assert_ptr_equal(steer_find_route(&v, "A.Example:8080", "/long/e"),
-			 &routes[1]);
-	assert_ptr_equal(steer_find_route(&v, "b.example", "/other"),
-			 &routes[3]);
-	assert_null(steer_find_route(&v, "a.example", "/other"));
-	assert_null(steer_find_route(&v, "a.exampl", "/long/"));
-	assert_null(steer_find_route(&v, "c.example", "/long/"));
-}
-
-static void test_parts_keep_their_weights(void **state)
-{
-	struct steer_route r = {.npart = 3};
-	int64_t credit[FLEET_PARTS_MAX] = {0};
-	int n[3] = {0};
-
-	(void)state;
-	r.part[0].weight = 90;
-	r.part[1].weight = 10;
-	for (int i = 0; i < 50; i++)
-		n[steer_next_part(&r, credit)]++;
-	assert_int_equal(n[0], 45);
-	assert_int_equal(n[1], 5);
-	assert_int_equal(n[2], 0);
-	r.part[0].weight = 0;
-	r.part[1].weight = 0;
-	assert_int_equal(steer_next_part(&r, credit), STEER_NONE);
-}
-
-static void test_near_names_the_region(void **state)
-{
-	struct steer_vm vms[5] = {{.region = 0},
-				  {.region = 0},
-				  {.region = 1},
-				  {.region = 1},
-				  {.region = 1}};
-	struct steer_view v = {.vm = vms, .nvm = 5, .nregion = 2};
-	int vm[STEER_NEAR_MAX];
-
-	(void)state;
-	v.first_vm[1] = 2;
-	for (int r = 2; r <= STEER_REGIONS_MAX; r++)
-		v.first_vm[r] = 5;
-	assert_int_equal(steer_near(&v, 0, vm), 2);
-	assert_int_equal(steer_near(&v, 1, vm), 3);
-	vms[0].state = STEER_LEAVING;
-	/* One alone can't bear a loss. */
-	assert_int_equal(steer_near(&v, 0, vm), 4);
-	assert_int_equal(steer_near(&v, STEER_NONE, vm), 4);
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -421,9 +355,6 @@
 		cmocka_unit_test(test_objects_keep_their_region),
 		cmocka_unit_test(test_small_moves_move_few_objects),
 		cmocka_unit_test(test_lost_region_has_no_share),
-		cmocka_unit_test(test_longest_prefix_of_the_host),
-		cmocka_unit_test(test_parts_keep_their_weights),
-		cmocka_unit_test(test_near_names_the_region),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -11,6 +11,7 @@
 #include <primroselead/hold.h>
 #include <primroselead/mailbox.h>
 #include <primroselead/metrics.h>
+#include <primroselead/place.h>
 #include <primroselead/serve.h>
 #include <primroselead/share.h>
 
@@ -59,35 +60,6 @@
 	_Atomic uint64_t from_total;
 };
 
-/** What one thread estimates of one upstream that routes lead to. */
-struct proxy_estimate {
-	/** Requests of others there, by its last report, in thousandths. */
-	int64_t others;
-	int64_t others_ms;
-	/** Smoothed time of a request in microseconds; 0 if none is known. */
-	int64_t latency_us;
-	int64_t sampled_ms;
-	/** Smoothed share of failures, in permille. */
-	int failures;
-	int64_t failed_ms;
-	/** Failures to reach it in a row; it is left alone until then. */
-	int unreachable;
-	int64_t closed_until;
-	struct limit_rate cold;
-	/** Idle time after which it closes a connection, in s; 0 if unknown. */
-	int keep_alive_s;
-};
-
-/** What one thread keeps for one service that routes lead to. */
-struct proxy_service_state {
-	struct steer_shares shares;
-	struct limit_budget retry;
-	/** Holds placements outside of the shares to a part of all. */
-	struct limit_budget overflow;
-	/** Smoothed time of a request without a queue by region, in us. */
-	int64_t hold_us[STEER_REGIONS_MAX];
-};
-
 struct proxy;
 
 /** A claim or note on its way to the control thread. */
@@ -150,8 +122,11 @@
 	/** Due when transfers that wait for a link may go on. */
 	struct loop_timer flow_timer;
 	/** For routed requests, by the handles of the view. */
-	struct proxy_estimate *estimate;
-	struct proxy_service_state *state;
+	struct place_known *known;
+	/** Idle time after which an upstream closes a connection, in s; 0 if
+	 * it named none. */
+	int *keep_alive_s;
+	struct place_service *state;
 	int64_t (*part_credit)[FLEET_PARTS_MAX];
 	/** Open connections to upstreams. */
 	struct proxy_sockets *sockets;
--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -1,6 +1,6 @@
 /* How an attempt at an upstream ended, and what follows from it. */
 #include "attempt.h"
-#include "place.h"
+#include "placing.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
 
@@ -28,7 +28,7 @@
 	if (prl_now_ms() + least >= r->deadline || body_rewind(&r->up))
 		return 0;
 	if (r->routed)
-		return place_may_repeat(r);
+		return placing_may_repeat(r);
 	return limit_share_take(&upstream_service(r)->retry);
 }
 
@@ -81,13 +81,21 @@
 	request_give_up_routed(r, cause);
 }
 
+static enum place_result result_of_failure(const struct proxy_request *r,
+					   int late)
+{
+	/* A request that ran out of time says little about its upstream. */
+	if (late)
+		return PLACE_FAILED;
+	return r->issued ? PLACE_BROKEN : PLACE_UNREACHED;
+}
+
 static void attempt_failed_routed(struct proxy_request *r, CURLcode result)
 {
 	int late = prl_now_ms() + LATE_MS >= r->deadline;
 
 	r->curl_result = result;
-	/* A request that ran out of time says little about its upstream. */
-	place_learn(r, late ? PLACE_FAILED : PLACE_BROKEN);
+	placing_learn(r, result_of_failure(r, late));
 	if (r->state == REQUEST_ANSWERED) {
 		cut_answer(r);
 		return;
@@ -118,11 +126,11 @@
 {
 	switch (r->verdict) {
 	case VERDICT_PASS:
-		place_learn(r, PLACE_ANSWERED);
+		placing_learn(r, PLACE_ANSWERED);
 		pass_on(r);
 		return;
 	case VERDICT_FAILED:
-		place_learn(r, PLACE_FAILED);
+		placing_learn(r, PLACE_FAILED);
 		r->maybe_ran = 1;
 		if (r->state != REQUEST_ANSWERED && request_may_retry(r, 0))
 			retry(r);
@@ -130,15 +138,15 @@
 			pass_on(r);
 		return;
 	case VERDICT_REFUSED:
-		place_learn(r, PLACE_REFUSED);
+		placing_learn(r, PLACE_REFUSED);
 		retry_or_give_up(r, 1, "the upstream refused the request");
 		return;
 	case VERDICT_AMBIGUOUS:
-		place_learn(r, PLACE_FAILED);
+		placing_learn(r, PLACE_FAILED);
 		retry_or_give_up(r, 0, "the upstream failed");
 		return;
 	case VERDICT_BROKEN:
-		place_learn(r, PLACE_BROKEN);
+		placing_learn(r, PLACE_BROKEN);
 		retry_or_give_up(r, 0, "the upstream's answer is not valid");
 		return;
 	}
--- /dev/null
+++ b/proxy/src/placing.c
@@ -0,0 +1,189 @@
+/* Ties a routed request to the decisions of the package place. */
+#include "placing.h"
+#include <primroselead/clock.h>
+#include <primroselead/hash.h>
+#include <string.h>
+
+/* Part of the platform's constant retry budget that the VMs divide, in
+ * percent; the rest is for VMs that joined unseen. */
+#define BUDGET_PERCENT 50
+
+/* Part of the platform's retry ratio that is used, in percent. */
+#define RATIO_PERCENT 85
+
+/* Idle time of a connection to an upstream that named none, in s. */
+#define IDLE_UNKNOWN_S 4
+
+#define PERCENT 100
+
+static struct place_known *known_of(const struct proxy_request *r)
+{
+	return &r->thread->known[r->upstream->cell];
+}
+
+static struct place_service *state_of(const struct proxy_request *r)
+{
+	return &r->thread->state[r->service->cell];
+}
+
+static int outstanding(const void *ctx, int cell)
+{
+	const struct proxy *p = ctx;
+
+	return atomic_load(&p->upstream[cell].outstanding);
+}
+
+static int dividers(const struct proxy_request *r)
+{
+	int vms = r->view->nactive > 0 ? r->view->nactive : 1;
+
+	return vms * r->thread->proxy->nthread;
+}
+
+/* The constant part of the budget is for all VMs and threads together. */
+static void set_budget(struct proxy_request *r)
+{
+	int64_t most = r->thread->bounds.retry_extra * BUDGET_PERCENT /
+		       PERCENT / dividers(r);
+
+	limit_budget_set(&state_of(r)->retry, most > 1 ? most : 1);
+}
+
+static void count_request(struct proxy_request *r)
+{
+	int64_t ratio = r->thread->bounds.retry_permille;
+
+	set_budget(r);
+	if (!r->attempts)
+		limit_budget_count(&state_of(r)->retry,
+				   ratio * RATIO_PERCENT / PERCENT);
+}
+
+static void fill_ask(struct proxy_request *r, struct place_ask *ask)
+{
+	struct proxy_thread *t = r->thread;
+
+	*ask = (struct place_ask){
+		.service = r->service,
+		.nregion = r->view->nregion,
+		.own = t->proxy->region,
+		.mask = r->homes ? r->homes : UINT32_MAX,
+		.known = t->known,
+		.state = state_of(r),
+		.outstanding = outstanding,
+		.ctx = t->proxy,
+		.dividers = dividers(r),
+		.object = r->asked.object,
+		.sticky = r->policy.sticky && r->asked.object,
+		.random = prl_hash_pair(t->random++, r->handle),
+		.tried = r->tried,
+		.ntried = r->ntried,
+		.priority = r->policy.priority,
+		.objective_ms = r->policy.objective_ms,
+		.deadline = r->deadline,
+		.now_ms = prl_now_ms(),
+		.now_us = prl_now_us(),
+		.weights = &place_weights,
+	};
+}
+
+static void take(struct proxy_request *r, const struct place_chosen *to)
+{
+	const struct steer_upstream *u = &r->service->upstream[to->upstream];
+
+	r->upstream = u;
+	r->region = to->region;
+	r->inflight = to->inflight;
+	r->wait_ms = to->wait_ms;
+	r->rank = to->rank;
+	memcpy(r->instance, u->instance, sizeof(r->instance));
+	atomic_fetch_add(&r->thread->proxy->upstream[u->cell].outstanding, 1);
+	if (r->ntried < PLACE_TRIED_MAX)
+		r->tried[r->ntried++] = u->id;
+}
+
+static void use_newest_view(struct proxy_request *r)
+{
+	if (r->view == r->thread->view)
+		return;
+	config_view_release(r->view);
+	r->view = config_view_ref(r->thread->view);
+}
+
+static void set_retry_after(struct proxy_request *r, int64_t wait_ms)
+{
+	struct proxy_thread *t = r->thread;
+
+	t->random = prl_hash_pair(t->random, r->handle);
+	r->retry_after_ms = place_retry_after(wait_ms, t->random);
+}
+
+int placing_take(struct proxy_request *r)
+{
+	struct place_chosen chosen = {.wait_ms = PRL_NEVER};
+	struct place_ask ask;
+	int i;
+
+	use_newest_view(r);
+	r->service = NULL;
+	r->upstream = NULL;
+	i = steer_find_service(r->view, r->service_name,
+			       strlen(r->service_name));
+	if (i != STEER_NONE) {
+		r->service = r->view->service[i];
+		count_request(r);
+		fill_ask(r, &ask);
+		if (place_choose(&ask, &chosen)) {
+			take(r, &chosen);
+			return 1;
+		}
+	}
+	set_retry_after(r, chosen.wait_ms);
+	return 0;
+}
+
+static const char *const result_names[] = {"answered", "failed", "refused",
+					   "broken", "unreached"};
+
+void placing_learn(struct proxy_request *r, enum place_result result)
+{
+	struct place_end end = {
+		.result = result,
+		.region = r->region,
+		.us = prl_now_us() - r->sent_us,
+		.waited = r->wait_ms > 0,
+		.told_load = r->answer.slots >= 0,
+	};
+
+	if (result == PLACE_ANSWERED)
+		metrics_latency(&r->thread->metrics, METRIC_UPSTREAM_TIME,
+				end.us);
+	else
+		request_log_attempt(r, result_names[result]);
+	place_learn(known_of(r), state_of(r), &end, prl_now_ms());
+}
+
+void placing_heard(struct proxy_request *r)
+{
+	const struct fleet_answer *a = &r->answer;
+	int own = outstanding(r->thread->proxy, r->upstream->cell);
+
+	if (a->keep_alive_s > 0)
+		r->thread->keep_alive_s[r->upstream->cell] = a->keep_alive_s;
+	if (a->slots >= 0)
+		place_heard(known_of(r), a->running, a->waiting, own,
+			    prl_now_ms());
+}
+
+int placing_may_repeat(struct proxy_request *r)
+{
+	return limit_budget_take(&state_of(r)->retry);
+}
+
+long placing_idle_max_s(const struct proxy_request *r)
+{
+	int said = r->thread->keep_alive_s[r->upstream->cell];
+
+	/* One that closes just as a request comes leaves it unsettled. */
+	return said > 1 ? said - 1 : said ? 1 : IDLE_UNKNOWN_S;
+}
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -66,7 +66,7 @@
 	struct fleet_request asked;
 	struct fleet_answer answer;
 	enum verdict verdict;
-	uint64_t tried[STEER_TRIED_MAX];
+	uint64_t tried[PLACE_TRIED_MAX];
 	int ntried;
 	/** Expected when it was placed, and the requests estimated to be there
 	 * then, in thousandths. */
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -1,5 +1,5 @@
 /* Requests for the routes of the platform's manifest. */
-#include "place.h"
+#include "placing.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdlib.h>
--- a/proxy/src/send.c
+++ b/proxy/src/send.c
@@ -1,6 +1,6 @@
 /* Attempts at upstreams: begins and ends them. */
 #include "attempt.h"
-#include "place.h"
+#include "placing.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
 
@@ -55,7 +55,7 @@
 
 int request_reserve(struct proxy_request *r)
 {
-	if (r->upstream || (r->routed ? place_take(r) : upstream_take(r)))
+	if (r->upstream || (r->routed ? placing_take(r) : upstream_take(r)))
 		return 1;
 	metrics_add(&r->thread->metrics, METRIC_SHED, 1);
 	give_up(r, "no upstream takes new work");
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -308,10 +308,11 @@
 static enum prl_code init_tables_routed(struct proxy_thread *t,
 					struct prl_error *err)
 {
-	t->estimate = calloc(CONFIG_CELLS_MAX, sizeof(*t->estimate));
+	t->known = calloc(CONFIG_CELLS_MAX, sizeof(*t->known));
+	t->keep_alive_s = calloc(CONFIG_CELLS_MAX, sizeof(*t->keep_alive_s));
 	t->state = calloc(CONFIG_CELLS_MAX, sizeof(*t->state));
 	t->part_credit = calloc(CONFIG_CELLS_MAX, sizeof(*t->part_credit));
-	if (!t->estimate || !t->state || !t->part_credit)
+	if (!t->known || !t->keep_alive_s || !t->state || !t->part_credit)
 		return prl_fail(err, PRL_E_MEMORY, "tables of a thread");
 	return PRL_OK;
 }
@@ -398,7 +399,8 @@
 	if (t->sockets)
 		sockets_finish(t->sockets);
 	free(t->sockets);
-	free(t->estimate);
+	free(t->known);
+	free(t->keep_alive_s);
 	free(t->state);
 	free(t->part_credit);
 }
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -1,6 +1,6 @@
 /* The transfer of one attempt: what is sent and what comes back. */
 #include "attempt.h"
-#include "place.h"
+#include "placing.h"
 #include "sockets.h"
 #include "upstream.h"
 #include <inttypes.h>
@@ -184,7 +184,7 @@
 		return 0;
 	if (r->routed) {
 		r->verdict = verdict_of(&r->answer, r->status, r->asked.id);
-		place_heard(r);
+		placing_heard(r);
 		return r->verdict == VERDICT_BROKEN ? -1 : 0;
 	}
 	if (failed && request_may_retry(r, r->refused)) {
@@ -334,7 +334,7 @@
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, r->thread);
 	if (r->routed)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
-				 place_idle_max_s(r));
+				 placing_idle_max_s(r));
 	else if (r->once)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, ONCE_IDLE_MAX_S);
 }
