--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Root build. Targets: all, check, lint, format, bench, demo, fuzz, capacity,
-# install, generate, clean. MODE is release, asan or tsan.
+# Root build. Targets: all, check, lint, format, bench, replay, demo, fuzz,
+# capacity, install, generate, clean. MODE is release, asan or tsan.
 
 PACKAGES := base fleet platform schema loop store config steer limit place claim wire member \
 	spread observe proxy
@@ -10,6 +10,7 @@
 include mk/packages.mk
 include mk/programs.mk
 include mk/model.mk
+include mk/replay.mk
 include mk/tests.mk
 include mk/lint.mk
 include mk/install.mk
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -19,8 +19,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
 
-.PHONY: tests check check-one bench fuzz capacity mutants
-tests: $(TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model
+.PHONY: tests check check-one bench replay fuzz capacity mutants
+tests: $(TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model $(OUT)/test/replay/test_replay
 
 check:
 	tools/check
@@ -28,6 +28,9 @@
 bench: all $(OUT)/bin/bench-decide
 	bench/run
 
+replay: $(OUT)/bin/replay
+	bench/replay
+
 capacity: all
 	bench/capacity
 	bench/fullsize
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -63,9 +63,23 @@
 	int ready;
 };
 
+/** Buckets of time for which placed requests are counted. */
+#define PLACE_MOVE_BUCKETS 4
+
+/** Requests placed lately, the newest bucket first. */
+struct place_moves {
+	int64_t began_ms;
+	struct {
+		int stayed;
+		/** In another region. */
+		int away;
+	} placed[PLACE_MOVE_BUCKETS];
+};
+
 /** What one thread keeps for one service that routes lead to. */
 struct place_service {
 	struct place_shares shares;
+	struct place_moves moves;
 	struct limit_budget retry;
 	/** Holds placements outside of the shares to a part of all. */
 	struct limit_budget overflow;
@@ -110,6 +124,9 @@
 	const void *ctx;
 	/** VMs and threads that divide what is for all of them together. */
 	int dividers;
+	/** Greatest part of the requests that may change the region in which
+	 * they run from one window of 2 s to the next, in permille. */
+	int64_t shift_permille;
 	/** Hash of its object; 0 if it has none. */
 	uint64_t object;
 	/** The object decides which upstream is fast. */
@@ -256,4 +273,16 @@
  */
 int place_shares_next(struct place_shares *s, uint32_t mask, uint64_t object);
 
+/**
+ * Whether one more request may leave the own region without more than a part of
+ * those that run, in permille, having left it in the last 2 s. Answers callers
+ * who come many times as often at once: the shares hold what is asked for to a
+ * pace, but where the own region turns most of its part away, the rest is an
+ * ever greater part of what runs.
+ */
+int place_moves_allow(struct place_moves *m, int64_t permille, int64_t now_ms);
+
+/** Counts a request that is placed, away from the own region or in it. */
+void place_moves_count(struct place_moves *m, int away, int64_t now_ms);
+
 #endif
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -10,7 +10,7 @@
 #define HOLD_UNKNOWN_US 200000
 
 /* Greatest change of a region's share, in millionths a second. */
-#define SHARE_PACE 40000
+#define SHARE_PACE 32000
 
 /* Requests placed outside of the shares, in permille of all, and how many may
  * come at once. */
@@ -22,6 +22,11 @@
 #define WAIT_PERCENT 45
 #define WAIT_URGENT_PERCENT 90
 
+/* Part of the platform's bound on moves by which what runs in other regions may
+ * be ahead of the shares, in percent; the rest is for the shares' own pace. */
+#define AHEAD_PERCENT 20
+
+#define WHOLE 1000000
 #define THOUSAND 1000
 #define PERCENT 100
 
@@ -116,6 +121,20 @@
 	c->out->inflight = c->estimate[found->upstream].inflight + THOUSAND;
 	if (a->now_ms < u->cold_until)
 		limit_rate_count(&known(c, u)->cold, u->cold_rate, a->now_us);
+	place_moves_count(&a->state->moves, region != a->own, a->now_ms);
+}
+
+/* Requests may stay in the own region, or leave one that serves nothing. */
+static int may_move(const struct choice *c, int region)
+{
+	const struct place_ask *a = c->ask;
+	int64_t stay = a->state->shares.weight[a->own];
+	int64_t ahead = a->shift_permille * AHEAD_PERCENT / PERCENT;
+
+	if (region == a->own || !stay || !(a->mask >> a->own & 1))
+		return 1;
+	return place_moves_allow(&a->state->moves,
+				 (WHOLE - stay) / THOUSAND + ahead, a->now_ms);
 }
 
 static int try_region(const struct choice *c, int region)
@@ -138,7 +157,7 @@
 	};
 	struct place_ranked found;
 
-	if (!ranking.n)
+	if (!ranking.n || !may_move(c, region))
 		return 0;
 	read_estimates(c, ranking.upstream, ranking.n, region);
 	place_rank(&ranking, &found);
--- a/place/src/rank.c
+++ b/place/src/rank.c
@@ -8,7 +8,7 @@
 	.homes = 2,
 	.second_loss = 700,
 	.later_loss = 2000,
-	.idle = 500,
+	.idle = 125,
 	.failure = 2000,
 };
 
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -63,6 +63,7 @@
 		.outstanding = outstanding,
 		.ctx = own,
 		.dividers = 1,
+		.shift_permille = 150,
 		.object = prl_hash_pair(object, 11),
 		.sticky = 1,
 		.priority = 2,
@@ -140,6 +141,57 @@
 	assert_in_range(moved, 150, 300);
 }
 
+/* What runs away from the own region is held near its share also where the own
+ * region turns most of its part away, and not where it serves nothing. */
+static void test_moves_are_held_near_the_shares(void **unused)
+{
+	struct place_moves m = {0};
+	int away = 0;
+	int stayed = 0;
+
+	(void)unused;
+	for (int64_t now = 1000; now < 11000; now += 10) {
+		/* One in ten finds room at home, and each one elsewhere. */
+		if (now % 100 == 0) {
+			place_moves_count(&m, 0, now);
+			stayed++;
+		} else if (place_moves_allow(&m, 200, now)) {
+			place_moves_count(&m, 1, now);
+			away++;
+		}
+	}
+	assert_in_range(away * 1000 / (away + stayed), 150, 350);
+	for (int64_t now = 13100; now < 15000; now += 10) {
+		assert_true(place_moves_allow(&m, 200, now));
+		place_moves_count(&m, 1, now);
+	}
+}
+
+static void test_flood_is_not_moved(void **unused)
+{
+	struct place_ask a;
+	struct place_chosen c;
+	int away = 0;
+	int stayed = 0;
+
+	(void)unused;
+	state.shares = (struct place_shares){
+		.weight = {800000, 200000}, .ready = 1, .updated_ms = now_ms};
+	for (int i = 0; i < 4000; i++) {
+		now_ms += i % 4 == 0;
+		/* The own region takes one in eight. */
+		fill(0, i % 8 ? 20 * SLOTS : 0);
+		a = ask((uint64_t)i);
+		if (!place_choose(&a, &c))
+			continue;
+		away += c.region != 0;
+		stayed += c.region == 0;
+	}
+	assert_true(stayed > 100);
+	/* A fifth, what may be ahead of it, and what one second moves. */
+	assert_in_range(away * 1000 / (away + stayed), 100, 290);
+}
+
 static void test_homes_bind(void **unused)
 {
 	struct place_ask a;
@@ -370,6 +422,9 @@
 		cmocka_unit_test_setup(test_full_region_overflows_slowly,
 				       setup),
 		cmocka_unit_test_setup(test_shares_follow_the_load, setup),
+		cmocka_unit_test_setup(test_moves_are_held_near_the_shares,
+				       setup),
+		cmocka_unit_test_setup(test_flood_is_not_moved, setup),
 		cmocka_unit_test_setup(test_homes_bind, setup),
 		cmocka_unit_test_setup(test_urgent_ones_wait_longer, setup),
 		cmocka_unit_test_setup(test_tried_ones_are_left_out, setup),
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -16,6 +16,8 @@
 	char inflight[LOG_NUMBER_MAX];
 	char rank[LOG_NUMBER_MAX];
 	char object[LOG_NUMBER_MAX];
+	char priority[LOG_NUMBER_MAX];
+	char objective[LOG_NUMBER_MAX];
 
 	if (!r->routed)
 		return;
@@ -26,6 +28,8 @@
 	log_number(wait, r->wait_ms);
 	log_number(inflight, r->inflight);
 	log_number(rank, r->rank);
+	log_number(priority, r->policy.priority);
+	log_number(objective, r->policy.objective_ms);
 	snprintf(object, sizeof(object), "%016llx",
 		 (unsigned long long)r->asked.object);
 	log_event(LOG_INFO_LINE, "request", "id", r->asked.id, "service",
@@ -33,7 +37,8 @@
 		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
 		  ms, "attempts", attempts, "upstream", r->instance, "manifest",
 		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
-		  rank, "object", object, NULL);
+		  rank, "object", object, "priority", priority, "objective_ms",
+		  objective, NULL);
 }
 
 void request_log_attempt(const struct proxy_request *r, const char *result)
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -73,6 +73,7 @@
 		.outstanding = outstanding,
 		.ctx = t->proxy,
 		.dividers = dividers(r),
+		.shift_permille = t->bounds.shift_permille,
 		.object = r->asked.object,
 		.sticky = r->policy.sticky && r->asked.object,
 		.random = prl_hash_pair(t->random++, r->handle),
--- /dev/null
+++ b/replay/src/main.c
@@ -0,0 +1,185 @@
+/* Plays a load through the decisions of entry VMs, once for each rule, and
+ * prints what came of it: parts in permille, times in ms. */
+#include "report.h"
+#include <argtable2.h>
+#include <string.h>
+
+static struct {
+	struct arg_file *scenario;
+	struct arg_file *trace;
+	struct arg_int *speed;
+	struct arg_int *seed;
+	struct arg_int *seeds;
+	struct arg_str *rule;
+	struct arg_int *homes;
+	struct arg_int *second_loss;
+	struct arg_int *later_loss;
+	struct arg_int *idle;
+	struct arg_int *failure;
+	struct arg_file *series;
+	struct arg_file *record;
+	struct arg_str *regions;
+	struct arg_lit *help;
+	struct arg_end *end;
+} arg;
+
+static void **make_arguments(void)
+{
+	static void *table[16];
+	int n = 0;
+
+	table[n++] = arg.scenario =
+		arg_file0(NULL, NULL, "SCENARIO", "deployment and load");
+	table[n++] = arg.trace =
+		arg_file0(NULL, "trace", "FILE", "recorded arrivals");
+	table[n++] = arg.speed =
+		arg_int0(NULL, "speed", "PERMILLE", "speed of the trace, 1000");
+	table[n++] = arg.seed = arg_int0(NULL, "seed", "N", "first seed, 1");
+	table[n++] = arg.seeds = arg_int0(NULL, "seeds", "N",
+					  "seeds of which the middle is taken");
+	table[n++] = arg.rule =
+		arg_strn(NULL, "rule", "NAME", 0, 8, "only these rules");
+	table[n++] = arg.homes = arg_int0(NULL, "homes", "N", "weight");
+	table[n++] = arg.second_loss =
+		arg_int0(NULL, "second-loss", "PERMILLE", "weight");
+	table[n++] = arg.later_loss =
+		arg_int0(NULL, "later-loss", "PERMILLE", "weight");
+	table[n++] = arg.idle = arg_int0(NULL, "idle", "PERMILLE", "weight");
+	table[n++] = arg.failure =
+		arg_int0(NULL, "failure", "PERMILLE", "weight");
+	table[n++] = arg.series =
+		arg_file0(NULL, "series", "FILE", "worth earned by second");
+	table[n++] = arg.record =
+		arg_file0(NULL, "record", "LOG", "print a trace of these logs");
+	table[n++] = arg.regions = arg_str0(NULL, "regions", "NAMES",
+					    "parts of VM names, by region");
+	table[n++] = arg.help = arg_lit0(NULL, "help", "print this");
+	table[n++] = arg.end = arg_end(4);
+	return table;
+}
+
+static int number(const struct arg_int *a, int otherwise)
+{
+	return a->count ? a->ival[0] : otherwise;
+}
+
+static struct place_weights weights(void)
+{
+	struct place_weights w = place_weights;
+
+	w.homes = number(arg.homes, w.homes);
+	w.second_loss = number(arg.second_loss, w.second_loss);
+	w.later_loss = number(arg.later_loss, w.later_loss);
+	w.idle = number(arg.idle, w.idle);
+	w.failure = number(arg.failure, w.failure);
+	return w;
+}
+
+static int is_wanted(const char *rule)
+{
+	for (int i = 0; i < arg.rule->count; i++)
+		if (!strcmp(arg.rule->sval[i], rule))
+			return 1;
+	return !arg.rule->count;
+}
+
+static gint by_worth(gconstpointer a, gconstpointer b)
+{
+	const struct report *x = a;
+	const struct report *y = b;
+
+	return x->earned - y->earned;
+}
+
+static enum prl_code arrivals(const struct scenario *s, uint32_t seed,
+			      GArray **out, struct prl_error *err)
+{
+	if (arg.trace->count)
+		return trace_read(arg.trace->filename[0], s,
+				  number(arg.speed, 1000), out, err);
+	*out = trace_draw(s, seed);
+	return PRL_OK;
+}
+
+/* Plays a rule with each seed and prints the middle one by worth. */
+static enum prl_code play(const struct scenario *s, const struct rule *rule,
+			  FILE *series, struct prl_error *err)
+{
+	struct place_weights chosen = weights();
+	int seeds = number(arg.seeds, 1);
+	GArray *reports = g_array_new(FALSE, FALSE, sizeof(struct report));
+
+	for (int i = 0; i < seeds; i++) {
+		uint32_t seed = (uint32_t)(number(arg.seed, 1) + i);
+		struct world w;
+		struct report r;
+		GArray *trace;
+
+		if (arrivals(s, seed, &trace, err)) {
+			g_array_unref(reports);
+			return err->code;
+		}
+		world_play(&w, s, trace, rule, &chosen, seed);
+		report_make(&w, &r);
+		g_array_append_val(reports, r);
+		if (series && !i)
+			report_series(series, rule->name, &w);
+		world_finish(&w);
+		g_array_unref(trace);
+	}
+	g_array_sort(reports, by_worth);
+	report_row(stdout, rule->name,
+		   &g_array_index(reports, struct report, seeds / 2));
+	g_array_unref(reports);
+	return PRL_OK;
+}
+
+static enum prl_code play_all(const char *path, struct prl_error *err)
+{
+	struct scenario s;
+	enum prl_code rc = scenario_read(path, &s, err);
+	FILE *series = NULL;
+
+	if (rc)
+		return rc;
+	if (arg.series->count) {
+		series = fopen(arg.series->filename[0], "w");
+		if (!series)
+			return prl_fail(err, PRL_E_IO,
+					"file \"%s\" can't be written",
+					arg.series->filename[0]);
+	}
+	report_head(stdout);
+	for (int i = 0; !rc && i < nrules; i++)
+		if (is_wanted(rules[i].name))
+			rc = play(&s, &rules[i], series, err);
+	if (series)
+		fclose(series);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	struct prl_error err = {0};
+	void **table = make_arguments();
+	int wrong = arg_parse(argc, argv, table);
+	enum prl_code rc = PRL_OK;
+
+	if (arg.help->count || wrong ||
+	    arg.scenario->count == arg.record->count) {
+		arg_print_errors(stderr, arg.end, argv[0]);
+		arg_print_syntax(stderr, table, "\n");
+		arg_print_glossary(stderr, table, "  %-22s %s\n");
+		return arg.help->count ? 0 : 2;
+	}
+	if (arg.record->count)
+		rc = trace_record(
+			arg.record->filename[0],
+			arg.regions->count ? arg.regions->sval[0] : "", &err);
+	else
+		rc = play_all(arg.scenario->filename[0], &err);
+	if (rc)
+		fprintf(stderr, "%s: %s\n", argv[0], err.text);
+	arg_freetable(table, 16);
+	return prl_code_exit(rc);
+}
--- /dev/null
+++ b/replay/test/test_replay.c
@@ -0,0 +1,289 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "report.h"
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SEED 7
+
+/* The users' bound on moves between regions, in permille. */
+#define SHIFT_PERMILLE 150
+
+/* Earlier part of an upstream's slots up to which it took objects that were not
+ * at hand, in permille. */
+#define IDLE_BEFORE 500
+
+static struct report play(const struct scenario *s, const char *rule,
+			  const struct place_weights *weights)
+{
+	GArray *trace = trace_draw(s, SEED);
+	struct report r;
+	struct world w;
+	int i = 0;
+
+	while (strcmp(rules[i].name, rule) != 0)
+		i++;
+	world_play(&w, s, trace, &rules[i], weights, SEED);
+	assert_int_equal(w.figures.sent,
+			 w.figures.ran + w.figures.refused + w.figures.unrun);
+	report_make(&w, &r);
+	world_finish(&w);
+	g_array_unref(trace);
+	return r;
+}
+
+static struct scenario read_scenario(const char *name)
+{
+	struct prl_error err = {0};
+	struct scenario s;
+	char path[96];
+
+	snprintf(path, sizeof(path), "replay/scenarios/%s.ini", name);
+	if (scenario_read(path, &s, &err))
+		fail_msg("%s", err.text);
+	return s;
+}
+
+static struct report play_named(const char *name, const char *rule)
+{
+	struct scenario s = read_scenario(name);
+
+	return play(&s, rule, &place_weights);
+}
+
+static void test_same_seed_same_play(void **state)
+{
+	struct report a = play_named("slow", "place");
+	struct report b = play_named("slow", "place");
+
+	(void)state;
+	assert_memory_equal(&a, &b, sizeof(a));
+}
+
+/* Far from its limits the model takes the time of the work and of four links,
+ * and everything is served at the first try. */
+static void test_idle_time_is_exact(void **state)
+{
+	struct scenario s = read_scenario("wave");
+	struct report r;
+
+	(void)state;
+	s.rate = 2;
+	s.swing = 0;
+	s.nkind = 1;
+	s.kind[0].vary = 0;
+	s.kind[0].objects = 0;
+	r = play(&s, "place", &place_weights);
+	assert_int_equal(r.p50_ms, (s.kind[0].work_us + 4 * s.near_us) / 1000);
+	assert_int_equal(r.p99_ms, r.p50_ms);
+	assert_int_equal(r.served, 1000);
+	assert_int_equal(r.sent, 1000);
+	assert_int_equal(r.at_hand, 0);
+	assert_int_equal(r.moved, 0);
+}
+
+/* With all objects at hand the time falls by the gain. */
+static void test_objects_at_hand_are_faster(void **state)
+{
+	struct scenario s = read_scenario("wave");
+	struct report r;
+
+	(void)state;
+	s.rate = 20;
+	s.swing = 0;
+	s.nkind = 1;
+	s.kind[0].vary = 0;
+	s.kind[0].objects = 3;
+	r = play(&s, "place", &place_weights);
+	assert_int_equal(r.p50_ms, (s.kind[0].work_us * (1000 - s.gain) / 1000 +
+				    4 * s.near_us) /
+					   1000);
+	assert_true(r.at_hand > 980);
+}
+
+/* What an upstream can't run in time is lost, whatever the rule: one slot and
+ * work of 100 ms serve no more than 10 a second. */
+static void test_no_more_than_the_slots(void **state)
+{
+	struct scenario s = read_scenario("single");
+	struct report r;
+
+	(void)state;
+	s.upstreams = 1;
+	s.speeds = 0;
+	s.rate = 100;
+	s.swing = 0;
+	s.nkind = 1;
+	s.kind[0].vary = 0;
+	s.kind[0].work_us = 100000;
+	s.kind[0].objective_us = 400000;
+	s.kind[0].deadline_us = 400000;
+	for (int i = 0; i < nrules; i++) {
+		r = play(&s, rules[i].name, &place_weights);
+		assert_in_range(r.served, 50, 105);
+	}
+}
+
+/* Callers beyond what all carry: an object that is not at hand anywhere idle is
+ * better turned away than run where it costs three others their time. */
+static void test_overload(void **state)
+{
+	struct scenario s = read_scenario("overload");
+	struct place_weights before = place_weights;
+	struct report was;
+	struct report is;
+
+	(void)state;
+	before.idle = IDLE_BEFORE;
+	was = play(&s, "place", &before);
+	is = play(&s, "place", &place_weights);
+	assert_true(is.earned * 100 >= was.earned * 120);
+	assert_true(is.worst_region * 100 >= was.worst_region * 115);
+}
+
+/* Nowhere does the rule earn less than the best of the others, but for one part
+ * in a hundred. */
+static void test_place_against_others(void **state)
+{
+	static const char *const scenarios[] = {
+		"abuse",     "burst",  "failing", "gone", "long",     "lying",
+		"scattered", "single", "slow",	  "wave", "overload",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+		struct report own = play_named(scenarios[i], "place");
+
+		for (int k = 1; k < nrules; k++) {
+			struct report other =
+				play_named(scenarios[i], rules[k].name);
+
+			if (own.earned + 10 < other.earned)
+				fail_msg("%s: %d, %s earns %d", scenarios[i],
+					 own.earned, rules[k].name,
+					 other.earned);
+		}
+	}
+}
+
+static int moved(const struct scenario *s)
+{
+	return play(s, "place", &place_weights).moved;
+}
+
+/* The users' bound on moves between regions, without anything that excuses
+ * them: also where most of what is asked for is turned away. */
+static void test_moves_keep_the_pace(void **state)
+{
+	static const int factors[] = {2000, 4000, 6000, 10000};
+	struct scenario s = read_scenario("overload");
+
+	(void)state;
+	assert_true(moved(&s) <= SHIFT_PERMILLE);
+	s = read_scenario("wave");
+	assert_true(moved(&s) <= SHIFT_PERMILLE);
+	s = read_scenario("burst");
+	for (size_t i = 0; i < G_N_ELEMENTS(factors); i++) {
+		s.trouble[0].factor = factors[i];
+		s.trouble[0].region = -1;
+		assert_true(moved(&s) <= SHIFT_PERMILLE);
+		s.trouble[0].region = 0;
+		assert_true(moved(&s) <= SHIFT_PERMILLE);
+	}
+}
+
+/* After the load is back at its usual, so is what is earned. */
+static void test_burst_leaves_nothing_behind(void **state)
+{
+	struct scenario s = read_scenario("burst");
+	GArray *trace = trace_draw(&s, SEED);
+	struct world w;
+	int64_t owed = 0;
+	int64_t earned = 0;
+
+	(void)state;
+	s.trouble[0].factor = 6000;
+	g_array_unref(trace);
+	trace = trace_draw(&s, SEED);
+	world_play(&w, &s, trace, &rules[0], &place_weights, SEED);
+	for (guint i = 27; i < w.figures.second_owed->len; i++) {
+		owed += g_array_index(w.figures.second_owed, int64_t, i);
+		earned += g_array_index(w.figures.second_earned, int64_t, i);
+	}
+	world_finish(&w);
+	g_array_unref(trace);
+	assert_true(earned * 100 >= owed * 95);
+}
+
+static void write_file(char *path, const char *text)
+{
+	int fd = mkstemp(path);
+	FILE *f = fdopen(fd, "w");
+
+	assert_non_null(f);
+	fputs(text, f);
+	fclose(f);
+}
+
+static void test_trace_is_read(void **state)
+{
+	struct scenario s = read_scenario("wave");
+	struct prl_error err = {0};
+	char path[] = "/tmp/test-replay-XXXXXX";
+	char bad[] = "/tmp/test-replay-XXXXXX";
+	GArray *trace;
+
+	(void)state;
+	write_file(path, "# kind 0: a\n0 0 0 1f\n1500 2 1 0\n");
+	assert_int_equal(trace_read(path, &s, 500, &trace, &err), PRL_OK);
+	assert_int_equal(trace->len, 2);
+	assert_int_equal(g_array_index(trace, struct arrival, 0).object, 0x1f);
+	assert_int_equal(g_array_index(trace, struct arrival, 1).at_us,
+			 3000000);
+	assert_int_equal(g_array_index(trace, struct arrival, 1).region, 2);
+	assert_int_equal(g_array_index(trace, struct arrival, 1).kind, 1);
+	g_array_unref(trace);
+	write_file(bad, "0 0 0 1f\n1 3 0 1f\n");
+	assert_int_equal(trace_read(bad, &s, 1000, &trace, &err), PRL_E_CONFIG);
+	assert_non_null(strstr(err.text, "line 2"));
+	unlink(path);
+	unlink(bad);
+}
+
+static void test_scenario_errors_name_the_place(void **state)
+{
+	char path[] = "/tmp/test-replay-XXXXXX";
+	struct prl_error err = {0};
+	struct scenario s;
+
+	(void)state;
+	write_file(path, "[fleet]\nregions = 9\n");
+	assert_int_equal(scenario_read(path, &s, &err), PRL_E_CONFIG);
+	assert_string_equal(err.text, "\"regions\" of section \"fleet\" is not "
+				      "between 1 and 8");
+	unlink(path);
+	assert_int_equal(scenario_read(path, &s, &err), PRL_E_IO);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_same_seed_same_play),
+		cmocka_unit_test(test_idle_time_is_exact),
+		cmocka_unit_test(test_objects_at_hand_are_faster),
+		cmocka_unit_test(test_no_more_than_the_slots),
+		cmocka_unit_test(test_overload),
+		cmocka_unit_test(test_place_against_others),
+		cmocka_unit_test(test_moves_keep_the_pace),
+		cmocka_unit_test(test_burst_leaves_nothing_behind),
+		cmocka_unit_test(test_trace_is_read),
+		cmocka_unit_test(test_scenario_errors_name_the_place),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
