--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -87,8 +87,8 @@
 	int64_t hold_us[STEER_REGIONS_MAX];
 };
 
-/** What it costs that an object is not at hand, or that an upstream fails, and
- * when objects may go where they are not at hand. */
+/** What it costs that an object is not at hand, or that an upstream fails, when
+ * objects may go where they are not at hand, and how long requests may wait. */
 struct place_weights {
 	/** Upstreams of an object's order that may have it at hand. */
 	int homes;
@@ -103,6 +103,10 @@
 	int idle;
 	/** Cost of a failure, in permille of a request's time. */
 	int failure;
+	/** Wait in a queue that is of use, in permille of the objective, and
+	 * that of the most urgent requests. */
+	int wait;
+	int wait_urgent;
 };
 
 /** Those that are used. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -17,11 +17,6 @@
 #define OVERFLOW_PERMILLE 40
 #define OVERFLOW_MOST 2
 
-/* Wait in a queue that is of use, in percent of the objective; the most urgent
- * requests of a service may wait for longer. */
-#define WAIT_PERCENT 45
-#define WAIT_URGENT_PERCENT 90
-
 /* Part of the platform's bound on moves by which what runs in other regions may
  * be ahead of the shares, in percent; the rest is for the shares' own pace. */
 #define AHEAD_PERCENT 20
@@ -100,8 +95,9 @@
 
 static int64_t wait_max(const struct place_ask *a, int64_t hold_ms)
 {
-	int64_t percent = a->priority <= 1 ? WAIT_URGENT_PERCENT : WAIT_PERCENT;
-	int64_t wait = a->objective_ms * percent / PERCENT;
+	int64_t permille =
+		a->priority <= 1 ? a->weights->wait_urgent : a->weights->wait;
+	int64_t wait = a->objective_ms * permille / THOUSAND;
 	int64_t left = a->deadline - a->now_ms - hold_ms;
 
 	return wait < left ? wait : left;
--- a/place/src/rank.c
+++ b/place/src/rank.c
@@ -10,6 +10,8 @@
 	.later_loss = 2000,
 	.idle = 125,
 	.failure = 2000,
+	.wait = 450,
+	.wait_urgent = 900,
 };
 
 #define THOUSAND 1000
--- a/proxy/src/answer.c
+++ b/proxy/src/answer.c
@@ -40,8 +40,9 @@
 {
 	MHD_add_response_header(r->response, "Request-Outcome",
 				outcome_name(r->outcome));
-	/* Callers on open connections must ask for another VM in time. */
-	if (atomic_load(&r->thread->proxy->leaving))
+	/* Callers on open connections must ask for another VM in time; and
+	 * nobody knows where a request without a sound length ends. */
+	if (atomic_load(&r->thread->proxy->leaving) || r->unframed)
 		MHD_add_response_header(r->response, "Connection", "close");
 }
 
--- a/proxy/src/begin.c
+++ b/proxy/src/begin.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 const char *request_header(const struct proxy_request *r, const char *name)
 {
@@ -61,19 +62,62 @@
 	return now + left;
 }
 
-int request_read_length(struct proxy_request *r)
+/* What the header lines say of a request's length. */
+struct framing {
+	int lengths;
+	int encodings;
+	const char *length;
+	const char *encoding;
+	int odd_name;
+};
+
+static enum MHD_Result note_line(void *ctx, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
 {
-	const char *length = request_header(r, "Content-Length");
-	char *end;
-
-	r->up_length = -1;
-	if (length) {
-		r->up_length = strtoll(length, &end, 10);
-		if (*end || end == length || r->up_length < 0)
-			return -1;
+	struct framing *f = ctx;
+
+	(void)kind;
+	if (!name[0] || name[strcspn(name, " \t\r\n")])
+		f->odd_name = 1;
+	if (!strcasecmp(name, "Content-Length")) {
+		f->lengths++;
+		f->length = value ? value : "";
+	} else if (!strcasecmp(name, "Transfer-Encoding")) {
+		f->encodings++;
+		f->encoding = value ? value : "";
 	}
-	r->has_body = length || request_header(r, "Transfer-Encoding");
-	return 0;
+	return MHD_YES;
+}
+
+/* A request whose end two readers may see at different places is refused: what
+ * one takes as its body is another request to the other. */
+static const char *framing_problem(const struct framing *f)
+{
+	if (f->odd_name)
+		return "the name of a header line is not valid";
+	if (f->lengths > 1 || f->encodings > 1)
+		return "the length is given more than once";
+	if (f->lengths && f->encodings)
+		return "Content-Length stands beside Transfer-Encoding";
+	if (f->encodings && strcasecmp(f->encoding, "chunked") != 0)
+		return "Transfer-Encoding is not \"chunked\"";
+	if (f->lengths && (!f->length[0] || strspn(f->length, "0123456789") !=
+						    strlen(f->length)))
+		return "Content-Length is not a number";
+	return NULL;
+}
+
+const char *request_read_length(struct proxy_request *r)
+{
+	struct framing f = {0};
+	const char *problem;
+
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, note_line, &f);
+	problem = framing_problem(&f);
+	r->unframed = problem != NULL;
+	r->up_length = !problem && f.lengths ? strtoll(f.length, NULL, 10) : -1;
+	r->has_body = f.lengths || f.encodings;
+	return problem;
 }
 
 static int set_claim(struct proxy_request *r)
@@ -104,9 +148,10 @@
 
 void request_begin(struct proxy_request *r, const char *url)
 {
-	if (request_read_length(r)) {
-		request_fail(r, MHD_HTTP_BAD_REQUEST,
-			     "Content-Length is not a number");
+	const char *problem = request_read_length(r);
+
+	if (problem) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
 		return;
 	}
 	if (!r->view) {
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -102,6 +102,8 @@
 	struct body up;
 	int has_body;
 	int64_t up_length;
+	/** Where it ends can't be told. */
+	int unframed;
 	int up_ended;
 	/** Body from the upstream. */
 	struct body down;
@@ -173,9 +175,9 @@
 /** Value of a request's header, or null. */
 const char *request_header(const struct proxy_request *r, const char *name);
 
-/** Reads whether and how long a body is. Returns 0, or -1 if the length isn't
- * a number. */
-int request_read_length(struct proxy_request *r);
+/** Reads whether and how long a body is. Returns null, or what is wrong with
+ * the lines that say so. */
+const char *request_read_length(struct proxy_request *r);
 
 /** Gives up with a status and a cause; the handler sends the answer. */
 void request_fail(struct proxy_request *r, unsigned int status,
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -117,15 +117,16 @@
 void request_begin_routed(struct proxy_request *r)
 {
 	const struct steer_route *route;
+	const char *problem;
 
 	r->routed = 1;
 	r->up.max = BODY_KEPT;
 	r->down.max = ANSWER_KEPT;
 	r->retry_after_ms = RETRY_UNREADY_MS;
 	platform_request_read(read_header, r, &r->asked);
-	if (request_read_length(r)) {
-		request_fail(r, MHD_HTTP_BAD_REQUEST,
-			     "Content-Length is not a number");
+	problem = request_read_length(r);
+	if (problem) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
 		return;
 	}
 	if (!can_serve(r))
--- a/replay/src/main.c
+++ b/replay/src/main.c
@@ -4,6 +4,8 @@
 #include <argtable2.h>
 #include <string.h>
 
+#define ARGUMENTS 19
+
 static struct {
 	struct arg_file *scenario;
 	struct arg_file *trace;
@@ -16,8 +18,11 @@
 	struct arg_int *later_loss;
 	struct arg_int *idle;
 	struct arg_int *failure;
+	struct arg_int *wait;
+	struct arg_int *wait_urgent;
 	struct arg_file *series;
 	struct arg_file *record;
+	struct arg_str *service;
 	struct arg_str *regions;
 	struct arg_lit *help;
 	struct arg_end *end;
@@ -25,7 +30,7 @@
 
 static void **make_arguments(void)
 {
-	static void *table[16];
+	static void *table[ARGUMENTS];
 	int n = 0;
 
 	table[n++] = arg.scenario =
@@ -47,10 +52,15 @@
 	table[n++] = arg.idle = arg_int0(NULL, "idle", "PERMILLE", "weight");
 	table[n++] = arg.failure =
 		arg_int0(NULL, "failure", "PERMILLE", "weight");
+	table[n++] = arg.wait = arg_int0(NULL, "wait", "PERMILLE", "weight");
+	table[n++] = arg.wait_urgent =
+		arg_int0(NULL, "wait-urgent", "PERMILLE", "weight");
 	table[n++] = arg.series =
 		arg_file0(NULL, "series", "FILE", "worth earned by second");
 	table[n++] = arg.record =
 		arg_file0(NULL, "record", "LOG", "print a trace of these logs");
+	table[n++] = arg.service =
+		arg_str0(NULL, "service", "NAME", "requests to record");
 	table[n++] = arg.regions = arg_str0(NULL, "regions", "NAMES",
 					    "parts of VM names, by region");
 	table[n++] = arg.help = arg_lit0(NULL, "help", "print this");
@@ -63,6 +73,11 @@
 	return a->count ? a->ival[0] : otherwise;
 }
 
+static const char *text(const struct arg_str *a)
+{
+	return a->count ? a->sval[0] : "";
+}
+
 static struct place_weights weights(void)
 {
 	struct place_weights w = place_weights;
@@ -72,6 +87,8 @@
 	w.later_loss = number(arg.later_loss, w.later_loss);
 	w.idle = number(arg.idle, w.idle);
 	w.failure = number(arg.failure, w.failure);
+	w.wait = number(arg.wait, w.wait);
+	w.wait_urgent = number(arg.wait_urgent, w.wait_urgent);
 	return w;
 }
 
@@ -173,13 +190,12 @@
 		return arg.help->count ? 0 : 2;
 	}
 	if (arg.record->count)
-		rc = trace_record(
-			arg.record->filename[0],
-			arg.regions->count ? arg.regions->sval[0] : "", &err);
+		rc = trace_record(arg.record->filename[0], text(arg.service),
+				  text(arg.regions), &err);
 	else
 		rc = play_all(arg.scenario->filename[0], &err);
 	if (rc)
 		fprintf(stderr, "%s: %s\n", argv[0], err.text);
-	arg_freetable(table, 16);
+	arg_freetable(table, ARGUMENTS);
 	return prl_code_exit(rc);
 }
--- a/replay/src/record.c
+++ b/replay/src/record.c
@@ -6,11 +6,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Kinds are told apart by the service and the objective. */
+#define US_PER_MS 1000
+
+/* Kinds are told apart by priority and objective. */
 struct recording {
+	const char *service;
 	char **region;
 	GPtrArray *kind;
-	int64_t first_ms;
+	GArray *arrival;
 };
 
 static const char *text(const json_t *line, const char *name)
@@ -30,9 +33,9 @@
 
 static int kind_of(struct recording *r, const json_t *line)
 {
-	char *name =
-		g_strdup_printf("%s, objective %s ms", text(line, "service"),
-				text(line, "objective_ms"));
+	char *name = g_strdup_printf("priority %s, objective %s ms",
+				     text(line, "priority"),
+				     text(line, "objective_ms"));
 
 	for (guint i = 0; i < r->kind->len; i++) {
 		if (!strcmp(g_ptr_array_index(r->kind, i), name)) {
@@ -40,30 +43,63 @@
 			return (int)i;
 		}
 	}
-	printf("# kind %u: %s\n", r->kind->len, name);
 	g_ptr_array_add(r->kind, name);
 	return (int)r->kind->len - 1;
 }
 
-/* A line is written when its request has ended; it came before. */
+/* A line is written when its request has ended; it came before. Requests
+ * without a priority were on no route. */
 static void record_line(struct recording *r, const json_t *line)
 {
 	int64_t ms = json_integer_value(json_object_get(line, "time")) -
 		     strtoll(text(line, "ms"), NULL, 10);
-	int region = region_of(r, text(line, "vm"));
+	struct arrival a = {
+		.at_us = ms * US_PER_MS,
+		.region = region_of(r, text(line, "vm")),
+		.object = strtoull(text(line, "object"), NULL, 16),
+	};
 
-	if (strcmp(text(line, "event"), "request") != 0 || region < 0)
+	if (strcmp(text(line, "event"), "request") != 0 || a.region < 0 ||
+	    strcmp(text(line, "service"), r->service) != 0 ||
+	    !strcmp(text(line, "priority"), "0"))
 		return;
-	if (!r->first_ms)
-		r->first_ms = ms;
-	printf("%lld %d %d %s\n", (long long)(ms - r->first_ms), region,
-	       kind_of(r, line), text(line, "object"));
+	a.kind = kind_of(r, line);
+	g_array_append_val(r->arrival, a);
+}
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	int64_t x = ((const struct arrival *)a)->at_us;
+	int64_t y = ((const struct arrival *)b)->at_us;
+
+	return (x > y) - (x < y);
+}
+
+static void write_trace(struct recording *r)
+{
+	g_array_sort(r->arrival, by_time);
+	for (guint i = 0; i < r->kind->len; i++)
+		printf("# kind %u: %s\n", i,
+		       (const char *)g_ptr_array_index(r->kind, i));
+	for (guint i = 0; i < r->arrival->len; i++) {
+		const struct arrival *a =
+			&g_array_index(r->arrival, struct arrival, i);
+		int64_t first =
+			g_array_index(r->arrival, struct arrival, 0).at_us;
+
+		printf("%lld %d %d %016llx\n",
+		       (long long)((a->at_us - first) / US_PER_MS), a->region,
+		       a->kind, (unsigned long long)a->object);
+	}
 }
 
-enum prl_code trace_record(const char *log, const char *regions,
-			   struct prl_error *err)
+enum prl_code trace_record(const char *log, const char *service,
+			   const char *regions, struct prl_error *err)
 {
-	struct recording r = {.region = g_strsplit(regions, ",", 8)};
+	struct recording r = {
+		.service = service,
+		.region = g_strsplit(regions, ",", 8),
+	};
 	char line[4096];
 	FILE *f = fopen(log, "r");
 
@@ -73,6 +109,7 @@
 				log);
 	}
 	r.kind = g_ptr_array_new_with_free_func(g_free);
+	r.arrival = g_array_new(FALSE, FALSE, sizeof(struct arrival));
 	while (fgets(line, sizeof(line), f)) {
 		const char *at = strchr(line, '{');
 		json_t *j = at ? json_loads(at, 0, NULL) : NULL;
@@ -81,6 +118,8 @@
 			record_line(&r, j);
 		json_decref(j);
 	}
+	write_trace(&r);
+	g_array_unref(r.arrival);
 	g_ptr_array_unref(r.kind);
 	g_strfreev(r.region);
 	fclose(f);
--- a/replay/src/rule.c
+++ b/replay/src/rule.c
@@ -22,6 +22,8 @@
 		.homes = 1,
 		.second_loss = LOSS_ENDLESS,
 		.later_loss = LOSS_ENDLESS,
+		.wait = place_weights.wait,
+		.wait_urgent = place_weights.wait_urgent,
 	};
 	struct place_ask a = *ask;
 
--- a/replay/src/trace.h
+++ b/replay/src/trace.h
@@ -27,10 +27,11 @@
 enum prl_code trace_read(const char *path, const struct scenario *s, int speed,
 			 GArray **out, struct prl_error *err);
 
-/** Writes a trace of the requests in logs of entry VMs. "regions" lists parts
- * of VM names, with commas; the region of a VM is the first that its name
- * contains. Returns PRL_OK or PRL_E_IO. */
-enum prl_code trace_record(const char *log, const char *regions,
-			   struct prl_error *err);
+/** Writes a trace of the requests to one service in logs of entry VMs.
+ * "regions" lists parts of VM names, with commas; the region of a VM is the
+ * first that its name contains. Callers that came again are arrivals of their
+ * own. Returns PRL_OK or PRL_E_IO. */
+enum prl_code trace_record(const char *log, const char *service,
+			   const char *regions, struct prl_error *err);
 
 #endif
--- a/replay/test/test_replay.c
+++ b/replay/test/test_replay.c
@@ -255,6 +255,52 @@
 	unlink(bad);
 }
 
+/* Lines of other events, services and VMs are passed over; a line tells when
+ * its request ended. */
+static void test_log_is_recorded(void **state)
+{
+	static const char log[] =
+		"1.2 x-1 {\"time\":5300,\"vm\":\"x-1\",\"event\":\"request\","
+		"\"service\":\"s\",\"ms\":\"300\",\"priority\":\"1\","
+		"\"objective_ms\":\"400\",\"object\":\"00000000000000aa\"}\n"
+		"{\"time\":5100,\"vm\":\"y-1\",\"event\":\"request\","
+		"\"service\":\"s\",\"ms\":\"101\",\"priority\":\"2\","
+		"\"objective_ms\":\"300\",\"object\":\"00000000000000bb\"}\n"
+		"{\"time\":5100,\"vm\":\"y-1\",\"event\":\"request\","
+		"\"service\":\"t\",\"ms\":\"0\",\"priority\":\"2\"}\n"
+		"{\"time\":5100,\"vm\":\"z-1\",\"event\":\"request\","
+		"\"service\":\"s\",\"ms\":\"0\",\"priority\":\"2\"}\n"
+		"{\"time\":5100,\"vm\":\"y-1\",\"event\":\"start\"}\n"
+		"no line\n";
+	char path[] = "/tmp/test-replay-XXXXXX";
+	char copy[] = "/tmp/test-replay-XXXXXX";
+	struct scenario s = read_scenario("wave");
+	struct prl_error err = {0};
+	GArray *trace;
+	int out;
+
+	(void)state;
+	write_file(path, log);
+	write_file(copy, "");
+	fflush(stdout);
+	out = dup(STDOUT_FILENO);
+	assert_non_null(freopen(copy, "w", stdout));
+	assert_int_equal(trace_record(path, "s", "x,y", &err), PRL_OK);
+	fflush(stdout);
+	dup2(out, STDOUT_FILENO);
+	close(out);
+	assert_int_equal(trace_read(copy, &s, 1000, &trace, &err), PRL_OK);
+	assert_int_equal(trace->len, 2);
+	assert_int_equal(g_array_index(trace, struct arrival, 0).object, 0xbb);
+	assert_int_equal(g_array_index(trace, struct arrival, 0).region, 1);
+	assert_int_equal(g_array_index(trace, struct arrival, 0).kind, 1);
+	assert_int_equal(g_array_index(trace, struct arrival, 1).at_us, 1000);
+	assert_int_equal(g_array_index(trace, struct arrival, 1).kind, 0);
+	g_array_unref(trace);
+	unlink(path);
+	unlink(copy);
+}
+
 static void test_scenario_errors_name_the_place(void **state)
 {
 	char path[] = "/tmp/test-replay-XXXXXX";
@@ -282,6 +328,7 @@
 		cmocka_unit_test(test_moves_keep_the_pace),
 		cmocka_unit_test(test_burst_leaves_nothing_behind),
 		cmocka_unit_test(test_trace_is_read),
+		cmocka_unit_test(test_log_is_recorded),
 		cmocka_unit_test(test_scenario_errors_name_the_place),
 	};
 
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -33,6 +33,8 @@
 static _Atomic int ran;
 static _Atomic int refused;
 static _Atomic int misdirected;
+/* Requests that no caller may have sent as one of its own. */
+static _Atomic int smuggled;
 static _Atomic int checked;
 static _Atomic int open_now;
 static _Atomic int open_most;
@@ -277,8 +279,9 @@
 		cold_until = prl_now_ms() + atoll(p->head + 16);
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
-		 "\"checked\":%d,\"open_most\":%d,\"body_bytes\":%lld}\n",
-		 ran, refused, misdirected, checked, open_most,
+		 "\"smuggled\":%d,\"checked\":%d,\"open_most\":%d,"
+		 "\"body_bytes\":%lld}\n",
+		 ran, refused, misdirected, smuggled, checked, open_most,
 		 (long long)body_bytes);
 	say(p, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
 	say(p, text);
@@ -319,6 +322,7 @@
 	if (!strcmp(p->mode, "health"))
 		return !read_body(p) && answer_health(p);
 	ran++;
+	smuggled += !strcmp(p->mode, "smuggled");
 	if (!strcmp(p->mode, "early")) {
 		answer(p, "413 Too Long", p->id, WHOLE, "hello world\n");
 		return !read_body(p);
--- /dev/null
+++ b/system/test_hostile.c
@@ -0,0 +1,301 @@
+/* Callers that send what is no request, or more than one in the shape of one.
+ * HOSTILE_MS: how long the drawn ones go on, instead of a fixed number. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "routes.h"
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <primroselead/clock.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#define SEED 20261204
+
+/* Drawn texts, and how many between two looks at the VM. */
+#define ROUNDS 600
+#define LOOK_EACH 100
+
+/* Time for an answer to a text, in ms; most get none at once. */
+#define ANSWER_MS 20
+
+#define TEXT_MAX 8192
+
+static GRand *rnd;
+
+static int dial(void)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons(FRONT(1)),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct timeval wait = {.tv_usec = ANSWER_MS * 1000};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	return fd;
+}
+
+/* Sends a text and copies what comes back until nothing does. */
+static void exchange(const char *text, size_t len, char *out)
+{
+	int fd = dial();
+	size_t have = 0;
+	ssize_t n;
+
+	if (send(fd, text, len, MSG_NOSIGNAL) < 0) {
+		close(fd);
+		out[0] = 0;
+		return;
+	}
+	while (have < TEXT_MAX - 1 &&
+	       (n = recv(fd, out + have, TEXT_MAX - 1 - have, 0)) > 0)
+		have += (size_t)n;
+	out[have] = 0;
+	close(fd);
+}
+
+/* What comes back is one or more answers, or nothing. */
+static void expect_answers(const char *out, const char *sent)
+{
+	if (out[0] && strncmp(out, "HTTP/1.1 ", 9) != 0)
+		fail_msg("to \"%s\" came \"%.60s\"", sent, out);
+}
+
+static void expect_sound(void)
+{
+	char text[200];
+	char url[80];
+	struct answer a = routes_ask("GET", "/safe/plain");
+
+	routes_expect_whole(&a);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
+		 READY(1));
+	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
+}
+
+#define INNER                                                                  \
+	"POST /once/smuggled HTTP/1.1\r\nHost: h.example\r\n"                  \
+	"X-Request-Id: inner\r\nContent-Length: 0\r\n\r\n"
+
+#define OUTER                                                                  \
+	"POST /once/plain HTTP/1.1\r\nHost: h.example\r\n"                     \
+	"X-Request-Id: outer\r\n"
+
+/* Each text holds a second request only for who frames the first one
+ * differently from the rest of the way. */
+static const char *const ambiguous[] = {
+	OUTER "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+	      "0\r\n\r\n" INNER,
+	OUTER "Content-Length: 0\r\nContent-Length: 93\r\n\r\n" INNER,
+	OUTER "Content-Length: 93\r\nContent-Length: 0\r\n\r\n" INNER,
+	OUTER "Content-Length: 0, 93\r\n\r\n" INNER,
+	OUTER "Content-Length: +0\r\n\r\n" INNER,
+	OUTER "Content-Length: -1\r\n\r\n" INNER,
+	OUTER "Content-Length: 0x0\r\n\r\n" INNER,
+	OUTER "Content-Length: 0 0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" INNER,
+	OUTER "Content-Length : 0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: chunked\r\n\r\n"
+	      "ffffffffffffffff0\r\n\r\n" INNER,
+	OUTER "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n" INNER,
+	OUTER "X: a\r\n Content-Length: 93\r\n\r\n" INNER,
+	OUTER "X: a\nContent-Length: 93\r\n\r\n" INNER,
+	OUTER "Content-Length: 93\r\n\r\n" INNER,
+	OUTER "Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+	      "Content-Length: 93\r\n\r\n" INNER,
+	"POST /once/plain HTTP/1.1\r\nHost: h.example\r\n"
+	"X-Request-Id: outer\r\n X-Expected-Instance: i-1\r\n"
+	"Content-Length: 93\r\n\r\n" INNER,
+	"POST /once/plain HTTP/1.1\r\nHost: h.example\r\n"
+	"X-Request-Id: a\rPOST /once/smuggled HTTP/1.1\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"POST /once/plain%0d%0a%0d%0aPOST%20/once/smuggled%20HTTP/1.1 HTTP/1.1"
+	"\r\nHost: h.example\r\nX-Request-Id: outer\r\n"
+	"Content-Length: 0\r\n\r\n",
+};
+
+static int64_t smuggled(void)
+{
+	return routes_stat(UPSTREAM(1), "smuggled") +
+	       routes_stat(UPSTREAM(2), "smuggled");
+}
+
+static void test_nothing_is_smuggled(void **state)
+{
+	char out[TEXT_MAX];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(ambiguous); i++) {
+		exchange(ambiguous[i], strlen(ambiguous[i]), out);
+		expect_answers(out, ambiguous[i]);
+		harness_sleep(30);
+		if (smuggled())
+			fail_msg("text %zu reached an upstream as two: %s", i,
+				 ambiguous[i]);
+	}
+	expect_sound();
+}
+
+/* Sound texts that the drawn ones come from. */
+static const char *const sound[] = {
+	"GET /safe/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s1\r\n"
+	"X-Affinity-Key: 17\r\nX-Deadline-Remaining-Ms: 900\r\n\r\n",
+	"POST /once/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s2\r\n"
+	"Content-Length: 11\r\n\r\nhello world",
+	"POST /up/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s3\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n"
+	"0\r\n\r\n",
+	"GET /safe/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: "
+	"s4\r\n\r\n"
+	"GET /safe/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s5\r\n"
+	"Connection: close\r\n\r\n",
+	"GET /-/lookup?service=s HTTP/1.1\r\nHost: h.example\r\n\r\n",
+	"POST /up/plain HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s6\r\n"
+	"Expect: 100-continue\r\nContent-Length: 4\r\n\r\nabcd",
+};
+
+/* Parts that drawn texts get put in. */
+static const char *const parts[] = {
+	"\r\n",
+	"\r\n\r\n",
+	"\n",
+	"\r",
+	"\t",
+	" ",
+	":",
+	"%",
+	"%00",
+	"/../",
+	"//",
+	"?",
+	"#",
+	"99999999999999999999",
+	"-1",
+	"\xff\xfe",
+	"HTTP/9.9",
+	"Content-Length: 7\r\n",
+	"Transfer-Encoding: chunked\r\n",
+	"Connection: keep-alive, close\r\n",
+	"X-Request-Id: \r\n",
+	"X-Deadline-Remaining-Ms: 1e9\r\n",
+	"X-Affinity-Key: \x01\r\n",
+	"Host: \r\n",
+	"Expect: 200-ok\r\n",
+};
+
+static size_t put(char *text, size_t len, const char *part, size_t n)
+{
+	size_t at = (size_t)g_rand_int_range(rnd, 0, (int)len + 1);
+
+	if (len + n >= TEXT_MAX)
+		return len;
+	memmove(text + at + n, text + at, len - at);
+	memcpy(text + at, part, n);
+	return len + n;
+}
+
+static size_t change(char *text, size_t len)
+{
+	const char *part =
+		parts[g_rand_int_range(rnd, 0, (int)G_N_ELEMENTS(parts))];
+	size_t at = (size_t)g_rand_int_range(rnd, 0, (int)len);
+	char zero = 0;
+
+	switch (g_rand_int_range(rnd, 0, 6)) {
+	case 0:
+		text[at] = (char)g_rand_int_range(rnd, 0, 256);
+		return len;
+	case 1:
+		return at + 1;
+	case 2:
+		memmove(text + at, text + at + 1, len - at - 1);
+		return len > 1 ? len - 1 : len;
+	case 3:
+		return put(text, len, &zero, 1);
+	case 4:
+		return put(text, len, text + at, (len - at) / 2);
+	default:
+		return put(text, len, part, strlen(part));
+	}
+}
+
+static void send_drawn(void)
+{
+	const char *from =
+		sound[g_rand_int_range(rnd, 0, (int)G_N_ELEMENTS(sound))];
+	char text[TEXT_MAX + 1];
+	char out[TEXT_MAX];
+	size_t len = strlen(from);
+
+	memcpy(text, from, len + 1);
+	for (int n = g_rand_int_range(rnd, 1, 6); n > 0; n--)
+		len = change(text, len);
+	exchange(text, len, out);
+	text[len] = 0;
+	expect_answers(out, text);
+}
+
+static void test_drawn_texts(void **state)
+{
+	const char *ms = getenv("HOSTILE_MS");
+	int64_t end = ms ? prl_now_ms() + strtoll(ms, NULL, 10) : 0;
+
+	(void)state;
+	rnd = g_rand_new_with_seed(SEED);
+	for (int i = 1; ms ? prl_now_ms() < end : i <= ROUNDS; i++) {
+		send_drawn();
+		if (i % LOOK_EACH == 0)
+			expect_sound();
+	}
+	g_rand_free(rnd);
+	expect_sound();
+}
+
+/* Many heads that never end hold no one else up. */
+static void test_unfinished_heads(void **state)
+{
+	static const char head[] = "GET /safe/plain HTTP/1.1\r\nHost: h.exa";
+	int fd[200];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+		fd[i] = dial();
+		assert_int_equal(
+			send(fd[i], head, sizeof(head) - 1, MSG_NOSIGNAL),
+			sizeof(head) - 1);
+	}
+	for (int i = 0; i < 5; i++)
+		expect_sound();
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		close(fd[i]);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_nothing_is_smuggled),
+		cmocka_unit_test(test_drawn_texts),
+		cmocka_unit_test(test_unfinished_heads),
+	};
+	int rc;
+
+	(void)argc;
+	harness_init(argv[0]);
+	rc = cmocka_run_group_tests(tests, routes_setup, routes_teardown);
+	harness_finish();
+	return rc;
+}
