--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -219,8 +219,8 @@
 
 /** Fills all of an estimate but "open". "hold_us" is the time of a request in
  * the upstream's region. */
-void place_estimate(const struct place_known *k, int own, int64_t hold_us,
-		    int64_t now_ms, struct place_estimate *out);
+void place_estimate_read(const struct place_known *k, int own, int64_t hold_us,
+			 int64_t now_ms, struct place_estimate *out);
 
 /** A request that is to be placed at an upstream of one region. */
 struct place_ranking {
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -83,8 +83,9 @@
 	int closed = 0;
 
 	for (int i = 0; i < n; i++) {
-		place_estimate(known(c, &u[i]), outstanding(c, &u[i]),
-			       region_hold(c, region), now, &c->estimate[i]);
+		place_estimate_read(known(c, &u[i]), outstanding(c, &u[i]),
+				    region_hold(c, region), now,
+				    &c->estimate[i]);
 		c->estimate[i].open = is_open(c, &u[i]);
 		closed += now < known(c, &u[i])->closed_until;
 	}
--- a/place/src/known.c
+++ b/place/src/known.c
@@ -33,8 +33,8 @@
 	return mine + k->others * (REPORT_AGE_MAX_MS - age) / REPORT_AGE_MAX_MS;
 }
 
-void place_estimate(const struct place_known *k, int own, int64_t hold_us,
-		    int64_t now_ms, struct place_estimate *out)
+void place_estimate_read(const struct place_known *k, int own, int64_t hold_us,
+			 int64_t now_ms, struct place_estimate *out)
 {
 	out->inflight = place_inflight(k, own, now_ms);
 	out->slowness = THOUSAND;
--- a/proxy/src/outcome.c
+++ b/proxy/src/outcome.c
@@ -122,6 +122,13 @@
 	request_wake(r);
 }
 
+/* Another one answers at its address: it is not there to be reached. */
+static enum place_result result_of_refusal(const struct proxy_request *r)
+{
+	return r->status == MHD_HTTP_MISDIRECTED_REQUEST ? PLACE_UNREACHED
+							 : PLACE_REFUSED;
+}
+
 static void attempt_ended_routed(struct proxy_request *r)
 {
 	switch (r->verdict) {
@@ -138,7 +145,7 @@
 			pass_on(r);
 		return;
 	case VERDICT_REFUSED:
-		placing_learn(r, PLACE_REFUSED);
+		placing_learn(r, result_of_refusal(r));
 		retry_or_give_up(r, 1, "the upstream refused the request");
 		return;
 	case VERDICT_AMBIGUOUS:
--- a/replay/src/record.c
+++ b/replay/src/record.c
@@ -67,17 +67,9 @@
 	g_array_append_val(r->arrival, a);
 }
 
-static gint by_time(gconstpointer a, gconstpointer b)
-{
-	int64_t x = ((const struct arrival *)a)->at_us;
-	int64_t y = ((const struct arrival *)b)->at_us;
-
-	return (x > y) - (x < y);
-}
-
 static void write_trace(struct recording *r)
 {
-	g_array_sort(r->arrival, by_time);
+	trace_sort(r->arrival);
 	for (guint i = 0; i < r->kind->len; i++)
 		printf("# kind %u: %s\n", i,
 		       (const char *)g_ptr_array_index(r->kind, i));
--- a/replay/src/trace.c
+++ b/replay/src/trace.c
@@ -67,6 +67,11 @@
 	return (x > y) - (x < y);
 }
 
+void trace_sort(GArray *arrivals)
+{
+	g_array_sort(arrivals, by_time);
+}
+
 GArray *trace_draw(const struct scenario *s, uint32_t seed)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct arrival));
@@ -75,7 +80,7 @@
 	for (int r = 0; r < s->regions; r++)
 		draw_region(s, r, random, out);
 	g_rand_free(random);
-	g_array_sort(out, by_time);
+	trace_sort(out);
 	return out;
 }
 
--- a/replay/src/trace.h
+++ b/replay/src/trace.h
@@ -18,6 +18,9 @@
 	uint64_t object;
 };
 
+/** Puts arrivals into the order of their times. */
+void trace_sort(GArray *arrivals);
+
 /** Draws the arrivals of a scenario into an array of struct arrival. The same
  * seed gives the same ones. */
 GArray *trace_draw(const struct scenario *s, uint32_t seed);
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -65,6 +65,23 @@
 	harness_sleep(IN_FORCE_MS);
 }
 
+/* An upstream that isn't at its address is left alone like one that can't be
+ * reached: each request that finds out is late by it, and may find a second. */
+static void test_missing_instance_is_left_alone(void **state)
+{
+	int64_t before = routes_stat(UPSTREAM(3), "misdirected");
+
+	(void)state;
+	routes_put_upstream("i-1", "s", UPSTREAM(3), "ready", 3);
+	harness_sleep(IN_FORCE_MS);
+	for (int i = 0; i < 60; i++)
+		assert_int_equal(routes_ask_vm(1, "GET", "/safe/plain").status,
+				 200);
+	assert_in_range(routes_stat(UPSTREAM(3), "misdirected") - before, 1, 3);
+	routes_put_upstream("i-1", "s", UPSTREAM(1), "ready", 3);
+	harness_sleep(IN_FORCE_MS);
+}
+
 /* Requests are served through a VM, and none of them by an upstream. */
 static void expect_unused(int n, int upstream)
 {
@@ -360,6 +377,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_lookups_name_all_that_are_ready),
 		cmocka_unit_test(test_address_of_another_instance),
+		cmocka_unit_test(test_missing_instance_is_left_alone),
 		cmocka_unit_test(test_leaving_upstream_gets_nothing),
 		cmocka_unit_test(test_evacuated_domain_gets_nothing),
 		cmocka_unit_test(test_manifest_comes_into_force_and_stays),
--- a/system/test_hostile.c
+++ b/system/test_hostile.c
@@ -197,14 +197,17 @@
 	"Expect: 200-ok\r\n",
 };
 
+/* The part may be one of the text itself. */
 static size_t put(char *text, size_t len, const char *part, size_t n)
 {
 	size_t at = (size_t)g_rand_int_range(rnd, 0, (int)len + 1);
+	char copy[TEXT_MAX];
 
 	if (len + n >= TEXT_MAX)
 		return len;
+	memcpy(copy, part, n);
 	memmove(text + at + n, text + at, len - at);
-	memcpy(text + at, part, n);
+	memcpy(text + at, copy, n);
 	return len + n;
 }
 
