--- a/cmd/primroselead/explain.c
+++ b/cmd/primroselead/explain.c
@@ -3,6 +3,7 @@
 #include <argtable2.h>
 #include <glib.h>
 #include <jansson.h>
+#include <primroselead/log_lines.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,21 +24,9 @@
 	GHashTable *upstreams;
 };
 
-static const char *text_of(const json_t *line, const char *key)
-{
-	const char *text = json_string_value(json_object_get(line, key));
-
-	return text ? text : "";
-}
-
-static int64_t time_of(const json_t *line)
-{
-	return json_integer_value(json_object_get(line, "time"));
-}
-
 static int is(const json_t *line, const char *key, const char *value)
 {
-	return !strcmp(text_of(line, key), value);
+	return !strcmp(log_line_text(line, key), value);
 }
 
 /* Lines of other requests are not kept: they are most of a log. */
@@ -49,28 +38,25 @@
 	return !of_request || is(line, "id", id);
 }
 
-static void read_file(FILE *f, const char *id, GPtrArray *lines)
+/* Where lines are kept, and for whose sake. */
+struct keeping {
+	const char *id;
+	GPtrArray *lines;
+};
+
+static void keep_line(void *ctx, json_t *line)
 {
-	char *text = NULL;
-	size_t room = 0;
-
-	while (getline(&text, &room, f) > 0) {
-		/* A collector may have put something before the line. */
-		const char *at = strchr(text, '{');
-		json_t *line = at ? json_loads(at, JSON_DISABLE_EOF_CHECK, NULL)
-				  : NULL;
-
-		if (line && is_kept(line, id))
-			g_ptr_array_add(lines, line);
-		else
-			json_decref(line);
-	}
-	free(text);
+	struct keeping *k = ctx;
+
+	if (is_kept(line, k->id))
+		g_ptr_array_add(k->lines, json_incref(line));
 }
 
 static enum prl_code read_files(struct arg_file *files, const char *id,
 				GPtrArray *lines, struct prl_error *err)
 {
+	struct keeping k = {.id = id, .lines = lines};
+
 	for (int i = 0; i < files->count; i++) {
 		FILE *f = fopen(files->filename[i], "r");
 
@@ -78,7 +64,7 @@
 			return prl_fail(err, PRL_E_IO,
 					"log \"%s\" can't be read",
 					files->filename[i]);
-		read_file(f, id, lines);
+		log_lines_read(f, keep_line, &k);
 		fclose(f);
 	}
 	return PRL_OK;
@@ -86,8 +72,8 @@
 
 static int by_time(const void *a, const void *b)
 {
-	int64_t x = time_of(*(json_t *const *)a);
-	int64_t y = time_of(*(json_t *const *)b);
+	int64_t x = log_line_time(*(json_t *const *)a);
+	int64_t y = log_line_time(*(json_t *const *)b);
 
 	return x < y ? -1 : x > y;
 }
@@ -100,20 +86,22 @@
 		if (!is(line, "id", q->id))
 			continue;
 		g_hash_table_add(q->upstreams,
-				 g_strdup(text_of(line, "upstream")));
+				 g_strdup(log_line_text(line, "upstream")));
 		if (!is(line, "event", "request"))
 			continue;
-		g_strlcpy(q->vm, text_of(line, "vm"), sizeof(q->vm));
-		q->ended = time_of(line);
-		q->began = q->ended - atoll(text_of(line, "ms"));
+		g_strlcpy(q->vm, log_line_text(line, "vm"), sizeof(q->vm));
+		q->ended = log_line_time(line);
+		q->began = q->ended - atoll(log_line_text(line, "ms"));
 	}
 	g_hash_table_remove(q->upstreams, "");
 }
 
 static int is_of_upstream(const json_t *line, const struct question *q)
 {
-	return g_hash_table_contains(q->upstreams, text_of(line, "upstream")) ||
-	       g_hash_table_contains(q->upstreams, text_of(line, "instance"));
+	return g_hash_table_contains(q->upstreams,
+				     log_line_text(line, "upstream")) ||
+	       g_hash_table_contains(q->upstreams,
+				     log_line_text(line, "instance"));
 }
 
 /* What the VM knew: the newest line of each subject before the request ended.
@@ -125,12 +113,12 @@
 	for (guint i = at + 1; i < lines->len; i++) {
 		const json_t *later = g_ptr_array_index(lines, i);
 
-		if (time_of(later) > q->ended)
+		if (log_line_time(later) > q->ended)
 			break;
 		if (is(later, "vm", q->vm) &&
-		    is(later, "event", text_of(line, "event")) &&
-		    is(later, "kind", text_of(line, "kind")) &&
-		    is(later, "domain", text_of(line, "domain")))
+		    is(later, "event", log_line_text(line, "event")) &&
+		    is(later, "kind", log_line_text(line, "kind")) &&
+		    is(later, "domain", log_line_text(line, "domain")))
 			return 0;
 	}
 	return 1;
@@ -143,7 +131,7 @@
 		"evacuation", "quiesced", "leaving",	"paused",
 		"confirmed",  "reload",	  "registered", NULL};
 	const json_t *line = g_ptr_array_index(lines, at);
-	int64_t time = time_of(line);
+	int64_t time = log_line_time(line);
 
 	if (is(line, "id", q->id))
 		return 1;
@@ -163,8 +151,8 @@
 	const char *key;
 	json_t *value;
 
-	printf("%+8lld ms  %-10s", (long long)(time_of(line) - q->ended),
-	       text_of(line, "event"));
+	printf("%+8lld ms  %-10s", (long long)(log_line_time(line) - q->ended),
+	       log_line_text(line, "event"));
 	json_object_foreach((json_t *)line, key, value)
 	{
 		if (!strcmp(key, "time") || !strcmp(key, "vm") ||
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -287,6 +287,16 @@
 	return 0;
 }
 
+/* Three upstreams of one domain. */
+static void give_domain(void)
+{
+	give_manifest(3, PRL_OK);
+	k.listed = 1;
+	give("i1", "n-a", 1, 1, 0);
+	give("i2", "n-a", 1, 1, 0);
+	give("i3", "n-a", 1, 1, 0);
+}
+
 /* The others of its domain, which have not been heard, rest as well until they
  * can have answered; those of other domains and known cold ones go on. */
 static void test_others_of_a_cold_domain_rest(void **state)
@@ -294,11 +304,7 @@
 	struct steer_view *v;
 
 	(void)state;
-	give_manifest(3, PRL_OK);
-	k.listed = 1;
-	give("i1", "n-a", 1, 1, 0);
-	give("i2", "n-a", 1, 1, 0);
-	give("i3", "n-a", 1, 1, 0);
+	give_domain();
 	give("i4", "n-b", 1, 1, 0);
 	assert_int_equal(inventory_cold(&k, "i3", 30000, 4000), 1);
 	assert_int_equal(inventory_cold(&k, "i1", 20000, 14000), 1);
@@ -317,11 +323,7 @@
 	struct steer_view *v;
 
 	(void)state;
-	give_manifest(3, PRL_OK);
-	k.listed = 1;
-	give("i1", "n-a", 1, 1, 0);
-	give("i2", "n-a", 1, 1, 0);
-	give("i3", "n-a", 1, 1, 0);
+	give_domain();
 	assert_int_equal(inventory_cold(&k, "i1", 9000, 5000), 1);
 	assert_int_equal(inventory_cold(&k, "i2", 12000, 8000), 1);
 	v = view(0);
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -38,7 +38,7 @@
 	PLACE_REFUSED,
 	/** It broke off, or did not speak the protocol. */
 	PLACE_BROKEN,
-	/** It could not be reached. */
+	/** It could not be reached, or is not at its address. */
 	PLACE_UNREACHED,
 };
 
--- a/replay/src/figures.c
+++ b/replay/src/figures.c
@@ -1,7 +1,7 @@
 #include "request.h"
 
 #define US_PER_S 1000000
-#define REGIONS 8
+#define REGIONS SCENARIO_REGIONS_MAX
 
 void figures_init(struct world_figures *f)
 {
--- a/replay/src/main.c
+++ b/replay/src/main.c
@@ -2,9 +2,33 @@
  * prints what came of it: parts in permille, times in ms. */
 #include "report.h"
 #include <argtable2.h>
+#include <stddef.h>
 #include <string.h>
 
-#define ARGUMENTS 19
+/* A weight that an option sets. */
+struct weight {
+	const char *option;
+	const char *unit;
+	size_t at;
+};
+
+#define AT(field) offsetof(struct place_weights, field)
+
+static const struct weight weights[] = {
+	{"homes", "N", AT(homes)},
+	{"second-loss", "PERMILLE", AT(second_loss)},
+	{"later-loss", "PERMILLE", AT(later_loss)},
+	{"idle", "PERMILLE", AT(idle)},
+	{"failure", "PERMILLE", AT(failure)},
+	{"wait", "PERMILLE", AT(wait)},
+	{"wait-urgent", "PERMILLE", AT(wait_urgent)},
+};
+
+#define WEIGHTS (sizeof(weights) / sizeof(weights[0]))
+
+/* Arguments besides the weights. */
+#define OTHERS 12
+#define ARGUMENTS (WEIGHTS + OTHERS)
 
 static struct {
 	struct arg_file *scenario;
@@ -13,13 +37,7 @@
 	struct arg_int *seed;
 	struct arg_int *seeds;
 	struct arg_str *rule;
-	struct arg_int *homes;
-	struct arg_int *second_loss;
-	struct arg_int *later_loss;
-	struct arg_int *idle;
-	struct arg_int *failure;
-	struct arg_int *wait;
-	struct arg_int *wait_urgent;
+	struct arg_int *weight[WEIGHTS];
 	struct arg_file *series;
 	struct arg_file *record;
 	struct arg_str *service;
@@ -44,17 +62,10 @@
 					  "seeds of which the middle is taken");
 	table[n++] = arg.rule =
 		arg_strn(NULL, "rule", "NAME", 0, 8, "only these rules");
-	table[n++] = arg.homes = arg_int0(NULL, "homes", "N", "weight");
-	table[n++] = arg.second_loss =
-		arg_int0(NULL, "second-loss", "PERMILLE", "weight");
-	table[n++] = arg.later_loss =
-		arg_int0(NULL, "later-loss", "PERMILLE", "weight");
-	table[n++] = arg.idle = arg_int0(NULL, "idle", "PERMILLE", "weight");
-	table[n++] = arg.failure =
-		arg_int0(NULL, "failure", "PERMILLE", "weight");
-	table[n++] = arg.wait = arg_int0(NULL, "wait", "PERMILLE", "weight");
-	table[n++] = arg.wait_urgent =
-		arg_int0(NULL, "wait-urgent", "PERMILLE", "weight");
+	for (size_t i = 0; i < WEIGHTS; i++)
+		table[n++] = arg.weight[i] =
+			arg_int0(NULL, weights[i].option, weights[i].unit,
+				 "weight of placing");
 	table[n++] = arg.series =
 		arg_file0(NULL, "series", "FILE", "worth earned by second");
 	table[n++] = arg.record =
@@ -78,17 +89,15 @@
 	return a->count ? a->sval[0] : "";
 }
 
-static struct place_weights weights(void)
+static struct place_weights chosen_weights(void)
 {
 	struct place_weights w = place_weights;
 
-	w.homes = number(arg.homes, w.homes);
-	w.second_loss = number(arg.second_loss, w.second_loss);
-	w.later_loss = number(arg.later_loss, w.later_loss);
-	w.idle = number(arg.idle, w.idle);
-	w.failure = number(arg.failure, w.failure);
-	w.wait = number(arg.wait, w.wait);
-	w.wait_urgent = number(arg.wait_urgent, w.wait_urgent);
+	for (size_t i = 0; i < WEIGHTS; i++) {
+		int *value = (int *)((char *)&w + weights[i].at);
+
+		*value = number(arg.weight[i], *value);
+	}
 	return w;
 }
 
@@ -122,7 +131,7 @@
 static enum prl_code play(const struct scenario *s, const struct rule *rule,
 			  FILE *series, struct prl_error *err)
 {
-	struct place_weights chosen = weights();
+	struct place_weights chosen = chosen_weights();
 	int seeds = number(arg.seeds, 1);
 	GArray *reports = g_array_new(FALSE, FALSE, sizeof(struct report));
 
--- a/replay/src/record.c
+++ b/replay/src/record.c
@@ -1,7 +1,6 @@
 /* Traces from the logs of entry VMs. */
 #include "trace.h"
-#include <jansson.h>
-#include <primroselead/hash.h>
+#include <primroselead/log_lines.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,13 +15,6 @@
 	GArray *arrival;
 };
 
-static const char *text(const json_t *line, const char *name)
-{
-	const char *s = json_string_value(json_object_get(line, name));
-
-	return s ? s : "";
-}
-
 static int region_of(const struct recording *r, const char *vm)
 {
 	for (int i = 0; r->region[i]; i++)
@@ -34,8 +26,8 @@
 static int kind_of(struct recording *r, const json_t *line)
 {
 	char *name = g_strdup_printf("priority %s, objective %s ms",
-				     text(line, "priority"),
-				     text(line, "objective_ms"));
+				     log_line_text(line, "priority"),
+				     log_line_text(line, "objective_ms"));
 
 	for (guint i = 0; i < r->kind->len; i++) {
 		if (!strcmp(g_ptr_array_index(r->kind, i), name)) {
@@ -49,19 +41,21 @@
 
 /* A line is written when its request has ended; it came before. Requests
  * without a priority were on no route. */
-static void record_line(struct recording *r, const json_t *line)
+static void record_line(void *ctx, json_t *line)
 {
-	int64_t ms = json_integer_value(json_object_get(line, "time")) -
-		     strtoll(text(line, "ms"), NULL, 10);
+	struct recording *r = ctx;
+	int64_t ms = log_line_time(line) -
+		     strtoll(log_line_text(line, "ms"), NULL, 10);
 	struct arrival a = {
 		.at_us = ms * US_PER_MS,
-		.region = region_of(r, text(line, "vm")),
-		.object = strtoull(text(line, "object"), NULL, 16),
+		.region = region_of(r, log_line_text(line, "vm")),
+		.object = strtoull(log_line_text(line, "object"), NULL, 16),
 	};
 
-	if (strcmp(text(line, "event"), "request") != 0 || a.region < 0 ||
-	    strcmp(text(line, "service"), r->service) != 0 ||
-	    !strcmp(text(line, "priority"), "0"))
+	if (strcmp(log_line_text(line, "event"), "request") != 0 ||
+	    a.region < 0 ||
+	    strcmp(log_line_text(line, "service"), r->service) != 0 ||
+	    !strcmp(log_line_text(line, "priority"), "0"))
 		return;
 	a.kind = kind_of(r, line);
 	g_array_append_val(r->arrival, a);
@@ -92,7 +86,6 @@
 		.service = service,
 		.region = g_strsplit(regions, ",", 8),
 	};
-	char line[4096];
 	FILE *f = fopen(log, "r");
 
 	if (!f) {
@@ -102,14 +95,7 @@
 	}
 	r.kind = g_ptr_array_new_with_free_func(g_free);
 	r.arrival = g_array_new(FALSE, FALSE, sizeof(struct arrival));
-	while (fgets(line, sizeof(line), f)) {
-		const char *at = strchr(line, '{');
-		json_t *j = at ? json_loads(at, 0, NULL) : NULL;
-
-		if (j)
-			record_line(&r, j);
-		json_decref(j);
-	}
+	log_lines_read(f, record_line, &r);
 	write_trace(&r);
 	g_array_unref(r.arrival);
 	g_ptr_array_unref(r.kind);
--- a/replay/src/report.c
+++ b/replay/src/report.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #define THOUSAND 1000
-#define REGIONS 8
+#define REGIONS SCENARIO_REGIONS_MAX
 
 /* Requests of a region in a window below which its moves are not counted. */
 #define WINDOW_LEAST 20
--- a/replay/src/rule.c
+++ b/replay/src/rule.c
@@ -33,6 +33,17 @@
 	return place_choose(&a, out);
 }
 
+static void read_loads(struct world_vm *vm, const struct steer_place *place)
+{
+	for (int k = 0; k < place->nupstream; k++) {
+		int i = place->first_upstream + k;
+
+		vm->load[i].outstanding = vm->outstanding[i];
+		vm->load[i].latency_us = vm->known[i].latency_us;
+		vm->load[i].failures = vm->known[i].failures;
+	}
+}
+
 static int pick(struct world_vm *vm, const struct place_ask *ask, int region,
 		enum steer_choice choice)
 {
@@ -48,6 +59,7 @@
 		.except = STEER_NONE,
 	};
 
+	read_loads(vm, place);
 	for (int i = 0; ask->ntried && i < p.n; i++)
 		if (p.upstream[i].id == ask->tried[ask->ntried - 1])
 			p.except = i;
--- a/replay/src/scenario.c
+++ b/replay/src/scenario.c
@@ -27,7 +27,7 @@
 #define AT(type, field) offsetof(struct type, field)
 
 static const struct number fleet_numbers[] = {
-	{"regions", FORM_INT, AT(scenario, regions), 1, 8},
+	{"regions", FORM_INT, AT(scenario, regions), 1, SCENARIO_REGIONS_MAX},
 	{"vms", FORM_INT, AT(scenario, vms), 1, 64},
 	{"upstreams", FORM_INT, AT(scenario, upstreams), 1, 256},
 	{"slots", FORM_INT, AT(scenario, slots), 1, 1000},
@@ -68,7 +68,8 @@
 	{"until_s", FORM_S, AT(scenario_trouble, until_us), 0, 3600},
 	{"share", FORM_INT, AT(scenario_trouble, share), 0, 1000},
 	{"factor", FORM_INT, AT(scenario_trouble, factor), 1, 100000},
-	{"region", FORM_INT, AT(scenario_trouble, region), -1, 7},
+	{"region", FORM_INT, AT(scenario_trouble, region), -1,
+	 SCENARIO_REGIONS_MAX - 1},
 };
 
 static const char *const trouble_names[] = {
@@ -189,21 +190,71 @@
 	return rc;
 }
 
+static enum prl_code load(const char *path, GKeyFile *file,
+			  struct prl_error *err)
+{
+	GError *wrong = NULL;
+	enum prl_code rc;
+
+	if (g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &wrong))
+		return PRL_OK;
+	rc = prl_fail(err, PRL_E_IO, "file \"%s\": %s", path, wrong->message);
+	g_error_free(wrong);
+	return rc;
+}
+
+/* Puts the values of one file in the place of another's. */
+static void lay_over(GKeyFile *below, GKeyFile *file)
+{
+	char **group = g_key_file_get_groups(file, NULL);
+
+	for (int g = 0; group[g]; g++) {
+		char **key = g_key_file_get_keys(file, group[g], NULL, NULL);
+
+		for (int i = 0; key[i]; i++) {
+			char *value = g_key_file_get_value(file, group[g],
+							   key[i], NULL);
+
+			g_key_file_set_value(below, group[g], key[i], value);
+			g_free(value);
+		}
+		g_strfreev(key);
+	}
+	g_strfreev(group);
+}
+
+/* Reads a file that is like another one beside it, but for what it says. */
+static enum prl_code read_like(const char *path, const char *like,
+			       GKeyFile *file, struct scenario *s,
+			       struct prl_error *err)
+{
+	GKeyFile *below = g_key_file_new();
+	char *dir = g_path_get_dirname(path);
+	char *base = g_build_filename(dir, like, NULL);
+	enum prl_code rc = load(base, below, err);
+
+	if (!rc) {
+		lay_over(below, file);
+		rc = read_sections(below, s, err);
+	}
+	g_free(base);
+	g_free(dir);
+	g_key_file_free(below);
+	return rc;
+}
+
 enum prl_code scenario_read(const char *path, struct scenario *s,
 			    struct prl_error *err)
 {
 	GKeyFile *file = g_key_file_new();
-	GError *wrong = NULL;
-	enum prl_code rc;
+	enum prl_code rc = load(path, file, err);
+	char *like = g_key_file_get_string(file, "scenario", "like", NULL);
 
 	memset(s, 0, sizeof(*s));
-	if (g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &wrong)) {
-		rc = read_sections(file, s, err);
-	} else {
-		rc = prl_fail(err, PRL_E_IO, "file \"%s\": %s", path,
-			      wrong->message);
-		g_error_free(wrong);
-	}
+	if (!rc)
+		rc = like ? read_like(path, like, file, s, err)
+			  : read_sections(file, s, err);
+	g_free(like);
 	g_key_file_free(file);
 	return rc;
 }
--- a/replay/src/scenario.h
+++ b/replay/src/scenario.h
@@ -11,6 +11,7 @@
  * a name says otherwise.
  */
 
+#define SCENARIO_REGIONS_MAX 8
 #define SCENARIO_KINDS_MAX 8
 #define SCENARIO_TROUBLES_MAX 16
 #define SCENARIO_NAME_MAX 32
@@ -102,7 +103,9 @@
 	int ntrouble;
 };
 
-/** Reads a file. Returns PRL_OK, PRL_E_IO or PRL_E_CONFIG. */
+/** Reads a file. One with "like" in its section "scenario" says only what
+ * differs from the file of that name beside it. Returns PRL_OK, PRL_E_IO or
+ * PRL_E_CONFIG. */
 enum prl_code scenario_read(const char *path, struct scenario *s,
 			    struct prl_error *err);
 
--- a/replay/src/world.c
+++ b/replay/src/world.c
@@ -94,7 +94,6 @@
 	if (r->ntried < PLACE_TRIED_MAX)
 		r->tried[r->ntried++] = w->upstream[i].id;
 	vm->outstanding[i]++;
-	vm->load[i].outstanding++;
 	if (vm->outstanding[i] > vm->most[i])
 		vm->most[i] = vm->outstanding[i];
 	r->sent_us = w->now_us;
@@ -139,10 +138,7 @@
 		vm->load[i].reported_ms = now_ms(w);
 	}
 	vm->outstanding[i]--;
-	vm->load[i].outstanding--;
 	place_learn(k, &vm->state, &end, now_ms(w));
-	vm->load[i].latency_us = k->latency_us;
-	vm->load[i].failures = k->failures;
 }
 
 static int may_repeat(struct world *w, const struct world_request *r)
--- a/replay/src/world.h
+++ b/replay/src/world.h
@@ -38,7 +38,8 @@
 	uint64_t random;
 	/** Choices so far, for the rule that goes round. */
 	uint64_t count;
-	/** What rules without objects go by. */
+	/** What rules without objects go by: the upstreams' last reports, and
+	 * at a choice what is known besides. */
 	struct steer_load *load;
 };
 
@@ -47,8 +48,8 @@
 
 /** What became of the requests. */
 struct world_figures {
-	int64_t owed[8];
-	int64_t earned[8];
+	int64_t owed[SCENARIO_REGIONS_MAX];
+	int64_t earned[SCENARIO_REGIONS_MAX];
 	int64_t kind_owed[SCENARIO_KINDS_MAX];
 	int64_t kind_earned[SCENARIO_KINDS_MAX];
 	int64_t requests;
--- a/replay/test/test_replay.c
+++ b/replay/test/test_replay.c
@@ -65,18 +65,26 @@
 	assert_memory_equal(&a, &b, sizeof(a));
 }
 
+/* A scenario with one kind of request, of equal work, at a steady rate. */
+static struct scenario read_steady(const char *name, double rate)
+{
+	struct scenario s = read_scenario(name);
+
+	s.rate = rate;
+	s.swing = 0;
+	s.nkind = 1;
+	s.kind[0].vary = 0;
+	return s;
+}
+
 /* Far from its limits the model takes the time of the work and of four links,
  * and everything is served at the first try. */
 static void test_idle_time_is_exact(void **state)
 {
-	struct scenario s = read_scenario("wave");
+	struct scenario s = read_steady("wave", 2);
 	struct report r;
 
 	(void)state;
-	s.rate = 2;
-	s.swing = 0;
-	s.nkind = 1;
-	s.kind[0].vary = 0;
 	s.kind[0].objects = 0;
 	r = play(&s, "place", &place_weights);
 	assert_int_equal(r.p50_ms, (s.kind[0].work_us + 4 * s.near_us) / 1000);
@@ -90,14 +98,10 @@
 /* With all objects at hand the time falls by the gain. */
 static void test_objects_at_hand_are_faster(void **state)
 {
-	struct scenario s = read_scenario("wave");
+	struct scenario s = read_steady("wave", 20);
 	struct report r;
 
 	(void)state;
-	s.rate = 20;
-	s.swing = 0;
-	s.nkind = 1;
-	s.kind[0].vary = 0;
 	s.kind[0].objects = 3;
 	r = play(&s, "place", &place_weights);
 	assert_int_equal(r.p50_ms, (s.kind[0].work_us * (1000 - s.gain) / 1000 +
@@ -110,16 +114,12 @@
  * work of 100 ms serve no more than 10 a second. */
 static void test_no_more_than_the_slots(void **state)
 {
-	struct scenario s = read_scenario("single");
+	struct scenario s = read_steady("single", 100);
 	struct report r;
 
 	(void)state;
 	s.upstreams = 1;
 	s.speeds = 0;
-	s.rate = 100;
-	s.swing = 0;
-	s.nkind = 1;
-	s.kind[0].vary = 0;
 	s.kind[0].work_us = 100000;
 	s.kind[0].objective_us = 400000;
 	s.kind[0].deadline_us = 400000;
@@ -220,26 +220,34 @@
 	assert_true(earned * 100 >= owed * 95);
 }
 
-static void write_file(char *path, const char *text)
+/* Name of a new file with a text; remove_file ends both. */
+static char *new_file(const char *text)
 {
-	int fd = mkstemp(path);
-	FILE *f = fdopen(fd, "w");
+	char *path;
+	int fd = g_file_open_tmp(NULL, &path, NULL);
 
-	assert_non_null(f);
-	fputs(text, f);
-	fclose(f);
+	assert_true(fd >= 0);
+	close(fd);
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+static void remove_file(char *path)
+{
+	unlink(path);
+	g_free(path);
 }
 
 static void test_trace_is_read(void **state)
 {
 	struct scenario s = read_scenario("wave");
 	struct prl_error err = {0};
-	char path[] = "/tmp/test-replay-XXXXXX";
-	char bad[] = "/tmp/test-replay-XXXXXX";
 	GArray *trace;
+	char *path;
+	char *bad;
 
 	(void)state;
-	write_file(path, "# kind 0: a\n0 0 0 1f\n1500 2 1 0\n");
+	path = new_file("# kind 0: a\n0 0 0 1f\n1500 2 1 0\n");
 	assert_int_equal(trace_read(path, &s, 500, &trace, &err), PRL_OK);
 	assert_int_equal(trace->len, 2);
 	assert_int_equal(g_array_index(trace, struct arrival, 0).object, 0x1f);
@@ -248,11 +256,11 @@
 	assert_int_equal(g_array_index(trace, struct arrival, 1).region, 2);
 	assert_int_equal(g_array_index(trace, struct arrival, 1).kind, 1);
 	g_array_unref(trace);
-	write_file(bad, "0 0 0 1f\n1 3 0 1f\n");
+	bad = new_file("0 0 0 1f\n1 3 0 1f\n");
 	assert_int_equal(trace_read(bad, &s, 1000, &trace, &err), PRL_E_CONFIG);
 	assert_non_null(strstr(err.text, "line 2"));
-	unlink(path);
-	unlink(bad);
+	remove_file(path);
+	remove_file(bad);
 }
 
 /* Lines of other events, services and VMs are passed over; a line tells when
@@ -272,16 +280,16 @@
 		"\"service\":\"s\",\"ms\":\"0\",\"priority\":\"2\"}\n"
 		"{\"time\":5100,\"vm\":\"y-1\",\"event\":\"start\"}\n"
 		"no line\n";
-	char path[] = "/tmp/test-replay-XXXXXX";
-	char copy[] = "/tmp/test-replay-XXXXXX";
 	struct scenario s = read_scenario("wave");
 	struct prl_error err = {0};
 	GArray *trace;
+	char *path;
+	char *copy;
 	int out;
 
 	(void)state;
-	write_file(path, log);
-	write_file(copy, "");
+	path = new_file(log);
+	copy = new_file("");
 	fflush(stdout);
 	out = dup(STDOUT_FILENO);
 	assert_non_null(freopen(copy, "w", stdout));
@@ -297,23 +305,24 @@
 	assert_int_equal(g_array_index(trace, struct arrival, 1).at_us, 1000);
 	assert_int_equal(g_array_index(trace, struct arrival, 1).kind, 0);
 	g_array_unref(trace);
-	unlink(path);
-	unlink(copy);
+	remove_file(path);
+	remove_file(copy);
 }
 
 static void test_scenario_errors_name_the_place(void **state)
 {
-	char path[] = "/tmp/test-replay-XXXXXX";
 	struct prl_error err = {0};
 	struct scenario s;
+	char *path;
 
 	(void)state;
-	write_file(path, "[fleet]\nregions = 9\n");
+	path = new_file("[fleet]\nregions = 9\n");
 	assert_int_equal(scenario_read(path, &s, &err), PRL_E_CONFIG);
 	assert_string_equal(err.text, "\"regions\" of section \"fleet\" is not "
 				      "between 1 and 8");
 	unlink(path);
 	assert_int_equal(scenario_read(path, &s, &err), PRL_E_IO);
+	g_free(path);
 }
 
 int main(void)
--- a/system/harness.c
+++ b/system/harness.c
@@ -1,4 +1,5 @@
 #include "harness.h"
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <fcntl.h>
 #include <primroselead/clock.h>
@@ -49,6 +50,20 @@
 	nprocess = 0;
 }
 
+int harness_dial(int port)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_port = htons((uint16_t)port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
 const char *harness_path(const char *name)
 {
 	static char path[4][256];
--- a/system/harness.h
+++ b/system/harness.h
@@ -68,6 +68,9 @@
 /** Makes a request. */
 struct answer harness_call(const struct call *c);
 
+/** Opens a connection to a port of loopback. Returns the socket, or -1. */
+int harness_dial(int port);
+
 /** GET of a URL; returns the status and copies the body. */
 int harness_get(const char *url, char *out, size_t size);
 
--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -271,18 +271,14 @@
 /* Sends a request and does not wait for its answer. */
 static int start_hanging(int port, const char *path)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons((uint16_t)port),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = harness_dial(port);
 	char text[200];
 	int n = snprintf(text, sizeof(text),
 			 "POST %s HTTP/1.1\r\nHost: h.example\r\n"
 			 "X-Request-Id: hang\r\nContent-Length: 0\r\n\r\n",
 			 path);
 
-	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
+	assert_true(fd >= 0);
 	assert_int_equal(write(fd, text, (size_t)n), n);
 	return fd;
 }
--- a/system/test_hostile.c
+++ b/system/test_hostile.c
@@ -6,7 +6,6 @@
 #include <stdint.h>
 
 #include "routes.h"
-#include <arpa/inet.h>
 #include <cmocka.h>
 #include <glib.h>
 #include <primroselead/clock.h>
@@ -32,15 +31,11 @@
 
 static int dial(void)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(FRONT(1)),
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	struct timeval wait = {.tv_usec = ANSWER_MS * 1000};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = harness_dial(FRONT(1));
 
+	assert_true(fd >= 0);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-	assert_int_equal(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
 	return fd;
 }
 
