Stand-in store: return from a copy; VMs log its era and what looks older

Change: the stand-in makes a copy and returns to it, with Store-Era in all its answers and 410 for revisions that it does not have; an outage cuts waiting watches, as the platform's may. platform/ decodes the era; one line when it rises (store, returned) and one for each object that the store gives in an older version than the VM holds (older), with the counter config_older. What is done with an object does not change.

--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -178,6 +178,38 @@
 		apply_evacuation(c, name, o);
 }
 
+static void log_era(struct store *s, int64_t previous)
+{
+	char from[LOG_NUMBER_MAX];
+	char to[LOG_NUMBER_MAX];
+
+	log_format_number(from, previous);
+	log_format_number(to, s->era);
+	log_event(LOG_LEVEL_AUDIT, "store", "state",
+		  previous ? "returned" : "named", "era", to, "previous_era",
+		  from, NULL);
+}
+
+/*
+ * Logs an object that the store holds in an older version than this VM does,
+ * which is therefore not installed.
+ */
+static void log_older(struct control *c, const struct store_object *o)
+{
+	const struct spread_object *known =
+		spread_find(&c->sync.replica, o->key);
+	char held[LOG_NUMBER_MAX];
+	char read[LOG_NUMBER_MAX];
+
+	if (!known || known->version <= o->version)
+		return;
+	metrics_add(&c->proxy.control_metrics, METRIC_CONFIG_OLDER, 1);
+	log_format_number(held, known->version);
+	log_format_number(read, o->version);
+	log_event(LOG_LEVEL_WARNING, "older", "key", o->key, "version", read,
+		  "held", held, NULL);
+}
+
 /* Whether a later event of the same response creates a removed object again. */
 static int is_recreated(const struct store_follower *f,
 			const struct store_object *o)
@@ -200,6 +232,7 @@
 	case STORE_CHANGE_LIST_BEGIN:
 		break;
 	case STORE_CHANGE_PUT:
+		log_older(c, o);
 		sync_install(c, o->key, o->version, o->value, o->len);
 		break;
 	case STORE_CHANGE_REMOVE:
@@ -274,6 +307,7 @@
 	const struct prl_settings *s = c->settings;
 	struct registry *reg = &c->registry;
 
+	c->store.on_era = log_era;
 	inventory_init(&reg->inventory);
 	for (int i = 0; i < s->ndomain; i++)
 		inventory_set_domain_region(&reg->inventory, s->domain[i].label,
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -43,6 +43,9 @@
 	METRIC_RPC_RECEIVED_BYTES,
 	METRIC_RPC_REJECTED,
 	METRIC_CONFIG_INSTALLED,
+	/** Objects that the store gave in an older version than the replica's.
+	 */
+	METRIC_CONFIG_OLDER,
 	METRIC_CONFIG_PULLS,
 	METRIC_TOKENS_BORROWED,
 	METRIC_LOG_LINES_LOST,
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -29,6 +29,7 @@
 							"rpc_received_bytes",
 							"rpc_rejected",
 							"config_installed",
+							"config_older",
 							"config_pulls",
 							"tokens_borrowed",
 							"log_lines_lost"};
--- a/standin/src/objects.c
+++ b/standin/src/objects.c
@@ -29,6 +29,25 @@
 	return strcmp(x->key, y->key);
 }
 
+GHashTable *objects_copy(GHashTable *objects)
+{
+	GHashTable *copy = objects_new();
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, objects);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct object *from = value;
+		struct object *o = g_new0(struct object, 1);
+
+		o->key = g_strdup(from->key);
+		o->version = from->version;
+		o->value = from->value ? json_incref(from->value) : NULL;
+		g_hash_table_insert(copy, o->key, o);
+	}
+	return copy;
+}
+
 int object_key_has_kind(const char *key, const char *kind)
 {
 	size_t n = strlen(kind);
--- a/standin/src/objects.h
+++ b/standin/src/objects.h
@@ -17,6 +17,9 @@
 /** Creates an empty hash table from keys to objects, which it owns. */
 GHashTable *objects_new(void);
 
+/** Copies all objects, tombstones included. The caller owns the result. */
+GHashTable *objects_copy(GHashTable *objects);
+
 /** Returns 1 if the key has this kind. */
 int object_key_has_kind(const char *key, const char *kind);
 
--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -1,6 +1,6 @@
 /* Stand-in for the platform's object store: paged lists, conditional updates
- * and watches over HTTP, with outages, delays, lost responses and compaction on
- * demand. */
+ * and watches over HTTP, with outages, delays, lost responses, compaction and
+ * the return from an earlier copy on demand. */
 #include "answer.h"
 #include "objects.h"
 #include <apr_general.h>
@@ -46,6 +46,11 @@
 	struct serve serve;
 	GHashTable *objects;
 	int64_t revision;
+	/** Rises each time that the store returns from a copy. */
+	int64_t era;
+	/** Copy of the objects, and the revision at which it was made. */
+	GHashTable *copy;
+	int64_t copy_revision;
 	/** Watches from a revision before this one get 410 Gone. */
 	int64_t compacted_revision;
 	struct request *watchers;
@@ -79,11 +84,22 @@
 		server.requests_per_s_max = server.requests_this_s;
 }
 
+/* Responds to a call of the API. */
+static enum MHD_Result send_result(struct MHD_Connection *conn,
+				   unsigned int status, const char *text)
+{
+	char era[24];
+
+	snprintf(era, sizeof(era), "%lld", (long long)server.era);
+	return send_response_with_header(conn, status, text, strlen(text),
+					 "Store-Era", era);
+}
+
 static enum MHD_Result send_json(struct MHD_Connection *conn,
 				 unsigned int status, json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
-	enum MHD_Result rc = send_response(conn, status, text, strlen(text));
+	enum MHD_Result rc = send_result(conn, status, text);
 
 	json_decref(root);
 	free(text);
@@ -266,8 +282,7 @@
 		server.lose_write_responses--;
 		return MHD_NO;
 	}
-	return send_response(r->conn, r->status, r->result_json,
-			     strlen(r->result_json));
+	return send_result(r->conn, r->status, r->result_json);
 }
 
 static enum MHD_Result send_object(struct request *r)
@@ -275,14 +290,15 @@
 	const struct object *o = g_hash_table_lookup(server.objects, r->key);
 
 	if (!o || !o->value)
-		return send_response(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
+		return send_result(r->conn, MHD_HTTP_NOT_FOUND, "");
 	return send_json(r->conn, MHD_HTTP_OK, object_to_json(o));
 }
 
 static enum MHD_Result handle_watch(struct request *r)
 {
-	if (r->after_revision < server.compacted_revision)
-		return send_response(r->conn, MHD_HTTP_GONE, "{}", 2);
+	if (r->after_revision < server.compacted_revision ||
+	    r->after_revision > server.revision)
+		return send_result(r->conn, MHD_HTTP_GONE, "{}");
 	if (r->waited)
 		return send_events(r);
 	r->waited = 1;
@@ -304,6 +320,24 @@
 	wake_watchers(NULL);
 }
 
+static void make_copy(void)
+{
+	if (server.copy)
+		g_hash_table_destroy(server.copy);
+	server.copy = objects_copy(server.objects);
+	server.copy_revision = server.revision;
+}
+
+/* Loses what was written since the copy. Revisions go on from the copy's. */
+static void return_from_copy(void)
+{
+	g_hash_table_destroy(server.objects);
+	server.objects = objects_copy(server.copy);
+	server.revision = server.copy_revision;
+	server.era++;
+	wake_watchers(NULL);
+}
+
 /* Writes an object as the platform does, without a condition. Changes of VM
  * entries are delayed. */
 static void handle_admin_put(const struct request *r)
@@ -338,8 +372,15 @@
 			r->conn, "lose", server.lose_write_responses);
 		server.vm_put_delay_ms = query_argument_int(
 			r->conn, "vm_lag_ms", server.vm_put_delay_ms);
+		/* An outage cuts the waiting watches. */
+		if (server.down_until_ms > prl_now_ms())
+			wake_watchers(NULL);
 		if (query_argument_int(r->conn, "compact", 0))
 			compact_history();
+		if (query_argument_int(r->conn, "copy", 0))
+			make_copy();
+		if (query_argument_int(r->conn, "return", 0) && server.copy)
+			return_from_copy();
 	}
 	if (g_str_has_prefix(r->path, "/admin/objects/"))
 		handle_admin_put(r);
@@ -404,10 +445,9 @@
 	if (prl_now_ms() < server.down_until_ms)
 		return MHD_NO;
 	if (prl_now_ms() < server.busy_until_ms)
-		return send_response(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE, "",
-				     0);
+		return send_result(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE, "");
 	if (!r->applied && parse_path(r))
-		return send_response(r->conn, MHD_HTTP_NOT_FOUND, "", 0);
+		return send_result(r->conn, MHD_HTTP_NOT_FOUND, "");
 	r->after_revision = query_argument_int(r->conn, "watch", 0);
 	if (!r->waited)
 		count_request();
@@ -513,6 +553,7 @@
 	apr_initialize();
 	signal(SIGPIPE, SIG_IGN);
 	server.objects = objects_new();
+	server.era = 1;
 	server.vm_put_delay_ms =
 		strtoll(command_option(argc, argv, "vm-lag", "0"), NULL, 10);
 	if (loop_init(&server.loop, &err) ||
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -92,6 +92,8 @@
 	 * response does not contain it. Other operations: the store's revision
 	 * that the result reflects. */
 	int64_t revision;
+	/** Era that the response named; 0 if none. */
+	int64_t era;
 
 	/* Private to the client. */
 	struct store *store;
@@ -111,6 +113,13 @@
 struct store {
 	struct fetch_pool *pool;
 	char address[PRL_ADDRESS_MAX];
+	/** Highest era that the store has named; 0 if it names none. It rises
+	 * each time that the store returns from a copy, without what was
+	 * written since. */
+	int64_t era;
+	/** Called when the era rises; may be null. */
+	void (*on_era)(struct store *s, int64_t previous);
+	void *ctx;
 	/** Number of requests sent, by enum store_op, for metrics; a list may
 	 * take several. */
 	uint64_t requests_sent[STORE_WATCH + 1];
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -46,6 +46,30 @@
 	return len;
 }
 
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct store_call *c = ctx;
+	size_t len = size * n;
+	char *line = g_strndup(data, len);
+
+	g_strchomp(line);
+	platform_store_era_parse_header(line, &c->era);
+	g_free(line);
+	return len;
+}
+
+/* Notes the era of a response; one that is late may name an earlier era. */
+static void update_era(struct store *s, int64_t era)
+{
+	int64_t previous = s->era;
+
+	if (era <= previous)
+		return;
+	s->era = era;
+	if (s->on_era)
+		s->on_era(s, previous);
+}
+
 /* Called when a connection is ready for a request. libcurl may repeat a request
  * on a second connection; a repeated write could take effect twice, so it is
  * aborted. */
@@ -141,6 +165,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
+	update_era(c->store, c->era);
 	if (result)
 		report_transfer_error(c, result);
 	else
@@ -245,6 +270,8 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, c);
 	fetch_set_peer_timeout(easy, &unacked_timeout_ms);
@@ -291,6 +318,7 @@
 	c->object = NULL;
 	c->nobject = 0;
 	c->revision = 0;
+	c->era = 0;
 	c->headers = NULL;
 	c->response = NULL;
 	c->request_body = NULL;
--- a/system/routes.c
+++ b/system/routes.c
@@ -20,6 +20,16 @@
 	assert_int_equal(harness_send_request(&req).status, 200);
 }
 
+void routes_set_store_faults(const char *query)
+{
+	char url[120];
+	char text[400];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/faults?%s",
+		 STORE_PORT, query);
+	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
+}
+
 void routes_put_manifest(int version, const char *safe_service)
 {
 	char text[2048];
--- a/system/routes.h
+++ b/system/routes.h
@@ -36,6 +36,9 @@
 /** As routes_start_vm, with the store at another port. */
 void routes_start_vm_with_store(int n, int store_port);
 
+/** Sets faults of the store; "query" has the arguments of its /admin/faults. */
+void routes_set_store_faults(const char *query);
+
 /** Writes an object to the store as the platform does; an empty value deletes
  * it. */
 void routes_put_object(const char *key, const char *value);
