--- a/system/test_store_return.c
+++ b/system/test_store_return.c
@@ -18,6 +18,10 @@
 
 #define SECOND_MS 1000
 
+/* Time from the begin of an outage of 300 ms until all VMs have read from the
+ * store again, in ms. */
+#define RETURN_MS 1500
+
 /* The upstream of service "s" that serves the requests' object. */
 static int home_port;
 static const char *home_instance;
@@ -70,6 +74,16 @@
 	return most;
 }
 
+static void set_home_cold(int ms)
+{
+	char url[80];
+	char text[400];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/cold/%d",
+		 home_port, ms);
+	harness_get(url, text, sizeof(text));
+}
+
 /* The store returns from a copy, and its revisions are given out again: an
  * entry that says that its upstream is cold has a lower revision than the entry
  * that the VMs have. */
@@ -90,11 +104,29 @@
 	harness_sleep_ms(2000);
 }
 
+/* The store answers again, but an upstream that turned cold has not written it
+ * yet. */
+static void test_cold_upstream_is_flooded_before_it_writes_again(void **state)
+{
+	(void)state;
+	find_home();
+	routes_set_store_faults("copy=1");
+	routes_put_upstream("i-3", "t", UPSTREAM_PORT(3), "ready", 100);
+	harness_sleep_ms(PROPAGATION_MS);
+	routes_set_store_faults("return=1&down_ms=300");
+	harness_sleep_ms(RETURN_MS);
+	set_home_cold(3000);
+	assert_in_range(most_arrivals_per_s(1400), 0, COLD_MAX_PER_S);
+	harness_sleep_ms(3000);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_cold_entry_is_ignored_after_return_from_copy),
+		cmocka_unit_test(
+			test_cold_upstream_is_flooded_before_it_writes_again),
 	};
 
 	(void)argc;
