Versions order changes across the store's returns from a copy

What callers saw: a cold upstream flooded. Cause: a revision was taken as a total order. After a return from a copy revisions go back and are given out again, and the replica left aside what the store itself gave, for every object that had changed since the copy was made: an entry that says that its upstream is cold, leaves or has started again. Class: a number that orders only within one life of its source was compared across two.

Ruled out: lost or late reads (the VMs log that they read the entry).

Change: the store's client makes a version of era and revision, the era in the upper bits, so that every comparison that there is (replica, followers, digests, pulls) orders by era first. The wire keeps its types. Only the client takes a version apart. A watch that is answered in another era, or a list whose pages are of two, is listed again: its revision may be there again for another change. The same cause elsewhere, so that what the copy lacks or has too much does no harm: objects missing within 3 s of the return count as present for 2 s (upstreams as after an outage, evacuations now too); the entry of an upstream that was removed, and that is not newer than its last one, is not used; an entry read again does not start its cold time anew. A manifest was already compared by its own version.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -74,6 +74,8 @@
 	struct store_follower upstream;
 	struct store_follower evacuation;
 	struct store_follower vm;
+	/** When the store last returned from a copy; 0 if it never did. */
+	int64_t returned_ms;
 	/** Registered VMs other than this one: struct fleet_vm by name. */
 	GHashTable *vms;
 	/** When registered VMs that are not live are probed next. */
--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -8,15 +8,15 @@
 #include <string.h>
 
 /*
- * Time in ms for which an upstream is still used if its entry may have expired
- * during an outage of the store; live upstreams renew their entries within this
- * time.
+ * Time in ms for which an object that is missing counts as present if it may
+ * have expired during an outage of the store, or if the store may have returned
+ * from a copy that lacks it; its writer writes it again within this time.
  */
 #define EXPIRED_GRACE_MS 2000
 
 /*
- * Time in ms after an outage of the store during which a removed entry is taken
- * to have expired in it.
+ * Time in ms after an outage of the store, or its return from a copy, during
+ * which a missing object is taken to be missing because of it.
  */
 #define AFTER_OUTAGE_MS 3000
 
@@ -59,6 +59,17 @@
 		  "confirmed_ms_ago", age, NULL);
 }
 
+/*
+ * Time until which an object that went missing at "now" counts as present,
+ * given when the store came back; 0 if it did not.
+ */
+static int64_t grace_end(int64_t came_back_ms, int64_t now)
+{
+	if (came_back_ms && now - came_back_ms < AFTER_OUTAGE_MS)
+		return MAX(now, came_back_ms + EXPIRED_GRACE_MS);
+	return now;
+}
+
 /* Time until which an upstream whose entry was removed may still be used. */
 static int64_t removal_time(const struct control *c, int64_t now)
 {
@@ -66,9 +77,7 @@
 
 	if (f->consecutive_failures)
 		return now + EXPIRED_GRACE_MS;
-	if (f->recovered_ms && now - f->recovered_ms < AFTER_OUTAGE_MS)
-		return f->recovered_ms + EXPIRED_GRACE_MS;
-	return now;
+	return grace_end(MAX(f->recovered_ms, c->registry.returned_ms), now);
 }
 
 static void apply_manifest(struct control *c, const struct spread_object *o)
@@ -139,8 +148,14 @@
 static void apply_evacuation(struct control *c, const char *name,
 			     const struct spread_object *o)
 {
-	inventory_set_evacuated(&c->registry.inventory, name, o->len > 0,
-				prl_now_ms());
+	int64_t now = prl_now_ms();
+
+	if (o->len)
+		inventory_set_evacuated(&c->registry.inventory, name, 1, now);
+	else
+		inventory_schedule_evacuation_end(
+			&c->registry.inventory, name,
+			grace_end(c->registry.returned_ms, now));
 	log_event(LOG_LEVEL_AUDIT, "evacuation", "domain", name, "state",
 		  o->len ? "on" : "off", NULL);
 }
@@ -178,11 +193,15 @@
 		apply_evacuation(c, name, o);
 }
 
-static void log_era(struct store *s, int64_t previous)
+/* The first era that is named is no return from a copy. */
+static void on_era(struct store *s, int64_t previous)
 {
+	struct control *c = s->ctx;
 	char from[LOG_NUMBER_MAX];
 	char to[LOG_NUMBER_MAX];
 
+	if (previous)
+		c->registry.returned_ms = prl_now_ms();
 	log_format_number(from, previous);
 	log_format_number(to, s->era);
 	log_event(LOG_LEVEL_AUDIT, "store", "state",
@@ -307,7 +326,8 @@
 	const struct prl_settings *s = c->settings;
 	struct registry *reg = &c->registry;
 
-	c->store.on_era = log_era;
+	c->store.on_era = on_era;
+	c->store.ctx = c;
 	inventory_init(&reg->inventory);
 	for (int i = 0; i < s->ndomain; i++)
 		inventory_set_domain_region(&reg->inventory, s->domain[i].label,
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -28,12 +28,22 @@
 	int64_t remove_at_ms;
 };
 
+/** The last known entry of an upstream that was removed. */
+struct inventory_departed {
+	int64_t started_ms;
+	int64_t sequence;
+	int64_t forget_at_ms;
+};
+
 /** State of the platform's objects; used by the control thread only. */
 struct inventory {
 	struct fleet_manifest manifest;
 	/** struct inventory_upstream by instance name. */
 	GHashTable *upstreams;
-	/** Set of the names of evacuated failure domains. */
+	/** struct inventory_departed by instance name. */
+	GHashTable *departed;
+	/** By name of an evacuated failure domain, the time (int64_t) at which
+	 * the evacuation ends; PRL_NEVER while its object exists. */
 	GHashTable *evacuated_domains;
 	/** Region names by failure domain name. */
 	GHashTable *region_by_domain;
@@ -61,7 +71,9 @@
 
 /** Adds or updates an upstream. Returns PRL_OK, or PRL_E_STALE if a later
  * start of the upstream, or a higher sequence number of the same start, is
- * already known. */
+ * already known, or if the upstream was removed and the entry is not newer than
+ * its last one: a store that returns from a copy has such entries. An entry
+ * that is known and read again changes nothing. */
 enum prl_code inventory_update_upstream(struct inventory *inv,
 					const struct fleet_upstream *entry,
 					int64_t now, struct prl_error *err);
@@ -87,8 +99,13 @@
 void inventory_set_evacuated(struct inventory *inv, const char *domain, int on,
 			     int64_t now);
 
-/** Removes upstreams whose removal time has passed. Returns 1 if any was
- * removed, else 0. */
+/** Ends the evacuation of a failure domain at "end_ms", unless it is evacuated
+ * again before. */
+void inventory_schedule_evacuation_end(struct inventory *inv,
+				       const char *domain, int64_t end_ms);
+
+/** Removes upstreams whose removal time has passed, and ends evacuations whose
+ * end has. Returns 1 if there was any, else 0. */
 int inventory_remove_expired(struct inventory *inv, int64_t now);
 
 /**
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -16,13 +16,19 @@
  * paused. */
 #define DOMAIN_PAUSE_INTERVAL_MS 5000
 
+/* Time in ms for which a removed upstream's last entry is kept: more than the
+ * age of a copy that the store returns from. */
+#define DEPARTED_KEPT_MS 60000
+
 void inventory_init(struct inventory *inv)
 {
 	memset(inv, 0, sizeof(*inv));
 	inv->upstreams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	inv->departed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	inv->evacuated_domains =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	inv->region_by_domain =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -31,6 +37,7 @@
 {
 	fleet_manifest_finish(&inv->manifest);
 	g_hash_table_destroy(inv->upstreams);
+	g_hash_table_destroy(inv->departed);
 	g_hash_table_destroy(inv->evacuated_domains);
 	g_hash_table_destroy(inv->region_by_domain);
 }
@@ -70,6 +77,19 @@
 	return u->sequence < known->sequence;
 }
 
+/* Whether an entry is not newer than the last one of an upstream that was
+ * removed. */
+static int is_of_departed(const struct inventory *inv,
+			  const struct fleet_upstream *u)
+{
+	const struct inventory_departed *d =
+		g_hash_table_lookup(inv->departed, u->instance);
+
+	if (!d || u->started_ms > d->started_ms)
+		return 0;
+	return u->started_ms < d->started_ms || u->sequence <= d->sequence;
+}
+
 static int64_t service_cold_start_ms(const struct inventory *inv,
 				     const char *name)
 {
@@ -93,7 +113,7 @@
 		g_hash_table_lookup(inv->upstreams, entry->instance);
 	int is_new_start = !u || u->entry.started_ms != entry->started_ms;
 
-	if (u && is_older(entry, &u->entry))
+	if (u ? is_older(entry, &u->entry) : is_of_departed(inv, entry))
 		return prl_error_set(
 			err, PRL_E_STALE,
 			"entry of upstream \"%s\" is older than the "
@@ -103,10 +123,14 @@
 		u = g_new0(struct inventory_upstream, 1);
 		u->entry = *entry;
 		g_hash_table_insert(inv->upstreams, u->entry.instance, u);
+		g_hash_table_remove(inv->departed, entry->instance);
 	}
-	u->entry = *entry;
 	u->remove_at_ms = PRL_NEVER;
-	extend_cold(u, entry->cold_time_left_ms, now);
+	/* The cold time of an entry counts from when it was written, not from
+	 * when it is read again. */
+	if (is_new_start || entry->sequence > u->entry.sequence)
+		extend_cold(u, entry->cold_time_left_ms, now);
+	u->entry = *entry;
 	/* An upstream that appears after the initial list has just started and
 	 * is cold, even if its first entry reports no cold time. */
 	if (is_new_start && inv->list_complete)
@@ -185,25 +209,81 @@
 	}
 }
 
+void inventory_schedule_evacuation_end(struct inventory *inv,
+				       const char *domain, int64_t end_ms)
+{
+	int64_t *end = g_hash_table_lookup(inv->evacuated_domains, domain);
+
+	if (end && end_ms < *end)
+		*end = end_ms;
+}
+
 void inventory_set_evacuated(struct inventory *inv, const char *domain, int on,
 			     int64_t now)
 {
+	int64_t never = PRL_NEVER;
+
 	if (on)
-		g_hash_table_add(inv->evacuated_domains, g_strdup(domain));
+		g_hash_table_replace(inv->evacuated_domains, g_strdup(domain),
+				     g_memdup2(&never, sizeof(never)));
 	else if (g_hash_table_remove(inv->evacuated_domains, domain))
 		mark_domain_cold(inv, domain, now);
 }
 
-int inventory_remove_expired(struct inventory *inv, int64_t now)
+static int end_evacuations(struct inventory *inv, int64_t now)
 {
 	GHashTableIter it;
 	int n = 0;
-	void *u;
+	void *domain;
+	void *end;
 
+	g_hash_table_iter_init(&it, inv->evacuated_domains);
+	while (g_hash_table_iter_next(&it, &domain, &end)) {
+		if (now < *(int64_t *)end)
+			continue;
+		mark_domain_cold(inv, domain, now);
+		g_hash_table_iter_remove(&it);
+		n++;
+	}
+	return n;
+}
+
+static void note_departed(struct inventory *inv,
+			  const struct fleet_upstream *entry, int64_t now)
+{
+	struct inventory_departed *d = g_new0(struct inventory_departed, 1);
+
+	d->started_ms = entry->started_ms;
+	d->sequence = entry->sequence;
+	d->forget_at_ms = now + DEPARTED_KEPT_MS;
+	g_hash_table_replace(inv->departed, g_strdup(entry->instance), d);
+}
+
+static void forget_departed(struct inventory *inv, int64_t now)
+{
+	GHashTableIter it;
+	void *d;
+
+	g_hash_table_iter_init(&it, inv->departed);
+	while (g_hash_table_iter_next(&it, NULL, &d))
+		if (now >= ((struct inventory_departed *)d)->forget_at_ms)
+			g_hash_table_iter_remove(&it);
+}
+
+int inventory_remove_expired(struct inventory *inv, int64_t now)
+{
+	GHashTableIter it;
+	int n = end_evacuations(inv, now);
+	void *value;
+
+	forget_departed(inv, now);
 	g_hash_table_iter_init(&it, inv->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &u)) {
-		if (now < ((struct inventory_upstream *)u)->remove_at_ms)
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct inventory_upstream *u = value;
+
+		if (now < u->remove_at_ms)
 			continue;
+		note_departed(inv, &u->entry, now);
 		g_hash_table_iter_remove(&it);
 		n++;
 	}
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -383,6 +383,69 @@
 	now_ms = 0;
 }
 
+/* The store returns from a copy: the entry of an upstream that has left, and
+ * has been removed since, is there again. */
+static void test_left_upstream_in_a_copy_is_not_used(void **state)
+{
+	(void)state;
+	install_manifest(3, PRL_OK);
+	inv.list_complete = 1;
+	update_upstream("i1", "n-a", 50, 8, 0);
+	inventory_schedule_removal(&inv, "i1", 1000);
+	inventory_remove_expired(&inv, 1000);
+	for (int sequence = 7; sequence <= 8; sequence++) {
+		struct fleet_upstream u = make_entry("i1", "n-a", 50, sequence);
+
+		assert_int_equal(
+			inventory_update_upstream(&inv, &u, 2000, NULL),
+			PRL_E_STALE);
+	}
+	assert_int_equal(count_upstreams(), 0);
+	/* It writes again, or is started again. */
+	update_upstream("i1", "n-a", 50, 9, 3000);
+	assert_int_equal(count_upstreams(), 1);
+}
+
+/* An entry that is read again, after a list or a return from a copy, must not
+ * make its upstream cold from then on. */
+static void test_entry_read_again_is_not_cold_again(void **state)
+{
+	struct fleet_upstream u = make_entry("i1", "n-a", 50, 8);
+	struct steer_view *v;
+
+	(void)state;
+	install_manifest(3, PRL_OK);
+	u.cold_time_left_ms = 3000;
+	assert_int_equal(inventory_update_upstream(&inv, &u, 1000, NULL),
+			 PRL_OK);
+	inv.list_complete = 1;
+	assert_int_equal(inventory_update_upstream(&inv, &u, 9000, NULL),
+			 PRL_OK);
+	v = build_view(0);
+	assert_int_equal(v->service[0]->upstream[0].cold_until_ms, 4000);
+	config_view_release(v);
+}
+
+/* An evacuation that a copy lacks goes on until its object can have been
+ * written again. */
+static void test_evacuation_goes_on_after_return_from_copy(void **state)
+{
+	(void)state;
+	install_manifest(3, PRL_OK);
+	inv.list_complete = 1;
+	update_upstream("i1", "n-a", 1, 1, 0);
+	inventory_set_evacuated(&inv, "n-a", 1, 1000);
+	inventory_schedule_evacuation_end(&inv, "n-a", 3000);
+	inventory_remove_expired(&inv, 2999);
+	assert_int_equal(count_upstreams(), 0);
+	inventory_set_evacuated(&inv, "n-a", 1, 2999);
+	inventory_remove_expired(&inv, 3000);
+	assert_int_equal(count_upstreams(), 0);
+	inventory_schedule_evacuation_end(&inv, "n-a", 5000);
+	assert_int_equal(inventory_remove_expired(&inv, 5000), 1);
+	assert_int_equal(count_upstreams(), 1);
+}
+
 static void test_longest_prefix_comes_first(void **state)
 {
 	struct steer_view *v;
@@ -424,6 +487,15 @@
 			test_domain_rests_once_in_a_while, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_counters_are_given_back,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_left_upstream_in_a_copy_is_not_used, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_entry_read_again_is_not_cold_again, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_evacuation_goes_on_after_return_from_copy, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(test_longest_prefix_comes_first,
 						setup, teardown),
 	};
--- a/spread/include/primroselead/spread.h
+++ b/spread/include/primroselead/spread.h
@@ -7,11 +7,12 @@
 #include <stdint.h>
 
 /*
- * A VM's replica of the configuration objects. An object's version is the
- * store's revision at its last change, and an older version never replaces a
- * newer one, so deltas may be lost, repeated and reordered. Every change up to
- * "complete_revision" is known; a VM fills a gap by pulling from any VM whose
- * complete revision is higher. Does no I/O and reads no clock.
+ * A VM's replica of the configuration objects. An object's version is that of
+ * its last change in the store, which also orders changes before and after the
+ * store returned from a copy. An older version never replaces a newer one, so
+ * deltas may be lost, repeated and reordered. Every change up to
+ * "complete_revision", a version, is known; a VM fills a gap by pulling from
+ * any VM whose complete revision is higher. Does no I/O and reads no clock.
  */
 
 /** Size of a key, including the terminating null byte. */
--- a/store/include/primroselead/follow.h
+++ b/store/include/primroselead/follow.h
@@ -42,8 +42,8 @@
 	int64_t poll_interval_ms;
 	struct store_call call;
 	int call_active;
-	/** Set once a list was reported; "revision" is the store's revision up
-	 * to which changes were reported. */
+	/** Set once a list was reported; "revision" is the version of the
+	 * store up to which changes were reported. */
 	int listed;
 	int64_t revision;
 	/** Number of failed calls since the last successful one. */
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -3,6 +3,7 @@
 
 #include <primroselead/address.h>
 #include <primroselead/fetch.h>
+#include <primroselead/version.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -48,7 +49,7 @@
 	STORE_WATCH,
 };
 
-/** An object. The key is "KIND/NAME". The version is the store's revision at
+/** An object. The key is "KIND/NAME". The version (see version.h) is that of
  * the object's last change; 0 means that the object does not exist. */
 struct store_object {
 	char key[STORE_KEY_MAX];
@@ -63,7 +64,7 @@
 	enum store_op op;
 	char key[STORE_KEY_MAX];
 	/** PUT: expected current version, 0 to create the object. WATCH:
-	 * revision up to which changes are known. */
+	 * version up to which changes are known. */
 	int64_t version;
 	/** PUT: new value; must stay valid until the call is done. */
 	const char *value;
@@ -79,7 +80,8 @@
 	 * PRL_OK,
 	 * PRL_E_NOT_FOUND (the object does not exist),
 	 * PRL_E_CONFLICT (PUT: the version was not current; not written),
-	 * PRL_E_STALE (WATCH: the history is gone; list again),
+	 * PRL_E_STALE (WATCH: the history is gone; LIST: the store returned
+	 * from a copy between two pages; list again),
 	 * PRL_E_STORE_DOWN (PUT: not written),
 	 * PRL_E_UNSETTLED (PUT: may or may not have been written),
 	 * PRL_E_PROTOCOL (the response is not valid) or PRL_E_MEMORY.
@@ -89,16 +91,16 @@
 	struct store_object *object;
 	int nobject;
 	/** PUT: the new version, or after a conflict the current one, 0 if the
-	 * response does not contain it. Other operations: the store's revision
-	 * that the result reflects. */
+	 * response does not contain it. Other operations: the version of the
+	 * store that the result reflects. */
 	int64_t revision;
-	/** Era that the response named; 0 if none. */
-	int64_t era;
 
 	/* Private to the client. */
 	struct store *store;
 	struct fetch fetch;
 	struct curl_slist *headers;
+	/** Era that the response named; 0 if none. */
+	int64_t era;
 	char *response;
 	size_t response_len;
 	char *request_body;
--- a/store/src/response.c
+++ b/store/src/response.c
@@ -17,7 +17,7 @@
 		return prl_error_set(&c->err, PRL_E_PROTOCOL,
 				     "store: object name \"%.60s\" is too long",
 				     from->name);
-	o->version = from->version;
+	o->version = store_version(c->era, from->version);
 	o->value = from->value ? from->value : calloc(1, 1);
 	from->value = NULL;
 	if (!o->value)
@@ -72,7 +72,7 @@
 	/* A list keeps the revision of its first page: changes after it may be
 	 * missing from the pages and are read by the next watch. */
 	if (!c->revision)
-		c->revision = page.revision;
+		c->revision = store_version(c->era, page.revision);
 	c->has_more = page.has_more && page.nobject;
 	rc = c->op == STORE_PUT ? PRL_OK : take_page(c, &page);
 	platform_page_finish(&page);
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -101,7 +101,7 @@
 	/* The response contains the current object, if it exists. */
 	if (!platform_page_parse(c->response, c->response_len,
 				 PLATFORM_RESPONSE_OBJECT, &page, NULL)) {
-		c->revision = page.revision;
+		c->revision = store_version(c->era, page.revision);
 		platform_page_finish(&page);
 	}
 	return prl_error_set(&c->err, PRL_E_CONFLICT,
@@ -110,8 +110,37 @@
 			     (long long)c->version);
 }
 
+static enum prl_code report_stale(struct store_call *c)
+{
+	return prl_error_set(
+		&c->err, PRL_E_STALE,
+		"store: the history of \"%s\" after revision %lld of era %lld "
+		"is no longer available",
+		c->key, (long long)store_version_revision(c->version),
+		(long long)store_version_era(c->version));
+}
+
+/* Whether the store returned from a copy since what the call is based on: the
+ * revision that a watch names is then that of another change, and the pages of
+ * a list are of two states. */
+static int has_returned(const struct store_call *c)
+{
+	switch (c->op) {
+	case STORE_WATCH:
+		return c->era != store_version_era(c->version);
+	case STORE_LIST:
+		return c->revision && c->era != store_version_era(c->revision);
+	case STORE_GET:
+	case STORE_PUT:
+		break;
+	}
+	return 0;
+}
+
 static enum prl_code read_response(struct store_call *c, long status)
 {
+	if (status == HTTP_GONE || (status == HTTP_OK && has_returned(c)))
+		return report_stale(c);
 	if (status == HTTP_OK || status == HTTP_CREATED)
 		return store_parse_response(c);
 	if (status == HTTP_NOT_FOUND && c->op != STORE_PUT)
@@ -120,12 +149,6 @@
 				     c->key);
 	if (status == HTTP_CONFLICT || status == HTTP_NOT_FOUND)
 		return report_conflict(c);
-	if (status == HTTP_GONE)
-		return prl_error_set(
-			&c->err, PRL_E_STALE,
-			"store: the history of \"%s\" after revision "
-			"%lld is no longer available",
-			c->key, (long long)c->version);
 	if (c->op == STORE_PUT && !is_definite_rejection(status))
 		return prl_error_set(
 			&c->err, PRL_E_UNSETTLED,
@@ -205,13 +228,15 @@
 		return platform_list_path(kind, after);
 	case STORE_WATCH:
 		/* The store answers before the call times out. */
-		return platform_watch_path(kind, c->version,
+		return platform_watch_path(kind,
+					   store_version_revision(c->version),
 					   (c->deadline_ms - now) * 3 / 4);
 	case STORE_PUT:
 		break;
 	}
 	if (!c->len)
-		return platform_object_path(kind, name, c->version);
+		return platform_object_path(kind, name,
+					    store_version_revision(c->version));
 	/* A new object is created in its kind; the body has its name. */
 	if (!c->version)
 		return platform_list_path(kind, NULL);
@@ -245,8 +270,8 @@
 		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "DELETE");
 		return PRL_OK;
 	}
-	c->request_body =
-		platform_object_format(name, c->version, c->value, c->len);
+	c->request_body = platform_object_format(
+		name, store_version_revision(c->version), c->value, c->len);
 	if (!c->request_body)
 		return prl_error_set(
 			err, PRL_E_LIMIT,
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -25,8 +25,9 @@
 	int state;
 };
 
-/* Revision up to which the sender's replica of the configuration is complete,
- * and the digest of that replica. */
+/* Version of the store (its era in the bits from 40 on, its revision below) up to
+ * which the sender's replica of the configuration is complete, and the digest of
+ * that replica. */
 struct wire_digest {
 	hyper complete;
 	unsigned hyper sum;
@@ -55,16 +56,15 @@
 	string target<WIRE_ADDRESS>;
 };
 
-/* A configuration object. "revision" is the store's revision at the object's
- * last change; a value of length 0 is the tombstone of a removed object. */
+/* A configuration object. "revision" is the version of the object's last change;
+ * a value of length 0 is the tombstone of a removed object. */
 struct wire_object {
 	string key<WIRE_KEY>;
 	hyper revision;
 	opaque value<WIRE_VALUE>;
 };
 
-/* All configuration changes after revision "after", up to revision
- * "complete". */
+/* All configuration changes after version "after", up to version "complete". */
 struct wire_delta {
 	hyper after;
 	hyper complete;
@@ -74,7 +74,7 @@
 	wire_object object<WIRE_OBJECTS>;
 };
 
-/* Requests the configuration changes after a revision. */
+/* Requests the configuration changes after a version. */
 struct wire_pull {
 	hyper after;
 };
