Check the health of upstreams until they can have written again

What callers saw: a cold upstream flooded by all VMs right after the store came back. Cause: a VM asks upstreams for their cold time while the store is silent, and stopped at its first answer. That answer is the state before the outage, or of a copy: an upstream that turned cold writes it with its next write, up to two seconds later. Class: an answer was taken for news.

Ruled out: the entry is ignored (the test's entry is never written); the watch that used to be the first answer hid this, as it waits for 1.5 s; after a return from a copy a list is read at once.

Change: checks go on for 3 s after an outage or a return from a copy (registry_lacks_news), the time for which a missing entry counts as lapsed too.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -424,6 +424,12 @@
  */
 int registry_is_stale(const struct control *c, int64_t now);
 
+/**
+ * Whether the store may lack news of upstreams: the replica is stale, or the
+ * store came back so recently that upstreams may not have written to it since.
+ */
+int registry_lacks_news(const struct control *c, int64_t now);
+
 /** Notes that another VM's whole replica has been installed. */
 void registry_set_complete(struct control *c);
 
--- a/cmd/primroseleadd/health.h
+++ b/cmd/primroseleadd/health.h
@@ -6,10 +6,10 @@
 #include <primroselead/wire.h>
 
 /*
- * Health checks of upstreams while the store is unreachable. If the upstreams
- * of a failure domain restart during such an outage, they are cold and must not
- * get their full load. One VM checks each upstream and tells the other VMs of a
- * cold one.
+ * Health checks of upstreams while the store is unreachable, and until
+ * upstreams can have written to it since. If the upstreams of a failure domain
+ * restart in this time, they are cold and must not get their full load. One VM
+ * checks each upstream and tells the other VMs of a cold one.
  */
 
 struct control;
--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -378,6 +378,15 @@
 	       is_stale(&reg->evacuation, now);
 }
 
+int registry_lacks_news(const struct control *c, int64_t now)
+{
+	const struct registry *reg = &c->registry;
+	int64_t back = MAX(reg->upstream.recovered_ms, reg->returned_ms);
+
+	return registry_is_stale(c, now) ||
+	       (back && now - back < AFTER_OUTAGE_MS);
+}
+
 /*
  * Marks this VM ready once the replica is complete and a manifest is in force.
  * From the first complete replica on, an upstream that appears counts as newly
