VMs read and log the rate limits that upstreams name; a stand-in names them

Change: platform/ decodes Server-Limit, held to a range; a traffic thread tells the control thread when a response names another limit than its last one did, or none any longer, and once a second while there is one; one line, limit. The response of another instance (421) says nothing of this one. Placing does not use it yet. standin-odd names a limit in all its responses on demand.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEADD_CONTROL_H
 
 #include "health.h"
+#include "rate_limits.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
@@ -194,6 +195,7 @@
 	 * their semaphore_index plus 1.
 	 */
 	struct mailbox shortage_mailbox;
+	struct mailbox rate_limit_mailbox;
 	struct loop_timer tick_timer;
 	/** Receives SIGTERM, SIGINT and SIGHUP. */
 	struct loop_fd signal_fd;
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -182,6 +182,9 @@
 	int64_t cold_time_left_ms;
 	/** Instance that responded; empty if not given. */
 	char instance[FLEET_NAME_MAX];
+	/** Rate at which the upstream takes requests from all VMs together for
+	 * now, in thousandths of a request per second; -1 if it names none. */
+	int64_t rate_limit_milli;
 };
 
 /** A caller's look-up of the entry VMs to use; null where not given. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -86,6 +86,18 @@
 	struct claim_answer result;
 };
 
+/** A rate limit that an upstream named in a response, or that it names none any
+ * longer; sent to the control thread, which frees it. */
+struct proxy_rate_limit {
+	/** Id of the upstream, and its instance. */
+	uint64_t upstream_id;
+	char instance[STEER_NAME_MAX];
+	/** In thousandths of a request per second; -1 if it names none. */
+	int64_t limit_milli;
+	/** When the request that it answered was sent. */
+	int64_t sent_ms;
+};
+
 /** Type of a message from the control thread to a traffic thread. */
 enum proxy_message_type {
 	/** A new routing view; the receiver owns the reference. */
@@ -111,6 +123,15 @@
 	} u;
 };
 
+/** The rate limit in an upstream's last response to one thread. */
+struct proxy_named_limit {
+	/** Set if it named one. */
+	int is_limited;
+	int64_t limit_milli;
+	/** When this was last sent to the control thread; 0 if never. */
+	int64_t sent_ms;
+};
+
 struct proxy_request;
 struct proxy_sockets;
 
@@ -151,12 +172,14 @@
 	struct loop_timer link_timer;
 	/** Placement statistics of this thread, by stats_index of the upstream;
 	 * those shared by all threads are in struct proxy. This and the next
-	 * three tables are for routed requests, and null unless the VM follows
+	 * four tables are for routed requests, and null unless the VM follows
 	 * the manifest. */
 	struct place_upstream_stats *placement_stats;
 	/** Keep-alive timeout that the upstream announced, in s, by its
 	 * stats_index; 0 if it announced none. */
 	int *keep_alive_s;
+	/** By stats_index of the upstream. */
+	struct proxy_named_limit *named_limit;
 	/** Placement state of this thread, by stats_index of the service. */
 	struct place_service_state *placement_state;
 	/** Credit of each service of a route's traffic split, by stats_index of
@@ -198,6 +221,8 @@
 	/** Takes the semaphore_index plus one of a region without free
 	 * capacity, as a pointer; received by the control thread. */
 	struct mailbox *shortage_mailbox;
+	/** Takes struct proxy_rate_limit; received by the control thread. */
+	struct mailbox *rate_limit_mailbox;
 	/** End of the lease on this VM's capacity, on the clock of prl_now_ms.
 	 * The control thread renews it while it runs; a process that was
 	 * paused finds it expired and admits nothing. */
@@ -224,7 +249,8 @@
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
 			 const struct fleet_bounds *bounds, int region,
 			 struct mailbox *claims, struct mailbox *shortages,
-			 apr_pool_t *pool, struct prl_error *err);
+			 struct mailbox *rate_limits, apr_pool_t *pool,
+			 struct prl_error *err);
 
 /** Opens the listeners and starts the traffic threads. Returns PRL_OK, PRL_E_IO
  * or PRL_E_MEMORY. */
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -16,7 +16,12 @@
  * keep-alive timeout, in s. */
 #define IDLE_DEFAULT_S 4
 
+/* Interval in ms at which the control thread is told of a rate limit that
+ * stays. */
+#define LIMIT_REPEAT_MS 1000
+
 #define PERCENT 100
+#define US_PER_MS 1000
 
 static struct place_upstream_stats *
 routed_upstream_stats(const struct proxy_request *r)
@@ -190,6 +195,35 @@
 				  a->waiting, own_outstanding, prl_now_ms());
 }
 
+static void send_rate_limit(const struct proxy_request *r)
+{
+	struct proxy_rate_limit *limit = g_new0(struct proxy_rate_limit, 1);
+
+	limit->upstream_id = r->upstream->id;
+	memcpy(limit->instance, r->instance, sizeof(limit->instance));
+	limit->limit_milli = r->response_meta.rate_limit_milli;
+	limit->sent_ms = r->attempt_started_us / US_PER_MS;
+	mailbox_send(r->thread->proxy->rate_limit_mailbox, limit);
+}
+
+void placing_record_rate_limit(struct proxy_request *r)
+{
+	struct proxy_named_limit *known =
+		&r->thread->named_limit[r->upstream->stats_index];
+	int64_t milli = r->response_meta.rate_limit_milli;
+	int64_t now = prl_now_ms();
+	int is_limited = milli >= 0;
+	int is_news = is_limited != known->is_limited ||
+		      (is_limited && milli != known->limit_milli);
+
+	known->is_limited = is_limited;
+	known->limit_milli = milli;
+	if (!is_news && (!is_limited || now - known->sent_ms < LIMIT_REPEAT_MS))
+		return;
+	known->sent_ms = now;
+	send_rate_limit(r);
+}
+
 int placing_take_retry(struct proxy_request *r)
 {
 	return limit_budget_withdraw(&routed_service_state(r)->retry_budget);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -325,11 +325,12 @@
 	t->placement_stats =
 		calloc(CONFIG_INDEXES_MAX, sizeof(*t->placement_stats));
 	t->keep_alive_s = calloc(CONFIG_INDEXES_MAX, sizeof(*t->keep_alive_s));
+	t->named_limit = calloc(CONFIG_INDEXES_MAX, sizeof(*t->named_limit));
 	t->placement_state =
 		calloc(CONFIG_INDEXES_MAX, sizeof(*t->placement_state));
 	t->split_credit = calloc(CONFIG_INDEXES_MAX, sizeof(*t->split_credit));
-	if (!t->placement_stats || !t->keep_alive_s || !t->placement_state ||
-	    !t->split_credit)
+	if (!t->placement_stats || !t->keep_alive_s || !t->named_limit ||
+	    !t->placement_state || !t->split_credit)
 		return prl_error_set(
 			err, PRL_E_MEMORY,
 			"tables of a traffic thread: out of memory");
@@ -427,6 +428,7 @@
 	free(t->sockets);
 	free(t->placement_stats);
 	free(t->keep_alive_s);
+	free(t->named_limit);
 	free(t->placement_state);
 	free(t->split_credit);
 }
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -18,6 +18,9 @@
  * long          a body of LONG_BYTES
  * health        reports the remaining cold time, which /admin/cold/MS sets
  * smuggled      valid; counted, since no test sends it as a request of its own
+ *
+ * After /admin/limit/MILLI all responses name a rate limit, in thousandths of a
+ * request per second, until a negative one is set.
  */
 #include "answer.h"
 #include <apr_general.h>
@@ -54,6 +57,7 @@
 /* Time on the clock of prl_now_ms. */
 static _Atomic long long cold_until_ms;
 static _Atomic long long body_bytes;
+static _Atomic long long rate_limit_milli = -1;
 
 /* A connection, the bytes read from it, and the head of its current request. */
 struct connection {
@@ -189,15 +193,28 @@
 	return 0;
 }
 
+/* Header line that names the rate limit; empty if there is none. */
+static void format_rate_limit(char *line, size_t size)
+{
+	long long milli = rate_limit_milli;
+
+	line[0] = 0;
+	if (milli >= 0)
+		snprintf(line, size, "Server-Limit: %lld.%03lld\r\n",
+			 milli / 1000, milli % 1000);
+}
+
 static void respond(const struct connection *conn, const char *status,
 		    const char *id, const char *headers, const char *body)
 {
 	char text[1024];
+	char limit[64];
 
+	format_rate_limit(limit, sizeof(limit));
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n"
-		 "X-Server-Load: 1,0,6\r\n%s\r\n%s",
-		 status, id, headers, body);
+		 "X-Server-Load: 1,0,6\r\n%s%s\r\n%s",
+		 status, id, limit, headers, body);
 	send_text(conn, text);
 }
 
@@ -288,13 +305,15 @@
 static int send_health_response(const struct connection *conn)
 {
 	char text[256];
+	char limit[64];
 	long long left = cold_until_ms - prl_now_ms();
 
 	health_checks++;
+	format_rate_limit(limit, sizeof(limit));
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
-		 "X-Cold-Remaining-Ms: %lld\r\nContent-Length: 0\r\n\r\n",
-		 instance, left > 0 ? left : 0);
+		 "X-Cold-Remaining-Ms: %lld\r\n%sContent-Length: 0\r\n\r\n",
+		 instance, left > 0 ? left : 0, limit);
 	send_text(conn, text);
 	return 1;
 }
@@ -307,6 +326,8 @@
 		return 0;
 	if (!strncmp(conn->buf, "GET /admin/cold/", 16))
 		cold_until_ms = prl_now_ms() + atoll(conn->buf + 16);
+	if (!strncmp(conn->buf, "GET /admin/limit/", 17))
+		rate_limit_milli = atoll(conn->buf + 17);
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
 		 "\"smuggled\":%d,\"checked\":%d,\"open_most\":%d,"
