Keep to the rate limits that upstreams name, in the sum over all VMs

What callers saw: an upstream in need that said how much it takes got several times as much. Cause: nothing read what it said; a limit in a response was no input of placing. Class: a bound in the sum that reaches only the VMs that asked, and that each of them could take for its own.

Ruled out: VMs that each keep to all of it (arrivals do not change when the limit is named); VMs that were not told (all that sent requests log it).

Change: a VM tells all others of a limit that it read (WIRE_LIMIT, several at a time, repeated once a second while it stays, so that lost messages and new VMs do not matter). While a limit holds, the two VMs of the upstream's region that come first in its rendezvous order divide it, as for a cold one; the rest send it nothing, and its slots count for no region's share. Every way to an upstream goes through the same check, also that which ignores ejections; a VM's part is divided by its threads; health checks during an outage of the store get a quarter of the limit. A limit belongs to one start of an upstream. It ends with a response that names none, to a request sent after it was last named, or 20 s after that. Weighed: a part for each VM (0.03 of a request a second each at 83 VMs: none could be sent while it helps) and only the VMs that were told (any number of them).

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -141,6 +141,7 @@
 	if (control_follows_manifest(c)) {
 		registry_tick(c, now);
 		health_tick(c, now);
+		rate_limits_tick(c);
 	} else {
 		sync_tick(c, now);
 	}
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -186,6 +186,7 @@
 	struct sync sync;
 	struct registry registry;
 	struct health health;
+	struct rate_limits rate_limits;
 	struct config_builder builder;
 	struct proxy proxy;
 	/** Takes struct proxy_claim from traffic threads. */
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -12,6 +12,16 @@
  */
 #define CHECK_INTERVAL_MS 250
 
+/*
+ * Part of a rate limit that an upstream names which checks may use, in percent,
+ * and the longest interval between two checks of such an upstream, in ms.
+ */
+#define LIMITED_CHECK_PERCENT 25
+#define CHECK_INTERVAL_MAX_MS 4000
+
+#define MS_PER_S 1000
+#define MILLI 1000
+
 /*
  * Timeout of a check, in ms; long, since a busy upstream queues checks like
  * other requests.
@@ -33,6 +43,8 @@
 	char url[PRL_ADDRESS_MAX + FLEET_PATH_MAX + 16];
 	/** The current view assigns this check to this VM. */
 	int in_view;
+	/** Interval between two checks, in ms. */
+	int64_t interval_ms;
 	int64_t next_check_ms;
 	struct fetch fetch;
 	int in_flight;
@@ -196,7 +208,7 @@
 	CURL *easy = curl_easy_init();
 	struct prl_error err = {0};
 
-	k->next_check_ms = now + CHECK_INTERVAL_MS;
+	k->next_check_ms = now + k->interval_ms;
 	if (!easy)
 		return;
 	k->fetch =
@@ -220,6 +232,19 @@
 	end_transfer(k);
 }
 
+/* Checks count as requests: they get a part of what a limited upstream takes.
+ */
+static int64_t check_interval_ms(const struct steer_upstream *u, int64_t now)
+{
+	int64_t rate_milli = u->limit_milli * LIMITED_CHECK_PERCENT / 100;
+
+	if (now >= u->limited_until_ms)
+		return CHECK_INTERVAL_MS;
+	if (rate_milli * CHECK_INTERVAL_MAX_MS <= MS_PER_S * MILLI)
+		return CHECK_INTERVAL_MAX_MS;
+	return MAX(CHECK_INTERVAL_MS, MS_PER_S * MILLI / rate_milli);
+}
+
 static void set_check(struct control *c, const struct steer_upstream *u,
 		      const char *path)
 {
@@ -236,6 +261,7 @@
 		g_hash_table_insert(c->health.checks, &k->id, k);
 	}
 	snprintf(k->url, sizeof(k->url), "http://%s%s", u->address, path);
+	k->interval_ms = check_interval_ms(u, prl_now_ms());
 	k->in_view = 1;
 }
 
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -22,6 +22,13 @@
 	 * at its full rate, or when another upstream of its failure domain
 	 * was found to be cold and this one has not reported since. */
 	int64_t paused_until_ms;
+	/** The upstream's rate limit for all VMs together, in thousandths of a
+	 * request per second, and until when it is taken to hold; 0 if it names
+	 * none. */
+	int64_t limit_milli;
+	int64_t limited_until_ms;
+	/** When it was last known to name the limit. */
+	int64_t limit_named_ms;
 	/** Time at which an upstream whose entry is missing is removed. The
 	 * entry may only have expired while the store was down. PRL_NEVER
 	 * while the entry exists. */
@@ -94,6 +101,27 @@
 int inventory_report_cold(struct inventory *inv, const char *instance,
 			  int64_t cold_until_ms, int64_t now);
 
+/** A rate limit that an upstream named in a response. */
+struct inventory_limit {
+	const char *instance;
+	/** Identifies the start of the upstream, as in the view. */
+	uint64_t upstream_id;
+	/** In thousandths of a request per second; negative if the upstream
+	 * named none. */
+	int64_t limit_milli;
+	/** When the request was sent that the response answered. */
+	int64_t sent_ms;
+};
+
+/**
+ * Notes that an upstream named a rate limit, or no limit any longer. A response
+ * without a limit ends it only if its request was sent after the limit was last
+ * named, as responses may come out of order. Returns 1 if the limit changed,
+ * else 0.
+ */
+int inventory_report_limit(struct inventory *inv,
+			   const struct inventory_limit *limit, int64_t now);
+
 /** Marks a failure domain as evacuated ("on" is 1) or as back in use. The
  * upstreams of a domain that comes back are treated as cold. */
 void inventory_set_evacuated(struct inventory *inv, const char *domain, int on,
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -1,5 +1,8 @@
+#include "upstream_id.h"
 #include <primroselead/clock.h>
+#include <primroselead/hash.h>
 #include <primroselead/inventory.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Pause in ms for an upstream that was found to be cold. Its rate limit applies
@@ -16,6 +19,10 @@
  * paused. */
 #define DOMAIN_PAUSE_INTERVAL_MS 5000
 
+/* Time in ms for which a rate limit holds that is not named again. The VMs that
+ * may still send to the upstream hear of it with each response. */
+#define LIMIT_KEPT_MS 20000
+
 /* Time in ms for which a removed upstream's last entry is kept: more than the
  * age of a copy that the store returns from. */
 #define DEPARTED_KEPT_MS 60000
@@ -128,6 +135,8 @@
 	u->remove_at_ms = PRL_NEVER;
 	/* The cold time of an entry counts from when it was written, not from
 	 * when it is read again. */
+	if (is_new_start)
+		u->limited_until_ms = 0;
 	if (is_new_start || entry->sequence > u->entry.sequence)
 		extend_cold(u, entry->cold_time_left_ms, now);
 	u->entry = *entry;
@@ -190,6 +199,54 @@
 	return 1;
 }
 
+uint64_t inventory_upstream_id(const struct fleet_upstream *entry)
+{
+	char start[FLEET_NAME_MAX + 24];
+
+	inventory_format_start(entry, start, sizeof(start));
+	return prl_hash_string(start);
+}
+
+void inventory_format_start(const struct fleet_upstream *entry, char *out,
+			    size_t size)
+{
+	snprintf(out, size, "%s %lld", entry->instance,
+		 (long long)entry->started_ms);
+}
+
+static int set_limit(struct inventory_upstream *u, int64_t limit_milli,
+		     int64_t now)
+{
+	int changed =
+		now >= u->limited_until_ms || u->limit_milli != limit_milli;
+
+	u->limit_milli = limit_milli;
+	u->limited_until_ms = now + LIMIT_KEPT_MS;
+	u->limit_named_ms = now;
+	return changed;
+}
+
+static int end_limit(struct inventory_upstream *u, int64_t sent_ms, int64_t now)
+{
+	if (now >= u->limited_until_ms || sent_ms < u->limit_named_ms)
+		return 0;
+	u->limited_until_ms = 0;
+	return 1;
+}
+
+int inventory_report_limit(struct inventory *inv,
+			   const struct inventory_limit *limit, int64_t now)
+{
+	struct inventory_upstream *u =
+		g_hash_table_lookup(inv->upstreams, limit->instance);
+
+	if (!u || inventory_upstream_id(&u->entry) != limit->upstream_id)
+		return 0;
+	if (limit->limit_milli < 0)
+		return end_limit(u, limit->sent_ms, now);
+	return set_limit(u, limit->limit_milli, now);
+}
+
 /* Treats all upstreams of a failure domain as cold: they may have become cold
  * while the domain was evacuated. */
 static void mark_domain_cold(struct inventory *inv, const char *domain,
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -1,15 +1,21 @@
 /* Builds the view of a fleet that is configured by the platform's manifest. */
 #include "shared_service.h"
+#include "upstream_id.h"
 #include <primroselead/hash.h>
 #include <primroselead/inventory.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Number of VMs that send requests to one cold upstream and divide its rate
- * limit. Few, so that each one's part is enough to warm the upstream; more
- * than one, since a VM may die. */
-#define COLD_SENDERS 2
+/* Number of VMs that send requests to one upstream that is cold or names a rate
+ * limit, and divide its rate. Few, so that each one's part is enough to warm
+ * the upstream, and since VMs that disagree about who is active exceed the rate
+ * by less; more than one, since a VM may die. */
+#define PACED_SENDERS 2
+
+/* Least rate, in thousandths of a request per second, that is divided: the end
+ * of a limit is seen only in a response. */
+#define LIMIT_MIN_MILLI 250
 
 struct view_build {
 	const struct inventory *inventory;
@@ -26,7 +32,7 @@
 	       g_hash_table_contains(inv->region_by_domain, u->domain);
 }
 
-/* Whether a VM may send to cold upstreams of a region; STEER_NONE means any
+/* Whether a VM may send to paced upstreams of a region; STEER_NONE means any
  * region. */
 static int is_sender(const struct steer_vm *vm, int region)
 {
@@ -57,24 +63,28 @@
 	return is_ranked ? rank : STEER_NONE;
 }
 
-/* Sets this VM's part of a cold upstream's rate limit, and whether this VM is
- * its health checker. The limit applies to all VMs together, so COLD_SENDERS
- * VMs of the upstream's region divide it; if the region has no active VM,
- * VMs of any region do. */
-static void set_cold_limits(const struct view_build *build,
-			    struct steer_upstream *u, int64_t rate)
+/* Sets this VM's parts of the rates at which all VMs together may send to an
+ * upstream while it is cold or names a limit, and whether this VM is its health
+ * checker. The first PACED_SENDERS VMs of the upstream's region divide the
+ * rates; if the region has no active VM, VMs of any region do. */
+static void set_paced_rates(const struct view_build *build,
+			    struct steer_upstream *u, int64_t cold_rate_milli)
 {
+	int64_t limit = MAX(u->limit_milli, LIMIT_MIN_MILLI);
 	int total;
 	int rank = sender_rank(build, u->id, u->region, &total);
+	int senders;
 
 	if (!total)
 		rank = sender_rank(build, u->id, STEER_NONE, &total);
 	if (rank == STEER_NONE)
 		return;
 	u->is_health_checker = rank == 0;
-	if (rank < COLD_SENDERS)
-		u->cold_rate_milli =
-			rate / (total < COLD_SENDERS ? total : COLD_SENDERS);
+	if (rank >= PACED_SENDERS)
+		return;
+	senders = total < PACED_SENDERS ? total : PACED_SENDERS;
+	u->cold_rate_milli = cold_rate_milli / senders;
+	u->limit_part_milli = limit / senders;
 }
 
 static int fill_upstream(const struct view_build *build,
@@ -86,8 +96,7 @@
 	char start[FLEET_NAME_MAX + 24];
 
 	memset(u, 0, sizeof(*u));
-	snprintf(start, sizeof(start), "%s %lld", entry->instance,
-		 (long long)entry->started_ms);
+	inventory_format_start(entry, start, sizeof(start));
 	u->id = prl_hash_string(start);
 	memcpy(u->instance, entry->instance, sizeof(u->instance));
 	memcpy(u->address, entry->address, sizeof(u->address));
@@ -101,11 +110,13 @@
 	u->connections_max = service->connections_max;
 	u->cold_until_ms = from->cold_until_ms;
 	u->paused_until_ms = from->paused_until_ms;
+	u->limited_until_ms = from->limited_until_ms;
+	u->limit_milli = from->limit_milli;
 	u->stats_index = config_index_get(&build->builder->upstream_indexes,
 					  entry->service, start);
 	if (u->region < 0 || u->stats_index < 0)
 		return -1;
-	set_cold_limits(build, u, service->cold_rate_milli);
+	set_paced_rates(build, u, service->cold_rate_milli);
 	return 0;
 }
 
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -276,6 +276,97 @@
 	}
 }
 
+static int report_limit(int64_t limit_milli, int64_t sent_ms, int64_t now)
+{
+	struct steer_view *v = build_view(0);
+	struct inventory_limit limit = {
+		.instance = "i1",
+		.upstream_id = v->service[0]->upstream[0].id,
+		.limit_milli = limit_milli,
+		.sent_ms = sent_ms,
+	};
+
+	config_view_release(v);
+	return inventory_report_limit(&inv, &limit, now);
+}
+
+static int64_t limited_until_ms(void)
+{
+	struct steer_view *v = build_view(0);
+	int64_t until = v->service[0]->upstream[0].limited_until_ms;
+
+	config_view_release(v);
+	return until;
+}
+
+/* The parts of all VMs add up to the limit that an upstream names, also after
+ * its region has lost VMs or all of them, and two VMs at most have one. */
+static void test_rate_limit_is_divided(void **state)
+{
+	(void)state;
+	install_manifest(3, PRL_OK);
+	update_upstream("i1", "s-a", 1, 1, 0);
+	inv.list_complete = 1;
+	assert_int_equal(report_limit(2700, 900, 1000), 1);
+	assert_int_equal(report_limit(2700, 1900, 2000), 0);
+	for (int lost = 0; lost < 3; lost++) {
+		int64_t sum = 0;
+		int senders = 0;
+
+		for (int i = 0; i < lost; i++)
+			vm[i].state = STEER_GONE;
+		for (int self = lost; self < VMS; self++) {
+			struct steer_view *v = build_view(self);
+			int64_t part =
+				v->service[0]->upstream[0].limit_part_milli;
+
+			sum += part;
+			senders += part > 0;
+			config_view_release(v);
+		}
+		assert_int_equal(sum, 2700);
+		assert_in_range(senders, 1, 2);
+	}
+}
+
+/* A limit ends with a response that names none, to a request that was sent
+ * after the limit was last named; an earlier one may have been overtaken. */
+static void test_response_from_before_the_limit_does_not_end_it(void **state)
+{
+	(void)state;
+	install_manifest(3, PRL_OK);
+	update_upstream("i1", "n-a", 1, 1, 0);
+	inv.list_complete = 1;
+	assert_int_equal(report_limit(2700, 900, 1000), 1);
+	assert_int_equal(report_limit(-1, 999, 1100), 0);
+	assert_int_equal(limited_until_ms(), 21000);
+	assert_int_equal(report_limit(2700, 1500, 2000), 0);
+	assert_int_equal(limited_until_ms(), 22000);
+	assert_int_equal(report_limit(-1, 2000, 2100), 1);
+	assert_int_equal(limited_until_ms(), 0);
+	assert_int_equal(report_limit(-1, 2500, 2600), 0);
+}
+
+/* A limit is of one start of an upstream. */
+static void test_new_start_has_no_rate_limit(void **state)
+{
+	struct inventory_limit of_another = {.instance = "i1",
+					     .upstream_id = 1,
+					     .limit_milli = 500,
+					     .sent_ms = 900};
+
+	(void)state;
+	install_manifest(3, PRL_OK);
+	update_upstream("i1", "n-a", 50, 1, 0);
+	inv.list_complete = 1;
+	assert_int_equal(inventory_report_limit(&inv, &of_another, 1000), 0);
+	assert_int_equal(report_limit(2700, 900, 1000), 1);
+	update_upstream("i1", "n-a", 50, 2, 1500);
+	assert_int_equal(limited_until_ms(), 21000);
+	update_upstream("i1", "n-a", 60, 1, 2000);
+	assert_int_equal(limited_until_ms(), 0);
+}
+
 /* An upstream is paused when it is found to be cold; a further report while it
  * is known to be cold extends the cold time but not the pause. */
 static void test_found_cold_rests(void **state)
@@ -479,6 +570,13 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_cold_rate_is_divided,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_rate_limit_is_divided,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_response_from_before_the_limit_does_not_end_it,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_new_start_has_no_rate_limit, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_found_cold_rests, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -33,6 +33,8 @@
 	int64_t ejected_until_ms;
 	/** Limits the requests sent while the upstream is cold. */
 	struct limit_rate cold_limit;
+	/** Limits the requests sent while the upstream names a rate limit. */
+	struct limit_rate named_limit;
 };
 
 /** How an attempt at an upstream ended. */
@@ -56,7 +58,8 @@
 
 /** Estimated load of a region, from which the shares are computed. */
 struct place_region_load {
-	/** Slots of the upstreams that are neither cold nor ejected. */
+	/** Slots of the upstreams that are neither cold, limited nor ejected.
+	 */
 	int64_t slots;
 	/** Requests that run or wait at these upstreams, in thousandths. */
 	int64_t inflight_milli;
@@ -152,6 +155,9 @@
 	int (*outstanding)(const void *ctx, int stats_index);
 	/** Passed to outstanding(). */
 	const void *ctx;
+	/** Traffic threads of this VM; each gets an equal part of the VM's part
+	 * of an upstream's rate limit. */
+	int vm_threads;
 	/** Threads of all entry VMs together; each gets an equal part of an
 	 * upstream's connections. */
 	int fleet_threads;
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -66,19 +66,31 @@
 	return own_outstanding(p, u) < (share > 1 ? share : 1);
 }
 
+/* Whether the upstream's pace allows a request now: that of a cold one, and
+ * that of one that names a rate limit. */
+static int is_within_rates(const struct placement *p,
+			   const struct steer_upstream *u)
+{
+	const struct place_upstream_stats *stats = stats_of(p, u);
+	const struct place_request *req = p->request;
+
+	if (req->now_ms < u->cold_until_ms &&
+	    (u->cold_rate_milli <= 0 ||
+	     !limit_rate_allows(&stats->cold_limit, req->now_us)))
+		return 0;
+	return req->now_ms >= u->limited_until_ms ||
+	       (u->limit_part_milli > 0 &&
+		limit_rate_allows(&stats->named_limit, req->now_us));
+}
+
 static int is_available(const struct placement *p,
 			const struct steer_upstream *u)
 {
-	const struct place_upstream_stats *stats = stats_of(p, u);
 	int64_t now = p->request->now_ms;
 
-	if (now < stats->ejected_until_ms || now < u->paused_until_ms ||
-	    !may_open_connection(p, u))
-		return 0;
-	if (now >= u->cold_until_ms)
-		return 1;
-	return u->cold_rate_milli > 0 &&
-	       limit_rate_allows(&stats->cold_limit, p->request->now_us);
+	return now >= stats_of(p, u)->ejected_until_ms &&
+	       now >= u->paused_until_ms && may_open_connection(p, u) &&
+	       is_within_rates(p, u);
 }
 
 /* If all upstreams are ejected, the ejections are ignored: the cause may be on
@@ -99,6 +111,7 @@
 	}
 	for (int i = 0; ejected == n && i < n; i++)
 		p->estimate[i].available = now >= u[i].cold_until_ms &&
+					   now >= u[i].limited_until_ms &&
 					   may_open_connection(p, &u[i]);
 }
 
@@ -130,6 +143,10 @@
 	if (req->now_ms < u->cold_until_ms)
 		limit_rate_record(&stats_of(p, u)->cold_limit,
 				  u->cold_rate_milli, req->now_us);
+	if (req->now_ms < u->limited_until_ms)
+		limit_rate_record(&stats_of(p, u)->named_limit,
+				  u->limit_part_milli / req->vm_threads,
+				  req->now_us);
 	place_move_window_count(&req->state->move_window,
 				region != req->own_region, req->now_ms);
 }
@@ -214,7 +231,7 @@
 			&s->upstream[sr->first_upstream + i];
 
 		if (now < stats_of(p, u)->ejected_until_ms ||
-		    now < u->cold_until_ms)
+		    now < u->cold_until_ms || now < u->limited_until_ms)
 			continue;
 		out->slots += u->slots;
 		out->inflight_milli += place_inflight(
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -62,6 +62,7 @@
 		.state = &service_state,
 		.outstanding = outstanding,
 		.ctx = own_outstanding,
+		.vm_threads = 1,
 		.fleet_threads = 1,
 		.move_max_permille = 150,
 		.object_hash = prl_hash_combine(object, 11),
@@ -285,6 +286,41 @@
 	}
 }
 
+/* Upstreams that name a rate limit get requests at this VM's part of it,
+ * divided by its threads, also while all of them are ejected. */
+static void test_limited_ones_are_paced(void **unused)
+{
+	struct place_request req;
+	struct place_decision decision;
+	int taken = 0;
+
+	(void)unused;
+	for (int i = 0; i < PER_REGION; i++) {
+		upstream[i].limited_until_ms = now_ms + 10000;
+		upstream[i].limit_part_milli = i ? 0 : 8000;
+	}
+	for (int i = 0; i < 1000; i++) {
+		now_ms++;
+		req = make_request((uint64_t)i);
+		req.vm_threads = 2;
+		req.region_mask = 1;
+		taken += place_choose(&req, &decision);
+	}
+	assert_int_equal(taken, 4);
+	for (int i = 0; i < PER_REGION; i++)
+		stats[i].ejected_until_ms = now_ms + 5000;
+	for (int i = 0; i < 1000; i++) {
+		now_ms++;
+		req = make_request((uint64_t)i);
+		req.region_mask = 1;
+		assert_int_equal(place_choose(&req, &decision), 0);
+	}
+	now_ms += 9000;
+	req = make_request(1);
+	req.region_mask = 1;
+	assert_int_equal(place_choose(&req, &decision), 1);
+}
+
 /* Each of 4 threads opens at most a quarter of the 8 connections that an
  * upstream accepts. */
 static void test_connections_are_divided(void **unused)
@@ -451,6 +487,7 @@
 		cmocka_unit_test_setup(test_urgent_ones_wait_longer, setup),
 		cmocka_unit_test_setup(test_tried_ones_are_left_out, setup),
 		cmocka_unit_test_setup(test_cold_ones_are_paced, setup),
+		cmocka_unit_test_setup(test_limited_ones_are_paced, setup),
 		cmocka_unit_test_setup(test_connections_are_divided, setup),
 		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
 				       setup),
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -87,6 +87,12 @@
 	/** Rate at which this VM may send it requests while it is cold, in
 	 * thousandths of a request per second. */
 	int64_t cold_rate_milli;
+	/** It names a rate limit until this time. */
+	int64_t limited_until_ms;
+	/** Limit for all VMs together, and this VM's part of it, in thousandths
+	 * of a request per second. */
+	int64_t limit_milli;
+	int64_t limit_part_milli;
 	/** This VM alone among the entry VMs sends it health checks. */
 	int is_health_checker;
 };
--- a/system/test_rate_limit.c
+++ b/system/test_rate_limit.c
@@ -71,10 +71,67 @@
 	set_limit(port, -1);
 }
 
+/* The health checks of an outage of the store are requests, too. */
+static void test_limited_upstream_is_flooded_by_checks(void **state)
+{
+	int port = UPSTREAM_PORT(1);
+	int64_t before;
+
+	(void)state;
+	for (int n = 1; n <= 2; n++)
+		set_limit(UPSTREAM_PORT(n), LIMIT_PER_S * 1000);
+	send_requests(TOLD_MS, 2);
+	routes_set_store_faults("down_ms=6000");
+	harness_sleep_ms(TOLD_MS);
+	before = routes_upstream_stat(port, "ran") +
+		 routes_upstream_stat(port, "checked");
+	send_requests(WINDOW_MS, 2);
+	assert_in_range(routes_upstream_stat(port, "ran") +
+				routes_upstream_stat(port, "checked") - before,
+			0, ARRIVALS_MAX);
+	for (int n = 1; n <= 2; n++)
+		set_limit(UPSTREAM_PORT(n), -1);
+	routes_set_store_faults("down_ms=0");
+	send_requests(2 * WINDOW_MS / LIMIT_PER_S, 2);
+}
+
+/* A VM that learned of the limit from another one keeps to it, and all VMs use
+ * the upstream again once it names no limit. */
+static void test_limit_ends(void **state)
+{
+	int64_t before;
+	int home = 1;
+
+	(void)state;
+	harness_sleep_ms(TOLD_MS);
+	before = routes_upstream_stat(UPSTREAM_PORT(1), "ran");
+	send_requests(200, 2);
+	if (routes_upstream_stat(UPSTREAM_PORT(1), "ran") == before)
+		home = 2;
+	set_limit(UPSTREAM_PORT(home), LIMIT_PER_S * 1000);
+	send_requests(REQUEST_INTERVAL_MS, 1);
+	harness_sleep_ms(TOLD_MS);
+	before = routes_upstream_stat(UPSTREAM_PORT(home), "ran");
+	for (int i = 0; i < 20; i++)
+		routes_request_at(2, "GET", "/safe/plain");
+	assert_in_range(routes_upstream_stat(UPSTREAM_PORT(home), "ran") -
+				before,
+			0, LIMIT_PER_S);
+	set_limit(UPSTREAM_PORT(home), -1);
+	send_requests(2 * WINDOW_MS / LIMIT_PER_S, 2);
+	before = routes_upstream_stat(UPSTREAM_PORT(home), "ran");
+	for (int i = 0; i < 20; i++)
+		routes_request_at(2, "GET", "/safe/plain");
+	assert_true(routes_upstream_stat(UPSTREAM_PORT(home), "ran") - before >
+		    10);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_limited_upstream_is_flooded),
+		cmocka_unit_test(test_limited_upstream_is_flooded_by_checks),
+		cmocka_unit_test(test_limit_ends),
 	};
 
 	(void)argc;
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -12,6 +12,7 @@
 const WIRE_VALUE = 49152;
 const WIRE_RUMORS = 8;
 const WIRE_OBJECTS = 256;
+const WIRE_LIMITS_MAX = 64;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -131,6 +132,19 @@
 	hyper left_ms;
 };
 
+/* A rate limit that an upstream names: the requests that it takes from all VMs
+ * together, in thousandths of a request per second; negative if it no longer
+ * names one. "upstream" identifies the start of the instance. */
+struct wire_limit {
+	string instance<WIRE_NAME>;
+	unsigned hyper upstream;
+	hyper limit_milli;
+};
+
+struct wire_limits {
+	wire_limit limit<WIRE_LIMITS_MAX>;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -141,5 +155,6 @@
 		wire_loan WIRE_BORROW(wire_borrow) = 6;
 		void WIRE_RETURN(wire_return) = 7;
 		void WIRE_COLD(wire_cold) = 8;
+		void WIRE_LIMIT(wire_limits) = 9;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -19,6 +19,7 @@
 #define WIRE_VALUE 49152
 #define WIRE_RUMORS 8
 #define WIRE_OBJECTS 256
+#define WIRE_LIMITS_MAX 64
 
 struct wire_vm {
 	char *name;
@@ -139,6 +140,21 @@
 };
 typedef struct wire_cold wire_cold;
 
+struct wire_limit {
+	char *instance;
+	u_quad_t upstream;
+	quad_t limit_milli;
+};
+typedef struct wire_limit wire_limit;
+
+struct wire_limits {
+	struct {
+		u_int limit_len;
+		wire_limit *limit_val;
+	} limit;
+};
+typedef struct wire_limits wire_limits;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -167,6 +183,9 @@
 #define WIRE_COLD 8
 extern  void * wire_cold_1(wire_cold *, CLIENT *);
 extern  void * wire_cold_1_svc(wire_cold *, struct svc_req *);
+#define WIRE_LIMIT 9
+extern  void * wire_limit_1(wire_limits *, CLIENT *);
+extern  void * wire_limit_1_svc(wire_limits *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -194,6 +213,9 @@
 #define WIRE_COLD 8
 extern  void * wire_cold_1();
 extern  void * wire_cold_1_svc();
+#define WIRE_LIMIT 9
+extern  void * wire_limit_1();
+extern  void * wire_limit_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -214,6 +236,8 @@
 extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
 extern  bool_t xdr_wire_return (XDR *, wire_return*);
 extern  bool_t xdr_wire_cold (XDR *, wire_cold*);
+extern  bool_t xdr_wire_limit (XDR *, wire_limit*);
+extern  bool_t xdr_wire_limits (XDR *, wire_limits*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -230,6 +254,8 @@
 extern bool_t xdr_wire_loan ();
 extern bool_t xdr_wire_return ();
 extern bool_t xdr_wire_cold ();
+extern bool_t xdr_wire_limit ();
+extern bool_t xdr_wire_limits ();
 
 #endif /* K&R C */
 
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -221,3 +221,28 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_limit (XDR *xdrs, wire_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->limit_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_limits (XDR *xdrs, wire_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->limit.limit_val, (u_int *) &objp->limit.limit_len, WIRE_LIMITS_MAX,
+		sizeof (wire_limit), (xdrproc_t) xdr_wire_limit))
+		 return FALSE;
+	return TRUE;
+}
