Leave paused upstreams alone also while all of a region are ejected

What callers saw: a cold upstream flooded while those of its failure domain were not known to be cold yet. Cause: when all upstreams of a region are ejected, ejections are ignored, and with them the pause in which each upstream of a domain is asked whether it is cold, too. Class: a second way to an upstream that leaves out a check of the first.

Ruled out: cold ones themselves (that check is there).

Change: the pause holds there as well.

--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -110,7 +110,8 @@
 		ejected += now < stats_of(p, &u[i])->ejected_until_ms;
 	}
 	for (int i = 0; ejected == n && i < n; i++)
-		p->estimate[i].available = now >= u[i].cold_until_ms &&
+		p->estimate[i].available = now >= u[i].paused_until_ms &&
+					   now >= u[i].cold_until_ms &&
 					   now >= u[i].limited_until_ms &&
 					   may_open_connection(p, &u[i]);
 }
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -286,6 +286,27 @@
 	}
 }
 
+/* A paused upstream gets nothing, also while all of its region are ejected: it
+ * may be cold. */
+static void test_paused_one_rests_while_all_are_ejected(void **unused)
+{
+	struct place_request req;
+	struct place_decision decision;
+
+	(void)unused;
+	for (int i = 0; i < PER_REGION; i++)
+		stats[i].ejected_until_ms = now_ms + 5000;
+	for (int i = 1; i < PER_REGION; i++)
+		upstream[i].paused_until_ms = now_ms + 2000;
+	for (int i = 0; i < 200; i++) {
+		now_ms++;
+		req = make_request((uint64_t)i);
+		req.region_mask = 1;
+		if (place_choose(&req, &decision))
+			assert_int_equal(decision.upstream, 0);
+	}
+}
+
 /* Upstreams that name a rate limit get requests at this VM's part of it,
  * divided by its threads, also while all of them are ejected. */
 static void test_limited_ones_are_paced(void **unused)
@@ -487,6 +508,8 @@
 		cmocka_unit_test_setup(test_urgent_ones_wait_longer, setup),
 		cmocka_unit_test_setup(test_tried_ones_are_left_out, setup),
 		cmocka_unit_test_setup(test_cold_ones_are_paced, setup),
+		cmocka_unit_test_setup(
+			test_paused_one_rests_while_all_are_ejected, setup),
 		cmocka_unit_test_setup(test_limited_ones_are_paced, setup),
 		cmocka_unit_test_setup(test_connections_are_divided, setup),
 		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
