A rate limit begins with a pause, is told at once and ends by two responses

Ruled out by reading: VMs of other regions (they have no part), retries (each is placed anew and counted), a change of the manifest (the pace is kept by start of the upstream).

Change: an upstream that begins to name a limit gets nothing for 2 s; the control thread ticks at once at the news instead of within 50 ms, at the VM that read it and at those that are told; two successful responses in a row without the header end it, and a VM that only heard of the limit can tell its end as well (before, only one that had read it could).

--- a/cmd/primroseleadd/rate_limits.c
+++ b/cmd/primroseleadd/rate_limits.c
@@ -31,6 +31,8 @@
 		return 0;
 	log_limit(limit->instance, limit->limit_milli, from);
 	c->view_outdated = 1;
+	/* What is sent until all VMs know of a limit exceeds it. */
+	c->tick_timer.deadline_ms = prl_now_ms();
 	return 1;
 }
 
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -27,6 +27,9 @@
 	 * none. */
 	int64_t limit_milli;
 	int64_t limited_until_ms;
+	/** No requests are sent until this time, since the upstream got more
+	 * than its limit before that was known. */
+	int64_t limit_resumes_ms;
 	/** When it was last known to name the limit. */
 	int64_t limit_named_ms;
 	/** Time at which an upstream whose entry is missing is removed. The
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -23,6 +23,11 @@
  * may still send to the upstream hear of it with each response. */
 #define LIMIT_KEPT_MS 20000
 
+/* Pause in ms for an upstream that begins to name a rate limit. A limit holds
+ * for periods of seconds, and until all VMs know it the upstream gets its usual
+ * requests. */
+#define LIMIT_PAUSE_MS 2000
+
 /* Time in ms for which a removed upstream's last entry is kept: more than the
  * age of a copy that the store returns from. */
 #define DEPARTED_KEPT_MS 60000
@@ -217,9 +222,11 @@
 static int set_limit(struct inventory_upstream *u, int64_t limit_milli,
 		     int64_t now)
 {
-	int changed =
-		now >= u->limited_until_ms || u->limit_milli != limit_milli;
+	int is_new = now >= u->limited_until_ms;
+	int changed = is_new || u->limit_milli != limit_milli;
 
+	if (is_new)
+		u->limit_resumes_ms = now + LIMIT_PAUSE_MS;
 	u->limit_milli = limit_milli;
 	u->limited_until_ms = now + LIMIT_KEPT_MS;
 	u->limit_named_ms = now;
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -111,6 +111,7 @@
 	u->cold_until_ms = from->cold_until_ms;
 	u->paused_until_ms = from->paused_until_ms;
 	u->limited_until_ms = from->limited_until_ms;
+	u->limit_resumes_ms = from->limit_resumes_ms;
 	u->limit_milli = from->limit_milli;
 	u->stats_index = config_index_get(&build->builder->upstream_indexes,
 					  entry->service, start);
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -79,7 +79,7 @@
 	     !limit_rate_allows(&stats->cold_limit, req->now_us)))
 		return 0;
 	return req->now_ms >= u->limited_until_ms ||
-	       (u->limit_part_milli > 0 &&
+	       (req->now_ms >= u->limit_resumes_ms && u->limit_part_milli > 0 &&
 		limit_rate_allows(&stats->named_limit, req->now_us));
 }
 
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -128,6 +128,8 @@
 	/** Set if it named one. */
 	int is_limited;
 	int64_t limit_milli;
+	/** Consecutive successful responses without it since. */
+	int responses_without;
 	/** When this was last sent to the control thread; 0 if never. */
 	int64_t sent_ms;
 };
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -20,6 +20,9 @@
  * stays. */
 #define LIMIT_REPEAT_MS 1000
 
+/* Successful responses in a row without a rate limit that end it. */
+#define LIMIT_END_RESPONSES 2
+
 #define PERCENT 100
 #define US_PER_MS 1000
 
@@ -207,20 +210,39 @@
 	mailbox_send(r->thread->proxy->rate_limit_mailbox, limit);
 }
 
+/* Whether a response without a limit ends the one that this thread or another
+ * VM knows of. Only successful responses count, and several in a row, since
+ * others may be made without the upstream's usual headers. */
+static int ends_rate_limit(const struct proxy_request *r,
+			   struct proxy_named_limit *known, int64_t now)
+{
+	if (r->verdict != VERDICT_PASS ||
+	    (!known->is_limited && now >= r->upstream->limited_until_ms))
+		return 0;
+	return ++known->responses_without >= LIMIT_END_RESPONSES;
+}
+
+static int is_rate_limit_due(const struct proxy_named_limit *known,
+			     int64_t milli, int64_t now)
+{
+	return !known->is_limited || milli != known->limit_milli ||
+	       now - known->sent_ms >= LIMIT_REPEAT_MS;
+}
+
 void placing_record_rate_limit(struct proxy_request *r)
 {
 	struct proxy_named_limit *known =
 		&r->thread->named_limit[r->upstream->stats_index];
 	int64_t milli = r->response_meta.rate_limit_milli;
 	int64_t now = prl_now_ms();
-	int is_limited = milli >= 0;
-	int is_news = is_limited != known->is_limited ||
-		      (is_limited && milli != known->limit_milli);
 
-	known->is_limited = is_limited;
-	known->limit_milli = milli;
-	if (!is_news && (!is_limited || now - known->sent_ms < LIMIT_REPEAT_MS))
+	if (milli >= 0)
+		known->responses_without = 0;
+	if (milli < 0 ? !ends_rate_limit(r, known, now)
+		      : !is_rate_limit_due(known, milli, now))
 		return;
+	known->is_limited = milli >= 0;
+	known->limit_milli = milli;
 	known->sent_ms = now;
 	send_rate_limit(r);
 }
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -87,8 +87,10 @@
 	/** Rate at which this VM may send it requests while it is cold, in
 	 * thousandths of a request per second. */
 	int64_t cold_rate_milli;
-	/** It names a rate limit until this time. */
+	/** It names a rate limit until this time, and is sent nothing until the
+	 * second one, since it got more before the limit was known. */
 	int64_t limited_until_ms;
+	int64_t limit_resumes_ms;
 	/** Limit for all VMs together, and this VM's part of it, in thousandths
 	 * of a request per second. */
 	int64_t limit_milli;
