An upstream that says in a response that it leaves gets no new requests

Cause: leaving was read from entries only; while the store is away, or for an upstream that never writes it, requests went on to one that said in each response that it leaves (DRAIN).

Ruled out: ending it with a response that does not say so; it may be older.

A start that has said that it leaves is not used until the instance is started again. A 503 with Retry-After is read, held to a range and logged; it closes nothing yet.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -141,7 +141,7 @@
 	if (control_follows_manifest(c)) {
 		registry_tick(c, now);
 		health_tick(c, now);
-		rate_limits_tick(c);
+		news_tick(c);
 	} else {
 		sync_tick(c, now);
 	}
@@ -167,8 +167,8 @@
 			 err) ||
 	    mailbox_init(&c->shortage_mailbox, &c->loop, loans_handle_shortage,
 			 c, err) ||
-	    mailbox_init(&c->rate_limit_mailbox, &c->loop,
-			 rate_limits_handle_local, c, err) ||
+	    mailbox_init(&c->news_mailbox, &c->loop, news_handle_local, c,
+			 err) ||
 	    watch_signals(c, err))
 		return err->code;
 	store_init(&c->store, &c->fetch_pool, c->settings->store.address);
@@ -220,7 +220,7 @@
 	if (control_read_bounds(s, &c->bounds, err) || init_io(c, err) ||
 	    claims_init(c, err) || peers_init(c, err) ||
 	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claim_mailbox,
-		       &c->shortage_mailbox, &c->rate_limit_mailbox, pool, err))
+		       &c->shortage_mailbox, &c->news_mailbox, pool, err))
 		return err->code;
 	sync_init(c);
 	registry_init(c);
@@ -244,7 +244,7 @@
 void control_finish(struct control *c)
 {
 	proxy_stop(&c->proxy);
-	mailbox_finish(&c->rate_limit_mailbox, &c->loop);
+	mailbox_finish(&c->news_mailbox, &c->loop);
 	sync_finish(c);
 	health_finish(c);
 	registry_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -2,7 +2,7 @@
 #define PRIMROSELEADD_CONTROL_H
 
 #include "health.h"
-#include "rate_limits.h"
+#include "news.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
@@ -186,7 +186,7 @@
 	struct sync sync;
 	struct registry registry;
 	struct health health;
-	struct rate_limits rate_limits;
+	struct news news;
 	struct config_builder builder;
 	struct proxy proxy;
 	/** Takes struct proxy_claim from traffic threads. */
@@ -196,7 +196,7 @@
 	 * their semaphore_index plus 1.
 	 */
 	struct mailbox shortage_mailbox;
-	struct mailbox rate_limit_mailbox;
+	struct mailbox news_mailbox;
 	struct loop_timer tick_timer;
 	/** Receives SIGTERM, SIGINT and SIGHUP. */
 	struct loop_fd signal_fd;
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -383,8 +383,8 @@
 	case WIRE_COLD:
 		health_handle_cold(c, r, &args->u.cold);
 		break;
-	case WIRE_LIMIT:
-		rate_limits_handle_remote(c, r, &args->u.limits);
+	case WIRE_NEWS:
+		news_handle_remote(c, r, &args->u.news);
 		break;
 	}
 }
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -32,6 +32,11 @@
 	int64_t limit_resumes_ms;
 	/** When it was last known to name the limit. */
 	int64_t limit_named_ms;
+	/** It has said in a response that it leaves, which its entry may not.
+	 */
+	int said_leaving;
+	/** It wants no requests from this VM until this time. */
+	int64_t closed_until_ms;
 	/** Time at which an upstream whose entry is missing is removed. The
 	 * entry may only have expired while the store was down. PRL_NEVER
 	 * while the entry exists. */
@@ -104,26 +109,34 @@
 int inventory_report_cold(struct inventory *inv, const char *instance,
 			  int64_t cold_until_ms, int64_t now);
 
-/** A rate limit that an upstream named in a response. */
-struct inventory_limit {
+/** Names one start of an upstream. */
+struct inventory_upstream_key {
 	const char *instance;
-	/** Identifies the start of the upstream, as in the view. */
+	/** As in the view. */
 	uint64_t upstream_id;
-	/** In thousandths of a request per second; negative if the upstream
-	 * named none. */
-	int64_t limit_milli;
-	/** When the request was sent that the response answered. */
-	int64_t sent_ms;
 };
 
 /**
- * Notes that an upstream named a rate limit, or no limit any longer. A response
- * without a limit ends it only if its request was sent after the limit was last
- * named, as responses may come out of order. Returns 1 if the limit changed,
- * else 0.
+ * Notes that an upstream named a rate limit in a response, in thousandths of a
+ * request per second, or no limit any longer (negative). A response without a
+ * limit ends it only if its request was sent, at "sent_ms", after the limit was
+ * last named, as responses may come out of order. Returns 1 if the limit
+ * changed, else 0.
  */
 int inventory_report_limit(struct inventory *inv,
-			   const struct inventory_limit *limit, int64_t now);
+			   const struct inventory_upstream_key *key,
+			   int64_t limit_milli, int64_t sent_ms, int64_t now);
+
+/** Notes that an upstream said in a response that it leaves; that holds until
+ * it is started again. Returns 1 if that was not known, else 0. */
+int inventory_report_leaving(struct inventory *inv,
+			     const struct inventory_upstream_key *key);
+
+/** Notes that an upstream wants no requests from this VM until a time. Returns
+ * 1 if that extends the known time, else 0. */
+int inventory_report_closed(struct inventory *inv,
+			    const struct inventory_upstream_key *key,
+			    int64_t closed_until_ms);
 
 /** Marks a failure domain as evacuated ("on" is 1) or as back in use. The
  * upstreams of a domain that comes back are treated as cold. */
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -140,8 +140,11 @@
 	u->remove_at_ms = PRL_NEVER;
 	/* The cold time of an entry counts from when it was written, not from
 	 * when it is read again. */
-	if (is_new_start)
+	if (is_new_start) {
 		u->limited_until_ms = 0;
+		u->closed_until_ms = 0;
+		u->said_leaving = 0;
+	}
 	if (is_new_start || entry->sequence > u->entry.sequence)
 		extend_cold(u, entry->cold_time_left_ms, now);
 	u->entry = *entry;
@@ -241,17 +244,52 @@
 	return 1;
 }
 
-int inventory_report_limit(struct inventory *inv,
-			   const struct inventory_limit *limit, int64_t now)
+/* Returns the upstream if the start that the key names is its current one, else
+ * null. */
+static struct inventory_upstream *
+find_start(struct inventory *inv, const struct inventory_upstream_key *key)
 {
 	struct inventory_upstream *u =
-		g_hash_table_lookup(inv->upstreams, limit->instance);
+		g_hash_table_lookup(inv->upstreams, key->instance);
+
+	return u && inventory_upstream_id(&u->entry) == key->upstream_id ? u
+									 : NULL;
+}
+
+int inventory_report_limit(struct inventory *inv,
+			   const struct inventory_upstream_key *key,
+			   int64_t limit_milli, int64_t sent_ms, int64_t now)
+{
+	struct inventory_upstream *u = find_start(inv, key);
+
+	if (!u)
+		return 0;
+	if (limit_milli < 0)
+		return end_limit(u, sent_ms, now);
+	return set_limit(u, limit_milli, now);
+}
+
+int inventory_report_leaving(struct inventory *inv,
+			     const struct inventory_upstream_key *key)
+{
+	struct inventory_upstream *u = find_start(inv, key);
+
+	if (!u || u->said_leaving)
+		return 0;
+	u->said_leaving = 1;
+	return 1;
+}
 
-	if (!u || inventory_upstream_id(&u->entry) != limit->upstream_id)
+int inventory_report_closed(struct inventory *inv,
+			    const struct inventory_upstream_key *key,
+			    int64_t closed_until_ms)
+{
+	struct inventory_upstream *u = find_start(inv, key);
+
+	if (!u || closed_until_ms <= u->closed_until_ms)
 		return 0;
-	if (limit->limit_milli < 0)
-		return end_limit(u, limit->sent_ms, now);
-	return set_limit(u, limit->limit_milli, now);
+	u->closed_until_ms = closed_until_ms;
+	return 1;
 }
 
 /* Treats all upstreams of a failure domain as cold: they may have become cold
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -25,9 +25,11 @@
 };
 
 static int is_usable(const struct inventory *inv,
-		     const struct fleet_upstream *u)
+		     const struct inventory_upstream *from)
 {
-	return !u->leaving &&
+	const struct fleet_upstream *u = &from->entry;
+
+	return !u->leaving && !from->said_leaving &&
 	       !g_hash_table_contains(inv->evacuated_domains, u->domain) &&
 	       g_hash_table_contains(inv->region_by_domain, u->domain);
 }
@@ -110,6 +112,7 @@
 	u->connections_max = service->connections_max;
 	u->cold_until_ms = from->cold_until_ms;
 	u->paused_until_ms = from->paused_until_ms;
+	u->closed_until_ms = from->closed_until_ms;
 	u->limited_until_ms = from->limited_until_ms;
 	u->limit_resumes_ms = from->limit_resumes_ms;
 	u->limit_milli = from->limit_milli;
@@ -138,7 +141,7 @@
 		const struct inventory_upstream *u = value;
 
 		if (strcmp(u->entry.service, service->name) ||
-		    !is_usable(build->inventory, &u->entry))
+		    !is_usable(build->inventory, u))
 			continue;
 		if (!fill_upstream(build, u, service,
 				   &s->upstream[s->nupstream]))
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -276,18 +276,21 @@
 	}
 }
 
-static int report_limit(int64_t limit_milli, int64_t sent_ms, int64_t now)
+static struct inventory_upstream_key key_of_first(void)
 {
 	struct steer_view *v = build_view(0);
-	struct inventory_limit limit = {
-		.instance = "i1",
-		.upstream_id = v->service[0]->upstream[0].id,
-		.limit_milli = limit_milli,
-		.sent_ms = sent_ms,
-	};
+	struct inventory_upstream_key key = {"i1",
+					     v->service[0]->upstream[0].id};
 
 	config_view_release(v);
-	return inventory_report_limit(&inv, &limit, now);
+	return key;
+}
+
+static int report_limit(int64_t limit_milli, int64_t sent_ms, int64_t now)
+{
+	struct inventory_upstream_key key = key_of_first();
+
+	return inventory_report_limit(&inv, &key, limit_milli, sent_ms, now);
 }
 
 static int64_t limited_until_ms(void)
@@ -355,16 +358,14 @@
 /* A limit is of one start of an upstream. */
 static void test_new_start_has_no_rate_limit(void **state)
 {
-	struct inventory_limit of_another = {.instance = "i1",
-					     .upstream_id = 1,
-					     .limit_milli = 500,
-					     .sent_ms = 900};
+	struct inventory_upstream_key of_another = {"i1", 1};
 
 	(void)state;
 	install_manifest(3, PRL_OK);
 	update_upstream("i1", "n-a", 50, 1, 0);
 	inv.list_complete = 1;
-	assert_int_equal(inventory_report_limit(&inv, &of_another, 1000), 0);
+	assert_int_equal(
+		inventory_report_limit(&inv, &of_another, 500, 900, 1000), 0);
 	assert_int_equal(report_limit(2700, 900, 1000), 1);
 	update_upstream("i1", "n-a", 50, 2, 1500);
 	assert_int_equal(limited_until_ms(), 21000);
@@ -372,6 +373,36 @@
 	assert_int_equal(limited_until_ms(), 0);
 }
 
+/* An upstream that said that it leaves, or wants no requests for a while, is as
+ * before once it is started again, and not with another entry. */
+static void test_only_a_new_start_takes_leaving_back(void **state)
+{
+	struct inventory_upstream_key key;
+	struct steer_view *v;
+
+	(void)state;
+	install_manifest(3, PRL_OK);
+	update_upstream("i1", "n-a", 50, 1, 0);
+	inv.list_complete = 1;
+	key = key_of_first();
+	assert_int_equal(inventory_report_closed(&inv, &key, 9000), 1);
+	assert_int_equal(inventory_report_closed(&inv, &key, 8000), 0);
+	v = build_view(0);
+	assert_int_equal(v->service[0]->upstream[0].closed_until_ms, 9000);
+	config_view_release(v);
+	assert_int_equal(inventory_report_leaving(&inv, &key), 1);
+	assert_int_equal(inventory_report_leaving(&inv, &key), 0);
+	assert_int_equal(count_upstreams(), 0);
+	update_upstream("i1", "n-a", 50, 2, 1000);
+	assert_int_equal(count_upstreams(), 0);
+	update_upstream("i1", "n-a", 60, 1, 2000);
+	assert_int_equal(count_upstreams(), 1);
+	v = build_view(0);
+	assert_int_equal(v->service[0]->upstream[0].closed_until_ms, 0);
+	config_view_release(v);
+	assert_int_equal(inventory_report_leaving(&inv, &key), 0);
+}
+
 /* An upstream is paused when it is found to be cold; a further report while it
  * is known to be cold extends the cold time but not the pause. */
 static void test_found_cold_rests(void **state)
@@ -582,6 +613,9 @@
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_new_start_has_no_rate_limit, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_only_a_new_start_takes_leaving_back, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(test_found_cold_rests, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -185,6 +185,11 @@
 	/** Rate at which the upstream takes requests from all VMs together for
 	 * now, in thousandths of a request per second; -1 if it names none. */
 	int64_t rate_limit_milli;
+	/** The upstream is about to stop and takes no new requests. */
+	int leaving;
+	/** Time for which the upstream wants no request from this VM, in ms; -1
+	 * if not given. */
+	int64_t retry_after_ms;
 };
 
 /** A caller's look-up of the entry VMs to use; null where not given. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -86,16 +86,33 @@
 	struct claim_answer result;
 };
 
-/** A rate limit that an upstream named in a response, or that it names none any
- * longer; sent to the control thread, which frees it. */
-struct proxy_rate_limit {
+/** What a response says about its upstream. */
+enum proxy_news_type {
+	/** It names a rate limit, or no longer does. */
+	PROXY_NEWS_LIMIT,
+	/** It is about to stop and takes no new requests. */
+	PROXY_NEWS_LEAVING,
+	/** It wants no requests from this VM for a while. */
+	PROXY_NEWS_CLOSED,
+};
+
+/** News of an upstream, sent to the control thread, which frees it. */
+struct proxy_news {
+	enum proxy_news_type type;
 	/** Id of the upstream, and its instance. */
 	uint64_t upstream_id;
 	char instance[STEER_NAME_MAX];
-	/** In thousandths of a request per second; -1 if it names none. */
-	int64_t limit_milli;
-	/** When the request that it answered was sent. */
-	int64_t sent_ms;
+	union {
+		struct {
+			/** In thousandths of a request per second; -1 if it
+			 * names none. */
+			int64_t limit_milli;
+			/** When the request that it answered was sent. */
+			int64_t sent_ms;
+		} limit;
+		/** PROXY_NEWS_CLOSED: end of that time. */
+		int64_t closed_until_ms;
+	} u;
 };
 
 /** Type of a message from the control thread to a traffic thread. */
@@ -223,8 +240,8 @@
 	/** Takes the semaphore_index plus one of a region without free
 	 * capacity, as a pointer; received by the control thread. */
 	struct mailbox *shortage_mailbox;
-	/** Takes struct proxy_rate_limit; received by the control thread. */
-	struct mailbox *rate_limit_mailbox;
+	/** Takes struct proxy_news; received by the control thread. */
+	struct mailbox *news_mailbox;
 	/** End of the lease on this VM's capacity, on the clock of prl_now_ms.
 	 * The control thread renews it while it runs; a process that was
 	 * paused finds it expired and admits nothing. */
@@ -251,7 +268,7 @@
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
 			 const struct fleet_bounds *bounds, int region,
 			 struct mailbox *claims, struct mailbox *shortages,
-			 struct mailbox *rate_limits, apr_pool_t *pool,
+			 struct mailbox *news, apr_pool_t *pool,
 			 struct prl_error *err);
 
 /** Opens the listeners and starts the traffic threads. Returns PRL_OK, PRL_E_IO
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -16,15 +16,7 @@
  * keep-alive timeout, in s. */
 #define IDLE_DEFAULT_S 4
 
-/* Interval in ms at which the control thread is told of a rate limit that
- * stays. */
-#define LIMIT_REPEAT_MS 1000
-
-/* Successful responses in a row without a rate limit that end it. */
-#define LIMIT_END_RESPONSES 2
-
 #define PERCENT 100
-#define US_PER_MS 1000
 
 static struct place_upstream_stats *
 routed_upstream_stats(const struct proxy_request *r)
@@ -199,54 +191,6 @@
 				  a->waiting, own_outstanding, prl_now_ms());
 }
 
-static void send_rate_limit(const struct proxy_request *r)
-{
-	struct proxy_rate_limit *limit = g_new0(struct proxy_rate_limit, 1);
-
-	limit->upstream_id = r->upstream->id;
-	memcpy(limit->instance, r->instance, sizeof(limit->instance));
-	limit->limit_milli = r->response_meta.rate_limit_milli;
-	limit->sent_ms = r->attempt_started_us / US_PER_MS;
-	mailbox_send(r->thread->proxy->rate_limit_mailbox, limit);
-}
-
-/* Whether a response without a limit ends the one that this thread or another
- * VM knows of. Only successful responses count, and several in a row, since
- * others may be made without the upstream's usual headers. */
-static int ends_rate_limit(const struct proxy_request *r,
-			   struct proxy_named_limit *known, int64_t now)
-{
-	if (r->verdict != VERDICT_PASS ||
-	    (!known->is_limited && now >= r->upstream->limited_until_ms))
-		return 0;
-	return ++known->responses_without >= LIMIT_END_RESPONSES;
-}
-
-static int is_rate_limit_due(const struct proxy_named_limit *known,
-			     int64_t milli, int64_t now)
-{
-	return !known->is_limited || milli != known->limit_milli ||
-	       now - known->sent_ms >= LIMIT_REPEAT_MS;
-}
-
-void placing_record_rate_limit(struct proxy_request *r)
-{
-	struct proxy_named_limit *known =
-		&r->thread->named_limit[r->upstream->stats_index];
-	int64_t milli = r->response_meta.rate_limit_milli;
-	int64_t now = prl_now_ms();
-
-	if (milli >= 0)
-		known->responses_without = 0;
-	if (milli < 0 ? !ends_rate_limit(r, known, now)
-		      : !is_rate_limit_due(known, milli, now))
-		return;
-	known->is_limited = milli >= 0;
-	known->limit_milli = milli;
-	known->sent_ms = now;
-	send_rate_limit(r);
-}
-
 int placing_take_retry(struct proxy_request *r)
 {
 	return limit_budget_withdraw(&routed_service_state(r)->retry_budget);
--- a/proxy/src/placing.h
+++ b/proxy/src/placing.h
@@ -19,11 +19,6 @@
  * headers. */
 void placing_record_load(struct proxy_request *r);
 
-/** Tells the control thread of the rate limit that the response names: when
- * that is news, and at intervals while there is a limit; or that a successful
- * response names none any longer. */
-void placing_record_rate_limit(struct proxy_request *r);
-
 /** Withdraws one retry from the service's budget. Returns 1, or 0 if the budget
  * is spent. */
 int placing_take_retry(struct proxy_request *r);
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -14,7 +14,7 @@
 enum prl_code proxy_init(struct proxy *p, const struct prl_settings *settings,
 			 const struct fleet_bounds *bounds, int region,
 			 struct mailbox *claims, struct mailbox *shortages,
-			 struct mailbox *rate_limits, apr_pool_t *pool,
+			 struct mailbox *news, apr_pool_t *pool,
 			 struct prl_error *err)
 {
 	memset(p, 0, sizeof(*p));
@@ -24,7 +24,7 @@
 	p->region = region;
 	p->claim_mailbox = claims;
 	p->shortage_mailbox = shortages;
-	p->rate_limit_mailbox = rate_limits;
+	p->news_mailbox = news;
 	p->nthread = (int)settings->traffic.threads;
 	p->upstream = calloc(CONFIG_INDEXES_MAX, sizeof(*p->upstream));
 	p->semaphore = calloc(CONFIG_INDEXES_MAX, sizeof(*p->semaphore));
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -1,5 +1,6 @@
 /* The HTTP transfer of one attempt: libcurl's options and callbacks. */
 #include "attempt.h"
+#include "news.h"
 #include "placing.h"
 #include "sockets.h"
 #include "upstream.h"
@@ -198,9 +199,7 @@
 		r->verdict = verdict_for_response(&r->response_meta, r->status,
 						  r->request_meta.id);
 		placing_record_load(r);
-		/* A 421 is the response of another instance. */
-		if (r->status != MHD_HTTP_MISDIRECTED_REQUEST)
-			placing_record_rate_limit(r);
+		news_read_response(r);
 		return r->verdict == VERDICT_INVALID ? -1 : 0;
 	}
 	if (failed && request_may_retry(r, r->upstream_refused)) {
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -20,7 +20,9 @@
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
  * After /admin/limit/MILLI all responses name a rate limit, in thousandths of a
- * request per second, until a negative one is set.
+ * request per second, until a negative one is set. After /admin/leave/1 all say
+ * that it leaves. For MS after /admin/closed/MS requests are rejected, with the
+ * time left.
  */
 #include "answer.h"
 #include <apr_general.h>
@@ -58,6 +60,10 @@
 static _Atomic long long cold_until_ms;
 static _Atomic long long body_bytes;
 static _Atomic long long rate_limit_milli = -1;
+static _Atomic int leaving;
+/* Requests are rejected until this time on the clock of prl_now_ms; those that
+ * arrived by then count as rejected. */
+static _Atomic long long closed_until_ms;
 
 /* A connection, the bytes read from it, and the head of its current request. */
 struct connection {
@@ -193,28 +199,33 @@
 	return 0;
 }
 
-/* Header line that names the rate limit; empty if there is none. */
-static void format_rate_limit(char *line, size_t size)
+/* Header lines of the state that this upstream is in; empty if there is none.
+ */
+static void format_state(char *lines, size_t size)
 {
 	long long milli = rate_limit_milli;
+	size_t n = 0;
 
-	line[0] = 0;
+	lines[0] = 0;
 	if (milli >= 0)
-		snprintf(line, size, "Server-Limit: %lld.%03lld\r\n",
-			 milli / 1000, milli % 1000);
+		n = (size_t)snprintf(lines, size,
+				     "Server-Limit: %lld.%03lld\r\n",
+				     milli / 1000, milli % 1000);
+	if (leaving)
+		snprintf(lines + n, size - n, "Server-Leaving: 1\r\n");
 }
 
 static void respond(const struct connection *conn, const char *status,
 		    const char *id, const char *headers, const char *body)
 {
 	char text[1024];
-	char limit[64];
+	char state[64];
 
-	format_rate_limit(limit, sizeof(limit));
+	format_state(state, sizeof(state));
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n"
 		 "X-Server-Load: 1,0,6\r\n%s%s\r\n%s",
-		 status, id, limit, headers, body);
+		 status, id, state, headers, body);
 	send_text(conn, text);
 }
 
@@ -305,15 +316,15 @@
 static int send_health_response(const struct connection *conn)
 {
 	char text[256];
-	char limit[64];
+	char state[64];
 	long long left = cold_until_ms - prl_now_ms();
 
 	health_checks++;
-	format_rate_limit(limit, sizeof(limit));
+	format_state(state, sizeof(state));
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
 		 "X-Cold-Remaining-Ms: %lld\r\n%sContent-Length: 0\r\n\r\n",
-		 instance, left > 0 ? left : 0, limit);
+		 instance, left > 0 ? left : 0, state);
 	send_text(conn, text);
 	return 1;
 }
@@ -328,6 +339,10 @@
 		cold_until_ms = prl_now_ms() + atoll(conn->buf + 16);
 	if (!strncmp(conn->buf, "GET /admin/limit/", 17))
 		rate_limit_milli = atoll(conn->buf + 17);
+	if (!strncmp(conn->buf, "GET /admin/leave/", 17))
+		leaving = atoi(conn->buf + 17);
+	if (!strncmp(conn->buf, "GET /admin/closed/", 18))
+		closed_until_ms = prl_now_ms() + atoll(conn->buf + 18);
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
 		 "\"smuggled\":%d,\"checked\":%d,\"open_most\":%d,"
@@ -353,6 +368,20 @@
 		open_connections_max = now;
 }
 
+static int reject_closed(struct connection *conn)
+{
+	char headers[120];
+	long long left = closed_until_ms - prl_now_ms();
+
+	refused++;
+	snprintf(headers, sizeof(headers),
+		 "X-Not-Executed: 1\r\nRetry-After: %lld.%03lld\r\n"
+		 "Content-Length: 0\r\n",
+		 left / 1000, left % 1000);
+	respond(conn, "503 Closed", conn->request_id, headers, "");
+	return !discard_body(conn);
+}
+
 /* Serves one request. Returns 1 to keep the connection, 0 to close it. */
 static int serve_request(struct connection *conn)
 {
@@ -366,6 +395,8 @@
 			"Content-Length: 0\r\n", "");
 		return !discard_body(conn);
 	}
+	if (prl_now_ms() < closed_until_ms)
+		return reject_closed(conn);
 	if (!strcmp(conn->mode, "shed")) {
 		refused++;
 		respond(conn, "503 Full", conn->request_id,
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -87,6 +87,8 @@
 	/** Rate at which this VM may send it requests while it is cold, in
 	 * thousandths of a request per second. */
 	int64_t cold_rate_milli;
+	/** It wants no requests from this VM until this time. */
+	int64_t closed_until_ms;
 	/** It names a rate limit until this time, and is sent nothing until the
 	 * second one, since it got more before the limit was known. */
 	int64_t limited_until_ms;
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -12,7 +12,7 @@
 const WIRE_VALUE = 49152;
 const WIRE_RUMORS = 8;
 const WIRE_OBJECTS = 256;
-const WIRE_LIMITS_MAX = 64;
+const WIRE_NEWS_MAX = 64;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -132,17 +132,30 @@
 	hyper left_ms;
 };
 
-/* A rate limit that an upstream names: the requests that it takes from all VMs
- * together, in thousandths of a request per second; negative if it no longer
- * names one. "upstream" identifies the start of the instance. */
-struct wire_limit {
+/* What an upstream says of itself in its responses. */
+enum wire_news_type {
+	WIRE_NEWS_LIMIT = 0,
+	WIRE_NEWS_LEAVING = 1
+};
+
+/* limit_milli: the requests that it takes from all VMs together, in thousandths of
+ * a request per second; negative if it no longer names a limit. */
+union wire_news_body switch (wire_news_type type) {
+	case WIRE_NEWS_LIMIT:
+		hyper limit_milli;
+	case WIRE_NEWS_LEAVING:
+		void;
+};
+
+/* News of an upstream; "upstream" identifies the start of the instance. */
+struct wire_news {
 	string instance<WIRE_NAME>;
 	unsigned hyper upstream;
-	hyper limit_milli;
+	wire_news_body body;
 };
 
-struct wire_limits {
-	wire_limit limit<WIRE_LIMITS_MAX>;
+struct wire_news_list {
+	wire_news news<WIRE_NEWS_MAX>;
 };
 
 program WIRE_PROGRAM {
@@ -155,6 +168,6 @@
 		wire_loan WIRE_BORROW(wire_borrow) = 6;
 		void WIRE_RETURN(wire_return) = 7;
 		void WIRE_COLD(wire_cold) = 8;
-		void WIRE_LIMIT(wire_limits) = 9;
+		void WIRE_NEWS(wire_news_list) = 9;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -19,7 +19,7 @@
 #define WIRE_VALUE 49152
 #define WIRE_RUMORS 8
 #define WIRE_OBJECTS 256
-#define WIRE_LIMITS_MAX 64
+#define WIRE_NEWS_MAX 64
 
 struct wire_vm {
 	char *name;
@@ -140,20 +140,34 @@
 };
 typedef struct wire_cold wire_cold;
 
-struct wire_limit {
+enum wire_news_type {
+	WIRE_NEWS_LIMIT = 0,
+	WIRE_NEWS_LEAVING = 1,
+};
+typedef enum wire_news_type wire_news_type;
+
+struct wire_news_body {
+	wire_news_type type;
+	union {
+		quad_t limit_milli;
+	} wire_news_body_u;
+};
+typedef struct wire_news_body wire_news_body;
+
+struct wire_news {
 	char *instance;
 	u_quad_t upstream;
-	quad_t limit_milli;
+	wire_news_body body;
 };
-typedef struct wire_limit wire_limit;
+typedef struct wire_news wire_news;
 
-struct wire_limits {
+struct wire_news_list {
 	struct {
-		u_int limit_len;
-		wire_limit *limit_val;
-	} limit;
+		u_int news_len;
+		wire_news *news_val;
+	} news;
 };
-typedef struct wire_limits wire_limits;
+typedef struct wire_news_list wire_news_list;
 
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
@@ -183,9 +197,9 @@
 #define WIRE_COLD 8
 extern  void * wire_cold_1(wire_cold *, CLIENT *);
 extern  void * wire_cold_1_svc(wire_cold *, struct svc_req *);
-#define WIRE_LIMIT 9
-extern  void * wire_limit_1(wire_limits *, CLIENT *);
-extern  void * wire_limit_1_svc(wire_limits *, struct svc_req *);
+#define WIRE_NEWS 9
+extern  void * wire_news_1(wire_news_list *, CLIENT *);
+extern  void * wire_news_1_svc(wire_news_list *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -213,9 +227,9 @@
 #define WIRE_COLD 8
 extern  void * wire_cold_1();
 extern  void * wire_cold_1_svc();
-#define WIRE_LIMIT 9
-extern  void * wire_limit_1();
-extern  void * wire_limit_1_svc();
+#define WIRE_NEWS 9
+extern  void * wire_news_1();
+extern  void * wire_news_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -236,8 +250,10 @@
 extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
 extern  bool_t xdr_wire_return (XDR *, wire_return*);
 extern  bool_t xdr_wire_cold (XDR *, wire_cold*);
-extern  bool_t xdr_wire_limit (XDR *, wire_limit*);
-extern  bool_t xdr_wire_limits (XDR *, wire_limits*);
+extern  bool_t xdr_wire_news_type (XDR *, wire_news_type*);
+extern  bool_t xdr_wire_news_body (XDR *, wire_news_body*);
+extern  bool_t xdr_wire_news (XDR *, wire_news*);
+extern  bool_t xdr_wire_news_list (XDR *, wire_news_list*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -254,8 +270,10 @@
 extern bool_t xdr_wire_loan ();
 extern bool_t xdr_wire_return ();
 extern bool_t xdr_wire_cold ();
-extern bool_t xdr_wire_limit ();
-extern bool_t xdr_wire_limits ();
+extern bool_t xdr_wire_news_type ();
+extern bool_t xdr_wire_news_body ();
+extern bool_t xdr_wire_news ();
+extern bool_t xdr_wire_news_list ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -27,12 +27,12 @@
 		struct wire_borrow borrow;
 		struct wire_return give_back;
 		struct wire_cold cold;
-		struct wire_limits limits;
+		struct wire_news_list news;
 	} u;
 };
 
 /** Result of a call; the procedure selects the member of the union, and
- * WIRE_PUSH, WIRE_RETURN, WIRE_COLD and WIRE_LIMIT have none. */
+ * WIRE_PUSH, WIRE_RETURN, WIRE_COLD and WIRE_NEWS have none. */
 struct wire_result {
 	uint32_t proc;
 	union {
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -36,8 +36,8 @@
 		return (xdrproc_t)xdr_wire_return;
 	case WIRE_COLD:
 		return (xdrproc_t)xdr_wire_cold;
-	case WIRE_LIMIT:
-		return (xdrproc_t)xdr_wire_limits;
+	case WIRE_NEWS:
+		return (xdrproc_t)xdr_wire_news_list;
 	}
 	return NULL;
 }
@@ -51,7 +51,7 @@
 	case WIRE_PUSH:
 	case WIRE_RETURN:
 	case WIRE_COLD:
-	case WIRE_LIMIT:
+	case WIRE_NEWS:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -223,7 +223,37 @@
 }
 
 bool_t
-xdr_wire_limit (XDR *xdrs, wire_limit *objp)
+xdr_wire_news_type (XDR *xdrs, wire_news_type *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_news_body (XDR *xdrs, wire_news_body *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_news_type (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case WIRE_NEWS_LIMIT:
+		 if (!xdr_quad_t (xdrs, &objp->wire_news_body_u.limit_milli))
+			 return FALSE;
+		break;
+	case WIRE_NEWS_LEAVING:
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_wire_news (XDR *xdrs, wire_news *objp)
 {
 	register int32_t *buf;
 
@@ -231,18 +261,18 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->limit_milli))
+	 if (!xdr_wire_news_body (xdrs, &objp->body))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_wire_limits (XDR *xdrs, wire_limits *objp)
+xdr_wire_news_list (XDR *xdrs, wire_news_list *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->limit.limit_val, (u_int *) &objp->limit.limit_len, WIRE_LIMITS_MAX,
-		sizeof (wire_limit), (xdrproc_t) xdr_wire_limit))
+	 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, WIRE_NEWS_MAX,
+		sizeof (wire_news), (xdrproc_t) xdr_wire_news))
 		 return FALSE;
 	return TRUE;
 }
