An upstream that wants no requests for a while gets none

Change: the time is kept as a deadline of the upstream in this VM's view, which all its threads have, and is part of the one check of placing, also while all of a region are ejected; no health checks before it.

--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -262,6 +262,7 @@
 	}
 	snprintf(k->url, sizeof(k->url), "http://%s%s", u->address, path);
 	k->interval_ms = check_interval_ms(u, prl_now_ms());
+	k->next_check_ms = MAX(k->next_check_ms, u->closed_until_ms);
 	k->in_view = 1;
 }
 
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -89,8 +89,8 @@
 	int64_t now = p->request->now_ms;
 
 	return now >= stats_of(p, u)->ejected_until_ms &&
-	       now >= u->paused_until_ms && may_open_connection(p, u) &&
-	       is_within_rates(p, u);
+	       now >= u->paused_until_ms && now >= u->closed_until_ms &&
+	       may_open_connection(p, u) && is_within_rates(p, u);
 }
 
 /* If all upstreams are ejected, the ejections are ignored: the cause may be on
@@ -111,6 +111,7 @@
 	}
 	for (int i = 0; ejected == n && i < n; i++)
 		p->estimate[i].available = now >= u[i].paused_until_ms &&
+					   now >= u[i].closed_until_ms &&
 					   now >= u[i].cold_until_ms &&
 					   now >= u[i].limited_until_ms &&
 					   may_open_connection(p, &u[i]);
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -307,6 +307,31 @@
 	}
 }
 
+/* An upstream that wants no requests for a while gets none, also while all of
+ * its region are ejected. */
+static void test_closed_one_is_left_alone(void **unused)
+{
+	struct place_request req;
+	struct place_decision decision;
+
+	(void)unused;
+	for (int i = 0; i < PER_REGION; i++)
+		upstream[i].closed_until_ms = now_ms + 2000;
+	for (int i = 0; i < 400; i++) {
+		if (i == 200)
+			for (int k = 0; k < PER_REGION; k++)
+				stats[k].ejected_until_ms = now_ms + 1000;
+		now_ms++;
+		req = make_request((uint64_t)i);
+		req.region_mask = 1;
+		assert_int_equal(place_choose(&req, &decision), 0);
+	}
+	now_ms += 2000;
+	req = make_request(1);
+	req.region_mask = 1;
+	assert_int_equal(place_choose(&req, &decision), 1);
+}
+
 /* Upstreams that name a rate limit get requests at this VM's part of it,
  * divided by its threads, also while all of them are ejected. */
 static void test_limited_ones_are_paced(void **unused)
@@ -517,6 +542,7 @@
 		cmocka_unit_test_setup(test_cold_ones_are_paced, setup),
 		cmocka_unit_test_setup(
 			test_paused_one_rests_while_all_are_ejected, setup),
+		cmocka_unit_test_setup(test_closed_one_is_left_alone, setup),
 		cmocka_unit_test_setup(test_limited_ones_are_paced, setup),
 		cmocka_unit_test_setup(test_connections_are_divided, setup),
 		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
--- a/system/test_upstream_state.c
+++ b/system/test_upstream_state.c
@@ -86,10 +86,37 @@
 	home = 3 - home;
 }
 
+/* After a response with 503 and a time to come back, at most two requests reach
+ * the upstream from this VM before that time, health checks included; then it
+ * is used again. */
+static void test_closed_upstream_is_asked_again_too_early(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	/* The other upstream takes what this one rejects. */
+	routes_put_upstream("i-4", "s", UPSTREAM_PORT(3), "ready", 1);
+	set_state(home, "closed", 4000);
+	routes_request_at(1, "GET", "/safe/plain");
+	harness_sleep_ms(TOLD_MS);
+	before = arrivals(home);
+	for (int ms = 0; ms < 3000; ms += REQUEST_INTERVAL_MS) {
+		routes_request_at(1, "GET", "/safe/plain");
+		harness_sleep_ms(REQUEST_INTERVAL_MS);
+	}
+	assert_in_range(arrivals(home) - before, 0, 2);
+	harness_sleep_ms(1000);
+	before = routes_upstream_stat(UPSTREAM_PORT(home), "ran");
+	for (int i = 0; i < 10; i++)
+		routes_request_at(1, "GET", "/safe/plain");
+	assert_true(routes_upstream_stat(UPSTREAM_PORT(home), "ran") > before);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_upstream_that_says_it_leaves_is_used),
+		cmocka_unit_test(test_closed_upstream_is_asked_again_too_early),
 	};
 
 	(void)argc;
