Register again when the store has no entry of this VM any longer

Cause: a VM wrote its entry once; if the store returned from a copy that lacks it, or others removed it, VMs that start later did not find it there.

Ruled out: writing it without a look (a VM whose entry the copy has would write, too).

Change: a list that lacks the entry makes the VM register again; after a return from a copy the VMs list within 2 s, or 10 ms each if they are many (79 s at 7,900 VMs, 100 calls a second).

Measured: test_registration_is_lost_with_the_copy failed before (not there after 6 s), passes.

--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -44,6 +44,14 @@
 #define SEED_DELAY_MS 600
 #define SEED_INTERVAL_MS 400
 
+/*
+ * Time over which the VMs spread their lists of the registered VMs after the
+ * store's return from a copy, in ms: at least the first, and the second for
+ * each VM, which keeps within the store's rates in a fleet of any size.
+ */
+#define RETURN_LIST_WINDOW_MS 2000
+#define RETURN_LIST_PER_VM_MS 10
+
 /* Timeout of the call that registers this VM, in ms. */
 #define REGISTER_TIMEOUT_MS 2000
 
@@ -193,6 +201,19 @@
 		apply_evacuation(c, name, o);
 }
 
+/*
+ * Looks for this VM's registration after the store returned from a copy. The
+ * VMs of a fleet do so at a bounded rate.
+ */
+static void schedule_vm_list(struct control *c, int64_t now)
+{
+	int64_t window = MAX(RETURN_LIST_WINDOW_MS,
+			     c->members.npeer * RETURN_LIST_PER_VM_MS);
+
+	c->registry.vm.next_call_ms =
+		now + (int64_t)(control_random() % (uint64_t)window);
+}
+
 /* The first era that is named is no return from a copy. */
 static void on_era(struct store *s, int64_t previous)
 {
@@ -200,8 +221,10 @@
 	char from[LOG_NUMBER_MAX];
 	char to[LOG_NUMBER_MAX];
 
-	if (previous)
+	if (previous) {
 		c->registry.returned_ms = prl_now_ms();
+		schedule_vm_list(c, c->registry.returned_ms);
+	}
 	log_format_number(from, previous);
 	log_format_number(to, s->era);
 	log_event(LOG_LEVEL_AUDIT, "store", "state",
@@ -287,6 +310,21 @@
 			     g_memdup2(&vm, sizeof(vm)));
 }
 
+/*
+ * Registers this VM again if its entry is missing: others may have removed it,
+ * or the store may have returned from a copy that lacks it.
+ */
+static void check_own_registration(struct control *c)
+{
+	struct registry *reg = &c->registry;
+
+	if (!reg->registered || reg->registering || reg->own_version)
+		return;
+	reg->registered = 0;
+	log_event(LOG_LEVEL_WARNING, "register", "error",
+		  "the store has no entry of this VM any longer", NULL);
+}
+
 static void vm_changed(struct store_follower *f, enum store_change change,
 		       const char *name, const struct store_object *o)
 {
@@ -306,6 +344,7 @@
 			c->registry.own_version = 0;
 		break;
 	case STORE_CHANGE_LIST_END:
+		check_own_registration(c);
 		break;
 	}
 }
--- a/system/test_store_return.c
+++ b/system/test_store_return.c
@@ -120,6 +120,21 @@
 	harness_sleep_ms(3000);
 }
 
+/* A VM's registration that the copy lacks is written again: VMs that start
+ * later find the others by it. */
+static void test_registration_is_lost_with_the_copy(void **state)
+{
+	const char *url = "http://127.0.0.1:29000/api/objects/entry-vms";
+
+	(void)state;
+	routes_set_store_faults("copy=1");
+	routes_put_object("entry-vms/vm1", "");
+	assert_false(fleet_wait_text(url, "\"vm1\"", 100));
+	routes_set_store_faults("copy=1");
+	routes_set_store_faults("return=1");
+	assert_true(fleet_wait_text(url, "\"vm1\"", 6000));
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -127,6 +142,7 @@
 			test_cold_entry_is_ignored_after_return_from_copy),
 		cmocka_unit_test(
 			test_cold_upstream_is_flooded_before_it_writes_again),
+		cmocka_unit_test(test_registration_is_lost_with_the_copy),
 	};
 
 	(void)argc;
