An upstream that begins to name a limit rests for 3 s

A window of the rule is 4 s, and what VMs sent until all knew of the limit counts in it. Ruled out: a rest by how much was sent, which no VM knows in the sum.

--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -26,7 +26,7 @@
 /* Pause in ms for an upstream that begins to name a rate limit. A limit holds
  * for periods of seconds, and until all VMs know it the upstream gets its usual
  * requests. */
-#define LIMIT_PAUSE_MS 2000
+#define LIMIT_PAUSE_MS 3000
 
 /* Time in ms for which a removed upstream's last entry is kept: more than the
  * age of a copy that the store returns from. */
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -315,7 +315,7 @@
 	assert_int_equal(report_limit(2700, 900, 1000), 1);
 	assert_int_equal(report_limit(2700, 1900, 2000), 0);
 	v = build_view(0);
-	assert_int_equal(v->service[0]->upstream[0].limit_resumes_ms, 3000);
+	assert_int_equal(v->service[0]->upstream[0].limit_resumes_ms, 4000);
 	config_view_release(v);
 	for (int lost = 0; lost < 3; lost++) {
 		int64_t sum = 0;
--- a/system/test_rate_limit.c
+++ b/system/test_rate_limit.c
@@ -118,7 +118,7 @@
 			 before);
 	set_limit(UPSTREAM_PORT(home), -1);
 	/* The VM that is asked now was told of the limit by the other one. */
-	for (int ms = 0; ms < WINDOW_MS; ms += REQUEST_INTERVAL_MS) {
+	for (int ms = 0; ms < 2 * WINDOW_MS; ms += REQUEST_INTERVAL_MS) {
 		routes_request_at(2, "GET", "/safe/plain");
 		harness_sleep_ms(REQUEST_INTERVAL_MS);
 	}
