Divide a cold upstream's rate by the traffic threads

First matter, the same class elsewhere: an allowance that is not divided by those who use it. Cause: each traffic thread paced a cold upstream at the VM's whole part, so a VM with n threads sent n times as much. Ruled out as the cause of the report: the deployment has one thread a VM.

Change: the thread's part is the VM's part by the number of threads.

Measured: test_cold_ones_are_paced, now with two threads, took 10 in a second before (5 allowed), 5 after; test_choose 21 of 21, test_replay 11 of 11.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -156,7 +156,7 @@
 	/** Passed to outstanding(). */
 	const void *ctx;
 	/** Traffic threads of this VM; each gets an equal part of the VM's part
-	 * of an upstream's rate limit. */
+	 * of the rate of an upstream that is cold or names a limit. */
 	int vm_threads;
 	/** Threads of all entry VMs together; each gets an equal part of an
 	 * upstream's connections. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -195,7 +195,8 @@
 		p->estimate[found->upstream].inflight_milli + THOUSAND;
 	if (req->now_ms < u->cold_until_ms)
 		limit_rate_record(&stats_of(p, u)->cold_limit,
-				  u->cold_rate_milli, req->now_us);
+				  u->cold_rate_milli / req->vm_threads,
+				  req->now_us);
 	if (req->now_ms < u->limited_until_ms)
 		limit_rate_record(&stats_of(p, u)->named_limit,
 				  u->limit_part_milli / req->vm_threads,
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -258,7 +258,8 @@
 	assert_int_equal(place_choose(&req, &decision), 0);
 }
 
-/* A cold upstream gets requests at its rate, a paused one none. */
+/* A cold upstream gets requests at this VM's part of its rate, divided by its
+ * threads, a paused one none. */
 static void test_cold_ones_are_paced(void **unused)
 {
 	struct place_request req;
@@ -268,11 +269,12 @@
 	(void)unused;
 	for (int i = 0; i < PER_REGION; i++) {
 		upstream[i].cold_until_ms = now_ms + 10000;
-		upstream[i].cold_rate_milli = i ? 0 : 5000;
+		upstream[i].cold_rate_milli = i ? 0 : 10000;
 	}
 	for (int i = 0; i < 1000; i++) {
 		now_ms++;
 		req = make_request((uint64_t)i);
+		req.vm_threads = 2;
 		req.region_mask = 1;
 		taken += place_choose(&req, &decision);
 	}
