--- a/system/test_store_return.c
+++ b/system/test_store_return.c
@@ -22,6 +22,9 @@
  * store again, in ms. */
 #define RETURN_MS 1500
 
+/* Time for which an evacuation that a copy lacks goes on at least, in ms. */
+#define EVACUATION_KEPT_MS 1500
+
 /* The upstream of service "s" that serves the requests' object. */
 static int home_port;
 static const char *home_instance;
@@ -120,6 +123,44 @@
 	harness_sleep_ms(3000);
 }
 
+/* A manifest and an evacuation that were in force, and that the copy lacks: the
+ * manifest stays, the evacuation until it can have been written again. */
+static void test_confirmed_changes_go_back_with_the_copy(void **state)
+{
+	int64_t before;
+
+	(void)state;
+	routes_set_store_faults("copy=1");
+	routes_put_manifest(20, "t");
+	harness_sleep_ms(PROPAGATION_MS);
+	before = routes_upstream_stat(UPSTREAM_PORT(3), "ran");
+	routes_set_store_faults("return=1&down_ms=300");
+	for (int i = 0; i < 60; i++) {
+		struct http_response resp =
+			routes_request_at(1 + i % 2, "GET", "/safe/plain");
+
+		routes_expect_complete(&resp);
+		harness_sleep_ms(REQUEST_INTERVAL_MS);
+	}
+	assert_int_equal(routes_upstream_stat(UPSTREAM_PORT(3), "ran") - before,
+			 60);
+	routes_put_object("evacuations/norte-a", "{}");
+	harness_sleep_ms(PROPAGATION_MS);
+	before = routes_upstream_stat(UPSTREAM_PORT(3), "ran");
+	routes_set_store_faults("return=1&down_ms=300");
+	for (int ms = 0; ms < EVACUATION_KEPT_MS; ms += REQUEST_INTERVAL_MS) {
+		assert_int_equal(
+			routes_request_at(1, "GET", "/safe/plain").status, 503);
+		harness_sleep_ms(REQUEST_INTERVAL_MS);
+	}
+	assert_int_equal(routes_upstream_stat(UPSTREAM_PORT(3), "ran"), before);
+	harness_sleep_ms(PROPAGATION_MS);
+	assert_int_equal(routes_request_at(1, "GET", "/safe/plain").status,
+			 200);
+	routes_put_manifest(21, "s");
+	harness_sleep_ms(PROPAGATION_MS);
+}
+
 /* A VM's registration that the copy lacks is written again: VMs that start
  * later find the others by it. */
 static void test_registration_is_lost_with_the_copy(void **state)
@@ -142,6 +183,7 @@
 			test_cold_entry_is_ignored_after_return_from_copy),
 		cmocka_unit_test(
 			test_cold_upstream_is_flooded_before_it_writes_again),
+		cmocka_unit_test(test_confirmed_changes_go_back_with_the_copy),
 		cmocka_unit_test(test_registration_is_lost_with_the_copy),
 	};
 
