--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -188,8 +188,7 @@
 	/** Index in the service's table of upstreams. */
 	int upstream;
 	/** Expected wait in the upstream's queue in ms. If no upstream was
-	 * found: the shortest wait among those looked at, or the time until one
-	 * of them may get requests; PRL_NEVER if there are none. */
+	 * found: the shortest wait among those looked at, or PRL_NEVER. */
 	int64_t wait_ms;
 	/** Position of the upstream among the usable ones in the object's
 	 * rendezvous order, counted up to 4; 0 is the first home. */
@@ -287,7 +286,7 @@
 	/** Index among the candidates, or STEER_NONE. */
 	int upstream;
 	/** Expected wait in the upstream's queue in ms. If no upstream was
-	 * found: the shortest wait of those that are usable, or PRL_NEVER. */
+	 * found: the shortest wait of those that are usable, or 0. */
 	int64_t wait_ms;
 	/** Position of the upstream among the usable ones in the object's
 	 * rendezvous order, counted up to 4; 0 is the first home. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -22,7 +22,6 @@
  * for changes of the shares. */
 #define REMOTE_EXCESS_PERCENT 20
 
-#define US_PER_MS 1000
 #define MILLION 1000000
 #define THOUSAND 1000
 #define PERCENT 100
@@ -67,11 +66,6 @@
 	return own_outstanding(p, u) < (share > 1 ? share : 1);
 }
 
-static int64_t max_ms(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 /* Whether the upstream's pace allows a request now: that of a cold one, and
  * that of one that names a rate limit. */
 static int is_within_rates(const struct placement *p,
@@ -123,51 +117,6 @@
 					   may_open_connection(p, &u[i]);
 }
 
-/* Earliest time at which a pace allows a request, in ms; "otherwise" if this VM
- * has no part of the rate. */
-static int64_t pace_opens_ms(const struct limit_rate *pace, int64_t rate_milli,
-			     int64_t otherwise)
-{
-	return rate_milli > 0 ? pace->next_us / US_PER_MS : otherwise;
-}
-
-/* Earliest time at which an upstream that is not available may be. */
-static int64_t opens_ms(const struct placement *p,
-			const struct steer_upstream *u)
-{
-	const struct place_upstream_stats *stats = stats_of(p, u);
-	int64_t now = p->request->now_ms;
-	int64_t at = max_ms(stats->ejected_until_ms, u->paused_until_ms);
-
-	at = max_ms(at, u->closed_until_ms);
-	if (now < u->cold_until_ms)
-		at = max_ms(at, pace_opens_ms(&stats->cold_limit,
-					      u->cold_rate_milli,
-					      u->cold_until_ms));
-	if (now < u->limited_until_ms)
-		at = max_ms(at, max_ms(u->limit_resumes_ms,
-				       pace_opens_ms(&stats->named_limit,
-						     u->limit_part_milli,
-						     u->limited_until_ms)));
-	return at;
-}
-
-/* Time until the first of the upstreams opens, none of which is available. */
-static int64_t wait_until_open_ms(const struct placement *p,
-				  const struct steer_upstream *u, int n)
-{
-	int64_t earliest = PRL_NEVER;
-	int64_t now = p->request->now_ms;
-
-	for (int i = 0; i < n; i++) {
-		int64_t at = opens_ms(p, &u[i]);
-
-		if (at < earliest)
-			earliest = at;
-	}
-	return earliest > now ? earliest - now : 0;
-}
-
 static int64_t useful_wait_max_ms(const struct place_request *req,
 				  int64_t service_ms)
 {
@@ -251,9 +200,6 @@
 		commit_decision(p, region, &found);
 		return 1;
 	}
-	if (found.wait_ms == PRL_NEVER)
-		found.wait_ms = wait_until_open_ms(p, candidates.upstream,
-						   candidates.n);
 	if (found.wait_ms < p->out->wait_ms)
 		p->out->wait_ms = found.wait_ms;
 	return 0;
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -326,25 +326,6 @@
 	assert_int_equal(place_for_ms(1, 1), 1);
 }
 
-/* If no upstream may get a request, the wait is until the first one may. */
-static void test_refused_ones_come_back_when_one_is_open(void **unused)
-{
-	struct place_request req;
-	struct place_decision decision;
-
-	(void)unused;
-	upstream[0].limited_until_ms = now_ms + 9000;
-	upstream[0].limit_resumes_ms = now_ms + 700;
-	upstream[0].limit_part_milli = 1000;
-	upstream[1].cold_until_ms = now_ms + 900;
-	upstream[2].closed_until_ms = now_ms + 4000;
-	stats[2].ejected_until_ms = now_ms + 100;
-	req = make_request(1);
-	req.region_mask = 1;
-	assert_int_equal(place_choose(&req, &decision), 0);
-	assert_int_equal(decision.wait_ms, 700);
-}
-
 /* Upstreams that name a rate limit get requests at this VM's part of it,
  * divided by its threads, also while all of them are ejected. */
 static void test_limited_ones_are_paced(void **unused)
@@ -533,8 +514,6 @@
 		cmocka_unit_test_setup(
 			test_paused_one_rests_while_all_are_ejected, setup),
 		cmocka_unit_test_setup(test_closed_one_is_left_alone, setup),
-		cmocka_unit_test_setup(
-			test_refused_ones_come_back_when_one_is_open, setup),
 		cmocka_unit_test_setup(test_limited_ones_are_paced, setup),
 		cmocka_unit_test_setup(test_connections_are_divided, setup),
 		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
