Log when a VM reaches no upstream of a service any longer

What was missing to tell the hypotheses apart: no line said that a VM itself had found that it reaches nobody. Nothing acts on it yet.

--- a/cmd/primroseleadd/news.c
+++ b/cmd/primroseleadd/news.c
@@ -63,6 +63,19 @@
 	act_on_news(c);
 }
 
+static void note_isolated(const struct proxy_news *news)
+{
+	char age[LOG_NUMBER_MAX];
+
+	log_format_number(age, news->u.isolated.answered_ms
+				       ? prl_now_ms() -
+						 news->u.isolated.answered_ms
+				       : -1);
+	log_event(LOG_LEVEL_AUDIT, "isolated", "service",
+		  news->u.isolated.service, "last_upstream", news->instance,
+		  "answered_age_ms", age, NULL);
+}
+
 static void tell_peers(struct control *c)
 {
 	struct news *n = &c->news;
@@ -164,6 +177,9 @@
 	case PROXY_NEWS_CLOSED:
 		note_closed(c, &key, news->u.closed_until_ms);
 		break;
+	case PROXY_NEWS_ISOLATED:
+		note_isolated(news);
+		break;
 	}
 	g_free(news);
 }
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -96,6 +96,25 @@
 	} bucket[PLACE_MOVE_BUCKETS];
 };
 
+/**
+ * Whether the attempts of one thread reach any upstream of a service. An
+ * attempt is unanswered if it found no connection, or if its connection broke
+ * before a byte of the response. All zero is the initial state.
+ */
+struct place_isolation {
+	/** Unanswered attempts in a row. */
+	int failures;
+	/** Id of the upstream of the first of them, and whether another
+	 * upstream is among them. */
+	uint64_t first_failed;
+	int several_failed;
+	/** Times of the last unanswered attempt and of the last answer. */
+	int64_t failed_ms;
+	int64_t answered_ms;
+	/** Moving average of the share of unanswered attempts, in permille. */
+	int unanswered_permille;
+};
+
 /** State that one thread keeps of one service. All zero is the initial state.
  */
 struct place_service_state {
@@ -109,6 +128,7 @@
 	/** Moving average of the time of a request that does not queue at the
 	 * upstream, for each region, in microseconds; 0 without a sample. */
 	int64_t service_time_us[STEER_REGIONS_MAX];
+	struct place_isolation isolation;
 };
 
 /**
@@ -237,6 +257,23 @@
  */
 int64_t place_retry_after(int64_t wait_ms, uint64_t random);
 
+/** Records that an upstream answered. */
+void place_isolation_answered(struct place_isolation *s, int64_t now_ms);
+
+/**
+ * Records an unanswered attempt at an upstream of a service that has
+ * "nupstream" of them. Returns 1 if no upstream seems to be reached: several
+ * attempts in a row were unanswered, at more than one upstream if there is more
+ * than one. Else returns 0.
+ */
+int place_isolation_unanswered(struct place_isolation *s, uint64_t upstream,
+			       int nupstream, int64_t now_ms);
+
+/** Whether so many of the recent attempts were unanswered that a request whose
+ * attempt found no connection should not try another upstream. */
+int place_isolation_is_impaired(const struct place_isolation *s,
+				int64_t now_ms);
+
 /** Estimated state of one upstream when a request is placed. */
 struct place_estimate {
 	/** The upstream may be sent a request now. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -86,7 +86,7 @@
 	struct claim_answer result;
 };
 
-/** What a response says about its upstream. */
+/** What a traffic thread has learned about an upstream or a service. */
 enum proxy_news_type {
 	/** It names a rate limit, or no longer does. */
 	PROXY_NEWS_LIMIT,
@@ -94,6 +94,8 @@
 	PROXY_NEWS_LEAVING,
 	/** It wants no requests from this VM for a while. */
 	PROXY_NEWS_CLOSED,
+	/** Attempts reach no upstream of its service any longer. */
+	PROXY_NEWS_ISOLATED,
 };
 
 /** News of an upstream, sent to the control thread, which frees it. */
@@ -112,6 +114,11 @@
 		} limit;
 		/** PROXY_NEWS_CLOSED: end of that time. */
 		int64_t closed_until_ms;
+		struct {
+			char service[STEER_NAME_MAX];
+			/** When an upstream last answered; 0 if never. */
+			int64_t answered_ms;
+		} isolated;
 	} u;
 };
 
--- a/proxy/src/news.c
+++ b/proxy/src/news.c
@@ -1,5 +1,6 @@
 #include "news.h"
 #include <primroselead/clock.h>
+#include <string.h>
 
 /* Interval in ms at which the control thread is told of a rate limit that
  * stays. */
@@ -90,3 +91,15 @@
 	    meta->retry_after_ms > 0)
 		read_closed(r, now);
 }
+
+void news_tell_isolated(const struct proxy_request *r)
+{
+	const struct place_isolation *isolation =
+		&r->thread->placement_state[r->service->stats_index].isolation;
+	struct proxy_news *news = new_news(r, PROXY_NEWS_ISOLATED);
+
+	memcpy(news->u.isolated.service, r->service_name,
+	       sizeof(news->u.isolated.service));
+	news->u.isolated.answered_ms = isolation->answered_ms;
+	send_news(r, news);
+}
--- a/proxy/src/news.h
+++ b/proxy/src/news.h
@@ -7,4 +7,8 @@
  * about the upstream's state, if that is news. */
 void news_read_response(struct proxy_request *r);
 
+/** Tells the control thread that no upstream of the request's service seems to
+ * be reached. */
+void news_tell_isolated(const struct proxy_request *r);
+
 #endif
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -1,5 +1,6 @@
 /* Placement of routed requests: connects them to the package place. */
 #include "placing.h"
+#include "news.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <string.h>
@@ -155,6 +156,28 @@
 	return 0;
 }
 
+/* An attempt at the caller's deadline is no evidence: the upstream may only be
+ * slow. */
+static int is_unanswered(const struct proxy_request *r,
+			 enum place_result result)
+{
+	return !r->status &&
+	       (result == PLACE_UNREACHED || result == PLACE_BROKEN);
+}
+
+static void record_contact(struct proxy_request *r, enum place_result result)
+{
+	struct place_isolation *isolation = &routed_service_state(r)->isolation;
+	int64_t now = prl_now_ms();
+
+	if (r->status)
+		place_isolation_answered(isolation, now);
+	else if (is_unanswered(r, result) &&
+		 place_isolation_unanswered(isolation, r->upstream->id,
+					    r->service->nupstream, now))
+		news_tell_isolated(r);
+}
+
 static const char *const result_names[] = {"answered", "failed", "refused",
 					   "broken", "unreached"};
 
@@ -173,6 +196,7 @@
 				       METRIC_UPSTREAM_TIME, end.duration_us);
 	else
 		request_log_attempt(r, result_names[result]);
+	record_contact(r, result);
 	place_record_attempt(routed_upstream_stats(r), routed_service_state(r),
 			     &end, prl_now_ms());
 }
