Red: callers of a VM that lost its links to all upstreams

A third VM reaches the upstreams through standin-link, a new stand-in that forwards connections and can leave them unanswered, refuse them, or refuse new ones only; its store names the links' addresses. 4 s after the cut at least 19 of 20 requests must be served, what runs once exactly once, and 3 s after its end again.

--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -1,7 +1,7 @@
 # The daemon and the command, the stand-ins (store, upstreams, load and fleet for
 # tests and benchmarks) and the example program.
 BINARIES := $(foreach p,$(PROGRAMS),$(OUT)/bin/$(p))
-STANDIN_PROGRAMS := store upstream odd load bare fleet
+STANDIN_PROGRAMS := store upstream odd load bare fleet link
 STANDINS := $(foreach p,$(STANDIN_PROGRAMS),$(OUT)/bin/standin-$(p))
 EXAMPLES := $(OUT)/bin/example-steer
 
--- a/system/routes.c
+++ b/system/routes.c
@@ -10,13 +10,20 @@
 
 pid_t routes_vm_pid[4];
 
+static int objects_port = STORE_PORT;
+
+void routes_use_store(int port)
+{
+	objects_port = port;
+}
+
 void routes_put_object(const char *key, const char *value)
 {
 	char url[160];
 	struct http_request req = {.method = "PUT", .url = url, .body = value};
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/objects/%s",
-		 STORE_PORT, key);
+		 objects_port, key);
 	assert_int_equal(harness_send_request(&req).status, 200);
 }
 
--- a/system/routes.h
+++ b/system/routes.h
@@ -39,6 +39,10 @@
 /** Sets faults of the store; "query" has the arguments of its /admin/faults. */
 void routes_set_store_faults(const char *query);
 
+/** Sets the port of the store that the functions below write to; at first
+ * STORE_PORT. */
+void routes_use_store(int port);
+
 /** Writes an object to the store as the platform does; an empty value deletes
  * it. */
 void routes_put_object(const char *key, const char *value);
--- /dev/null
+++ b/system/test_isolated_vm.c
@@ -0,0 +1,185 @@
+/* A VM that loses its links to all upstreams, while callers, a store and the
+ * other VMs still reach it. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "routes.h"
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+/* The VM that loses its links. Its store names other addresses of the upstreams
+ * than that of the other VMs: those of the links. */
+#define ISOLATED_VM 3
+#define ISOLATED_STORE_PORT (PORT_BASE + 10)
+#define LINK_PORT(n) (PORT_BASE + 300 + (n))
+#define LINK_ADMIN_PORT (PORT_BASE + 310)
+
+/* Time from the cut until callers must be served again, in ms. */
+#define TOUCH_MS 4000
+
+/* Time from the return of the links until the VM must use them, in ms. */
+#define RETURN_MS 3000
+
+/* Pause between two requests, in ms. */
+#define REQUEST_INTERVAL_MS 40
+
+static void set_link(const char *mode)
+{
+	char url[80];
+	char text[64];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/%s",
+		 LINK_ADMIN_PORT, mode);
+	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
+}
+
+static void start_link(void)
+{
+	char admin[32];
+	char paths[120];
+	char url[80];
+	const char *args[] = {admin, paths, NULL};
+
+	snprintf(admin, sizeof(admin), "--admin=%d", LINK_ADMIN_PORT);
+	snprintf(paths, sizeof(paths), "--paths=%d:%d,%d:%d,%d:%d",
+		 LINK_PORT(1), UPSTREAM_PORT(1), LINK_PORT(2), UPSTREAM_PORT(2),
+		 LINK_PORT(3), UPSTREAM_PORT(3));
+	harness_spawn("standin-link", args);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/pass",
+		 LINK_ADMIN_PORT);
+	assert_true(fleet_wait_text(url, "done", 5000));
+}
+
+static void put_isolated_upstreams(int sequence)
+{
+	routes_use_store(ISOLATED_STORE_PORT);
+	routes_put_upstream("i-1", "s", LINK_PORT(1), "ready", sequence);
+	routes_put_upstream("i-2", "s", LINK_PORT(2), "ready", sequence);
+	routes_put_upstream("i-3", "t", LINK_PORT(3), "ready", sequence);
+	routes_use_store(STORE_PORT);
+}
+
+static int setup(void **state)
+{
+	routes_setup(state);
+	start_link();
+	fleet_start_store(ISOLATED_STORE_PORT);
+	routes_use_store(ISOLATED_STORE_PORT);
+	routes_put_manifest(3, "s");
+	put_isolated_upstreams(1);
+	routes_start_vm_with_store(ISOLATED_VM, ISOLATED_STORE_PORT);
+	return 0;
+}
+
+/* Ends what an earlier test that failed left behind. */
+static int restore_link(void **state)
+{
+	(void)state;
+	set_link("pass");
+	harness_sleep_ms(RETURN_MS);
+	return 0;
+}
+
+struct tally {
+	int sent;
+	int served;
+	/** Requests that failed without the promise that they did not run. */
+	int unknown;
+};
+
+static struct tally send_requests(const char *method, const char *path,
+				  int duration_ms)
+{
+	struct tally t = {0};
+
+	for (int ms = 0; ms < duration_ms; ms += REQUEST_INTERVAL_MS) {
+		struct http_response resp =
+			routes_request_at(ISOLATED_VM, method, path);
+
+		t.sent++;
+		t.served += resp.status == 200 && resp.has_server_stamp &&
+			    !strcmp(resp.body, "hello world\n");
+		t.unknown += resp.status != 200 && resp.status != 503;
+		harness_sleep_ms(REQUEST_INTERVAL_MS);
+	}
+	return t;
+}
+
+/* Makes some attempts fail, so that the VM can find out. */
+static void press_while_cut(void)
+{
+	for (int ms = 0; ms < TOUCH_MS;) {
+		struct http_response resp =
+			routes_request_at(ISOLATED_VM, "GET", "/safe/plain");
+
+		ms += resp.status == 200 ? REQUEST_INTERVAL_MS : 700;
+		harness_sleep_ms(REQUEST_INTERVAL_MS);
+	}
+}
+
+static void expect_served(const struct tally *t)
+{
+	print_message("%d of %d served\n", t->served, t->sent);
+	assert_true(t->served * 20 >= t->sent * 19);
+	assert_int_equal(t->unknown, 0);
+}
+
+static void cut_and_expect_service(const char *mode)
+{
+	struct tally t = send_requests("GET", "/safe/plain", 400);
+	int64_t ran;
+
+	expect_served(&t);
+	set_link(mode);
+	press_while_cut();
+	t = send_requests("GET", "/safe/plain", 2000);
+	expect_served(&t);
+	ran = routes_runs_of_s();
+	t = send_requests("POST", "/once/plain", 1000);
+	expect_served(&t);
+	assert_int_equal(routes_runs_of_s() - ran, t.sent);
+	set_link("pass");
+	harness_sleep_ms(RETURN_MS);
+	t = send_requests("GET", "/safe/plain", 400);
+	expect_served(&t);
+}
+
+static void test_callers_of_a_vm_with_silent_links_fail(void **state)
+{
+	(void)state;
+	cut_and_expect_service("silent");
+}
+
+static void test_callers_of_a_vm_with_refused_links_fail(void **state)
+{
+	(void)state;
+	cut_and_expect_service("refuse");
+}
+
+static void test_callers_of_a_vm_that_opens_no_connection_fail(void **state)
+{
+	(void)state;
+	cut_and_expect_service("refuse-new");
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup(
+			test_callers_of_a_vm_with_silent_links_fail,
+			restore_link),
+		cmocka_unit_test_setup(
+			test_callers_of_a_vm_with_refused_links_fail,
+			restore_link),
+		cmocka_unit_test_setup(
+			test_callers_of_a_vm_that_opens_no_connection_fail,
+			restore_link),
+	};
+
+	(void)argc;
+	harness_init(argv[0]);
+	return cmocka_run_group_tests(tests, setup, routes_teardown);
+}
