Relay requests through another VM while no upstream answers this one

Callers of a VM that had lost its links to all upstreams got 503 after 0.7 s, or 502 after 2 s, for as long as the cut lasted, though the VMs beside it served. Cause: a VM judged each upstream by itself and never drew the conclusion that it is cut off; and its own attempts can't tell it from upstreams that are gone. The class: a VM takes what it sees itself for what the fleet sees.

Now three attempts in a row without an answer, at more than one upstream, mean that the VM is isolated from the service. Until two probes in a row are answered by different upstreams its requests go to another VM: of its failure domain if that has two that are not isolated, else of its region, else of any; one hop, by HTTP on the port of the RPC address, within what the other VM may do itself. The other VM says whether the request ran, so what runs at most once is sent on only when it did not. All VMs are told of an isolation (WIRE_ISOLATION), so that isolated ones are neither relayed to nor named in look-ups while two others are there, and neither pace cold or limited upstreams nor check health. If no VM reaches the service, requests are rejected at once. Where new connections fail and kept ones live on, a request whose connection failed is relayed next.

health.c's single check is a file of its own (check.c), and the three loops that told all VMs are one (peers_tell_all).

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -161,6 +161,9 @@
 	out->domain = config_domain_index(&c->builder, vm->domain);
 	out->state = entry_state(c, vm);
 	memcpy(out->address, vm->http, sizeof(out->address));
+	/* Requests are relayed to the port of the RPC address, over TCP. */
+	memcpy(out->relay_address, vm->rpc, sizeof(out->relay_address));
+	reach_fill_vm(c, vm->name, out);
 }
 
 static struct steer_view *build_view(struct control *c,
@@ -175,6 +178,12 @@
 				 c->sync.replica.complete_revision);
 }
 
+static void set_manifest_view(struct control *c, struct steer_view *v)
+{
+	health_set_view(c, v);
+	reach_set_view(c, v);
+}
+
 void apply_view(struct control *c)
 {
 	struct steer_vm *vm = g_new0(struct steer_vm, (gsize)c->members.npeer);
@@ -192,7 +201,7 @@
 	if (v) {
 		proxy_set_view(&c->proxy, v);
 		if (control_follows_manifest(c))
-			health_set_view(c, v);
+			set_manifest_view(c, v);
 		config_view_release(v);
 		c->view_outdated = 0;
 	}
--- /dev/null
+++ b/cmd/primroseleadd/check.c
@@ -0,0 +1,122 @@
+#include "check.h"
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/platform.h>
+#include <stdio.h>
+#include <string.h>
+
+static void end_transfer(struct check *k)
+{
+	curl_slist_free_all(k->headers);
+	curl_easy_cleanup(k->fetch.easy);
+	k->headers = NULL;
+	k->fetch.easy = NULL;
+	k->in_flight = 0;
+}
+
+void check_cancel(struct check *k)
+{
+	if (!k->in_flight)
+		return;
+	fetch_cancel(&k->control->fetch_pool, &k->fetch);
+	end_transfer(k);
+}
+
+/*
+ * Rejects surplus bytes of an earlier response on the same connection that were
+ * parsed as the response to this check. Most upstreams return no request id for
+ * checks, so only a different id counts as a mismatch.
+ */
+static int is_own_response(const struct check *k)
+{
+	if (k->response.request_id[0] &&
+	    strcmp(k->response.request_id, k->request_id) != 0)
+		return 0;
+	return !strcmp(k->response.instance, k->instance);
+}
+
+static void on_done(struct fetch *f, CURLcode result)
+{
+	struct check *k = f->ctx;
+
+	end_transfer(k);
+	k->result = result;
+	k->done(k, !result && (!k->path[0] || is_own_response(k)));
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct check *k = ctx;
+	size_t len = size * n;
+	char *line = g_strndup(data, len);
+	const char *space = strchr(line, ' ');
+
+	g_strchomp(line);
+	if (!strncmp(line, "HTTP/", 5))
+		k->status = space ? atoi(space + 1) : 0;
+	platform_response_meta_parse_header(line, &k->response);
+	g_free(line);
+	return len;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	(void)data;
+	(void)ctx;
+	return size * n;
+}
+
+static void set_headers(struct check *k)
+{
+	char line[FLEET_NAME_MAX + 64];
+
+	snprintf(k->request_id, sizeof(k->request_id), "health-%016llx",
+		 (unsigned long long)control_random());
+	snprintf(line, sizeof(line), "%s: %s", platform_request_id_header(),
+		 k->request_id);
+	k->headers = curl_slist_append(k->headers, line);
+	platform_deadline_header_format(line, sizeof(line),
+					k->deadline_ms - k->sent_ms);
+	k->headers = curl_slist_append(k->headers, line);
+	platform_instance_header_format(line, sizeof(line), k->instance);
+	k->headers = curl_slist_append(k->headers, line);
+}
+
+static void set_options(struct check *k)
+{
+	CURL *easy = k->fetch.easy;
+	char url[PRL_ADDRESS_MAX + FLEET_PATH_MAX + 16];
+
+	snprintf(url, sizeof(url), "http://%s%s", k->address, k->path);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, k->headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(k->deadline_ms - k->sent_ms));
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, k);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	if (!k->path[0])
+		curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
+}
+
+enum prl_code check_start(struct check *k, struct prl_error *err)
+{
+	CURL *easy = curl_easy_init();
+
+	if (!easy)
+		return prl_error_set(err, PRL_E_MEMORY,
+				     "check of %s: out of memory", k->instance);
+	k->fetch = (struct fetch){.easy = easy, .done = on_done, .ctx = k};
+	k->in_flight = 1;
+	k->status = 0;
+	k->sent_ms = prl_now_ms();
+	platform_response_meta_init(&k->response);
+	set_headers(k);
+	set_options(k);
+	if (!fetch_start(&k->control->fetch_pool, &k->fetch, err))
+		return PRL_OK;
+	end_transfer(k);
+	return err->code;
+}
--- /dev/null
+++ b/cmd/primroseleadd/check.h
@@ -0,0 +1,47 @@
+#ifndef PRIMROSELEADD_CHECK_H
+#define PRIMROSELEADD_CHECK_H
+
+#include <curl/curl.h>
+#include <primroselead/fetch.h>
+#include <primroselead/steer.h>
+
+/* One HTTP request to the health check of an upstream. */
+
+struct control;
+
+/** A health check; set the first group of fields before check_start. */
+struct check {
+	struct control *control;
+	uint64_t upstream_id;
+	char instance[STEER_NAME_MAX];
+	char address[PRL_ADDRESS_MAX];
+	/** Path of the health check; empty to make a connection only. */
+	char path[FLEET_PATH_MAX];
+	/** Time in ms by which the check must have ended. */
+	int64_t deadline_ms;
+	/** Called once after a check that was started, unless it is cancelled;
+	 * "answered" says whether the upstream itself responded. */
+	void (*done)(struct check *k, int answered);
+	void *ctx;
+
+	struct fetch fetch;
+	int in_flight;
+	struct curl_slist *headers;
+	/** Id sent with the check, to match the response to it. */
+	char request_id[FLEET_NAME_MAX];
+	/** When the check was sent. */
+	int64_t sent_ms;
+	/** HTTP status and metadata of the response, and libcurl's result. */
+	int status;
+	struct fleet_response_meta response;
+	CURLcode result;
+};
+
+/** Starts the check. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY; after an error
+ * "done" is not called. */
+enum prl_code check_start(struct check *k, struct prl_error *err);
+
+/** Ends a check that is in flight without calling "done". */
+void check_cancel(struct check *k);
+
+#endif
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -142,6 +142,7 @@
 		registry_tick(c, now);
 		health_tick(c, now);
 		news_tick(c);
+		reach_tick(c, now);
 	} else {
 		sync_tick(c, now);
 	}
@@ -225,6 +226,7 @@
 	sync_init(c);
 	registry_init(c);
 	health_init(c);
+	reach_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick_timer.on_expiry = on_tick;
@@ -246,6 +248,7 @@
 	proxy_stop(&c->proxy);
 	mailbox_finish(&c->news_mailbox, &c->loop);
 	sync_finish(c);
+	reach_finish(c);
 	health_finish(c);
 	registry_finish(c);
 	grants_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,6 +3,7 @@
 
 #include "health.h"
 #include "news.h"
+#include "reach.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
@@ -187,6 +188,7 @@
 	struct registry registry;
 	struct health health;
 	struct news news;
+	struct reach reach;
 	struct config_builder builder;
 	struct proxy proxy;
 	/** Takes struct proxy_claim from traffic threads. */
@@ -342,6 +344,12 @@
 /** Sends the probes that are due and processes membership changes. */
 void peers_tick(struct control *c, int64_t now);
 
+/**
+ * Sends a call to all usable VMs, with retransmissions until they acknowledge
+ * it or a short time has passed.
+ */
+void peers_tell_all(struct control *c, const struct wire_args *args);
+
 /** Whether a call comes from the address of a member that is not dead. */
 int peers_is_member(const struct control *c, const struct wire_request *r);
 
--- a/cmd/primroseleadd/news.c
+++ b/cmd/primroseleadd/news.c
@@ -2,10 +2,6 @@
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 
-/* Timeout and retransmission interval of a message to another VM, in ms. */
-#define TELL_TIMEOUT_MS 400
-#define TELL_RETRANSMIT_MS 100
-
 /* Greatest limit that is accepted from another VM, in thousandths of a request
  * per second. */
 #define LIMIT_MAX_MILLI 1000000000
@@ -63,34 +59,14 @@
 	act_on_news(c);
 }
 
-static void note_isolated(const struct proxy_news *news)
-{
-	char age[LOG_NUMBER_MAX];
-
-	log_format_number(age, news->u.isolated.answered_ms
-				       ? prl_now_ms() -
-						 news->u.isolated.answered_ms
-				       : -1);
-	log_event(LOG_LEVEL_AUDIT, "isolated", "service",
-		  news->u.isolated.service, "last_upstream", news->instance,
-		  "answered_age_ms", age, NULL);
-}
-
 static void tell_peers(struct control *c)
 {
 	struct news *n = &c->news;
 	struct wire_args args = {.proc = WIRE_NEWS};
-	struct wire_call_options o = {
-		.deadline_ms = prl_now_ms() + TELL_TIMEOUT_MS,
-		.retransmit_ms = TELL_RETRANSMIT_MS,
-	};
 
 	args.u.news.news.news_val = n->pending;
 	args.u.news.news.news_len = (u_int)n->npending;
-	for (int i = 1; i < c->members.npeer; i++)
-		if (member_is_usable(&c->members.peer[i]))
-			wire_call(&c->wire, c->members.peer[i].vm.rpc, &args,
-				  &o, NULL);
+	peers_tell_all(c, &args);
 	n->npending = 0;
 }
 
@@ -178,7 +154,7 @@
 		note_closed(c, &key, news->u.closed_until_ms);
 		break;
 	case PROXY_NEWS_ISOLATED:
-		note_isolated(news);
+		reach_handle_isolated(c, news);
 		break;
 	}
 	g_free(news);
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -10,6 +10,10 @@
  */
 #define REGISTERED_PROBE_INTERVAL_MS 500
 
+/* Timeout and retransmission interval of what all VMs are told, in ms. */
+#define TELL_TIMEOUT_MS 400
+#define TELL_RETRANSMIT_MS 100
+
 /* A pending call that probes a VM, directly or through another VM. */
 struct probe_call {
 	struct control *control;
@@ -288,6 +292,19 @@
 	return member_has_address(&c->members, from);
 }
 
+void peers_tell_all(struct control *c, const struct wire_args *args)
+{
+	struct wire_call_options o = {
+		.deadline_ms = prl_now_ms() + TELL_TIMEOUT_MS,
+		.retransmit_ms = TELL_RETRANSMIT_MS,
+	};
+
+	for (int i = 1; i < c->members.npeer; i++)
+		if (member_is_usable(&c->members.peer[i]))
+			wire_call(&c->wire, c->members.peer[i].vm.rpc, args, &o,
+				  NULL);
+}
+
 static int is_listed(const struct control *c, const struct wire_vm *from)
 {
 	char key[STORE_KEY_MAX];
@@ -386,6 +403,9 @@
 	case WIRE_NEWS:
 		news_handle_remote(c, r, &args->u.news);
 		break;
+	case WIRE_ISOLATION:
+		reach_handle_remote(c, r, &args->u.isolation);
+		break;
 	}
 }
 
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -34,19 +34,26 @@
 	       g_hash_table_contains(inv->region_by_domain, u->domain);
 }
 
-/* Whether a VM may send to paced upstreams of a region; STEER_NONE means any
- * region. */
-static int is_sender(const struct steer_vm *vm, int region)
+/* VMs that may send to the paced upstreams of a service. */
+struct senders {
+	/** STEER_NONE means all regions. */
+	int region;
+	/** Hash of the service's name: VMs that are isolated from it send
+	 * nothing. 0 means that isolation does not count. */
+	uint64_t service;
+};
+
+static int is_sender(const struct steer_vm *vm, const struct senders *s)
 {
 	return vm->state == STEER_ACTIVE &&
-	       (region == STEER_NONE || vm->region == region);
+	       (s->region == STEER_NONE || vm->region == s->region) &&
+	       !(s->service && steer_vm_is_isolated(vm, s->service));
 }
 
-/* Ranks the active VMs of a region (STEER_NONE: of all regions) for an upstream
- * by rendezvous hashing. Returns this VM's rank, or STEER_NONE if it is not one
- * of them; sets "total" to their number. */
+/* Ranks senders for an upstream by rendezvous hashing. Returns this VM's rank,
+ * or STEER_NONE if it is not one of them; sets "total" to their number. */
 static int sender_rank(const struct view_build *build, uint64_t upstream,
-		       int region, int *total)
+		       const struct senders *senders, int *total)
 {
 	const struct steer_view *v = build->view;
 	uint64_t self_weight = prl_hash_combine(upstream, build->self);
@@ -55,7 +62,7 @@
 
 	*total = 0;
 	for (int i = 0; i < v->nvm; i++) {
-		if (!is_sender(&v->vm[i], region))
+		if (!is_sender(&v->vm[i], senders))
 			continue;
 		++*total;
 		is_ranked |= v->vm[i].id == build->self;
@@ -68,24 +75,29 @@
 /* Sets this VM's parts of the rates at which all VMs together may send to an
  * upstream while it is cold or names a limit, and whether this VM is its health
  * checker. The first PACED_SENDERS VMs of the upstream's region divide the
- * rates; if the region has no active VM, VMs of any region do. */
+ * rates; if the region has no active VM that reaches the service, VMs of any
+ * region do, and if no VM reaches it, any active ones. */
 static void set_paced_rates(const struct view_build *build,
-			    struct steer_upstream *u, int64_t cold_rate_milli)
+			    struct steer_upstream *u,
+			    const struct fleet_service *service)
 {
+	const uint64_t name = prl_hash_string(service->name);
+	const struct senders order[] = {
+		{u->region, name}, {STEER_NONE, name}, {STEER_NONE, 0}};
 	int64_t limit = MAX(u->limit_milli, LIMIT_MIN_MILLI);
-	int total;
-	int rank = sender_rank(build, u->id, u->region, &total);
+	int rank = STEER_NONE;
+	int total = 0;
 	int senders;
 
-	if (!total)
-		rank = sender_rank(build, u->id, STEER_NONE, &total);
+	for (size_t i = 0; !total && i < G_N_ELEMENTS(order); i++)
+		rank = sender_rank(build, u->id, &order[i], &total);
 	if (rank == STEER_NONE)
 		return;
 	u->is_health_checker = rank == 0;
 	if (rank >= PACED_SENDERS)
 		return;
 	senders = total < PACED_SENDERS ? total : PACED_SENDERS;
-	u->cold_rate_milli = cold_rate_milli / senders;
+	u->cold_rate_milli = service->cold_rate_milli / senders;
 	u->limit_part_milli = limit / senders;
 }
 
@@ -120,7 +132,7 @@
 					  entry->service, start);
 	if (u->region < 0 || u->stats_index < 0)
 		return -1;
-	set_paced_rates(build, u, service->cold_rate_milli);
+	set_paced_rates(build, u, service);
 	return 0;
 }
 
--- a/config/src/view.c
+++ b/config/src/view.c
@@ -69,15 +69,17 @@
  * sorted, so all VMs agree on the ranks. */
 static void rank_self(struct steer_view *v, uint64_t self)
 {
-	int region = STEER_NONE;
+	int region;
 
-	for (int i = 0; i < v->nvm; i++)
+	v->self = STEER_NONE;
+	for (int i = 0; i < v->nvm; i++) {
 		v->nactive += v->vm[i].state == STEER_ACTIVE;
-	for (int i = 0; i < v->nvm; i++)
-		if (v->vm[i].id == self && v->vm[i].state == STEER_ACTIVE)
-			region = v->vm[i].region;
-	if (region == STEER_NONE)
+		if (v->vm[i].id == self)
+			v->self = i;
+	}
+	if (v->self == STEER_NONE || v->vm[v->self].state != STEER_ACTIVE)
 		return;
+	region = v->vm[v->self].region;
 	for (int i = v->first_vm[region]; i < v->first_vm[region + 1]; i++) {
 		if (v->vm[i].state != STEER_ACTIVE)
 			continue;
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -21,6 +21,11 @@
 	METRIC_REQUESTS_BAD,
 	METRIC_UPSTREAM_ATTEMPTS,
 	METRIC_UPSTREAM_RETRIES,
+	/** Requests passed on to another VM, and those taken from others. */
+	METRIC_RELAYS_SENT,
+	METRIC_RELAYS_TAKEN,
+	/** Services of which this VM reaches no upstream at present. */
+	METRIC_SERVICES_ISOLATED,
 	/** Requests sent to another region because their own was full or had
 	 * no upstream. */
 	METRIC_REQUESTS_SPILLED,
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -113,6 +113,9 @@
 	int64_t answered_ms;
 	/** Moving average of the share of unanswered attempts, in permille. */
 	int unanswered_permille;
+	/** Until then the caller of this package takes the service for
+	 * isolated. */
+	int64_t isolated_until_ms;
 };
 
 /** State that one thread keeps of one service. All zero is the initial state.
@@ -274,6 +277,55 @@
 int place_isolation_is_impaired(const struct place_isolation *s,
 				int64_t now_ms);
 
+/** Whether a VM reaches the upstreams of a service. */
+enum place_reach_state {
+	PLACE_REACHED,
+	/** Another service is isolated: probes are to tell about this one. */
+	PLACE_SUSPECTED,
+	/** No upstream answers. */
+	PLACE_ISOLATED,
+};
+
+/** What a VM knows of its reach of one service, from its own attempts and
+ * probes. All zero is the initial state, PLACE_REACHED. */
+struct place_reach {
+	enum place_reach_state state;
+	/** When the state began. */
+	int64_t since_ms;
+	int64_t next_probe_ms;
+	/** Probes in a row that were answered, and the upstream of the last
+	 * one; probes in a row that were not. */
+	int answered;
+	uint64_t last_answered;
+	int unanswered;
+};
+
+/** Begins to probe a service that the VM may not reach. */
+void place_reach_suspect(struct place_reach *s, int64_t now_ms);
+
+/** Marks a service as isolated, on the evidence of attempts. */
+void place_reach_isolate(struct place_reach *s, int64_t now_ms);
+
+/** Returns 1 if probes are due now, and schedules the next ones; else 0. */
+int place_reach_probe_due(struct place_reach *s, uint64_t random,
+			  int64_t now_ms);
+
+/** A probe of an upstream that has ended. */
+struct place_probe {
+	uint64_t upstream;
+	/** The upstream responded, healthy or not. */
+	int answered;
+	/** Upstreams of the service. */
+	int nupstream;
+};
+
+/** Updates the state after a probe. */
+void place_reach_probe_ended(struct place_reach *s,
+			     const struct place_probe *probe, int64_t now_ms);
+
+/** Whether other VMs are to know that this VM is isolated from the service. */
+int place_reach_is_told(const struct place_reach *s, int64_t now_ms);
+
 /** Estimated state of one upstream when a request is placed. */
 struct place_estimate {
 	/** The upstream may be sent a request now. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -31,6 +31,9 @@
 /** Maximum length of an idempotency key, in bytes. */
 #define PROXY_IDEMPOTENCY_KEY_MAX 200
 
+/** Number of VMs that a thread remembers not to relay requests to. */
+#define PROXY_AVOIDED_MAX 16
+
 /** Maximum number of requests queued for capacity in one thread. */
 #define PROXY_WAITING_MAX 1024
 
@@ -171,6 +174,15 @@
 	 * readiness and metrics. */
 	struct serve aux_listener[3];
 	int naux_listener;
+	/** Takes requests that other VMs relay; only if routes come from the
+	 * manifest. */
+	struct serve relay_listener;
+	/** VMs that no requests are relayed to for a while. */
+	struct {
+		uint64_t id;
+		int64_t until_ms;
+	} avoided_peer[PROXY_AVOIDED_MAX];
+	unsigned int next_avoided;
 	struct fetch_pool fetch_pool;
 	struct mailbox mailbox;
 	struct metrics metrics;
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -64,7 +64,9 @@
 	    (r->routed ? placing_reserve(r) : upstream_reserve(r)))
 		return 1;
 	metrics_add(&r->thread->metrics, METRIC_REQUESTS_SHED, 1);
-	release_and_fail(r, "no upstream takes new work");
+	release_and_fail(r, r->isolated
+				    ? "no upstream of the service is in reach"
+				    : "no upstream takes new work");
 	return 0;
 }
 
@@ -97,6 +99,9 @@
 	r->upstream_refused = 0;
 	r->status = 0;
 	r->verdict = VERDICT_PASS;
+	r->unreached = 0;
+	r->peer_outcome = PEER_UNKNOWN;
+	r->peer_is_isolated = 0;
 	body_finish(&r->response_body);
 	r->upload_paused = 0;
 	r->download_paused = 0;
--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -21,6 +21,18 @@
  * from them. */
 void request_accept_response(struct proxy_request *r);
 
+/** Starts another attempt. */
+void request_retry(struct proxy_request *r);
+
+/** Sets the outcome after an attempt without a response to pass on. */
+void request_update_outcome(struct proxy_request *r, int did_not_run);
+
+/** Passes a complete response on. */
+void request_forward_response(struct proxy_request *r);
+
+/** Breaks off a response of which a part was passed on. */
+void request_abort_response(struct proxy_request *r);
+
 /** Whether another attempt is allowed; if so, withdraws it from the retry
  * budget. "did_not_run": the last attempt certainly did not run. */
 int request_may_retry(struct proxy_request *r, int did_not_run);
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -1,6 +1,7 @@
 /* End of an attempt: response, retry or failure of the request. */
 #include "attempt.h"
 #include "placing.h"
+#include "relay.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
 
@@ -34,7 +35,7 @@
 	return limit_ratio_withdraw(&upstream_service_stats(r)->retry_limit);
 }
 
-static void retry(struct proxy_request *r)
+void request_retry(struct proxy_request *r)
 {
 	r->failed_upstream = r->upstream;
 	upstream_release(r);
@@ -42,7 +43,7 @@
 	request_start_attempt(r);
 }
 
-static void update_outcome(struct proxy_request *r, int did_not_run)
+void request_update_outcome(struct proxy_request *r, int did_not_run)
 {
 	if (!did_not_run)
 		r->maybe_ran = 1;
@@ -50,7 +51,7 @@
 }
 
 /* The response broke off after a part of it was passed on. */
-static void abort_response(struct proxy_request *r)
+void request_abort_response(struct proxy_request *r)
 {
 	r->response_body_failed = 1;
 	r->outcome = OUTCOME_UNKNOWN;
@@ -75,9 +76,14 @@
 static void retry_or_fail(struct proxy_request *r, int did_not_run,
 			  const char *cause)
 {
-	update_outcome(r, did_not_run);
+	request_update_outcome(r, did_not_run);
+	if (did_not_run && relay_may_follow(r) &&
+	    !body_rewind(&r->request_body)) {
+		request_retry(r);
+		return;
+	}
 	if (request_may_retry(r, did_not_run)) {
-		retry(r);
+		request_retry(r);
 		return;
 	}
 	request_release(r);
@@ -99,9 +105,10 @@
 	int timed_out = prl_now_ms() + DEADLINE_MARGIN_MS >= r->deadline_ms;
 
 	r->curl_result = result;
+	r->unreached = !r->maybe_sent;
 	placing_record_result(r, result_of_failure(r, timed_out));
 	if (r->state == REQUEST_RESPONDING) {
-		abort_response(r);
+		request_abort_response(r);
 		return;
 	}
 	retry_or_fail(r, !r->maybe_sent,
@@ -118,7 +125,7 @@
 	r->state = REQUEST_RESPONDING;
 }
 
-static void forward_response(struct proxy_request *r)
+void request_forward_response(struct proxy_request *r)
 {
 	request_accept_response(r);
 	r->response_body_ended = 1;
@@ -139,15 +146,15 @@
 	switch (r->verdict) {
 	case VERDICT_PASS:
 		placing_record_result(r, PLACE_ANSWERED);
-		forward_response(r);
+		request_forward_response(r);
 		return;
 	case VERDICT_FAILED:
 		placing_record_result(r, PLACE_FAILED);
 		r->maybe_ran = 1;
 		if (r->state != REQUEST_RESPONDING && request_may_retry(r, 0))
-			retry(r);
+			request_retry(r);
 		else
-			forward_response(r);
+			request_forward_response(r);
 		return;
 	case VERDICT_REFUSED:
 		placing_record_result(r, result_of_refusal(r));
@@ -171,14 +178,14 @@
 
 	upstream_record_result(r, 1);
 	if (r->state == REQUEST_RESPONDING) {
-		abort_response(r);
+		request_abort_response(r);
 		return;
 	}
 	may_retry = r->retry_pending || request_may_retry(r, did_not_run);
 	r->retry_pending = 0;
-	update_outcome(r, did_not_run);
+	request_update_outcome(r, did_not_run);
 	if (may_retry) {
-		retry(r);
+		request_retry(r);
 		return;
 	}
 	request_release(r);
@@ -215,7 +222,9 @@
 		request_start_transfer(r);
 		return;
 	}
-	if (r->routed && (result || !r->status))
+	if (r->hop == HOP_PEER)
+		relay_done(r, result);
+	else if (r->routed && (result || !r->status))
 		attempt_failed_routed(r, result);
 	else if (r->routed)
 		attempt_completed_routed(r);
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -1,6 +1,7 @@
 /* Placement of routed requests: connects them to the package place. */
 #include "placing.h"
 #include "news.h"
+#include "relay.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <string.h>
@@ -17,6 +18,13 @@
  * keep-alive timeout, in s. */
 #define IDLE_DEFAULT_S 4
 
+/* Time in ms in which the control thread confirms an isolation. */
+#define ISOLATION_CONFIRM_MS 300
+
+/* Least time in ms after which callers are to come back while no VM reaches the
+ * service: that of a probe. */
+#define RETRY_ISOLATED_MS 500
+
 #define PERCENT 100
 
 static struct place_upstream_stats *
@@ -63,7 +71,8 @@
 	int64_t ratio = r->thread->bounds.retry_permille;
 
 	set_retry_budget(r);
-	if (!r->attempts)
+	/* The VM that relayed the request has counted it. */
+	if (!r->attempts && !r->relayed)
 		limit_budget_deposit(&routed_service_state(r)->retry_budget,
 				     ratio * RETRY_RATIO_PERCENT / PERCENT);
 }
@@ -132,6 +141,14 @@
 	r->retry_after_ms = place_retry_after(wait_ms, t->random_state);
 }
 
+/* Trying the upstreams would keep the caller waiting in vain; probes find out
+ * when they are back. */
+static void reject_isolated(struct proxy_request *r)
+{
+	r->isolated = 1;
+	set_retry_after(r, RETRY_ISOLATED_MS);
+}
+
 int placing_reserve(struct proxy_request *r)
 {
 	struct place_decision chosen = {.wait_ms = PRL_NEVER};
@@ -141,11 +158,18 @@
 	use_newest_view(r);
 	r->service = NULL;
 	r->upstream = NULL;
+	r->hop = HOP_UPSTREAM;
 	i = steer_find_service(r->view, r->service_name,
 			       strlen(r->service_name));
 	if (i != STEER_NONE) {
 		r->service = r->view->service[i];
 		count_for_retry_budget(r);
+		if (relay_reserve(r))
+			return 1;
+		if (relay_is_isolated(r)) {
+			reject_isolated(r);
+			return 0;
+		}
 		fill_place_request(r, &request);
 		if (place_choose(&request, &chosen)) {
 			assign_upstream(r, &chosen);
@@ -165,6 +189,15 @@
 	       (result == PLACE_UNREACHED || result == PLACE_BROKEN);
 }
 
+/* Requests are relayed at once; the control thread confirms the isolation in a
+ * new view. */
+static void begin_isolation(struct proxy_request *r,
+			    struct place_isolation *isolation, int64_t now)
+{
+	isolation->isolated_until_ms = now + ISOLATION_CONFIRM_MS;
+	news_tell_isolated(r);
+}
+
 static void record_contact(struct proxy_request *r, enum place_result result)
 {
 	struct place_isolation *isolation = &routed_service_state(r)->isolation;
@@ -174,8 +207,9 @@
 		place_isolation_answered(isolation, now);
 	else if (is_unanswered(r, result) &&
 		 place_isolation_unanswered(isolation, r->upstream->id,
-					    r->service->nupstream, now))
-		news_tell_isolated(r);
+					    r->service->nupstream, now) &&
+		 !relay_is_isolated(r))
+		begin_isolation(r, isolation, now);
 }
 
 static const char *const result_names[] = {"answered", "failed", "refused",
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -38,6 +38,7 @@
 		return NULL;
 	r->thread = t;
 	r->conn = conn;
+	r->listener = &t->listener;
 	r->region = STEER_NONE;
 	r->link = STEER_NONE;
 	r->started_us = prl_now_us();
@@ -59,7 +60,7 @@
 	if (!r->suspended)
 		return;
 	r->suspended = 0;
-	serve_resume(&r->thread->listener, r->conn);
+	serve_resume(r->listener, r->conn);
 }
 
 void request_suspend(struct proxy_request *r)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -30,12 +30,29 @@
 	OUTCOME_RAN,
 };
 
+/** Where an attempt is sent. */
+enum request_hop {
+	HOP_UPSTREAM,
+	/** Another VM, since this one reaches no upstream. */
+	HOP_PEER,
+};
+
+/** What another VM says of a request that was relayed to it. */
+enum peer_outcome {
+	/** Also if it does not say. */
+	PEER_UNKNOWN,
+	PEER_NOT_RUN,
+	PEER_RAN,
+};
+
 /** One caller's request. Points in time ending in _ms are on the clock of
  * prl_now_ms, those ending in _us on that of prl_now_us. */
 struct proxy_request {
 	struct proxy_thread *thread;
 	/** Connection of the caller; null once the request is detached. */
 	struct MHD_Connection *conn;
+	/** Listener that accepted the connection. */
+	struct serve *listener;
 	uint64_t handle;
 	struct steer_view *view;
 	/** Null until the service is known. */
@@ -90,6 +107,25 @@
 	/** Delay announced to a refused caller. */
 	int64_t retry_after_ms;
 
+	/** Relayed by another VM, and the name that this VM gave. */
+	int relayed;
+	char relayed_by[STEER_NAME_MAX];
+	enum request_hop hop;
+	/** VM that the current attempt is sent to, with HOP_PEER. */
+	uint64_t peer_id;
+	char peer_address[PRL_ADDRESS_MAX];
+	enum peer_outcome peer_outcome;
+	/** That VM says that it is isolated, too. */
+	int peer_is_isolated;
+	/** VMs that the request was relayed to so far. */
+	int nrelay;
+	/** Attempts that may have reached an upstream. */
+	int attempts_sent;
+	/** The last attempt found no connection to its upstream. */
+	int unreached;
+	/** Refused because no upstream of the service is within reach. */
+	int isolated;
+
 	/** Region whose capacity the request holds; STEER_NONE if none. */
 	int region;
 	enum steer_reason reason;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -1,5 +1,6 @@
 /* Dispatch of requests by the routes of the platform's manifest. */
 #include "placing.h"
+#include "relay.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdlib.h>
@@ -139,6 +140,6 @@
 	route = find_route(r);
 	if (!route)
 		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
-	else if (apply_route(r, route))
+	else if (apply_route(r, route) && (!r->relayed || relay_accept(r)))
 		request_start_attempt(r);
 }
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -23,7 +23,7 @@
 #define DESCRIPTORS_RESERVED 400
 
 /* Interval between checks for disconnected callers, in milliseconds. */
-#define SWEEP_MS 200
+#define SWEEP_MS 100
 
 /* Its address marks a request for one of this VM's own pages. */
 static char local_request;
@@ -89,6 +89,19 @@
 	return request_new(t, conn, target);
 }
 
+static void *on_relayed_target(void *ctx, const char *target,
+			       struct MHD_Connection *conn)
+{
+	struct proxy_thread *t = ctx;
+	struct proxy_request *r = request_new(t, conn, target);
+
+	if (r) {
+		r->relayed = 1;
+		r->listener = &t->relay_listener;
+	}
+	return r;
+}
+
 static enum MHD_Result dispatch(struct proxy_request *r, const char *url,
 				const char *method)
 {
@@ -195,6 +208,9 @@
 		request_resume(r);
 	}
 	t->connections = (int)serve_connection_count(&t->listener);
+	if (t->proxy->follows_manifest)
+		t->connections +=
+			(int)serve_connection_count(&t->relay_listener);
 	timer->deadline_ms = now + SWEEP_MS;
 }
 
@@ -254,6 +270,8 @@
 		break;
 	case PROXY_MESSAGE_QUIESCE:
 		serve_quiesce(&t->listener);
+		if (t->proxy->follows_manifest)
+			serve_quiesce(&t->relay_listener);
 		break;
 	case PROXY_MESSAGE_STOP:
 		abort_connections(t);
@@ -319,6 +337,18 @@
 	return PRL_OK;
 }
 
+/* Requests of other VMs come to the port of the RPC address, over TCP. */
+static enum prl_code init_relay_listener(struct proxy_thread *t,
+					 const struct serve_options *front,
+					 struct prl_error *err)
+{
+	struct serve_options o = *front;
+
+	o.address = t->proxy->settings->listen.rpc;
+	o.begin = on_relayed_target;
+	return serve_init(&t->relay_listener, &t->loop, &o, err);
+}
+
 static enum prl_code alloc_routed_tables(struct proxy_thread *t,
 					 struct prl_error *err)
 {
@@ -393,7 +423,8 @@
 	    mailbox_init(&t->mailbox, &t->loop, handle_message, t, err) ||
 	    serve_init(&t->listener, &t->loop, &o, err) ||
 	    init_aux_listeners(t, err) ||
-	    (p->follows_manifest && alloc_routed_tables(t, err)))
+	    (p->follows_manifest && (alloc_routed_tables(t, err) ||
+				     init_relay_listener(t, &o, err))))
 		return err->code;
 	/* By default libcurl's connection cache shrinks with the number of
 	 * transfers under way, which would close idle connections. */
@@ -409,6 +440,8 @@
 void proxy_thread_finish(struct proxy_thread *t)
 {
 	serve_finish(&t->listener);
+	if (t->proxy->follows_manifest)
+		serve_finish(&t->relay_listener);
 	while (t->naux_listener)
 		serve_finish(&t->aux_listener[--t->naux_listener]);
 	for (int i = 0; i < t->max_requests; i++)
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -2,6 +2,7 @@
 #include "attempt.h"
 #include "news.h"
 #include "placing.h"
+#include "relay.h"
 #include "sockets.h"
 #include "upstream.h"
 #include <inttypes.h>
@@ -36,6 +37,10 @@
  */
 static const int unacked_timeout_ms = 1500;
 
+/* Maximum idle time of a connection to another VM that is reused, in s; shorter
+ * than the idle timeout of its listener. */
+#define PEER_IDLE_MAX_S 2L
+
 /* Maximum length of a response header line, in bytes; libcurl's own limit. */
 #define HEADER_MAX_BYTES (100 << 10)
 
@@ -99,6 +104,7 @@
 		return CURL_PREREQFUNC_ABORT;
 	}
 	r->maybe_sent = 1;
+	r->attempts_sent += r->hop == HOP_UPSTREAM;
 	r->attempt_started_us = prl_now_us();
 	return CURL_PREREQFUNC_OK;
 }
@@ -176,6 +182,8 @@
 
 static void parse_response_header(struct proxy_request *r, const char *line)
 {
+	if (r->hop == HOP_PEER)
+		relay_parse_header(r, line);
 	if (r->routed)
 		platform_response_meta_parse_header(line, &r->response_meta);
 	else
@@ -195,6 +203,10 @@
 
 	if (r->status < MHD_HTTP_OK)
 		return 0;
+	if (r->hop == HOP_PEER) {
+		r->verdict = relay_verdict(r);
+		return r->verdict == VERDICT_INVALID ? -1 : 0;
+	}
 	if (r->routed) {
 		r->verdict = verdict_for_response(&r->response_meta, r->status,
 						  r->request_meta.id);
@@ -262,6 +274,8 @@
 {
 	if (!strcasecmp(key, "Content-Length") || !strcasecmp(key, "Expect"))
 		return 1;
+	if ((r->relayed || r->hop == HOP_PEER) && relay_is_header(key))
+		return 1;
 	if (r->routed)
 		return platform_is_reserved_header(key);
 	return !strcasecmp(key, "Request-Deadline");
@@ -301,6 +315,10 @@
 	}
 	platform_deadline_header_format(line, sizeof(line), remaining_ms);
 	r->request_headers = curl_slist_append(r->request_headers, line);
+	if (r->hop == HOP_PEER) {
+		relay_add_headers(r);
+		return;
+	}
 	platform_instance_header_format(line, sizeof(line),
 					r->upstream->instance);
 	r->request_headers = curl_slist_append(r->request_headers, line);
@@ -355,7 +373,11 @@
 	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, r);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, r->thread);
-	if (r->routed)
+	if (r->hop == HOP_PEER)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+				 r->at_most_once ? ONCE_IDLE_MAX_S
+						 : PEER_IDLE_MAX_S);
+	else if (r->routed)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
 				 placing_idle_max_s(r));
 	else if (r->at_most_once)
@@ -372,7 +394,8 @@
 	long remaining_ms =
 		r->deadline_ms > now ? (long)(r->deadline_ms - now) : 1;
 
-	snprintf(url, sizeof(url), "http://%s/", r->upstream->address);
+	snprintf(url, sizeof(url), "http://%s/",
+		 r->hop == HOP_PEER ? r->peer_address : r->upstream->address);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, r->target);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, remaining_ms);
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -37,6 +37,9 @@
 	STEER_GONE,
 };
 
+/** Maximum number of services from which a VM is told apart to be isolated. */
+#define STEER_ISOLATED_MAX 4
+
 /** An entry VM: it takes requests from callers and forwards them to upstreams.
  */
 struct steer_vm {
@@ -46,6 +49,14 @@
 	int domain;
 	enum steer_state state;
 	char address[PRL_ADDRESS_MAX];
+	/** Where it takes requests that other VMs relay; empty if not known. */
+	char relay_address[PRL_ADDRESS_MAX];
+	/** Hashes of the names of the services that it is isolated from: it
+	 * reaches none of their upstreams. */
+	uint64_t isolated[STEER_ISOLATED_MAX];
+	int nisolated;
+	/** It is isolated from all services, or from more than are listed. */
+	int isolated_from_all;
 };
 
 /** Load balancing policy: how an upstream is chosen. */
@@ -237,8 +248,35 @@
 	struct fleet_limits limits;
 	/** Number of active entry VMs, this one included. */
 	int nactive;
+	/** Index of this VM, or STEER_NONE if it is not listed. */
+	int self;
+};
+
+/** Whether a VM is isolated from a service, given by the hash of its name. */
+int steer_vm_is_isolated(const struct steer_vm *vm, uint64_t service);
+
+/** Request for a VM that is to take over a request. */
+struct steer_peer_request {
+	/** Hash of the service's name. */
+	uint64_t service;
+	/** Bit mask of the regions that the VM may be in; 0 means all. */
+	uint32_t region_mask;
+	/** Ids of VMs that are not to be chosen. */
+	const uint64_t *avoided;
+	int navoided;
+	uint64_t random;
 };
 
+/**
+ * Chooses at random an active VM, other than this one, that is not isolated
+ * from the service: of this VM's failure domain if that has two of them, else
+ * of its region if that has two, else of any region. So the nearest VMs take
+ * the requests, and never a single one as long as there are others. Returns its
+ * index, or STEER_NONE.
+ */
+int steer_choose_peer(const struct steer_view *v,
+		      const struct steer_peer_request *req);
+
 /** Returns the index of a service by name (len bytes), or STEER_NONE. */
 int steer_find_service(const struct steer_view *v, const char *name,
 		       size_t len);
@@ -295,8 +333,10 @@
 #define STEER_NEARBY_MAX 64
 
 /** Fills the indexes of the active entry VMs of a region and returns their
- * number. Uses all regions if the region has fewer than two, since callers
- * could not survive the loss of a single VM, or if it is STEER_NONE. */
+ * number. VMs that are isolated from all services are left out while two others
+ * remain. Uses all regions if the region has fewer than two active VMs, since
+ * callers could not survive the loss of a single VM, or if it is STEER_NONE.
+ */
 int steer_nearby_vms(const struct steer_view *v, int region,
 		     int vm[STEER_NEARBY_MAX]);
 
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -13,6 +13,7 @@
 const WIRE_RUMORS = 8;
 const WIRE_OBJECTS = 256;
 const WIRE_NEWS_MAX = 64;
+const WIRE_ISOLATED_MAX = 4;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -158,6 +159,17 @@
 	wire_news news<WIRE_NEWS_MAX>;
 };
 
+/* Services of which the VM reaches no upstream, by the hashes of their names;
+ * none if it reaches all again. "all" is 1 if it reaches none of any service, or
+ * if more services than fit are concerned. Of two messages of a VM the one with
+ * the greater sequence number counts. */
+struct wire_isolation {
+	string vm<WIRE_NAME>;
+	hyper sequence;
+	bool all;
+	unsigned hyper service<WIRE_ISOLATED_MAX>;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -169,5 +181,6 @@
 		void WIRE_RETURN(wire_return) = 7;
 		void WIRE_COLD(wire_cold) = 8;
 		void WIRE_NEWS(wire_news_list) = 9;
+		void WIRE_ISOLATION(wire_isolation) = 10;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -20,6 +20,7 @@
 #define WIRE_RUMORS 8
 #define WIRE_OBJECTS 256
 #define WIRE_NEWS_MAX 64
+#define WIRE_ISOLATED_MAX 4
 
 struct wire_vm {
 	char *name;
@@ -169,6 +170,17 @@
 };
 typedef struct wire_news_list wire_news_list;
 
+struct wire_isolation {
+	char *vm;
+	quad_t sequence;
+	bool_t all;
+	struct {
+		u_int service_len;
+		u_quad_t *service_val;
+	} service;
+};
+typedef struct wire_isolation wire_isolation;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -200,6 +212,9 @@
 #define WIRE_NEWS 9
 extern  void * wire_news_1(wire_news_list *, CLIENT *);
 extern  void * wire_news_1_svc(wire_news_list *, struct svc_req *);
+#define WIRE_ISOLATION 10
+extern  void * wire_isolation_1(wire_isolation *, CLIENT *);
+extern  void * wire_isolation_1_svc(wire_isolation *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -230,6 +245,9 @@
 #define WIRE_NEWS 9
 extern  void * wire_news_1();
 extern  void * wire_news_1_svc();
+#define WIRE_ISOLATION 10
+extern  void * wire_isolation_1();
+extern  void * wire_isolation_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -254,6 +272,7 @@
 extern  bool_t xdr_wire_news_body (XDR *, wire_news_body*);
 extern  bool_t xdr_wire_news (XDR *, wire_news*);
 extern  bool_t xdr_wire_news_list (XDR *, wire_news_list*);
+extern  bool_t xdr_wire_isolation (XDR *, wire_isolation*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -274,6 +293,7 @@
 extern bool_t xdr_wire_news_body ();
 extern bool_t xdr_wire_news ();
 extern bool_t xdr_wire_news_list ();
+extern bool_t xdr_wire_isolation ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -28,11 +28,12 @@
 		struct wire_return give_back;
 		struct wire_cold cold;
 		struct wire_news_list news;
+		struct wire_isolation isolation;
 	} u;
 };
 
 /** Result of a call; the procedure selects the member of the union, and
- * WIRE_PUSH, WIRE_RETURN, WIRE_COLD and WIRE_NEWS have none. */
+ * WIRE_PUSH, WIRE_RETURN, WIRE_COLD, WIRE_NEWS and WIRE_ISOLATION have none. */
 struct wire_result {
 	uint32_t proc;
 	union {
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -38,6 +38,8 @@
 		return (xdrproc_t)xdr_wire_cold;
 	case WIRE_NEWS:
 		return (xdrproc_t)xdr_wire_news_list;
+	case WIRE_ISOLATION:
+		return (xdrproc_t)xdr_wire_isolation;
 	}
 	return NULL;
 }
@@ -52,6 +54,7 @@
 	case WIRE_RETURN:
 	case WIRE_COLD:
 	case WIRE_NEWS:
+	case WIRE_ISOLATION:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -276,3 +276,20 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_isolation (XDR *xdrs, wire_isolation *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, WIRE_ISOLATED_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
