Tests of isolation and relays; a deadline at another VM is named as such

Pure tests of what counts as isolated, how it ends, which VM takes over and which are named; whole bodies, true refusals, one hop, a VM that dies with a relayed request, and rejection at once when no VM reaches the upstreams, with real processes.

--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -159,8 +159,8 @@
 	h->check.ctx = h;
 	memcpy(h->check.instance, u->instance, sizeof(h->check.instance));
 	/* The random offset spreads the checks over the interval. */
-	h->next_check_ms = prl_now_ms() +
-			   (int64_t)(control_random() % CHECK_INTERVAL_MS);
+	h->next_check_ms =
+		prl_now_ms() + (int64_t)(control_random() % CHECK_INTERVAL_MS);
 	return h;
 }
 
--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -342,8 +342,9 @@
 {
 	int n = (int)MIN(from->service.service_len, WIRE_ISOLATED_MAX);
 	size_t size = (size_t)n * sizeof(p->service[0]);
-	int changed = p->all != !!from->all || p->nservice != n ||
-		      (n && memcmp(p->service, from->service.service_val, size));
+	int changed =
+		p->all != !!from->all || p->nservice != n ||
+		(n && memcmp(p->service, from->service.service_val, size));
 
 	p->sequence = from->sequence;
 	p->believed_until_ms = now + BELIEVED_MS;
@@ -387,8 +388,8 @@
 	if (!strcmp(name, c->settings->vm.name)) {
 		int n = list_isolated(c, 0, prl_now_ms(), out->isolated);
 
-		out->isolated_from_all = n > STEER_ISOLATED_MAX ||
-					 (n && n >= count_services(c));
+		out->isolated_from_all =
+			n > STEER_ISOLATED_MAX || (n && n >= count_services(c));
 		out->nisolated = MIN(n, STEER_ISOLATED_MAX);
 		return;
 	}
@@ -409,9 +410,8 @@
 
 void reach_init(struct control *c)
 {
-	c->reach.services =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				      service_free);
+	c->reach.services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  service_free);
 	c->reach.peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -304,6 +304,46 @@
 
 /* The parts of all VMs add up to the limit that an upstream names, also after
  * its region has lost VMs or all of them, and two VMs at most have one. */
+/* The pace of cold upstreams and their health checks must not stay with VMs
+ * that do not reach the service; the others divide the whole. */
+static void test_isolated_vm_paces_cold_upstreams(void **state)
+{
+	const uint64_t service = prl_hash_string("s");
+	int64_t sum = 0;
+	int checkers = 0;
+
+	(void)state;
+	install_manifest(3, PRL_OK);
+	update_upstream("i1", "n-b", 1, 1, 0);
+	inv.list_complete = 1;
+	/* All VMs of the upstream's region, then all of the fleet. */
+	for (int all = 0; all < 2; all++) {
+		sum = 0;
+		checkers = 0;
+		for (int i = 0; i < VMS; i++) {
+			int isolated = all || vm[i].region == vm[0].region;
+
+			vm[i].isolated[0] = service;
+			vm[i].nisolated = isolated;
+		}
+		for (int self = 0; self < VMS; self++) {
+			struct steer_view *v = build_view(self);
+			const struct steer_upstream *u =
+				&v->service[0]->upstream[0];
+
+			if (!all && vm[self].nisolated) {
+				assert_int_equal(u->cold_rate_milli, 0);
+				assert_int_equal(u->is_health_checker, 0);
+			}
+			sum += u->cold_rate_milli;
+			checkers += u->is_health_checker;
+			config_view_release(v);
+		}
+		assert_int_equal(sum, 6000);
+		assert_int_equal(checkers, 1);
+	}
+}
+
 static void test_rate_limit_is_divided(void **state)
 {
 	struct steer_view *v;
@@ -606,6 +646,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_cold_rate_is_divided,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_isolated_vm_paces_cold_upstreams, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_rate_limit_is_divided,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -21,6 +21,9 @@
  * from them. */
 void request_accept_response(struct proxy_request *r);
 
+/** Whether a transfer that ends now has ended by the request's deadline. */
+int request_timed_out(const struct proxy_request *r);
+
 /** Starts another attempt. */
 void request_retry(struct proxy_request *r);
 
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -35,6 +35,11 @@
 	return limit_ratio_withdraw(&upstream_service_stats(r)->retry_limit);
 }
 
+int request_timed_out(const struct proxy_request *r)
+{
+	return prl_now_ms() + DEADLINE_MARGIN_MS >= r->deadline_ms;
+}
+
 void request_retry(struct proxy_request *r)
 {
 	r->failed_upstream = r->upstream;
@@ -61,7 +66,7 @@
 
 void request_fail_routed(struct proxy_request *r, const char *cause)
 {
-	int timed_out = prl_now_ms() + DEADLINE_MARGIN_MS >= r->deadline_ms;
+	int timed_out = request_timed_out(r);
 
 	if (r->outcome == OUTCOME_NOT_RUN)
 		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
@@ -102,7 +107,7 @@
 
 static void attempt_failed_routed(struct proxy_request *r, CURLcode result)
 {
-	int timed_out = prl_now_ms() + DEADLINE_MARGIN_MS >= r->deadline_ms;
+	int timed_out = request_timed_out(r);
 
 	r->curl_result = result;
 	r->unreached = !r->maybe_sent;
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -35,8 +35,8 @@
 	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id,
 		  "service", r->service_name, "status", status, "outcome",
 		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
-		  ms, "attempts", attempts, "upstream", r->instance, "peer", r->peer_address,
-		  "relayed_by", r->relayed_by, "manifest",
+		  ms, "attempts", attempts, "upstream", r->instance, "peer",
+		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
 		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
 		  rank, "object", object, "priority", priority, "objective_ms",
 		  objective, NULL);
@@ -53,7 +53,7 @@
 	log_format_number(code, r->curl_result);
 	log_event(LOG_LEVEL_WARNING, "attempt", "id", r->request_meta.id,
 		  "upstream", r->instance, "peer",
-		  r->hop == HOP_PEER ? r->peer_address : "", "result", result, "status", status,
-		  "ms", ms, "sent", r->maybe_sent ? "yes" : "no", "client_code",
-		  code, NULL);
+		  r->hop == HOP_PEER ? r->peer_address : "", "result", result,
+		  "status", status, "ms", ms, "sent",
+		  r->maybe_sent ? "yes" : "no", "client_code", code, NULL);
 }
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -144,7 +144,8 @@
 	size_t n = strlen(HEADER_OUTCOME);
 	const char *value;
 
-	if (!strncasecmp(line, HEADER_ISOLATED ":", strlen(HEADER_ISOLATED) + 1))
+	if (!strncasecmp(line, HEADER_ISOLATED ":",
+			 strlen(HEADER_ISOLATED) + 1))
 		r->peer_is_isolated = 1;
 	if (strncasecmp(line, HEADER_OUTCOME, n) || line[n] != ':')
 		return;
@@ -206,7 +207,9 @@
 		request_abort_response(r);
 		return;
 	}
-	avoid_peer(r);
+	/* At the deadline the other VM may only wait for its upstream. */
+	if (!r->maybe_sent || !request_timed_out(r))
+		avoid_peer(r);
 	request_update_outcome(r, !r->maybe_sent);
 	if (!r->maybe_sent) {
 		relay_again_or_fail(r, "other VMs could not be reached");
@@ -215,7 +218,11 @@
 	/* The other VM may have used all attempts. */
 	r->attempts_sent = r->policy.attempts_max;
 	request_release(r);
-	request_fail_routed(r, "the connection to another VM failed");
+	request_fail_routed(r, request_timed_out(r)
+				       ? "the deadline passed before another "
+					 "VM's answer"
+				       : "the connection to another VM "
+					 "failed");
 }
 
 void relay_done(struct proxy_request *r, CURLcode result)
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -4,8 +4,8 @@
 #include "request.h"
 
 /*
- * Relays: a request of a service of which this VM reaches no upstream is sent to
- * another VM, which treats it as its own, within its own limits, but never
+ * Relays: a request of a service of which this VM reaches no upstream is sent
+ * to another VM, which treats it as its own, within its own limits, but never
  * relays it again. The other VM tells by the header Request-Outcome whether the
  * request ran.
  */
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -423,8 +423,8 @@
 	    mailbox_init(&t->mailbox, &t->loop, handle_message, t, err) ||
 	    serve_init(&t->listener, &t->loop, &o, err) ||
 	    init_aux_listeners(t, err) ||
-	    (p->follows_manifest && (alloc_routed_tables(t, err) ||
-				     init_relay_listener(t, &o, err))))
+	    (p->follows_manifest &&
+	     (alloc_routed_tables(t, err) || init_relay_listener(t, &o, err))))
 		return err->code;
 	/* By default libcurl's connection cache shrinks with the number of
 	 * transfers under way, which would close idle connections. */
--- a/system/harness.c
+++ b/system/harness.c
@@ -153,6 +153,30 @@
 	return harness_wait(pid);
 }
 
+static pid_t doomed[2];
+
+static void kill_doomed(int sig)
+{
+	(void)sig;
+	for (size_t i = 0; i < sizeof(doomed) / sizeof(doomed[0]); i++)
+		if (doomed[i])
+			kill(doomed[i], SIGKILL);
+}
+
+void harness_kill_two_later(pid_t a, pid_t b, int delay_ms)
+{
+	struct itimerval timer = {
+		.it_value = {.tv_sec = delay_ms / 1000,
+			     .tv_usec = delay_ms % 1000 * 1000}};
+	struct sigaction action = {.sa_handler = kill_doomed,
+				   .sa_flags = SA_RESTART};
+
+	doomed[0] = a;
+	doomed[1] = b;
+	sigaction(SIGALRM, &action, NULL);
+	setitimer(ITIMER_REAL, &timer, NULL);
+}
+
 int harness_run(char *out, size_t size, const char *program, ...)
 {
 	const char *args[32];
--- a/system/test_isolated_vm.c
+++ b/system/test_isolated_vm.c
@@ -7,6 +7,7 @@
 
 #include "routes.h"
 #include <cmocka.h>
+#include <primroselead/clock.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -165,6 +166,151 @@
 	cut_and_expect_service("refuse-new");
 }
 
+static void isolate(void)
+{
+	set_link("refuse");
+	press_while_cut();
+}
+
+/* Bodies reach the upstream and the caller whole across two VMs, and an answer
+ * that breaks off does not look complete. */
+static void test_relayed_body_is_cut(void **state)
+{
+	struct http_request upload = {.host = "h.example",
+				      .upload_bytes = 3 << 20,
+				      .timeout_ms = 20000};
+	const char *headers[] = {"X-Request-Id: big", NULL};
+	struct http_response resp;
+	char url[80];
+	int64_t before;
+
+	(void)state;
+	isolate();
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/up/plain",
+		 HTTP_PORT(ISOLATED_VM));
+	upload.url = url;
+	upload.headers = headers;
+	before = routes_upstream_stat(UPSTREAM_PORT(1), "body_bytes") +
+		 routes_upstream_stat(UPSTREAM_PORT(2), "body_bytes");
+	resp = harness_send_request(&upload);
+	routes_expect_complete(&resp);
+	assert_int_equal(
+		routes_upstream_stat(UPSTREAM_PORT(1), "body_bytes") +
+			routes_upstream_stat(UPSTREAM_PORT(2), "body_bytes") -
+			before,
+		3 << 20);
+	resp = routes_request_at(ISOLATED_VM, "GET", "/safe/long");
+	assert_int_equal(resp.status, 200);
+	resp = routes_request_at(ISOLATED_VM, "GET", "/safe/cut");
+	assert_int_not_equal(resp.status, 200);
+	resp = routes_request_at(ISOLATED_VM, "GET", "/safe/unframed-cut");
+	assert_int_not_equal(resp.status, 200);
+	resp = routes_request_at(ISOLATED_VM, "GET", "/safe/other");
+	assert_int_not_equal(resp.status, 200);
+}
+
+/* The upstream's word that it did not run a request holds across two VMs. */
+static void test_relayed_refusal_is_true(void **state)
+{
+	struct http_response resp;
+	int64_t before;
+
+	(void)state;
+	isolate();
+	before = routes_runs_of_s();
+	resp = routes_request_at(ISOLATED_VM, "POST", "/once/shed");
+	assert_int_equal(resp.status, 503);
+	assert_string_equal(resp.outcome, "not-run");
+	assert_int_equal(routes_runs_of_s(), before);
+	resp = routes_request_at(ISOLATED_VM, "POST", "/once/bare");
+	assert_int_equal(resp.status, 502);
+	resp = routes_request_at(ISOLATED_VM, "POST", "/once/close");
+	assert_int_equal(resp.status, 502);
+	assert_int_equal(routes_runs_of_s(), before + 2);
+}
+
+static int is_named(int by)
+{
+	char url[160];
+	char text[1024];
+	char address[40];
+
+	snprintf(url, sizeof(url),
+		 "http://127.0.0.1:%d/api/resolve?name=h.example&region=norte",
+		 LOOKUP_PORT(by));
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+		 HTTP_PORT(ISOLATED_VM));
+	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
+	return strstr(text, address) != NULL;
+}
+
+static void test_isolated_vm_is_named(void **state)
+{
+	(void)state;
+	assert_true(is_named(1));
+	isolate();
+	assert_false(is_named(1));
+	assert_false(is_named(ISOLATED_VM));
+	set_link("pass");
+	harness_sleep_ms(RETURN_MS);
+	assert_true(is_named(1));
+	assert_true(is_named(ISOLATED_VM));
+}
+
+/* A relayed request is never relayed again. */
+static void test_request_is_relayed_twice(void **state)
+{
+	const char *headers[] = {"X-Request-Id: hop", "Relay-Attempts: 2",
+				 "X-Deadline-Remaining-Ms: 2000", NULL};
+	struct http_request req = {.host = "h.example", .headers = headers};
+	struct http_response resp;
+	char url[80];
+	int64_t before;
+
+	(void)state;
+	isolate();
+	before = routes_runs_of_s();
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/safe/plain",
+		 PORT_BASE + 100 + ISOLATED_VM);
+	req.url = url;
+	resp = harness_send_request(&req);
+	assert_int_equal(resp.status, 503);
+	assert_string_equal(resp.outcome, "not-run");
+	assert_int_equal(routes_runs_of_s(), before);
+}
+
+/* VMs that die while they work on a relayed request: it may have run, so it is
+ * neither repeated nor said not to have run. After that no VM reaches the
+ * upstreams, and requests are rejected at once. */
+static void test_other_vm_dies(void **state)
+{
+	struct tally t;
+	struct http_response resp;
+	int64_t before;
+	int64_t started_ms;
+
+	(void)state;
+	isolate();
+	before = routes_runs_of_s();
+	harness_kill_two_later(routes_vm_pid[1], routes_vm_pid[2], 300);
+	resp = routes_request_at(ISOLATED_VM, "POST", "/once/slow");
+	assert_int_equal(resp.status, 502);
+	assert_int_equal(routes_runs_of_s(), before + 1);
+	harness_wait(routes_vm_pid[1]);
+	harness_wait(routes_vm_pid[2]);
+	harness_sleep_ms(PROPAGATION_MS);
+	started_ms = prl_now_ms();
+	resp = routes_request_at(ISOLATED_VM, "GET", "/safe/plain");
+	assert_in_range(prl_now_ms() - started_ms, 0, 250);
+	assert_int_equal(resp.status, 503);
+	assert_string_equal(resp.outcome, "not-run");
+	assert_true(resp.retry_after_s >= 0.5 && resp.retry_after_s <= 2);
+	set_link("pass");
+	harness_sleep_ms(RETURN_MS);
+	t = send_requests("GET", "/safe/plain", 1000);
+	expect_served(&t);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -177,6 +323,13 @@
 		cmocka_unit_test_setup(
 			test_callers_of_a_vm_that_opens_no_connection_fail,
 			restore_link),
+		cmocka_unit_test_setup(test_relayed_body_is_cut, restore_link),
+		cmocka_unit_test_setup(test_relayed_refusal_is_true,
+				       restore_link),
+		cmocka_unit_test_setup(test_isolated_vm_is_named, restore_link),
+		cmocka_unit_test_setup(test_request_is_relayed_twice,
+				       restore_link),
+		cmocka_unit_test_setup(test_other_vm_dies, restore_link),
 	};
 
 	(void)argc;
