Bound responses that never end

The users' news: bytes that are no answer may come without end. Callers saw 504 after their whole deadline, or later (header lines: 3.4 s of 2 s), while the VM read 8 MB of heads, 1.7 GB of a body and 5 GB of a rejection's body in 2 s. Memory stayed flat but for the head's lines (2.7 MB).

Heads of a response, informational ones included, have 64 KB; what follows a response that is not passed on is read up to 64 KB, then the connection closes and the head's meaning holds (a true refusal stays one); a body without a length has 64 MB, then the response breaks off, which its caller sees. Health checks read 64 KB in all. Ruled out: a line without end and informational responses, which libcurl already ended.

--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Maximum size of a response in bytes, its head included. */
+#define RESPONSE_MAX_BYTES (64 << 10)
+
 static void end_transfer(struct check *k)
 {
 	curl_slist_free_all(k->headers);
@@ -48,9 +51,14 @@
 {
 	struct check *k = ctx;
 	size_t len = size * n;
-	char *line = g_strndup(data, len);
-	const char *space = strchr(line, ' ');
+	char *line;
+	const char *space;
 
+	k->received_bytes += len;
+	if (k->received_bytes > RESPONSE_MAX_BYTES)
+		return 0;
+	line = g_strndup(data, len);
+	space = strchr(line, ' ');
 	g_strchomp(line);
 	if (!strncmp(line, "HTTP/", 5))
 		k->status = space ? atoi(space + 1) : 0;
@@ -61,9 +69,11 @@
 
 static size_t on_body(char *data, size_t size, size_t n, void *ctx)
 {
+	struct check *k = ctx;
+
 	(void)data;
-	(void)ctx;
-	return size * n;
+	k->received_bytes += size * n;
+	return k->received_bytes > RESPONSE_MAX_BYTES ? 0 : size * n;
 }
 
 static void set_headers(struct check *k)
@@ -95,6 +105,7 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, k);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, k);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	if (!k->path[0])
@@ -111,6 +122,7 @@
 	k->fetch = (struct fetch){.easy = easy, .done = on_done, .ctx = k};
 	k->in_flight = 1;
 	k->status = 0;
+	k->received_bytes = 0;
 	k->sent_ms = prl_now_ms();
 	platform_response_meta_init(&k->response);
 	set_headers(k);
--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -31,6 +31,7 @@
 	char request_id[FLEET_NAME_MAX];
 	/** When the check was sent. */
 	int64_t sent_ms;
+	size_t received_bytes;
 	/** HTTP status and metadata of the response, and libcurl's result. */
 	int status;
 	struct fleet_response_meta response;
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -100,6 +100,9 @@
 	r->status = 0;
 	r->verdict = VERDICT_PASS;
 	r->unreached = 0;
+	r->head_bytes = 0;
+	r->received_bytes = 0;
+	r->discard_ended = 0;
 	r->peer_outcome = PEER_UNKNOWN;
 	r->peer_is_isolated = 0;
 	body_finish(&r->response_body);
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -227,6 +227,8 @@
 		request_start_transfer(r);
 		return;
 	}
+	if (r->discard_ended)
+		result = CURLE_OK;
 	if (r->hop == HOP_PEER)
 		relay_done(r, result);
 	else if (r->routed && (result || !r->status))
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -159,6 +159,13 @@
 	/** Body from the upstream. */
 	struct body_buffer response_body;
 	int response_body_ended;
+	/** Bytes of the response's heads, and of its body, received in the
+	 * current attempt. */
+	size_t head_bytes;
+	size_t received_bytes;
+	/** This VM ended the transfer, since a body that is not passed on was
+	 * too long. */
+	int discard_ended;
 	/** The response broke off after a part of it was passed on. */
 	int response_body_failed;
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -41,8 +41,17 @@
  * than the idle timeout of its listener. */
 #define PEER_IDLE_MAX_S 2L
 
-/* Maximum length of a response header line, in bytes; libcurl's own limit. */
-#define HEADER_MAX_BYTES (100 << 10)
+/* Maximum size of the heads of a response, informational ones included, in
+ * bytes. */
+#define HEADS_MAX_BYTES (64 << 10)
+
+/* Bytes of a body that is not passed on which are read so that the connection
+ * can be used again. */
+#define DISCARD_MAX_BYTES (64 << 10)
+
+/* Maximum size of a routed response's body whose length is not given, in bytes.
+ */
+#define UNSIZED_BODY_MAX_BYTES (64 << 20)
 
 static void charge_link(struct proxy_request *r, size_t bytes)
 {
@@ -136,14 +145,39 @@
 	return close(fd);
 }
 
+/* Whether so much of the body has been received that the upstream may never end
+ * it. */
+static int is_endless(const struct proxy_request *r)
+{
+	return r->routed && r->response_length < 0 &&
+	       r->received_bytes > UNSIZED_BODY_MAX_BYTES;
+}
+
+/* Reads a body that is not passed on, up to a limit; then the transfer ends,
+ * with the meaning that the head has given it. */
+static size_t discard(struct proxy_request *r, size_t len)
+{
+	if (r->received_bytes <= DISCARD_MAX_BYTES)
+		return len;
+	r->discard_ended = 1;
+	return 0;
+}
+
 static size_t on_download(char *data, size_t size, size_t n, void *ctx)
 {
 	struct proxy_request *r = ctx;
 	size_t len = size * n;
 
-	/* Discard a body that is not passed on. */
-	if (r->detached || (r->routed && r->verdict >= VERDICT_AMBIGUOUS))
+	if (r->routed && r->verdict >= VERDICT_AMBIGUOUS) {
+		r->received_bytes += len;
+		return discard(r, len);
+	}
+	if (is_endless(r))
+		return 0;
+	if (r->detached) {
+		r->received_bytes += len;
 		return len;
+	}
 	if (!link_ready(r->thread->proxy, r->link)) {
 		link_pause_transfer(r);
 		r->download_paused = 1;
@@ -160,6 +194,7 @@
 	}
 	if (body_write(&r->response_body, data, len) != len)
 		return 0;
+	r->received_bytes += len;
 	charge_link(r, len);
 	if (r->state == REQUEST_RESPONDING)
 		request_resume(r);
@@ -246,10 +281,11 @@
 	while (text_len &&
 	       (data[text_len - 1] == '\r' || data[text_len - 1] == '\n'))
 		text_len--;
+	r->head_bytes += len;
+	if (r->head_bytes > HEADS_MAX_BYTES)
+		return 0;
 	if (r->state == REQUEST_RESPONDING)
 		return len; /* a trailer */
-	if (text_len > HEADER_MAX_BYTES)
-		return 0;
 	line = g_strndup(data, text_len);
 	if (!strncmp(line, "HTTP/", 5))
 		begin_response(r, line);
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -16,6 +16,11 @@
  * slow          responds after 1 s
  * mute          runs the request and sends nothing for 30 s
  * long          a body of LONG_BYTES
+ * endless-line  bytes without a line end until the connection closes
+ * endless-head  header lines until the connection closes
+ * endless-early informational responses until the connection closes
+ * endless-body  a body without a length until the connection closes
+ * endless-shed  the same in a rejection with X-Not-Executed
  * health        reports the remaining cold time, which /admin/cold/MS sets
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
@@ -59,6 +64,8 @@
 /* Time on the clock of prl_now_ms. */
 static _Atomic long long cold_until_ms;
 static _Atomic long long body_bytes;
+/* Bytes sent in responses without end. */
+static _Atomic long long endless_bytes;
 static _Atomic long long rate_limit_milli = -1;
 static _Atomic int leaving;
 /* Requests are rejected until this time on the clock of prl_now_ms; those that
@@ -250,6 +257,42 @@
 	return 1;
 }
 
+/* Sends a text again and again until the connection closes. */
+static int send_endlessly(const struct connection *conn, const char *text)
+{
+	char block[8192];
+	size_t len = 0;
+	ssize_t n;
+
+	while (len + strlen(text) < sizeof(block))
+		len += (size_t)snprintf(block + len, sizeof(block) - len, "%s",
+					text);
+	while ((n = send(conn->fd, block, len, MSG_NOSIGNAL)) > 0)
+		endless_bytes += n;
+	return 0;
+}
+
+static int respond_endlessly(const struct connection *conn)
+{
+	const char *what = conn->mode + strlen("endless-");
+
+	if (!strcmp(what, "line"))
+		return send_endlessly(conn, "no answer ");
+	if (!strcmp(what, "early"))
+		return send_endlessly(conn, "HTTP/1.1 103 Early Hints\r\n"
+					    "Link: a\r\n\r\n");
+	if (!strcmp(what, "head")) {
+		send_text(conn, "HTTP/1.1 200 OK\r\n");
+		return send_endlessly(conn, "More: and more\r\n");
+	}
+	if (!strcmp(what, "shed"))
+		respond(conn, "503 Full", conn->request_id,
+			"X-Not-Executed: 1\r\n", "");
+	else
+		respond(conn, "200 OK", conn->request_id, STAMP_HEADER, "");
+	return send_endlessly(conn, "and more ");
+}
+
 /* Responds as the path selects. Returns 1 to keep the connection, 0 to close
  * it. */
 static int respond_by_mode(struct connection *conn)
@@ -301,6 +344,8 @@
 	}
 	if (!strcmp(conn->mode, "long"))
 		return send_long_response(conn);
+	if (!strncmp(conn->mode, "endless-", 8))
+		return respond_endlessly(conn);
 	if (!strcmp(conn->mode, "slow"))
 		sleep(1);
 	respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
@@ -346,9 +391,10 @@
 	snprintf(text, sizeof(text),
 		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
 		 "\"smuggled\":%d,\"checked\":%d,\"open_most\":%d,"
-		 "\"body_bytes\":%lld}\n",
+		 "\"body_bytes\":%lld,\"endless_bytes\":%lld}\n",
 		 ran, refused, misdirected, smuggled, health_checks,
-		 open_connections_max, (long long)body_bytes);
+		 open_connections_max, (long long)body_bytes,
+		 (long long)endless_bytes);
 	send_text(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
 	send_text(conn, text);
 	return 1;
