--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -267,7 +267,7 @@
  * Records an unanswered attempt at an upstream of a service that has
  * "nupstream" of them. Returns 1 if no upstream seems to be reached: several
  * attempts in a row were unanswered, at more than one upstream if there is more
- * than one. Else returns 0.
+ * than one, and none was answered for a while. Else returns 0.
  */
 int place_isolation_unanswered(struct place_isolation *s, uint64_t upstream,
 			       int nupstream, int64_t now_ms);
--- a/place/src/isolation.c
+++ b/place/src/isolation.c
@@ -4,6 +4,10 @@
  * out of reach. */
 #define ISOLATED_FAILURES 3
 
+/* Time in ms since the last answer before which the service does not count as
+ * out of reach: upstreams that crash together fail several attempts at once. */
+#define ISOLATED_SILENCE_MS 500
+
 /* Share of attempts without an answer, in permille, from which the next attempt
  * of a request goes through another VM. */
 #define IMPAIRED_PERMILLE 250
@@ -43,6 +47,7 @@
 	s->several_failed |= upstream != s->first_failed;
 	s->failures++;
 	if (s->failures < ISOLATED_FAILURES ||
+	    now_ms - s->answered_ms < ISOLATED_SILENCE_MS ||
 	    (nupstream > 1 && !s->several_failed))
 		return 0;
 	/* Counting starts again, so that what persists is reported again. */
--- a/place/test/test_reach.c
+++ b/place/test/test_reach.c
@@ -58,6 +58,18 @@
 	}
 }
 
+/* Some upstreams crash: several attempts fail at the same moment, while others
+ * are still answered now and then. */
+static void test_isolated_by_a_burst_of_failures(void **state)
+{
+	(void)state;
+	place_isolation_answered(&isolation, now_ms);
+	for (uint64_t i = 0; i < 20; i++)
+		assert_int_equal(fail_at(i), 0);
+	now_ms += 500;
+	assert_int_equal(fail_at(1), 1);
+}
+
 static void test_isolated_by_one_upstream_that_fails(void **state)
 {
 	(void)state;
@@ -158,6 +170,8 @@
 		cmocka_unit_test_setup(test_isolated_after_few_failures, setup),
 		cmocka_unit_test_setup(test_isolated_though_an_upstream_answers,
 				       setup),
+		cmocka_unit_test_setup(test_isolated_by_a_burst_of_failures,
+				       setup),
 		cmocka_unit_test_setup(test_isolated_by_one_upstream_that_fails,
 				       setup),
 		cmocka_unit_test_setup(test_only_upstream_counts, setup),
