--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -91,7 +91,7 @@
 
 	for (size_t i = 0; !total && i < G_N_ELEMENTS(order); i++)
 		rank = sender_rank(build, u->id, &order[i], &total);
-	if (rank == STEER_NONE)
+	if (rank == STEER_NONE || !total)
 		return;
 	u->is_health_checker = rank == 0;
 	if (rank >= PACED_SENDERS)
--- a/standin/src/link.c
+++ b/standin/src/link.c
@@ -229,6 +229,7 @@
 	for (;;) {
 		struct pollfd *pairs = set + 1 + npath;
 		int carried = mode == SILENT ? 0 : npair;
+		nfds_t count = 1 + (nfds_t)npath + 2 * (nfds_t)carried;
 
 		set[0] = (struct pollfd){.fd = admin, .events = POLLIN};
 		for (int i = 0; i < npath; i++)
@@ -238,7 +239,7 @@
 		for (int i = 0; i < 2 * carried; i++)
 			pairs[i] = (struct pollfd){.fd = pair[i / 2].fd[i % 2],
 						   .events = POLLIN};
-		if (poll(set, (nfds_t)(1 + npath + 2 * carried), -1) < 0)
+		if (poll(set, count, -1) < 0)
 			continue;
 		forward_pairs(pairs, carried);
 		for (int i = 0; i < npath; i++)
