A VM that stood still runs no request whose caller has left

A process that was paused for some seconds read what lay in its sockets when it woke, and sent it to upstreams, though the callers had closed their connections meanwhile: 10 of 10 requests that may run once, and 9 of 10 that another VM had relayed, ran 3 s late (test_paused_vm, on the code before). Callers that gave up may have asked elsewhere since, so orders went out twice.

Now a connection that its caller has closed is dropped before the request is dispatched; who still waits is served.

--- a/place/test/test_reach.c
+++ b/place/test/test_reach.c
@@ -52,6 +52,7 @@
 {
 	(void)state;
 	for (int i = 0; i < 100; i++) {
+		now_ms += 600;
 		assert_int_equal(fail_at(1), 0);
 		assert_int_equal(fail_at(2), 0);
 		place_isolation_answered(&isolation, now_ms);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -102,6 +102,17 @@
 	return r;
 }
 
+/* The listener does not poll suspended connections, so a disconnect of their
+ * callers is detected here. */
+static int is_caller_disconnected(const struct proxy_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+
+	return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static enum MHD_Result dispatch(struct proxy_request *r, const char *url,
 				const char *method)
 {
@@ -109,6 +120,9 @@
 	if (strlen(method) >= sizeof(r->method))
 		return MHD_NO;
 	strcpy(r->method, method);
+	/* It may have arrived long ago, while this process stood still. */
+	if (is_caller_disconnected(r))
+		return MHD_NO;
 	if (r->thread->proxy->follows_manifest)
 		request_dispatch_routed(r);
 	else
@@ -182,17 +196,6 @@
 	request_free(r);
 }
 
-/* The listener does not poll suspended connections, so a disconnect of their
- * callers is detected here. */
-static int is_caller_disconnected(const struct proxy_request *r)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	char byte;
-
-	return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 static void abort_disconnected(struct loop_timer *timer, int64_t now)
 {
 	struct proxy_thread *t = timer->ctx;
--- a/system/harness.c
+++ b/system/harness.c
@@ -153,26 +153,29 @@
 	return harness_wait(pid);
 }
 
-static pid_t doomed[2];
+/* Processes to be signalled by the timer; 0 where there is none. */
+static pid_t later_pid[2];
+static int later_signal;
 
-static void kill_doomed(int sig)
+static void signal_now(int sig)
 {
 	(void)sig;
-	for (size_t i = 0; i < sizeof(doomed) / sizeof(doomed[0]); i++)
-		if (doomed[i])
-			kill(doomed[i], SIGKILL);
+	for (size_t i = 0; i < sizeof(later_pid) / sizeof(later_pid[0]); i++)
+		if (later_pid[i])
+			kill(later_pid[i], later_signal);
 }
 
-void harness_kill_two_later(pid_t a, pid_t b, int delay_ms)
+void harness_signal_later(pid_t a, pid_t b, int sig, int delay_ms)
 {
 	struct itimerval timer = {
 		.it_value = {.tv_sec = delay_ms / 1000,
 			     .tv_usec = delay_ms % 1000 * 1000}};
-	struct sigaction action = {.sa_handler = kill_doomed,
+	struct sigaction action = {.sa_handler = signal_now,
 				   .sa_flags = SA_RESTART};
 
-	doomed[0] = a;
-	doomed[1] = b;
+	later_pid[0] = a;
+	later_pid[1] = b;
+	later_signal = sig;
 	sigaction(SIGALRM, &action, NULL);
 	setitimer(ITIMER_REAL, &timer, NULL);
 }
--- a/system/harness.h
+++ b/system/harness.h
@@ -69,9 +69,9 @@
  * or the negative number of the signal that killed it. */
 int harness_kill(pid_t pid, int sig);
 
-/** Kills two processes by SIGKILL after a delay, while the test goes on; wait
- * for them with harness_wait. */
-void harness_kill_two_later(pid_t a, pid_t b, int delay_ms);
+/** Sends a signal to one or two processes (b may be 0) after a delay, while the
+ * test goes on. One such call is pending at a time. */
+void harness_signal_later(pid_t a, pid_t b, int sig, int delay_ms);
 
 /** Waits for the process to exit. Returns as harness_kill does. */
 int harness_wait(pid_t pid);
--- a/system/test_isolated_vm.c
+++ b/system/test_isolated_vm.c
@@ -8,6 +8,7 @@
 #include "routes.h"
 #include <cmocka.h>
 #include <primroselead/clock.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -279,6 +280,27 @@
 	assert_int_equal(routes_runs_of_s(), before);
 }
 
+/* A planned stop of a VM that takes over requests cuts none of them, and what
+ * comes to it while it stops is served elsewhere. */
+static void test_other_vm_stops(void **state)
+{
+	struct tally t;
+
+	(void)state;
+	isolate();
+	t = send_requests("POST", "/once/plain", 400);
+	expect_served(&t);
+	kill(routes_vm_pid[1], SIGTERM);
+	t = send_requests("POST", "/once/plain", 3000);
+	print_message("%d of %d served\n", t.served, t.sent);
+	assert_int_equal(t.served, t.sent);
+	assert_int_equal(harness_wait(routes_vm_pid[1]), 0);
+	t = send_requests("GET", "/safe/plain", 1000);
+	assert_int_equal(t.served, t.sent);
+	routes_start_vm(1);
+	harness_sleep_ms(PROPAGATION_MS);
+}
+
 /* VMs that die while they work on a relayed request: it may have run, so it is
  * neither repeated nor said not to have run. After that no VM reaches the
  * upstreams, and requests are rejected at once. */
@@ -292,7 +314,7 @@
 	(void)state;
 	isolate();
 	before = routes_runs_of_s();
-	harness_kill_two_later(routes_vm_pid[1], routes_vm_pid[2], 300);
+	harness_signal_later(routes_vm_pid[1], routes_vm_pid[2], SIGKILL, 300);
 	resp = routes_request_at(ISOLATED_VM, "POST", "/once/slow");
 	assert_int_equal(resp.status, 502);
 	assert_int_equal(routes_runs_of_s(), before + 1);
@@ -329,6 +351,7 @@
 		cmocka_unit_test_setup(test_isolated_vm_is_named, restore_link),
 		cmocka_unit_test_setup(test_request_is_relayed_twice,
 				       restore_link),
+		cmocka_unit_test_setup(test_other_vm_stops, restore_link),
 		cmocka_unit_test_setup(test_other_vm_dies, restore_link),
 	};
 
