Pass over a VM that did not reach an upstream; a fault soak

Cause, from the VMs' lines: with new connections refused and kept ones alive no VM of the domain was isolated, each sent what it could not connect to a VM beside it, which could not connect either, and its 503 was taken for the last word: 58 to 73 a second. The other VM now says so (Relay-Out-Of-Reach), is left alone for 3 s, and the next one is asked, three at most.

soak/: VMs in two groups, each with a store and links of its own, upstreams, callers that keep their connections until the process is gone; links cut three ways, stores, SIGTERM, SIGKILL, SIGSTOP, SIGHUP, drains and manifests in series and overlapping, from one seed. Checked from callers' and upstreams' records: the right answer, at most once, a true 'not run', nothing to what left, stops that cut nothing, callers of cut VMs served, service at the end. Ports below 32768: above, the kernel gives them to outgoing connections, and VMs could not start. Not checked yet: limits in the sum, the manifest's bound, returns from a copy.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, tests (builds the tests), check (builds and runs them), lint, tidy,
-# format, bench, replay, demo, fuzz, capacity, mutants, install, generate, clean.
+# format, bench, replay, soak, demo, fuzz, capacity, mutants, install, generate, clean.
 # MODE is release, asan, tsan, clang or fuzz; output goes to build/MODE.
 
 PACKAGES := base fleet platform schema loop store config steer limit place claim wire member \
@@ -13,6 +13,7 @@
 include mk/model.mk
 include mk/replay.mk
 include mk/tests.mk
+include mk/soak.mk
 include mk/lint.mk
 include mk/install.mk
 
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -104,7 +104,7 @@
 	r->received_bytes = 0;
 	r->discard_ended = 0;
 	r->peer_outcome = PEER_UNKNOWN;
-	r->peer_is_isolated = 0;
+	r->peer_out_of_reach = 0;
 	body_finish(&r->response_body);
 	r->upload_paused = 0;
 	r->download_paused = 0;
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -11,15 +11,15 @@
 #define HEADER_RELAYED_BY "Relayed-By"
 #define HEADER_ATTEMPTS "Relay-Attempts"
 #define HEADER_OUTCOME "Request-Outcome"
-#define HEADER_ISOLATED "Relay-Isolated"
+#define HEADER_OUT_OF_REACH "Relay-Out-Of-Reach"
 
 /* Most VMs to which one request is sent in turn; each but the last has said, or
  * could not be reached to say, that it did not run it. */
 #define RELAYS_MAX 3
 
-/* Time in ms for which a VM that could not be reached, or that reaches no
+/* Time in ms for which a VM that could not be reached, or that did not reach an
  * upstream itself, is not chosen again. */
-#define AVOID_MS 1000
+#define AVOID_MS 3000
 
 /* Least remaining time with which a request is relayed, in ms. */
 #define REMAINING_MIN_MS 50
@@ -134,9 +134,9 @@
 	r->request_headers = curl_slist_append(r->request_headers, line);
 }
 
-void relay_add_isolated(struct proxy_request *r)
+void relay_add_out_of_reach(struct proxy_request *r)
 {
-	MHD_add_response_header(r->mhd_response, HEADER_ISOLATED, "1");
+	MHD_add_response_header(r->mhd_response, HEADER_OUT_OF_REACH, "1");
 }
 
 void relay_parse_header(struct proxy_request *r, const char *line)
@@ -144,9 +144,9 @@
 	size_t n = strlen(HEADER_OUTCOME);
 	const char *value;
 
-	if (!strncasecmp(line, HEADER_ISOLATED ":",
-			 strlen(HEADER_ISOLATED) + 1))
-		r->peer_is_isolated = 1;
+	if (!strncasecmp(line, HEADER_OUT_OF_REACH ":",
+			 strlen(HEADER_OUT_OF_REACH) + 1))
+		r->peer_out_of_reach = 1;
 	if (strncasecmp(line, HEADER_OUTCOME, n) || line[n] != ':')
 		return;
 	value = line + n + 1 + strspn(line + n + 1, " \t");
@@ -189,12 +189,14 @@
 	request_update_outcome(r, 1);
 	if (r->response_meta.retry_after_ms > 0)
 		r->retry_after_ms = r->response_meta.retry_after_ms;
-	if (!r->peer_is_isolated && r->status == MHD_HTTP_SERVICE_UNAVAILABLE) {
+	if (!r->peer_out_of_reach &&
+	    r->status == MHD_HTTP_SERVICE_UNAVAILABLE) {
 		request_release(r);
 		request_fail_routed(r, "another VM refused the request");
 		return;
 	}
-	/* It reaches no upstream either, or has another configuration. */
+	/* It did not reach an upstream either, or has another configuration.
+	 */
 	avoid_peer(r);
 	relay_again_or_fail(r, "other VMs could not serve the request");
 }
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -30,8 +30,9 @@
 /** Appends the headers that tell the other VM about the request. */
 void relay_add_headers(struct proxy_request *r);
 
-/** Adds to the response that this VM is isolated from the service. */
-void relay_add_isolated(struct proxy_request *r);
+/** Adds to the response that this VM did not reach an upstream, so that the
+ * request is sent to another VM. */
+void relay_add_out_of_reach(struct proxy_request *r);
 
 /** Reads one header line of the other VM's response. */
 void relay_parse_header(struct proxy_request *r, const char *line);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -115,8 +115,8 @@
 	uint64_t peer_id;
 	char peer_address[PRL_ADDRESS_MAX];
 	enum peer_outcome peer_outcome;
-	/** That VM says that it is isolated, too. */
-	int peer_is_isolated;
+	/** That VM says that it did not reach an upstream either. */
+	int peer_out_of_reach;
 	/** VMs that the request was relayed to so far. */
 	int nrelay;
 	/** Attempts that may have reached an upstream. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -94,8 +94,8 @@
 					r->request_meta.id);
 	if (r->status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		add_retry_after(r);
-	if (r->relayed && r->isolated)
-		relay_add_isolated(r);
+	if (r->relayed && (r->isolated || r->unreached))
+		relay_add_out_of_reach(r);
 	if (r->status == MHD_HTTP_CONFLICT && r->outcome == OUTCOME_RAN) {
 		snprintf(first_status, sizeof(first_status), "%d",
 			 r->claim.http_status);
--- /dev/null
+++ b/soak/check.c
@@ -0,0 +1,249 @@
+#include "soak.h"
+#include <primroselead/clock.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Part of the requests that must be served at the end, in percent. */
+#define RECOVERED_PERCENT 95
+
+/* Fewest requests on which a share is judged. */
+#define SHARE_MIN 20
+
+/* Time before a request within which other faults make a failure ambiguous, in
+ * ms. */
+#define AFTERMATH_MS 3000
+
+/* Margin in ms by which clocks and records may differ. */
+#define MARGIN_MS 200
+
+/* A run that an upstream reported. */
+struct run {
+	int times;
+	/** Upstream of the last one, and its time by prl_now_ms. */
+	int upstream;
+	int64_t last_ms;
+};
+
+static void add_run(GHashTable *runs, const char *id, const struct run *from)
+{
+	struct run *run = g_hash_table_lookup(runs, id);
+
+	if (!run) {
+		run = g_new0(struct run, 1);
+		g_hash_table_insert(runs, g_strdup(id), run);
+	}
+	run->times += from->times;
+	if (from->last_ms > run->last_ms) {
+		run->last_ms = from->last_ms;
+		run->upstream = from->upstream;
+	}
+}
+
+static GHashTable *read_runs(void)
+{
+	GHashTable *runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	const size_t size = 16 << 20;
+	char *text = malloc(size);
+	int64_t offset_ms = prl_wall_ms() - prl_now_ms();
+
+	for (int n = 1; text && n <= SOAK_UPSTREAMS; n++) {
+		char url[80];
+		char id[40];
+		long long wall_ms;
+		struct run run = {.upstream = n};
+		const char *at = text;
+
+		snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/runs",
+			 UPSTREAM_PORT(n));
+		harness_get(url, text, size);
+		while (sscanf(at, "%39s %d %lld", id, &run.times, &wall_ms) ==
+		       3) {
+			run.last_ms = wall_ms - offset_ms;
+			add_run(runs, id, &run);
+			at = strchr(at, '\n') + 1;
+		}
+	}
+	free(text);
+	return runs;
+}
+
+static int times(GHashTable *runs, const struct soak_request *q)
+{
+	const struct run *run = g_hash_table_lookup(runs, q->id);
+
+	return run ? run->times : 0;
+}
+
+static int broken(const char *promise, const struct soak_request *q)
+{
+	printf("BROKEN: %s: %s at VM %d (pid %d), status %d after %lld ms\n",
+	       promise, q->id, q->vm, (int)q->pid, q->status,
+	       (long long)(q->end_ms - q->begin_ms));
+	return 1;
+}
+
+/* Whether a fault of a kind overlaps a span of time. "subject" 0 means any. */
+static int overlaps(const struct soak *s, const char *kind, int subject,
+		    int64_t begin_ms, int64_t end_ms)
+{
+	for (guint i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f =
+			&g_array_index(s->faults, struct soak_fault, i);
+
+		if (!strcmp(f->kind, kind) &&
+		    (!subject || f->subject == subject) &&
+		    f->begin_ms < end_ms && begin_ms < f->end_ms)
+			return 1;
+	}
+	return 0;
+}
+
+/* A request that an upstream ran, whose VM was stopping as planned, and whose
+ * connection ended without an answer. */
+static int is_cut_by_stop(const struct soak *s, GHashTable *runs,
+			  const struct soak_request *q)
+{
+	int64_t from = q->begin_ms - AFTERMATH_MS;
+
+	return !q->status && q->plain && times(runs, q) &&
+	       overlaps(s, "term", q->vm, q->begin_ms, q->end_ms) &&
+	       !overlaps(s, "links", 0, from, q->end_ms) &&
+	       !overlaps(s, "kill", 0, from, q->end_ms) &&
+	       !overlaps(s, "pause", 0, from, q->end_ms);
+}
+
+static int check_request(const struct soak *s, GHashTable *runs,
+			 const struct soak_request *q)
+{
+	int n = 0;
+
+	if (q->wrong)
+		n += broken("an answer is not that to the request", q);
+	if (q->once && times(runs, q) > 1)
+		n += broken("a request ran twice", q);
+	if (q->once && q->not_run && times(runs, q))
+		n += broken("a request ran that was said not to have run", q);
+	if (is_cut_by_stop(s, runs, q))
+		n += broken("a planned stop cut a request", q);
+	return n;
+}
+
+/* Runs at an upstream that left, after the bound, while both stores and all VMs
+ * were well. */
+static int check_drain(const struct soak *s, GHashTable *runs,
+		       const struct soak_fault *f)
+{
+	int64_t from = f->begin_ms + SOAK_BOUND_MS;
+	GHashTableIter it;
+	void *id;
+	void *value;
+	int n = 0;
+
+	if (overlaps(s, "store", 0, f->begin_ms - AFTERMATH_MS, f->end_ms) ||
+	    overlaps(s, "pause", 0, f->begin_ms - AFTERMATH_MS, f->end_ms))
+		return 0;
+	g_hash_table_iter_init(&it, runs);
+	while (g_hash_table_iter_next(&it, &id, &value)) {
+		const struct run *run = value;
+
+		if (run->upstream != f->subject || run->last_ms < from ||
+		    run->last_ms > f->end_ms - MARGIN_MS)
+			continue;
+		printf("BROKEN: upstream %d left and got %s %lld ms later\n",
+		       f->subject, (char *)id,
+		       (long long)(run->last_ms - f->begin_ms));
+		n++;
+	}
+	return n;
+}
+
+struct share {
+	int sent;
+	int served;
+};
+
+/* Counts the plain requests of a span to the VMs of a group that had no fault
+ * of their own. */
+static struct share count_served(const struct soak *s, int group,
+				 int64_t begin_ms, int64_t end_ms)
+{
+	struct share share = {0};
+
+	for (guint i = 0; i < s->requests->len; i++) {
+		const struct soak_request *q =
+			&g_array_index(s->requests, struct soak_request, i);
+		int64_t from = q->begin_ms - AFTERMATH_MS;
+
+		if (!q->plain || soak_group(q->vm) != group ||
+		    q->begin_ms < begin_ms || q->end_ms > end_ms ||
+		    overlaps(s, "term", q->vm, from, q->end_ms) ||
+		    overlaps(s, "kill", q->vm, from, q->end_ms) ||
+		    overlaps(s, "pause", q->vm, from, q->end_ms))
+			continue;
+		share.sent++;
+		share.served += q->status == 200;
+	}
+	return share;
+}
+
+/* Callers of VMs without links are served nearly as often as the others. */
+static int check_links(const struct soak *s, const struct soak_fault *f)
+{
+	int64_t from = f->begin_ms + SOAK_BOUND_MS;
+	struct share cut = count_served(s, f->subject - 1, from, f->end_ms);
+	struct share rest = count_served(s, 2 - f->subject, from, f->end_ms);
+
+	if (cut.sent < SHARE_MIN || rest.sent < SHARE_MIN)
+		return 0;
+	printf("links cut: %d of %d served, by the others %d of %d\n",
+	       cut.served, cut.sent, rest.served, rest.sent);
+	if (3LL * cut.served * rest.sent >= 2LL * rest.served * cut.sent)
+		return 0;
+	printf("BROKEN: callers of VMs without links are not served\n");
+	return 1;
+}
+
+/* After the last fault nearly all requests are served. */
+static int check_recovery(const struct soak *s)
+{
+	int64_t end_ms = prl_now_ms();
+	int64_t from = end_ms - (SOAK_QUIET_MS - SOAK_BOUND_MS);
+	struct share all = {0};
+
+	for (int group = 0; group < SOAK_GROUPS; group++) {
+		struct share share = count_served(s, group, from, end_ms);
+
+		all.sent += share.sent;
+		all.served += share.served;
+	}
+	printf("at the end: %d of %d served\n", all.served, all.sent);
+	if (all.sent &&
+	    all.served * 100LL >= (long long)RECOVERED_PERCENT * all.sent)
+		return 0;
+	printf("BROKEN: requests are not served after the last fault\n");
+	return 1;
+}
+
+int soak_check(struct soak *s)
+{
+	GHashTable *runs = read_runs();
+	int n = check_recovery(s);
+
+	for (guint i = 0; i < s->requests->len; i++)
+		n += check_request(
+			s, runs,
+			&g_array_index(s->requests, struct soak_request, i));
+	for (guint i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f =
+			&g_array_index(s->faults, struct soak_fault, i);
+
+		if (!strcmp(f->kind, "drain"))
+			n += check_drain(s, runs, f);
+		if (!strcmp(f->kind, "links"))
+			n += check_links(s, f);
+	}
+	g_hash_table_destroy(runs);
+	return n;
+}
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,123 @@
+#ifndef SOAK_SOAK_H
+#define SOAK_SOAK_H
+
+#include "routes.h"
+#include <glib.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+/*
+ * Randomized soak: real VMs, two stand-in stores, stand-in upstreams and two
+ * links as separate processes, callers as threads of the soak, and faults from
+ * outside, all drawn from one seed. What callers and upstreams saw is compared
+ * at the end.
+ */
+
+/** Most VMs: their ports lie between other ones of the fixture. */
+#define SOAK_VMS_MAX 8
+
+/** Upstreams of service "s" and of service "t". */
+#define SOAK_UPSTREAMS_S 4
+#define SOAK_UPSTREAMS_T 2
+#define SOAK_UPSTREAMS (SOAK_UPSTREAMS_S + SOAK_UPSTREAMS_T)
+
+/** VMs are in two groups, by turns; each has its own store and its own link to
+ * the upstreams. */
+#define SOAK_GROUPS 2
+
+/** Time in ms within which VMs must act on a change, after which a fault is
+ * over, or from which on callers of a VM without links must be served. */
+#define SOAK_BOUND_MS 4000
+
+/** Time without new faults at the end, in ms. */
+#define SOAK_QUIET_MS 10000
+
+/** Options of a run. */
+struct soak_options {
+	uint64_t seed;
+	int duration_s;
+	int vms;
+	int callers;
+};
+
+/** What a VM is doing, as its callers need to know. */
+enum soak_vm_state {
+	SOAK_VM_UP,
+	/** Stopping as planned: its open connections are still used. */
+	SOAK_VM_STOPPING,
+	SOAK_VM_DOWN,
+};
+
+/** A fault as it happened; times of prl_now_ms. */
+struct soak_fault {
+	const char *kind;
+	/** VM or group concerned; 0 if none. */
+	int subject;
+	int64_t begin_ms;
+	int64_t end_ms;
+};
+
+/** A request as its caller saw it; times of prl_now_ms. */
+struct soak_request {
+	char id[24];
+	int vm;
+	/** Must not run twice. */
+	int once;
+	/** Its upstream answers it as it should. */
+	int plain;
+	int64_t begin_ms;
+	int64_t end_ms;
+	/** HTTP status; 0 if no complete response came. */
+	int status;
+	/** The VM said that it did not run. */
+	int not_run;
+	/** A response with 200 was not the one to this request. */
+	int wrong;
+	/** Process id of the VM when the request was sent. */
+	pid_t pid;
+};
+
+/** A run. */
+struct soak {
+	struct soak_options options;
+	GRand *random;
+	pid_t vm_pid[SOAK_VMS_MAX + 1];
+	_Atomic int vm_state[SOAK_VMS_MAX + 1];
+	_Atomic int vm_pid_now[SOAK_VMS_MAX + 1];
+	_Atomic int stopped;
+	/** struct soak_fault, and struct soak_request. */
+	GArray *faults;
+	GArray *requests;
+	GMutex requests_lock;
+	int entry_sequence;
+	int manifest_version;
+};
+
+/** Port of the store, and of the link's admin pages, of a group. */
+int soak_store_port(int group);
+int soak_link_admin_port(int group);
+
+/** Group of a VM. */
+int soak_group(int vm);
+
+/** Starts the fleet. */
+void soak_start_fleet(struct soak *s);
+
+/** Writes the entry of an upstream, by number from 1, to both stores. */
+void soak_put_upstream(struct soak *s, int n, const char *state);
+
+/** Starts a VM without waiting. */
+void soak_start_vm(struct soak *s, int vm);
+
+/** Starts the callers' threads, and joins them after "stopped" was set. */
+void soak_start_callers(struct soak *s);
+void soak_join_callers(struct soak *s);
+
+/** Injects faults until the time is over, then restores everything. */
+void soak_inject_faults(struct soak *s);
+
+/** Compares what callers and upstreams saw. Prints each broken promise; returns
+ * their number. */
+int soak_check(struct soak *s);
+
+#endif
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -16,6 +16,7 @@
  * slow          responds after 1 s
  * mute          runs the request and sends nothing for 30 s
  * long          a body of LONG_BYTES
+ * echo          a body that names the request
  * endless-line  bytes without a line end until the connection closes
  * endless-head  header lines until the connection closes
  * endless-early informational responses until the connection closes
@@ -24,6 +25,9 @@
  * health        reports the remaining cold time, which /admin/cold/MS sets
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
+ * /admin/runs lists the requests that ran: "ID TIMES LAST_MS" a line, in Unix
+ * time.
+ *
  * After /admin/limit/MILLI all responses name a rate limit, in thousandths of a
  * request per second, until a negative one is set. After /admin/leave/1 all say
  * that it leaves. For MS after /admin/closed/MS requests are rejected, with the
@@ -33,6 +37,7 @@
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <ctype.h>
+#include <glib.h>
 #include <netinet/in.h>
 #include <primroselead/address.h>
 #include <primroselead/clock.h>
@@ -72,6 +77,31 @@
  * arrived by then count as rejected. */
 static _Atomic long long closed_until_ms;
 
+/* How often a request ran, and when last, in Unix time. */
+struct run {
+	int times;
+	int64_t last_wall_ms;
+};
+
+/* struct run by request id. */
+static GHashTable *runs;
+static GMutex runs_lock;
+
+static void record_run(const char *id)
+{
+	struct run *run;
+
+	g_mutex_lock(&runs_lock);
+	run = g_hash_table_lookup(runs, id);
+	if (!run) {
+		run = g_new0(struct run, 1);
+		g_hash_table_insert(runs, g_strdup(id), run);
+	}
+	run->times++;
+	run->last_wall_ms = prl_wall_ms();
+	g_mutex_unlock(&runs_lock);
+}
+
 /* A connection, the bytes read from it, and the head of its current request. */
 struct connection {
 	int fd;
@@ -257,6 +287,19 @@
 	return 1;
 }
 
+static int send_echo(const struct connection *conn)
+{
+	char headers[120];
+	char body[120];
+	int n = snprintf(body, sizeof(body), "%s at %s\n", conn->request_id,
+			 instance);
+
+	snprintf(headers, sizeof(headers),
+		 STAMP_HEADER "Content-Length: %d\r\n", n);
+	respond(conn, "200 OK", conn->request_id, headers, body);
+	return 1;
+}
+
 /* Sends a text again and again until the connection closes. */
 static int send_endlessly(const struct connection *conn, const char *text)
 {
@@ -342,6 +385,8 @@
 			"hello world\n");
 		return 1;
 	}
+	if (!strcmp(conn->mode, "echo"))
+		return send_echo(conn);
 	if (!strcmp(conn->mode, "long"))
 		return send_long_response(conn);
 	if (!strncmp(conn->mode, "endless-", 8))
@@ -374,12 +419,37 @@
 	return 1;
 }
 
+static int send_runs(const struct connection *conn)
+{
+	GString *text = g_string_new("HTTP/1.1 200 OK\r\n"
+				     "Connection: close\r\n\r\n");
+	GHashTableIter it;
+	void *id;
+	void *value;
+
+	g_mutex_lock(&runs_lock);
+	g_hash_table_iter_init(&it, runs);
+	while (g_hash_table_iter_next(&it, &id, &value)) {
+		const struct run *run = value;
+
+		g_string_append_printf(text, "%s %d %lld\n", (char *)id,
+				       run->times,
+				       (long long)run->last_wall_ms);
+	}
+	g_mutex_unlock(&runs_lock);
+	send_text(conn, text->str);
+	g_string_free(text, TRUE);
+	return 1;
+}
+
 static int handle_admin(struct connection *conn)
 {
 	char text[256];
 
 	if (strncmp(conn->buf, "GET /admin/", 11))
 		return 0;
+	if (!strncmp(conn->buf, "GET /admin/runs", 15))
+		return send_runs(conn);
 	if (!strncmp(conn->buf, "GET /admin/cold/", 16))
 		cold_until_ms = prl_now_ms() + atoll(conn->buf + 16);
 	if (!strncmp(conn->buf, "GET /admin/limit/", 17))
@@ -452,6 +522,7 @@
 	if (!strcmp(conn->mode, "health"))
 		return !discard_body(conn) && send_health_response(conn);
 	ran++;
+	record_run(conn->request_id);
 	smuggled += !strcmp(conn->mode, "smuggled");
 	if (!strcmp(conn->mode, "early")) {
 		respond(conn, "413 Too Long", conn->request_id,
@@ -498,6 +569,7 @@
 	apr_pool_t *pool;
 
 	instance = command_option(argc, argv, "instance", "i-1");
+	runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	signal(SIGPIPE, SIG_IGN);
 	if (fd < 0 || apr_initialize() || apr_pool_create(&pool, NULL)) {
 		fprintf(stderr, "standin-odd: can't listen\n");
--- a/system/routes.c
+++ b/system/routes.c
@@ -10,7 +10,10 @@
 
 pid_t routes_vm_pid[4];
 
-static int objects_port = STORE_PORT;
+int routes_port_base = 29000;
+
+/* 0 stands for STORE_PORT. */
+static int objects_port;
 
 void routes_use_store(int port)
 {
@@ -23,7 +26,7 @@
 	struct http_request req = {.method = "PUT", .url = url, .body = value};
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/objects/%s",
-		 objects_port, key);
+		 objects_port ? objects_port : STORE_PORT, key);
 	assert_int_equal(harness_send_request(&req).status, 200);
 }
 
@@ -105,7 +108,7 @@
 	put_entry(instance, service, port, state, 0, sequence);
 }
 
-static void start_upstream(const char *instance, int port)
+void routes_start_upstream(const char *instance, int port)
 {
 	char listen[64];
 	char name[64];
@@ -143,10 +146,9 @@
 	"[bound 0]\nis = grace_period_s=6\n"
 	"[bound 1]\nis = budget_extra_retries=600\n";
 
-void routes_start_vm_with_store(int n, int store_port)
+pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
-	char url[80];
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
 			       .store_port = store_port,
@@ -159,11 +161,19 @@
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
 		 LOOKUP_PORT(n), READY_PORT(n), METRICS_PORT(n));
-	routes_vm_pid[n] = fleet_start_vm(&vm);
+	return fleet_start_vm(&vm);
+}
+
+void routes_start_vm_with_store(int n, int store_port)
+{
+	char url[80];
+
+	routes_vm_pid[n] = routes_spawn_vm(n, store_port);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
 		 READY_PORT(n));
 	assert_true(fleet_wait_text(url, "live", 5000));
 }
+
 void routes_start_vm(int n)
 {
 	routes_start_vm_with_store(n, STORE_PORT);
@@ -173,9 +183,9 @@
 {
 	(void)state;
 	fleet_start_store(STORE_PORT);
-	start_upstream("i-1", UPSTREAM_PORT(1));
-	start_upstream("i-2", UPSTREAM_PORT(2));
-	start_upstream("i-3", UPSTREAM_PORT(3));
+	routes_start_upstream("i-1", UPSTREAM_PORT(1));
+	routes_start_upstream("i-2", UPSTREAM_PORT(2));
+	routes_start_upstream("i-3", UPSTREAM_PORT(3));
 	routes_put_manifest(3, "s");
 	routes_put_upstream("i-1", "s", UPSTREAM_PORT(1), "ready", 1);
 	routes_put_upstream("i-2", "s", UPSTREAM_PORT(2), "ready", 1);
--- a/system/routes.h
+++ b/system/routes.h
@@ -13,7 +13,10 @@
 /* Time in which all VMs must apply a change of the store, in ms. */
 #define PROPAGATION_MS 2500
 
-#define PORT_BASE 29000
+/** First of the 400 ports of the fixture; may be set before it is started. */
+extern int routes_port_base;
+
+#define PORT_BASE routes_port_base
 #define STORE_PORT (PORT_BASE + 0)
 /* No process listens on this port. */
 #define UNUSED_PORT (PORT_BASE + 9)
@@ -30,6 +33,12 @@
 int routes_setup(void **state);
 int routes_teardown(void **state);
 
+/** Starts a stand-in upstream and waits until it responds. */
+void routes_start_upstream(const char *instance, int port);
+
+/** Starts VM n with the store at a port. Does not wait until it is ready. */
+pid_t routes_spawn_vm(int n, int store_port);
+
 /** Starts VM n and waits up to 5 s until it is ready. */
 void routes_start_vm(int n);
 
