--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -195,8 +195,7 @@
 		request_fail_routed(r, "another VM refused the request");
 		return;
 	}
-	/* It did not reach an upstream either, or has another configuration.
-	 */
+	/* Another VM may reach an upstream, or have a newer configuration. */
 	avoid_peer(r);
 	relay_again_or_fail(r, "other VMs could not serve the request");
 }
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -120,7 +120,7 @@
 	if (strlen(method) >= sizeof(r->method))
 		return MHD_NO;
 	strcpy(r->method, method);
-	/* It may have arrived long ago, while this process stood still. */
+	/* A process that stood still reads requests long after they came. */
 	if (is_caller_disconnected(r))
 		return MHD_NO;
 	if (r->thread->proxy->follows_manifest)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -63,7 +63,7 @@
 	int vm;
 	/** Must not run twice. */
 	int once;
-	/** Its upstream answers it as it should. */
+	/** The upstream is asked for a proper answer. */
 	int plain;
 	int64_t begin_ms;
 	int64_t end_ms;
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -34,6 +34,7 @@
  * time left.
  */
 #include "answer.h"
+#include "runs.h"
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <ctype.h>
@@ -77,31 +78,6 @@
  * arrived by then count as rejected. */
 static _Atomic long long closed_until_ms;
 
-/* How often a request ran, and when last, in Unix time. */
-struct run {
-	int times;
-	int64_t last_wall_ms;
-};
-
-/* struct run by request id. */
-static GHashTable *runs;
-static GMutex runs_lock;
-
-static void record_run(const char *id)
-{
-	struct run *run;
-
-	g_mutex_lock(&runs_lock);
-	run = g_hash_table_lookup(runs, id);
-	if (!run) {
-		run = g_new0(struct run, 1);
-		g_hash_table_insert(runs, g_strdup(id), run);
-	}
-	run->times++;
-	run->last_wall_ms = prl_wall_ms();
-	g_mutex_unlock(&runs_lock);
-}
-
 /* A connection, the bytes read from it, and the head of its current request. */
 struct connection {
 	int fd;
@@ -421,24 +397,11 @@
 
 static int send_runs(const struct connection *conn)
 {
-	GString *text = g_string_new("HTTP/1.1 200 OK\r\n"
-				     "Connection: close\r\n\r\n");
-	GHashTableIter it;
-	void *id;
-	void *value;
-
-	g_mutex_lock(&runs_lock);
-	g_hash_table_iter_init(&it, runs);
-	while (g_hash_table_iter_next(&it, &id, &value)) {
-		const struct run *run = value;
-
-		g_string_append_printf(text, "%s %d %lld\n", (char *)id,
-				       run->times,
-				       (long long)run->last_wall_ms);
-	}
-	g_mutex_unlock(&runs_lock);
-	send_text(conn, text->str);
-	g_string_free(text, TRUE);
+	char *text = runs_format();
+
+	send_text(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+	send_text(conn, text);
+	g_free(text);
 	return 1;
 }
 
@@ -522,7 +485,7 @@
 	if (!strcmp(conn->mode, "health"))
 		return !discard_body(conn) && send_health_response(conn);
 	ran++;
-	record_run(conn->request_id);
+	runs_add(conn->request_id);
 	smuggled += !strcmp(conn->mode, "smuggled");
 	if (!strcmp(conn->mode, "early")) {
 		respond(conn, "413 Too Long", conn->request_id,
@@ -569,7 +532,7 @@
 	apr_pool_t *pool;
 
 	instance = command_option(argc, argv, "instance", "i-1");
-	runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	runs_init();
 	signal(SIGPIPE, SIG_IGN);
 	if (fd < 0 || apr_initialize() || apr_pool_create(&pool, NULL)) {
 		fprintf(stderr, "standin-odd: can't listen\n");
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -51,11 +51,12 @@
 	char address[PRL_ADDRESS_MAX];
 	/** Where it takes requests that other VMs relay; empty if not known. */
 	char relay_address[PRL_ADDRESS_MAX];
-	/** Hashes of the names of the services that it is isolated from: it
-	 * reaches none of their upstreams. */
+	/** Hashes of the names of the services that the VM is isolated from:
+	 * it reaches none of their upstreams. */
 	uint64_t isolated[STEER_ISOLATED_MAX];
 	int nisolated;
-	/** It is isolated from all services, or from more than are listed. */
+	/** Set if the VM is isolated from all services, or from more than are
+	 * listed. */
 	int isolated_from_all;
 };
 
