--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -348,7 +348,7 @@
  * Sends a call to all usable VMs, with retransmissions until they acknowledge
  * it or a short time has passed.
  */
-void peers_tell_all(struct control *c, const struct wire_args *args);
+void peers_broadcast(struct control *c, const struct wire_args *args);
 
 /** Whether a call comes from the address of a member that is not dead. */
 int peers_is_member(const struct control *c, const struct wire_request *r);
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -66,7 +66,7 @@
 
 	args.u.cold.instance = (char *)instance;
 	args.u.cold.left_ms = left_ms;
-	peers_tell_all(c, &args);
+	peers_broadcast(c, &args);
 }
 
 /*
--- a/cmd/primroseleadd/news.c
+++ b/cmd/primroseleadd/news.c
@@ -66,7 +66,7 @@
 
 	args.u.news.news.news_val = n->pending;
 	args.u.news.news.news_len = (u_int)n->npending;
-	peers_tell_all(c, &args);
+	peers_broadcast(c, &args);
 	n->npending = 0;
 }
 
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -10,9 +10,9 @@
  */
 #define REGISTERED_PROBE_INTERVAL_MS 500
 
-/* Timeout and retransmission interval of what all VMs are told, in ms. */
-#define TELL_TIMEOUT_MS 400
-#define TELL_RETRANSMIT_MS 100
+/* Timeout and retransmission interval of a broadcast, in ms. */
+#define BROADCAST_TIMEOUT_MS 400
+#define BROADCAST_RETRANSMIT_MS 100
 
 /* A pending call that probes a VM, directly or through another VM. */
 struct probe_call {
@@ -292,11 +292,11 @@
 	return member_has_address(&c->members, from);
 }
 
-void peers_tell_all(struct control *c, const struct wire_args *args)
+void peers_broadcast(struct control *c, const struct wire_args *args)
 {
 	struct wire_call_options o = {
-		.deadline_ms = prl_now_ms() + TELL_TIMEOUT_MS,
-		.retransmit_ms = TELL_RETRANSMIT_MS,
+		.deadline_ms = prl_now_ms() + BROADCAST_TIMEOUT_MS,
+		.retransmit_ms = BROADCAST_RETRANSMIT_MS,
 	};
 
 	for (int i = 1; i < c->members.npeer; i++)
--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -11,8 +11,8 @@
 /* Timeout of a probe, in ms. */
 #define PROBE_TIMEOUT_MS 700
 
-/* Interval in ms at which the other VMs are told again that this VM is
- * isolated, and the time after which they no longer believe it. */
+/* Interval in ms at which an isolation that lasts is announced again, and the
+ * time after which an announcement is no longer believed. */
 #define REPEAT_INTERVAL_MS 3000
 #define BELIEVED_MS 7000
 
@@ -27,7 +27,7 @@
 	struct check probe[PROBES];
 };
 
-/* What another VM said of its reach. */
+/* Last announcement of another VM. */
 struct reach_peer {
 	int64_t sequence;
 	int64_t believed_until_ms;
@@ -36,6 +36,9 @@
 	uint64_t service[WIRE_ISOLATED_MAX];
 };
 
+_Static_assert(WIRE_ISOLATED_MAX == STEER_ISOLATED_MAX,
+	       "announced services are copied to the view");
+
 static void act_at_once(struct control *c)
 {
 	c->view_outdated = 1;
@@ -143,8 +146,8 @@
 	       now >= u->paused_until_ms && now >= u->closed_until_ms;
 }
 
-/* Returns an upstream to probe other than "excluded", or null. Those that bear
- * few requests are left alone. */
+/* Returns an upstream to probe other than "excluded", or null. Upstreams that
+ * are cold, limited, paused or closed are not probed. */
 static const struct steer_upstream *
 choose_upstream(const struct steer_service *s, uint64_t excluded, int64_t now)
 {
@@ -248,10 +251,10 @@
 	}
 }
 
-/* Collects the isolated services: all, or only those that others are to know
- * of. Returns their number; at most STEER_ISOLATED_MAX are filled. */
-static int list_isolated(const struct control *c, int told_only, int64_t now,
-			 uint64_t service[STEER_ISOLATED_MAX])
+/* Collects the isolated services: all, or only those to be announced. Returns
+ * their number; at most STEER_ISOLATED_MAX are filled. */
+static int list_isolated(const struct control *c, int announced_only,
+			 int64_t now, uint64_t service[STEER_ISOLATED_MAX])
 {
 	GHashTableIter it;
 	void *value;
@@ -261,8 +264,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct reach_service *s = value;
 
-		if (told_only ? !place_reach_is_told(&s->reach, now)
-			      : s->reach.state != PLACE_ISOLATED)
+		if (announced_only ? !place_reach_is_announced(&s->reach, now)
+				   : s->reach.state != PLACE_ISOLATED)
 			continue;
 		if (n < STEER_ISOLATED_MAX)
 			service[n] = prl_hash_string(s->name);
@@ -289,9 +292,9 @@
 	return x < y ? -1 : x > y;
 }
 
-/* Tells all VMs of changes, and repeats what lasts: messages may be lost, and
- * VMs may have started since. */
-static void tell_peers(struct control *c, int64_t now)
+/* Announces changes to all VMs, and repeats what lasts: messages may be lost,
+ * and VMs may have started since. */
+static void announce(struct control *c, int64_t now)
 {
 	struct reach *reach = &c->reach;
 	uint64_t service[STEER_ISOLATED_MAX];
@@ -301,19 +304,22 @@
 	struct wire_args args = {.proc = WIRE_ISOLATION};
 
 	qsort(service, len, sizeof(service[0]), by_value);
-	if (reach->told.all == all && reach->told.service.service_len == len &&
-	    !memcmp(reach->told_service, service, len * sizeof(service[0])) &&
-	    (!n || now < reach->next_tell_ms))
+	if (reach->announced.all == all &&
+	    reach->announced.service.service_len == len &&
+	    !memcmp(reach->announced_service, service,
+		    len * sizeof(service[0])) &&
+	    (!n || now < reach->next_announcement_ms))
 		return;
-	reach->told.vm = (char *)c->settings->vm.name;
-	reach->told.sequence = MAX(reach->told.sequence + 1, prl_wall_ms());
-	reach->told.all = all;
-	memcpy(reach->told_service, service, sizeof(service));
-	reach->told.service.service_val = reach->told_service;
-	reach->told.service.service_len = len;
-	reach->next_tell_ms = now + REPEAT_INTERVAL_MS;
-	args.u.isolation = reach->told;
-	peers_tell_all(c, &args);
+	reach->announced.vm = (char *)c->settings->vm.name;
+	reach->announced.sequence =
+		MAX(reach->announced.sequence + 1, prl_wall_ms());
+	reach->announced.all = all;
+	memcpy(reach->announced_service, service, sizeof(service));
+	reach->announced.service.service_val = reach->announced_service;
+	reach->announced.service.service_len = len;
+	reach->next_announcement_ms = now + REPEAT_INTERVAL_MS;
+	args.u.isolation = reach->announced;
+	peers_broadcast(c, &args);
 }
 
 void reach_tick(struct control *c, int64_t now)
@@ -322,7 +328,7 @@
 
 	update_services(c, now);
 	forget_peers(c, now);
-	tell_peers(c, now);
+	announce(c, now);
 	metrics_set(&c->proxy.control_metrics, METRIC_SERVICES_ISOLATED,
 		    (uint64_t)list_isolated(c, 0, now, service));
 }
@@ -336,7 +342,7 @@
 		  p->all ? "yes" : "no", "services", n, NULL);
 }
 
-/* Returns 1 if what the VM says has changed. */
+/* Returns 1 if the announcement differs from the VM's last one. */
 static int update_peer(struct reach_peer *p, const struct wire_isolation *from,
 		       int64_t now)
 {
--- a/cmd/primroseleadd/reach.h
+++ b/cmd/primroseleadd/reach.h
@@ -8,9 +8,9 @@
 /*
  * Which services this VM is isolated from: none of their upstreams answers it.
  * Its traffic threads find that out from their attempts; probes find out about
- * other services, and when upstreams answer again. Each VM tells all others,
- * since from its own attempts a VM can't know whether it is cut off itself or
- * the upstreams are gone.
+ * other services, and when upstreams answer again. Each VM announces it to all
+ * others: from its own attempts alone a VM can't know whether it is cut off
+ * itself or the upstreams are gone.
  */
 
 struct control;
@@ -25,11 +25,11 @@
 	GHashTable *peers;
 	/** View from which upstreams to probe are taken; null at first. */
 	struct steer_view *view;
-	/** What the other VMs were told last. */
-	struct wire_isolation told;
-	uint64_t told_service[WIRE_ISOLATED_MAX];
-	/** When they are told again. */
-	int64_t next_tell_ms;
+	/** Last announcement to the other VMs, and its services. */
+	struct wire_isolation announced;
+	uint64_t announced_service[WIRE_ISOLATED_MAX];
+	/** When the announcement is repeated. */
+	int64_t next_announcement_ms;
 };
 
 /** Create and free the state; reach_finish cancels pending probes. */
@@ -40,7 +40,7 @@
  * of a service. */
 void reach_handle_isolated(struct control *c, const struct proxy_news *news);
 
-/** Handles what another VM says of its reach. */
+/** Handles another VM's announcement. */
 void reach_handle_remote(struct control *c, const struct wire_request *r,
 			 const struct wire_isolation *from);
 
@@ -51,7 +51,7 @@
 /** Takes the upstreams to probe from a new view. */
 void reach_set_view(struct control *c, struct steer_view *v);
 
-/** Sends the probes that are due, and tells the other VMs of changes. */
+/** Sends the probes that are due, and announces changes to the other VMs. */
 void reach_tick(struct control *c, int64_t now);
 
 #endif
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -113,8 +113,8 @@
 	int64_t answered_ms;
 	/** Moving average of the share of unanswered attempts, in permille. */
 	int unanswered_permille;
-	/** Until then the caller of this package takes the service for
-	 * isolated. */
+	/** Set by the caller of this package, which relays requests until
+	 * then. */
 	int64_t isolated_until_ms;
 };
 
@@ -280,14 +280,14 @@
 /** Whether a VM reaches the upstreams of a service. */
 enum place_reach_state {
 	PLACE_REACHED,
-	/** Another service is isolated: probes are to tell about this one. */
+	/** Another service is isolated; this one is probed. */
 	PLACE_SUSPECTED,
 	/** No upstream answers. */
 	PLACE_ISOLATED,
 };
 
-/** What a VM knows of its reach of one service, from its own attempts and
- * probes. All zero is the initial state, PLACE_REACHED. */
+/** Reach of one service by a VM's own attempts and probes. All zero is the
+ * initial state, PLACE_REACHED. */
 struct place_reach {
 	enum place_reach_state state;
 	/** When the state began. */
@@ -323,8 +323,8 @@
 void place_reach_probe_ended(struct place_reach *s,
 			     const struct place_probe *probe, int64_t now_ms);
 
-/** Whether other VMs are to know that this VM is isolated from the service. */
-int place_reach_is_told(const struct place_reach *s, int64_t now_ms);
+/** Whether the isolation is to be announced to the other VMs. */
+int place_reach_is_announced(const struct place_reach *s, int64_t now_ms);
 
 /** Estimated state of one upstream when a request is placed. */
 struct place_estimate {
--- a/place/src/reach.c
+++ b/place/src/reach.c
@@ -4,9 +4,9 @@
 /* Average interval between two probes while no upstream answers, in ms. */
 #define PROBE_INTERVAL_MS 500
 
-/* Time in ms for which a new isolation is not told to other VMs: probes end it
- * at once if only some connections broke. */
-#define TELL_DELAY_MS 300
+/* Time in ms after which a new isolation is announced to the other VMs: probes
+ * end it before if only some connections broke. */
+#define ANNOUNCE_DELAY_MS 300
 
 /* Probes in a row that must be answered, by different upstreams if there are as
  * many, before the upstreams count as reached again. */
@@ -73,8 +73,8 @@
 		place_reach_isolate(s, now_ms);
 }
 
-int place_reach_is_told(const struct place_reach *s, int64_t now_ms)
+int place_reach_is_announced(const struct place_reach *s, int64_t now_ms)
 {
 	return s->state == PLACE_ISOLATED &&
-	       now_ms >= s->since_ms + TELL_DELAY_MS;
+	       now_ms >= s->since_ms + ANNOUNCE_DELAY_MS;
 }
--- a/place/test/test_reach.c
+++ b/place/test/test_reach.c
@@ -154,15 +154,15 @@
 	assert_in_range(reach.next_probe_ms - now_ms, 250, 750);
 }
 
-static void test_short_isolation_is_told(void **state)
+static void test_short_isolation_is_announced(void **state)
 {
 	(void)state;
 	place_reach_isolate(&reach, now_ms);
-	assert_int_equal(place_reach_is_told(&reach, now_ms + 100), 0);
-	assert_int_equal(place_reach_is_told(&reach, now_ms + 300), 1);
+	assert_int_equal(place_reach_is_announced(&reach, now_ms + 100), 0);
+	assert_int_equal(place_reach_is_announced(&reach, now_ms + 300), 1);
 	probe(1, 1);
 	probe(2, 1);
-	assert_int_equal(place_reach_is_told(&reach, now_ms + 1000), 0);
+	assert_int_equal(place_reach_is_announced(&reach, now_ms + 1000), 0);
 }
 
 int main(void)
@@ -181,7 +181,8 @@
 		cmocka_unit_test_setup(test_isolation_ends_too_early, setup),
 		cmocka_unit_test_setup(test_suspected_service, setup),
 		cmocka_unit_test_setup(test_probes_are_spread, setup),
-		cmocka_unit_test_setup(test_short_isolation_is_told, setup),
+		cmocka_unit_test_setup(test_short_isolation_is_announced,
+				       setup),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -34,7 +34,7 @@
  * request is sent to another VM. */
 void relay_add_out_of_reach(struct proxy_request *r);
 
-/** Reads one header line of the other VM's response. */
+/** Reads one header line of the other VM's response, "name: value". */
 void relay_parse_header(struct proxy_request *r, const char *line);
 
 /** Returns what a complete response head of the other VM means. */
--- a/system/routes.c
+++ b/system/routes.c
@@ -6,6 +6,7 @@
 #include "routes.h"
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 pid_t routes_vm_pid[4];
@@ -181,7 +182,11 @@
 
 int routes_setup(void **state)
 {
+	const char *base = getenv("ROUTES_PORT_BASE");
+
 	(void)state;
+	if (base)
+		routes_port_base = atoi(base);
 	fleet_start_store(STORE_PORT);
 	routes_start_upstream("i-1", UPSTREAM_PORT(1));
 	routes_start_upstream("i-2", UPSTREAM_PORT(2));
--- a/system/routes.h
+++ b/system/routes.h
@@ -13,7 +13,9 @@
 /* Time in which all VMs must apply a change of the store, in ms. */
 #define PROPAGATION_MS 2500
 
-/** First of the 400 ports of the fixture; may be set before it is started. */
+/** First of the 400 ports of the fixture; may be set before it is started, and
+ * is set from ROUTES_PORT_BASE in the environment, so that tests can run side
+ * by side. */
 extern int routes_port_base;
 
 #define PORT_BASE routes_port_base
