Place: short requests are judged by their own kind's time

Cause: whether a request can still end before its deadline was judged by the region's average over all requests. The average also never expired: a service whose short requests were all rejected for it had no way to measure again.

Ruled out: the limits of the upstreams (other requests of the same seconds were placed) and the new manifest (the routes were in force).

Change: the time of a request is averaged for those with "sticky" and those without, per region, and expires after 4 s. The wait in a queue is still estimated by the average of all, which is what the queue holds.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -118,6 +118,14 @@
 	int64_t isolated_until_ms;
 };
 
+/** Moving average of the times of requests that did not queue at their
+ * upstream. All zero means no sample. */
+struct place_service_time {
+	int64_t us;
+	/** Time of the last sample. */
+	int64_t sampled_ms;
+};
+
 /** State that one thread keeps of one service. All zero is the initial state.
  */
 struct place_service_state {
@@ -131,6 +139,9 @@
 	/** Moving average of the time of a request that does not queue at the
 	 * upstream, for each region, in microseconds; 0 without a sample. */
 	int64_t service_time_us[STEER_REGIONS_MAX];
+	/** The same for the requests without "sticky" (index 0) and for those
+	 * with it. */
+	struct place_service_time kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
 };
 
@@ -235,6 +246,8 @@
 struct place_attempt {
 	enum place_result result;
 	int region;
+	/** That of the place_request. */
+	int sticky;
 	/** Time from sending the request to its end. */
 	int64_t duration_us;
 	/** The request was expected to queue at the upstream. */
@@ -344,6 +357,12 @@
 int64_t place_inflight(const struct place_upstream_stats *u,
 		       int own_outstanding, int64_t now_ms);
 
+/** Returns the average time of a request of one kind that does not queue, in
+ * us, or 0 if there is no recent sample: else a kind that is refused because it
+ * was slow would never be measured again. */
+int64_t place_kind_time_us(const struct place_service_state *s, int sticky,
+			   int region, int64_t now_ms);
+
 /** Fills all fields of an estimate but "available". service_time_us is that of
  * the upstream's region and must not be 0. */
 void place_estimate_fill(const struct place_upstream_stats *u,
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -53,6 +53,16 @@
 	return us ? us : SERVICE_TIME_DEFAULT_US;
 }
 
+/* Time of this request without a queue: other kinds may take much longer. */
+static int64_t request_time_us(const struct placement *p, int region)
+{
+	const struct place_request *req = p->request;
+	int64_t us = place_kind_time_us(req->state, req->sticky, region,
+					req->now_ms);
+
+	return us ? us : SERVICE_TIME_DEFAULT_US;
+}
+
 /* Whether one more connection to the upstream is within this thread's part of
  * the upstream's limit. Threads keep idle connections open and do not share
  * them, so each has as many connections as it ever had requests at once. */
@@ -118,13 +128,13 @@
 }
 
 static int64_t useful_wait_max_ms(const struct place_request *req,
-				  int64_t service_ms)
+				  int64_t request_ms)
 {
 	int64_t permille = req->priority <= 1
 				   ? req->params->urgent_wait_max_permille
 				   : req->params->wait_max_permille;
 	int64_t wait = req->latency_objective_ms * permille / THOUSAND;
-	int64_t remaining = req->deadline_ms - req->now_ms - service_ms;
+	int64_t remaining = req->deadline_ms - req->now_ms - request_ms;
 
 	return wait < remaining ? wait : remaining;
 }
@@ -177,6 +187,7 @@
 	const struct place_request *req = p->request;
 	const struct steer_service_region *sr = &req->service->region[region];
 	int64_t service_ms = region_service_time_us(p, region) / THOUSAND;
+	int64_t request_ms = request_time_us(p, region) / THOUSAND;
 	struct place_candidates candidates = {
 		.upstream = req->service->upstream + sr->first_upstream,
 		.estimate = p->estimate,
@@ -187,7 +198,7 @@
 		.tried_ids = req->tried_ids,
 		.ntried = req->ntried,
 		.service_time_ms = service_ms,
-		.wait_max_ms = useful_wait_max_ms(req, service_ms),
+		.wait_max_ms = useful_wait_max_ms(req, request_ms),
 		.params = req->params,
 	};
 	struct place_region_decision found;
--- a/place/src/stats.c
+++ b/place/src/stats.c
@@ -51,11 +51,28 @@
 					: 0;
 }
 
+int64_t place_kind_time_us(const struct place_service_state *s, int sticky,
+			   int region, int64_t now_ms)
+{
+	const struct place_service_time *t = &s->kind_time[sticky != 0][region];
+
+	return now_ms - t->sampled_ms < STATS_EXPIRY_MS ? t->us : 0;
+}
+
 static int64_t smooth_average(int64_t old, int64_t sample)
 {
 	return old ? old + (sample - old) / SMOOTHING_DIVISOR : sample;
 }
 
+static void record_kind_time(struct place_service_time *t, int64_t us,
+			     int64_t now)
+{
+	if (now - t->sampled_ms >= STATS_EXPIRY_MS)
+		t->us = 0;
+	t->us = smooth_average(t->us, us);
+	t->sampled_ms = now;
+}
+
 static void record_duration(struct place_upstream_stats *u,
 			    struct place_service_state *s,
 			    const struct place_attempt *attempt, int64_t now)
@@ -65,10 +82,12 @@
 	u->latency_us = smooth_average(u->latency_us, attempt->duration_us);
 	u->latency_sampled_ms = now;
 	/* The time of a request that queued includes its wait. */
-	if (!attempt->queued)
-		s->service_time_us[attempt->region] =
-			smooth_average(s->service_time_us[attempt->region],
-				       attempt->duration_us);
+	if (attempt->queued)
+		return;
+	s->service_time_us[attempt->region] = smooth_average(
+		s->service_time_us[attempt->region], attempt->duration_us);
+	record_kind_time(&s->kind_time[attempt->sticky != 0][attempt->region],
+			 attempt->duration_us, now);
 }
 
 static void record_failure(struct place_upstream_stats *u, int failed,
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -496,6 +496,66 @@
 	assert_true(different > 90);
 }
 
+/* Records answers in the own region, as of requests that did not queue. */
+static void record_answers(int sticky, int64_t us)
+{
+	struct place_attempt attempt = {
+		.result = PLACE_ANSWERED, .sticky = sticky, .duration_us = us};
+
+	for (int i = 0; i < PER_REGION; i++)
+		place_record_attempt(&stats[i], &service_state, &attempt,
+				     now_ms);
+}
+
+/* An urgent request without an object, which has one second. */
+static struct place_request make_plain_request(void)
+{
+	struct place_request req = make_request(0);
+
+	req.sticky = 0;
+	req.priority = 0;
+	req.region_mask = 1;
+	req.latency_objective_ms = 1000;
+	req.deadline_ms = now_ms + 1000;
+	return req;
+}
+
+/* Requests with objects that take 2 s do not make a short one hopeless. */
+static void test_kinds_of_requests_are_told_apart(void **unused)
+{
+	struct place_request req;
+	struct place_decision decision;
+
+	(void)unused;
+	record_answers(1, 2000000);
+	record_answers(0, 100000);
+	set_outstanding(0, 0);
+	req = make_plain_request();
+	assert_int_equal(place_choose(&req, &decision), 1);
+	assert_int_equal(decision.wait_ms, 0);
+	/* A request that needs 2 s is not begun one second before its deadline.
+	 */
+	req = make_request(1);
+	req.region_mask = 1;
+	req.deadline_ms = now_ms + 1000;
+	assert_int_equal(place_choose(&req, &decision), 0);
+}
+
+/* A kind that is refused because it was slow is tried again. */
+static void test_slow_kind_is_measured_again(void **unused)
+{
+	struct place_request req;
+	struct place_decision decision;
+
+	(void)unused;
+	record_answers(0, 1500000);
+	req = make_plain_request();
+	assert_int_equal(place_choose(&req, &decision), 0);
+	now_ms += 5000;
+	req = make_plain_request();
+	assert_int_equal(place_choose(&req, &decision), 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -524,6 +584,9 @@
 		cmocka_unit_test_setup(test_slow_one_is_avoided, setup),
 		cmocka_unit_test_setup(test_reports_age, setup),
 		cmocka_unit_test_setup(test_retry_after_is_spread, setup),
+		cmocka_unit_test_setup(test_kinds_of_requests_are_told_apart,
+				       setup),
+		cmocka_unit_test_setup(test_slow_kind_is_measured_again, setup),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -77,6 +77,12 @@
 				     ratio * RETRY_RATIO_PERCENT / PERCENT);
 }
 
+/* Upstreams are faster for an object that they handled lately. */
+static int is_sticky(const struct proxy_request *r)
+{
+	return r->policy.sticky && r->request_meta.object_hash;
+}
+
 static void fill_place_request(struct proxy_request *r,
 			       struct place_request *request)
 {
@@ -95,7 +101,7 @@
 		.fleet_threads = count_fleet_threads(r),
 		.move_max_permille = t->bounds.move_max_permille,
 		.object_hash = r->request_meta.object_hash,
-		.sticky = r->policy.sticky && r->request_meta.object_hash,
+		.sticky = is_sticky(r),
 		.random = prl_hash_combine(t->random_state++, r->handle),
 		.tried_ids = r->tried,
 		.ntried = r->ntried,
@@ -220,6 +226,7 @@
 	struct place_attempt end = {
 		.result = result,
 		.region = r->region,
+		.sticky = is_sticky(r),
 		.duration_us = prl_now_us() - r->attempt_started_us,
 		.queued = r->expected_wait_ms > 0,
 		.reported_load = r->response_meta.slots >= 0,
--- a/replay/src/world.c
+++ b/replay/src/world.c
@@ -135,6 +135,7 @@
 	struct place_attempt attempt = {
 		.result = r->result,
 		.region = r->decision.region,
+		.sticky = r->arrival.object_hash != 0,
 		.duration_us = w->now_us - r->attempt_started_us,
 		.queued = r->decision.wait_ms > 0,
 		.reported_load = r->reported_running >= 0,
