--- a/system/harness.c
+++ b/system/harness.c
@@ -14,9 +14,17 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* Part of the log of a crashed process that is printed, in bytes. */
+#define LOG_END_BYTES 4096
+
 static char bin_dir[512];
 static char work_dir[64];
-static pid_t processes[PROCESSES_MAX];
+/* Processes that run; pid 0 marks a free entry. */
+static struct {
+	pid_t pid;
+	/** Name of its log file in the work directory. */
+	char log[80];
+} processes[PROCESSES_MAX];
 static int nprocess;
 
 void harness_init(const char *argv0)
@@ -39,15 +47,45 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+/* Prints how a process ended that nobody has ended, and the end of its log. */
+static void report_crash(const char *log, int status)
+{
+	char text[LOG_END_BYTES + 1];
+	FILE *f = fopen(harness_path(log), "r");
+	size_t n = 0;
+
+	fprintf(stderr, "%s: the process ended by itself: %s %d\n", log,
+		WIFSIGNALED(status) ? "signal" : "status",
+		WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
+	if (!f)
+		return;
+	if (fseek(f, -LOG_END_BYTES, SEEK_END))
+		rewind(f);
+	n = fread(text, 1, LOG_END_BYTES, f);
+	fclose(f);
+	text[n] = 0;
+	fprintf(stderr, "%s\n", text);
+}
+
 void harness_finish(void)
 {
+	int status;
+
 	if (getenv("KEEP"))
 		fprintf(stderr, "kept %s\n", work_dir);
-	for (int i = 0; i < PROCESSES_MAX; i++)
-		if (processes[i]) {
-			kill(processes[i], SIGCONT);
-			harness_kill(processes[i], SIGKILL);
+	for (int i = 0; i < PROCESSES_MAX; i++) {
+		if (!processes[i].pid)
+			continue;
+		if (waitpid(processes[i].pid, &status, WNOHANG) ==
+		    processes[i].pid) {
+			processes[i].pid = 0;
+			if (status)
+				report_crash(processes[i].log, status);
+			continue;
 		}
+		kill(processes[i].pid, SIGCONT);
+		harness_kill(processes[i].pid, SIGKILL);
+	}
 	nprocess = 0;
 }
 
@@ -98,11 +136,13 @@
 	_exit(127);
 }
 
-static void remember_process(pid_t pid)
+static void remember_process(pid_t pid, const char *log)
 {
 	for (int i = 0; i < PROCESSES_MAX; i++)
-		if (!processes[i]) {
-			processes[i] = pid;
+		if (!processes[i].pid) {
+			processes[i].pid = pid;
+			snprintf(processes[i].log, sizeof(processes[i].log),
+				 "%s", log);
 			return;
 		}
 	fprintf(stderr, "more than %d processes at a time\n", PROCESSES_MAX);
@@ -124,7 +164,7 @@
 		exec_program(program, args);
 	}
 	close(out);
-	remember_process(pid);
+	remember_process(pid, name);
 	nprocess++;
 	return pid;
 }
@@ -132,8 +172,8 @@
 static void forget_process(pid_t pid)
 {
 	for (int i = 0; i < PROCESSES_MAX; i++)
-		if (processes[i] == pid)
-			processes[i] = 0;
+		if (processes[i].pid == pid)
+			processes[i].pid = 0;
 }
 
 int harness_wait(pid_t pid)
