Member: a refuted death is counted, also while the queue of events is full

Cause: that this VM was declared dead, so that others may have taken over its capacity, was a flag of the event queued last. While 256 events wait (many VMs change at once), the event is not queued: the flag went onto another VM's event, or was lost once the queue had no other one. In the first case the audit trail names the wrong VM; in a build that drops that event too the VM would go on using capacity that others hold.

Change: the table counts refuted deaths; the control thread compares the count and reads its ledgers again. The event's flag is for the log alone.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -209,6 +209,8 @@
 	 * until all ledgers have been read again.
 	 */
 	int unconfirmed;
+	/** member_table.refuted_deaths when it was last looked at. */
+	uint64_t refuted_deaths;
 	/** The ledgers have been marked invalid, to be read again. */
 	int ledgers_invalidated;
 	/** The view must be rebuilt. */
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -222,10 +222,11 @@
 			  member_state_name(e.state), "incarnation",
 			  incarnation, "given_up",
 			  e.refuted_death ? "yes" : "no", NULL);
-		/* Other VMs may have reclaimed this VM's capacity. */
-		if (e.refuted_death)
-			c->unconfirmed = 1;
 	}
+	/* Other VMs may have reclaimed this VM's capacity. */
+	if (c->refuted_deaths != c->members.refuted_deaths)
+		c->unconfirmed = 1;
+	c->refuted_deaths = c->members.refuted_deaths;
 }
 
 static void count_vms(struct control *c)
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -133,6 +133,9 @@
 	 * a member joined, is leaving, died or was removed. Suspicion does not
 	 * change the set. */
 	uint64_t usable_changes;
+	/** Number of times this VM was declared dead and refuted it: others may
+	 * have taken over its capacity. Counted also if the events are full. */
+	uint64_t refuted_deaths;
 };
 
 /** Initializes a table with this VM as the only member. Returns PRL_OK or
--- a/member/src/table.c
+++ b/member/src/table.c
@@ -47,7 +47,8 @@
 	m->update_queue[m->nupdate++] = i;
 }
 
-void member_record_change(struct member_table *m, int i, int was_usable)
+struct member_event *member_record_change(struct member_table *m, int i,
+					  int was_usable)
 {
 	const struct member_vm *vm = &m->peer[i].vm;
 	struct member_event *e;
@@ -56,12 +57,13 @@
 	if (was_usable != member_is_usable(&m->peer[i]))
 		m->usable_changes++;
 	if (m->nevent == MEMBER_EVENTS_MAX)
-		return;
+		return NULL;
 	e = &m->event[m->nevent++];
 	memset(e, 0, sizeof(*e));
 	memcpy(e->name, vm->name, sizeof(e->name));
 	e->state = vm->state;
 	e->incarnation = vm->incarnation;
+	return e;
 }
 
 int member_pop_event(struct member_table *m, struct member_event *out)
@@ -161,13 +163,17 @@
 				 const struct member_vm *vm)
 {
 	struct member_vm *self = &m->peer[0].vm;
+	struct member_event *e;
 
 	if (vm->incarnation < self->incarnation || vm->state <= self->state)
 		return;
 	self->incarnation = vm->incarnation + 1;
-	member_record_change(m, 0, 1);
-	if (vm->state == MEMBER_DEAD && m->nevent)
-		m->event[m->nevent - 1].refuted_death = 1;
+	e = member_record_change(m, 0, 1);
+	if (vm->state != MEMBER_DEAD)
+		return;
+	m->refuted_deaths++;
+	if (e)
+		e->refuted_death = 1;
 }
 
 static int is_superseded_by(const struct member_vm *known,
--- a/member/test/test_member.c
+++ b/member/test/test_member.c
@@ -240,6 +240,29 @@
 	finish_all();
 }
 
+/* A VM must learn that it was declared dead also while so many others change
+ * that the events are full, and no other VM's event may say so. */
+static void test_refutation_without_room_for_events(void **state)
+{
+	struct member_vm self = make_vm(0, 1);
+	struct member_vm vm;
+	struct member_event e;
+
+	(void)state;
+	start(0, 1);
+	for (int i = 1; i <= MEMBER_EVENTS_MAX; i++) {
+		vm = make_vm(i, 1);
+		member_apply_update(&table[0], &vm, 0);
+	}
+	assert_int_equal(table[0].nevent, MEMBER_EVENTS_MAX);
+	self.state = MEMBER_DEAD;
+	member_apply_update(&table[0], &self, 0);
+	assert_int_equal(table[0].refuted_deaths, 1);
+	while (member_pop_event(&table[0], &e))
+		assert_int_equal(e.refuted_death, 0);
+	member_finish(&table[0]);
+}
+
 /* All VMs must learn that a VM is leaving, and must not keep it in that state
  * after it has ended. */
 static void test_leave_is_told(void **state)
@@ -301,6 +324,7 @@
 		cmocka_unit_test(test_no_false_death),
 		cmocka_unit_test(test_restart_is_another),
 		cmocka_unit_test(test_paused_refutes),
+		cmocka_unit_test(test_refutation_without_room_for_events),
 		cmocka_unit_test(test_leave_is_told),
 		cmocka_unit_test(test_rank_and_forget),
 	};
