Place: a refusal says when the first upstream opens again

Cause: with no usable upstream the shortest wait was taken as 0, so that callers were told to come back in 0.1 to 0.2 s while all upstreams were paused or closed for seconds. Where none is usable, the wait is now the time until the first active upstream is neither paused nor closed, and unknown without one (0.5 to 1 s, the longest that is told). Upstreams that only their rate or connections hold back count as open, as before.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -394,7 +394,7 @@
 	/** Index among the candidates, or STEER_NONE. */
 	int upstream;
 	/** Expected wait in the upstream's queue in ms. If no upstream was
-	 * found: the shortest wait of those that are usable, or 0. */
+	 * found: the shortest wait of those that are usable, or PRL_NEVER. */
 	int64_t wait_ms;
 	/** Position of the upstream among the usable ones in the object's
 	 * rendezvous order, counted up to 4; 0 is the first home. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -2,6 +2,7 @@
 #include <primroselead/hash.h>
 #include <primroselead/place.h>
 #include <string.h>
+#include <sys/param.h>
 
 /* Most upstreams of one service and region that are candidates. */
 #define CANDIDATES_MAX 1024
@@ -182,6 +183,26 @@
 		(MILLION - own_share) / THOUSAND + excess, req->now_ms);
 }
 
+/* Time until an upstream of the region is neither paused nor closed, or
+ * PRL_NEVER if there is none that is active. */
+static int64_t wait_for_opening_ms(const struct placement *p, int region)
+{
+	const struct steer_service *s = p->request->service;
+	const struct steer_service_region *sr = &s->region[region];
+	int64_t now = p->request->now_ms;
+	int64_t shortest = PRL_NEVER;
+
+	for (int i = 0; i < sr->nupstream; i++) {
+		const struct steer_upstream *u =
+			&s->upstream[sr->first_upstream + i];
+		int64_t opens = MAX(u->paused_until_ms, u->closed_until_ms);
+
+		if (u->state == STEER_ACTIVE)
+			shortest = MIN(shortest, MAX(opens - now, 0));
+	}
+	return shortest;
+}
+
 static int try_region(const struct placement *p, int region)
 {
 	const struct place_request *req = p->request;
@@ -211,6 +232,8 @@
 		commit_decision(p, region, &found);
 		return 1;
 	}
+	if (found.wait_ms == PRL_NEVER)
+		found.wait_ms = wait_for_opening_ms(p, region);
 	if (found.wait_ms < p->out->wait_ms)
 		p->out->wait_ms = found.wait_ms;
 	return 0;
--- a/place/src/choose_in_region.c
+++ b/place/src/choose_in_region.c
@@ -1,3 +1,4 @@
+#include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <primroselead/place.h>
 
@@ -145,5 +146,5 @@
 			consider_candidate(c, i, ORDERED_RANKS, &least_cost,
 					   out);
 	if (out->wait_ms < 0)
-		out->wait_ms = 0;
+		out->wait_ms = PRL_NEVER;
 }
--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -326,6 +326,25 @@
 	assert_int_equal(place_for_ms(1, 1), 1);
 }
 
+/* A refused caller is to come back when the first upstream opens again. */
+static void test_refusal_says_when_one_opens(void **unused)
+{
+	struct place_request req = make_request(1);
+	struct place_decision decision;
+
+	(void)unused;
+	for (int i = 0; i < UPSTREAMS; i++)
+		upstream[i].closed_until_ms = now_ms + 3000;
+	upstream[1].closed_until_ms = 0;
+	upstream[1].paused_until_ms = now_ms + 700;
+	assert_int_equal(place_choose(&req, &decision), 0);
+	assert_int_equal(decision.wait_ms, 700);
+	for (int i = 0; i < UPSTREAMS; i++)
+		upstream[i].state = STEER_LEAVING;
+	assert_int_equal(place_choose(&req, &decision), 0);
+	assert_true(decision.wait_ms == PRL_NEVER);
+}
+
 /* Upstreams that name a rate limit get requests at this VM's part of it,
  * divided by its threads, also while all of them are ejected. */
 static void test_limited_ones_are_paced(void **unused)
@@ -574,6 +593,7 @@
 		cmocka_unit_test_setup(
 			test_paused_one_rests_while_all_are_ejected, setup),
 		cmocka_unit_test_setup(test_closed_one_is_left_alone, setup),
+		cmocka_unit_test_setup(test_refusal_says_when_one_opens, setup),
 		cmocka_unit_test_setup(test_limited_ones_are_paced, setup),
 		cmocka_unit_test_setup(test_connections_are_divided, setup),
 		cmocka_unit_test_setup(test_unreachable_one_is_left_alone,
