--- a/soak/faults.c
+++ b/soak/faults.c
@@ -7,6 +7,9 @@
 /* Pause between the beginnings of two faults, at most, in ms. */
 #define PAUSE_MAX_MS 2500
 
+/* Time after which writes are repeated that a returned store lacks, in ms. */
+#define REPEAT_WRITES_MS 500
+
 #define FAULTS_OPEN_MAX 8
 
 /* A fault that has begun and ends later. */
@@ -68,6 +71,24 @@
 	get(soak_store_port(group), "/admin/faults?slow_ms=0&lose=0");
 }
 
+static void copy_store(struct soak *s, int group)
+{
+	(void)s;
+	get(soak_store_port(group), "/admin/faults?copy=1");
+}
+
+/* The store comes back as it was copied. Operators and upstreams find out, and
+ * write again what they wrote since. */
+static void return_store(struct soak *s, int group)
+{
+	get(soak_store_port(group), "/admin/faults?return=1");
+	harness_sleep_ms(REPEAT_WRITES_MS);
+	for (int n = 1; n <= SOAK_UPSTREAMS; n++)
+		soak_put_upstream(s, n, s->upstream_state[n]);
+	routes_use_store(soak_store_port(group));
+	routes_put_manifest(s->manifest_version, "s");
+}
+
 static void stop_vm(struct soak *s, int vm)
 {
 	s->vm_state[vm] = SOAK_VM_STOPPING;
@@ -141,6 +162,7 @@
 } kinds[] = {
 	{"links", GROUP, 2000, 9000, cut_links, restore_links},
 	{"store", GROUP, 1000, 4000, fault_store, restore_store},
+	{"return", GROUP, 500, 4000, copy_store, return_store},
 	{"term", VM, 5500, 6500, stop_vm, restart_vm},
 	{"kill", VM, 300, 3000, kill_vm, restart_vm},
 	{"pause", VM, 500, 5000, pause_vm, continue_vm},
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -45,6 +45,7 @@
 	char instance[16];
 
 	snprintf(instance, sizeof(instance), "i-%d", n);
+	s->upstream_state[n] = state;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
 		routes_use_store(soak_store_port(group));
 		routes_put_upstream(instance, n <= SOAK_UPSTREAMS_S ? "s" : "t",
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -91,6 +91,8 @@
 	GMutex requests_lock;
 	int entry_sequence;
 	int manifest_version;
+	/** State in the last entry of each upstream, by number from 1. */
+	const char *upstream_state[SOAK_UPSTREAMS + 1];
 };
 
 /** Port of the store, and of the link's admin pages, of a group. */
@@ -103,7 +105,8 @@
 /** Starts the fleet. */
 void soak_start_fleet(struct soak *s);
 
-/** Writes the entry of an upstream, by number from 1, to both stores. */
+/** Writes the entry of an upstream, by number from 1, to both stores. "state" is
+ * static. */
 void soak_put_upstream(struct soak *s, int n, const char *state);
 
 /** Starts a VM without waiting. */
