Reach: one look-up of a service, one rule for "all services"

probe_service and is_over looked the service up alike, one of them with a check that the other had made; announce and reach_fill_vm both derived "isolated from all". The local max_attempts, which bore a name of the wire, is "limit" now. No change of behaviour.

--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -183,19 +183,26 @@
 			  "error", err.text, NULL);
 }
 
-static void probe_service(struct reach_service *s, int64_t now)
+/* Returns the service in the current view, or null if it has no upstream. */
+static const struct steer_service *view_service(const struct reach_service *s)
 {
 	const struct steer_view *v = s->control->reach.view;
-	int index = v ? steer_find_service(v, s->name, strlen(s->name))
-		      : STEER_NONE;
+	int i = v ? steer_find_service(v, s->name, strlen(s->name))
+		  : STEER_NONE;
+
+	return i != STEER_NONE && v->service[i]->nupstream ? v->service[i]
+							   : NULL;
+}
+
+static void probe_service(struct reach_service *s,
+			  const struct steer_service *service, int64_t now)
+{
 	uint64_t excluded = 0;
 
-	if (index == STEER_NONE)
-		return;
-	s->nupstream = v->service[index]->nupstream;
-	for (int i = 0; s->nupstream && i < PROBES; i++) {
+	s->nupstream = service->nupstream;
+	for (int i = 0; i < PROBES; i++) {
 		const struct steer_upstream *u =
-			choose_upstream(v->service[index], excluded, now);
+			choose_upstream(service, excluded, now);
 
 		if (!u)
 			return;
@@ -205,17 +212,6 @@
 	}
 }
 
-/* Whether a service is reached again, or has no upstream to be reached. */
-static int is_over(const struct reach_service *s)
-{
-	const struct steer_view *v = s->control->reach.view;
-	int i = v ? steer_find_service(v, s->name, strlen(s->name))
-		  : STEER_NONE;
-
-	return s->reach.state == PLACE_REACHED || i == STEER_NONE ||
-	       !v->service[i]->nupstream;
-}
-
 static void update_services(struct control *c, int64_t now)
 {
 	GHashTableIter it;
@@ -224,13 +220,14 @@
 	g_hash_table_iter_init(&it, c->reach.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct reach_service *s = value;
+		const struct steer_service *service = view_service(s);
 
-		if (is_over(s)) {
+		if (s->reach.state == PLACE_REACHED || !service) {
 			note_reached(s);
 			g_hash_table_iter_remove(&it);
 		} else if (place_reach_probe_due(&s->reach, control_random(),
 						 now)) {
-			probe_service(s, now);
+			probe_service(s, service, now);
 		}
 	}
 }
@@ -284,6 +281,12 @@
 	return n;
 }
 
+/* Whether "n" isolated services are all services, or more than can be named. */
+static int is_all_services(const struct control *c, int n)
+{
+	return n > STEER_ISOLATED_MAX || (n && n >= count_services(c));
+}
+
 static int by_value(const void *a, const void *b)
 {
 	uint64_t x = *(const uint64_t *)a;
@@ -299,7 +302,7 @@
 	struct reach *reach = &c->reach;
 	uint64_t service[STEER_ISOLATED_MAX];
 	int n = list_isolated(c, 1, now, service);
-	int all = n > STEER_ISOLATED_MAX || (n && n >= count_services(c));
+	int all = is_all_services(c, n);
 	u_int len = all ? 0 : (u_int)n;
 	struct wire_args args = {.proc = WIRE_ISOLATION};
 
@@ -394,8 +397,7 @@
 	if (!strcmp(name, c->settings->vm.name)) {
 		int n = list_isolated(c, 0, prl_now_ms(), out->isolated);
 
-		out->isolated_from_all =
-			n > STEER_ISOLATED_MAX || (n && n >= count_services(c));
+		out->isolated_from_all = is_all_services(c, n);
 		out->nisolated = MIN(n, STEER_ISOLATED_MAX);
 		return;
 	}
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -20,10 +20,10 @@
 
 int request_may_retry(struct proxy_request *r, int did_not_run)
 {
-	int max_attempts = r->routed ? r->policy.attempts_max : ATTEMPTS_MAX;
+	int limit = r->routed ? r->policy.attempts_max : ATTEMPTS_MAX;
 	int64_t min_ms = r->routed ? RETRY_MIN_MS : 0;
 
-	if (r->detached || r->responded || r->attempts >= max_attempts)
+	if (r->detached || r->responded || r->attempts >= limit)
 		return 0;
 	if (r->at_most_once && !did_not_run)
 		return 0;
