Stand-in: the record of runs has a lock that TSan sees; a corrupt heap

Every access holds the lock, but it was GLib's, which locks by futexes that TSan does not see. It is a pthread mutex now. Ruled out: an access without the lock (three functions, one before the threads begin).

--- a/standin/src/runs.c
+++ b/standin/src/runs.c
@@ -1,6 +1,7 @@
 #include "runs.h"
 #include <glib.h>
 #include <primroselead/clock.h>
+#include <pthread.h>
 
 struct run {
 	int times;
@@ -10,7 +11,7 @@
 
 /* struct run by request id. */
 static GHashTable *runs;
-static GMutex lock;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 void runs_init(void)
 {
@@ -21,7 +22,7 @@
 {
 	struct run *run;
 
-	g_mutex_lock(&lock);
+	pthread_mutex_lock(&lock);
 	run = g_hash_table_lookup(runs, id);
 	if (!run) {
 		run = g_new0(struct run, 1);
@@ -29,7 +30,7 @@
 	}
 	run->times++;
 	run->last_wall_ms = prl_wall_ms();
-	g_mutex_unlock(&lock);
+	pthread_mutex_unlock(&lock);
 }
 
 char *runs_format(void)
@@ -39,7 +40,7 @@
 	void *id;
 	void *value;
 
-	g_mutex_lock(&lock);
+	pthread_mutex_lock(&lock);
 	g_hash_table_iter_init(&it, runs);
 	while (g_hash_table_iter_next(&it, &id, &value)) {
 		const struct run *run = value;
@@ -48,6 +49,6 @@
 				       run->times,
 				       (long long)run->last_wall_ms);
 	}
-	g_mutex_unlock(&lock);
+	pthread_mutex_unlock(&lock);
 	return g_string_free(text, FALSE);
 }
