Place: one average that expires; a wait without a second "none"

Found by reading the whole change once more: - The time of a kind of requests was averaged and expired by new code beside the same logic for an upstream's latency. Both are a struct place_average with one function to add a sample and one to read. - place_choose_in_region kept -1 for "no wait seen" and turned it into PRL_NEVER at its end, since it was changed to say so.

Tried and taken back: test_endless as a table of cases, which was shorter but needed globals and a function that builds tests.

No change of behaviour.

--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -5,7 +5,7 @@
 #include <primroselead/fetch.h>
 #include <primroselead/steer.h>
 
-/* One HTTP request to the health check of an upstream. */
+/* Health check of an upstream by a single HTTP request. */
 
 struct control;
 
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -13,6 +13,13 @@
  * thread has its own place_upstream_stats and place_service_state.
  */
 
+/** Moving average of times, which expires. All zero means no sample. */
+struct place_average {
+	int64_t us;
+	/** Time of the last sample. */
+	int64_t sampled_ms;
+};
+
 /** Statistics that one thread keeps of one upstream. All zero is the initial
  * state. */
 struct place_upstream_stats {
@@ -20,10 +27,8 @@
 	 * last load report, in thousandths. */
 	int64_t others_inflight_milli;
 	int64_t reported_ms;
-	/** Moving average of the time of an attempt in microseconds; 0 without
-	 * a sample. */
-	int64_t latency_us;
-	int64_t latency_sampled_ms;
+	/** Time of an attempt. */
+	struct place_average latency;
 	/** Moving average of the share of failed attempts, in permille. */
 	int failure_permille;
 	int64_t last_failure_ms;
@@ -118,14 +123,6 @@
 	int64_t isolated_until_ms;
 };
 
-/** Moving average of the times of requests that did not queue at their
- * upstream. All zero means no sample. */
-struct place_service_time {
-	int64_t us;
-	/** Time of the last sample. */
-	int64_t sampled_ms;
-};
-
 /** State that one thread keeps of one service. All zero is the initial state.
  */
 struct place_service_state {
@@ -141,7 +138,7 @@
 	int64_t service_time_us[STEER_REGIONS_MAX];
 	/** The same for the requests without "sticky" (index 0) and for those
 	 * with it. */
-	struct place_service_time kind_time[2][STEER_REGIONS_MAX];
+	struct place_average kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
 };
 
--- a/place/src/choose_in_region.c
+++ b/place/src/choose_in_region.c
@@ -99,7 +99,7 @@
 }
 
 /* Takes an upstream if its wait is useful and its cost the lowest so far. While
- * none is taken, out->wait_ms is the shortest wait seen, or -1. */
+ * none is taken, out->wait_ms is the shortest wait seen, or PRL_NEVER. */
 static void consider_candidate(const struct place_candidates *c, int i,
 			       int rank, int64_t *least_cost,
 			       struct place_region_decision *out)
@@ -107,8 +107,7 @@
 	int64_t wait = expected_wait_ms(c, i);
 	int64_t cost;
 
-	if (out->upstream == STEER_NONE &&
-	    (out->wait_ms < 0 || wait < out->wait_ms))
+	if (out->upstream == STEER_NONE && wait < out->wait_ms)
 		out->wait_ms = wait;
 	if (wait > c->wait_max_ms)
 		return;
@@ -131,7 +130,7 @@
 	int rank = 0;
 
 	out->upstream = STEER_NONE;
-	out->wait_ms = -1;
+	out->wait_ms = PRL_NEVER;
 	out->rank = 0;
 	for (; rank < ORDERED_RANKS; rank++) {
 		int i = next_in_order(c, bound);
@@ -145,6 +144,4 @@
 		if (is_usable(c, i) && rendezvous_hash(c, i) < bound)
 			consider_candidate(c, i, ORDERED_RANKS, &least_cost,
 					   out);
-	if (out->wait_ms < 0)
-		out->wait_ms = PRL_NEVER;
 }
--- a/place/src/stats.c
+++ b/place/src/stats.c
@@ -37,15 +37,21 @@
 				   REPORT_AGE_MAX_MS;
 }
 
+/* Returns 0 without a recent sample. */
+static int64_t average_us(const struct place_average *a, int64_t now_ms)
+{
+	return now_ms - a->sampled_ms < STATS_EXPIRY_MS ? a->us : 0;
+}
+
 void place_estimate_fill(const struct place_upstream_stats *u,
 			 int own_outstanding, int64_t service_time_us,
 			 int64_t now_ms, struct place_estimate *out)
 {
+	int64_t latency_us = average_us(&u->latency, now_ms);
+
 	out->inflight_milli = place_inflight(u, own_outstanding, now_ms);
-	out->slowness_permille = THOUSAND;
-	if (u->latency_us && now_ms - u->latency_sampled_ms < STATS_EXPIRY_MS)
-		out->slowness_permille =
-			u->latency_us * THOUSAND / service_time_us;
+	out->slowness_permille =
+		latency_us ? latency_us * THOUSAND / service_time_us : THOUSAND;
 	out->failure_permille = now_ms - u->last_failure_ms < STATS_EXPIRY_MS
 					? u->failure_permille
 					: 0;
@@ -54,9 +60,7 @@
 int64_t place_kind_time_us(const struct place_service_state *s, int sticky,
 			   int region, int64_t now_ms)
 {
-	const struct place_service_time *t = &s->kind_time[sticky != 0][region];
-
-	return now_ms - t->sampled_ms < STATS_EXPIRY_MS ? t->us : 0;
+	return average_us(&s->kind_time[sticky != 0][region], now_ms);
 }
 
 static int64_t smooth_average(int64_t old, int64_t sample)
@@ -64,30 +68,24 @@
 	return old ? old + (sample - old) / SMOOTHING_DIVISOR : sample;
 }
 
-static void record_kind_time(struct place_service_time *t, int64_t us,
-			     int64_t now)
+static void add_sample(struct place_average *a, int64_t us, int64_t now)
 {
-	if (now - t->sampled_ms >= STATS_EXPIRY_MS)
-		t->us = 0;
-	t->us = smooth_average(t->us, us);
-	t->sampled_ms = now;
+	a->us = smooth_average(average_us(a, now), us);
+	a->sampled_ms = now;
 }
 
 static void record_duration(struct place_upstream_stats *u,
 			    struct place_service_state *s,
 			    const struct place_attempt *attempt, int64_t now)
 {
-	if (now - u->latency_sampled_ms >= STATS_EXPIRY_MS)
-		u->latency_us = 0;
-	u->latency_us = smooth_average(u->latency_us, attempt->duration_us);
-	u->latency_sampled_ms = now;
+	add_sample(&u->latency, attempt->duration_us, now);
 	/* The time of a request that queued includes its wait. */
 	if (attempt->queued)
 		return;
 	s->service_time_us[attempt->region] = smooth_average(
 		s->service_time_us[attempt->region], attempt->duration_us);
-	record_kind_time(&s->kind_time[attempt->sticky != 0][attempt->region],
-			 attempt->duration_us, now);
+	add_sample(&s->kind_time[attempt->sticky != 0][attempt->region],
+		   attempt->duration_us, now);
 }
 
 static void record_failure(struct place_upstream_stats *u, int failed,
--- a/place/test/test_reach.c
+++ b/place/test/test_reach.c
@@ -133,7 +133,7 @@
 	assert_int_equal(reach.state, PLACE_SUSPECTED);
 	probe(2, 0);
 	assert_int_equal(reach.state, PLACE_ISOLATED);
-	/* What is isolated stays so when another service is found to be. */
+	/* An isolated service stays so when another one is found to be. */
 	place_reach_suspect(&reach, now_ms);
 	assert_int_equal(reach.state, PLACE_ISOLATED);
 }
--- a/replay/src/rule.c
+++ b/replay/src/rule.c
@@ -43,7 +43,7 @@
 		int i = r->first_upstream + k;
 
 		vm->load[i].outstanding = vm->outstanding[i];
-		vm->load[i].latency_us = vm->stats[i].latency_us;
+		vm->load[i].latency_us = vm->stats[i].latency.us;
 		vm->load[i].failure_permille = vm->stats[i].failure_permille;
 	}
 }
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -80,12 +80,7 @@
 		soak_put_upstream(s, i, "ready");
 	for (int vm = 1; vm <= s->options.vms; vm++)
 		soak_start_vm(s, vm);
-	for (int vm = 1; vm <= s->options.vms; vm++) {
-		char url[80];
-
-		snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
-			 READY_PORT(vm));
-		if (!fleet_wait_text(url, "live", 10000))
+	for (int vm = 1; vm <= s->options.vms; vm++)
+		if (!routes_wait_ready(vm, 10000))
 			abort();
-	}
 }
--- a/steer/test/test_peer.c
+++ b/steer/test/test_peer.c
@@ -75,7 +75,7 @@
 {
 	(void)state;
 	assert_int_equal(chosen(), 0x006);
-	/* One VM of the domain alone does not take everything. */
+	/* A domain with a single VM left does not take everything. */
 	isolate(1, 2);
 	assert_int_equal(chosen(), 0x03c);
 	isolate(1, 5);
--- a/system/routes.c
+++ b/system/routes.c
@@ -165,14 +165,19 @@
 	return fleet_start_vm(&vm);
 }
 
-void routes_start_vm_with_store(int n, int store_port)
+int routes_wait_ready(int n, int timeout_ms)
 {
 	char url[80];
 
-	routes_vm_pid[n] = routes_spawn_vm(n, store_port);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/api/readiness",
 		 READY_PORT(n));
-	assert_true(fleet_wait_text(url, "live", 5000));
+	return fleet_wait_text(url, "live", timeout_ms);
+}
+
+void routes_start_vm_with_store(int n, int store_port)
+{
+	routes_vm_pid[n] = routes_spawn_vm(n, store_port);
+	assert_true(routes_wait_ready(n, 5000));
 }
 
 void routes_start_vm(int n)
--- a/system/routes.h
+++ b/system/routes.h
@@ -41,6 +41,9 @@
 /** Starts VM n with the store at a port. Does not wait until it is ready. */
 pid_t routes_spawn_vm(int n, int store_port);
 
+/** Waits until VM n is ready. Returns 1, or 0 after timeout_ms. */
+int routes_wait_ready(int n, int timeout_ms);
+
 /** Starts VM n and waits up to 5 s until it is ready. */
 void routes_start_vm(int n);
 
--- a/system/test_paused_vm.c
+++ b/system/test_paused_vm.c
@@ -73,7 +73,7 @@
 	expect_nothing_runs(PORT_BASE + 100 + 1);
 }
 
-/* Those whose callers still wait are served. */
+/* Requests whose callers still wait are served. */
 static void test_waiting_caller_is_served(void **state)
 {
 	struct http_response resp;
