Requests: a handle whose transfer never began is not used again; a heap overrun

Cause: libcurl allocates a transfer's receive buffer before it begins the connection. If the process stands still for longer than the connect timeout in between, the transfer ends with a timeout and libcurl keeps the buffer, 8,193 bytes here. curl_easy_reset then restores the default size of 16,384, CURLOPT_BUFFERSIZE is refused with an error that was not looked at, and the next transfer of that handle reads 16,384 bytes into it. Ruled out: handles kept by two requests, uploads that are paused or cancelled, connections that a server closes, the abort in the prerequisite callback (each tried on libcurl alone: the buffer is freed).

--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -164,6 +164,15 @@
 struct proxy_request;
 struct proxy_sockets;
 
+/** Most handles that an easy_pool keeps. */
+#define EASY_POOL_MAX 64
+
+/** Easy handles of libcurl kept for reuse; empty when zeroed. */
+struct easy_pool {
+	CURL *idle[EASY_POOL_MAX];
+	int nidle;
+};
+
 /** A traffic thread. After proxy_start only the thread itself accesses it,
  * except for "mailbox", "metrics" and "connections". */
 struct proxy_thread {
@@ -225,9 +234,7 @@
 	int64_t (*split_credit)[FLEET_SPLITS_MAX];
 	/** Open connections to upstreams. */
 	struct proxy_sockets *sockets;
-	/** Easy handles of libcurl kept for reuse. */
-	CURL *idle_easy[64];
-	int nidle_easy;
+	struct easy_pool easy_pool;
 	uint64_t random_state;
 	/** Open connections of callers, as of the last sweep; read by the
 	 * control thread. */
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -1,5 +1,6 @@
 /* Start and release of attempts at upstreams. */
 #include "attempt.h"
+#include "easy_pool.h"
 #include "placing.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
@@ -11,11 +12,11 @@
 	curl_slist_free_all(r->request_headers);
 	r->request_headers = NULL;
 	r->transfer_active = 0;
-	if (t->nidle_easy <
-	    (int)(sizeof(t->idle_easy) / sizeof(t->idle_easy[0])))
-		t->idle_easy[t->nidle_easy++] = r->fetch.easy;
-	else
-		curl_easy_cleanup(r->fetch.easy);
+	easy_pool_put(&t->easy_pool, r->fetch.easy);
+	/* The handle may soon be another request's. */
+	r->fetch.easy = NULL;
+	r->upload_paused = 0;
+	r->download_paused = 0;
 }
 
 void request_release(struct proxy_request *r)
@@ -38,14 +39,6 @@
 		r->thread->wait_timer.deadline_ms = prl_now_ms();
 }
 
-static CURL *get_easy(struct proxy_thread *t)
-{
-	if (!t->nidle_easy)
-		return curl_easy_init();
-	curl_easy_reset(t->idle_easy[--t->nidle_easy]);
-	return t->idle_easy[t->nidle_easy];
-}
-
 /* Releases what the request holds and fails it with 503; a routed one as
  * request_fail_routed does. */
 static void release_and_fail(struct proxy_request *r, const char *cause)
@@ -72,7 +65,7 @@
 
 void request_start_transfer(struct proxy_request *r)
 {
-	r->fetch.easy = get_easy(r->thread);
+	r->fetch.easy = easy_pool_get(&r->thread->easy_pool);
 	if (!r->fetch.easy) {
 		release_and_fail(r, "out of memory");
 		return;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -1,4 +1,5 @@
 #include "thread.h"
+#include "easy_pool.h"
 #include "local.h"
 #include "request.h"
 #include "sockets.h"
@@ -451,8 +452,7 @@
 		if (t->request[i])
 			request_free(t->request[i]);
 	mailbox_finish(&t->mailbox, &t->loop);
-	while (t->nidle_easy)
-		curl_easy_cleanup(t->idle_easy[--t->nidle_easy]);
+	easy_pool_finish(&t->easy_pool);
 	fetch_pool_finish(&t->fetch_pool);
 	loop_finish(&t->loop);
 	if (t->view)
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -14,9 +14,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Receive buffer of one transfer, in bytes. */
-#define RECEIVE_BUFFER_BYTES 8192L
-
 /* Send buffer of one transfer, in bytes: libcurl's minimum. */
 #define SEND_BUFFER_BYTES 16384L
 
@@ -439,7 +436,6 @@
 			 remaining_ms < connect_ms ? remaining_ms : connect_ms);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_prerequest);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, r);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_download);
