Store: few VMs read it, push what changed, and tell the others by beats

Weighed and ruled out: readers in each domain (18 at 195 VMs); freshness in the probes of the membership (about a second under way, too late for a bound of 2.5 s); watches of 1.5 s with beats (trial: the age of the oldest of three kinds at a reader plus a beat's interval passed 1.8 s, 64 to 386 VMs at a time began to read at a start); a first watch of 400 ms (trial: 659 calls timed out, 110 ms of round trip between regions); start from a peer instead of a list (a start of all at once would take 180 KB from three seeds for each VM). Changed: three VMs of different regions read, chosen by rendezvous; two standbys for each take over after 500 ms of silence, all others read for themselves after 0.9 to 1.2 s. A beat confirms an equal replica only, by a digest without tombstones. WIRE_BEAT and WIRE_CHANGES are new procedures that earlier builds pass over; relay trees are a file of their own, used by service files too. Watches wait 750 ms. The status page shows who reads and the copy's age; 'store' there is no longer always 'not seen' with the manifest. Left: the start of a VM still lists (2,810 calls by 1 s of traffic at 195 VMs).

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -140,6 +140,7 @@
 	peers_tick(c, now);
 	if (control_follows_manifest(c)) {
 		registry_tick(c, now);
+		readers_tick(c, now);
 		health_tick(c, now);
 		news_tick(c);
 		reach_tick(c, now);
@@ -225,6 +226,7 @@
 		return err->code;
 	sync_init(c);
 	registry_init(c);
+	readers_init(c);
 	health_init(c);
 	reach_init(c);
 	if (proxy_start(&c->proxy, pool, err))
@@ -250,6 +252,7 @@
 	sync_finish(c);
 	reach_finish(c);
 	health_finish(c);
+	readers_finish(c);
 	registry_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -4,6 +4,7 @@
 #include "health.h"
 #include "news.h"
 #include "reach.h"
+#include "readers.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
@@ -76,6 +77,9 @@
 	struct store_follower upstream;
 	struct store_follower evacuation;
 	struct store_follower vm;
+	/** The store may lack this VM's entry: the registered VMs are to be
+	 * listed, also by a VM that leaves reading to others. */
+	int own_entry_unchecked;
 	/** When the store last returned from a copy; 0 if it never did. */
 	int64_t returned_ms;
 	/** Registered VMs other than this one: struct fleet_vm by name. */
@@ -189,6 +193,7 @@
 	struct health health;
 	struct news news;
 	struct reach reach;
+	struct readers readers;
 	struct config_builder builder;
 	struct proxy proxy;
 	/** Takes struct proxy_claim from traffic threads. */
@@ -374,6 +379,17 @@
 int sync_install(struct control *c, const char *key, int64_t version,
 		 const char *value, size_t len);
 
+/**
+ * Fills as many objects as fit one message, of which at most WIRE_OBJECTS; they
+ * point into the replica. Returns how many.
+ */
+guint sync_fill_objects(struct wire_object *object,
+			const struct spread_object *const *from, guint n);
+
+/** Installs objects that another VM sent. Returns how many were new. */
+int sync_install_objects(struct control *c, const struct wire_object *object,
+			 u_int n);
+
 /**
  * Removes the objects that a full list from the store lacks. Returns how many
  * were removed.
@@ -443,6 +459,14 @@
  */
 int registry_lacks_news(const struct control *c, int64_t now);
 
+/** When the store last confirmed the whole replica, in ms; 0 if it does not
+ * answer this VM's calls. */
+int64_t registry_confirmed_ms(const struct control *c);
+
+/** Notes that the replica equals that of another VM, which the store confirmed
+ * at a time, up to a version. */
+void registry_confirm(struct control *c, int64_t version, int64_t confirmed_ms);
+
 /** Notes that another VM's whole replica has been installed. */
 void registry_set_complete(struct control *c);
 
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -252,6 +252,8 @@
 	c->view_outdated = 1;
 	count_vms(c);
 	c->is_watcher = sync_is_watcher(c);
+	if (control_follows_manifest(c))
+		readers_members_changed(c);
 	claims_assign_owners(c);
 }
 
@@ -407,6 +409,12 @@
 	case WIRE_ISOLATION:
 		reach_handle_remote(c, r, &args->u.isolation);
 		break;
+	case WIRE_BEAT:
+		readers_handle_beat(c, &args->u.beat, from);
+		break;
+	case WIRE_CHANGES:
+		readers_handle_changes(c, r, &args->u.changes);
+		break;
 	}
 }
 
--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -210,6 +210,7 @@
 	int64_t window = MAX(RETURN_LIST_WINDOW_MS,
 			     c->members.npeer * RETURN_LIST_PER_VM_MS);
 
+	c->registry.own_entry_unchecked = 1;
 	c->registry.vm.next_call_ms =
 		now + (int64_t)(control_random() % (uint64_t)window);
 }
@@ -264,6 +265,14 @@
 	return 0;
 }
 
+/* Installs an object that this VM read from the store. */
+static void install(struct control *c, const char *key, int64_t version,
+		    const char *value, size_t len)
+{
+	if (sync_install(c, key, version, value, len))
+		readers_note_change(c, key);
+}
+
 static void object_changed(struct store_follower *f, enum store_change change,
 			   const char *name, const struct store_object *o)
 {
@@ -275,7 +284,7 @@
 		break;
 	case STORE_CHANGE_PUT:
 		log_older(c, o);
-		sync_install(c, o->key, o->version, o->value, o->len);
+		install(c, o->key, o->version, o->value, o->len);
 		break;
 	case STORE_CHANGE_REMOVE:
 		/*
@@ -283,7 +292,7 @@
 		 * that of the removal, so the response's revision is used.
 		 */
 		if (!is_recreated(f, o))
-			sync_install(c, o->key, f->call.revision, "", 0);
+			install(c, o->key, f->call.revision, "", 0);
 		break;
 	case STORE_CHANGE_LIST_END:
 		sync_remove_unlisted(c, &f->call);
@@ -344,6 +353,7 @@
 			c->registry.own_version = 0;
 		break;
 	case STORE_CHANGE_LIST_END:
+		c->registry.own_entry_unchecked = 0;
 		check_own_registration(c);
 		break;
 	}
@@ -417,6 +427,28 @@
 	       is_stale(&reg->evacuation, now);
 }
 
+int64_t registry_confirmed_ms(const struct control *c)
+{
+	const struct registry *reg = &c->registry;
+
+	if (reg->manifest.consecutive_failures ||
+	    reg->upstream.consecutive_failures ||
+	    reg->evacuation.consecutive_failures)
+		return 0;
+	return MIN(
+		reg->manifest.confirmed_ms,
+		MIN(reg->upstream.confirmed_ms, reg->evacuation.confirmed_ms));
+}
+
+void registry_confirm(struct control *c, int64_t version, int64_t confirmed_ms)
+{
+	struct registry *reg = &c->registry;
+
+	store_follower_confirm(&reg->manifest, version, confirmed_ms);
+	store_follower_confirm(&reg->upstream, version, confirmed_ms);
+	store_follower_confirm(&reg->evacuation, version, confirmed_ms);
+}
+
 int registry_lacks_news(const struct control *c, int64_t now)
 {
 	const struct registry *reg = &c->registry;
@@ -545,11 +577,15 @@
 void registry_tick(struct control *c, int64_t now)
 {
 	struct registry *reg = &c->registry;
+	int reads = readers_reads_store(c, now);
 
-	store_follower_tick(&reg->manifest, now, control_random());
-	store_follower_tick(&reg->upstream, now, control_random());
-	store_follower_tick(&reg->evacuation, now, control_random());
-	store_follower_tick(&reg->vm, now, control_random());
+	if (reads) {
+		store_follower_tick(&reg->manifest, now, control_random());
+		store_follower_tick(&reg->upstream, now, control_random());
+		store_follower_tick(&reg->evacuation, now, control_random());
+	}
+	if (reads || !reg->vm.listed || reg->own_entry_unchecked)
+		store_follower_tick(&reg->vm, now, control_random());
 	if (now > c->started_ms + VM_STARTUP_MS)
 		reg->vm.poll_interval_ms = VM_LIST_INTERVAL_MS;
 	if (inventory_remove_expired(&reg->inventory, now))
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -108,6 +108,26 @@
 	return list;
 }
 
+/* With the manifest as source, the followers of the registry call the store. */
+static int is_store_up(const struct control *c)
+{
+	return control_follows_manifest(c) ? registry_confirmed_ms(c) != 0
+					   : c->sync.store_up;
+}
+
+/* Whether this VM reads the store, and the age of its copy; null with service
+ * files as source. */
+static json_t *reading(const struct control *c, int64_t now)
+{
+	int64_t confirmed_ms = registry_confirmed_ms(c);
+
+	if (!control_follows_manifest(c))
+		return json_null();
+	return json_pack("{s:s, s:b, s:I}", "role", readers_role_name(c),
+			 "reads", c->readers.reading, "copy_age_ms",
+			 (json_int_t)(confirmed_ms ? now - confirmed_ms : -1));
+}
+
 void status_update(struct control *c, int64_t now)
 {
 	const char *state = c->leaving_since_ms ? "leaving"
@@ -115,13 +135,14 @@
 			    : c->unconfirmed	? "unconfirmed"
 						: "live";
 	json_t *root = json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o}", "vm",
+		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o}", "vm",
 		c->settings->vm.name, "state", state, "region",
 		c->settings->vm.region, "domain", c->settings->vm.domain,
 		"revision", (json_int_t)c->sync.replica.complete_revision,
 		"uptime_ms", (json_int_t)(now - c->started_ms), "store",
-		c->sync.store_up ? "up" : "not seen", "members", members(c),
-		"services", services(c));
+		is_store_up(c) ? "up" : "not seen", "store_reading",
+		reading(c, now), "members", members(c), "services",
+		services(c));
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -1,4 +1,5 @@
 #include "control.h"
+#include "tree.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <primroselead/log.h>
@@ -18,16 +19,9 @@
 /* Most bytes of keys and values in one message. */
 #define DELTA_BYTES_MAX 48000
 
-/* Retransmission interval and timeout of a relayed change, in ms. */
-#define PUSH_RETRANSMIT_MS 100
-#define PUSH_TIMEOUT_MS 500
-
 /* Timeout of a pull, in ms. */
 #define PULL_TIMEOUT_MS 1000
 
-/* Most children of one VM in a relay tree. */
-#define CHILDREN_MAX 8
-
 static uint64_t watch_topic(void)
 {
 	return prl_hash_string("watch");
@@ -90,17 +84,6 @@
 	return 1;
 }
 
-static void push_to(struct control *c, int peer, const struct wire_args *args)
-{
-	int64_t now = prl_now_ms();
-	struct wire_call_options o = {
-		.deadline_ms = now + PUSH_TIMEOUT_MS,
-		.retransmit_ms = PUSH_RETRANSMIT_MS,
-	};
-
-	wire_call(&c->wire, c->members.peer[peer].vm.rpc, args, &o, NULL);
-}
-
 /*
  * Relays a delta to this VM's children in the relay tree of its failure domain.
  * The tree's order is derived from the revision, so the load is spread. The VM
@@ -109,28 +92,16 @@
 static void relay(struct control *c, const struct wire_delta *d, int is_origin)
 {
 	struct wire_args args = {.proc = WIRE_PUSH, .u.push = *d};
-	int rank[MEMBER_RANK_MAX];
-	int child[CHILDREN_MAX];
-	int total = member_rank(&c->members, c->settings->vm.domain,
-				(uint64_t)d->complete, rank, MEMBER_RANK_MAX);
-	int self = 0;
-	int n;
+	uint64_t topic = (uint64_t)d->complete;
 
 	args.u.push.hops++;
-	while (self < total && rank[self] != 0)
-		self++;
-	if (is_origin && total && rank[0] != 0)
-		push_to(c, rank[0], &args);
-	if (self == total)
-		return;
-	n = spread_tree_children(self, total, child, CHILDREN_MAX);
-	for (int i = 0; i < n; i++)
-		push_to(c, rank[child[i]], &args);
+	if (is_origin)
+		tree_push_to_root(c, c->settings->vm.domain, topic, &args);
+	tree_push_to_children(c, topic, &args);
 }
 
-/* Fills a delta with as many objects as fit one message. Returns how many. */
-static int fill_delta(struct wire_delta *d, struct wire_object *object,
-		      const struct spread_object *const *from, guint n)
+guint sync_fill_objects(struct wire_object *object,
+			const struct spread_object *const *from, guint n)
 {
 	size_t bytes = 0;
 	guint i;
@@ -144,9 +115,16 @@
 		object[i].value.value_val = from[i]->value;
 		object[i].value.value_len = (u_int)from[i]->len;
 	}
+	return i;
+}
+
+/* Fills a delta with as many objects as fit one message. Returns how many. */
+static int fill_delta(struct wire_delta *d, struct wire_object *object,
+		      const struct spread_object *const *from, guint n)
+{
 	d->object.object_val = object;
-	d->object.object_len = i;
-	return (int)i;
+	d->object.object_len = sync_fill_objects(object, from, n);
+	return (int)d->object.object_len;
 }
 
 /* Relays changes after a revision that were read from the store. */
@@ -186,7 +164,11 @@
 	for (guint i = 0; i < missing->len; i++) {
 		const struct spread_object *o = g_ptr_array_index(missing, i);
 
-		changed += sync_install(c, o->key, call->revision, "", 0);
+		if (!sync_install(c, o->key, call->revision, "", 0))
+			continue;
+		changed++;
+		if (control_follows_manifest(c))
+			readers_note_change(c, o->key);
 	}
 	g_ptr_array_free(missing, TRUE);
 	g_hash_table_destroy(listed);
@@ -283,12 +265,13 @@
 		sync_set_ready(c, "peer");
 }
 
-static int install_delta(struct control *c, const struct wire_delta *d)
+int sync_install_objects(struct control *c, const struct wire_object *object,
+			 u_int n)
 {
 	int changed = 0;
 
-	for (u_int i = 0; i < d->object.object_len; i++) {
-		const struct wire_object *o = &d->object.object_val[i];
+	for (u_int i = 0; i < n; i++) {
+		const struct wire_object *o = &object[i];
 
 		changed += sync_install(c, o->key, o->revision,
 					o->value.value_val, o->value.value_len);
@@ -306,7 +289,8 @@
 	c->sync.pulling = 0;
 	if (result) {
 		d = &result->u.delta;
-		install_delta(c, d);
+		sync_install_objects(c, d->object.object_val,
+				     d->object.object_len);
 		spread_advance(&c->sync.replica, d->after, d->complete);
 		if (!d->hops)
 			set_complete(c);
@@ -377,7 +361,8 @@
 void sync_handle_push(struct control *c, const struct wire_delta *d,
 		      const char *from)
 {
-	int changed = install_delta(c, d);
+	int changed = sync_install_objects(c, d->object.object_val,
+					   d->object.object_len);
 
 	if (spread_advance(&c->sync.replica, d->after, d->complete) &&
 	    !c->sync.pulling)
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -208,4 +208,17 @@
 int member_rank(const struct member_table *m, const char *domain,
 		uint64_t topic, int *out, int max);
 
+/** Greatest position that member_spread_rank tells apart. */
+#define MEMBER_SPREAD_MAX 16
+
+/**
+ * Returns the position of a peer, an index into "peer", in the order in which
+ * the usable members of the whole fleet are chosen for a topic: the first of
+ * each region by rendezvous hashing, then the second of each, and so on; "max"
+ * (at most MEMBER_SPREAD_MAX) if it is not usable or not among the first "max".
+ * All VMs with the same membership compute the same order.
+ */
+int member_spread_rank(const struct member_table *m, int peer, uint64_t topic,
+		       int max);
+
 #endif
--- a/member/test/test_member.c
+++ b/member/test/test_member.c
@@ -316,6 +316,77 @@
 	finish_all();
 }
 
+/* Naive position: the members before a peer are those that are earlier in
+ * their own region, or as early and of greater weight. */
+static int naive_position(const struct member_table *m, int peer,
+			  uint64_t topic)
+{
+	int place[60] = {0};
+	int before = 0;
+
+	for (int i = 0; i < m->npeer; i++)
+		for (int k = 0; k < m->npeer; k++)
+			place[i] +=
+				member_is_usable(&m->peer[k]) &&
+				!strcmp(m->peer[k].vm.region,
+					m->peer[i].vm.region) &&
+				prl_hash_combine(m->peer[k].id, topic) >
+					prl_hash_combine(m->peer[i].id, topic);
+	for (int i = 0; i < m->npeer; i++) {
+		if (!member_is_usable(&m->peer[i]))
+			continue;
+		before += place[i] < place[peer] ||
+			  (place[i] == place[peer] &&
+			   prl_hash_combine(m->peer[i].id, topic) >
+				   prl_hash_combine(m->peer[peer].id, topic));
+	}
+	return before;
+}
+
+static void fill_randomly(struct member_table *m)
+{
+	const struct member_options o = {100, 500};
+	int regions = 1 + rand() % 6;
+	int n = 1 + rand() % 50;
+	struct member_vm vm = {.name = "self", .region = "r0"};
+
+	member_init(m, &vm, &o, NULL);
+	for (int i = 1; i < n; i++) {
+		memset(&vm, 0, sizeof(vm));
+		snprintf(vm.name, sizeof(vm.name), "vm%d", i);
+		snprintf(vm.region, sizeof(vm.region), "r%d", rand() % regions);
+		member_apply_update(m, &vm, 0);
+		vm.state = rand() % 4 ? MEMBER_LIVE : MEMBER_LEAVING;
+		member_apply_update(m, &vm, 0);
+	}
+}
+
+static void test_spread_rank_as_naive(void **state)
+{
+	(void)state;
+	srand(11);
+	for (int run = 0; run < 300; run++) {
+		struct member_table m;
+		int max = 1 + rand() % MEMBER_SPREAD_MAX;
+		int chosen = 0;
+		int usable = 0;
+
+		fill_randomly(&m);
+		for (int i = 0; i < m.npeer; i++) {
+			int rank = member_spread_rank(&m, i, 9, max);
+			int naive = naive_position(&m, i, 9);
+
+			usable += member_is_usable(&m.peer[i]);
+			chosen += rank < max;
+			if (!member_is_usable(&m.peer[i]))
+				naive = max;
+			assert_int_equal(rank, naive < max ? naive : max);
+		}
+		assert_int_equal(chosen, usable < max ? usable : max);
+		member_finish(&m);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -327,6 +398,7 @@
 		cmocka_unit_test(test_refutation_without_room_for_events),
 		cmocka_unit_test(test_leave_is_told),
 		cmocka_unit_test(test_rank_and_forget),
+		cmocka_unit_test(test_spread_rank_as_naive),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/proxy/test/test_easy_pool.c
+++ b/proxy/test/test_easy_pool.c
@@ -96,13 +96,13 @@
 static _Thread_local time_t jumped_s;
 
 /* The clock as libcurl reads it. */
-int clock_gettime(clockid_t clock, struct timespec *out)
+int clock_gettime(clockid_t __clock_id, struct timespec *__tp)
 {
-	int rc = (int)syscall(SYS_clock_gettime, clock, out);
+	int rc = (int)syscall(SYS_clock_gettime, __clock_id, __tp);
 
 	if (readings_left && !--readings_left)
 		jumped_s += 2 * CONNECT_TIMEOUT_S;
-	out->tv_sec += jumped_s;
+	__tp->tv_sec += jumped_s;
 	return rc;
 }
 
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -99,6 +99,9 @@
 	int64_t suspect;
 	/** Watchers of the store in each failure domain. */
 	int64_t watchers;
+	/** VMs of the whole fleet that read the store for all, if routes come
+	 * from the manifest; the same on every VM. */
+	int64_t readers;
 	/** Time for which a grant is valid without renewal. Unit: ms. */
 	int64_t lease;
 	/** Number of claim shards in the fleet; the same on every VM. */
--- a/spread/include/primroselead/spread.h
+++ b/spread/include/primroselead/spread.h
@@ -34,6 +34,10 @@
 	/** Sum of the hashes of each key and version; equal replicas have equal
 	 * digests. */
 	uint64_t digest;
+	/** The same of the objects without the tombstones, whose versions may
+	 * differ between replicas: a removal is installed with the version of
+	 * the response that tells of it. */
+	uint64_t live_digest;
 	/** Total size of all values in bytes. */
 	size_t value_bytes;
 };
@@ -80,6 +84,67 @@
 				    const char *prefix, int64_t revision,
 				    GHashTable *listed);
 
+/** What a VM that reads the store tells the others of its replica. */
+struct spread_beat {
+	/** Version up to which the replica is complete. */
+	int64_t complete;
+	/** The replica's live_digest. */
+	uint64_t live_digest;
+	/** When the store confirmed the replica, in ms of the receiver's clock.
+	 */
+	int64_t confirmed_ms;
+};
+
+/** Part that a VM has in reading the store. */
+enum spread_role {
+	/** Always reads the store, and sends beats. */
+	SPREAD_READER,
+	/** Reads the store soon after the beats have stopped, and then sends
+	 * beats. */
+	SPREAD_STANDBY,
+	/** Reads the store, for itself only, if the beats have stopped for
+	 * longer. */
+	SPREAD_FOLLOWER,
+};
+
+/** What the beats of others say of a VM's replica. All zero is the initial
+ * state. Times are in ms of one clock, that of the caller. */
+struct spread_beats {
+	/** Until when the beats heard so far are recent. */
+	int64_t recent_until_ms;
+	/** Since when no beat was of an equal replica; 0 if the last one was.
+	 */
+	int64_t differs_since_ms;
+	/** Earliest time of the next pull. */
+	int64_t next_pull_ms;
+};
+
+/** What to do about a beat. */
+enum spread_beat_action {
+	SPREAD_BEAT_NONE,
+	/** The own replica is confirmed as the beat says. */
+	SPREAD_BEAT_CONFIRMS,
+	/** Changes may be missing: pull them. */
+	SPREAD_BEAT_PULL,
+};
+
+/** Handles a beat. "random" spreads the times at which the VMs of a fleet begin
+ * to read the store. */
+enum spread_beat_action spread_handle_beat(struct spread_beats *b,
+					   const struct spread_replica *r,
+					   const struct spread_beat *beat,
+					   enum spread_role role,
+					   uint64_t random, int64_t now_ms);
+
+/** Whether a replica that was confirmed at a time is recent enough to send
+ * beats of it. */
+int spread_may_send_beat(int64_t confirmed_ms, int64_t now_ms);
+
+/** Whether a VM has to read the store itself; "confirmed_ms" is when its
+ * replica was last confirmed. */
+int spread_must_read(const struct spread_beats *b, enum spread_role role,
+		     int64_t confirmed_ms, int64_t now_ms);
+
 /**
  * Computes a node's children in a relay tree of "total" nodes, which are
  * numbered by rank; the root has rank 0. Fills the ranks of at most "max"
--- a/spread/src/replica.c
+++ b/spread/src/replica.c
@@ -28,6 +28,11 @@
 	return prl_hash_combine(prl_hash_string(o->key), (uint64_t)o->version);
 }
 
+static uint64_t live_hash(const struct spread_object *o)
+{
+	return o->len ? version_hash(o) : 0;
+}
+
 const struct spread_object *spread_find(const struct spread_replica *r,
 					const char *key)
 {
@@ -55,6 +60,7 @@
 		g_hash_table_insert(r->by_key, o->key, o);
 	} else {
 		r->digest -= version_hash(o);
+		r->live_digest -= live_hash(o);
 	}
 	r->value_bytes = r->value_bytes - o->len + len;
 	g_free(o->value);
@@ -62,6 +68,7 @@
 	o->len = len;
 	o->version = version;
 	r->digest += version_hash(o);
+	r->live_digest += live_hash(o);
 	return PRL_OK;
 }
 
--- a/spread/test/test_spread.c
+++ b/spread/test/test_spread.c
@@ -135,6 +135,97 @@
 	}
 }
 
+/* Removals are installed with the version of the response that tells of them,
+ * which differs from VM to VM; replicas with the same objects are equal. */
+static void test_live_digest_leaves_tombstones_out(void **state)
+{
+	struct spread_replica a;
+	struct spread_replica b;
+
+	(void)state;
+	spread_init(&a);
+	spread_init(&b);
+	spread_install(&a, "x", 3, "1", 1);
+	spread_install(&a, "y", 4, "1", 1);
+	spread_install(&b, "x", 3, "1", 1);
+	assert_true(a.live_digest != b.live_digest);
+	spread_install(&a, "y", 6, "", 0);
+	assert_true(a.live_digest == b.live_digest);
+	spread_install(&b, "y", 9, "", 0);
+	assert_true(a.live_digest == b.live_digest);
+	assert_true(a.digest != b.digest);
+	spread_install(&a, "y", 12, "2", 1);
+	assert_true(a.live_digest != b.live_digest);
+	spread_finish(&a);
+	spread_finish(&b);
+}
+
+static enum spread_beat_action handle(struct spread_beats *b,
+				      const struct spread_replica *r,
+				      uint64_t digest, int64_t age_ms,
+				      int64_t now)
+{
+	struct spread_beat beat = {.complete = 1,
+				   .live_digest = digest,
+				   .confirmed_ms = now - age_ms};
+
+	return spread_handle_beat(b, r, &beat, SPREAD_FOLLOWER, 0, now);
+}
+
+/* A beat counts only if the store confirmed its sender's replica lately, and
+ * confirms only an equal replica; one that stays different is pulled. */
+static void test_beats_confirm_equal_replicas(void **state)
+{
+	struct spread_beats b = {0};
+	struct spread_replica r;
+	int64_t now = 100000;
+
+	(void)state;
+	spread_init(&r);
+	assert_true(spread_must_read(&b, SPREAD_FOLLOWER, now, now));
+	assert_int_equal(handle(&b, &r, 0, 3000, now), SPREAD_BEAT_NONE);
+	assert_true(spread_must_read(&b, SPREAD_FOLLOWER, now, now));
+	assert_int_equal(handle(&b, &r, 0, 100, now), SPREAD_BEAT_CONFIRMS);
+	assert_false(spread_must_read(&b, SPREAD_FOLLOWER, now - 100, now));
+	assert_true(spread_must_read(&b, SPREAD_READER, now - 100, now));
+	assert_int_equal(handle(&b, &r, 7, 0, now + 10), SPREAD_BEAT_NONE);
+	assert_int_equal(handle(&b, &r, 7, 0, now + 150), SPREAD_BEAT_NONE);
+	assert_int_equal(handle(&b, &r, 7, 0, now + 300), SPREAD_BEAT_PULL);
+	assert_int_equal(handle(&b, &r, 7, 0, now + 310), SPREAD_BEAT_NONE);
+	assert_int_equal(handle(&b, &r, 0, 0, now + 320), SPREAD_BEAT_CONFIRMS);
+	assert_int_equal(handle(&b, &r, 7, 0, now + 900), SPREAD_BEAT_NONE);
+	spread_finish(&r);
+}
+
+/* Each VM reads the store before a change that its bounds concern is late,
+ * also if all readers end at once or their replica is no longer confirmed. */
+static void test_silence_is_noticed_in_time(void **state)
+{
+	struct spread_replica r;
+	int64_t now = 100000;
+
+	(void)state;
+	spread_init(&r);
+	for (uint64_t random = 0; random < 1000; random++) {
+		struct spread_beats b = {0};
+		struct spread_beat beat = {.confirmed_ms = now};
+
+		spread_handle_beat(&b, &r, &beat, SPREAD_FOLLOWER, random, now);
+		assert_false(
+			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 800));
+		assert_true(
+			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 1250));
+		spread_handle_beat(&b, &r, &beat, SPREAD_STANDBY, random, now);
+		assert_true(
+			spread_must_read(&b, SPREAD_STANDBY, now, now + 600));
+		spread_handle_beat(&b, &r, &beat, SPREAD_FOLLOWER, random,
+				   now + 1700);
+		assert_true(
+			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 2000));
+	}
+	spread_finish(&r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -143,6 +234,9 @@
 		cmocka_unit_test(test_any_order_as_naive),
 		cmocka_unit_test(test_what_a_list_lacks),
 		cmocka_unit_test(test_tree_reaches_all_once),
+		cmocka_unit_test(test_live_digest_leaves_tombstones_out),
+		cmocka_unit_test(test_beats_confirm_equal_replicas),
+		cmocka_unit_test(test_silence_is_noticed_in_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/store/include/primroselead/follow.h
+++ b/store/include/primroselead/follow.h
@@ -66,6 +66,14 @@
 void store_follower_tick(struct store_follower *f, int64_t now,
 			 uint64_t random);
 
+/**
+ * Notes that another VM, which also follows this kind, has the same objects as
+ * this one, and that the store confirmed them at a time: complete up to the
+ * version "revision". The next watch continues from there.
+ */
+void store_follower_confirm(struct store_follower *f, int64_t revision,
+			    int64_t confirmed_ms);
+
 /** Cancels the active call, if any. */
 void store_follower_finish(struct store_follower *f);
 
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -130,6 +130,10 @@
 /** Initializes a client of the store at an address "host:port". */
 void store_init(struct store *s, struct fetch_pool *pool, const char *address);
 
+/** Notes an era that a response or another VM names; an earlier one than the
+ * last is ignored. */
+void store_note_era(struct store *s, int64_t era);
+
 /**
  * Starts a call. Returns PRL_OK; the callback "done" then runs later from the
  * loop. Returns PRL_E_MEMORY, PRL_E_IO, or PRL_E_LIMIT if the value of a PUT is
--- a/store/src/follow.c
+++ b/store/src/follow.c
@@ -9,7 +9,7 @@
 
 /* Timeout of a watch in ms. The store is asked to answer earlier; the timeout
  * is the only sign of a watch that the store has silently dropped. */
-#define WATCH_TIMEOUT_MS 2000
+#define WATCH_TIMEOUT_MS 1500
 
 /* Delay in ms after a watch that returned changes, so that the next one returns
  * several changes at once. */
@@ -47,17 +47,34 @@
 	f->next_call_ms = PRL_NEVER;
 }
 
+/* The store is known to be up. */
+static void end_failures(struct store_follower *f)
+{
+	if (!f->consecutive_failures)
+		return;
+	f->consecutive_failures = 0;
+	f->recovered_ms = prl_now_ms();
+	if (f->on_reachability)
+		f->on_reachability(f, 1, NULL);
+}
+
 static void call_succeeded(struct store_follower *f)
 {
-	if (f->consecutive_failures) {
-		f->consecutive_failures = 0;
-		f->recovered_ms = prl_now_ms();
-		if (f->on_reachability)
-			f->on_reachability(f, 1, NULL);
-	}
+	end_failures(f);
 	f->next_call_ms = 0;
 }
 
+void store_follower_confirm(struct store_follower *f, int64_t revision,
+			    int64_t confirmed_ms)
+{
+	end_failures(f);
+	f->listed = 1;
+	if (revision > f->revision)
+		f->revision = revision;
+	if (confirmed_ms > f->confirmed_ms)
+		f->confirmed_ms = confirmed_ms;
+}
+
 static int64_t next_call_after(const struct store_follower *f, int64_t now)
 {
 	if (f->poll_interval_ms)
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -13,6 +13,9 @@
  */
 static const int unacked_timeout_ms = 2500;
 
+/* Longest time in ms that an answer is expected to be under way. */
+#define ANSWER_MAX_MS 5000
+
 #define HTTP_OK 200
 #define HTTP_CREATED 201
 #define HTTP_NOT_FOUND 404
@@ -58,8 +61,7 @@
 	return len;
 }
 
-/* Notes the era of a response; one that is late may name an earlier era. */
-static void update_era(struct store *s, int64_t era)
+void store_note_era(struct store *s, int64_t era)
 {
 	int64_t previous = s->era;
 
@@ -188,7 +190,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-	update_era(c->store, c->era);
+	store_note_era(c->store, c->era);
 	if (result)
 		report_transfer_error(c, result);
 	else
@@ -210,6 +212,13 @@
 	return key[n] ? key + n + 1 : key + n;
 }
 
+/* Time in ms that the store may wait with the answer to a watch, so that it
+ * arrives before the call times out. */
+static int64_t watch_wait_ms(int64_t left_ms)
+{
+	return left_ms - MIN(left_ms / 2, ANSWER_MAX_MS);
+}
+
 static char *call_path(struct store_call *c, int64_t now)
 {
 	char kind[STORE_KEY_MAX];
@@ -227,10 +236,9 @@
 				1;
 		return platform_list_path(kind, after);
 	case STORE_WATCH:
-		/* The store answers before the call times out. */
 		return platform_watch_path(kind,
 					   store_version_revision(c->version),
-					   (c->deadline_ms - now) * 3 / 4);
+					   watch_wait_ms(c->deadline_ms - now));
 	case STORE_PUT:
 		break;
 	}
--- a/system/routes.c
+++ b/system/routes.c
@@ -9,10 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-pid_t routes_vm_pid[4];
+pid_t routes_vm_pid[ROUTES_VMS_MAX + 1];
 
 int routes_port_base = 29000;
 
+int routes_readers = 3;
+
 /* 0 stands for STORE_PORT. */
 static int objects_port;
 
@@ -139,10 +141,10 @@
 	       routes_upstream_stat(UPSTREAM_PORT(2), "ran");
 }
 
-static const char vm_settings[] =
+static const char vm_settings_format[] =
 	"[steering]\nsource = manifest\n"
 	"[traffic]\nthreads = 1\nidle = 5\n"
-	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\n"
+	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\nreaders = %d\n"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
 	"[bound 1]\nis = budget_extra_retries=600\n";
@@ -150,14 +152,17 @@
 pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
+	char settings[sizeof(vm_settings_format) + 16];
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
 			       .store_port = store_port,
 			       .region = "norte",
 			       .domain = "norte-a",
 			       .extra_listen_lines = listen,
-			       .extra_settings = vm_settings};
+			       .extra_settings = settings};
 
+	snprintf(settings, sizeof(settings), vm_settings_format,
+		 routes_readers);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -18,6 +18,12 @@
  * by side. */
 extern int routes_port_base;
 
+/** Number of VMs that read the store; may be set before VMs are started. */
+extern int routes_readers;
+
+/** Most VMs of the fixture. */
+#define ROUTES_VMS_MAX 8
+
 #define PORT_BASE routes_port_base
 #define STORE_PORT (PORT_BASE + 0)
 /* No process listens on this port. */
@@ -29,7 +35,7 @@
 #define UPSTREAM_PORT(n) (PORT_BASE + 200 + (n))
 
 /** Process ids of the VMs, indexed by VM number from 1. */
-extern pid_t routes_vm_pid[4];
+extern pid_t routes_vm_pid[ROUTES_VMS_MAX + 1];
 
 /** Start and stop the fleet; fixtures of a cmocka test group. */
 int routes_setup(void **state);
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -170,6 +170,26 @@
 	unsigned hyper service<WIRE_ISOLATED_MAX>;
 };
 
+/* Tells that the origin, which reads the store, has a replica that the store
+ * confirmed age_ms ago: complete up to a version, with this digest of the objects
+ * that exist. Relayed unchanged; the receiver ignores all but the greatest sequence
+ * number of an origin. */
+struct wire_beat {
+	string origin<WIRE_NAME>;
+	hyper sequence;
+	hyper complete;
+	unsigned hyper live_sum;
+	int age_ms;
+};
+
+/* Objects that the origin read from the store as changed; relayed unchanged. The
+ * sequence number selects the relay tree. */
+struct wire_changes {
+	string origin<WIRE_NAME>;
+	hyper sequence;
+	wire_object object<WIRE_OBJECTS>;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -182,5 +202,7 @@
 		void WIRE_COLD(wire_cold) = 8;
 		void WIRE_NEWS(wire_news_list) = 9;
 		void WIRE_ISOLATION(wire_isolation) = 10;
+		void WIRE_BEAT(wire_beat) = 11;
+		void WIRE_CHANGES(wire_changes) = 12;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -29,11 +29,14 @@
 		struct wire_cold cold;
 		struct wire_news_list news;
 		struct wire_isolation isolation;
+		struct wire_beat beat;
+		struct wire_changes changes;
 	} u;
 };
 
 /** Result of a call; the procedure selects the member of the union, and
- * WIRE_PUSH, WIRE_RETURN, WIRE_COLD, WIRE_NEWS and WIRE_ISOLATION have none. */
+ * WIRE_PUSH, WIRE_RETURN, WIRE_COLD, WIRE_NEWS, WIRE_ISOLATION, WIRE_BEAT and
+ * WIRE_CHANGES have none. */
 struct wire_result {
 	uint32_t proc;
 	union {
@@ -143,6 +146,11 @@
 			const struct wire_call_options *o,
 			struct prl_error *err);
 
+/** Sends a call once, without waiting for a reply. Returns as wire_call does.
+ */
+enum prl_code wire_notify(struct wire_node *n, const char *to,
+			  const struct wire_args *args, struct prl_error *err);
+
 /** Replies to a call. Returns PRL_OK, PRL_E_LIMIT if the reply does not fit in
  * a datagram, or PRL_E_MEMORY. */
 enum prl_code wire_reply(struct wire_node *n, const struct wire_request *r,
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -40,6 +40,10 @@
 		return (xdrproc_t)xdr_wire_news_list;
 	case WIRE_ISOLATION:
 		return (xdrproc_t)xdr_wire_isolation;
+	case WIRE_BEAT:
+		return (xdrproc_t)xdr_wire_beat;
+	case WIRE_CHANGES:
+		return (xdrproc_t)xdr_wire_changes;
 	}
 	return NULL;
 }
@@ -55,6 +59,8 @@
 	case WIRE_COLD:
 	case WIRE_NEWS:
 	case WIRE_ISOLATION:
+	case WIRE_BEAT:
+	case WIRE_CHANGES:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -42,6 +42,42 @@
 	assert_int_equal(wire_encode_call(data, 40, 9, &a), 0);
 }
 
+/* A beat and changes arrive as they were sent; a procedure that this build does
+ * not know is rejected, as builds before it reject these two. */
+static void test_beat_and_changes_round_trip(void **state)
+{
+	struct wire_object object = {"servers/a", 12, {3, "xyz"}};
+	struct wire_args beat = {.proc = WIRE_BEAT};
+	struct wire_args changes = {.proc = WIRE_CHANGES};
+	struct wire_args back;
+	struct wire_request r;
+	char data[2048];
+	size_t n;
+
+	(void)state;
+	beat.u.beat.origin = "vm1";
+	beat.u.beat.sequence = 5;
+	beat.u.beat.live_sum = 0xfedcba9876543210ULL;
+	beat.u.beat.age_ms = 700;
+	n = wire_encode_call(data, sizeof(data), 9, &beat);
+	assert_int_equal(wire_decode_call(data, n, &r, &back), 0);
+	assert_string_equal(back.u.beat.origin, "vm1");
+	assert_true(back.u.beat.live_sum == 0xfedcba9876543210ULL);
+	assert_int_equal(back.u.beat.age_ms, 700);
+	wire_args_free(&back);
+	/* The procedure's number is the sixth word of a call. */
+	data[23] = 99;
+	assert_int_equal(wire_decode_call(data, n, &r, &back), -1);
+	changes.u.changes.origin = "vm1";
+	changes.u.changes.object.object_val = &object;
+	changes.u.changes.object.object_len = 1;
+	n = wire_encode_call(data, sizeof(data), 9, &changes);
+	assert_int_equal(wire_decode_call(data, n, &r, &back), 0);
+	assert_int_equal(back.u.changes.object.object_len, 1);
+	assert_int_equal(back.u.changes.object.object_val[0].revision, 12);
+	wire_args_free(&back);
+}
+
 static void test_reply_round_trip(void **state)
 {
 	struct wire_result r = {.proc = WIRE_CLAIM};
@@ -169,6 +205,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_call_round_trip),
+		cmocka_unit_test(test_beat_and_changes_round_trip),
 		cmocka_unit_test(test_reply_round_trip),
 		cmocka_unit_test(test_hostile_messages),
 		cmocka_unit_test(test_call_and_timeout),
