Upgrade: a system test runs the build in service beside this one, and back

WIRE_BEAT and WIRE_CHANGES are new, and the build in service does not know them. Changed: tools/build-production builds the daemon of the commit named in deploy/system.toml from the history. test_upgrade replaces four VMs one by one and back, under load, with changes of the manifest, an outage of the store and a killed VM of the old build. The harness can start a VM from another program.

--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -20,6 +20,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
 
+# The build in service, which test_upgrade runs beside this one.
+$(OUT)/bin/primroseleadd-production: deploy/system.toml tools/build-production
+	tools/build-production $@
+
+$(OUT)/test/system/test_upgrade: $(OUT)/bin/primroseleadd-production
+
 .PHONY: tests check check-one bench replay fuzz capacity mutants
 tests: $(TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model $(OUT)/test/replay/test_replay
 
--- a/system/harness.c
+++ b/system/harness.c
@@ -493,7 +493,7 @@
 				    : "[control]\ndrain = 500\n");
 	harness_write_file(name, text);
 	snprintf(option, sizeof(option), "--settings=%s", harness_path(name));
-	return harness_spawn("primroseleadd", args);
+	return harness_spawn(vm->program ? vm->program : "primroseleadd", args);
 }
 
 int fleet_wait_revision(int http_port, int64_t revision, int timeout_ms)
--- a/system/harness.h
+++ b/system/harness.h
@@ -128,6 +128,8 @@
 	const char *extra_listen_lines;
 	/** Further sections; NULL for a drain time of 500 ms. */
 	const char *extra_settings;
+	/** Program of the build; NULL for primroseleadd. */
+	const char *program;
 };
 
 /** Starts a VM. Does not wait until it responds. */
--- a/system/routes.c
+++ b/system/routes.c
@@ -15,6 +15,8 @@
 
 int routes_readers = 3;
 
+int routes_is_production[ROUTES_VMS_MAX + 1];
+
 /* 0 stands for STORE_PORT. */
 static int objects_port;
 
@@ -144,7 +146,7 @@
 static const char vm_settings_format[] =
 	"[steering]\nsource = manifest\n"
 	"[traffic]\nthreads = 1\nidle = 5\n"
-	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\nreaders = %d\n"
+	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\n%s"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
 	"[bound 1]\nis = budget_extra_retries=600\n";
@@ -152,7 +154,8 @@
 pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
-	char settings[sizeof(vm_settings_format) + 16];
+	char settings[sizeof(vm_settings_format) + 32];
+	char readers[32] = "";
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
 			       .store_port = store_port,
@@ -161,8 +164,12 @@
 			       .extra_listen_lines = listen,
 			       .extra_settings = settings};
 
-	snprintf(settings, sizeof(settings), vm_settings_format,
-		 routes_readers);
+	if (routes_is_production[n])
+		vm.program = "primroseleadd-production";
+	else
+		snprintf(readers, sizeof(readers), "readers = %d\n",
+			 routes_readers);
+	snprintf(settings, sizeof(settings), vm_settings_format, readers);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -24,6 +24,10 @@
 /** Most VMs of the fixture. */
 #define ROUTES_VMS_MAX 8
 
+/** By VM number: the VM is started from the build in service, which does not
+ * know all settings. */
+extern int routes_is_production[ROUTES_VMS_MAX + 1];
+
 #define PORT_BASE routes_port_base
 #define STORE_PORT (PORT_BASE + 0)
 /* No process listens on this port. */
