--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -31,7 +31,7 @@
 {
 	if (position < readers_max(c))
 		return SPREAD_READER;
-	return position < positions_max(c) ? SPREAD_STANDBY : SPREAD_FOLLOWER;
+	return position < positions_max(c) ? SPREAD_STANDBY : SPREAD_LEARNER;
 }
 
 const char *readers_role_name(const struct control *c)
@@ -41,8 +41,8 @@
 		return "reader";
 	case SPREAD_STANDBY:
 		return "standby";
-	case SPREAD_FOLLOWER:
-		return "follower";
+	case SPREAD_LEARNER:
+		return "learner";
 	}
 	return "unknown";
 }
@@ -100,7 +100,7 @@
 void readers_note_change(struct control *c, const char *key)
 {
 	/* The first list is of no use to others. */
-	if (!c->registry.ready || c->readers.role == SPREAD_FOLLOWER)
+	if (!c->registry.ready || c->readers.role == SPREAD_LEARNER)
 		return;
 	g_ptr_array_add(c->readers.changed, g_strdup(key));
 	c->tick_timer.deadline_ms = prl_now_ms();
@@ -207,7 +207,7 @@
 	}
 	if (rd->changed->len)
 		push_changes(c);
-	if (!reading || !c->registry.ready || rd->role == SPREAD_FOLLOWER ||
+	if (!reading || !c->registry.ready || rd->role == SPREAD_LEARNER ||
 	    now < rd->next_beat_ms || c->members.npeer == 1)
 		return;
 	rd->next_beat_ms = now + BEAT_INTERVAL_MS;
@@ -241,7 +241,7 @@
 		return 0;
 	case SPREAD_STANDBY:
 		return position_of(c, origin) < c->readers.position;
-	case SPREAD_FOLLOWER:
+	case SPREAD_LEARNER:
 		break;
 	}
 	return 1;
--- a/proxy/src/easy_pool.h
+++ b/proxy/src/easy_pool.h
@@ -5,6 +5,9 @@
 
 /* libcurl's handles of finished transfers, kept for the next ones. */
 
+/** Receive buffer of one transfer, in bytes. */
+#define EASY_RECEIVE_BUFFER_BYTES 8192L
+
 /** Returns a handle with default options, but with a receive buffer of
  * EASY_RECEIVE_BUFFER_BYTES; null if out of memory. */
 CURL *easy_pool_get(struct easy_pool *p);
@@ -15,7 +18,4 @@
 /** Frees the idle handles. */
 void easy_pool_finish(struct easy_pool *p);
 
-/** Receive buffer of one transfer, in bytes. */
-#define EASY_RECEIVE_BUFFER_BYTES 8192L
-
 #endif
--- a/spread/include/primroselead/spread.h
+++ b/spread/include/primroselead/spread.h
@@ -104,7 +104,7 @@
 	SPREAD_STANDBY,
 	/** Reads the store, for itself only, if the beats have stopped for
 	 * longer. */
-	SPREAD_FOLLOWER,
+	SPREAD_LEARNER,
 };
 
 /** What the beats of others say of a VM's replica. All zero is the initial
--- a/spread/src/beats.c
+++ b/spread/src/beats.c
@@ -5,11 +5,11 @@
  * newer one unless the store is silent. */
 #define CONFIRMED_MAX_MS 1800
 
-/* Time without a beat in ms after which a standby, and a follower, reads the
- * store itself; a random part is added for followers. */
+/* Time without a beat in ms after which a standby, and a learner, reads the
+ * store itself; a random part is added for learners. */
 #define STANDBY_SILENCE_MS 500
-#define FOLLOWER_SILENCE_MS 900
-#define FOLLOWER_SPREAD_MS 300
+#define LEARNER_SILENCE_MS 900
+#define LEARNER_SPREAD_MS 300
 
 /* Time in ms for which replicas may differ before changes are pulled: they are
  * being pushed. */
@@ -25,9 +25,9 @@
 
 static int64_t silence_max_ms(enum spread_role role, uint64_t random)
 {
-	if (role == SPREAD_FOLLOWER)
-		return FOLLOWER_SILENCE_MS +
-		       (int64_t)(random % FOLLOWER_SPREAD_MS);
+	if (role == SPREAD_LEARNER)
+		return LEARNER_SILENCE_MS +
+		       (int64_t)(random % LEARNER_SPREAD_MS);
 	return STANDBY_SILENCE_MS;
 }
 
--- a/spread/test/test_spread.c
+++ b/spread/test/test_spread.c
@@ -169,7 +169,7 @@
 				   .live_digest = digest,
 				   .confirmed_ms = now - age_ms};
 
-	return spread_handle_beat(b, r, &beat, SPREAD_FOLLOWER, 0, now);
+	return spread_handle_beat(b, r, &beat, SPREAD_LEARNER, 0, now);
 }
 
 /* A beat counts only if the store confirmed its sender's replica lately, and
@@ -182,11 +182,11 @@
 
 	(void)state;
 	spread_init(&r);
-	assert_true(spread_must_read(&b, SPREAD_FOLLOWER, now, now));
+	assert_true(spread_must_read(&b, SPREAD_LEARNER, now, now));
 	assert_int_equal(handle(&b, &r, 0, 3000, now), SPREAD_BEAT_NONE);
-	assert_true(spread_must_read(&b, SPREAD_FOLLOWER, now, now));
+	assert_true(spread_must_read(&b, SPREAD_LEARNER, now, now));
 	assert_int_equal(handle(&b, &r, 0, 100, now), SPREAD_BEAT_CONFIRMS);
-	assert_false(spread_must_read(&b, SPREAD_FOLLOWER, now - 100, now));
+	assert_false(spread_must_read(&b, SPREAD_LEARNER, now - 100, now));
 	assert_true(spread_must_read(&b, SPREAD_READER, now - 100, now));
 	assert_int_equal(handle(&b, &r, 7, 0, now + 10), SPREAD_BEAT_NONE);
 	assert_int_equal(handle(&b, &r, 7, 0, now + 150), SPREAD_BEAT_NONE);
@@ -210,18 +210,18 @@
 		struct spread_beats b = {0};
 		struct spread_beat beat = {.confirmed_ms = now};
 
-		spread_handle_beat(&b, &r, &beat, SPREAD_FOLLOWER, random, now);
+		spread_handle_beat(&b, &r, &beat, SPREAD_LEARNER, random, now);
 		assert_false(
-			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 800));
+			spread_must_read(&b, SPREAD_LEARNER, now, now + 800));
 		assert_true(
-			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 1250));
+			spread_must_read(&b, SPREAD_LEARNER, now, now + 1250));
 		spread_handle_beat(&b, &r, &beat, SPREAD_STANDBY, random, now);
 		assert_true(
 			spread_must_read(&b, SPREAD_STANDBY, now, now + 600));
-		spread_handle_beat(&b, &r, &beat, SPREAD_FOLLOWER, random,
+		spread_handle_beat(&b, &r, &beat, SPREAD_LEARNER, random,
 				   now + 1700);
 		assert_true(
-			spread_must_read(&b, SPREAD_FOLLOWER, now, now + 2000));
+			spread_must_read(&b, SPREAD_LEARNER, now, now + 2000));
 	}
 	spread_finish(&r);
 }
--- a/wire/src/node.c
+++ b/wire/src/node.c
@@ -273,36 +273,35 @@
 	return c;
 }
 
-/* Encodes a call for an address. Returns null after setting "err". */
-static struct wire_call *prepare_call(struct wire_node *n, const char *to,
-				      const struct wire_args *args,
-				      const struct wire_call_options *o,
-				      struct prl_error *err)
+/* Encodes a call for an address; the caller frees it by call_free. */
+static enum prl_code prepare_call(struct wire_node *n, const char *to,
+				  const struct wire_args *args,
+				  const struct wire_call_options *o,
+				  struct wire_call **out, struct prl_error *err)
 {
 	struct wire_call *c = new_call(n, args, o);
 
-	if (!c) {
-		prl_error_set(err, PRL_E_MEMORY, "call to %s: out of memory",
-			      to);
-		return NULL;
-	}
+	if (!c)
+		return prl_error_set(err, PRL_E_MEMORY,
+				     "call to %s: out of memory", to);
 	if (!c->datagram_len || c->datagram_len > WIRE_DATAGRAM_MAX) {
-		prl_error_set(err, PRL_E_LIMIT,
-			      "call of procedure %u to %s does not fit in a "
-			      "datagram of %d bytes",
-			      args->proc, to, WIRE_DATAGRAM_MAX);
 		call_free(c);
-		return NULL;
+		return prl_error_set(
+			err, PRL_E_LIMIT,
+			"call of procedure %u to %s does not fit in a "
+			"datagram of %d bytes",
+			args->proc, to, WIRE_DATAGRAM_MAX);
 	}
 	if (prl_address_parse(to, &c->to, &c->to_len)) {
-		prl_error_set(err, PRL_E_IO,
-			      "address \"%s\" is not a numeric IP address "
-			      "and port",
-			      to);
 		call_free(c);
-		return NULL;
+		return prl_error_set(
+			err, PRL_E_IO,
+			"address \"%s\" is not a numeric IP address "
+			"and port",
+			to);
 	}
-	return c;
+	*out = c;
+	return PRL_OK;
 }
 
 enum prl_code wire_call(struct wire_node *n, const char *to,
@@ -310,14 +309,11 @@
 			const struct wire_call_options *o,
 			struct prl_error *err)
 {
-	struct prl_error why = {0};
-	struct wire_call *c = prepare_call(n, to, args, o, &why);
+	struct wire_call *c;
+	enum prl_code rc = prepare_call(n, to, args, o, &c, err);
 
-	if (!c) {
-		if (err)
-			*err = why;
-		return why.code;
-	}
+	if (rc)
+		return rc;
 	g_hash_table_insert(n->pending_calls, GUINT_TO_POINTER(c->xid), c);
 	send_datagram(n, c->datagram, c->datagram_len, &c->to, c->to_len);
 	if (c->deadline_ms < n->timer.deadline_ms)
@@ -331,14 +327,11 @@
 			  const struct wire_args *args, struct prl_error *err)
 {
 	const struct wire_call_options none = {0};
-	struct prl_error why = {0};
-	struct wire_call *c = prepare_call(n, to, args, &none, &why);
+	struct wire_call *c;
+	enum prl_code rc = prepare_call(n, to, args, &none, &c, err);
 
-	if (!c) {
-		if (err)
-			*err = why;
-		return why.code;
-	}
+	if (rc)
+		return rc;
 	send_datagram(n, c->datagram, c->datagram_len, &c->to, c->to_len);
 	call_free(c);
 	return PRL_OK;
