Store: beats that waited while a VM stood still do not count

Cause: a VM that stood still reads the beats that came meanwhile as if they were of now: its replica then counts as confirmed for up to 1.8 s more than it was. Ruled out: the pushes, which carry versions, and an equal digest, which only says that both replicas are as old. Changed: after 500 ms without a tick all beats are forgotten, and those read in the next 200 ms do not count; the VM reads the store until the next beat. Not covered: a reader on a machine that was suspended, whose steady clock did not go on, sends beats that are too young until its first watch returns.

--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -8,6 +8,9 @@
 /* Interval between two beats of one VM, in ms. */
 #define BEAT_INTERVAL_MS 400
 
+/* Time in ms without a tick after which the VM stood still. */
+#define STANDSTILL_MS 500
+
 /* Standbys for each reader. */
 #define STANDBYS_PER_READER 2
 
@@ -198,8 +201,13 @@
 void readers_tick(struct control *c, int64_t now)
 {
 	struct readers *rd = &c->readers;
-	int reading = readers_reads_store(c, now);
 	int64_t confirmed_ms = registry_confirmed_ms(c);
+	int reading;
+
+	if (now - rd->last_tick_ms > STANDSTILL_MS)
+		spread_forget_beats(&rd->beats, now);
+	rd->last_tick_ms = now;
+	reading = readers_reads_store(c, now);
 
 	if (reading != rd->reading) {
 		rd->reading = reading;
--- a/cmd/primroseleadd/readers.h
+++ b/cmd/primroseleadd/readers.h
@@ -31,6 +31,7 @@
 	GPtrArray *changed;
 	int64_t sequence;
 	int64_t next_beat_ms;
+	int64_t last_tick_ms;
 };
 
 void readers_init(struct control *c);
--- a/spread/include/primroselead/spread.h
+++ b/spread/include/primroselead/spread.h
@@ -117,6 +117,8 @@
 	int64_t differs_since_ms;
 	/** Earliest time of the next pull. */
 	int64_t next_pull_ms;
+	/** Until when beats may have been received while the VM stood still. */
+	int64_t distrusted_until_ms;
 };
 
 /** What to do about a beat. */
@@ -136,6 +138,10 @@
 					   enum spread_role role,
 					   uint64_t random, int64_t now_ms);
 
+/** Forgets all beats after the VM stood still: how long those that it received
+ * meanwhile have waited is not known. */
+void spread_forget_beats(struct spread_beats *b, int64_t now_ms);
+
 /** Whether a replica that was confirmed at a time is recent enough to send
  * beats of it. */
 int spread_may_send_beat(int64_t confirmed_ms, int64_t now_ms);
--- a/spread/src/beats.c
+++ b/spread/src/beats.c
@@ -18,6 +18,16 @@
 /* Interval between two pulls in ms. */
 #define PULL_INTERVAL_MS 250
 
+/* Time in ms in which a VM that stood still has read what it received
+ * meanwhile. */
+#define BACKLOG_MAX_MS 200
+
+void spread_forget_beats(struct spread_beats *b, int64_t now_ms)
+{
+	*b = (struct spread_beats){.distrusted_until_ms =
+					   now_ms + BACKLOG_MAX_MS};
+}
+
 int spread_may_send_beat(int64_t confirmed_ms, int64_t now_ms)
 {
 	return confirmed_ms && now_ms - confirmed_ms <= CONFIRMED_MAX_MS;
@@ -37,7 +47,8 @@
 					   enum spread_role role,
 					   uint64_t random, int64_t now_ms)
 {
-	if (!spread_may_send_beat(beat->confirmed_ms, now_ms))
+	if (now_ms < b->distrusted_until_ms ||
+	    !spread_may_send_beat(beat->confirmed_ms, now_ms))
 		return SPREAD_BEAT_NONE;
 	b->recent_until_ms = now_ms + silence_max_ms(role, random);
 	if (beat->live_digest == r->live_digest) {
--- a/spread/test/test_spread.c
+++ b/spread/test/test_spread.c
@@ -197,6 +197,28 @@
 	spread_finish(&r);
 }
 
+/* Beats that waited while the VM stood still say nothing of now: it reads the
+ * store until the next one. */
+static void test_beats_received_while_standing_still(void **state)
+{
+	struct spread_beats b = {0};
+	struct spread_replica r;
+	int64_t now = 100000;
+
+	(void)state;
+	spread_init(&r);
+	assert_int_equal(handle(&b, &r, 0, 0, now), SPREAD_BEAT_CONFIRMS);
+	assert_false(spread_must_read(&b, SPREAD_LEARNER, now, now));
+	spread_forget_beats(&b, now);
+	assert_true(spread_must_read(&b, SPREAD_LEARNER, now, now));
+	assert_int_equal(handle(&b, &r, 0, 0, now + 50), SPREAD_BEAT_NONE);
+	assert_true(spread_must_read(&b, SPREAD_LEARNER, now, now + 50));
+	assert_int_equal(handle(&b, &r, 0, 0, now + 400), SPREAD_BEAT_CONFIRMS);
+	assert_false(
+		spread_must_read(&b, SPREAD_LEARNER, now + 400, now + 400));
+	spread_finish(&r);
+}
+
 /* Each VM reads the store before a change that its bounds concern is late,
  * also if all readers end at once or their replica is no longer confirmed. */
 static void test_silence_is_noticed_in_time(void **state)
@@ -236,6 +258,7 @@
 		cmocka_unit_test(test_tree_reaches_all_once),
 		cmocka_unit_test(test_live_digest_leaves_tombstones_out),
 		cmocka_unit_test(test_beats_confirm_equal_replicas),
+		cmocka_unit_test(test_beats_received_while_standing_still),
 		cmocka_unit_test(test_silence_is_noticed_in_time),
 	};
 
