Command: a status page that is not JSON is an error; status shows who reads

With the manifest as source the VM asked was listed as 'no answer', since members are known by an address that is proxied. Changed: PROTOCOL with the page's begin; the VM asked uses its own page; each VM's part in reading the store and the age of its copy are printed. Left: other members of a fleet with the manifest are still 'no answer'.

--- a/cmd/primroselead/status.c
+++ b/cmd/primroselead/status.c
@@ -70,13 +70,27 @@
 	}
 }
 
+/* With the manifest as source: the VM's part in reading the store, and the age
+ * of its copy. */
+static void print_reading(const json_t *reading)
+{
+	if (!json_is_object(reading))
+		return;
+	printf(" %s%s copy %lld ms", string_member(reading, "role"),
+	       json_is_true(json_object_get(reading, "reads")) ? ", reads,"
+							       : ",",
+	       (long long)integer_member(reading, "copy_age_ms"));
+}
+
 static void print_vm(const json_t *vm)
 {
-	printf("%-12s %-11s %-10s %-12s revision %-8lld store %s\n",
+	printf("%-12s %-11s %-10s %-12s revision %-8lld store %s",
 	       string_member(vm, "vm"), string_member(vm, "state"),
 	       string_member(vm, "region"), string_member(vm, "domain"),
 	       (long long)integer_member(vm, "revision"),
 	       string_member(vm, "store"));
+	print_reading(json_object_get(vm, "store_reading"));
+	printf("\n");
 }
 
 static void print_shift(const json_t *service)
@@ -143,10 +157,16 @@
 static json_t *fetch_vm_status(struct command *c, const char *address)
 {
 	char *text;
+	json_t *status;
 
 	if (command_fetch_page(c, address, "/-/status", &text))
 		return NULL;
-	return json_loads(text, 0, NULL);
+	status = json_loads(text, 0, NULL);
+	if (!status)
+		prl_error_set(&c->err, PRL_E_PROTOCOL,
+			      "the status page of \"%s\" is not JSON: %.80s",
+			      address, text);
+	return status;
 }
 
 /* Fetches the status of every member that the VM at the address knows of, as an
@@ -165,7 +185,13 @@
 	members = json_object_get(first, "members");
 	for (size_t i = 0; i < json_array_size(members); i++) {
 		const json_t *m = json_array_get(members, i);
-		json_t *vm = fetch_vm_status(c, string_member(m, "http"));
+		json_t *vm;
+
+		if (!strcmp(string_member(m, "name"),
+			    string_member(first, "vm")))
+			vm = json_incref(first);
+		else
+			vm = fetch_vm_status(c, string_member(m, "http"));
 
 		if (!vm)
 			vm = json_pack("{s:s, s:s, s:s, s:s}", "vm",
--- a/system/test_readers.c
+++ b/system/test_readers.c
@@ -10,6 +10,7 @@
 #include <primroselead/clock.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 /* VMs of the fleet: a reader, two standbys and followers. */
 #define VMS 6
@@ -154,6 +155,28 @@
 	assert_in_range(count_watches(3000, &reader), 3, 12);
 }
 
+static int run_status(char *out, size_t size, int port)
+{
+	char vm[64];
+
+	snprintf(vm, sizeof(vm), "--vm=127.0.0.1:%d", port);
+	return harness_run(out, size, "primroselead", "status", vm, NULL);
+}
+
+/* The status names each VM's part in reading; a page that is not the status of
+ * a VM is an error, not an empty status. */
+static void test_status(void **state)
+{
+	static char out[16384];
+
+	(void)state;
+	assert_int_equal(run_status(out, sizeof(out), METRICS_PORT(1)), 0);
+	assert_non_null(strstr(out, "vm1          live"));
+	assert_non_null(strstr(out, " copy "));
+	assert_int_equal(run_status(out, sizeof(out), UPSTREAM_PORT(1)), 10);
+	assert_non_null(strstr(out, "is not JSON"));
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -162,6 +185,7 @@
 		cmocka_unit_test(test_change_while_the_reader_stands_still),
 		cmocka_unit_test(test_change_as_the_reader_dies),
 		cmocka_unit_test(test_one_vm_reads_again_after_an_outage),
+		cmocka_unit_test(test_status),
 	};
 
 	(void)argc;
