--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -121,14 +121,15 @@
 	return c->readers.sequence;
 }
 
-static void push_to_fleet(struct control *c, uint64_t topic,
-			  const struct wire_args *args)
+static void send_to_fleet(struct control *c, uint64_t topic,
+			  const struct wire_args *args,
+			  enum tree_delivery delivery)
 {
 	const GPtrArray *domains = c->readers.domains;
 
 	for (guint i = 0; i < domains->len; i++)
-		tree_push_to_root(c, domains->pdata[i], topic, args);
-	tree_push_to_children(c, topic, args);
+		tree_send_to_root(c, domains->pdata[i], topic, args, delivery);
+	tree_send_to_children(c, topic, args, delivery);
 }
 
 static void push_objects(struct control *c,
@@ -145,7 +146,8 @@
 		out->sequence = next_sequence(c);
 		out->object.object_val = object;
 		out->object.object_len = sent;
-		push_to_fleet(c, topic_of(out->origin, out->sequence), &args);
+		send_to_fleet(c, topic_of(out->origin, out->sequence), &args,
+			      TREE_ACKNOWLEDGED);
 		from += sent;
 		n -= sent;
 	}
@@ -170,20 +172,15 @@
 
 static void send_beat(struct control *c, int64_t confirmed_ms, int64_t now)
 {
-	const GPtrArray *domains = c->readers.domains;
 	struct wire_args args = {.proc = WIRE_BEAT};
 	struct wire_beat *b = &args.u.beat;
-	uint64_t topic;
 
 	b->origin = (char *)c->settings->vm.name;
 	b->sequence = next_sequence(c);
 	b->complete = c->sync.replica.complete_revision;
 	b->live_sum = c->sync.replica.live_digest;
 	b->age_ms = (int)(now - confirmed_ms);
-	topic = topic_of(b->origin, b->sequence);
-	for (guint i = 0; i < domains->len; i++)
-		tree_send_to_root(c, domains->pdata[i], topic, &args);
-	tree_send_to_children(c, topic, &args);
+	send_to_fleet(c, topic_of(b->origin, b->sequence), &args, TREE_ONCE);
 }
 
 static void log_reading(const struct control *c, int64_t now)
@@ -269,7 +266,8 @@
 
 	if (!origin || origin == c->members.peer || !is_new(c, b))
 		return;
-	tree_send_to_children(c, topic_of(b->origin, b->sequence), &args);
+	tree_send_to_children(c, topic_of(b->origin, b->sequence), &args,
+			      TREE_ONCE);
 	if (!counts_here(c, (int)(origin - c->members.peer)))
 		return;
 	store_note_era(&c->store, store_version_era(b->complete));
@@ -299,6 +297,7 @@
 		store_note_era(&c->store,
 			       store_version_era(object[i].revision));
 	if (sync_install_objects(c, object, n))
-		tree_push_to_children(
-			c, topic_of(changes->origin, changes->sequence), &args);
+		tree_send_to_children(
+			c, topic_of(changes->origin, changes->sequence), &args,
+			TREE_ACKNOWLEDGED);
 }
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -96,8 +96,9 @@
 
 	args.u.push.hops++;
 	if (is_origin)
-		tree_push_to_root(c, c->settings->vm.domain, topic, &args);
-	tree_push_to_children(c, topic, &args);
+		tree_send_to_root(c, c->settings->vm.domain, topic, &args,
+				  TREE_ACKNOWLEDGED);
+	tree_send_to_children(c, topic, &args, TREE_ACKNOWLEDGED);
 }
 
 guint sync_fill_objects(struct wire_object *object,
--- a/cmd/primroseleadd/tree.c
+++ b/cmd/primroseleadd/tree.c
@@ -10,19 +10,23 @@
 /* Most children of one VM. */
 #define CHILDREN_MAX 8
 
-static void send_once(struct control *c, int peer, const struct wire_args *args)
-{
-	wire_notify(&c->wire, c->members.peer[peer].vm.rpc, args, NULL);
-}
-
-static void push(struct control *c, int peer, const struct wire_args *args)
+static void send_to(struct control *c, int peer, const struct wire_args *args,
+		    enum tree_delivery delivery)
 {
+	const char *to = c->members.peer[peer].vm.rpc;
 	struct wire_call_options o = {
 		.deadline_ms = prl_now_ms() + PUSH_TIMEOUT_MS,
 		.retransmit_ms = PUSH_RETRANSMIT_MS,
 	};
 
-	wire_call(&c->wire, c->members.peer[peer].vm.rpc, args, &o, NULL);
+	switch (delivery) {
+	case TREE_ONCE:
+		wire_notify(&c->wire, to, args, NULL);
+		break;
+	case TREE_ACKNOWLEDGED:
+		wire_call(&c->wire, to, args, &o, NULL);
+		break;
+	}
 }
 
 /* Fills the members that are this VM's children. Returns their number. */
@@ -45,51 +49,25 @@
 	return n;
 }
 
-/* Returns the member that is the root of a failure domain; 0, which is this VM,
- * if there is none. */
-static int find_root(const struct control *c, const char *domain,
-		     uint64_t topic)
-{
-	int root = 0;
-
-	member_rank(&c->members, domain, topic, &root, 1);
-	return root;
-}
-
 void tree_send_to_children(struct control *c, uint64_t topic,
-			   const struct wire_args *args)
+			   const struct wire_args *args,
+			   enum tree_delivery delivery)
 {
 	int child[CHILDREN_MAX];
 	int n = list_children(c, topic, child);
 
 	for (int i = 0; i < n; i++)
-		send_once(c, child[i], args);
-}
-
-void tree_push_to_children(struct control *c, uint64_t topic,
-			   const struct wire_args *args)
-{
-	int child[CHILDREN_MAX];
-	int n = list_children(c, topic, child);
-
-	for (int i = 0; i < n; i++)
-		push(c, child[i], args);
+		send_to(c, child[i], args, delivery);
 }
 
 void tree_send_to_root(struct control *c, const char *domain, uint64_t topic,
-		       const struct wire_args *args)
+		       const struct wire_args *args,
+		       enum tree_delivery delivery)
 {
-	int root = find_root(c, domain, topic);
-
-	if (root)
-		send_once(c, root, args);
-}
-
-void tree_push_to_root(struct control *c, const char *domain, uint64_t topic,
-		       const struct wire_args *args)
-{
-	int root = find_root(c, domain, topic);
+	/* This VM, if the domain has no usable member. */
+	int root = 0;
 
+	member_rank(&c->members, domain, topic, &root, 1);
 	if (root)
-		push(c, root, args);
+		send_to(c, root, args, delivery);
 }
--- a/cmd/primroseleadd/tree.h
+++ b/cmd/primroseleadd/tree.h
@@ -12,18 +12,22 @@
 
 struct control;
 
-/** Sends a message to this VM's children, once each. */
+/** How a message is sent. */
+enum tree_delivery {
+	TREE_ONCE,
+	/** With retransmissions until the receiver replies, or for a short
+	 * time. */
+	TREE_ACKNOWLEDGED,
+};
+
+/** Sends a message to this VM's children in the tree of its failure domain. */
 void tree_send_to_children(struct control *c, uint64_t topic,
-			   const struct wire_args *args);
+			   const struct wire_args *args,
+			   enum tree_delivery delivery);
 
 /** Sends a message to the root of a failure domain, unless this VM is it. */
 void tree_send_to_root(struct control *c, const char *domain, uint64_t topic,
-		       const struct wire_args *args);
-
-/** The same two with retransmissions until the receiver replies. */
-void tree_push_to_children(struct control *c, uint64_t topic,
-			   const struct wire_args *args);
-void tree_push_to_root(struct control *c, const char *domain, uint64_t topic,
-		       const struct wire_args *args);
+		       const struct wire_args *args,
+		       enum tree_delivery delivery);
 
 #endif
