--- a/wire/src/node.c
+++ b/wire/src/node.c
@@ -309,10 +309,10 @@
 			const struct wire_call_options *o,
 			struct prl_error *err)
 {
-	struct wire_call *c;
+	struct wire_call *c = NULL;
 	enum prl_code rc = prepare_call(n, to, args, o, &c, err);
 
-	if (rc)
+	if (!c)
 		return rc;
 	g_hash_table_insert(n->pending_calls, GUINT_TO_POINTER(c->xid), c);
 	send_datagram(n, c->datagram, c->datagram_len, &c->to, c->to_len);
@@ -327,10 +327,10 @@
 			  const struct wire_args *args, struct prl_error *err)
 {
 	const struct wire_call_options none = {0};
-	struct wire_call *c;
+	struct wire_call *c = NULL;
 	enum prl_code rc = prepare_call(n, to, args, &none, &c, err);
 
-	if (rc)
+	if (!c)
 		return rc;
 	send_datagram(n, c->datagram, c->datagram_len, &c->to, c->to_len);
 	call_free(c);
