--- a/system/path.c
+++ b/system/path.c
@@ -10,11 +10,11 @@
 #include <string.h>
 
 static const struct vm_config vm1 = {1,		PORT_BASE, STORE_PORT, "norte",
-				     "norte-a", NULL,	   NULL};
+				     "norte-a", NULL,	   NULL,       NULL};
 const struct vm_config path_vm2_config = {
-	2, PORT_BASE, STORE_PORT, "norte", "norte-b", NULL, NULL};
+	2, PORT_BASE, STORE_PORT, "norte", "norte-b", NULL, NULL, NULL};
 static const struct vm_config vm3 = {3,	      PORT_BASE, STORE_PORT, "sur",
-				     "sur-a", NULL,	 NULL};
+				     "sur-a", NULL,	 NULL,	     NULL};
 
 #define RETRY_MS 20
 
--- a/system/test_region.c
+++ b/system/test_region.c
@@ -20,9 +20,9 @@
 static char out[65536];
 
 static const struct vm_config vms[] = {
-	{1, PORT_BASE, STORE_PORT, "norte", "norte-a", NULL, NULL},
-	{2, PORT_BASE, STORE_PORT, "norte", "norte-b", NULL, NULL},
-	{3, PORT_BASE, STORE_PORT, "sur", "sur-a", NULL, NULL},
+	{1, PORT_BASE, STORE_PORT, "norte", "norte-a", NULL, NULL, NULL},
+	{2, PORT_BASE, STORE_PORT, "norte", "norte-b", NULL, NULL, NULL},
+	{3, PORT_BASE, STORE_PORT, "sur", "sur-a", NULL, NULL, NULL},
 };
 
 /* Publishes a service file with both regions and further sections, and waits
