Log how far the answer of an attempt came

A line of an attempt or request held the status and libcurl's result. It could not tell an answer whose head broke off from one whose body did, or an answer of its own from a late one, so the hypotheses on MIXED and REFUSED could not be told apart, and answers that were taken for sound left no trace at all.

Lines "attempt" and "request" now hold: head (how far it came), framing and length of the body, bytes of it that came, how many requests the connection has carried, the id that came with the answer; "attempt" also whether the upstream stated "not run". At most 32 fields a line, before 24.

--- a/observe/src/log.c
+++ b/observe/src/log.c
@@ -13,7 +13,7 @@
 
 /* Maximum number of fields of a line, "level" and "event" included; further
  * fields are omitted. */
-#define FIELDS_MAX 24
+#define FIELDS_MAX 32
 
 /* Token bucket of an event: lines per second on average, and in a burst. */
 #define LINES_PER_S 200
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -94,6 +94,8 @@
 	r->verdict = VERDICT_PASS;
 	r->unreached = 0;
 	r->head_bytes = 0;
+	response_head_init(&r->head);
+	r->connection_uses = 0;
 	r->received_bytes = 0;
 	r->discard_ended = 0;
 	r->peer_outcome = PEER_UNKNOWN;
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -6,6 +6,33 @@
 
 static const char *const outcomes[] = {"not-run", "unknown", "ran"};
 
+/* What is known of the last attempt's response, as texts. */
+struct response_text {
+	const char *head;
+	const char *framing;
+	/** Id that the response names; empty if none. */
+	const char *id;
+	/** "stated" if it says that the request did not run. */
+	const char *not_run;
+	char length[LOG_NUMBER_MAX];
+	char body[LOG_NUMBER_MAX];
+	char uses[LOG_NUMBER_MAX];
+};
+
+static void format_response(struct response_text *out,
+			    const struct proxy_request *r)
+{
+	int begun = r->head.stage != RESPONSE_NOTHING;
+
+	out->head = response_stage_name(r->head.stage);
+	out->framing = begun ? response_framing_name(r->head.framing) : "";
+	out->id = begun ? r->response_meta.request_id : "";
+	out->not_run = begun && r->response_meta.not_run ? "stated" : "";
+	log_format_number(out->length, begun ? r->head.length : -1);
+	log_format_number(out->body, (long long)r->received_bytes);
+	log_format_number(out->uses, r->connection_uses);
+}
+
 void request_log(const struct proxy_request *r)
 {
 	char status[LOG_NUMBER_MAX];
@@ -18,6 +45,7 @@
 	char object[LOG_NUMBER_MAX];
 	char priority[LOG_NUMBER_MAX];
 	char objective[LOG_NUMBER_MAX];
+	struct response_text response;
 
 	if (!r->routed)
 		return;
@@ -30,6 +58,7 @@
 	log_format_number(rank, r->rank);
 	log_format_number(priority, r->policy.priority);
 	log_format_number(objective, r->policy.latency_objective_ms);
+	format_response(&response, r);
 	snprintf(object, sizeof(object), "%016llx",
 		 (unsigned long long)r->request_meta.object_hash);
 	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id,
@@ -39,7 +68,9 @@
 		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
 		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
 		  rank, "object", object, "priority", priority, "objective_ms",
-		  objective, NULL);
+		  objective, "head", response.head, "framing", response.framing,
+		  "length", response.length, "body", response.body, "uses",
+		  response.uses, "answer_id", response.id, NULL);
 }
 
 void request_log_attempt(const struct proxy_request *r, const char *result)
@@ -47,13 +78,19 @@
 	char status[LOG_NUMBER_MAX];
 	char ms[LOG_NUMBER_MAX];
 	char code[LOG_NUMBER_MAX];
+	struct response_text response;
 
 	log_format_number(status, r->status);
 	log_format_number(ms, (prl_now_us() - r->attempt_started_us) / 1000);
 	log_format_number(code, r->curl_result);
+	format_response(&response, r);
 	log_event(LOG_LEVEL_WARNING, "attempt", "id", r->request_meta.id,
 		  "upstream", r->instance, "peer",
 		  r->hop == HOP_PEER ? r->peer_address : "", "result", result,
 		  "status", status, "ms", ms, "sent",
-		  r->maybe_sent ? "yes" : "no", "client_code", code, NULL);
+		  r->maybe_sent ? "yes" : "no", "client_code", code, "not_run",
+		  response.not_run, "head", response.head, "framing",
+		  response.framing, "length", response.length, "body",
+		  response.body, "uses", response.uses, "answer_id",
+		  response.id, NULL);
 }
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -4,6 +4,7 @@
 #include "body.h"
 #include "verdict.h"
 #include <primroselead/proxy.h>
+#include <primroselead/response_head.h>
 
 /** State of a request. */
 enum request_state {
@@ -181,6 +182,11 @@
 	/** Content-Length of the response; -1 if there is none. */
 	int64_t response_length;
 	struct curl_slist *response_headers;
+	/** How far the response of the current attempt has come. */
+	struct response_head head;
+	/** Requests that the current attempt's connection has carried, this one
+	 * included. */
+	int connection_uses;
 	/** Why the request failed; a static string. */
 	const char *cause;
 	/** Result from libcurl of the last failed attempt. */
--- a/proxy/src/sockets.c
+++ b/proxy/src/sockets.c
@@ -70,6 +70,14 @@
 	return 0;
 }
 
+int sockets_count_use(struct proxy_sockets *s, uint64_t endpoint_hash)
+{
+	for (int i = 0; i < s->n; i++)
+		if (s->socket[i].endpoint_hash == endpoint_hash)
+			return ++s->socket[i].uses;
+	return 0;
+}
+
 void sockets_finish(struct proxy_sockets *s)
 {
 	free(s->socket);
--- a/proxy/src/sockets.h
+++ b/proxy/src/sockets.h
@@ -15,6 +15,8 @@
 	int fd;
 	/** Hash of both endpoints; 0 until the socket is connected. */
 	uint64_t endpoint_hash;
+	/** Requests that were sent over it. */
+	int uses;
 };
 
 /** Table of sockets; empty when zeroed. */
@@ -44,6 +46,10 @@
  * hash. */
 int sockets_is_stale(const struct proxy_sockets *s, uint64_t endpoint_hash);
 
+/** Counts a request that is about to be sent over a connection. Returns how
+ * many it has carried then; 0 if the table has no such socket. */
+int sockets_count_use(struct proxy_sockets *s, uint64_t endpoint_hash);
+
 /** Frees the table. */
 void sockets_finish(struct proxy_sockets *s);
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -109,6 +109,7 @@
 		r->stale_connections++;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	r->connection_uses = sockets_count_use(sockets, endpoint_hash);
 	r->maybe_sent = 1;
 	r->attempts_sent += r->hop == HOP_UPSTREAM;
 	r->attempt_started_us = prl_now_us();
@@ -279,6 +280,7 @@
 	       (data[text_len - 1] == '\r' || data[text_len - 1] == '\n'))
 		text_len--;
 	r->head_bytes += len;
+	response_head_read(&r->head, data, len);
 	if (r->head_bytes > HEADS_MAX_BYTES)
 		return 0;
 	if (r->state == REQUEST_RESPONDING)
