Retries: never over a connection that has carried the same request

Callers saw (REFUSED): 503 "not run" for a request that a retry had run.

Cause: a retry bears the id of the first attempt. An upstream that writes its refusal once more on the kept connection answers the retry with it, and the id fits: the request ran, and its caller was told that it had not; a request that may be retried once more could run twice. A retry does meet the same connection: upstreams that started again stand at the same address under another instance, and other VMs are asked in turn.

Change: a request remembers the connections that its attempts were sent over (by their endpoints) and treats them like stale ones: nothing is sent, libcurl closes the connection, the attempt goes on over another. It works whatever is late, since what a new connection carries can only be about this attempt. After 16 it uses new ones only.

Ruled out: remembering ids by connection; a busy one carries dozens of requests within a deadline.

--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -88,7 +88,7 @@
 		return;
 	r->state = REQUEST_ATTEMPTING;
 	r->maybe_sent = 0;
-	r->stale_connections = 0;
+	r->unfit_connections = 0;
 	r->upstream_refused = 0;
 	r->status = 0;
 	r->verdict = VERDICT_NONE;
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -15,8 +15,8 @@
 /* Minimum remaining time for a retry of a routed request, in milliseconds. */
 #define RETRY_MIN_MS 50
 
-/* Maximum stale connections that one attempt replaces. */
-#define STALE_CONNECTIONS_MAX 8
+/* Maximum connections that may not be used which one attempt replaces. */
+#define UNFIT_CONNECTIONS_MAX 8
 
 int request_may_retry(struct proxy_request *r, int did_not_run)
 {
@@ -229,9 +229,9 @@
 	struct proxy_request *r = f->ctx;
 
 	request_cleanup_transfer(r);
-	if (result && r->stale_connections &&
-	    r->stale_connections <= STALE_CONNECTIONS_MAX && !r->maybe_sent) {
-		/* libcurl has closed the stale connection; a new transfer uses
+	if (result && r->unfit_connections &&
+	    r->unfit_connections <= UNFIT_CONNECTIONS_MAX && !r->maybe_sent) {
+		/* libcurl has closed the connection; a new transfer uses
 		 * another one. Nothing was sent, so the attempt goes on. */
 		request_start_transfer(r);
 		return;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -38,6 +38,10 @@
 	HOP_PEER,
 };
 
+/** Connections that a request remembers to have been sent over; after more, it
+ * is sent over new ones only. */
+#define REQUEST_CONNECTIONS_MAX 16
+
 /** What another VM says of a request that was relayed to it. */
 enum peer_outcome {
 	/** Also if it does not say. */
@@ -146,8 +150,13 @@
 	int maybe_sent;
 	/** Socket opened for the attempt; -1 if it reuses a connection. */
 	int new_fd;
-	/** Stale keep-alive connections that this attempt has run into. */
-	int stale_connections;
+	/** Keep-alive connections that this attempt has found and may not use.
+	 */
+	int unfit_connections;
+	/** Hashes of the endpoints of the connections that the request was sent
+	 * over so far. */
+	uint64_t used_connection[REQUEST_CONNECTIONS_MAX];
+	int nused_connection;
 
 	/** Body from the caller. */
 	struct body_buffer request_body;
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -90,6 +90,22 @@
 	return CURL_SEEKFUNC_FAIL;
 }
 
+static void note_connection(struct proxy_request *r, uint64_t endpoint_hash)
+{
+	if (r->nused_connection < REQUEST_CONNECTIONS_MAX)
+		r->used_connection[r->nused_connection++] = endpoint_hash;
+}
+
+/* Whether an earlier attempt was sent over a connection. Its id would not tell
+ * a repeated response to that attempt from the response to this one. */
+static int may_have_used(const struct proxy_request *r, uint64_t endpoint_hash)
+{
+	for (int i = 0; i < r->nused_connection; i++)
+		if (r->used_connection[i] == endpoint_hash)
+			return 1;
+	return r->nused_connection == REQUEST_CONNECTIONS_MAX;
+}
+
 /* Called when the connection is established, before the request is sent.
  * libcurl resends a request by itself if a reused connection closes before a
  * response. The second call is aborted, because a resend counts as an attempt
@@ -105,10 +121,12 @@
 		return CURL_PREREQFUNC_ABORT;
 	if (r->new_fd >= 0) {
 		sockets_set_endpoints(sockets, r->new_fd, endpoint_hash);
-	} else if (sockets_is_stale(sockets, endpoint_hash)) {
-		r->stale_connections++;
+	} else if (sockets_is_stale(sockets, endpoint_hash) ||
+		   may_have_used(r, endpoint_hash)) {
+		r->unfit_connections++;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	note_connection(r, endpoint_hash);
 	r->connection_uses = sockets_count_use(sockets, endpoint_hash);
 	r->maybe_sent = 1;
 	r->attempts_sent += r->hop == HOP_UPSTREAM;
