Refusals: "not run" counts if it names the request

Callers saw (REFUSED, TWICE): told "not run, try again" for requests that ran, and requests that must run once run at a second upstream as well.

Cause: a refusal and 421 counted without any id. An upstream that writes an earlier refusal once more, without an id, at the point where the next response is expected, refused the next request with it while it ran that one. "X-Not-Executed" counted beside any status too, so a 200 with it was run again elsewhere; of several ids the last one counted; another VM's "not run" was not compared with the request at all.

Change: a response must name exactly this request, or it is nobody's: 502, sent nowhere else. "Not run" counts with 400, 408, 429, 503, or as 421. The same for other VMs.

What it costs: an upstream that refuses without an id is not believed.

Tests: test_verdicts took a 421 without an id for a refusal; it says "invalid" now and tries more. One failure of test_refusal_sent_again_answers_the_retry, seen once: the copy was also sent before the request after it, over both kept connections, so that its retry failed too; that request is now sent without a fault.

--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -169,6 +169,8 @@
 	int body_encoded;
 	/** Identifier of the request; empty if not given. */
 	char request_id[FLEET_NAME_MAX];
+	/** Set if several identifiers are given, or a longer one. */
+	int ambiguous_id;
 	/** The upstream's running and waiting requests and its slots; -1 if not
 	 * given. */
 	int running;
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -165,7 +165,10 @@
 		return verdict_for_response(&r->response_meta, r->status,
 					    r->request_meta.id);
 	case PEER_NOT_RUN:
-		return VERDICT_REFUSED;
+		return verdict_is_own_response(&r->response_meta,
+					       r->request_meta.id)
+			       ? VERDICT_REFUSED
+			       : VERDICT_INVALID;
 	case PEER_UNKNOWN:
 		return VERDICT_AMBIGUOUS;
 	}
--- a/proxy/src/verdict.h
+++ b/proxy/src/verdict.h
@@ -21,6 +21,12 @@
 	VERDICT_INVALID,
 };
 
+/** Whether a response names the request with this id. A delayed or duplicated
+ * response to an earlier request may arrive in place of this one's, so one that
+ * names none may be any request's. */
+int verdict_is_own_response(const struct fleet_response_meta *a,
+			    const char *id);
+
 /** Classifies a response to the request with this id. */
 enum verdict verdict_for_response(const struct fleet_response_meta *a,
 				  int status, const char *id);
--- a/proxy/test/test_proxy.c
+++ b/proxy/test/test_proxy.c
@@ -130,9 +130,22 @@
 			 VERDICT_AMBIGUOUS);
 	a.not_run = 1;
 	assert_int_equal(verdict_for_response(&a, 503, "r1"), VERDICT_REFUSED);
+	assert_int_equal(verdict_for_response(&a, 400, "r1"), VERDICT_REFUSED);
+	/* A refusal beside another status contradicts it. */
+	assert_int_equal(verdict_for_response(&a, 200, "r1"), VERDICT_INVALID);
+	assert_int_equal(verdict_for_response(&a, 500, "r1"), VERDICT_INVALID);
 	a = valid_response();
-	a.request_id[0] = 0;
 	assert_int_equal(verdict_for_response(&a, 421, "r1"), VERDICT_REFUSED);
+	/* Without an id, or with several, it may be any request's. */
+	a.ambiguous_id = 1;
+	assert_int_equal(verdict_for_response(&a, 421, "r1"), VERDICT_INVALID);
+	assert_int_equal(verdict_for_response(&a, 200, "r1"), VERDICT_INVALID);
+	a = valid_response();
+	a.request_id[0] = 0;
+	a.not_run = 1;
+	assert_int_equal(verdict_for_response(&a, 503, "r1"), VERDICT_INVALID);
+	assert_int_equal(verdict_for_response(&a, 421, "r1"), VERDICT_INVALID);
+	a.not_run = 0;
 	assert_int_equal(verdict_for_response(&a, 200, "r1"), VERDICT_INVALID);
 	a = valid_response();
 	a.has_server_stamp = 0;
--- a/proxy/test/test_response_bytes.c
+++ b/proxy/test/test_response_bytes.c
@@ -79,6 +79,10 @@
 	 "HTTP/1.1 404 No\r\n" ID STAMP LENGTH "\r\n" BODY},
 	{"503 that ran", 0, 503, 502, 1, 1, 0,
 	 "HTTP/1.1 503 Busy\r\n" ID LENGTH "\r\n" BODY},
+	{"200 that did not run", 0, 200, 502, 1, 1, 0,
+	 OK ID STAMP NOT_RUN LENGTH "\r\n" BODY},
+	{"two ids", 0, 200, 502, 1, 1, 0,
+	 OK "X-Request-Id: another\r\n" ID STAMP LENGTH "\r\n" BODY},
 	{"503", 0, 503, 200, 0, 0, 0,
 	 "HTTP/1.1 503 Full\r\n" ID NOT_RUN "Content-Length: 0\r\n\r\n"},
 	{"503 with a body", 0, 503, 200, 0, 1, 0,
@@ -502,6 +506,7 @@
 			plan.surplus = WITH_NEXT;
 			plan.surplus_len = n;
 			send_request("/once/a", plan.id);
+			plan.surplus = NO_SURPLUS;
 			expect_next_is_served();
 		}
 	}
