--- a/proxy/src/news.c
+++ b/proxy/src/news.c
@@ -80,10 +80,6 @@
 	const struct fleet_response_meta *meta = &r->response_meta;
 	int64_t now = prl_now_ms();
 
-	/* A 421 is the response of another instance. */
-	if (r->verdict == VERDICT_INVALID ||
-	    r->status == MHD_HTTP_MISDIRECTED_REQUEST)
-		return;
 	read_limit(r, now);
 	if (meta->leaving)
 		send_news(r, new_news(r, PROXY_NEWS_LEAVING));
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -258,6 +258,26 @@
 	r->response_headers = curl_slist_append(r->response_headers, line);
 }
 
+/* Classifies the response by its complete head. Returns 0, or -1 if it is not
+ * this request's. */
+static int judge_head(struct proxy_request *r)
+{
+	r->verdict =
+		r->hop == HOP_PEER
+			? relay_verdict(r)
+			: verdict_for_response(&r->response_meta, r->status,
+					       r->request_meta.id);
+	if (r->verdict == VERDICT_INVALID)
+		return -1;
+	/* Status 421 is the response of another instance. */
+	if (r->hop == HOP_UPSTREAM &&
+	    r->status != MHD_HTTP_MISDIRECTED_REQUEST) {
+		placing_record_load(r);
+		news_read_response(r);
+	}
+	return 0;
+}
+
 /* Called at the end of the final head. Returns 0, or -1 to abort the transfer
  * because the response is not passed on. */
 static int finish_head(struct proxy_request *r)
@@ -269,17 +289,8 @@
 
 	r->status = status;
 	r->response_length = r->head.length;
-	if (r->hop == HOP_PEER) {
-		r->verdict = relay_verdict(r);
-		return r->verdict == VERDICT_INVALID ? -1 : 0;
-	}
-	if (r->routed) {
-		r->verdict = verdict_for_response(&r->response_meta, r->status,
-						  r->request_meta.id);
-		placing_record_load(r);
-		news_read_response(r);
-		return r->verdict == VERDICT_INVALID ? -1 : 0;
-	}
+	if (r->routed)
+		return judge_head(r);
 	if (failed && request_may_retry(r, r->upstream_refused)) {
 		r->retry_pending = 1;
 		return -1;
