Outcome of a request: unknown from the moment that an attempt is sent

Callers saw: 503 "not run" for a request that upstreams had run and answered with 500. It may be repeated, so this broke no rule of the users, but it was not true.

Cause: the outcome of a request is "not run" until something says otherwise, and a 500 before another attempt said nothing; when no upstream was left for that attempt, the caller was told "not run". Found by looking for the class of MIXED and REFUSED elsewhere: a default that means "fine".

Change: sending sets the outcome to unknown; only the end of the attempt sets it to what is known. What ends a request in between (the caller leaves, the process ends, no upstream is left) then tells "unknown" without a case of its own; a claim whose request was under way as the process ended is no longer released.

--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -158,7 +158,7 @@
 		return;
 	case VERDICT_FAILED:
 		placing_record_result(r, PLACE_FAILED);
-		r->maybe_ran = 1;
+		request_update_outcome(r, 0);
 		if (r->state != REQUEST_RESPONDING && request_may_retry(r, 0))
 			request_retry(r);
 		else
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -243,7 +243,7 @@
 		request_forward_response(r);
 		return;
 	case VERDICT_FAILED:
-		r->maybe_ran = 1;
+		request_update_outcome(r, 0);
 		request_forward_response(r);
 		return;
 	case VERDICT_REFUSED:
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -189,11 +189,8 @@
 		}
 		return;
 	}
-	if (r->transfer_active) {
+	if (r->transfer_active)
 		metrics_add(&r->thread->metrics, METRIC_REQUESTS_CANCELLED, 1);
-		r->outcome = r->maybe_sent || r->maybe_ran ? OUTCOME_UNKNOWN
-							   : OUTCOME_NOT_RUN;
-	}
 	request_free(r);
 }
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -129,6 +129,7 @@
 	note_connection(r, endpoint_hash);
 	r->connection_uses = sockets_count_use(sockets, endpoint_hash);
 	r->maybe_sent = 1;
+	r->outcome = OUTCOME_UNKNOWN;
 	r->attempts_sent += r->hop == HOP_UPSTREAM;
 	r->attempt_started_us = prl_now_us();
 	return CURL_PREREQFUNC_OK;
--- a/proxy/test/faults.c
+++ b/proxy/test/faults.c
@@ -64,7 +64,7 @@
 	char whole[SCRIPTED_BYTES_MAX];
 
 	if (!strcmp(request->id, fault.id) &&
-	    !scripted_count_arrivals(fault.id)) {
+	    (fault.is_repeated || !scripted_count_arrivals(fault.id))) {
 		reply_as_planned(request, out);
 		return;
 	}
--- a/proxy/test/faults.h
+++ b/proxy/test/faults.h
@@ -36,6 +36,8 @@
 	enum scripted_end end;
 	/** The response is sent before the request's body is read. */
 	int is_early;
+	/** Retries get the same response. */
+	int is_repeated;
 	/** Bytes of the first response that are sent once more. */
 	enum fault_surplus surplus;
 	size_t surplus_at;
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -78,7 +78,7 @@
 	route->policy = (struct fleet_policy){.kind = kind,
 					      .timeout_ms = 2000,
 					      .latency_objective_ms = 500,
-					      .attempts_max = 2};
+					      .attempts_max = 3};
 	route->nsplit = 1;
 	route->split[0].weight = 1;
 	strcpy(route->split[0].service, "s");
--- a/proxy/test/test_response_bytes.c
+++ b/proxy/test/test_response_bytes.c
@@ -213,6 +213,25 @@
 	fault_finish();
 }
 
+/* A route may allow more attempts than there are upstreams left to try. */
+static void test_request_that_ran_everywhere_is_told_as_not_run(void **state)
+{
+	(void)state;
+	fault_begin(FIXTURE_UPSTREAM);
+	for (int i = 0; i < response_nkind; i++)
+		for (size_t n = 0; fault_may_go_on(&response_kinds[i], n);
+		     n++) {
+			fault_plan(&response_kinds[i]);
+			fault.is_repeated = 1;
+			if (n < fault.len)
+				fault.end = SCRIPTED_CLOSE;
+			fault.len = n;
+			fault_request("/safe/a", fault.id);
+			fault_expect_next_served();
+		}
+	fault_finish();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -229,6 +248,8 @@
 			test_earlier_response_answers_the_next_request),
 		cmocka_unit_test(
 			test_bytes_in_two_parts_answer_the_next_request),
+		cmocka_unit_test(
+			test_request_that_ran_everywhere_is_told_as_not_run),
 		cmocka_unit_test(test_refusal_sent_again_answers_the_retry),
 	};
 
