System tests: the first digit of all ports can be chosen

Change: TEST_PORTS (2 as before) is the first digit of all ports of system tests and the soak; the environment sets it for make. No check, bound or time is changed.

--- a/mk/soak.mk
+++ b/mk/soak.mk
@@ -6,7 +6,7 @@
 
 $(OUT)/soak/%.o: soak/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -Isystem -c -o $@ $<
+	$(CC) $(CFLAGS) -DTEST_PORTS=$(TEST_PORTS) -MMD -MP $(PUBLIC) -Isystem -c -o $@ $<
 
 $(OUT)/test/soak/soak: $(SOAK_OBJECTS) $(HARNESS) $(LIBRARIES) $(BINARIES) $(STANDINS)
 	@mkdir -p $(@D)
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -13,13 +13,16 @@
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package_test,$(p))))
 
+# First digit of the ports that the system tests use.
+TEST_PORTS ?= 2
+
 $(OUT)/system/%.o: system/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP $(PUBLIC) -c -o $@ $<
+	$(CC) $(CFLAGS) -DTEST_PORTS=$(TEST_PORTS) -MMD -MP $(PUBLIC) -c -o $@ $<
 
 $(OUT)/test/system/%: system/%.c $(HARNESS) $(LIBRARIES) $(BINARIES) $(STANDINS)
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
+	$(CC) $(CFLAGS) -DTEST_PORTS=$(TEST_PORTS) $(PUBLIC) -o $@ $< $(HARNESS) $(LIBS) -lcmocka
 
 # The build in service, which test_upgrade runs beside this one.
 $(OUT)/bin/primroseleadd-production: deploy/system.toml tools/build-production
--- a/soak/main.c
+++ b/soak/main.c
@@ -9,7 +9,7 @@
 
 #define DURATION_MAX_S 3600
 #define CALLERS 12
-#define PORTS_DEFAULT 20000
+#define PORTS_DEFAULT TEST_PORT(0)
 
 /* Reads the options. Returns 0, or -1 after printing what is wrong. */
 static int read_options(int argc, char **argv, struct soak_options *out)
--- a/system/harness.h
+++ b/system/harness.h
@@ -11,6 +11,20 @@
  * test aborts the test program.
  */
 
+/** First digit of the five of all ports, so that two work trees can run their
+ * tests side by side ("make check TEST_PORTS=1"). */
+#ifndef TEST_PORTS
+#define TEST_PORTS 2
+#endif
+
+/** A port by its last four digits. */
+#define TEST_PORT(n) (TEST_PORTS * 10000 + (n))
+
+/** Beginning of an address up to the last four digits of its port. */
+#define LOOPBACK "127.0.0.1:" TEST_TEXT(TEST_PORTS)
+#define TEST_TEXT(number) TEST_TEXT_OF(number)
+#define TEST_TEXT_OF(number) #number
+
 /** Maximum number of processes that one test program has at a time. */
 #define PROCESSES_MAX 64
 
--- a/system/path.c
+++ b/system/path.c
@@ -29,13 +29,14 @@
 	"[never_twice a]\npath = /accept*\n"                                   \
 	"[region norte]\ncapacity = 12\nspill = sur\n"                         \
 	"[region sur]\ncapacity = 6\nspill = norte\n"                          \
-	"[upstream n1]\nregion = norte\ndomain = a\naddress = "                \
-	"127.0.0.1:27300\n"                                                    \
+	"[upstream n1]\nregion = norte\ndomain = a\naddress = " LOOPBACK       \
+	"7300\n"                                                               \
 	"slots = 6\n"                                                          \
-	"[upstream n2]\nregion = norte\ndomain = b\naddress = "                \
-	"127.0.0.1:27301\n"                                                    \
+	"[upstream n2]\nregion = norte\ndomain = b\naddress = " LOOPBACK       \
+	"7301\n"                                                               \
 	"slots = 6\n"                                                          \
-	"[upstream s1]\nregion = sur\ndomain = a\naddress = 127.0.0.1:27302\n" \
+	"[upstream s1]\nregion = sur\ndomain = a\naddress = " LOOPBACK         \
+	"7302\n"                                                               \
 	"slots = 6\n"
 
 const char path_service[] = SERVICE(8000);
@@ -46,7 +47,7 @@
 {
 	harness_write_file("s.ini", text);
 	return harness_run(path_output, sizeof(path_output), "primroselead",
-			   "publish", "--store=127.0.0.1:27000", "--by=test",
+			   "publish", "--store=" LOOPBACK "7000", "--by=test",
 			   harness_path("s.ini"), NULL);
 }
 
@@ -164,7 +165,7 @@
 
 void path_run_load(const char *const *more)
 {
-	const char *args[16] = {"--vm=127.0.0.1:27101,127.0.0.1:27102",
+	const char *args[16] = {"--vm=" LOOPBACK "7101," LOOPBACK "7102",
 				"--service=s"};
 	char text[65536];
 	int n = 2;
--- a/system/path.h
+++ b/system/path.h
@@ -9,10 +9,10 @@
  * upstreams of service "s", two in region norte and one in sur.
  */
 
-#define STORE_PORT 27000
-#define PORT_BASE 27100
-#define UPSTREAM_PORT_BASE 27300
-#define VM1_URL "http://127.0.0.1:27101"
+#define STORE_PORT TEST_PORT(7000)
+#define PORT_BASE TEST_PORT(7100)
+#define UPSTREAM_PORT_BASE TEST_PORT(7300)
+#define VM1_URL "http://" LOOPBACK "7101"
 
 /** Process ids of the VMs, indexed by VM number from 1, and of the upstreams,
  * indexed from 0. */
--- a/system/routes.c
+++ b/system/routes.c
@@ -11,7 +11,7 @@
 
 pid_t routes_vm_pid[ROUTES_VMS_MAX + 1];
 
-int routes_port_base = 29000;
+int routes_port_base = TEST_PORT(9000);
 
 int routes_readers = 3;
 
--- a/system/test_outage.c
+++ b/system/test_outage.c
@@ -40,10 +40,10 @@
 	assert_int_equal(harness_kill(path_vm_pid[2], SIGKILL), -SIGKILL);
 	path_set_store_faults("down_ms=6000");
 	path_vm_pid[2] = fleet_start_vm(&path_vm2_config);
-	assert_true(fleet_wait_text("http://127.0.0.1:27102/-/health", "live",
+	assert_true(fleet_wait_text("http://" LOOPBACK "7102/-/health", "live",
 				    5000));
 	resp = harness_send_request(&(struct http_request){
-		.url = "http://127.0.0.1:27102/-/lookup?service=s"});
+		.url = "http://" LOOPBACK "7102/-/lookup?service=s"});
 	assert_int_equal(resp.status, 200);
 	path_set_store_faults("down_ms=0");
 	assert_true(fleet_wait_revision(PORT_BASE + 2, 1, 5000));
@@ -62,17 +62,17 @@
 	path_set_store_faults("down_ms=3000");
 	kill(path_vm_pid[3], SIGCONT);
 	resp = harness_send_request(&(struct http_request){
-		.url = "http://127.0.0.1:27103/x", .host = "s"});
+		.url = "http://" LOOPBACK "7103/x", .host = "s"});
 	assert_int_equal(resp.status, 503);
 	assert_string_equal(resp.outcome, "not-run");
 	/* Wait for "unconfirmed" first: the status page from before the pause
 	 * also says "live". */
-	assert_true(fleet_wait_text("http://127.0.0.1:27103/-/status",
+	assert_true(fleet_wait_text("http://" LOOPBACK "7103/-/status",
 				    "\"state\":\"unconfirmed\"", 2500));
-	assert_true(fleet_wait_text("http://127.0.0.1:27103/-/status",
+	assert_true(fleet_wait_text("http://" LOOPBACK "7103/-/status",
 				    "\"state\":\"live\",\"region\"", 15000));
 	resp = harness_send_request(&(struct http_request){
-		.url = "http://127.0.0.1:27103/x", .host = "s"});
+		.url = "http://" LOOPBACK "7103/x", .host = "s"});
 	assert_int_equal(resp.status, 200);
 }
 
@@ -81,14 +81,14 @@
 static void test_leaving_upstream(void **state)
 {
 	const char *args[] = {
-		"--vm=127.0.0.1:27101", "--service=s", "--ms=9000",
-		"--callers=6",		"--work=20",   NULL};
+		"--vm=" LOOPBACK "7101", "--service=s", "--ms=9000",
+		"--callers=6",		 "--work=20",	NULL};
 	struct http_request put = {
 		.method = "PUT",
-		.url = "http://127.0.0.1:27000/admin/objects/"
+		.url = "http://" LOOPBACK "7000/admin/objects/"
 		       "steer/vms/n1",
 		.body = "{\"kind\":\"upstream\",\"state\":"
-			"\"leaving\",\"http\":\"127.0.0.1:27300\"}"};
+			"\"leaving\",\"http\":\"" LOOPBACK "7300\"}"};
 	int64_t ran;
 	pid_t load;
 
@@ -104,7 +104,7 @@
 	assert_int_equal(path_upstream_stat(0, "running"), 0);
 	assert_int_equal(harness_wait(load), 0);
 	put.body = "{\"kind\":\"upstream\",\"state\":\"live\",\"http\":"
-		   "\"127.0.0.1:27300\"}";
+		   "\"" LOOPBACK "7300\"}";
 	assert_int_equal(harness_send_request(&put).status, 200);
 	harness_sleep_ms(1000);
 }
@@ -113,8 +113,8 @@
 static void test_planned_stop_cuts_nothing(void **state)
 {
 	const char *args[] = {
-		"--vm=127.0.0.1:27101", "--service=s", "--ms=7000",
-		"--callers=40",		"--work=300",  NULL};
+		"--vm=" LOOPBACK "7101", "--service=s", "--ms=7000",
+		"--callers=40",		 "--work=300",	NULL};
 	pid_t load;
 
 	(void)state;
--- a/system/test_path.c
+++ b/system/test_path.c
@@ -241,7 +241,7 @@
 	harness_write_file("s.ini", text);
 	assert_int_equal(
 		harness_run(path_output, sizeof(path_output), "primroselead",
-			    "publish", "--store=127.0.0.1:27000",
+			    "publish", "--store=" LOOPBACK "7000",
 			    "--expect=999999", harness_path("s.ini"), NULL),
 		7);
 	assert_non_null(strstr(path_output, "version 999999 was expected"));
@@ -255,12 +255,12 @@
 
 	(void)state;
 	harness_run(before, sizeof(before), "primroselead", "show",
-		    "--store=127.0.0.1:27000", "s", NULL);
+		    "--store=" LOOPBACK "7000", "s", NULL);
 	assert_int_equal(path_publish("[service]\nname = s\ndeadlin = 1\n"), 3);
 	assert_non_null(
 		strstr(path_output, "nearest known key is \"deadline\""));
 	harness_run(after, sizeof(after), "primroselead", "show",
-		    "--store=127.0.0.1:27000", "s", NULL);
+		    "--store=" LOOPBACK "7000", "s", NULL);
 	assert_string_equal(before, after);
 }
 
@@ -280,7 +280,7 @@
 	path_set_store_faults("lose=0");
 	assert_true(harness_json_int(path_output, "writes") > writes);
 	harness_run(path_output, sizeof(path_output), "primroselead", "history",
-		    "--store=127.0.0.1:27000", "s", NULL);
+		    "--store=" LOOPBACK "7000", "s", NULL);
 	assert_non_null(strstr(path_output, "by test"));
 }
 
@@ -289,12 +289,12 @@
 	(void)state;
 	assert_int_equal(harness_run(path_output, sizeof(path_output),
 				     "primroselead", "status",
-				     "--vm=127.0.0.1:27101", NULL),
+				     "--vm=" LOOPBACK "7101", NULL),
 			 0);
 	assert_non_null(strstr(path_output, "vm1"));
 	assert_non_null(strstr(path_output, "vm3"));
 	assert_non_null(strstr(path_output, "capacity 12"));
-	assert_non_null(strstr(path_output, "127.0.0.1:27302"));
+	assert_non_null(strstr(path_output, LOOPBACK "7302"));
 }
 
 /* When callers disconnect, their requests are cancelled and the upstreams'
--- a/system/test_region.c
+++ b/system/test_region.c
@@ -13,9 +13,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define STORE_PORT 28000
-#define PORT_BASE 28100
-#define UPSTREAM_PORT_BASE 28300
+#define STORE_PORT TEST_PORT(8000)
+#define PORT_BASE TEST_PORT(8100)
+#define UPSTREAM_PORT_BASE TEST_PORT(8300)
 
 static char out[65536];
 
@@ -39,15 +39,15 @@
 		 "[region sur]\ncapacity = 40\nspill = norte\n"
 		 "%s"
 		 "[upstream s1]\nregion = sur\ndomain = a\n"
-		 "address = 127.0.0.1:28301\nslots = 40\n%s",
+		 "address = " LOOPBACK "8301\nslots = 40\n%s",
 		 norte_capacity,
 		 norte_capacity ? "[upstream n1]\nregion = norte\ndomain = a\n"
-				  "address = 127.0.0.1:28300\nslots = 40\n"
+				  "address = " LOOPBACK "8300\nslots = 40\n"
 				: "",
 		 more);
 	harness_write_file("s.ini", text);
 	assert_int_equal(harness_run(out, sizeof(out), "primroselead",
-				     "publish", "--store=127.0.0.1:28000",
+				     "publish", "--store=" LOOPBACK "8000",
 				     harness_path("s.ini"), NULL),
 			 0);
 	at = strstr(out, "by version ");
@@ -109,7 +109,7 @@
 	harness_sleep_ms(3000);
 	began = prl_now_ms();
 	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
-				     "--direct=127.0.0.1:28101", "--service=s",
+				     "--direct=" LOOPBACK "8101", "--service=s",
 				     "--requests=3", "--callers=3", "--work=1",
 				     "--size=1048576", NULL),
 			 0);
@@ -122,7 +122,7 @@
 	assert_true(ms < 9000);
 	began = prl_now_ms();
 	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
-				     "--direct=127.0.0.1:28101", "--service=s",
+				     "--direct=" LOOPBACK "8101", "--service=s",
 				     "--requests=3", "--callers=3", "--work=1",
 				     "--method=PUT", "--upload=1048576", NULL),
 			 0);
@@ -136,7 +136,7 @@
  * it, exceeds 8 % and never the cap of 20 %. */
 static void test_shift_stays_under_its_cap(void **state)
 {
-	const char *args[] = {"--vm=127.0.0.1:28101",
+	const char *args[] = {"--vm=" LOOPBACK "8101",
 			      "--service=s",
 			      "--region=norte",
 			      "--ms=9000",
@@ -173,7 +173,7 @@
 	harness_sleep_ms(4000);
 	sur = upstream_runs(1);
 	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
-				     "--vm=127.0.0.1:28101", "--service=s",
+				     "--vm=" LOOPBACK "8101", "--service=s",
 				     "--region=norte", "--requests=500",
 				     "--callers=8", "--blocks=400", NULL),
 			 0);
@@ -184,7 +184,7 @@
  * never exceed its capacity; after the overload latency is normal at once. */
 static void test_overload(void **state)
 {
-	const char *args[] = {"--vm=127.0.0.1:28101,127.0.0.1:28103",
+	const char *args[] = {"--vm=" LOOPBACK "8101," LOOPBACK "8103",
 			      "--service=s",
 			      "--ms=8000",
 			      "--callers=300",
@@ -216,7 +216,7 @@
 	assert_true(most > 10);
 	assert_true(most <= 20);
 	assert_int_equal(harness_run(out, sizeof(out), "standin-load",
-				     "--vm=127.0.0.1:28101", "--service=s",
+				     "--vm=" LOOPBACK "8101", "--service=s",
 				     "--requests=300", "--callers=8", NULL),
 			 0);
 	assert_int_equal(harness_json_int(out, "ok"), 300);
