Ledger: a pool that is listed twice is refused, also after a capacity of 0

A damaged ledger was then taken for a whole one.

Evidence: test_ledger_refuses_bad_texts with such a text: failed before, passes now.

Change: the pool must be new in the table.

--- a/limit/src/ledger_json.c
+++ b/limit/src/ledger_json.c
@@ -71,6 +71,7 @@
 	json_int_t config;
 	json_t *rows;
 	struct ledger_pool *p;
+	int npool;
 
 	if (json_unpack(item, "{s:s, s:I, s:I, s:o}", "region", &name,
 			"capacity", &capacity, "config", &config, "rows",
@@ -82,8 +83,9 @@
 	    capacity > TOKENS_MAX)
 		return parse_error(err, name,
 				   "the name or the capacity is out of range");
+	npool = l->npool;
 	p = ledger_get_pool(l, name);
-	if (!p || p->capacity)
+	if (!p || l->npool == npool)
 		return parse_error(err, name,
 				   "too many pools, or the pool is repeated");
 	p->capacity = (int)capacity;
--- a/limit/test/test_limit.c
+++ b/limit/test/test_limit.c
@@ -205,6 +205,9 @@
 		"{\"pools\":[{\"region\":\"a\",\"capacity\":2,\"config\":0,"
 		"\"rows\":[{\"vm\":\"x\",\"incarnation\":1,\"tokens\":0,"
 		"\"base\":2}]}]}",
+		"{\"pools\":[{\"region\":\"a\",\"capacity\":0,\"config\":0,"
+		"\"rows\":[]},{\"region\":\"a\",\"capacity\":2,"
+		"\"config\":0,\"rows\":[]}]}",
 	};
 	struct prl_error err;
 	struct ledger l;
