Settings: the error names the first fault and its line

Evidence: test_error_does_not_name_a_fault: failed before, passes now.

Change: one function makes the error from the list of faults, for the parser and for the checks after it (the same four lines stood in both).

--- a/config/src/check.c
+++ b/config/src/check.c
@@ -132,15 +132,6 @@
 			      name);
 }
 
-static enum prl_code faults_to_error(const struct prl_faults *f,
-				     struct prl_error *err)
-{
-	if (!f->n)
-		return PRL_OK;
-	return prl_error_set(err, PRL_E_CONFIG, "%s: %d faults", f->file,
-			     f->n + f->dropped);
-}
-
 enum prl_code config_service_parse(const char *text, size_t len,
 				   struct prl_service *out, apr_pool_t *pool,
 				   struct prl_faults *faults,
@@ -157,7 +148,7 @@
 	check_upstreams(out, faults);
 	check_links(out, faults);
 	check_shift(out, faults);
-	return faults_to_error(faults, err);
+	return prl_faults_error(faults, err);
 }
 
 enum prl_code config_settings_parse(const char *text, size_t len,
@@ -173,5 +164,5 @@
 	check_name(faults, out->vm.line, "vm", "name", out->vm.name);
 	check_name(faults, out->vm.line, "vm", "region", out->vm.region);
 	check_name(faults, out->vm.line, "vm", "domain", out->vm.domain);
-	return faults_to_error(faults, err);
+	return prl_faults_error(faults, err);
 }
--- a/schema/include/primroselead/schema.h
+++ b/schema/include/primroselead/schema.h
@@ -106,6 +106,11 @@
 /** Prints one line for each fault, and the number of dropped faults. */
 void prl_faults_print(const struct prl_faults *faults, FILE *out);
 
+/** Returns PRL_OK if there are no faults; else PRL_E_CONFIG, with the fault of
+ * the first line and the number of the others as the error's text. */
+enum prl_code prl_faults_error(struct prl_faults *faults,
+			       struct prl_error *err);
+
 /** Sorts the faults by line number. */
 void prl_faults_sort(struct prl_faults *faults);
 
--- a/schema/src/fault.c
+++ b/schema/src/fault.c
@@ -50,6 +50,21 @@
 		 f->section, f->key, f->text);
 }
 
+enum prl_code prl_faults_error(struct prl_faults *faults, struct prl_error *err)
+{
+	char first[400];
+	int others = faults->n + faults->dropped - 1;
+
+	if (!faults->n)
+		return PRL_OK;
+	prl_faults_sort(faults);
+	prl_fault_format(faults, 0, first, sizeof(first));
+	if (!others)
+		return prl_error_set(err, PRL_E_CONFIG, "%s", first);
+	return prl_error_set(err, PRL_E_CONFIG, "%s (and %d more fault%s)",
+			     first, others, others > 1 ? "s" : "");
+}
+
 void prl_faults_print(const struct prl_faults *faults, FILE *out)
 {
 	char line[512];
--- a/schema/src/parse.c
+++ b/schema/src/parse.c
@@ -363,8 +363,5 @@
 	if (rc)
 		return prl_error_set(err, rc, "file \"%s\": out of memory",
 				     faults->file);
-	if (faults->n)
-		return prl_error_set(err, PRL_E_CONFIG, "%s: %d faults",
-				     faults->file, faults->n + faults->dropped);
-	return PRL_OK;
+	return prl_faults_error(faults, err);
 }
--- a/schema/test/test_schema.c
+++ b/schema/test/test_schema.c
@@ -28,15 +28,15 @@
 	return 0;
 }
 
+static struct prl_error last_error;
+
 static enum prl_code parse_text(const char *text, struct prl_service *s,
 				struct prl_faults *f)
 {
-	struct prl_error err;
-
 	memset(f, 0, sizeof(*f));
 	strcpy(f->file, "x.ini");
 	return prl_schema_parse(&prl_service_schema, text, strlen(text), s,
-				pool, f, &err);
+				pool, f, &last_error);
 }
 
 static void test_defaults_and_values(void **state)
@@ -161,6 +161,19 @@
 	assert_int_equal(f.n + f.dropped, 100);
 }
 
+/* An operator reads the error in a log line; the list of faults may be on
+ * another stream. */
+static void test_error_does_not_name_a_fault(void **state)
+{
+	struct prl_service s;
+	struct prl_faults f;
+
+	(void)state;
+	parse_text("[service]\nname = a\nnone = 1\n\nnor_this = 2\n", &s, &f);
+	assert_non_null(strstr(last_error.text, "x.ini:3: [service] none:"));
+	assert_non_null(strstr(last_error.text, "(and 1 more fault"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -168,6 +181,7 @@
 		cmocka_unit_test(test_every_fault_is_named),
 		cmocka_unit_test(test_random_texts),
 		cmocka_unit_test(test_too_many_faults_are_counted),
+		cmocka_unit_test(test_error_does_not_name_a_fault),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
