Responses: one that breaks off is reset for callers of HTTP/1.0

What such a caller saw (MIXED): a part of a long response as a whole one. It knows no chunks, so the end of the connection ends a body without a length, and the listener closes in order also when the response has failed.

Change: the connection is reset before the listener closes it (connect to AF_UNSPEC). Tried first: SO_LINGER of 0, which comes too late, since the listener ends its side before it closes. Only for HTTP/1.0: in all other cases the framing tells.

--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -67,6 +67,8 @@
 	/** The request headers have been read and dispatched. */
 	int headers_read;
 	char method[16];
+	/** The caller speaks HTTP/1.0, which knows no chunks. */
+	int is_http_1_0;
 	/** Path and query exactly as the caller sent them. */
 	char *target;
 	/** Must not be executed twice: retried only if it did not run. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -4,6 +4,7 @@
 #include <primroselead/platform.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Retry-After of requests that are not routed, in seconds. */
 #define RETRY_AFTER_S "1"
@@ -105,6 +106,17 @@
 	return queue_response(r);
 }
 
+/* Resets the caller's connection. Where its end ends the body, an orderly end,
+ * which the listener makes, would let a part look whole. */
+static void reset_connection(struct proxy_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	connect(info->connect_fd, &none, sizeof(none));
+}
+
 /* Content reader callback of libmicrohttpd: returns received body bytes, or
  * suspends the connection until there are more. */
 static ssize_t read_response_body(void *ctx, uint64_t pos, char *buf,
@@ -121,8 +133,11 @@
 	}
 	if (n)
 		return (ssize_t)n;
-	if (r->response_body_failed)
+	if (r->response_body_failed) {
+		if (r->is_http_1_0)
+			reset_connection(r);
 		return MHD_CONTENT_READER_END_WITH_ERROR;
+	}
 	if (r->response_body_ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	request_suspend(r);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -115,12 +115,13 @@
 }
 
 static enum MHD_Result dispatch(struct proxy_request *r, const char *url,
-				const char *method)
+				const char *method, const char *version)
 {
 	r->headers_read = 1;
 	if (strlen(method) >= sizeof(r->method))
 		return MHD_NO;
 	strcpy(r->method, method);
+	r->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
 	/* A process that stood still reads requests long after they came. */
 	if (is_caller_disconnected(r))
 		return MHD_NO;
@@ -144,7 +145,6 @@
 	struct proxy_thread *t = ctx;
 	struct proxy_request *r = *state;
 
-	(void)version;
 	if (!r)
 		return MHD_NO;
 	if (*state == &local_request) {
@@ -155,7 +155,7 @@
 		return local_respond(t, conn, url, method);
 	}
 	if (!r->headers_read)
-		return dispatch(r, url, method);
+		return dispatch(r, url, method, version);
 	if (*len)
 		return receive_body(r, data, len);
 	return continue_request(r);
--- a/proxy/test/caller.c
+++ b/proxy/test/caller.c
@@ -125,7 +125,7 @@
 	do {
 		*f = (struct framing){.length = -1};
 		if (read_line(in, line, sizeof(line)) ||
-		    sscanf(line, "HTTP/1.1 %d", &status) != 1)
+		    sscanf(line, "HTTP/1.%*d %d", &status) != 1)
 			return -1;
 		for (;;) {
 			if (read_line(in, line, sizeof(line)))
@@ -202,14 +202,14 @@
 	return read_until_close(in, out);
 }
 
-static void send_request(int fd, const char *method, const char *path,
-			 const char *id, size_t body_len)
+static void send_request(const struct caller *c, const char *method,
+			 const char *path, const char *id, size_t body_len)
 {
 	char text[8192];
 	int n = snprintf(text, sizeof(text),
-			 "%s %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
+			 "%s %s HTTP/1.%d\r\nHost: h\r\nX-Request-Id: %s\r\n"
 			 "X-Deadline-Remaining-Ms: 8000\r\n",
-			 method, path, id);
+			 method, path, !c->is_http_1_0, id);
 
 	if (!strcmp(method, "POST"))
 		n += snprintf(text + n, sizeof(text) - (size_t)n,
@@ -219,7 +219,7 @@
 		memset(text + n, 'b', body_len);
 		n += (int)body_len;
 	}
-	if (send(fd, text, (size_t)n, MSG_NOSIGNAL) != n)
+	if (send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n)
 		abort();
 }
 
@@ -244,7 +244,7 @@
 	if (!c->fd)
 		c->fd = open_connection(c->port);
 	in.fd = c->fd;
-	send_request(c->fd, method, path, id, body_len);
+	send_request(c, method, path, id, body_len);
 	if (!read_head(&in, &f, out) &&
 	    !read_response_body(&in, &f, method, out))
 		out->is_complete = 1;
--- a/proxy/test/caller.h
+++ b/proxy/test/caller.h
@@ -29,6 +29,8 @@
 /** A caller's connection; empty when zeroed but for the port. */
 struct caller {
 	int port;
+	/** The caller speaks HTTP/1.0, which knows no chunks. */
+	int is_http_1_0;
 	/** 0 while there is no connection. */
 	int fd;
 };
--- a/proxy/test/test_long_response.c
+++ b/proxy/test/test_long_response.c
@@ -170,6 +170,17 @@
 	cut_from(FIXTURE_PEER);
 }
 
+/* The response of such a caller ends with its connection, so only a reset tells
+ * that it is not whole. */
+static void test_part_is_passed_on_as_whole_over_http_1_0(void **state)
+{
+	(void)state;
+	srand(SEED);
+	caller.is_http_1_0 = 1;
+	cut_from(FIXTURE_UPSTREAM);
+	caller.is_http_1_0 = 0;
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -191,6 +202,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_part_of_a_long_response_is_passed_on_as_whole),
+		cmocka_unit_test(test_part_is_passed_on_as_whole_over_http_1_0),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
