--- a/standin/src/link.c
+++ b/standin/src/link.c
@@ -152,24 +152,26 @@
 	pair[npair++] = (struct pair){{fd, to}};
 }
 
-/* Returns 0, or -1 if the connection has ended. */
-static int forward(int from, int to)
+/* How a connection goes on. */
+enum progress { OPEN, CLOSED, BROKEN };
+
+static enum progress forward(int from, int to)
 {
 	char data[65536];
 	ssize_t n = recv(from, data, sizeof(data), 0);
 	ssize_t sent = 0;
 
 	if (n <= 0)
-		return -1;
+		return n ? BROKEN : CLOSED;
 	while (sent < n) {
 		ssize_t k =
 			send(to, data + sent, (size_t)(n - sent), MSG_NOSIGNAL);
 
 		if (k <= 0)
-			return -1;
+			return BROKEN;
 		sent += k;
 	}
-	return 0;
+	return OPEN;
 }
 
 static void handle_admin(int listener)
@@ -207,18 +209,19 @@
 }
 
 /* Forwards what has arrived on the open connections. Backwards, since a
- * connection that ends is replaced by the last one. */
+ * connection that ends is replaced by the last one. A reset stays a reset: a
+ * body that ends with its connection looks whole after a close. */
 static void forward_pairs(const struct pollfd *ready, int n)
 {
 	for (int i = n - 1; i >= 0; i--) {
-		int ended = 0;
+		enum progress progress = OPEN;
 
 		if (ready[2 * i].revents)
-			ended = forward(pair[i].fd[0], pair[i].fd[1]);
-		if (!ended && ready[2 * i + 1].revents)
-			ended = forward(pair[i].fd[1], pair[i].fd[0]);
-		if (ended)
-			close_pair(i, 0);
+			progress = forward(pair[i].fd[0], pair[i].fd[1]);
+		if (progress == OPEN && ready[2 * i + 1].revents)
+			progress = forward(pair[i].fd[1], pair[i].fd[0]);
+		if (progress != OPEN)
+			close_pair(i, progress == BROKEN);
 	}
 }
 
