Soak: answers with faults of bytes, and a check for each of their effects

A tenth of the requests now get an answer drawn from a number in the path and the upstream's name (standin/src/faulty.c, for any stand-in): 16 kinds and three for HEAD, cut at any byte by close or reset, sent again whole or in part, at once, up to 30 ms late or as the next request arrives, and before the request's body was read. Requests that must run once have bodies and uploads, by length or in chunks, some slow. Callers check each answer: own, with its own stamp, a status that the upstream gave, whole; 503, 429, 421 and 408 count as "not run" for all requests. Each promise has a name and counts of cases checked and broken; each line of a failure holds the command that repeats it, and a failed run names the directory of its logs.

--- a/soak/check.c
+++ b/soak/check.c
@@ -76,12 +76,13 @@
 	return run ? run->times : 0;
 }
 
-static int broken(const char *promise, const struct soak_request *q)
+static void report_request(const struct soak *s, enum soak_promise promise,
+			   const struct soak_request *q)
 {
-	printf("BROKEN: %s: %s at VM %d (pid %d), status %d after %lld ms\n",
-	       promise, q->id, q->vm, (int)q->pid, q->status,
-	       (long long)(q->end_ms - q->begin_ms));
-	return 1;
+	soak_report(s, promise,
+		    "%s %s at VM %d (pid %d), status %d after %lld ms", q->id,
+		    q->path, q->vm, (int)q->pid, q->status,
+		    (long long)(q->end_ms - q->begin_ms));
 }
 
 /* Whether a fault of a kind overlaps a span of time. "subject" 0 means any. */
@@ -114,36 +115,51 @@
 	       !overlaps(s, "pause", 0, from, q->end_ms);
 }
 
-static int check_request(const struct soak *s, GHashTable *runs,
-			 const struct soak_request *q)
+/* What a complete answer promises. */
+static void check_answer(const struct soak *s, const struct soak_request *q)
 {
-	int n = 0;
-
-	if (q->wrong)
-		n += broken("an answer is not that to the request", q);
-	if (q->once && times(runs, q) > 1)
-		n += broken("a request ran twice", q);
-	if (q->once && q->not_run && times(runs, q))
-		n += broken("a request ran that was said not to have run", q);
-	if (is_cut_by_stop(s, runs, q))
-		n += broken("a planned stop cut a request", q);
-	return n;
+	for (int i = SOAK_OWN_ANSWER; i <= SOAK_WHOLE_ANSWER; i++)
+		soak_count_check(i);
+	if (q->broken)
+		report_request(s, q->broken, q);
+}
+
+static void check_request(const struct soak *s, GHashTable *runs,
+			  const struct soak_request *q)
+{
+	if (q->status)
+		check_answer(s, q);
+	if (q->once) {
+		soak_count_check(SOAK_ONCE);
+		if (times(runs, q) > 1)
+			report_request(s, SOAK_ONCE, q);
+	}
+	if (q->not_run) {
+		soak_count_check(SOAK_NOT_RUN);
+		if (times(runs, q))
+			report_request(s, SOAK_NOT_RUN, q);
+	}
+	if (overlaps(s, "term", q->vm, q->begin_ms, q->end_ms)) {
+		soak_count_check(SOAK_PLANNED_STOP);
+		if (is_cut_by_stop(s, runs, q))
+			report_request(s, SOAK_PLANNED_STOP, q);
+	}
 }
 
 /* Runs at an upstream that left, after the bound, while both stores and all VMs
  * were well. */
-static int check_drain(const struct soak *s, GHashTable *runs,
-		       const struct soak_fault *f)
+static void check_drain(const struct soak *s, GHashTable *runs,
+			const struct soak_fault *f)
 {
 	int64_t from = f->begin_ms + SOAK_BOUND_MS;
 	GHashTableIter it;
 	void *id;
 	void *value;
-	int n = 0;
 
 	if (overlaps(s, "store", 0, f->begin_ms - AFTERMATH_MS, f->end_ms) ||
 	    overlaps(s, "pause", 0, f->begin_ms - AFTERMATH_MS, f->end_ms))
-		return 0;
+		return;
+	soak_count_check(SOAK_LEFT);
 	g_hash_table_iter_init(&it, runs);
 	while (g_hash_table_iter_next(&it, &id, &value)) {
 		const struct run *run = value;
@@ -151,12 +167,10 @@
 		if (run->upstream != f->subject || run->last_ms < from ||
 		    run->last_ms > f->end_ms - MARGIN_MS)
 			continue;
-		printf("BROKEN: upstream %d left and got %s %lld ms later\n",
-		       f->subject, (char *)id,
-		       (long long)(run->last_ms - f->begin_ms));
-		n++;
+		soak_report(s, SOAK_LEFT, "upstream %d got %s after %lld ms",
+			    f->subject, (char *)id,
+			    (long long)(run->last_ms - f->begin_ms));
 	}
-	return n;
 }
 
 struct share {
@@ -189,24 +203,25 @@
 }
 
 /* Callers of VMs without links are served nearly as often as the others. */
-static int check_links(const struct soak *s, const struct soak_fault *f)
+static void check_links(const struct soak *s, const struct soak_fault *f)
 {
 	int64_t from = f->begin_ms + SOAK_BOUND_MS;
 	struct share cut = count_served(s, f->subject - 1, from, f->end_ms);
 	struct share rest = count_served(s, 2 - f->subject, from, f->end_ms);
 
 	if (cut.sent < SHARE_MIN || rest.sent < SHARE_MIN)
-		return 0;
+		return;
+	soak_count_check(SOAK_LINKS);
 	printf("links cut: %d of %d served, by the others %d of %d\n",
 	       cut.served, cut.sent, rest.served, rest.sent);
 	if (3LL * cut.served * rest.sent >= 2LL * rest.served * cut.sent)
-		return 0;
-	printf("BROKEN: callers of VMs without links are not served\n");
-	return 1;
+		return;
+	soak_report(s, SOAK_LINKS, "%d of %d in group %d", cut.served, cut.sent,
+		    f->subject - 1);
 }
 
 /* After the last fault nearly all requests are served. */
-static int check_recovery(const struct soak *s)
+static void check_recovery(const struct soak *s)
 {
 	int64_t end_ms = prl_now_ms();
 	int64_t from = end_ms - (SOAK_QUIET_MS - SOAK_BOUND_MS);
@@ -218,21 +233,21 @@
 		all.sent += share.sent;
 		all.served += share.served;
 	}
+	soak_count_check(SOAK_RECOVERY);
 	printf("at the end: %d of %d served\n", all.served, all.sent);
 	if (all.sent &&
 	    all.served * 100LL >= (long long)RECOVERED_PERCENT * all.sent)
-		return 0;
-	printf("BROKEN: requests are not served after the last fault\n");
-	return 1;
+		return;
+	soak_report(s, SOAK_RECOVERY, "%d of %d", all.served, all.sent);
 }
 
-int soak_check(struct soak *s)
+void soak_check(struct soak *s)
 {
 	GHashTable *runs = read_runs();
-	int n = check_recovery(s);
 
+	check_recovery(s);
 	for (guint i = 0; i < s->requests->len; i++)
-		n += check_request(
+		check_request(
 			s, runs,
 			&g_array_index(s->requests, struct soak_request, i));
 	for (guint i = 0; i < s->faults->len; i++) {
@@ -240,10 +255,9 @@
 			&g_array_index(s->faults, struct soak_fault, i);
 
 		if (!strcmp(f->kind, "drain"))
-			n += check_drain(s, runs, f);
+			check_drain(s, runs, f);
 		if (!strcmp(f->kind, "links"))
-			n += check_links(s, f);
+			check_links(s, f);
 	}
 	g_hash_table_destroy(runs);
-	return n;
 }
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -318,5 +318,6 @@
 		harness_sleep_ms(10);
 		now = prl_now_ms();
 	}
+	s->is_quiet = 1;
 	harness_sleep_ms(SOAK_QUIET_MS);
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -51,7 +51,7 @@
 	return rc;
 }
 
-static void print_counts(const struct soak *s, int broken)
+static void print_counts(const struct soak *s)
 {
 	int by_status[600] = {0};
 
@@ -62,11 +62,7 @@
 	for (int i = 0; i < 600; i++)
 		if (by_status[i])
 			printf(" %d: %d", i, by_status[i]);
-	printf("\nbroken promises: %d\n", broken);
-	if (broken)
-		printf("again by: make soak SEED=%llu DURATION_S=%d VMS=%d\n",
-		       (unsigned long long)s->options.seed,
-		       s->options.duration_s, s->options.vms);
+	printf("\n");
 }
 
 int main(int argc, char **argv)
@@ -88,8 +84,11 @@
 	soak_inject_faults(&s);
 	s.stopped = 1;
 	soak_join_callers(&s);
-	broken = soak_check(&s);
-	print_counts(&s, broken);
+	soak_check(&s);
+	print_counts(&s);
+	broken = soak_print_promises();
+	if (broken)
+		setenv("KEEP", "1", 1);
 	harness_finish();
 	return broken != 0;
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -57,9 +57,27 @@
 	int64_t end_ms;
 };
 
+/** What callers and operators may rely on; "checked" and "broken" are counted
+ * for each. */
+enum soak_promise {
+	SOAK_NONE,
+	SOAK_OWN_ANSWER,
+	SOAK_STAMP,
+	SOAK_STATUS,
+	SOAK_WHOLE_ANSWER,
+	SOAK_ONCE,
+	SOAK_NOT_RUN,
+	SOAK_PLANNED_STOP,
+	SOAK_LEFT,
+	SOAK_LINKS,
+	SOAK_RECOVERY,
+	SOAK_PROMISES,
+};
+
 /** A request as its caller saw it; times of prl_now_ms. */
 struct soak_request {
 	char id[24];
+	char path[40];
 	int vm;
 	/** Must not run twice. */
 	int once;
@@ -69,10 +87,10 @@
 	int64_t end_ms;
 	/** HTTP status; 0 if no complete response came. */
 	int status;
-	/** The VM said that it did not run. */
+	/** The VM promised that the request did not run. */
 	int not_run;
-	/** A response with 200 was not the one to this request. */
-	int wrong;
+	/** What its response broke. */
+	enum soak_promise broken;
 	/** Process id of the VM when the request was sent. */
 	pid_t pid;
 };
@@ -84,6 +102,8 @@
 	pid_t vm_pid[SOAK_VMS_MAX + 1];
 	_Atomic int vm_state[SOAK_VMS_MAX + 1];
 	_Atomic int vm_pid_now[SOAK_VMS_MAX + 1];
+	/** No more faults. */
+	_Atomic int is_quiet;
 	_Atomic int stopped;
 	/** struct soak_fault, and struct soak_request. */
 	GArray *faults;
@@ -119,8 +139,17 @@
 /** Injects faults until the time is over, then restores everything. */
 void soak_inject_faults(struct soak *s);
 
-/** Compares what callers and upstreams saw. Prints each broken promise; returns
- * their number. */
-int soak_check(struct soak *s);
+/** Compares what callers and upstreams saw, and reports what is broken. */
+void soak_check(struct soak *s);
+
+/** Counts a case in which a promise was checked. */
+void soak_count_check(enum soak_promise promise);
+
+/** Prints a broken promise, and how to run the same again. */
+void soak_report(const struct soak *s, enum soak_promise promise,
+		 const char *format, ...) __attribute__((format(printf, 3, 4)));
+
+/** Prints the counts. Returns the number of broken promises. */
+int soak_print_promises(void);
 
 #endif
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -23,6 +23,7 @@
  * endless-body  a body without a length until the connection closes
  * endless-shed  the same in a rejection with X-Not-Executed
  * health        reports the remaining cold time, which /admin/cold/MS sets
+ * bytes-N       a response with faults drawn from the number N (faulty.h)
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
  * /admin/runs lists the requests that ran: "ID TIMES LAST_MS" a line, in Unix
@@ -34,6 +35,8 @@
  * time left.
  */
 #include "answer.h"
+#include "faulty.h"
+#include "request.h"
 #include "runs.h"
 #include <apr_general.h>
 #include <apr_thread_proc.h>
@@ -51,9 +54,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Maximum length of a request head, in bytes. */
-#define HEAD_MAX 32768
-
 /* Length of a long body, in bytes: more than a VM buffers of a response, so
  * that the response is streamed. */
 #define LONG_BYTES (4 << 20)
@@ -78,138 +78,9 @@
  * arrived by then count as rejected. */
 static _Atomic long long closed_until_ms;
 
-/* A connection, the bytes read from it, and the head of its current request. */
-struct connection {
-	int fd;
-	char buf[HEAD_MAX];
-	size_t buffered;
-	/** Length of the request head at the start of buf. */
-	size_t head_len;
-	char request_id[80];
-	char expected_instance[80];
-	char mode[32];
-	long long content_length;
-	int chunked;
-	/** 1 if included in open_connections. */
-	int counted;
-};
-
 static void send_text(const struct connection *conn, const char *text)
 {
-	size_t len = strlen(text);
-
-	while (len) {
-		ssize_t n = send(conn->fd, text, len, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return;
-		text += n;
-		len -= (size_t)n;
-	}
-}
-
-/* Receives more bytes into buf. Returns 0, or -1 if the connection ended. */
-static int read_more(struct connection *conn)
-{
-	ssize_t n = recv(conn->fd, conn->buf + conn->buffered,
-			 HEAD_MAX - 1 - conn->buffered, 0);
-
-	if (n <= 0)
-		return -1;
-	conn->buffered += (size_t)n;
-	conn->buf[conn->buffered] = 0;
-	return 0;
-}
-
-static void copy_header_value(const char *head, const char *name, char *out,
-			      size_t size)
-{
-	const char *at = strcasestr(head, name);
-
-	out[0] = 0;
-	if (!at)
-		return;
-	at += strlen(name);
-	at += strspn(at, " ");
-	snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
-}
-
-static void parse_head(struct connection *conn)
-{
-	char number[32];
-	size_t target = strcspn(conn->buf, " ") + 1;
-	size_t end = target + strcspn(conn->buf + target, " ?");
-	size_t begin = end;
-
-	while (begin > target && conn->buf[begin - 1] != '/')
-		begin--;
-	snprintf(conn->mode, sizeof(conn->mode), "%.*s", (int)(end - begin),
-		 conn->buf + begin);
-	copy_header_value(conn->buf, "\r\nX-Request-Id:", conn->request_id,
-			  sizeof(conn->request_id));
-	copy_header_value(conn->buf,
-			  "\r\nX-Expected-Instance:", conn->expected_instance,
-			  sizeof(conn->expected_instance));
-	copy_header_value(conn->buf, "\r\nContent-Length:", number,
-			  sizeof(number));
-	conn->content_length = atoll(number);
-	conn->chunked =
-		strcasestr(conn->buf, "\r\nTransfer-Encoding: chunked") != 0;
-}
-
-/* Reads and parses a request head. Returns 0, or -1 if the connection ends or
- * the head is too long. */
-static int read_head(struct connection *conn)
-{
-	char *end;
-	char kept;
-
-	while (!(end = strstr(conn->buf, "\r\n\r\n")))
-		if (conn->buffered == HEAD_MAX - 1 || read_more(conn))
-			return -1;
-	conn->head_len = (size_t)(end - conn->buf) + 4;
-	kept = conn->buf[conn->head_len];
-	conn->buf[conn->head_len] = 0;
-	parse_head(conn);
-	conn->buf[conn->head_len] = kept;
-	return 0;
-}
-
-static void consume(struct connection *conn, size_t n)
-{
-	memmove(conn->buf, conn->buf + n, conn->buffered - n);
-	conn->buffered -= n;
-	conn->buf[conn->buffered] = 0;
-}
-
-/* Reads and discards the head and the body. Returns 0, or -1 if the connection
- * ends within them. */
-static int discard_body(struct connection *conn)
-{
-	long long left = conn->content_length;
-
-	consume(conn, conn->head_len);
-	while (conn->chunked && !strstr(conn->buf, "0\r\n\r\n")) {
-		/* Keep 4 bytes: the terminator may span two reads. */
-		if (conn->buffered > 4)
-			consume(conn, conn->buffered - 4);
-		if (read_more(conn))
-			return -1;
-	}
-	if (conn->chunked) {
-		consume(conn, conn->buffered);
-		return 0;
-	}
-	while (left > (long long)conn->buffered) {
-		left -= (long long)conn->buffered;
-		body_bytes += (long long)conn->buffered;
-		consume(conn, conn->buffered);
-		if (read_more(conn))
-			return -1;
-	}
-	body_bytes += left;
-	consume(conn, (size_t)left);
-	return 0;
+	request_send(conn->fd, text, strlen(text));
 }
 
 /* Header lines of the state that this upstream is in; empty if there is none.
@@ -312,6 +183,15 @@
 	return send_endlessly(conn, "and more ");
 }
 
+/* The pause lets the other side read what was sent. */
+static void reset_when_closed(int fd, int pause_ms)
+{
+	const struct linger off = {.l_onoff = 1};
+
+	usleep((useconds_t)pause_ms * 1000);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &off, sizeof(off));
+}
+
 /* Responds as the path selects. Returns 1 to keep the connection, 0 to close
  * it. */
 static int respond_by_mode(struct connection *conn)
@@ -327,12 +207,9 @@
 		return 0;
 	}
 	if (!strcmp(conn->mode, "unframed-cut")) {
-		struct linger off = {.l_onoff = 1};
-
 		respond(conn, "200 OK", conn->request_id, STAMP_HEADER,
 			"hello");
-		usleep(50000);
-		setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &off, sizeof(off));
+		reset_when_closed(conn->fd, 50);
 		return 0;
 	}
 	if (!strcmp(conn->mode, "other")) {
@@ -458,21 +335,74 @@
 		 "Content-Length: 0\r\n",
 		 left / 1000, left % 1000);
 	respond(conn, "503 Closed", conn->request_id, headers, "");
-	return !discard_body(conn);
+	return !request_discard_body(conn);
+}
+
+/* Bytes of an earlier response that come as the next request does. */
+static void send_pending(struct connection *conn)
+{
+	request_send(conn->fd, conn->pending, conn->pending_len);
+	conn->pending_len = 0;
+}
+
+static void count_run(const struct connection *conn, int runs)
+{
+	if (!runs) {
+		refused++;
+		return;
+	}
+	ran++;
+	runs_add(conn->request_id);
+}
+
+/* Sends a response with the faults that the number in the path selects. */
+static int serve_faulty(struct connection *conn)
+{
+	const struct faulty_request q = {
+		.number = (uint32_t)atoi(conn->mode + strlen("bytes-")),
+		.is_head = !strcmp(conn->method, "HEAD"),
+		.id = conn->request_id,
+		.instance = instance,
+	};
+	struct faulty_response r;
+
+	faulty_draw(&q, &r);
+	if (!r.is_early && request_discard_body(conn))
+		return 0;
+	count_run(conn, r.runs);
+	request_send(conn->fd, r.bytes, r.len);
+	if (r.is_early && r.end == FAULTY_KEEP && request_discard_body(conn))
+		return 0;
+	switch (r.copy) {
+	case FAULTY_NO_COPY:
+		break;
+	case FAULTY_LATE:
+		usleep((useconds_t)r.delay_ms * 1000);
+		request_send(conn->fd, r.bytes + r.copy_at, r.copy_len);
+		break;
+	case FAULTY_WITH_NEXT:
+		memcpy(conn->pending, r.bytes + r.copy_at, r.copy_len);
+		conn->pending_len = r.copy_len;
+		break;
+	}
+	if (r.end == FAULTY_RESET)
+		reset_when_closed(conn->fd, r.delay_ms);
+	return r.end == FAULTY_KEEP;
 }
 
 /* Serves one request. Returns 1 to keep the connection, 0 to close it. */
 static int serve_request(struct connection *conn)
 {
-	if (read_head(conn) || handle_admin(conn))
+	if (request_read_head(conn) || handle_admin(conn))
 		return 0;
 	count_connection(conn);
+	send_pending(conn);
 	if (conn->expected_instance[0] &&
 	    strcmp(conn->expected_instance, instance)) {
 		misdirected++;
 		respond(conn, "421 Misdirected", conn->request_id,
 			"Content-Length: 0\r\n", "");
-		return !discard_body(conn);
+		return !request_discard_body(conn);
 	}
 	if (prl_now_ms() < closed_until_ms)
 		return reject_closed(conn);
@@ -480,19 +410,22 @@
 		refused++;
 		respond(conn, "503 Full", conn->request_id,
 			"X-Not-Executed: 1\r\nContent-Length: 0\r\n", "");
-		return !discard_body(conn);
+		return !request_discard_body(conn);
 	}
 	if (!strcmp(conn->mode, "health"))
-		return !discard_body(conn) && send_health_response(conn);
+		return !request_discard_body(conn) &&
+		       send_health_response(conn);
+	if (!strncmp(conn->mode, "bytes-", 6))
+		return serve_faulty(conn);
 	ran++;
 	runs_add(conn->request_id);
 	smuggled += !strcmp(conn->mode, "smuggled");
 	if (!strcmp(conn->mode, "early")) {
 		respond(conn, "413 Too Long", conn->request_id,
 			COMPLETE_HEADERS, "hello world\n");
-		return !discard_body(conn);
+		return !request_discard_body(conn);
 	}
-	return !discard_body(conn) && respond_by_mode(conn);
+	return !request_discard_body(conn) && respond_by_mode(conn);
 }
 
 static void *APR_THREAD_FUNC serve_connection(apr_thread_t *self, void *ctx)
@@ -544,6 +477,7 @@
 
 		if (!conn)
 			return 1;
+		conn->body_bytes = &body_bytes;
 		conn->fd = accept(fd, NULL, NULL);
 		if (conn->fd < 0 ||
 		    apr_thread_create(&thread, NULL, serve_connection, conn,
