Daemon: one function installs an object read from the store and notes it

Wrong: installing an object that was read from the store and noting it for the push to other VMs stood twice, in registry.c (install) and in sync.c (sync_remove_unlisted), so that a change to one could have missed the other. No caller saw anything.

Evidence: not a fault, so no test of its own. test_readers (6), test_store_return (4) and test_upstream_state (3) pass after the change (asan); test_readers (6) and test_store_return (4) pass before it.

Change: sync_install_read does both, for lists and watches of both sources; objects from other VMs are installed by sync_install_objects and are not noted, as before. With service files nothing is noted, as before.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -373,11 +373,12 @@
 int sync_is_watcher(const struct control *c);
 
 /**
- * Installs one object from the store or another VM; an empty value marks a
- * removed object. Returns 1 if the replica changed, else 0.
+ * Installs one object that was read from the store, and notes it for the push
+ * to other VMs if it is new; an empty value marks a removed object. Returns 1
+ * if the replica changed, else 0.
  */
-int sync_install(struct control *c, const char *key, int64_t version,
-		 const char *value, size_t len);
+int sync_install_read(struct control *c, const char *key, int64_t version,
+		      const char *value, size_t len);
 
 /**
  * Fills as many objects as fit one message, of which at most WIRE_OBJECTS; they
--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -265,14 +265,6 @@
 	return 0;
 }
 
-/* Installs an object that this VM read from the store. */
-static void install(struct control *c, const char *key, int64_t version,
-		    const char *value, size_t len)
-{
-	if (sync_install(c, key, version, value, len))
-		readers_note_change(c, key);
-}
-
 static void object_changed(struct store_follower *f, enum store_change change,
 			   const char *name, const struct store_object *o)
 {
@@ -284,7 +276,7 @@
 		break;
 	case STORE_CHANGE_PUT:
 		log_older(c, o);
-		install(c, o->key, o->version, o->value, o->len);
+		sync_install_read(c, o->key, o->version, o->value, o->len);
 		break;
 	case STORE_CHANGE_REMOVE:
 		/*
@@ -292,7 +284,7 @@
 		 * that of the removal, so the response's revision is used.
 		 */
 		if (!is_recreated(f, o))
-			install(c, o->key, f->call.revision, "", 0);
+			sync_install_read(c, o->key, f->call.revision, "", 0);
 		break;
 	case STORE_CHANGE_LIST_END:
 		sync_remove_unlisted(c, &f->call);
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -73,8 +73,9 @@
 	return g_str_has_prefix(key, STORE_PREFIX_CONFIG);
 }
 
-int sync_install(struct control *c, const char *key, int64_t version,
-		 const char *value, size_t len)
+/* Returns 1 if the replica changed, else 0. */
+static int install(struct control *c, const char *key, int64_t version,
+		   const char *value, size_t len)
 {
 	if (!is_followed(c, key) ||
 	    spread_install(&c->sync.replica, key, version, value, len))
@@ -84,6 +85,16 @@
 	return 1;
 }
 
+int sync_install_read(struct control *c, const char *key, int64_t version,
+		      const char *value, size_t len)
+{
+	int changed = install(c, key, version, value, len);
+
+	if (changed && control_follows_manifest(c))
+		readers_note_change(c, key);
+	return changed;
+}
+
 /*
  * Relays a delta to this VM's children in the relay tree of its failure domain.
  * The tree's order is derived from the revision, so the load is spread. The VM
@@ -165,11 +176,7 @@
 	for (guint i = 0; i < missing->len; i++) {
 		const struct spread_object *o = g_ptr_array_index(missing, i);
 
-		if (!sync_install(c, o->key, call->revision, "", 0))
-			continue;
-		changed++;
-		if (control_follows_manifest(c))
-			readers_note_change(c, o->key);
+		changed += sync_install_read(c, o->key, call->revision, "", 0);
 	}
 	g_ptr_array_free(missing, TRUE);
 	g_hash_table_destroy(listed);
@@ -189,8 +196,8 @@
 	for (int i = 0; i < call->nobject; i++) {
 		const struct store_object *o = &call->object[i];
 
-		changed +=
-			sync_install(c, o->key, o->version, o->value, o->len);
+		changed += sync_install_read(c, o->key, o->version, o->value,
+					     o->len);
 	}
 	spread_advance(&c->sync.replica,
 		       call->op == STORE_LIST ? after : call->version,
@@ -274,8 +281,8 @@
 	for (u_int i = 0; i < n; i++) {
 		const struct wire_object *o = &object[i];
 
-		changed += sync_install(c, o->key, o->revision,
-					o->value.value_val, o->value.value_len);
+		changed += install(c, o->key, o->revision, o->value.value_val,
+				   o->value.value_len);
 	}
 	return changed;
 }
