Planned stops: take only what can end before the process does

What callers saw: in a planned stop, requests that came late in the grace time were taken, sent to an upstream and cut without an answer at the end of the grace time, also ones that may not be repeated.

Cause: a VM that had been told to stop did not know when it would end. It took every request until the drain time was over, whatever its time-out; attempts of requests that had not run were begun likewise; and at the end all open connections were closed. Besides, the grace time was counted from the moment at which the process read the signal, not from when it was sent.

Ruled out: relaying instead of refusing, since the answer must come back through the VM that ends; a margin per request, since the time-out of the attempt and the last answer at the end say the same.

Change: at the signal the end is stored (proxy.end_ms): the start of the control thread's last tick, by which the signal had not been sent, plus the grace time, less 600 ms. Each tick reads signals first, so that a pause can't hide one. An attempt of a request that has not run is begun only if its deadline comes before the end (limit_stop_admits); this is the one place through which first attempts, retries and relays pass. Others are refused at once as not run, with Connection: close and a Retry-After of 10 ms, and logged with the time left. At the end, requests that wait get their last answer, 503 if nothing was sent, else 502, and up to 200 ms to be sent; a response that has begun is broken off. Reading of such a response after that no longer suspends its connection again. With service files a stop has no end, as before.

The fixture of the system tests has a drain time that a test may set; the stand-in has modes after-MS, shed-MS and stalled.

--- a/cmd/primroselead/explain.c
+++ b/cmd/primroselead/explain.c
@@ -137,9 +137,9 @@
 			    const struct request_trace *trace)
 {
 	static const char *const state_events[] = {
-		"started",    "ready",	  "manifest",	"store",
-		"evacuation", "quiesced", "leaving",	"paused",
-		"confirmed",  "reload",	  "registered", NULL};
+		"started",  "ready",	  "manifest", "store",	"evacuation",
+		"quiesced", "leaving",	  "ending",   "paused", "confirmed",
+		"reload",   "registered", NULL};
 	const json_t *line = g_ptr_array_index(lines, at);
 	int64_t time = log_line_time_ms(line);
 
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -135,6 +135,8 @@
 {
 	struct control *c = t->ctx;
 
+	/* After a pause the timer may be handled before the signal. */
+	on_signal(&c->signal_fd, EPOLLIN);
 	detect_pause(c, now);
 	reload_tick(c, now);
 	peers_tick(c, now);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -208,6 +208,8 @@
 	/** Receives SIGTERM, SIGINT and SIGHUP. */
 	struct loop_fd signal_fd;
 	int64_t started_ms;
+	/** Start of the last tick; no signal that was read since had been sent
+	 * by then. */
 	int64_t last_tick_ms;
 	/**
 	 * Other VMs may have taken over this VM's capacity: no capacity is used
@@ -291,6 +293,11 @@
 	int64_t wait_since_ms;
 	/** Capacity is being released. */
 	int releasing_capacity;
+	/**
+	 * When the process ends though some answers are not sent yet; 0 until
+	 * the requests that are open at the end of the grace time are answered.
+	 */
+	int64_t flush_until_ms;
 };
 
 /**
--- a/cmd/primroseleadd/leave.c
+++ b/cmd/primroseleadd/leave.c
@@ -1,12 +1,10 @@
 #include "control.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
+#include <primroselead/stop.h>
 
-/*
- * Safety margin in ms by which the shutdown ends before the platform kills the
- * process.
- */
-#define KILL_MARGIN_MS 600
+/* Longest wait, in ms, until the last answers are sent. */
+#define FLUSH_MAX_MS 200
 
 /* Timeout for releasing capacity once no request is open, in ms. */
 #define RELEASE_TIMEOUT_MS 15000
@@ -16,6 +14,11 @@
 	if (c->leaving_since_ms)
 		return;
 	c->leaving_since_ms = prl_now_ms();
+	/* With service files nothing limits the time that a stop takes. */
+	if (control_follows_manifest(c))
+		atomic_store(&c->proxy.end_ms,
+			     limit_stop_end(c->last_tick_ms,
+					    c->bounds.shutdown_grace_ms));
 	atomic_store(&c->proxy.leaving, 1);
 	member_leave(&c->members);
 	if (control_follows_manifest(c))
@@ -38,23 +41,40 @@
 }
 
 /*
- * Whether capacity can be released: no request is open, or, with the manifest
- * as source, the platform is about to kill the process. With service files,
+ * Answers the requests that are still open when the process has to end, and
+ * ends it once these answers are sent.
+ */
+static void end(struct control *c, int64_t now)
+{
+	char open[LOG_NUMBER_MAX];
+
+	if (!c->flush_until_ms) {
+		c->flush_until_ms = now + FLUSH_MAX_MS;
+		atomic_store(&c->proxy.terminating, 1);
+		proxy_end_requests(&c->proxy);
+		log_format_number(open, atomic_load(&c->proxy.open_requests));
+		log_event(LOG_LEVEL_AUDIT, "ending", "open", open, NULL);
+		return;
+	}
+	if (now >= c->flush_until_ms || !atomic_load(&c->proxy.open_requests))
+		loop_stop(&c->loop);
+}
+
+/*
+ * Whether capacity can be released: no request is open. With service files,
  * open connections must also have been idle for the idle timeout, since a
  * caller may be sending a request on one of them.
  */
 static int is_drained(struct control *c, int64_t now)
 {
 	int64_t idle_ms = c->settings->traffic.idle * 1000;
-	int64_t end = c->leaving_since_ms + c->bounds.shutdown_grace_ms -
-		      KILL_MARGIN_MS;
 
 	/*
 	 * Callers of routed requests retry a request that was sent while its
 	 * idle connection was being closed, so open connections need no wait.
 	 */
 	if (control_follows_manifest(c))
-		return now >= end || !atomic_load(&c->proxy.open_requests);
+		return !atomic_load(&c->proxy.open_requests);
 
 	if (!proxy_count_open(&c->proxy))
 		return 1;
@@ -69,6 +89,10 @@
 {
 	if (!c->leaving_since_ms)
 		return;
+	if (now >= atomic_load(&c->proxy.end_ms)) {
+		end(c, now);
+		return;
+	}
 	if (!c->quiesced) {
 		quiesce(c, now);
 		c->wait_since_ms = now;
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -135,6 +135,8 @@
 	PROXY_MESSAGE_BOUNDS,
 	/** Stop accepting connections. */
 	PROXY_MESSAGE_QUIESCE,
+	/** Answer the requests that are still open. */
+	PROXY_MESSAGE_END,
 	/** Abort open connections and leave the loop. */
 	PROXY_MESSAGE_STOP,
 };
@@ -277,6 +279,10 @@
 	_Atomic int leaving;
 	/** This VM is about to end: new routed requests are refused. */
 	_Atomic int terminating;
+	/** When this process has to end, on the clock of prl_now_ms: routed
+	 * requests that may last longer are refused. PRL_NEVER unless it was
+	 * told to stop. */
+	_Atomic int64_t end_ms;
 	/** Requests of all threads that are not finished yet. */
 	_Atomic int open_requests;
 	/** Metrics of the control thread. */
@@ -317,6 +323,10 @@
 /** Stops accepting connections; open connections and requests go on. */
 void proxy_quiesce(struct proxy *p);
 
+/** Fails the requests that wait for an answer; those that are still open after
+ * that are sending theirs. */
+void proxy_end_requests(struct proxy *p);
+
 /** Number of open requests plus open connections of callers. */
 int proxy_count_open(const struct proxy *p);
 
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -4,6 +4,7 @@
 #include "placing.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
+#include <primroselead/stop.h>
 
 void request_cleanup_transfer(struct proxy_request *r)
 {
@@ -82,8 +83,20 @@
 	}
 }
 
+/* Relaying does not help: the answer has to pass through this VM. */
+static int outlasts_vm(const struct proxy_request *r)
+{
+	return r->routed && r->outcome == OUTCOME_NOT_RUN &&
+	       !limit_stop_admits(atomic_load(&r->thread->proxy->end_ms),
+				  r->deadline_ms);
+}
+
 void request_start_attempt(struct proxy_request *r)
 {
+	if (outlasts_vm(r)) {
+		request_refuse_stop(r, "this VM ends before the deadline");
+		return;
+	}
 	if (!request_reserve_upstream(r))
 		return;
 	r->state = REQUEST_ATTEMPTING;
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -73,6 +73,18 @@
 		  response.uses, "answer_id", response.id, NULL);
 }
 
+void request_log_refused_stop(const struct proxy_request *r)
+{
+	int64_t now = prl_now_ms();
+	char left[LOG_NUMBER_MAX];
+	char needed[LOG_NUMBER_MAX];
+
+	log_format_number(left, atomic_load(&r->thread->proxy->end_ms) - now);
+	log_format_number(needed, r->deadline_ms ? r->deadline_ms - now : -1);
+	log_event(LOG_LEVEL_INFO, "refused_stop", "id", r->request_meta.id,
+		  "left_ms", left, "needed_ms", needed, NULL);
+}
+
 void request_log_attempt(const struct proxy_request *r, const char *result)
 {
 	char status[LOG_NUMBER_MAX];
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -18,6 +18,7 @@
 			 struct prl_error *err)
 {
 	memset(p, 0, sizeof(*p));
+	atomic_init(&p->end_ms, PRL_NEVER);
 	p->settings = settings;
 	p->follows_manifest =
 		settings->steering.source == PRL_STEERING_SOURCE_MANIFEST;
@@ -137,6 +138,11 @@
 	broadcast(p, PROXY_MESSAGE_QUIESCE);
 }
 
+void proxy_end_requests(struct proxy *p)
+{
+	broadcast(p, PROXY_MESSAGE_END);
+}
+
 int proxy_count_open(const struct proxy *p)
 {
 	int n = atomic_load(&p->open_requests);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -242,6 +242,9 @@
 /** Logs an attempt of a routed request that did not succeed. */
 void request_log_attempt(const struct proxy_request *r, const char *result);
 
+/** Logs that a routed request is refused since this VM ends. */
+void request_log_refused_stop(const struct proxy_request *r);
+
 /** Returns the request with a handle, or null if it has been freed. */
 struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle);
 
@@ -273,6 +276,12 @@
 /** Queues the error response of a failed request. */
 enum MHD_Result request_send_error(struct proxy_request *r);
 
+/** Refuses a request that has not run, since this VM ends. */
+void request_refuse_stop(struct proxy_request *r, const char *cause);
+
+/** Fails a request that waits for an answer, since this VM ends. */
+void request_end(struct proxy_request *r);
+
 /** Called when the listener is done with the request, after its response or
  * because the caller disconnected: frees it, or detaches an at-most-once
  * request that is under way. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -133,13 +133,13 @@
 	}
 	if (n)
 		return (ssize_t)n;
-	if (r->response_body_failed) {
+	if (r->response_body_ended && !r->response_body_failed)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (r->response_body_failed || r->abort_connection) {
 		if (r->is_http_1_0)
 			reset_connection(r);
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	}
-	if (r->response_body_ended)
-		return MHD_CONTENT_READER_END_OF_STREAM;
 	request_suspend(r);
 	return 0;
 }
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -18,10 +18,6 @@
  * refusals that set no other. */
 #define RETRY_NOT_READY_MS 300
 
-/* Retry-After from a VM that is about to end, in ms; short because other VMs
- * have free capacity. */
-#define RETRY_TERMINATING_MS 10
-
 static const char *read_header(void *ctx, const char *name)
 {
 	return request_header(ctx, name);
@@ -85,8 +81,7 @@
 static int check_ready(struct proxy_request *r)
 {
 	if (atomic_load(&r->thread->proxy->terminating)) {
-		r->retry_after_ms = RETRY_TERMINATING_MS;
-		reject(r, "this VM is about to end");
+		request_refuse_stop(r, "this VM is about to end");
 		return 0;
 	}
 	if (!r->view) {
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -238,6 +238,13 @@
 	g_free(c);
 }
 
+static void end_requests(struct proxy_thread *t)
+{
+	for (int i = 0; i < t->max_requests; i++)
+		if (t->request[i])
+			request_end(t->request[i]);
+}
+
 /* Resumes all suspended connections, because the listener must not be closed
  * while some are suspended; they are closed in the same loop iteration. */
 static void abort_connections(struct proxy_thread *t)
@@ -274,6 +281,9 @@
 		if (t->proxy->follows_manifest)
 			serve_quiesce(&t->relay_listener);
 		break;
+	case PROXY_MESSAGE_END:
+		end_requests(t);
+		break;
 	case PROXY_MESSAGE_STOP:
 		abort_connections(t);
 		loop_stop(&t->loop);
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -14,8 +14,11 @@
  * early         responds before it reads the body
  * encoded       a body with Content-Encoding
  * slow          responds after 1 s
+ * after-MS      responds after MS
+ * shed-MS       rejects the request with X-Not-Executed after MS
  * mute          runs the request and sends nothing for 30 s
  * long          a body of LONG_BYTES
+ * stalled       the same, but sends nothing for 30 s after its first half
  * echo          a body that names the request
  * endless-line  bytes without a line end until the connection closes
  * endless-head  header lines until the connection closes
@@ -118,6 +121,7 @@
 
 static int send_long_response(const struct connection *conn)
 {
+	int stalls = !strcmp(conn->mode, "stalled");
 	char length[64];
 	char block[8192];
 
@@ -129,6 +133,10 @@
 	for (int sent = 0; sent < LONG_BYTES; sent += (int)sizeof(block) - 1) {
 		if (LONG_BYTES - sent < (int)sizeof(block) - 1)
 			block[LONG_BYTES - sent] = 0;
+		if (stalls && sent >= LONG_BYTES / 2) {
+			sleep(30);
+			return 0;
+		}
 		send_text(conn, block);
 	}
 	return 1;
@@ -192,6 +200,14 @@
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &off, sizeof(off));
 }
 
+/* Sleeps for the time in ms behind a prefix of the mode, if it has the prefix.
+ */
+static void sleep_as_named(const struct connection *conn, const char *prefix)
+{
+	if (!strncmp(conn->mode, prefix, strlen(prefix)))
+		usleep((useconds_t)atoi(conn->mode + strlen(prefix)) * 1000);
+}
+
 /* Responds as the path selects. Returns 1 to keep the connection, 0 to close
  * it. */
 static int respond_by_mode(struct connection *conn)
@@ -240,12 +256,13 @@
 	}
 	if (!strcmp(conn->mode, "echo"))
 		return send_echo(conn);
-	if (!strcmp(conn->mode, "long"))
+	if (!strcmp(conn->mode, "long") || !strcmp(conn->mode, "stalled"))
 		return send_long_response(conn);
 	if (!strncmp(conn->mode, "endless-", 8))
 		return respond_endlessly(conn);
 	if (!strcmp(conn->mode, "slow"))
 		sleep(1);
+	sleep_as_named(conn, "after-");
 	respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
 		"hello world\n");
 	if (!strcmp(conn->mode, "extra"))
@@ -406,8 +423,9 @@
 	}
 	if (prl_now_ms() < closed_until_ms)
 		return reject_closed(conn);
-	if (!strcmp(conn->mode, "shed")) {
+	if (!strcmp(conn->mode, "shed") || !strncmp(conn->mode, "shed-", 5)) {
 		refused++;
+		sleep_as_named(conn, "shed-");
 		respond(conn, "503 Full", conn->request_id,
 			"X-Not-Executed: 1\r\nContent-Length: 0\r\n", "");
 		return !request_discard_body(conn);
--- a/system/routes.c
+++ b/system/routes.c
@@ -15,6 +15,8 @@
 
 int routes_readers = 3;
 
+int routes_drain_ms = 500;
+
 int routes_is_production[ROUTES_VMS_MAX + 1];
 
 /* 0 stands for STORE_PORT. */
@@ -146,7 +148,7 @@
 static const char vm_settings_format[] =
 	"[steering]\nsource = manifest\n"
 	"[traffic]\nthreads = 1\nidle = 5\n"
-	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = 500\n%s"
+	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = %d\n%s"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
 	"[bound 1]\nis = budget_extra_retries=600\n";
@@ -169,7 +171,8 @@
 	else
 		snprintf(readers, sizeof(readers), "readers = %d\n",
 			 routes_readers);
-	snprintf(settings, sizeof(settings), vm_settings_format, readers);
+	snprintf(settings, sizeof(settings), vm_settings_format,
+		 routes_drain_ms, readers);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -21,6 +21,10 @@
 /** Number of VMs that read the store; may be set before VMs are started. */
 extern int routes_readers;
 
+/** Time for which VMs that stop accept connections, in ms; may be set before
+ * VMs are started. */
+extern int routes_drain_ms;
+
 /** Most VMs of the fixture. */
 #define ROUTES_VMS_MAX 8
 
