Tests: the scripted server serves the tests of all packages

The server that answers with bytes given by a test was part of the proxy's tests. It moves to testkit/, which every package's tests link, since the other HTTP clients need the same trials. It now also takes PUT and DELETE and hands the target of a request to the test.

--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -5,11 +5,14 @@
 SYSTEM_TESTS := $(patsubst system/%.c,$(OUT)/test/system/%,$(wildcard system/test_*.c))
 HARNESS := $(patsubst %.c,$(OUT)/%.o,$(filter-out $(wildcard system/test_*.c),$(wildcard system/*.c)))
 
+# Helpers that tests of several packages use.
+TESTKIT := $(wildcard testkit/*.c)
+
 define package_test
 $(1)_TEST_PARTS := $(filter-out $(wildcard $(1)/test/test_*.c),$(wildcard $(1)/test/*.c))
-$(OUT)/test/$(1)/%: $(1)/test/%.c $$($(1)_TEST_PARTS) $(wildcard $(1)/test/*.h) $(LIBRARIES)
+$(OUT)/test/$(1)/%: $(1)/test/%.c $$($(1)_TEST_PARTS) $(wildcard $(1)/test/*.h) $(TESTKIT) $(wildcard testkit/*.h) $(LIBRARIES)
 	@mkdir -p $$(@D)
-	$$(CC) $$(CFLAGS) $(PUBLIC) -I$(1)/src -I$(1)/test -o $$@ $$< $$($(1)_TEST_PARTS) $(LIBS) -lcmocka
+	$$(CC) $$(CFLAGS) $(PUBLIC) -I$(1)/src -I$(1)/test -Itestkit -o $$@ $$< $$($(1)_TEST_PARTS) $(TESTKIT) $(LIBS) -lcmocka
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package_test,$(p))))
 
--- a/proxy/test/scripted.c
+++ b/testkit/scripted.c
@@ -135,7 +135,8 @@
 
 static int starts_a_request(const char *buf)
 {
-	static const char *const methods[] = {"GET /", "POST /", "HEAD /"};
+	static const char *const methods[] = {"GET /", "POST /", "HEAD /",
+					      "PUT /", "DELETE /"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++)
 		if (!strncmp(buf, methods[i], strlen(methods[i])))
@@ -155,6 +156,18 @@
 		snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
 }
 
+/* Reads the method and the target from the first line of a request. */
+static void read_first_line(struct connection *c)
+{
+	size_t method_len = strcspn(c->buf, " ");
+	const char *target = c->buf + method_len + 1;
+
+	snprintf(c->request.method, sizeof(c->request.method), "%.*s",
+		 (int)method_len, c->buf);
+	snprintf(c->request.target, sizeof(c->request.target), "%.*s",
+		 (int)strcspn(target, " "), target);
+}
+
 /* Reads the head of a request and consumes it. Returns the length of the body,
  * or -1 if the connection ends. */
 static long read_head(struct connection *c)
@@ -170,8 +183,7 @@
 		return -1;
 	}
 	*end = 0;
-	snprintf(c->request.method, sizeof(c->request.method), "%.*s",
-		 (int)strcspn(c->buf, " "), c->buf);
+	read_first_line(c);
 	copy_value(c->buf, "\r\nX-Request-Id:", c->request.id,
 		   sizeof(c->request.id));
 	copy_value(c->buf, "\r\nContent-Length:", length, sizeof(length));
--- a/proxy/test/scripted.h
+++ b/testkit/scripted.h
@@ -1,5 +1,5 @@
-#ifndef PROXY_TEST_SCRIPTED_H
-#define PROXY_TEST_SCRIPTED_H
+#ifndef TESTKIT_SCRIPTED_H
+#define TESTKIT_SCRIPTED_H
 
 #include <stddef.h>
 
@@ -11,6 +11,7 @@
 
 #define SCRIPTED_ID_MAX 64
 #define SCRIPTED_BYTES_MAX 4096
+#define SCRIPTED_TARGET_MAX 256
 
 /** How the connection goes on after the bytes were sent. */
 enum scripted_end {
@@ -22,6 +23,7 @@
 /** A request that has arrived. */
 struct scripted_request {
 	char method[16];
+	char target[SCRIPTED_TARGET_MAX];
 	char id[SCRIPTED_ID_MAX];
 	/** Requests that came over its connection before, and the id of the
 	 * last of them. */
