Store: an answer counts once it is whole

What was wrong: a connection that closes within the head of an answer, or between its lines, is a success to libcurl, and the client judged the status of the first line that had come. A 404 that broke off made an object look removed, a 410 the history look gone, a 503 or 429 a write look refused, and the 200 of a removal made it look done. The era was taken from heads that broke off. A write whose 200 could not be read counted as not written, and the 204 of a removal too.

Evidence: test_store_bytes cuts 19 kinds of answers to all calls (with a length, in chunks, until the connection ends) at every byte, by close and by reset.

Ruled out: cut bodies by themselves. Those with a length or in chunks were told as broken, and JSON that is cut does not parse.

Change: struct receiver of the loop package collects a response in memory: the lines by the reader of heads, the fields of the final head, the body up to a limit. Clients ask it for the result and read nothing before. In the store's client a write that was sent is unsettled unless a whole answer says otherwise; other statuses of writes are those of a rejection only if 4xx or 503. An object must be the one that was asked for, and a page without objects that says that the list goes on is not valid instead of its end.

What remains: of a body that lasts until the connection ends, a cut is seen by its JSON only; statuses other than 200 need no body. In chunks, the line end behind the last chunk may be missing: all else has come.

--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -3,6 +3,7 @@
 
 #include <primroselead/address.h>
 #include <primroselead/fetch.h>
+#include <primroselead/receiver.h>
 #include <primroselead/version.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -84,7 +85,7 @@
 	 * from a copy between two pages; list again),
 	 * PRL_E_STORE_DOWN (PUT: not written),
 	 * PRL_E_UNSETTLED (PUT: may or may not have been written),
-	 * PRL_E_PROTOCOL (the response is not valid) or PRL_E_MEMORY.
+	 * PRL_E_PROTOCOL (not PUT: the response is not valid) or PRL_E_MEMORY.
 	 */
 	struct prl_error err;
 	/** Objects read; store_call_finish frees them. */
@@ -101,8 +102,7 @@
 	struct curl_slist *headers;
 	/** Era that the response named; 0 if none. */
 	int64_t era;
-	char *response;
-	size_t response_len;
+	struct receiver answer;
 	char *request_body;
 	/** The list continues on another page. */
 	int has_more;
--- a/store/src/response.c
+++ b/store/src/response.c
@@ -58,23 +58,60 @@
 	return PLATFORM_RESPONSE_OBJECT;
 }
 
-enum prl_code store_parse_response(struct store_call *c)
+/* Whether the objects are those that the call asked for, and a list goes on
+ * after an object. */
+static int is_answer(const struct store_call *c,
+		     const struct platform_page *page)
 {
-	struct platform_page page;
-	enum prl_code rc;
+	switch (c->op) {
+	case STORE_LIST:
+		return page->nobject || !page->has_more;
+	case STORE_WATCH:
+		return 1;
+	case STORE_GET:
+	case STORE_PUT:
+		break;
+	}
+	return !strcmp(page->object[0].name, c->key + strcspn(c->key, "/") + 1);
+}
 
-	/* The response to a removal may be empty. */
-	if (c->op == STORE_PUT && !c->len)
-		return PRL_OK;
-	if (platform_page_parse(c->response, c->response_len, response_type(c),
-				&page, &c->err))
-		return c->err.code;
+static enum prl_code read_page(struct store_call *c, struct platform_page *page)
+{
+	if (!is_answer(c, page))
+		return prl_error_set(&c->err, PRL_E_PROTOCOL,
+				     "store: the response to a call for \"%s\" "
+				     "is not valid",
+				     c->key);
 	/* A list keeps the revision of its first page: changes after it may be
 	 * missing from the pages and are read by the next watch. */
 	if (!c->revision)
-		c->revision = store_version(c->era, page.revision);
-	c->has_more = page.has_more && page.nobject;
-	rc = c->op == STORE_PUT ? PRL_OK : take_page(c, &page);
+		c->revision = store_version(c->era, page->revision);
+	c->has_more = page->has_more;
+	return c->op == STORE_PUT ? PRL_OK : take_page(c, page);
+}
+
+static enum prl_code parse_page(struct store_call *c)
+{
+	struct platform_page page;
+	enum prl_code rc;
+
+	if (platform_page_parse(c->answer.body, c->answer.body_len,
+				response_type(c), &page, &c->err))
+		return c->err.code;
+	rc = read_page(c, &page);
 	platform_page_finish(&page);
 	return rc;
 }
+
+enum prl_code store_parse_response(struct store_call *c)
+{
+	/* The response to a removal may be empty. */
+	if (c->op == STORE_PUT && !c->len)
+		return PRL_OK;
+	if (!parse_page(c))
+		return PRL_OK;
+	/* A write whose response can't be read may have taken effect. */
+	if (c->op == STORE_PUT)
+		c->err.code = PRL_E_UNSETTLED;
+	return c->err.code;
+}
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -6,7 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Maximum size in bytes of one response; a list may have many objects. */
+/* Maximum size in bytes of one response, its head included; a list may have
+ * many objects. */
 #define RESPONSE_MAX (64 << 20)
 
 /* Time in ms without a TCP acknowledgement after which a connection is closed.
@@ -18,10 +19,13 @@
 
 #define HTTP_OK 200
 #define HTTP_CREATED 201
+#define HTTP_NO_CONTENT 204
+#define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
 #define HTTP_GONE 410
 #define HTTP_TOO_MANY 429
+#define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
 void store_init(struct store *s, struct fetch_pool *pool, const char *address)
@@ -31,36 +35,6 @@
 	snprintf(s->address, sizeof(s->address), "%s", address);
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *ctx)
-{
-	struct store_call *c = ctx;
-	size_t len = size * n;
-	char *bigger;
-
-	if (c->response_len + len > RESPONSE_MAX)
-		return 0;
-	bigger = realloc(c->response, c->response_len + len + 1);
-	if (!bigger)
-		return 0;
-	c->response = bigger;
-	memcpy(c->response + c->response_len, data, len);
-	c->response_len += len;
-	c->response[c->response_len] = 0;
-	return len;
-}
-
-static size_t on_header(char *data, size_t size, size_t n, void *ctx)
-{
-	struct store_call *c = ctx;
-	size_t len = size * n;
-	char *line = g_strndup(data, len);
-
-	g_strchomp(line);
-	platform_store_era_parse_header(line, &c->era);
-	g_free(line);
-	return len;
-}
-
 void store_note_era(struct store *s, int64_t era)
 {
 	int64_t previous = s->era;
@@ -72,9 +46,8 @@
 		s->on_era(s, previous);
 }
 
-/* Called when a connection is ready for a request. libcurl may repeat a request
- * on a second connection; a repeated write could take effect twice, so it is
- * aborted. */
+/* Called when the connection is ready for the request. A request that libcurl
+ * repeated by itself could take effect twice, so a second one is aborted. */
 static int on_connected(void *ctx, char *ip, char *local, int port, int lport)
 {
 	struct store_call *c = ctx;
@@ -89,11 +62,11 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Whether a status other than success means that nothing was written. */
-static int is_definite_rejection(long status)
+/* Whether a status means that nothing was written. */
+static int is_definite_rejection(int status)
 {
-	return status == HTTP_UNAVAILABLE || status == HTTP_TOO_MANY ||
-	       status < 500;
+	return status == HTTP_UNAVAILABLE ||
+	       (status >= HTTP_BAD_REQUEST && status < HTTP_SERVER_ERROR);
 }
 
 static enum prl_code report_conflict(struct store_call *c)
@@ -101,7 +74,7 @@
 	struct platform_page page;
 
 	/* The response contains the current object, if it exists. */
-	if (!platform_page_parse(c->response, c->response_len,
+	if (!platform_page_parse(c->answer.body, c->answer.body_len,
 				 PLATFORM_RESPONSE_OBJECT, &page, NULL)) {
 		c->revision = store_version(c->era, page.revision);
 		platform_page_finish(&page);
@@ -139,29 +112,48 @@
 	return 0;
 }
 
-static enum prl_code read_response(struct store_call *c, long status)
+static enum prl_code report_unavailable(struct store_call *c)
 {
-	if (status == HTTP_GONE || (status == HTTP_OK && has_returned(c)))
-		return report_stale(c);
+	return prl_error_set(
+		&c->err, PRL_E_STORE_DOWN,
+		"store: call for \"%s\" failed with HTTP status %d", c->key,
+		c->answer.head.status);
+}
+
+static enum prl_code read_write_response(struct store_call *c, int status)
+{
+	/* The response to a removal may be empty. */
+	if (status == HTTP_NO_CONTENT && !c->len)
+		return PRL_OK;
 	if (status == HTTP_OK || status == HTTP_CREATED)
 		return store_parse_response(c);
-	if (status == HTTP_NOT_FOUND && c->op != STORE_PUT)
-		return prl_error_set(&c->err, PRL_E_NOT_FOUND,
-				     "store: object \"%s\" does not exist",
-				     c->key);
 	if (status == HTTP_CONFLICT || status == HTTP_NOT_FOUND)
 		return report_conflict(c);
-	if (c->op == STORE_PUT && !is_definite_rejection(status))
-		return prl_error_set(
-			&c->err, PRL_E_UNSETTLED,
-			"store: write of \"%s\" failed with HTTP status %ld",
-			c->key, status);
+	if (is_definite_rejection(status))
+		return report_unavailable(c);
 	return prl_error_set(
-		&c->err, PRL_E_STORE_DOWN,
-		"store: call for \"%s\" failed with HTTP status %ld", c->key,
+		&c->err, PRL_E_UNSETTLED,
+		"store: write of \"%s\" failed with HTTP status %d", c->key,
 		status);
 }
 
+static enum prl_code read_response(struct store_call *c)
+{
+	int status = c->answer.head.status;
+
+	if (c->op == STORE_PUT)
+		return read_write_response(c, status);
+	if (status == HTTP_GONE || (status == HTTP_OK && has_returned(c)))
+		return report_stale(c);
+	if (status == HTTP_OK)
+		return store_parse_response(c);
+	if (status == HTTP_NOT_FOUND)
+		return prl_error_set(&c->err, PRL_E_NOT_FOUND,
+				     "store: object \"%s\" does not exist",
+				     c->key);
+	return report_unavailable(c);
+}
+
 static void report_transfer_error(struct store_call *c, CURLcode result)
 {
 	int unsettled = c->op == STORE_PUT && c->issued;
@@ -171,6 +163,14 @@
 		      c->store->address, c->key, curl_easy_strerror(result));
 }
 
+/* An era counts once the whole response has come. */
+static void read_era(struct store_call *c)
+{
+	for (struct curl_slist *f = c->answer.field; f; f = f->next)
+		platform_store_era_parse_header(f->data, &c->era);
+	store_note_era(c->store, c->era);
+}
+
 static void release_transfer(struct store_call *c)
 {
 	curl_slist_free_all(c->headers);
@@ -187,14 +187,14 @@
 static void on_done(struct fetch *f, CURLcode result)
 {
 	struct store_call *c = f->ctx;
-	long status = 0;
 
-	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-	store_note_era(c->store, c->era);
-	if (result)
+	result = receiver_result(&c->answer, result);
+	if (result) {
 		report_transfer_error(c, result);
-	else
-		read_response(c, status);
+	} else {
+		read_era(c);
+		read_response(c);
+	}
 	release_transfer(c);
 	/* A long list has several pages. */
 	if (!c->err.code && c->has_more && !send_call(c, &c->err))
@@ -301,10 +301,7 @@
 	long left = (long)(c->deadline_ms > now ? c->deadline_ms - now : 1);
 
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, left);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, c);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, c);
+	receiver_attach(&c->answer, easy);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, c);
 	fetch_set_peer_timeout(easy, &unacked_timeout_ms);
@@ -321,9 +318,7 @@
 	if (!easy)
 		return prl_error_set(err, PRL_E_MEMORY,
 				     "store call: out of memory");
-	free(c->response);
-	c->response = NULL;
-	c->response_len = 0;
+	receiver_finish(&c->answer);
 	c->has_more = 0;
 	c->issued = 0;
 	c->active = 1;
@@ -353,8 +348,8 @@
 	c->revision = 0;
 	c->era = 0;
 	c->headers = NULL;
-	c->response = NULL;
 	c->request_body = NULL;
+	receiver_init(&c->answer, RESPONSE_MAX);
 	return send_call(c, err);
 }
 
@@ -372,11 +367,9 @@
 	for (int i = 0; i < c->nobject; i++)
 		free(c->object[i].value);
 	free(c->object);
-	free(c->response);
+	receiver_finish(&c->answer);
 	c->object = NULL;
 	c->nobject = 0;
-	c->response = NULL;
-	c->response_len = 0;
 }
 
 static void mark_ended(struct store_call *c)
