Store: each call over a connection of its own

What was wrong: bytes that came on a kept connection after an answer was whole, or before the next one, were the next call's answer: a call got the 404, the 409, the 410 or the removal's success of an earlier one, or failed.

Cause: libcurl reuses a connection on which unread bytes wait, and the answers of the store carry no id, so that nothing tells them apart.

Evidence: test_store_bytes repeats each prefix and suffix of 14 kinds of answers at once, late, and before the next answer.

Ruled out: looking for unread bytes before a connection is used again, as the proxy does. Between that and the sending time passes; the proxy has the id of the request to tell what comes then, the store's client has nothing.

Change: the receiver asks for a new connection, which is closed at the end of the transfer. A handshake a call is the price: a VM makes a few calls a second, and most of them wait in the store as watches.

--- a/loop/include/primroselead/receiver.h
+++ b/loop/include/primroselead/receiver.h
@@ -25,7 +25,11 @@
 /** Prepares for a response of at most "max_bytes", heads included. */
 void receiver_init(struct receiver *r, size_t max_bytes);
 
-/** Makes a transfer deliver its response to the receiver. */
+/**
+ * Makes a transfer deliver its response to the receiver, over a connection of
+ * its own: responses without the id of their request can't be told from an
+ * earlier one that comes late on a connection that is kept.
+ */
 void receiver_attach(struct receiver *r, CURL *easy);
 
 /** Returns the result of the transfer, given libcurl's: CURLE_OK only if the
--- a/loop/src/receiver.c
+++ b/loop/src/receiver.c
@@ -103,6 +103,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, r);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 CURLcode receiver_result(const struct receiver *r, CURLcode result)
--- a/store/test/test_store_bytes.c
+++ b/store/test/test_store_bytes.c
@@ -1,4 +1,4 @@
-/* Answers of the store that end at any byte. */
+/* Answers of the store that end, or begin again, at any byte. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -16,12 +16,27 @@
 /* Cases of a test that are reported one by one. */
 #define REPORTS_MAX 5
 
+/* When the bytes of an earlier answer come again. */
+enum surplus {
+	SURPLUS_NONE,
+	SURPLUS_AT_ONCE,
+	SURPLUS_LATE,
+	SURPLUS_WITH_NEXT,
+};
+
 /* What the server does; written while no call is active. */
 static struct {
 	char bytes[ANSWER_MAX];
 	size_t len;
 	enum scripted_end end;
 	int is_second_page;
+	enum surplus surplus;
+	const char *surplus_bytes;
+	size_t surplus_len;
+	/* The next call comes, and this is its answer. */
+	int is_next;
+	char next[ANSWER_MAX];
+	size_t next_len;
 } plan;
 
 static struct loop loop;
@@ -35,11 +50,23 @@
 	out->len += len;
 }
 
+static void reply_to_next(const struct scripted_request *request,
+			  struct scripted_reply *out)
+{
+	if (plan.surplus == SURPLUS_WITH_NEXT && request->uses_before)
+		append(out, plan.surplus_bytes, plan.surplus_len);
+	append(out, plan.next, plan.next_len);
+}
+
 static void reply(const struct scripted_request *request,
 		  struct scripted_reply *out)
 {
 	size_t head_len;
 
+	if (plan.is_next) {
+		reply_to_next(request, out);
+		return;
+	}
 	if (plan.is_second_page && !strstr(request->target, "after=")) {
 		out->len = answer_format("HTTP/1.1 200 OK", answer_first_page,
 					 RESPONSE_WITH_LENGTH, out->bytes,
@@ -48,6 +75,13 @@
 	}
 	append(out, plan.bytes, plan.len);
 	out->end = plan.end;
+	if (plan.surplus == SURPLUS_AT_ONCE)
+		append(out, plan.surplus_bytes, plan.surplus_len);
+	if (plan.surplus != SURPLUS_LATE)
+		return;
+	memcpy(out->then, plan.surplus_bytes, plan.surplus_len);
+	out->then_len = plan.surplus_len;
+	out->then_delay_ms = 1;
 }
 
 static int64_t version_of(int64_t revision)
@@ -184,6 +218,104 @@
 	assert_int_equal(nfailed, 0);
 }
 
+/* A read and a write that follow another call: the answers name objects of
+ * theirs. */
+static const struct answer_kind next_read = {
+	.name = "read",
+	.op = STORE_GET,
+	.key = "k/c",
+	.status_line = "HTTP/1.1 200 OK",
+	.body = "{\"metadata\":{\"name\":\"c\",\"revision\":77},"
+		"\"specification\":{\"x\":2}}",
+};
+static const struct answer_kind next_write = {
+	.name = "write",
+	.op = STORE_PUT,
+	.key = "k/c",
+	.value = "{\"x\":2}",
+	.revision = 70,
+	.status_line = "HTTP/1.1 200 OK",
+	.body = "{\"metadata\":{\"name\":\"c\",\"revision\":77},"
+		"\"specification\":{\"x\":2}}",
+};
+
+static void expect_next_has_its_own(const struct answer_kind *before, size_t n)
+{
+	const struct answer_kind *k = n / 2 % 2 ? &next_read : &next_write;
+	struct store s;
+	struct store_call c;
+	size_t head_len;
+
+	plan.next_len =
+		answer_format(k->status_line, k->body, RESPONSE_WITH_LENGTH,
+			      plan.next, &head_len);
+	plan.is_next = 1;
+	make_call(&s, &c, k);
+	if (c.err.code)
+		report("next call failed", before, n, &c);
+	else if (c.revision != version_of(77))
+		report("answer of another call", before, n, &c);
+	else if (k->op == STORE_GET && strcmp(c.object[0].key, k->key) != 0)
+		report("object of another call", before, n, &c);
+	store_call_finish(&c);
+	plan.is_next = 0;
+}
+
+static void repeat(const struct answer_kind *k, size_t at, size_t len,
+		   enum surplus when)
+{
+	static char copy[ANSWER_MAX];
+
+	memcpy(copy, plan.bytes, plan.len);
+	plan.surplus = when;
+	plan.surplus_bytes = copy + at;
+	plan.surplus_len = len;
+	expect(k, at ? at : len, k->code, ANSWER_ERA);
+	expect_next_has_its_own(k, len);
+}
+
+/* A refusal says nothing that a call could take for its own result. */
+static int says_something(const struct answer_kind *k)
+{
+	return k->code != PRL_E_STORE_DOWN && k->code != PRL_E_UNSETTLED;
+}
+
+/* Of bytes that come before the next call, prefixes and suffixes alternate. */
+static void repeat_at_every_byte(enum surplus when)
+{
+	nfailed = 0;
+	for (int i = 0; i < answer_nkind; i++) {
+		const struct answer_kind *k = &answer_kinds[i];
+
+		plan_answer(k, RESPONSE_WITH_LENGTH);
+		for (size_t n = 1; says_something(k) && n <= plan.len; n++) {
+			if (n % 2 || when == SURPLUS_WITH_NEXT)
+				repeat(k, 0, n, when);
+			if (n % 2 == 0 || when == SURPLUS_WITH_NEXT)
+				repeat(k, plan.len - n, n, when);
+		}
+	}
+	assert_int_equal(nfailed, 0);
+}
+
+static void test_surplus_bytes_answer_the_next_call(void **state)
+{
+	(void)state;
+	repeat_at_every_byte(SURPLUS_AT_ONCE);
+}
+
+static void test_late_bytes_answer_the_next_call(void **state)
+{
+	(void)state;
+	repeat_at_every_byte(SURPLUS_LATE);
+}
+
+static void test_earlier_answer_answers_the_next_call(void **state)
+{
+	(void)state;
+	repeat_at_every_byte(SURPLUS_WITH_NEXT);
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -206,6 +338,9 @@
 		cmocka_unit_test(test_whole_answer_is_not_taken),
 		cmocka_unit_test(
 			test_answer_that_ends_early_is_taken_for_whole),
+		cmocka_unit_test(test_surplus_bytes_answer_the_next_call),
+		cmocka_unit_test(test_late_bytes_answer_the_next_call),
+		cmocka_unit_test(test_earlier_answer_answers_the_next_call),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
