Daemon: installing the platform's objects in the inventory apart from the registry

Wrong: cmd/primroseleadd/registry.c (612 lines) held three subjects: the registration of this VM, the calls that read the platform's objects, and what is installed in the inventory, whose state other parts reached through struct registry. No caller saw anything.

Evidence: no change of behaviour, so no test of its own.

Change: objects.c installs manifest, upstreams and evacuations in the inventory, which is its own state. What removed objects cost in time is told by the caller (struct objects_removal), so the calls go one way: objects.c calls none of the parts that read the store.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -126,12 +126,20 @@
 	c->view_outdated = 1;
 }
 
+static void apply_platform_object(struct control *c,
+				  const struct spread_object *o)
+{
+	struct objects_removal removal = registry_removal(c, prl_now_ms());
+
+	objects_apply(c, o, &removal);
+}
+
 void apply_object(struct control *c, const char *key)
 {
 	const struct spread_object *o = spread_find(&c->sync.replica, key);
 
 	if (control_follows_manifest(c))
-		registry_apply(c, o);
+		apply_platform_object(c, o);
 	else if (g_str_has_prefix(key, STORE_PREFIX_SERVICE))
 		build_service(c, key + strlen(STORE_PREFIX_SERVICE));
 	else if (g_str_has_prefix(key, STORE_PREFIX_SHIFT))
@@ -172,7 +180,7 @@
 	uint64_t self = prl_hash_string(c->settings->vm.name);
 
 	if (control_follows_manifest(c))
-		return inventory_build_view(&c->registry.inventory, &c->builder,
+		return inventory_build_view(&c->objects.inventory, &c->builder,
 					    vm, n, self, prl_now_ms());
 	return config_build_view(&c->builder, vm, n, self,
 				 c->sync.replica.complete_revision);
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -141,6 +141,7 @@
 	reload_tick(c, now);
 	peers_tick(c, now);
 	if (control_follows_manifest(c)) {
+		objects_tick(c, now);
 		registry_tick(c, now);
 		readers_tick(c, now);
 		health_tick(c, now);
@@ -227,6 +228,7 @@
 		       &c->shortage_mailbox, &c->news_mailbox, pool, err))
 		return err->code;
 	sync_init(c);
+	objects_init(c);
 	registry_init(c);
 	readers_init(c);
 	health_init(c);
@@ -256,6 +258,7 @@
 	health_finish(c);
 	readers_finish(c);
 	registry_finish(c);
+	objects_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
 	mailbox_finish(&c->claim_mailbox, &c->loop);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,13 +3,13 @@
 
 #include "health.h"
 #include "news.h"
+#include "objects.h"
 #include "reach.h"
 #include "readers.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/follow.h>
 #include <primroselead/grant.h>
-#include <primroselead/inventory.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
 #include <primroselead/store.h>
@@ -67,11 +67,10 @@
 };
 
 /**
- * Replicated objects of the platform and the registration of this VM there;
- * used only if routes come from the platform's manifest.
+ * Calls that read the platform's objects, and the registration of this VM
+ * there; used only if routes come from the platform's manifest.
  */
 struct registry {
-	struct inventory inventory;
 	/** One follower for each kind of object. */
 	struct store_follower manifest;
 	struct store_follower upstream;
@@ -190,6 +189,7 @@
 	struct member_table members;
 	struct sync sync;
 	struct registry registry;
+	struct objects objects;
 	struct health health;
 	struct news news;
 	struct reach reach;
@@ -439,7 +439,7 @@
 
 /* registry.c */
 
-/** Initializes the inventory and the followers of the platform's objects. */
+/** Initializes the followers of the platform's objects. */
 void registry_init(struct control *c);
 
 /**
@@ -448,12 +448,10 @@
 void registry_tick(struct control *c, int64_t now);
 
 /**
- * Whether a key belongs to a followed kind: manifest, upstream or evacuation.
+ * Until when objects that are removed at a time count as present: longer if
+ * they may be missing because of the store alone.
  */
-int registry_follows(const char *key);
-
-/** Applies one changed object to the inventory. */
-void registry_apply(struct control *c, const struct spread_object *o);
+struct objects_removal registry_removal(const struct control *c, int64_t now);
 
 /**
  * Whether the store has not confirmed the replica recently, so that another
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -78,7 +78,7 @@
 	int64_t now = prl_now_ms();
 
 	if (left_ms <= 0 || left_ms > COLD_MAX_MS ||
-	    !inventory_report_cold(&c->registry.inventory, instance,
+	    !inventory_report_cold(&c->objects.inventory, instance,
 				   now + left_ms, now))
 		return 0;
 	log_cold(instance, left_ms, from);
@@ -183,7 +183,7 @@
 static void set_checks(struct control *c, const struct steer_service *s)
 {
 	const struct fleet_service *config =
-		fleet_find_service(&c->registry.inventory.manifest, s->name);
+		fleet_find_service(&c->objects.inventory.manifest, s->name);
 
 	if (!config || config->health_path[0] != '/')
 		return;
--- a/cmd/primroseleadd/news.c
+++ b/cmd/primroseleadd/news.c
@@ -22,7 +22,7 @@
 {
 	char milli[LOG_NUMBER_MAX];
 
-	if (!inventory_report_limit(&c->registry.inventory, key, limit_milli,
+	if (!inventory_report_limit(&c->objects.inventory, key, limit_milli,
 				    sent_ms, prl_now_ms()))
 		return 0;
 	log_format_number(milli, limit_milli);
@@ -37,7 +37,7 @@
 			const struct inventory_upstream_key *key,
 			const char *from)
 {
-	if (!inventory_report_leaving(&c->registry.inventory, key))
+	if (!inventory_report_leaving(&c->objects.inventory, key))
 		return 0;
 	log_event(LOG_LEVEL_AUDIT, "upstream", "instance", key->instance,
 		  "state", "says it leaves", "from", from, NULL);
@@ -51,7 +51,7 @@
 {
 	char left[LOG_NUMBER_MAX];
 
-	if (!inventory_report_closed(&c->registry.inventory, key, until_ms))
+	if (!inventory_report_closed(&c->objects.inventory, key, until_ms))
 		return;
 	log_format_number(left, until_ms - prl_now_ms());
 	log_event(LOG_LEVEL_AUDIT, "closed", "instance", key->instance,
--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -167,7 +167,7 @@
 			const struct steer_upstream *u, int64_t now)
 {
 	const struct fleet_service *config = fleet_find_service(
-		&s->control->registry.inventory.manifest, s->name);
+		&s->control->objects.inventory.manifest, s->name);
 	struct prl_error err = {0};
 
 	k->upstream_id = u->id;
--- a/cmd/primroseleadd/registry.c
+++ b/cmd/primroseleadd/registry.c
@@ -78,127 +78,19 @@
 	return now;
 }
 
-/* Time until which an upstream whose entry was removed may still be used. */
-static int64_t removal_time(const struct control *c, int64_t now)
+struct objects_removal registry_removal(const struct control *c, int64_t now)
 {
 	const struct store_follower *f = &c->registry.upstream;
+	int64_t returned_ms = c->registry.returned_ms;
+	struct objects_removal removal = {
+		.upstream_ms =
+			grace_end(MAX(f->recovered_ms, returned_ms), now),
+		.evacuation_ms = grace_end(returned_ms, now),
+	};
 
 	if (f->consecutive_failures)
-		return now + EXPIRED_GRACE_MS;
-	return grace_end(MAX(f->recovered_ms, c->registry.returned_ms), now);
-}
-
-static void apply_manifest(struct control *c, const struct spread_object *o)
-{
-	struct fleet_manifest m;
-	struct prl_error err = {0};
-	char version[LOG_NUMBER_MAX];
-	enum prl_code rc = platform_manifest_parse(o->value, &m, &err);
-
-	log_format_number(version, rc ? 0 : m.version);
-	if (!rc)
-		rc = inventory_install_manifest(&c->registry.inventory, &m,
-						&err);
-	log_event(rc ? LOG_LEVEL_WARNING : LOG_LEVEL_AUDIT, "manifest",
-		  "version", version, "error", rc ? err.text : "", NULL);
-}
-
-static void log_upstream(const struct fleet_upstream *u)
-{
-	char slots[LOG_NUMBER_MAX];
-	char cold[LOG_NUMBER_MAX];
-	char sequence[LOG_NUMBER_MAX];
-
-	log_format_number(slots, u->slots);
-	log_format_number(cold, u->cold_time_left_ms);
-	log_format_number(sequence, u->sequence);
-	log_event(LOG_LEVEL_AUDIT, "upstream", "instance", u->instance,
-		  "service", u->service, "address", u->address, "domain",
-		  u->domain, "state", u->leaving ? "leaving" : "active",
-		  "slots", slots, "cold_ms", cold, "sequence", sequence, NULL);
-}
-
-/*
- * Called for a removed entry and for an invalid one, which names no usable
- * upstream.
- */
-static void remove_upstream(struct control *c, const char *name, int64_t at,
-			    const char *why)
-{
-	char in_ms[LOG_NUMBER_MAX];
-
-	if (!inventory_schedule_removal(&c->registry.inventory, name, at))
-		return;
-	log_format_number(in_ms, at - prl_now_ms());
-	log_event(LOG_LEVEL_AUDIT, "upstream", "instance", name, "state",
-		  "gone", "in_ms", in_ms, "error", why, NULL);
-}
-
-static void apply_upstream(struct control *c, const char *name,
-			   const struct spread_object *o)
-{
-	int64_t now = prl_now_ms();
-	struct fleet_upstream u;
-	struct prl_error err = {0};
-
-	if (!o->len)
-		remove_upstream(c, name, removal_time(c, now), "");
-	else if (platform_upstream_parse(name, o->value, &u, &err))
-		remove_upstream(c, name, now, err.text);
-	else if (inventory_update_upstream(&c->registry.inventory, &u, now,
-					   &err))
-		log_event(LOG_LEVEL_WARNING, "upstream", "instance", name,
-			  "error", err.text, NULL);
-	else if (c->registry.inventory.list_complete || u.leaving)
-		log_upstream(&u);
-}
-
-static void apply_evacuation(struct control *c, const char *name,
-			     const struct spread_object *o)
-{
-	int64_t now = prl_now_ms();
-
-	if (o->len)
-		inventory_set_evacuated(&c->registry.inventory, name, 1, now);
-	else
-		inventory_schedule_evacuation_end(
-			&c->registry.inventory, name,
-			grace_end(c->registry.returned_ms, now));
-	log_event(LOG_LEVEL_AUDIT, "evacuation", "domain", name, "state",
-		  o->len ? "on" : "off", NULL);
-}
-
-/*
- * Name part of a key of the given kind, or null if the key is of another kind.
- */
-static const char *name_of_kind(const char *key, const char *kind)
-{
-	size_t n = strlen(kind);
-
-	return !strncmp(key, kind, n) && key[n] == '/' ? key + n + 1 : NULL;
-}
-
-int registry_follows(const char *key)
-{
-	return name_of_kind(key, PLATFORM_KIND_MANIFEST) ||
-	       name_of_kind(key, PLATFORM_KIND_UPSTREAM) ||
-	       name_of_kind(key, PLATFORM_KIND_EVACUATION);
-}
-
-void registry_apply(struct control *c, const struct spread_object *o)
-{
-	const char *name;
-
-	c->view_outdated = 1;
-	name = name_of_kind(o->key, PLATFORM_KIND_MANIFEST);
-	if (name && !strcmp(name, PLATFORM_MANIFEST_NAME) && o->len)
-		apply_manifest(c, o);
-	name = name_of_kind(o->key, PLATFORM_KIND_UPSTREAM);
-	if (name)
-		apply_upstream(c, name, o);
-	name = name_of_kind(o->key, PLATFORM_KIND_EVACUATION);
-	if (name)
-		apply_evacuation(c, name, o);
+		removal.upstream_ms = now + EXPIRED_GRACE_MS;
+	return removal;
 }
 
 /*
@@ -364,15 +256,10 @@
 
 void registry_init(struct control *c)
 {
-	const struct prl_settings *s = c->settings;
 	struct registry *reg = &c->registry;
 
 	c->store.on_era = on_era;
 	c->store.ctx = c;
-	inventory_init(&reg->inventory);
-	for (int i = 0; i < s->ndomain; i++)
-		inventory_set_domain_region(&reg->inventory, s->domain[i].label,
-					    s->domain[i].region);
 	reg->vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	init_follower(c, &reg->manifest, PLATFORM_KIND_MANIFEST,
@@ -461,8 +348,8 @@
 
 	if (reg->ready || !reg->replica_complete)
 		return;
-	reg->inventory.list_complete = 1;
-	if (!reg->inventory.manifest.version)
+	c->objects.inventory.list_complete = 1;
+	if (!c->objects.inventory.manifest.version)
 		return;
 	reg->ready = 1;
 	sync_set_ready(c, reg->upstream.listed ? "store" : "peer");
@@ -580,8 +467,6 @@
 		store_follower_tick(&reg->vm, now, control_random());
 	if (now > c->started_ms + VM_STARTUP_MS)
 		reg->vm.poll_interval_ms = VM_LIST_INTERVAL_MS;
-	if (inventory_remove_expired(&reg->inventory, now))
-		c->view_outdated = 1;
 	update_revision(c);
 	pull_from_seed(c, now);
 	check_ready(c);
@@ -599,6 +484,5 @@
 	store_follower_finish(&reg->upstream);
 	store_follower_finish(&reg->evacuation);
 	store_follower_finish(&reg->vm);
-	inventory_finish(&reg->inventory);
 	g_hash_table_destroy(reg->vms);
 }
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -69,7 +69,7 @@
 static int is_followed(const struct control *c, const char *key)
 {
 	if (control_follows_manifest(c))
-		return registry_follows(key);
+		return objects_has_kind(key);
 	return g_str_has_prefix(key, STORE_PREFIX_CONFIG);
 }
 
