Daemon: reading the platform's objects apart from the registration of this VM

Wrong: registry.c held the calls that read the platform's objects, how recent the replica is, and the registration of this VM, in one struct of control.h. No caller saw anything.

Evidence: no change of behaviour, so no test of its own.

The list of the VMs is now looked at after the objects of the same tick instead of before readiness is judged, so that it may come one tick (50 ms) earlier or later on the tick of readiness.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -129,7 +129,7 @@
 static void apply_platform_object(struct control *c,
 				  const struct spread_object *o)
 {
-	struct objects_removal removal = registry_removal(c, prl_now_ms());
+	struct objects_removal removal = source_removal(c, prl_now_ms());
 
 	objects_apply(c, o, &removal);
 }
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -142,6 +142,7 @@
 	peers_tick(c, now);
 	if (control_follows_manifest(c)) {
 		objects_tick(c, now);
+		source_tick(c, now);
 		registry_tick(c, now);
 		readers_tick(c, now);
 		health_tick(c, now);
@@ -229,6 +230,7 @@
 		return err->code;
 	sync_init(c);
 	objects_init(c);
+	source_init(c);
 	registry_init(c);
 	readers_init(c);
 	health_init(c);
@@ -258,6 +260,7 @@
 	health_finish(c);
 	readers_finish(c);
 	registry_finish(c);
+	source_finish(c);
 	objects_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -1,14 +1,16 @@
 #ifndef PRIMROSELEADD_CONTROL_H
 #define PRIMROSELEADD_CONTROL_H
 
+#include "backoff.h"
 #include "health.h"
 #include "news.h"
 #include "objects.h"
 #include "reach.h"
 #include "readers.h"
+#include "registry.h"
+#include "source.h"
 #include <primroselead/claim.h>
 #include <primroselead/config.h>
-#include <primroselead/follow.h>
 #include <primroselead/grant.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
@@ -29,18 +31,10 @@
 /** Period of the control thread's tick, in milliseconds. */
 #define TICK_MS 50
 
-/** Exponential backoff with jitter. */
-struct backoff {
-	/** Earliest time of the next attempt; 0 allows it at once. */
-	int64_t retry_ms;
-	/** Attempts since the last reset. */
-	int attempts;
-};
-
 /**
  * Replica of the configuration, filled from the store and from other VMs. The
  * store fields are for service files; with the manifest as source, the
- * followers of struct registry call the store instead.
+ * followers of struct source call the store instead.
  */
 struct sync {
 	struct spread_replica replica;
@@ -66,42 +60,6 @@
 	int64_t list_after_ms;
 };
 
-/**
- * Calls that read the platform's objects, and the registration of this VM
- * there; used only if routes come from the platform's manifest.
- */
-struct registry {
-	/** One follower for each kind of object. */
-	struct store_follower manifest;
-	struct store_follower upstream;
-	struct store_follower evacuation;
-	struct store_follower vm;
-	/** The store may lack this VM's entry: the registered VMs are to be
-	 * listed, also by a VM that leaves reading to others. */
-	int own_entry_unchecked;
-	/** When the store last returned from a copy; 0 if it never did. */
-	int64_t returned_ms;
-	/** Registered VMs other than this one: struct fleet_vm by name. */
-	GHashTable *vms;
-	/** When registered VMs that are not live are probed next. */
-	int64_t next_probe_ms;
-	/** When the next seed is asked for its replica. */
-	int64_t next_seed_pull_ms;
-	/** The replica has once been complete, from the store or another VM. */
-	int replica_complete;
-	/** This VM serves requests and takes part in the membership. */
-	int ready;
-	/**
-	 * Registration of this VM: the call that writes its entry, and the
-	 * version of that entry in the store (0 if there is none).
-	 */
-	struct store_call register_call;
-	int registering;
-	int registered;
-	int64_t own_version;
-	struct backoff register_backoff;
-};
-
 /** Progress of one service's traffic shift as this VM sees it. */
 struct shift_tracker {
 	char service[PRL_NAME_MAX];
@@ -188,6 +146,7 @@
 	struct wire_node wire;
 	struct member_table members;
 	struct sync sync;
+	struct source source;
 	struct registry registry;
 	struct objects objects;
 	struct health health;
@@ -341,12 +300,6 @@
  */
 uint64_t control_random(void);
 
-/** Schedules the next attempt; the delay doubles with each call. */
-void backoff_schedule(struct backoff *b, int64_t now);
-
-/** Resets the delay after a successful attempt. */
-void backoff_reset(struct backoff *b);
-
 /* peers.c */
 
 /**
@@ -437,51 +390,6 @@
 /** Cancels the pending call and frees the replica. */
 void sync_finish(struct control *c);
 
-/* registry.c */
-
-/** Initializes the followers of the platform's objects. */
-void registry_init(struct control *c);
-
-/**
- * Starts the store calls that are due, and registers this VM once it can serve.
- */
-void registry_tick(struct control *c, int64_t now);
-
-/**
- * Until when objects that are removed at a time count as present: longer if
- * they may be missing because of the store alone.
- */
-struct objects_removal registry_removal(const struct control *c, int64_t now);
-
-/**
- * Whether the store has not confirmed the replica recently, so that another
- * VM's replica may be newer.
- */
-int registry_is_stale(const struct control *c, int64_t now);
-
-/**
- * Whether the store may lack news of upstreams: the replica is stale, or the
- * store came back so recently that upstreams may not have written to it since.
- */
-int registry_lacks_news(const struct control *c, int64_t now);
-
-/** When the store last confirmed the whole replica, in ms; 0 if it does not
- * answer this VM's calls. */
-int64_t registry_confirmed_ms(const struct control *c);
-
-/** Notes that the replica equals that of another VM, which the store confirmed
- * at a time, up to a version. */
-void registry_confirm(struct control *c, int64_t version, int64_t confirmed_ms);
-
-/** Notes that another VM's whole replica has been installed. */
-void registry_set_complete(struct control *c);
-
-/** Removes this VM's entry from the store. */
-void registry_deregister(struct control *c);
-
-/** Cancels the pending calls to the store and frees the state. */
-void registry_finish(struct control *c);
-
 /* apply.c */
 
 /** Applies one changed object to the configuration builder or the inventory. */
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -219,7 +219,7 @@
 
 void health_tick(struct control *c, int64_t now)
 {
-	int active = c->registry.ready && registry_lacks_news(c, now);
+	int active = c->source.ready && source_lacks_news(c, now);
 	GHashTableIter it;
 	void *value;
 
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -263,7 +263,7 @@
  */
 static int is_joining(const struct control *c)
 {
-	return control_follows_manifest(c) && !c->registry.ready;
+	return control_follows_manifest(c) && !c->source.ready;
 }
 
 void peers_tick(struct control *c, int64_t now)
--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -95,15 +95,15 @@
 
 int readers_reads_store(const struct control *c, int64_t now)
 {
-	return !c->registry.ready ||
+	return !c->source.ready ||
 	       spread_must_read(&c->readers.beats, c->readers.role,
-				registry_confirmed_ms(c), now);
+				source_confirmed_ms(c), now);
 }
 
 void readers_note_change(struct control *c, const char *key)
 {
 	/* The first list is of no use to others. */
-	if (!c->registry.ready || c->readers.role == SPREAD_LEARNER)
+	if (!c->source.ready || c->readers.role == SPREAD_LEARNER)
 		return;
 	g_ptr_array_add(c->readers.changed, g_strdup(key));
 	c->tick_timer.deadline_ms = prl_now_ms();
@@ -186,7 +186,7 @@
 static void log_reading(const struct control *c, int64_t now)
 {
 	const struct readers *rd = &c->readers;
-	int64_t confirmed_ms = registry_confirmed_ms(c);
+	int64_t confirmed_ms = source_confirmed_ms(c);
 	char age[LOG_NUMBER_MAX];
 
 	log_format_number(age, confirmed_ms ? now - confirmed_ms : -1);
@@ -198,7 +198,7 @@
 void readers_tick(struct control *c, int64_t now)
 {
 	struct readers *rd = &c->readers;
-	int64_t confirmed_ms = registry_confirmed_ms(c);
+	int64_t confirmed_ms = source_confirmed_ms(c);
 	int reading;
 
 	if (now - rd->last_tick_ms > STANDSTILL_MS)
@@ -212,7 +212,7 @@
 	}
 	if (rd->changed->len)
 		push_changes(c);
-	if (!reading || !c->registry.ready || rd->role == SPREAD_LEARNER ||
+	if (!reading || !c->source.ready || rd->role == SPREAD_LEARNER ||
 	    now < rd->next_beat_ms || c->members.npeer == 1)
 		return;
 	rd->next_beat_ms = now + BEAT_INTERVAL_MS;
@@ -274,7 +274,7 @@
 	switch (spread_handle_beat(&c->readers.beats, &c->sync.replica, &beat,
 				   c->readers.role, control_random(), now)) {
 	case SPREAD_BEAT_CONFIRMS:
-		registry_confirm(c, b->complete, beat.confirmed_ms);
+		source_confirm(c, b->complete, beat.confirmed_ms);
 		break;
 	case SPREAD_BEAT_PULL:
 		sync_pull_from(c, from);
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -111,7 +111,7 @@
 /* With the manifest as source, the followers of the registry call the store. */
 static int is_store_up(const struct control *c)
 {
-	return control_follows_manifest(c) ? registry_confirmed_ms(c) != 0
+	return control_follows_manifest(c) ? source_confirmed_ms(c) != 0
 					   : c->sync.store_up;
 }
 
@@ -119,7 +119,7 @@
  * files as source. */
 static json_t *reading(const struct control *c, int64_t now)
 {
-	int64_t confirmed_ms = registry_confirmed_ms(c);
+	int64_t confirmed_ms = source_confirmed_ms(c);
 
 	if (!control_follows_manifest(c))
 		return json_null();
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -268,7 +268,7 @@
 static void set_complete(struct control *c)
 {
 	if (control_follows_manifest(c))
-		registry_set_complete(c);
+		source_set_complete(c);
 	else
 		sync_set_ready(c, "peer");
 }
@@ -348,7 +348,7 @@
 
 	if (!control_follows_manifest(c))
 		return d->complete > replica->complete_revision;
-	return registry_is_stale(c, prl_now_ms()) && d->complete &&
+	return source_is_stale(c, prl_now_ms()) && d->complete &&
 	       (d->complete > replica->complete_revision ||
 		d->sum != replica->digest);
 }
