Members: one function inserts a weight; spread_rank.c named for what it does

Wrong: the loop of member_rank stood again in insert_weight of member/src/readers.c, and that file was named after its one caller, not for what it does.

Evidence: no change of behaviour. test_member (9 tests; among them the ranking of all VMs and the spread rank against a naive computation) passes before and after.

Change: member_insert_weight in rank.c; readers.c is spread_rank.c.

--- a/member/src/internal.h
+++ b/member/src/internal.h
@@ -9,4 +9,11 @@
 struct member_event *member_record_change(struct member_table *m, int i,
 					  int was_usable);
 
+/**
+ * Inserts a weight into an array of the "max" greatest, of which there are "*n"
+ * so far, in descending order; "max" is at least 1. Returns its index, or -1 if
+ * it is not among them.
+ */
+int member_insert_weight(uint64_t *weight, int *n, int max, uint64_t added);
+
 #endif
--- a/member/src/rank.c
+++ b/member/src/rank.c
@@ -1,3 +1,4 @@
+#include "internal.h"
 #include <primroselead/hash.h>
 #include <primroselead/member.h>
 #include <string.h>
@@ -13,6 +14,21 @@
 	       (!domain || !strcmp(p->vm.domain, domain));
 }
 
+int member_insert_weight(uint64_t *weight, int *n, int max, uint64_t added)
+{
+	int k;
+
+	if (*n == max && added <= weight[max - 1])
+		return -1;
+	k = *n < max ? (*n)++ : max - 1;
+	while (k > 0 && weight[k - 1] < added) {
+		weight[k] = weight[k - 1];
+		k--;
+	}
+	weight[k] = added;
+	return k;
+}
+
 int member_rank(const struct member_table *m, const char *domain,
 		uint64_t topic, int *out, int max)
 {
@@ -23,21 +39,17 @@
 	if (limit <= 0)
 		return 0;
 	for (int i = 0; i < m->npeer; i++) {
-		uint64_t candidate_weight;
 		int k;
 
 		if (!is_candidate(&m->peer[i], domain))
 			continue;
-		candidate_weight = prl_hash_combine(m->peer[i].id, topic);
-		if (n == limit && candidate_weight <= weight[n - 1])
+		k = member_insert_weight(
+			weight, &n, limit,
+			prl_hash_combine(m->peer[i].id, topic));
+		if (k < 0)
 			continue;
-		k = n < limit ? n++ : n - 1;
-		while (k > 0 && weight[k - 1] < candidate_weight) {
-			weight[k] = weight[k - 1];
-			out[k] = out[k - 1];
-			k--;
-		}
-		weight[k] = candidate_weight;
+		memmove(&out[k + 1], &out[k],
+			(size_t)(n - 1 - k) * sizeof(*out));
 		out[k] = i;
 	}
 	return n;
--- a/member/src/readers.c
+++ b/member/src/spread_rank.c
@@ -1,5 +1,5 @@
-/* Position of a member in the order in which members are chosen for a task that
- * few of them do, spread over the regions. */
+/* Rank of a member by rendezvous hashing, spread over the regions. */
+#include "internal.h"
 #include <primroselead/hash.h>
 #include <primroselead/member.h>
 #include <string.h>
@@ -10,20 +10,6 @@
 	int n;
 };
 
-static void insert_weight(struct region_top *t, uint64_t weight, int max)
-{
-	int k;
-
-	if (t->n == max && weight <= t->weight[max - 1])
-		return;
-	k = t->n < max ? t->n++ : max - 1;
-	while (k > 0 && t->weight[k - 1] < weight) {
-		t->weight[k] = t->weight[k - 1];
-		k--;
-	}
-	t->weight[k] = weight;
-}
-
 /* Returns the regions' greatest weights, struct region_top by name. */
 static GHashTable *rank_regions(const struct member_table *m, uint64_t topic,
 				int max)
@@ -42,7 +28,8 @@
 			t = g_new0(struct region_top, 1);
 			g_hash_table_insert(regions, (char *)p->vm.region, t);
 		}
-		insert_weight(t, prl_hash_combine(p->id, topic), max);
+		member_insert_weight(t->weight, &t->n, max,
+				     prl_hash_combine(p->id, topic));
 	}
 	return regions;
 }
