Daemon: readers_tick in parts

Wrong: readers_tick did three things: it noticed a standstill, decided whether this VM reads the store, and sent changes and beats.

Change: one function each; the tick calls them in the same order.

--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -195,24 +195,33 @@
 		  "confirmed_ms_ago", age, NULL);
 }
 
-void readers_tick(struct control *c, int64_t now)
+/* What was heard before a standstill says nothing about now. */
+static void notice_standstill(struct control *c, int64_t now)
 {
 	struct readers *rd = &c->readers;
-	int64_t confirmed_ms = source_confirmed_ms(c);
-	int reading;
 
 	if (now - rd->last_tick_ms > STANDSTILL_MS)
 		spread_forget_beats(&rd->beats, now);
 	rd->last_tick_ms = now;
-	reading = readers_reads_store(c, now);
+}
 
-	if (reading != rd->reading) {
-		rd->reading = reading;
-		log_reading(c, now);
-	}
-	if (rd->changed->len)
-		push_changes(c);
-	if (!reading || !c->source.ready || rd->role == SPREAD_LEARNER ||
+static void update_reading(struct control *c, int64_t now)
+{
+	struct readers *rd = &c->readers;
+	int reading = readers_reads_store(c, now);
+
+	if (reading == rd->reading)
+		return;
+	rd->reading = reading;
+	log_reading(c, now);
+}
+
+static void send_due_beat(struct control *c, int64_t now)
+{
+	struct readers *rd = &c->readers;
+	int64_t confirmed_ms = source_confirmed_ms(c);
+
+	if (!rd->reading || !c->source.ready || rd->role == SPREAD_LEARNER ||
 	    now < rd->next_beat_ms || c->members.npeer == 1)
 		return;
 	rd->next_beat_ms = now + BEAT_INTERVAL_MS;
@@ -220,6 +229,15 @@
 		send_beat(c, confirmed_ms, now);
 }
 
+void readers_tick(struct control *c, int64_t now)
+{
+	notice_standstill(c, now);
+	update_reading(c, now);
+	if (c->readers.changed->len)
+		push_changes(c);
+	send_due_beat(c, now);
+}
+
 /* Whether a beat is newer than all of its origin before. */
 static int is_new(struct control *c, const struct wire_beat *b)
 {
