Daemon: the last beat of a VM is kept with the member, not by name

Wrong: readers.last_sequence kept an entry for each name that ever sent a beat, also of VMs that had left the membership.

Not shown as a fault by a test: beats are taken from members only, and with the manifest as source a dead member keeps its entry in the membership table, so the names grew no faster than that table.

Change: struct member_peer holds the sequence number of the member's last beat, so it ends with the member, and there is one table less. A beat with a sequence number below 1 is no longer taken as the first of its origin; next_sequence sends none, since it is at least the wall clock in ms.

--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -56,15 +56,12 @@
 
 	rd->role = SPREAD_READER;
 	rd->reading = 1;
-	rd->last_sequence =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rd->domains = g_ptr_array_new_with_free_func(g_free);
 	rd->changed = g_ptr_array_new_with_free_func(g_free);
 }
 
 void readers_finish(struct control *c)
 {
-	g_hash_table_destroy(c->readers.last_sequence);
 	g_ptr_array_free(c->readers.domains, TRUE);
 	g_ptr_array_free(c->readers.changed, TRUE);
 }
@@ -239,19 +236,11 @@
 }
 
 /* Whether a beat is newer than all of its origin before. */
-static int is_new(struct control *c, const struct wire_beat *b)
+static int is_new(struct member_peer *origin, const struct wire_beat *b)
 {
-	int64_t *last =
-		g_hash_table_lookup(c->readers.last_sequence, b->origin);
-
-	if (last && b->sequence <= *last)
+	if (b->sequence <= origin->last_beat)
 		return 0;
-	if (!last) {
-		last = g_new(int64_t, 1);
-		g_hash_table_insert(c->readers.last_sequence,
-				    g_strdup(b->origin), last);
-	}
-	*last = b->sequence;
+	origin->last_beat = b->sequence;
 	return 1;
 }
 
@@ -273,7 +262,8 @@
 void readers_handle_beat(struct control *c, const struct wire_beat *b,
 			 const char *from)
 {
-	const struct member_peer *origin = member_find(&c->members, b->origin);
+	const struct member_peer *found = member_find(&c->members, b->origin);
+	int origin = found ? (int)(found - c->members.peer) : 0;
 	struct wire_args args = {.proc = WIRE_BEAT, .u.beat = *b};
 	int64_t now = prl_now_ms();
 	struct spread_beat beat = {
@@ -282,11 +272,11 @@
 		.confirmed_ms = now - MAX(b->age_ms, 0),
 	};
 
-	if (!origin || origin == c->members.peer || !is_new(c, b))
+	if (!origin || !is_new(&c->members.peer[origin], b))
 		return;
 	tree_send_to_children(c, topic_of(b->origin, b->sequence), &args,
 			      TREE_ONCE);
-	if (!counts_here(c, (int)(origin - c->members.peer)))
+	if (!counts_here(c, origin))
 		return;
 	store_note_era(&c->store, store_version_era(b->complete));
 	switch (spread_handle_beat(&c->readers.beats, &c->sync.replica, &beat,
--- a/cmd/primroseleadd/readers.h
+++ b/cmd/primroseleadd/readers.h
@@ -23,8 +23,6 @@
 	/** This VM reads the store, as of the last tick. */
 	int reading;
 	struct spread_beats beats;
-	/** Sequence number (int64_t) of the last beat by origin. */
-	GHashTable *last_sequence;
 	/** Failure domains with a usable member. */
 	GPtrArray *domains;
 	/** Keys of objects that were read as changed and are to be pushed. */
--- a/member/include/primroselead/member.h
+++ b/member/include/primroselead/member.h
@@ -65,6 +65,9 @@
 	int64_t suspect_until_ms;
 	/** Number of messages that still have to carry its latest state. */
 	int transmissions_left;
+	/** Sequence number of its last beat, as the caller notes it; 0 if none.
+	 */
+	int64_t last_beat;
 };
 
 enum member_probe_kind {
