Store: an answer that waited while the process stood still confirms that time only

One that had waited while the VM stood still made a reader send beats of age 0, by which VMs with the same old replica took it for fresh.

Evidence: test_answer_from_before_a_standstill_confirms_now (a watch is answered at once, the process stands still for 1.2 s): failed before, passes now.

Change: after 500 ms without a tick an answer is dated by the last tick, at which it had not come; it never goes back.

--- a/store/src/follow.c
+++ b/store/src/follow.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <primroselead/backoff.h>
 #include <primroselead/clock.h>
 #include <primroselead/follow.h>
@@ -19,6 +20,9 @@
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 800
 
+/* Time in ms without a tick after which the process stood still. */
+#define STANDSTILL_MS 500
+
 void store_follower_init(struct store_follower *f, struct store *s,
 			 const char *kind)
 {
@@ -109,9 +113,16 @@
 	}
 }
 
+/* An answer that is read now had not come by the last tick. */
+static int64_t time_of_answer(const struct store_follower *f, int64_t now)
+{
+	return now - f->last_tick_ms > STANDSTILL_MS ? f->last_tick_ms : now;
+}
+
 static void on_done(struct store_call *call)
 {
 	struct store_follower *f = call->ctx;
+	int64_t now = prl_now_ms();
 
 	f->call_active = 0;
 	if (call->err.code) {
@@ -120,13 +131,13 @@
 		return;
 	}
 	call_succeeded(f);
-	f->confirmed_ms = prl_now_ms();
+	f->confirmed_ms = MAX(f->confirmed_ms, time_of_answer(f, now));
 	f->revision = call->revision;
 	if (call->op == STORE_LIST)
 		report_list(f);
 	else
 		report_changes(f);
-	f->next_call_ms = next_call_after(f, f->confirmed_ms);
+	f->next_call_ms = next_call_after(f, now);
 	store_call_finish(call);
 }
 
@@ -150,6 +161,7 @@
 
 void store_follower_tick(struct store_follower *f, int64_t now, uint64_t random)
 {
+	f->last_tick_ms = now;
 	if (f->call_active)
 		return;
 	if (f->next_call_ms == PRL_NEVER)
