--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -114,7 +114,7 @@
 		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	struct sockaddr none = {.sa_family = AF_UNSPEC};
 
-	connect(info->connect_fd, &none, sizeof(none));
+	(void)connect(info->connect_fd, &none, sizeof(none));
 }
 
 /* Content reader callback of libmicrohttpd: returns received body bytes, or
