--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -12,6 +12,7 @@
 {
 	curl_slist_free_all(k->headers);
 	curl_easy_cleanup(k->fetch.easy);
+	receiver_finish(&k->answer);
 	k->headers = NULL;
 	k->fetch.easy = NULL;
 	k->in_flight = 0;
@@ -26,54 +27,41 @@
 }
 
 /*
- * Rejects surplus bytes of an earlier response on the same connection that were
- * parsed as the response to this check. Most upstreams return no request id for
- * checks, so only a different id counts as a mismatch.
+ * Rejects the response of another instance, or one to another request. Most
+ * upstreams return no request id for checks, so only a different id counts as a
+ * mismatch.
  */
 static int is_own_response(const struct check *k)
 {
+	if (k->response.ambiguous_id)
+		return 0;
 	if (k->response.request_id[0] &&
 	    strcmp(k->response.request_id, k->request_id) != 0)
 		return 0;
 	return !strcmp(k->response.instance, k->instance);
 }
 
+static void read_response(struct check *k)
+{
+	k->status = k->answer.head.status;
+	for (struct curl_slist *f = k->answer.field; f; f = f->next)
+		platform_response_meta_parse_header(f->data, &k->response);
+}
+
 static void on_done(struct fetch *f, CURLcode result)
 {
 	struct check *k = f->ctx;
-
+	int answered = !result;
+
+	if (k->path[0]) {
+		result = receiver_result(&k->answer, result);
+		if (!result)
+			read_response(k);
+		answered = !result && is_own_response(k);
+	}
 	end_transfer(k);
 	k->result = result;
-	k->done(k, !result && (!k->path[0] || is_own_response(k)));
-}
-
-static size_t on_header(char *data, size_t size, size_t n, void *ctx)
-{
-	struct check *k = ctx;
-	size_t len = size * n;
-	char *line;
-	const char *space;
-
-	k->received_bytes += len;
-	if (k->received_bytes > RESPONSE_MAX_BYTES)
-		return 0;
-	line = g_strndup(data, len);
-	space = strchr(line, ' ');
-	g_strchomp(line);
-	if (!strncmp(line, "HTTP/", 5))
-		k->status = space ? atoi(space + 1) : 0;
-	platform_response_meta_parse_header(line, &k->response);
-	g_free(line);
-	return len;
-}
-
-static size_t on_body(char *data, size_t size, size_t n, void *ctx)
-{
-	struct check *k = ctx;
-
-	(void)data;
-	k->received_bytes += size * n;
-	return k->received_bytes > RESPONSE_MAX_BYTES ? 0 : size * n;
+	k->done(k, answered);
 }
 
 static void set_headers(struct check *k)
@@ -102,10 +90,7 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, k->headers);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)(k->deadline_ms - k->sent_ms));
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, k);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, k);
+	receiver_attach(&k->answer, easy);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	if (!k->path[0])
@@ -122,7 +107,7 @@
 	k->fetch = (struct fetch){.easy = easy, .done = on_done, .ctx = k};
 	k->in_flight = 1;
 	k->status = 0;
-	k->received_bytes = 0;
+	receiver_init(&k->answer, RESPONSE_MAX_BYTES);
 	k->sent_ms = prl_now_ms();
 	platform_response_meta_init(&k->response);
 	set_headers(k);
--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>
 #include <primroselead/fetch.h>
+#include <primroselead/receiver.h>
 #include <primroselead/steer.h>
 
 /* Health check of an upstream by a single HTTP request. */
@@ -31,8 +32,9 @@
 	char request_id[FLEET_NAME_MAX];
 	/** When the check was sent. */
 	int64_t sent_ms;
-	size_t received_bytes;
-	/** HTTP status and metadata of the response, and libcurl's result. */
+	struct receiver answer;
+	/** HTTP status and metadata of the response, 0 and "not given" unless
+	 * it is whole, and the result of the transfer. */
 	int status;
 	struct fleet_response_meta response;
 	CURLcode result;
--- a/mk/lint.mk
+++ b/mk/lint.mk
@@ -16,5 +16,5 @@
 
 build/tidy/%.ok: % .clang-tidy $(HEADERS)
 	@mkdir -p $(@D)
-	clang-tidy --quiet $< -- $(WARN) $(DEP_CFLAGS) $(PUBLIC) -I$(dir $<) -I$(dir $<)../src -Isystem -Itestkit -Iwire/src -DPRL_VERSION='""'
+	clang-tidy --quiet $< -- $(WARN) $(DEP_CFLAGS) $(PUBLIC) -I$(dir $<) -I$(dir $<)../src -I$(dir $<).. -Isystem -Itestkit -Iwire/src -DPRL_VERSION='""'
 	@touch $@
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -19,6 +19,17 @@
 # First digit of the ports that the system tests use.
 TEST_PORTS ?= 2
 
+# Tests of parts of a program, which are linked with these parts only.
+PROGRAM_TESTS := $(foreach p,$(PROGRAMS),$(patsubst cmd/$(p)/test/%.c,$(OUT)/test/$(p)/%,$(wildcard cmd/$(p)/test/test_*.c)))
+$(OUT)/test/primroseleadd/test_check_bytes: $(OUT)/cmd/primroseleadd/check.o
+
+define program_test
+$(OUT)/test/$(1)/%: cmd/$(1)/test/%.c $(TESTKIT) $(wildcard testkit/*.h) $(LIBRARIES)
+	@mkdir -p $$(@D)
+	$$(CC) $$(CFLAGS) $(PUBLIC) -Icmd/$(1) -Itestkit -o $$@ $$< $$(filter %.o,$$^) $(TESTKIT) $(LIBS) -lcmocka
+endef
+$(foreach p,$(PROGRAMS),$(eval $(call program_test,$(p))))
+
 $(OUT)/system/%.o: system/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DTEST_PORTS=$(TEST_PORTS) -MMD -MP $(PUBLIC) -c -o $@ $<
@@ -34,7 +45,7 @@
 $(OUT)/test/system/test_upgrade: $(OUT)/bin/primroseleadd-production
 
 .PHONY: tests check check-one bench replay fuzz capacity mutants
-tests: $(TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model $(OUT)/test/replay/test_replay
+tests: $(TESTS) $(PROGRAM_TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model $(OUT)/test/replay/test_replay
 
 check:
 	tools/check
