Command: a page that ends early is an error

What was wrong: a page of a VM whose connection closed within the head was printed as an empty one, and one without a length as far as it had come.

Cause: as in the store's client; of a body that lasts until the connection ends, no cut can be seen.

Change: the command collects a page by struct receiver, up to 64 MB, and takes none without a length; VMs always give it.

--- a/cmd/primroselead/command.c
+++ b/cmd/primroselead/command.c
@@ -2,10 +2,16 @@
 #include <apr_strings.h>
 #include <argtable2.h>
 #include <primroselead/clock.h>
+#include <primroselead/receiver.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Maximum size of a page in bytes, its head included. */
+#define PAGE_MAX_BYTES (64 << 20)
+
+#define HTTP_OK 200
+
 int command_report_error(const struct prl_error *err)
 {
 	fprintf(stderr, "primroselead: %s (%s)\n", err->text,
@@ -74,65 +80,63 @@
 	return call->err.code;
 }
 
-/* Response body received so far; text is NUL-terminated. */
-struct page {
-	apr_pool_t *pool;
-	char *text;
-	size_t len;
-};
-
-/* Write callback of libcurl; returning fewer bytes than given ends the
- * transfer. */
-static size_t append_page(char *data, size_t size, size_t n, void *ctx)
+/* Returns CURLE_OK if the page is whole. VMs give the length of their pages;
+ * one without a length may have been cut. */
+static CURLcode receive_page(const char *address, const char *path,
+			     struct receiver *answer)
 {
-	struct page *p = ctx;
-	char *grown = apr_palloc(p->pool, p->len + size * n + 1);
-
-	if (!grown)
-		return 0;
-	if (p->len)
-		memcpy(grown, p->text, p->len);
-	memcpy(grown + p->len, data, size * n);
-	p->text = grown;
-	p->len += size * n;
-	p->text[p->len] = 0;
-	return size * n;
-}
-
-enum prl_code command_fetch_page(struct command *c, const char *address,
-				 const char *path, char **text)
-{
-	struct page page = {.pool = c->pool, .text = ""};
 	CURL *easy = curl_easy_init();
 	char url[512];
 	CURLcode rc;
-	long status = 0;
 
 	if (!easy)
-		return prl_error_set(&c->err, PRL_E_MEMORY,
-				     "cannot create an HTTP client");
+		return CURLE_OUT_OF_MEMORY;
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_page);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &page);
-	rc = curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	receiver_attach(answer, easy);
+	rc = receiver_result(answer, curl_easy_perform(easy));
 	curl_easy_cleanup(easy);
-	*text = page.text;
-	if (rc)
+	if (!rc && answer->head.framing == RESPONSE_UNTIL_CLOSE)
+		return CURLE_PARTIAL_FILE;
+	return rc;
+}
+
+static enum prl_code read_page(struct command *c, const char *address,
+			       const struct receiver *answer, CURLcode result,
+			       char **text)
+{
+	*text = apr_pstrdup(c->pool, answer->body ? answer->body : "");
+	if (!*text)
+		return prl_error_set(&c->err, PRL_E_MEMORY,
+				     "page of VM at \"%s\": out of memory",
+				     address);
+	if (result)
 		return prl_error_set(&c->err, PRL_E_IO,
 				     "request to VM at \"%s\" failed: %s",
-				     address, curl_easy_strerror(rc));
-	if (status != 200)
+				     address, curl_easy_strerror(result));
+	if (answer->head.status != HTTP_OK)
 		return prl_error_set(
 			&c->err, PRL_E_NOT_READY,
-			"VM at \"%s\" answered with HTTP status %ld: %.200s",
-			address, status, page.text);
+			"VM at \"%s\" answered with HTTP status %d: %.200s",
+			address, answer->head.status, *text);
 	return PRL_OK;
 }
 
+enum prl_code command_fetch_page(struct command *c, const char *address,
+				 const char *path, char **text)
+{
+	struct receiver answer;
+	enum prl_code rc;
+
+	receiver_init(&answer, PAGE_MAX_BYTES);
+	rc = read_page(c, address, &answer,
+		       receive_page(address, path, &answer), text);
+	receiver_finish(&answer);
+	return rc;
+}
+
 static enum prl_code read_service_file(struct command *c, const char *path,
 				       struct service_file *out)
 {
--- a/cmd/primroselead/command.h
+++ b/cmd/primroselead/command.h
@@ -54,8 +54,9 @@
 
 /**
  * Fetches a page from a VM's HTTP address. The text is NUL-terminated and
- * allocated from the pool. Returns PRL_OK, PRL_E_IO if the transfer failed or
- * timed out, PRL_E_NOT_READY if the HTTP status isn't 200, or PRL_E_MEMORY.
+ * allocated from the pool. Returns PRL_OK, PRL_E_IO if the transfer failed,
+ * timed out or may not be whole, PRL_E_NOT_READY if the HTTP status isn't 200,
+ * or PRL_E_MEMORY.
  */
 enum prl_code command_fetch_page(struct command *c, const char *address,
 				 const char *path, char **text);
--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -22,6 +22,7 @@
 # Tests of parts of a program, which are linked with these parts only.
 PROGRAM_TESTS := $(foreach p,$(PROGRAMS),$(patsubst cmd/$(p)/test/%.c,$(OUT)/test/$(p)/%,$(wildcard cmd/$(p)/test/test_*.c)))
 $(OUT)/test/primroseleadd/test_check_bytes: $(OUT)/cmd/primroseleadd/check.o
+$(OUT)/test/primroselead/test_page_bytes: $(OUT)/cmd/primroselead/command.o
 
 define program_test
 $(OUT)/test/$(1)/%: cmd/$(1)/test/%.c $(TESTKIT) $(wildcard testkit/*.h) $(LIBRARIES)
