Wire: a datagram is one whole message

What was wrong: a call or reply that was followed by padding, or by another message, was taken for what its first part said.

Cause: the decoder did not compare the end of the message with that of the datagram.

Ruled out: messages of the build in service. wire.x is the same in both, and messages keep their fields by rule.

Change: the decoder rejects a message that ends before its datagram.

--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -161,8 +161,8 @@
 size_t wire_args_size(const struct wire_args *args);
 
 /**
- * Decodes a call from a datagram. Returns 0, or -1 if it is not a valid call of
- * this protocol. Decoded arguments are freed by wire_args_free().
+ * Decodes a call from a datagram. Returns 0, or -1 if it is not one valid call
+ * of this protocol and nothing else. Decoded arguments are freed by wire_args_free().
  */
 int wire_decode_call(char *data, size_t len, struct wire_request *r,
 		     struct wire_args *args);
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -140,7 +140,9 @@
 		r->xid = msg.rm_xid;
 		r->proc = msg.rm_call.cb_proc;
 		args->proc = r->proc;
-		rc = args_xdr_proc(r->proc)(&xdr, (void *)&args->u) ? 0 : -1;
+		if (args_xdr_proc(r->proc)(&xdr, (void *)&args->u) &&
+		    xdr_getpos(&xdr) == len)
+			rc = 0;
 	}
 	xdr_destroy(&xdr);
 	if (rc)
@@ -169,7 +171,7 @@
 	msg.acpted_rply.ar_results.where = (caddr_t)&result->u;
 	xdrmem_create(&xdr, data, (u_int)len, XDR_DECODE);
 	if (xdr_replymsg(&xdr, &msg) && msg.rm_reply.rp_stat == MSG_ACCEPTED &&
-	    msg.acpted_rply.ar_stat == SUCCESS)
+	    msg.acpted_rply.ar_stat == SUCCESS && xdr_getpos(&xdr) == len)
 		rc = 0;
 	xdr_destroy(&xdr);
 	if (rc)
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -131,6 +131,129 @@
 	assert_true(refused > 10000);
 }
 
+/* Calls of all procedures, with each array filled. */
+static size_t encode_sample(uint32_t proc, char *data, size_t size)
+{
+	struct wire_vm vm = {"a", "r", "d", "127.0.0.1:1", "127.0.0.1:2", 3, 0};
+	struct wire_object object = {"servers/a", 12, {3, "xyz"}};
+	struct wire_news news = {
+		.instance = "i-1", .upstream = 3, .body.type = WIRE_NEWS_LIMIT};
+	uint64_t service = 4;
+	struct wire_args a = {.proc = proc};
+
+	switch (proc) {
+	case WIRE_PROBE:
+		a.u.probe.from = vm;
+		a.u.probe.rumor.rumor_val = &vm;
+		a.u.probe.rumor.rumor_len = 1;
+		break;
+	case WIRE_INDIRECT:
+		a.u.indirect.from = vm;
+		a.u.indirect.target = "127.0.0.1:3";
+		break;
+	case WIRE_PUSH:
+		a.u.push.object.object_val = &object;
+		a.u.push.object.object_len = 1;
+		break;
+	case WIRE_BORROW:
+		a.u.borrow.service = "s";
+		a.u.borrow.region = "r";
+		a.u.borrow.borrower = "a";
+		break;
+	case WIRE_RETURN:
+		a.u.give_back.service = "s";
+		a.u.give_back.region = "r";
+		break;
+	case WIRE_COLD:
+		a.u.cold.instance = "i-1";
+		break;
+	case WIRE_NEWS:
+		a.u.news.news.news_val = &news;
+		a.u.news.news.news_len = 1;
+		break;
+	case WIRE_ISOLATION:
+		a.u.isolation.vm = "a";
+		a.u.isolation.service.service_val = &service;
+		a.u.isolation.service.service_len = 1;
+		break;
+	case WIRE_BEAT:
+		a.u.beat.origin = "a";
+		break;
+	case WIRE_CHANGES:
+		a.u.changes.origin = "a";
+		a.u.changes.object.object_val = &object;
+		a.u.changes.object.object_len = 1;
+		break;
+	default:
+		break;
+	}
+	return wire_encode_call(data, size, 9, &a);
+}
+
+static size_t encode_sample_reply(uint32_t proc, char *data, size_t size)
+{
+	struct wire_vm vm = {"a", "r", "d", "127.0.0.1:1", "127.0.0.1:2", 3, 0};
+	struct wire_object object = {"servers/a", 12, {3, "xyz"}};
+	struct wire_result r = {.proc = proc};
+
+	if (proc == WIRE_PROBE || proc == WIRE_INDIRECT) {
+		r.u.ack.from = vm;
+		r.u.ack.rumor.rumor_val = &vm;
+		r.u.ack.rumor.rumor_len = 1;
+	}
+	if (proc == WIRE_PULL) {
+		r.u.delta.object.object_val = &object;
+		r.u.delta.object.object_len = 1;
+	}
+	return wire_encode_reply(data, size, 9, &r);
+}
+
+/* Decodes the first bytes of a message, in a block of their own. */
+static int decode(uint32_t proc, int is_reply, const char *bytes, size_t len)
+{
+	struct wire_result result = {.proc = proc};
+	struct wire_args args;
+	struct wire_request r;
+	char *data = malloc(len + 1);
+	int rc;
+
+	memcpy(data, bytes, len);
+	rc = is_reply ? wire_decode_reply(data, len, &result)
+		      : wire_decode_call(data, len, &r, &args);
+	if (!rc && is_reply)
+		wire_result_free(&result);
+	if (!rc && !is_reply)
+		wire_args_free(&args);
+	free(data);
+	return rc;
+}
+
+/* Only the whole message counts: not a part of it, nor one that something
+ * follows, be it padding or another message. */
+static void test_message_of_another_length_is_taken(void **state)
+{
+	int nfailed = 0;
+
+	(void)state;
+	for (uint32_t proc = WIRE_PROBE; proc <= WIRE_CHANGES; proc++)
+		for (int is_reply = 0; is_reply < 2; is_reply++) {
+			char data[2048] = {0};
+			size_t n =
+				is_reply ? encode_sample_reply(proc, data, 1024)
+					 : encode_sample(proc, data, 1024);
+
+			assert_true(n > 0);
+			assert_int_equal(decode(proc, is_reply, data, n), 0);
+			for (size_t len = 0; len < n; len++)
+				nfailed += !decode(proc, is_reply, data, len);
+			for (size_t len = n + 1; len <= n + 64; len++)
+				nfailed += !decode(proc, is_reply, data, len);
+			memcpy(data + n, data, n);
+			nfailed += !decode(proc, is_reply, data, 2 * n);
+		}
+	assert_int_equal(nfailed, 0);
+}
+
 static void on_call(void *ctx, const struct wire_request *r,
 		    const struct wire_args *args)
 {
@@ -208,6 +331,7 @@
 		cmocka_unit_test(test_beat_and_changes_round_trip),
 		cmocka_unit_test(test_reply_round_trip),
 		cmocka_unit_test(test_hostile_messages),
+		cmocka_unit_test(test_message_of_another_length_is_taken),
 		cmocka_unit_test(test_call_and_timeout),
 	};
 
