Tests of the store's answers: valid in form, and no answer to the call

Six more kinds of answers: a page without objects that says that the list goes on, an object of another name, the same as the result of a write, a write's 200 without an object, and 307 and 410 to a write.

--- a/store/test/answers.c
+++ b/store/test/answers.c
@@ -81,6 +81,23 @@
 	 .cut_body_code = PRL_OK},
 	{"delete, no object", DELETE, .status_line = "HTTP/1.1 404 Not Found",
 	 .body = "{}", .code = PRL_E_CONFLICT, .cut_body_code = PRL_E_CONFLICT},
+	{"empty page that goes on", LIST, .status_line = OK,
+	 .body = "{\"items\":[],\"has_more\":true,\"current_rev\":9}",
+	 .code = PRL_E_PROTOCOL, .cut_body_code = PRL_E_PROTOCOL},
+	{"object of another name", GET, .status_line = OK,
+	 .body = OBJECT("b", "7"), .code = PRL_E_PROTOCOL,
+	 .cut_body_code = PRL_E_PROTOCOL},
+	{"replaced another", REPLACE, .status_line = OK,
+	 .body = OBJECT("b", "7"), .code = PRL_E_UNSETTLED,
+	 .cut_body_code = PRL_E_UNSETTLED},
+	{"replaced nothing", REPLACE, .status_line = OK, .body = "{}",
+	 .code = PRL_E_UNSETTLED, .cut_body_code = PRL_E_UNSETTLED},
+	{"write, elsewhere", REPLACE,
+	 .status_line = "HTTP/1.1 307 Temporary Redirect", .body = "",
+	 .code = PRL_E_UNSETTLED, .cut_body_code = PRL_E_UNSETTLED},
+	{"write, history is gone", REPLACE, .status_line = "HTTP/1.1 410 Gone",
+	 .body = "{}", .code = PRL_E_STORE_DOWN,
+	 .cut_body_code = PRL_E_STORE_DOWN},
 };
 const int answer_nkind = G_N_ELEMENTS(answer_kinds);
 
