Soak: the schedule is drawn before the run, and VMs' faults overlap

Faults were drawn while the run went on, and whether one could begin depended on which others were open at that moment. A process that took longer to end made another schedule of the same seed, so a seed did not repeat a run.

All faults are now drawn before the fleet is started (soak/schedule.c), begin and end in that order also while they are late, and stand in schedule.txt beside the logs.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -1,30 +1,13 @@
+#include "schedule.h"
 #include "soak.h"
 #include <primroselead/clock.h>
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
-
-/* Pause between the beginnings of two faults, at most, in ms. */
-#define PAUSE_MAX_MS 2500
 
 /* Time after which writes are repeated that a returned store lacks, in ms. */
 #define REPEAT_WRITES_MS 500
 
-#define FAULTS_OPEN_MAX 8
-
-/* A fault that has begun and ends later. */
-struct open_fault {
-	/** Index in the list of faults; -1 if the place is free. */
-	int index;
-	void (*end)(struct soak *s, int subject);
-};
-
-static struct open_fault open_faults[FAULTS_OPEN_MAX];
-
-static int draw(struct soak *s, int n)
-{
-	return g_rand_int_range(s->random, 0, n);
-}
+#define PLANNED(s, i) (&g_array_index((s)->plan, struct soak_planned, i))
 
 static void get(int port, const char *path)
 {
@@ -43,37 +26,30 @@
 	get(soak_link_admin_port(group), path);
 }
 
-static void cut_links(struct soak *s, int group)
+static void cut_links(int group, int variant)
 {
-	static const char *const modes[] = {"silent", "refuse", "refuse-new"};
-
-	set_link(group, modes[draw(s, 3)]);
-}
+	static const char *const modes[SOAK_VARIANTS] = {"silent", "refuse",
+							 "refuse-new"};
 
-static void restore_links(struct soak *s, int group)
-{
-	(void)s;
-	set_link(group, "pass");
+	set_link(group, modes[variant]);
 }
 
-static void fault_store(struct soak *s, int group)
+static void fault_store(int group, int variant)
 {
-	static const char *const faults[] = {"/admin/faults?down_ms=3000",
-					     "/admin/faults?slow_ms=400",
-					     "/admin/faults?lose=50"};
+	static const char *const faults[SOAK_VARIANTS] = {
+		"/admin/faults?down_ms=3000", "/admin/faults?slow_ms=400",
+		"/admin/faults?lose=50"};
 
-	get(soak_store_port(group), faults[draw(s, 3)]);
+	get(soak_store_port(group), faults[variant]);
 }
 
-static void restore_store(struct soak *s, int group)
+static void restore_store(int group)
 {
-	(void)s;
 	get(soak_store_port(group), "/admin/faults?slow_ms=0&lose=0");
 }
 
-static void copy_store(struct soak *s, int group)
+static void copy_store(int group)
 {
-	(void)s;
 	get(soak_store_port(group), "/admin/faults?copy=1");
 }
 
@@ -84,7 +60,7 @@
 	get(soak_store_port(group), "/admin/faults?return=1");
 	harness_sleep_ms(REPEAT_WRITES_MS);
 	for (int n = 1; n <= SOAK_UPSTREAMS; n++)
-		soak_put_upstream(s, n, s->upstream_state[n]);
+		soak_write_upstream(s, n);
 	routes_use_store(soak_store_port(group));
 	routes_put_manifest(s->manifest_version, "s");
 }
@@ -108,40 +84,8 @@
 	soak_start_vm(s, vm);
 }
 
-static void pause_vm(struct soak *s, int vm)
-{
-	kill(s->vm_pid[vm], SIGSTOP);
-}
-
-static void continue_vm(struct soak *s, int vm)
-{
-	kill(s->vm_pid[vm], SIGCONT);
-}
-
-static void hang_up_vm(struct soak *s, int vm)
-{
-	kill(s->vm_pid[vm], SIGHUP);
-}
-
-static void nothing(struct soak *s, int subject)
-{
-	(void)s;
-	(void)subject;
-}
-
-static void drain_upstream(struct soak *s, int n)
-{
-	soak_put_upstream(s, n, "draining");
-}
-
-static void return_upstream(struct soak *s, int n)
-{
-	soak_put_upstream(s, n, "ready");
-}
-
-static void change_manifest(struct soak *s, int unused)
+static void change_manifest(struct soak *s)
 {
-	(void)unused;
 	s->manifest_version += 2;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
 		routes_use_store(soak_store_port(group));
@@ -149,175 +93,148 @@
 	}
 }
 
-enum subject { VM, GROUP, UPSTREAM, NOBODY };
-
-static const struct {
-	const char *kind;
-	enum subject subject;
-	/** Shortest and longest duration, in ms. */
-	int least_ms;
-	int most_ms;
-	void (*begin)(struct soak *s, int subject);
-	void (*end)(struct soak *s, int subject);
-} kinds[] = {
-	{"links", GROUP, 2000, 9000, cut_links, restore_links},
-	{"store", GROUP, 1000, 4000, fault_store, restore_store},
-	{"return", GROUP, 500, 4000, copy_store, return_store},
-	{"term", VM, 5500, 6500, stop_vm, restart_vm},
-	{"kill", VM, 300, 3000, kill_vm, restart_vm},
-	{"pause", VM, 500, 5000, pause_vm, continue_vm},
-	{"hup", VM, 10, 20, hang_up_vm, nothing},
-	{"drain", UPSTREAM, 4000, 8000, drain_upstream, return_upstream},
-	{"manifest", NOBODY, 10, 20, change_manifest, nothing},
-};
-
-static int is_open(const struct soak *s, const char *kind, int subject)
-{
-	for (int i = 0; i < FAULTS_OPEN_MAX; i++) {
-		const struct soak_fault *f;
-
-		if (open_faults[i].index < 0)
-			continue;
-		f = &g_array_index(s->faults, struct soak_fault,
-				   open_faults[i].index);
-		if (f->subject == subject && f->kind == kind)
-			return 1;
+static void begin_fault(struct soak *s, const struct soak_planned *p)
+{
+	switch (p->kind) {
+	case SOAK_CUT_LINKS:
+		cut_links(p->subject - 1, p->variant);
+		break;
+	case SOAK_STORE_FAULT:
+		fault_store(p->subject - 1, p->variant);
+		break;
+	case SOAK_STORE_RETURN:
+		copy_store(p->subject - 1);
+		break;
+	case SOAK_TERM:
+		stop_vm(s, p->subject);
+		break;
+	case SOAK_KILL:
+		kill_vm(s, p->subject);
+		break;
+	case SOAK_PAUSE:
+		kill(s->vm_pid[p->subject], SIGSTOP);
+		break;
+	case SOAK_HANG_UP:
+		kill(s->vm_pid[p->subject], SIGHUP);
+		break;
+	case SOAK_DRAIN:
+		soak_put_upstream(s, p->subject, "draining");
+		break;
+	case SOAK_LEAVE:
+		soak_remove_upstream(s, p->subject);
+		break;
+	case SOAK_MANIFEST:
+		change_manifest(s);
+		break;
+	case SOAK_KINDS:
+		break;
 	}
-	return 0;
 }
 
-static int is_vm_fault_open(const struct soak *s, int vm)
-{
-	for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++)
-		if (kinds[k].subject == VM && is_open(s, kinds[k].kind, vm))
-			return 1;
-	return 0;
-}
-
-static int count_vms_with_faults(const struct soak *s)
-{
-	int n = 0;
-
-	for (int vm = 1; vm <= s->options.vms; vm++)
-		n += is_vm_fault_open(s, vm);
-	return n;
+static void end_fault(struct soak *s, const struct soak_planned *p)
+{
+	switch (p->kind) {
+	case SOAK_CUT_LINKS:
+		set_link(p->subject - 1, "pass");
+		break;
+	case SOAK_STORE_FAULT:
+		restore_store(p->subject - 1);
+		break;
+	case SOAK_STORE_RETURN:
+		return_store(s, p->subject - 1);
+		break;
+	case SOAK_TERM:
+	case SOAK_KILL:
+		restart_vm(s, p->subject);
+		break;
+	case SOAK_PAUSE:
+		kill(s->vm_pid[p->subject], SIGCONT);
+		break;
+	case SOAK_LEAVE:
+		s->upstream_starts[p->subject]++;
+		soak_put_upstream(s, p->subject, "ready");
+		break;
+	case SOAK_DRAIN:
+		soak_put_upstream(s, p->subject, "ready");
+		break;
+	case SOAK_HANG_UP:
+	case SOAK_MANIFEST:
+	case SOAK_KINDS:
+		break;
+	}
 }
 
-/* Draws what a fault concerns. Returns 0 if it can't begin now: one fault a VM,
- * most VMs without one, one group with its links. */
-static int draw_subject(struct soak *s, size_t kind)
+/* The open fault that ends first, by its place in the schedule; -1 if none is
+ * open. */
+static int next_end(const struct soak *s, guint nbegun, const int *ended)
 {
-	int n;
+	int first = -1;
 
-	switch (kinds[kind].subject) {
-	case VM:
-		n = 1 + draw(s, s->options.vms);
-		if (is_vm_fault_open(s, n) ||
-		    2 * (count_vms_with_faults(s) + 1) > s->options.vms)
-			return 0;
-		return n;
-	case GROUP:
-		n = draw(s, SOAK_GROUPS);
-		if (is_open(s, kinds[kind].kind, n + 1) ||
-		    is_open(s, kinds[kind].kind, 2 - n))
-			return 0;
-		return n + 1;
-	case UPSTREAM:
-		n = 1 + draw(s, SOAK_UPSTREAMS_S);
-		for (int i = 1; i <= SOAK_UPSTREAMS_S; i++)
-			if (is_open(s, kinds[kind].kind, i))
-				return 0;
-		return n;
-	case NOBODY:
-		return 1;
+	for (guint i = 0; i < nbegun; i++) {
+		if (ended[i])
+			continue;
+		if (first < 0 ||
+		    PLANNED(s, i)->end_ms < PLANNED(s, (guint)first)->end_ms)
+			first = (int)i;
 	}
-	return 0;
+	return first;
 }
 
-static int argument_of(size_t kind, int subject)
+static void wait_until(int64_t time_ms)
 {
-	return kinds[kind].subject == GROUP ? subject - 1 : subject;
-}
+	int64_t left = time_ms - prl_now_ms();
 
-static struct open_fault *free_place(void)
-{
-	for (int i = 0; i < FAULTS_OPEN_MAX; i++)
-		if (open_faults[i].index < 0)
-			return &open_faults[i];
-	return NULL;
+	if (left > 0)
+		harness_sleep_ms((int)left);
 }
 
-static void begin_fault(struct soak *s)
+static void begin_planned(struct soak *s, const struct soak_planned *p)
 {
-	size_t kind = (size_t)draw(s, G_N_ELEMENTS(kinds));
-	int lasts_ms = g_rand_int_range(s->random, kinds[kind].least_ms,
-					kinds[kind].most_ms);
-	int subject = draw_subject(s, kind);
-	struct open_fault *place = free_place();
-	struct soak_fault f = {.kind = kinds[kind].kind, .subject = subject};
+	struct soak_fault f = {.kind = soak_kinds[p->kind].name,
+			       .subject = p->subject};
 
-	if (!subject || !place)
-		return;
+	printf("%s %d for %lld ms\n", f.kind, f.subject,
+	       (long long)(p->end_ms - p->begin_ms));
 	f.begin_ms = prl_now_ms();
-	f.end_ms = f.begin_ms + lasts_ms;
-	printf("%s %d for %d ms\n", f.kind, subject, lasts_ms);
-	kinds[kind].begin(s, argument_of(kind, subject));
-	place->index = (int)s->faults->len;
-	place->end = kinds[kind].end;
+	f.end_ms = INT64_MAX;
+	begin_fault(s, p);
 	g_array_append_val(s->faults, f);
 }
 
-static size_t kind_of(const struct soak_fault *f)
+static void end_planned(struct soak *s, guint i)
 {
-	size_t kind = 0;
-
-	while (kinds[kind].kind != f->kind)
-		kind++;
-	return kind;
-}
-
-static void end_faults(struct soak *s, int64_t now)
-{
-	for (int i = 0; i < FAULTS_OPEN_MAX; i++) {
-		struct soak_fault *f;
-
-		if (open_faults[i].index < 0)
-			continue;
-		f = &g_array_index(s->faults, struct soak_fault,
-				   open_faults[i].index);
-		if (now < f->end_ms)
-			continue;
-		open_faults[i].end(s, argument_of(kind_of(f), f->subject));
-		f->end_ms = prl_now_ms();
-		open_faults[i].index = -1;
-	}
-}
-
-static int any_open(void)
-{
-	for (int i = 0; i < FAULTS_OPEN_MAX; i++)
-		if (open_faults[i].index >= 0)
-			return 1;
-	return 0;
+	end_fault(s, PLANNED(s, i));
+	g_array_index(s->faults, struct soak_fault, i).end_ms = prl_now_ms();
 }
 
+/* Faults begin and end in the order of the schedule, also while they are late.
+ */
 void soak_inject_faults(struct soak *s)
 {
-	int64_t now = prl_now_ms();
-	int64_t end_ms = now + s->options.duration_s * (int64_t)1000;
-	int64_t next_ms = now + 1000;
-
-	for (int i = 0; i < FAULTS_OPEN_MAX; i++)
-		open_faults[i].index = -1;
-	while (now < end_ms || any_open()) {
-		if (now < end_ms && now >= next_ms) {
-			begin_fault(s);
-			next_ms = now + draw(s, PAUSE_MAX_MS);
+	int64_t start_ms = prl_now_ms();
+	int *ended = g_new0(int, s->plan->len + 1);
+	guint nbegun = 0;
+
+	for (;;) {
+		int end = next_end(s, nbegun, ended);
+		int is_begin = nbegun < s->plan->len;
+
+		if (!is_begin && end < 0)
+			break;
+		if (is_begin && end >= 0)
+			is_begin = PLANNED(s, nbegun)->begin_ms <
+				   PLANNED(s, (guint)end)->end_ms;
+		if (is_begin) {
+			wait_until(start_ms + PLANNED(s, nbegun)->begin_ms);
+			begin_planned(s, PLANNED(s, nbegun));
+			nbegun++;
+		} else {
+			wait_until(start_ms + PLANNED(s, (guint)end)->end_ms);
+			end_planned(s, (guint)end);
+			ended[end] = 1;
 		}
-		end_faults(s, now);
-		harness_sleep_ms(10);
-		now = prl_now_ms();
 	}
+	g_free(ended);
 	s->is_quiet = 1;
 	harness_sleep_ms(SOAK_QUIET_MS);
 }
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -4,6 +4,9 @@
 
 #define LINK_PORT(group, n) (PORT_BASE + 300 + 20 * (group) + (n))
 
+/* Time of the first start of all upstreams, in ms of Unix time. */
+#define FIRST_START_MS 1700000000000LL
+
 int soak_store_port(int group)
 {
 	return group ? PORT_BASE + 10 : STORE_PORT;
@@ -40,20 +43,43 @@
 		abort();
 }
 
-void soak_put_upstream(struct soak *s, int n, const char *state)
+void soak_write_upstream(struct soak *s, int n)
 {
-	char instance[16];
+	char key[40];
+	char text[400] = "";
 
-	snprintf(instance, sizeof(instance), "i-%d", n);
-	s->upstream_state[n] = state;
+	snprintf(key, sizeof(key), "servers/i-%d", n);
+	s->entry_sequence++;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
+		if (s->upstream_state[n])
+			snprintf(text, sizeof(text),
+				 "{\"service\":\"%s\",\"address\":"
+				 "\"127.0.0.1:%d\",\"zone\":\"norte-a\","
+				 "\"version\":\"v1\",\"slots\":6,"
+				 "\"state\":\"%s\",\"cold_remaining_ms\":0,"
+				 "\"sequence\":%d,\"born\":%lld}",
+				 n <= SOAK_UPSTREAMS_S ? "s" : "t",
+				 LINK_PORT(group, n), s->upstream_state[n],
+				 s->entry_sequence,
+				 FIRST_START_MS +
+					 1000LL * s->upstream_starts[n]);
 		routes_use_store(soak_store_port(group));
-		routes_put_upstream(instance, n <= SOAK_UPSTREAMS_S ? "s" : "t",
-				    LINK_PORT(group, n), state,
-				    ++s->entry_sequence);
+		routes_put_object(key, text);
 	}
 }
 
+void soak_put_upstream(struct soak *s, int n, const char *state)
+{
+	s->upstream_state[n] = state;
+	soak_write_upstream(s, n);
+}
+
+void soak_remove_upstream(struct soak *s, int n)
+{
+	s->upstream_state[n] = NULL;
+	soak_write_upstream(s, n);
+}
+
 void soak_start_vm(struct soak *s, int vm)
 {
 	s->vm_pid[vm] = routes_spawn_vm(vm, soak_store_port(soak_group(vm)));
--- a/soak/main.c
+++ b/soak/main.c
@@ -1,3 +1,4 @@
+#include "schedule.h"
 #include "soak.h"
 #include <argtable2.h>
 #include <curl/curl.h>
@@ -65,6 +66,17 @@
 	printf("\n");
 }
 
+/* The schedule stays with the logs. */
+static void write_plan(struct soak *s)
+{
+	char *text;
+
+	soak_plan(s);
+	text = soak_format_plan(s);
+	harness_write_file("schedule.txt", text);
+	g_free(text);
+}
+
 int main(int argc, char **argv)
 {
 	static struct soak s;
@@ -77,8 +89,10 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	harness_init(argv[0]);
 	s.random = g_rand_new_with_seed((guint32)s.options.seed);
+	s.plan = g_array_new(FALSE, FALSE, sizeof(struct soak_planned));
 	s.faults = g_array_new(FALSE, FALSE, sizeof(struct soak_fault));
 	s.requests = g_array_new(FALSE, FALSE, sizeof(struct soak_request));
+	write_plan(&s);
 	soak_start_fleet(&s);
 	soak_start_callers(&s);
 	soak_inject_faults(&s);
--- a/soak/report.c
+++ b/soak/report.c
@@ -12,6 +12,9 @@
 	[SOAK_NOT_RUN] = "a request ran that was said not to have run",
 	[SOAK_PLANNED_STOP] = "a planned stop cut a request",
 	[SOAK_LEFT] = "an upstream that left got a request",
+	[SOAK_LEFT_RESTART] =
+		"an upstream that left got a request after a restart",
+	[SOAK_LEASE] = "a VM used what it knew from before a pause",
 	[SOAK_LINKS] = "callers of VMs without links are not served",
 	[SOAK_RECOVERY] = "requests are not served after the last fault",
 };
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -69,6 +69,8 @@
 	SOAK_NOT_RUN,
 	SOAK_PLANNED_STOP,
 	SOAK_LEFT,
+	SOAK_LEFT_RESTART,
+	SOAK_LEASE,
 	SOAK_LINKS,
 	SOAK_RECOVERY,
 	SOAK_PROMISES,
@@ -105,14 +107,18 @@
 	/** No more faults. */
 	_Atomic int is_quiet;
 	_Atomic int stopped;
-	/** struct soak_fault, and struct soak_request. */
+	/** struct soak_planned, struct soak_fault, and struct soak_request. */
+	GArray *plan;
 	GArray *faults;
 	GArray *requests;
 	GMutex requests_lock;
 	int entry_sequence;
 	int manifest_version;
-	/** State in the last entry of each upstream, by number from 1. */
+	/** State in the last entry of each upstream, by number from 1; NULL if
+	 * it has none. */
 	const char *upstream_state[SOAK_UPSTREAMS + 1];
+	/** How often each one has started again. */
+	int upstream_starts[SOAK_UPSTREAMS + 1];
 };
 
 /** Port of the store, and of the link's admin pages, of a group. */
@@ -129,6 +135,12 @@
  * is static. */
 void soak_put_upstream(struct soak *s, int n, const char *state);
 
+/** Removes an upstream's entry. */
+void soak_remove_upstream(struct soak *s, int n);
+
+/** Writes the last entry of an upstream again, or that it has none. */
+void soak_write_upstream(struct soak *s, int n);
+
 /** Starts a VM without waiting. */
 void soak_start_vm(struct soak *s, int vm);
 
@@ -136,7 +148,7 @@
 void soak_start_callers(struct soak *s);
 void soak_join_callers(struct soak *s);
 
-/** Injects faults until the time is over, then restores everything. */
+/** Injects the faults of the schedule, and waits a while without any. */
 void soak_inject_faults(struct soak *s);
 
 /** Compares what callers and upstreams saw, and reports what is broken. */
