Soak: upstreams that left, after restarts and after pauses

Two promises had no check of their own: an upstream that left is not used again after a restart or the return of a store, and a VM does not go on by what it knew before a pause.

An ill store or the return of one now only moves the bound, and each case counts for one of three promises by what befell VMs meanwhile. Requests count from the moment that their caller sent them. The check on cut requests no longer lets a pause, a kill or cut links of other VMs excuse the VM that stops.

The log of VM 2, whose group had its links, shows the addresses of the other group's links from 38.4 s on: VMs of both groups learn addresses from each other. Nothing is compared where the others are not served either; that links are cut by address, not by VM, remains.

--- a/soak/check.c
+++ b/soak/check.c
@@ -109,10 +109,8 @@
 	int64_t from = q->begin_ms - AFTERMATH_MS;
 
 	return !q->status && q->plain && times(runs, q) &&
-	       overlaps(s, "term", q->vm, q->begin_ms, q->end_ms) &&
-	       !overlaps(s, "links", 0, from, q->end_ms) &&
-	       !overlaps(s, "kill", 0, from, q->end_ms) &&
-	       !overlaps(s, "pause", 0, from, q->end_ms);
+	       !overlaps(s, "kill", q->vm, from, q->end_ms) &&
+	       !overlaps(s, "pause", q->vm, from, q->end_ms);
 }
 
 /* What a complete answer promises. */
@@ -146,30 +144,75 @@
 	}
 }
 
-/* Runs at an upstream that left, after the bound, while both stores and all VMs
- * were well. */
-static void check_drain(const struct soak *s, GHashTable *runs,
-			const struct soak_fault *f)
+/* The promise that a run at an upstream that left breaks, by what befell the
+ * VMs meanwhile. */
+static enum soak_promise left_promise(const struct soak *s,
+				      const struct soak_fault *f)
 {
-	int64_t from = f->begin_ms + SOAK_BOUND_MS;
-	GHashTableIter it;
-	void *id;
-	void *value;
+	int64_t from = f->begin_ms - AFTERMATH_MS;
+
+	if (overlaps(s, "pause", 0, from, f->end_ms))
+		return SOAK_LEASE;
+	if (overlaps(s, "term", 0, from, f->end_ms) ||
+	    overlaps(s, "kill", 0, from, f->end_ms) ||
+	    overlaps(s, "return", 0, from, f->end_ms))
+		return SOAK_LEFT_RESTART;
+	return SOAK_LEFT;
+}
+
+/* The last end of faults of a kind that overlap a time. */
+static int64_t last_end(const struct soak *s, const char *kind,
+			int64_t begin_ms, int64_t end_ms)
+{
+	int64_t last = 0;
+
+	for (guint i = 0; i < s->faults->len; i++) {
+		const struct soak_fault *f =
+			&g_array_index(s->faults, struct soak_fault, i);
+
+		if (!strcmp(f->kind, kind) && f->begin_ms < end_ms &&
+		    begin_ms < f->end_ms && last < f->end_ms)
+			last = f->end_ms;
+	}
+	return last;
+}
 
-	if (overlaps(s, "store", 0, f->begin_ms - AFTERMATH_MS, f->end_ms) ||
-	    overlaps(s, "pause", 0, f->begin_ms - AFTERMATH_MS, f->end_ms))
+/* When all VMs must have acted on the change: a store may have been ill as the
+ * upstream left, or have had its older entry again as a VM began to read it. */
+static int64_t left_from_ms(const struct soak *s, const struct soak_fault *f,
+			    enum soak_promise promise)
+{
+	int64_t from = f->begin_ms;
+
+	from = MAX(from, last_end(s, "store", f->begin_ms - AFTERMATH_MS,
+				  f->begin_ms + SOAK_BOUND_MS));
+	if (promise != SOAK_LEFT)
+		from = MAX(from,
+			   last_end(s, "return", f->begin_ms - AFTERMATH_MS,
+				    f->end_ms));
+	return from + SOAK_BOUND_MS;
+}
+
+/* Requests that callers sent after the bound and an upstream ran that had left.
+ * Earlier ones may have waited in a silent link. */
+static void check_left(const struct soak *s, GHashTable *runs,
+		       const struct soak_fault *f)
+{
+	enum soak_promise promise = left_promise(s, f);
+	int64_t from = left_from_ms(s, f, promise);
+	int64_t to = f->end_ms - MARGIN_MS;
+
+	if (from >= to)
 		return;
-	soak_count_check(SOAK_LEFT);
-	g_hash_table_iter_init(&it, runs);
-	while (g_hash_table_iter_next(&it, &id, &value)) {
-		const struct run *run = value;
+	soak_count_check(promise);
+	for (guint i = 0; i < s->requests->len; i++) {
+		const struct soak_request *q =
+			&g_array_index(s->requests, struct soak_request, i);
+		const struct run *run = g_hash_table_lookup(runs, q->id);
 
-		if (run->upstream != f->subject || run->last_ms < from ||
-		    run->last_ms > f->end_ms - MARGIN_MS)
-			continue;
-		soak_report(s, SOAK_LEFT, "upstream %d got %s after %lld ms",
-			    f->subject, (char *)id,
-			    (long long)(run->last_ms - f->begin_ms));
+		if (run && run->upstream == f->subject && q->begin_ms >= from &&
+		    run->last_ms <= to)
+			report_request(s, promise, q);
 	}
 }
 
@@ -211,6 +254,10 @@
 
 	if (cut.sent < SHARE_MIN || rest.sent < SHARE_MIN)
 		return;
+	/* The VMs of both groups learned the addresses of the links that are
+	 * cut. */
+	if (2LL * rest.served < rest.sent)
+		return;
 	soak_count_check(SOAK_LINKS);
 	printf("links cut: %d of %d served, by the others %d of %d\n",
 	       cut.served, cut.sent, rest.served, rest.sent);
@@ -254,8 +301,8 @@
 		const struct soak_fault *f =
 			&g_array_index(s->faults, struct soak_fault, i);
 
-		if (!strcmp(f->kind, "drain"))
-			check_drain(s, runs, f);
+		if (!strcmp(f->kind, "drain") || !strcmp(f->kind, "leave"))
+			check_left(s, runs, f);
 		if (!strcmp(f->kind, "links"))
 			check_links(s, f);
 	}
--- a/soak/request.c
+++ b/soak/request.c
@@ -80,13 +80,14 @@
 	return len;
 }
 
-static int on_upload_again(void *ctx, curl_off_t offset, int origin)
+/* A body that was begun is not sent again over another connection: the request
+ * may run already. */
+static int refuse_again(void *ctx, curl_off_t offset, int origin)
 {
-	struct draft *d = ctx;
-
+	(void)ctx;
+	(void)offset;
 	(void)origin;
-	d->body_sent = (size_t)offset;
-	return CURL_SEEKFUNC_OK;
+	return CURL_SEEKFUNC_FAIL;
 }
 
 static void draw_body(GRand *random, struct draft *d)
@@ -94,7 +95,7 @@
 	int is_upload = !strncmp(d->path, "/up/", 4);
 
 	d->body_len = (size_t)g_rand_int_range(
-		random, 0, is_upload ? UPLOAD_MAX_BYTES : BODY_MAX_BYTES);
+		random, 1, is_upload ? UPLOAD_MAX_BYTES : BODY_MAX_BYTES);
 	d->is_chunked = g_rand_boolean(random);
 	if (is_upload && g_rand_boolean(random))
 		d->body_bytes_per_s =
@@ -229,8 +230,7 @@
 				 (curl_off_t)d->body_len);
 	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload);
 	curl_easy_setopt(easy, CURLOPT_READDATA, d);
-	curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, on_upload_again);
-	curl_easy_setopt(easy, CURLOPT_SEEKDATA, d);
+	curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, refuse_again);
 	curl_easy_setopt(easy, CURLOPT_MAX_SEND_SPEED_LARGE,
 			 (curl_off_t)d->body_bytes_per_s);
 }
