Daemon: claims with their own header and struct

Wrong: the table of shards, its owners, the waiting claims and the bucket of writes were fields of struct control, which every part reaches into; only claims.c uses them.

Evidence: no change of behaviour. test_path (15 tests, those of claims among them; asan) passes after.

Change: claims.h holds struct claims and the functions; a waiter is of claims.c alone. claims_init and claims_finish make and free the table of waiters, which control.c did; nothing that waits is answered after claims_finish, since the calls are cancelled and the mailbox is finished by then.

--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -1,3 +1,4 @@
+#include "claims.h"
 #include "control.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
@@ -19,9 +20,26 @@
 /* Units of the token bucket in one write. */
 #define MILLI 1000
 
+/* Origin of a claim. */
+enum waiter_kind {
+	/* A traffic thread of this VM. */
+	WAITER_LOCAL,
+	/* Another VM, by a call. */
+	WAITER_REMOTE,
+};
+
+/* A claim whose shard has not answered yet. */
+struct claim_waiter {
+	enum waiter_kind kind;
+	union {
+		struct proxy_claim *local;
+		struct wire_request remote;
+	} u;
+};
+
 static struct shard *get_shard(struct control *c, int index)
 {
-	struct shard *s = c->shards[index];
+	struct shard *s = c->claims.shards[index];
 	struct claim_options o = {
 		.retention_ms = c->settings->control.retention,
 		.segment_records = CLAIM_SEGMENT_RECORDS_MAX,
@@ -38,7 +56,7 @@
 		g_free(s);
 		return NULL;
 	}
-	c->shards[index] = s;
+	c->claims.shards[index] = s;
 	return s;
 }
 
@@ -61,17 +79,17 @@
 
 void claims_assign_owners(struct control *c)
 {
-	c->owned_shards = 0;
+	c->claims.owned_shards = 0;
 	for (int i = 0; i < c->settings->control.shards; i++) {
-		c->shard_owner[i] = find_owner(c, i);
-		c->owned_shards += c->shard_owner[i] == 0;
+		c->claims.shard_owner[i] = find_owner(c, i);
+		c->claims.owned_shards += c->claims.shard_owner[i] == 0;
 	}
 	/*
 	 * A VM without shards may have to write to another owner's shard, so it
 	 * needs a share of the write rate, too.
 	 */
-	if (!c->owned_shards)
-		c->owned_shards = 1;
+	if (!c->claims.owned_shards)
+		c->claims.owned_shards = 1;
 }
 
 static void answer_local(struct proxy_claim *claim,
@@ -98,7 +116,7 @@
 static void deliver(struct control *c, const struct claim_answer *a)
 {
 	int64_t id = (int64_t)a->waiter_id;
-	struct claim_waiter *w = g_hash_table_lookup(c->claim_waiters, &id);
+	struct claim_waiter *w = g_hash_table_lookup(c->claims.waiters, &id);
 
 	if (!w)
 		return;
@@ -110,7 +128,7 @@
 		answer_remote(c, &w->u.remote, a);
 		break;
 	}
-	g_hash_table_remove(c->claim_waiters, &id);
+	g_hash_table_remove(c->claims.waiters, &id);
 }
 
 static void deliver_answers(struct shard *s)
@@ -125,8 +143,8 @@
 {
 	int64_t *id = g_new(int64_t, 1);
 
-	*id = (int64_t)++c->last_waiter_id;
-	g_hash_table_insert(c->claim_waiters, id, g_memdup2(w, sizeof(*w)));
+	*id = (int64_t)++c->claims.last_waiter_id;
+	g_hash_table_insert(c->claims.waiters, id, g_memdup2(w, sizeof(*w)));
 	return (uint64_t)*id;
 }
 
@@ -226,8 +244,8 @@
 
 static void arm_timer(struct control *c, int64_t when)
 {
-	if (when < c->claim_timer.deadline_ms)
-		c->claim_timer.deadline_ms = when;
+	if (when < c->claims.timer.deadline_ms)
+		c->claims.timer.deadline_ms = when;
 }
 
 /*
@@ -240,15 +258,16 @@
 	int64_t now = prl_now_ms();
 	/* In thousandths of a write per second. */
 	int64_t rate_milli = c->settings->store.writes * MILLI *
-			     c->owned_shards / c->settings->control.shards;
+			     c->claims.owned_shards /
+			     c->settings->control.shards;
 	int64_t missing;
 
-	c->write_credit_milli +=
-		(now - c->write_refilled_ms) * rate_milli / MILLI;
-	c->write_refilled_ms = now;
-	if (c->write_credit_milli > (int64_t)WRITE_BURST * MILLI)
-		c->write_credit_milli = (int64_t)WRITE_BURST * MILLI;
-	missing = MILLI - c->write_credit_milli;
+	c->claims.write_credit_milli +=
+		(now - c->claims.write_refilled_ms) * rate_milli / MILLI;
+	c->claims.write_refilled_ms = now;
+	if (c->claims.write_credit_milli > (int64_t)WRITE_BURST * MILLI)
+		c->claims.write_credit_milli = (int64_t)WRITE_BURST * MILLI;
+	missing = MILLI - c->claims.write_credit_milli;
 	if (missing <= 0)
 		return 1;
 	arm_timer(c, now + 1 + missing * MILLI / (rate_milli ? rate_milli : 1));
@@ -271,7 +290,7 @@
 		start_call(s, STORE_LIST, NULL);
 		break;
 	case CLAIM_WRITE:
-		s->control->write_credit_milli -= MILLI;
+		s->control->claims.write_credit_milli -= MILLI;
 		start_call(s, STORE_PUT, &w);
 		break;
 	case CLAIM_IDLE:
@@ -293,12 +312,12 @@
 
 	(void)now;
 	for (int k = 0; k < n; k++) {
-		int i = (c->next_shard + k) % n;
+		int i = (c->claims.next_shard + k) % n;
 
-		if (c->shards[i])
-			start_next_call(c->shards[i]);
+		if (c->claims.shards[i])
+			start_next_call(c->claims.shards[i]);
 	}
-	c->next_shard = (c->next_shard + 1) % n;
+	c->claims.next_shard = (c->claims.next_shard + 1) % n;
 }
 
 static void refuse(struct control *c, const struct claim_record *r,
@@ -416,7 +435,7 @@
 	struct proxy_claim *claim = item;
 	int index = claim_shard_index(claim->record.key,
 				      (int)c->settings->control.shards);
-	int peer = c->shard_owner[index];
+	int peer = c->claims.shard_owner[index];
 
 	/* Member indexes may have changed since the owners were computed. */
 	if (peer && peer < c->members.npeer)
@@ -444,24 +463,26 @@
 
 enum prl_code claims_init(struct control *c, struct prl_error *err)
 {
-	c->shards = calloc((size_t)c->settings->control.shards,
-			   sizeof(struct shard *));
-	c->write_credit_milli = WRITE_BURST * MILLI;
-	c->shard_owner = calloc((size_t)c->settings->control.shards,
-				sizeof(*c->shard_owner));
-	if (!c->shards || !c->shard_owner)
+	c->claims.shards = calloc((size_t)c->settings->control.shards,
+				  sizeof(struct shard *));
+	c->claims.write_credit_milli = WRITE_BURST * MILLI;
+	c->claims.shard_owner = calloc((size_t)c->settings->control.shards,
+				       sizeof(*c->claims.shard_owner));
+	if (!c->claims.shards || !c->claims.shard_owner)
 		return prl_error_set(err, PRL_E_MEMORY,
 				     "table of claim shards: out of memory");
-	c->claim_timer.on_expiry = on_claim_timer;
-	c->claim_timer.ctx = c;
-	loop_timer_add(&c->loop, &c->claim_timer);
+	c->claims.waiters = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, g_free);
+	c->claims.timer.on_expiry = on_claim_timer;
+	c->claims.timer.ctx = c;
+	loop_timer_add(&c->loop, &c->claims.timer);
 	return PRL_OK;
 }
 
 void claims_finish(struct control *c)
 {
 	for (int i = 0; i < c->settings->control.shards; i++) {
-		struct shard *s = c->shards[i];
+		struct shard *s = c->claims.shards[i];
 
 		if (!s)
 			continue;
@@ -470,6 +491,7 @@
 		claim_finish(&s->claims);
 		g_free(s);
 	}
-	free(c->shards);
-	free(c->shard_owner);
+	free(c->claims.shards);
+	free(c->claims.shard_owner);
+	g_hash_table_destroy(c->claims.waiters);
 }
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -169,7 +169,7 @@
 {
 	if (loop_init(&c->loop, err) ||
 	    fetch_pool_init(&c->fetch_pool, &c->loop, err) ||
-	    mailbox_init(&c->claim_mailbox, &c->loop, claims_handle_local, c,
+	    mailbox_init(&c->claims.mailbox, &c->loop, claims_handle_local, c,
 			 err) ||
 	    mailbox_init(&c->shortage_mailbox, &c->loop, loans_handle_shortage,
 			 c, err) ||
@@ -219,13 +219,11 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->grants = g_hash_table_new(g_str_hash, g_str_equal);
 	c->shift_trackers = g_hash_table_new(g_str_hash, g_str_equal);
-	c->claim_waiters = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						 g_free, g_free);
 	config_builder_init(&c->builder);
 	region = config_region_index(&c->builder, s->vm.region);
 	if (control_read_bounds(s, &c->bounds, err) || init_io(c, err) ||
 	    claims_init(c, err) || peers_init(c, err) ||
-	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claim_mailbox,
+	    proxy_init(&c->proxy, s, &c->bounds, region, &c->claims.mailbox,
 		       &c->shortage_mailbox, &c->news_mailbox, pool, err))
 		return err->code;
 	sync_init(c);
@@ -264,7 +262,7 @@
 	objects_finish(c);
 	grants_finish(c);
 	shifts_finish(c);
-	mailbox_finish(&c->claim_mailbox, &c->loop);
+	mailbox_finish(&c->claims.mailbox, &c->loop);
 	mailbox_finish(&c->shortage_mailbox, &c->loop);
 	claims_finish(c);
 	wire_node_finish(&c->wire);
@@ -274,7 +272,6 @@
 	config_builder_finish(&c->builder);
 	g_hash_table_destroy(c->destroyed_vms);
 	g_hash_table_destroy(c->http_by_vm);
-	g_hash_table_destroy(c->claim_waiters);
 	loop_remove(&c->loop, &c->signal_fd);
 	close(c->signal_fd.fd);
 	loop_finish(&c->loop);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEADD_CONTROL_H
 
 #include "backoff.h"
+#include "claims.h"
 #include "health.h"
 #include "news.h"
 #include "objects.h"
@@ -9,7 +10,6 @@
 #include "readers.h"
 #include "registry.h"
 #include "source.h"
-#include <primroselead/claim.h>
 #include <primroselead/config.h>
 #include <primroselead/grant.h>
 #include <primroselead/member.h>
@@ -97,35 +97,6 @@
 	struct control *control;
 };
 
-/**
- * A claim shard that this VM writes, and its store call; created when the first
- * claim is submitted to it here.
- */
-struct shard {
-	struct claim_shard claims;
-	int index;
-	struct store_call call;
-	int calling;
-	struct control *control;
-};
-
-/** Origin of a claim. */
-enum waiter_kind {
-	/** A traffic thread of this VM. */
-	WAITER_LOCAL,
-	/** Another VM, by a call. */
-	WAITER_REMOTE,
-};
-
-/** A claim whose shard has not answered yet. */
-struct claim_waiter {
-	enum waiter_kind kind;
-	union {
-		struct proxy_claim *local;
-		struct wire_request remote;
-	} u;
-};
-
 /** All state of the control thread. */
 struct control {
 	const struct prl_settings *settings;
@@ -153,10 +124,9 @@
 	struct news news;
 	struct reach reach;
 	struct readers readers;
+	struct claims claims;
 	struct config_builder builder;
 	struct proxy proxy;
-	/** Takes struct proxy_claim from traffic threads. */
-	struct mailbox claim_mailbox;
 	/**
 	 * Takes regions in which traffic threads found no free capacity, as
 	 * their semaphore_index plus 1.
@@ -191,8 +161,6 @@
 	int all_vms;
 	/** This VM watches the store for its failure domain. */
 	int is_watcher;
-	/** Member index of the owner by shard; 0 is this VM. */
-	int *shard_owner;
 	/**
 	 * Earliest time of the next update of the status page if the page has
 	 * been requested, and if it has not.
@@ -220,26 +188,6 @@
 	GHashTable *grants;
 	/** struct shift_tracker by service. */
 	GHashTable *shift_trackers;
-	/** Table of all shards; null for those not used yet. */
-	struct shard **shards;
-	/** struct claim_waiter by id, and the last id assigned. */
-	GHashTable *claim_waiters;
-	uint64_t last_waiter_id;
-	/**
-	 * Token bucket for writes of claims, in thousandths of a write, and the
-	 * time of its last refill.
-	 */
-	int64_t write_credit_milli;
-	int64_t write_refilled_ms;
-	/**
-	 * Number of shards that this VM owns, at least 1; its share of the
-	 * write rate is proportional to it.
-	 */
-	int owned_shards;
-	/** Due when a pending claim or outcome may be written. */
-	struct loop_timer claim_timer;
-	/** Next shard in round-robin order. */
-	int next_shard;
 	/** When the shutdown began; 0 if it has not. */
 	int64_t leaving_since_ms;
 	/** New connections are no longer accepted. */
@@ -449,30 +397,6 @@
 /** Cancels the pending calls to the store and frees the trackers. */
 void shifts_finish(struct control *c);
 
-/* claims.c */
-
-/** Allocates the table of shards. Returns PRL_OK or PRL_E_MEMORY. */
-enum prl_code claims_init(struct control *c, struct prl_error *err);
-
-/** Recomputes the owner of each shard from the membership. */
-void claims_assign_owners(struct control *c);
-
-/**
- * Handles a claim or an outcome from a traffic thread: forwards it to the
- * shard's owner, or submits it here.
- */
-void claims_handle_local(void *ctx, void *item);
-
-/**
- * Handles a claim or an outcome from another VM. A call with invalid arguments
- * gets no answer.
- */
-void claims_handle_remote(struct control *c, const struct wire_request *r,
-			  const struct wire_claim *w);
-
-/** Cancels the pending calls to the store and frees the shards. */
-void claims_finish(struct control *c);
-
 /* status.c */
 
 /** Publishes the status as JSON to the traffic threads. */
