--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -16,6 +16,7 @@
 
 $(OUT)/bin/standin-store: $(OUT)/standin/src/objects.o
 $(OUT)/bin/standin-odd: $(foreach n,runs request faulty,$(OUT)/standin/src/$(n).o)
+$(OUT)/bin/standin-load: $(OUT)/standin/src/latencies.o
 
 $(OUT)/bin/standin-%: $(OUT)/standin/src/%.o $(OUT)/standin/src/answer.o $(LIBRARIES)
 	@mkdir -p $(@D)
--- a/standin/src/load.c
+++ b/standin/src/load.c
@@ -1,6 +1,7 @@
 /* Load generator: callers look up their entry VMs, cache the result until it
  * expires, send requests, verify each response body, and count outcomes. */
 #include "answer.h"
+#include "latencies.h"
 #include <apr_general.h>
 #include <glib.h>
 #include <jansson.h>
@@ -14,7 +15,6 @@
 
 /* Maximum number of VMs that are used from one lookup result. */
 #define VMS_MAX 4
-#define LATENCIES_MAX 2000000
 #define LOOKUP_TIMEOUT_MS 1000
 
 /* Lookup result that all callers of one block share. */
@@ -79,8 +79,7 @@
 	int64_t next_due_us;
 	uint64_t ok, shed, failed, cut, wrong, unknown, replayed, retried;
 	uint64_t lookups;
-	uint32_t *latency_us;
-	uint64_t nlatency;
+	struct latencies latencies;
 	struct loop_timer timer;
 
 	uint64_t run_id;
@@ -193,13 +192,6 @@
 
 static void start_request(struct caller *c);
 
-static void record_latency(const struct caller *c)
-{
-	if (load.nlatency < LATENCIES_MAX)
-		load.latency_us[load.nlatency++] =
-			(uint32_t)(prl_now_us() - c->due_us);
-}
-
 static int upload_digest_matches(const struct caller *c)
 {
 	char text[20];
@@ -228,7 +220,7 @@
 		load.wrong++;
 	} else if (c->status == 200) {
 		load.ok++;
-		record_latency(c);
+		latencies_add(&load.latencies, prl_now_us() - c->due_us);
 	} else if (c->unknown) {
 		load.unknown++;
 	} else {
@@ -388,25 +380,11 @@
 		t->deadline_ms = now + 5;
 }
 
-static int by_value(const void *a, const void *b)
-{
-	uint32_t x = *(const uint32_t *)a;
-	uint32_t y = *(const uint32_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static uint32_t quantile(double q)
-{
-	if (!load.nlatency)
-		return 0;
-	return load.latency_us[(uint64_t)((double)(load.nlatency - 1) * q)];
-}
-
 static void report(int64_t ms)
 {
-	qsort(load.latency_us, load.nlatency, sizeof(*load.latency_us),
-	      by_value);
+	struct latencies *l = &load.latencies;
+
+	latencies_sort(l);
 	printf("{\"sent\":%lld,\"ok\":%llu,\"shed\":%llu,\"failed\":%llu,"
 	       "\"cut\":%llu,\"wrong\":%llu,\"unknown\":%llu,"
 	       "\"replayed\":%llu,\"retried\":%llu,\"lookups\":%llu,"
@@ -419,8 +397,9 @@
 	       (unsigned long long)load.replayed,
 	       (unsigned long long)load.retried,
 	       (unsigned long long)load.lookups, (long long)ms,
-	       (double)load.finished * 1000.0 / (double)(ms + 1), quantile(0.5),
-	       quantile(0.99), quantile(0.999));
+	       (double)load.finished * 1000.0 / (double)(ms + 1),
+	       latencies_quantile(l, 0.5), latencies_quantile(l, 0.99),
+	       latencies_quantile(l, 0.999));
 }
 
 static int64_t option_int(int argc, char **argv, const char *name,
@@ -484,10 +463,9 @@
 	if (put)
 		return put_object(put, command_option(argc, argv, "value", ""));
 	read_options(argc, argv);
-	load.latency_us = malloc(sizeof(*load.latency_us) * LATENCIES_MAX);
 	load.caller = calloc((size_t)load.ncaller, sizeof(*load.caller));
 	load.lookup = calloc((size_t)load.nblock, sizeof(*load.lookup));
-	if (!load.latency_us || !load.caller || !load.lookup ||
+	if (latencies_init(&load.latencies) || !load.caller || !load.lookup ||
 	    loop_init(&load.loop, &err) ||
 	    fetch_pool_init(&load.fetches, &load.loop, &err))
 		return 1;
