Stand-ins: a request to the store in a file of its own

Evidence: no change of behaviour. test_store_return (4), test_upstream_state (3) and test_readers (6) pass before and after (asan).

--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -3,6 +3,7 @@
  * the return from an earlier copy on demand. */
 #include "answer.h"
 #include "objects.h"
+#include "store_request.h"
 #include <apr_general.h>
 #include <glib.h>
 #include <jansson.h>
@@ -14,33 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define OBJECTS "/api/objects/"
-
-/* A request, from its request line until the response is sent. */
-struct request {
-	struct MHD_Connection *conn;
-	char method[8];
-	char path[STORE_KEY_MAX * 3 + 32];
-	/** Kind in the path. */
-	char kind[STORE_KEY_MAX];
-	/** "KIND/NAME"; empty if the path has no name. */
-	char key[STORE_KEY_MAX * 3];
-	GString *body;
-	struct loop_timer timer;
-	int suspended;
-	/* 1 once the request was suspended for a watch or a delay. */
-	int waited;
-	/* 1 once a write has taken effect. */
-	int applied;
-	/* Response to a write. */
-	unsigned int status;
-	char *result_json;
-	/** Revision after which a watch wants changes. */
-	int64_t after_revision;
-	/** Next in the list of watchers. */
-	struct request *next;
-};
-
 static struct {
 	struct loop loop;
 	struct serve serve;
@@ -397,38 +371,9 @@
 	return send_response(r->conn, MHD_HTTP_OK, text, strlen(text));
 }
 
-static int is_write(const struct request *r)
-{
-	return strcmp(r->method, "GET") != 0;
-}
-
-/* Parses kind and name from the path. Returns 0, or -1 if the path is not in
- * the object API. */
-static int parse_path(struct request *r)
-{
-	const char *kind = r->path + strlen(OBJECTS);
-	const char *slash;
-	char *name;
-
-	if (!g_str_has_prefix(r->path, OBJECTS) ||
-	    strlen(kind) >= STORE_KEY_MAX)
-		return -1;
-	slash = strchr(kind, '/');
-	snprintf(r->kind, sizeof(r->kind), "%.*s", (int)strcspn(kind, "/"),
-		 kind);
-	r->key[0] = 0;
-	if (!slash)
-		return 0;
-	name = g_strdup(slash + 1);
-	MHD_http_unescape(name);
-	g_snprintf(r->key, sizeof(r->key), "%s/%s", r->kind, name);
-	g_free(name);
-	return 0;
-}
-
 static enum MHD_Result handle_api_request(struct request *r)
 {
-	if (is_write(r))
+	if (store_request_is_write(r))
 		return send_write_result(r);
 	if (query_argument_int(r->conn, "watch", -1) >= 0)
 		return handle_watch(r);
@@ -446,12 +391,12 @@
 		return MHD_NO;
 	if (prl_now_ms() < server.busy_until_ms)
 		return send_result(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE, "");
-	if (!r->applied && parse_path(r))
+	if (!r->applied && store_request_parse_path(r))
 		return send_result(r->conn, MHD_HTTP_NOT_FOUND, "");
 	r->after_revision = query_argument_int(r->conn, "watch", 0);
 	if (!r->waited)
 		count_request();
-	if (is_write(r) && !r->applied)
+	if (store_request_is_write(r) && !r->applied)
 		apply_write(r);
 	if (server.response_delay_ms && !r->waited) {
 		r->waited = query_argument_int(r->conn, "watch", -1) < 0;
@@ -464,32 +409,23 @@
 	return handle_api_request(r);
 }
 
-static void on_timer(struct loop_timer *t, int64_t now)
+static void remove_watcher(const struct request *r)
 {
-	struct request *r = t->ctx;
 	struct request **p = &server.watchers;
 
-	(void)now;
 	while (*p && *p != r)
 		p = &(*p)->next;
 	if (*p)
 		*p = r->next;
-	resume_request(r);
 }
 
-static struct request *new_request(struct MHD_Connection *conn, const char *url,
-				   const char *method)
+static void on_timer(struct loop_timer *t, int64_t now)
 {
-	struct request *r = g_new0(struct request, 1);
-
-	r->conn = conn;
-	snprintf(r->method, sizeof(r->method), "%s", method);
-	snprintf(r->path, sizeof(r->path), "%s", url);
-	r->body = g_string_new("");
-	r->timer.on_expiry = on_timer;
-	r->timer.ctx = r;
-	loop_timer_add(&server.loop, &r->timer);
-	return r;
+	struct request *r = t->ctx;
+
+	(void)now;
+	remove_watcher(r);
+	resume_request(r);
 }
 
 static enum MHD_Result handle_request(void *ctx, struct MHD_Connection *conn,
@@ -502,7 +438,10 @@
 	(void)ctx;
 	(void)version;
 	if (!r) {
-		*state = new_request(conn, url, method);
+		r = store_request_new(conn, url, method);
+		r->timer.on_expiry = on_timer;
+		loop_timer_add(&server.loop, &r->timer);
+		*state = r;
 		return MHD_YES;
 	}
 	if (*len) {
@@ -519,21 +458,15 @@
 			      void **state, enum MHD_RequestTerminationCode why)
 {
 	struct request *r = *state;
-	struct request **p = &server.watchers;
 
 	(void)ctx;
 	(void)conn;
 	(void)why;
 	if (!r)
 		return;
-	while (*p && *p != r)
-		p = &(*p)->next;
-	if (*p)
-		*p = r->next;
+	remove_watcher(r);
 	loop_timer_remove(&server.loop, &r->timer);
-	g_string_free(r->body, TRUE);
-	free(r->result_json);
-	g_free(r);
+	store_request_free(r);
 	*state = NULL;
 }
 
