Limits: one function adds to a credit up to its maximum

Wrong: the loop that adds to a credit shared by threads stood in bandwidth.c and in ratio.c.

Change: credit_add in limit/src/credit.h.

--- a/limit/src/bandwidth.c
+++ b/limit/src/bandwidth.c
@@ -1,3 +1,4 @@
+#include "credit.h"
 #include <primroselead/bandwidth.h>
 
 #define US_PER_S 1000000
@@ -6,19 +7,6 @@
 /* Time for which credit is reserved after a new transfer had to wait, in us. */
 #define RESERVED_US 5000
 
-static void add_credit(struct limit_bandwidth *b, int64_t bytes,
-		       int64_t max_bytes)
-{
-	int64_t credit = atomic_load(&b->credit_bytes);
-	int64_t sum;
-
-	do {
-		sum = credit + bytes;
-		if (sum > max_bytes)
-			sum = max_bytes;
-	} while (!atomic_compare_exchange_weak(&b->credit_bytes, &credit, sum));
-}
-
 /* Returns 1 if the credit is above 0. */
 static int refill(struct limit_bandwidth *b, int64_t rate, int64_t now_us)
 {
@@ -35,7 +23,8 @@
 	if (elapsed_us > 0 && elapsed_us * rate >= US_PER_S &&
 	    atomic_compare_exchange_strong(&b->refilled_us, &refilled_us,
 					   now_us))
-		add_credit(b, elapsed_us * rate / US_PER_S, max_bytes);
+		credit_add(&b->credit_bytes, elapsed_us * rate / US_PER_S,
+			   max_bytes);
 	return atomic_load(&b->credit_bytes) > 0;
 }
 
--- a/limit/src/ratio.c
+++ b/limit/src/ratio.c
@@ -1,3 +1,4 @@
+#include "credit.h"
 #include <primroselead/ratio.h>
 
 #define MILLI 1000
@@ -10,14 +11,7 @@
 
 void limit_ratio_deposit(struct limit_ratio *r, int permille)
 {
-	int64_t credit = atomic_load(&r->credit_milli);
-	int64_t sum;
-
-	do {
-		sum = credit + permille;
-		if (sum > CREDIT_MAX_MILLI)
-			sum = CREDIT_MAX_MILLI;
-	} while (!atomic_compare_exchange_weak(&r->credit_milli, &credit, sum));
+	credit_add(&r->credit_milli, permille, CREDIT_MAX_MILLI);
 }
 
 int limit_ratio_withdraw(struct limit_ratio *r)
