--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -162,7 +162,8 @@
 
 /**
  * Decodes a call from a datagram. Returns 0, or -1 if it is not one valid call
- * of this protocol and nothing else. Decoded arguments are freed by wire_args_free().
+ * of this protocol and nothing else. Decoded arguments are freed by
+ * wire_args_free().
  */
 int wire_decode_call(char *data, size_t len, struct wire_request *r,
 		     struct wire_args *args);
