Service files: a response counts for the attempt that it names

What callers saw: in fleets that follow service files, a second response that arrived on a kept connection was taken for the next request's. A refusal that came so told the caller that its request had not run, released the claim of its key, or made the VM send it once more; other responses gave a caller another caller's answer, and a claim was recorded as run with a wrong status.

Cause: requests of service files carry no id that upstreams return, so nothing told one request's response from another's; only bytes that waited on an idle connection were noticed.

Change: each attempt sends Attempt-Id, which no other attempt has. A response that names another one, or two, is nobody's. Whether responses must name their attempt is kept with the connection, not with the upstream: one response that did binds all later ones of the connection, and another build at the same address begins anew. Without ids, "not run" counts on a connection's first request only, and a request that runs at most once goes over a connection of its own. A response that does not count leaves it unknown whether the request ran: 502, repeated only if it may run twice. The decision is at the end of the final head, in one place (service_check_response). What is known of the upstream only chooses the connection, so that a wrong guess costs a connection and no promise.

Named Attempt-Id and not Request-Id: Request-Id is in use end to end (standin-load sends it, standin-upstream makes the body from it), and an upstream that puts an id of its own there would have all its responses rejected. A caller's Attempt-Id is dropped, and the upstream's is not passed on, so that a VM may stand behind a VM.

Believing no "not run" without an id would end retries and releases at upstreams that exist, also on first requests, where no other request's response can come. Holding requests that may run twice to connections of their own as well was not done: without ids their responses can still be confused, which docs/INTERFACES.md says by what an upstream should return.

The test's caller sends an Idempotency-Key with each request now, which routes pass on unread; no check of the other tests has changed.

--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -54,6 +54,8 @@
 	_Atomic int failure_permille;
 	/** When the upstream was first considered; 0 if it has not been. */
 	_Atomic int64_t first_seen_ms;
+	/** Its last response named the attempt that it answers. */
+	_Atomic int names_attempts;
 };
 
 /** State of one service, shared by all threads. */
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -2,6 +2,7 @@
 #include "attempt.h"
 #include "easy_pool.h"
 #include "placing.h"
+#include "service.h"
 #include "upstream.h"
 #include <primroselead/clock.h>
 #include <primroselead/stop.h>
@@ -103,6 +104,7 @@
 	r->maybe_sent = 0;
 	r->unfit_connections = 0;
 	r->upstream_refused = 0;
+	r->naming = NAMING_NONE;
 	r->status = 0;
 	r->verdict = VERDICT_NONE;
 	r->unreached = 0;
@@ -118,6 +120,8 @@
 	r->download_paused = 0;
 	r->link_paused = 0;
 	r->attempts++;
+	if (!r->routed)
+		service_name_attempt(r);
 	metrics_add(&r->thread->metrics, METRIC_UPSTREAM_ATTEMPTS, 1);
 	request_start_transfer(r);
 }
--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -3,6 +3,11 @@
 
 #include "request.h"
 
+/** Maximum idle time in s of a connection reused for an at-most-once request:
+ * the upstream may close a longer idle one while the request is being sent, and
+ * then it is unknown whether that ran. */
+#define ONCE_IDLE_MAX_S 1L
+
 /** Sets the transfer's libcurl options: target, headers, bodies, timeouts. */
 void request_setup_transfer(struct proxy_request *r);
 
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -209,7 +209,9 @@
 			"the deadline passed before the upstream's answer");
 	else
 		request_fail(r, MHD_HTTP_BAD_GATEWAY,
-			     "the connection to the upstream failed");
+			     r->verdict == VERDICT_INVALID
+				     ? "the upstream's answer is not valid"
+				     : "the connection to the upstream failed");
 }
 
 static void attempt_completed(struct proxy_request *r)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -42,6 +42,17 @@
  * is sent over new ones only. */
 #define REQUEST_CONNECTIONS_MAX 16
 
+/** Size of an attempt's id with its end. */
+#define REQUEST_ATTEMPT_ID_MAX 20
+
+/** Which attempt a response of a service file's upstream names. */
+enum response_naming {
+	NAMING_NONE,
+	NAMING_THIS,
+	/** Another one, or more than one. */
+	NAMING_OTHER,
+};
+
 /** What another VM says of a request that was relayed to it. */
 enum peer_outcome {
 	/** Also if it does not say. */
@@ -155,6 +166,11 @@
 	/** Keep-alive connections that this attempt has found and may not use.
 	 */
 	int unfit_connections;
+	/** Hash of the endpoints of the attempt's connection. */
+	uint64_t endpoint_hash;
+	/** Id of the attempt, unless the request is routed. */
+	char attempt_id[REQUEST_ATTEMPT_ID_MAX];
+	enum response_naming naming;
 	/** Hashes of the endpoints of the connections that the request was sent
 	 * over so far. */
 	uint64_t used_connection[REQUEST_CONNECTIONS_MAX];
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 #include "request.h"
+#include "service.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdio.h>
@@ -154,6 +155,15 @@
 	return NULL;
 }
 
+/* Fields of which this VM gives its own, or that end at this VM. */
+static int ends_here(const struct proxy_request *r, const char *name)
+{
+	if (!strcasecmp(name, "Content-Length") ||
+	    !strcasecmp(name, "Request-Outcome"))
+		return 1;
+	return !r->routed && !strcasecmp(name, SERVICE_ATTEMPT_HEADER);
+}
+
 static void copy_headers(struct proxy_request *r)
 {
 	const char *connection = find_connection(r->response_headers);
@@ -167,11 +177,8 @@
 			continue;
 		*colon = 0;
 		value = colon + 1 + strspn(colon + 1, " \t");
-		/* The listener sets the length; the outcome is set by
-		 * add_common_headers. */
 		if (!header_is_hop_by_hop(h->data, connection) &&
-		    strcasecmp(h->data, "Content-Length") &&
-		    strcasecmp(h->data, "Request-Outcome"))
+		    !ends_here(r, h->data))
 			MHD_add_response_header(r->mhd_response, h->data,
 						value);
 		*colon = ':';
--- a/proxy/src/sockets.c
+++ b/proxy/src/sockets.c
@@ -78,6 +78,22 @@
 	return 0;
 }
 
+void sockets_set_names_attempts(struct proxy_sockets *s, uint64_t endpoint_hash)
+{
+	for (int i = 0; i < s->n; i++)
+		if (s->socket[i].endpoint_hash == endpoint_hash)
+			s->socket[i].names_attempts = 1;
+}
+
+int sockets_names_attempts(const struct proxy_sockets *s,
+			   uint64_t endpoint_hash)
+{
+	for (int i = 0; i < s->n; i++)
+		if (s->socket[i].endpoint_hash == endpoint_hash)
+			return s->socket[i].names_attempts;
+	return 0;
+}
+
 void sockets_finish(struct proxy_sockets *s)
 {
 	free(s->socket);
--- a/proxy/src/sockets.h
+++ b/proxy/src/sockets.h
@@ -17,6 +17,8 @@
 	uint64_t endpoint_hash;
 	/** Requests that were sent over it. */
 	int uses;
+	/** A response over it has named the attempt that it answers. */
+	int names_attempts;
 };
 
 /** Table of sockets; empty when zeroed. */
@@ -50,6 +52,15 @@
  * many it has carried then; 0 if the table has no such socket. */
 int sockets_count_use(struct proxy_sockets *s, uint64_t endpoint_hash);
 
+/** Notes that a response over a connection has named its attempt, so that all
+ * others do. */
+void sockets_set_names_attempts(struct proxy_sockets *s,
+				uint64_t endpoint_hash);
+
+/** Whether that was noted; 0 if the table has no such socket. */
+int sockets_names_attempts(const struct proxy_sockets *s,
+			   uint64_t endpoint_hash);
+
 /** Frees the table. */
 void sockets_finish(struct proxy_sockets *s);
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -3,13 +3,11 @@
 #include "news.h"
 #include "placing.h"
 #include "relay.h"
+#include "service.h"
 #include "sockets.h"
-#include "upstream.h"
-#include <inttypes.h>
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,11 +18,6 @@
 /* Connect timeout in milliseconds. */
 #define CONNECT_TIMEOUT_MS 1000L
 
-/* Maximum idle time in s of a connection reused for an at-most-once request:
- * the upstream may close a longer idle one while the request is being sent, and
- * then it is unknown whether that ran. */
-#define ONCE_IDLE_MAX_S 1L
-
 /* Connect timeout of routed requests, in milliseconds. Shorter than TCP's
  * initial retransmission timeout of 1 s: after a lost SYN, another attempt is
  * faster than waiting for the retransmission. */
@@ -122,10 +115,12 @@
 	if (r->new_fd >= 0) {
 		sockets_set_endpoints(sockets, r->new_fd, endpoint_hash);
 	} else if (sockets_is_stale(sockets, endpoint_hash) ||
-		   may_have_used(r, endpoint_hash)) {
+		   may_have_used(r, endpoint_hash) ||
+		   (!r->routed && !service_may_reuse(r, endpoint_hash))) {
 		r->unfit_connections++;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	r->endpoint_hash = endpoint_hash;
 	note_connection(r, endpoint_hash);
 	r->connection_uses = sockets_count_use(sockets, endpoint_hash);
 	r->maybe_sent = 1;
@@ -234,20 +229,6 @@
 	return len;
 }
 
-/* Handles the headers that upstreams of service files add for the proxy. */
-static void parse_service_header(struct proxy_request *r, const char *line)
-{
-	struct proxy_upstream_stats *stats = upstream_stats(r, r->upstream);
-
-	if (!strncasecmp(line, "Upstream-Running:", 17)) {
-		atomic_store(&stats->reported_running, atoi(line + 17));
-		atomic_store(&stats->reported_ms, prl_now_ms());
-	}
-	if (!strncasecmp(line, "Request-Outcome:", 16) &&
-	    r->head.status == MHD_HTTP_SERVICE_UNAVAILABLE)
-		r->upstream_refused = strstr(line + 16, "not-run") != NULL;
-}
-
 static void parse_response_header(struct proxy_request *r, const char *line)
 {
 	if (r->hop == HOP_PEER)
@@ -255,7 +236,7 @@
 	if (r->routed)
 		platform_response_meta_parse_header(line, &r->response_meta);
 	else
-		parse_service_header(r, line);
+		service_parse_header(r, line);
 	r->response_headers = curl_slist_append(r->response_headers, line);
 }
 
@@ -292,6 +273,8 @@
 	r->response_length = r->head.length;
 	if (r->routed)
 		return judge_head(r);
+	if (service_check_response(r))
+		return -1;
 	if (failed && request_may_retry(r, r->upstream_refused)) {
 		r->retry_pending = 1;
 		return -1;
@@ -307,6 +290,7 @@
 	curl_slist_free_all(r->response_headers);
 	r->response_headers = NULL;
 	r->upstream_refused = 0;
+	r->naming = NAMING_NONE;
 	r->peer_outcome = PEER_UNKNOWN;
 	r->peer_out_of_reach = 0;
 	platform_response_meta_init(&r->response_meta);
@@ -365,7 +349,8 @@
 		return 1;
 	if (r->routed)
 		return platform_is_reserved_header(key);
-	return !strcasecmp(key, "Request-Deadline");
+	return !strcasecmp(key, "Request-Deadline") ||
+	       !strcasecmp(key, SERVICE_ATTEMPT_HEADER);
 }
 
 static enum MHD_Result copy_header(void *ctx, enum MHD_ValueKind kind,
@@ -389,15 +374,12 @@
 	return MHD_YES;
 }
 
-static void add_deadline_headers(struct proxy_request *r, int64_t remaining_ms)
+static void add_proxy_headers(struct proxy_request *r, int64_t remaining_ms)
 {
 	char line[STEER_NAME_MAX + 64];
 
 	if (!r->routed) {
-		snprintf(line, sizeof(line), "Request-Deadline: %" PRId64,
-			 prl_wall_ms() + remaining_ms);
-		r->request_headers =
-			curl_slist_append(r->request_headers, line);
+		service_add_headers(r, remaining_ms);
 		return;
 	}
 	platform_deadline_header_format(line, sizeof(line), remaining_ms);
@@ -420,7 +402,7 @@
 	int64_t remaining_ms = r->deadline_ms - prl_now_ms();
 
 	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, copy_header, &copy);
-	add_deadline_headers(r, remaining_ms > 0 ? remaining_ms : 1);
+	add_proxy_headers(r, remaining_ms > 0 ? remaining_ms : 1);
 	/* Keep libcurl from adding headers of its own. */
 	r->request_headers = curl_slist_append(r->request_headers, "Expect:");
 	if (!request_header(r, "Accept"))
@@ -467,8 +449,8 @@
 	else if (r->routed)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
 				 placing_idle_max_s(r));
-	else if (r->at_most_once)
-		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, ONCE_IDLE_MAX_S);
+	else
+		service_set_connection_options(r);
 }
 
 void request_setup_transfer(struct proxy_request *r)
--- a/proxy/test/caller.c
+++ b/proxy/test/caller.c
@@ -111,6 +111,8 @@
 		out->has_stamp = *value != 0;
 	if ((value = value_of(line, "X-Request-Id")))
 		snprintf(out->id, sizeof(out->id), "%.63s", value);
+	if (value_of(line, "Attempt-Id"))
+		out->has_attempt_id = 1;
 	if ((value = value_of(line, "Request-Outcome")))
 		snprintf(out->outcome, sizeof(out->outcome), "%.15s", value);
 }
@@ -208,8 +210,10 @@
 	char text[8192];
 	int n = snprintf(text, sizeof(text),
 			 "%s %s HTTP/1.%d\r\nHost: h\r\nX-Request-Id: %s\r\n"
-			 "X-Deadline-Remaining-Ms: 8000\r\n",
-			 method, path, !c->is_http_1_0, id);
+			 "Idempotency-Key: %s\r\n"
+			 "X-Deadline-Remaining-Ms: 8000\r\n%s",
+			 method, path, !c->is_http_1_0, id, id,
+			 c->fields ? c->fields : "");
 
 	if (!strcmp(method, "POST"))
 		n += snprintf(text + n, sizeof(text) - (size_t)n,
--- a/proxy/test/caller.h
+++ b/proxy/test/caller.h
@@ -21,6 +21,8 @@
 	int has_stamp;
 	char id[64];
 	char outcome[16];
+	/** A field that is only for upstreams was passed on. */
+	int has_attempt_id;
 	/** First bytes of the body, and the length of all of it. */
 	char body[CALLER_BODY_MAX];
 	size_t body_len;
@@ -33,6 +35,8 @@
 	int is_http_1_0;
 	/** 0 while there is no connection. */
 	int fd;
+	/** Further fields of requests, each with its line end; may be null. */
+	const char *fields;
 };
 
 /** Sends a request and reads its response. "body_len" bytes are sent as a body
--- a/testkit/scripted.c
+++ b/testkit/scripted.c
@@ -36,6 +36,7 @@
 /* struct record by request id; protected by the lock. */
 static GHashTable *records;
 static _Atomic int malformed;
+static _Atomic int accepted;
 static _Atomic int busy;
 
 static struct record *find_record(const char *id)
@@ -80,6 +81,11 @@
 	return read_record(id).arrivals;
 }
 
+int scripted_count_connections(void)
+{
+	return accepted;
+}
+
 int scripted_count_malformed(void)
 {
 	return malformed;
@@ -186,6 +192,8 @@
 	read_first_line(c);
 	copy_value(c->buf, "\r\nX-Request-Id:", c->request.id,
 		   sizeof(c->request.id));
+	copy_value(c->buf, "\r\nAttempt-Id:", c->request.attempt_id,
+		   sizeof(c->request.attempt_id));
 	copy_value(c->buf, "\r\nContent-Length:", length, sizeof(length));
 	consume(c, (size_t)(end - c->buf) + 4);
 	return atol(length);
@@ -269,6 +277,7 @@
 		pthread_t thread;
 
 		c->fd = fd;
+		accepted++;
 		pthread_create(&thread, NULL, serve_connection, c);
 		pthread_detach(thread);
 	}
--- a/testkit/scripted.h
+++ b/testkit/scripted.h
@@ -29,6 +29,8 @@
 	 * last of them. */
 	int uses_before;
 	char id_before[SCRIPTED_ID_MAX];
+	/** Value of Attempt-Id; empty if none. */
+	char attempt_id[SCRIPTED_ID_MAX];
 };
 
 /** What the server does with a request. */
@@ -60,6 +62,9 @@
 int scripted_count_runs(const char *id);
 int scripted_count_arrivals(const char *id);
 
+/** Number of connections accepted so far. */
+int scripted_count_connections(void);
+
 /** Number of connections on which bytes arrived that are no request. */
 int scripted_count_malformed(void);
 
