Daemon: traffic shifts with their own header and struct

Wrong: the trackers of shifts were a field of struct control and their struct stood in control.h, with two fields that nothing used (rank, rank_at).

Change: shifts.h; the tracker is of shifts.c alone.

--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -9,6 +9,7 @@
 #include "reach.h"
 #include "readers.h"
 #include "registry.h"
+#include "shifts.h"
 #include "source.h"
 #include <primroselead/config.h>
 #include <primroselead/grant.h>
@@ -60,27 +61,6 @@
 	int64_t list_after_ms;
 };
 
-/** Progress of one service's traffic shift as this VM sees it. */
-struct shift_tracker {
-	char service[PRL_NAME_MAX];
-	struct steer_shift_progress progress;
-	/** Plan that was in force when the progress was noted. */
-	uint64_t plan_id;
-	/** When this progress of this plan was first seen; 0 if never. */
-	int64_t seen_ms;
-	struct store_call call;
-	/** Value of the pending write. */
-	char value[64];
-	int calling;
-	/**
-	 * Rank of this VM among those that advance the shift, and the
-	 * membership change count at which it was computed. Not used.
-	 */
-	int rank;
-	uint64_t rank_at;
-	struct control *control;
-};
-
 /**
  * One service's capacity on this VM, and the call that synchronizes it with the
  * ledger in the store.
@@ -125,6 +105,7 @@
 	struct reach reach;
 	struct readers readers;
 	struct claims claims;
+	struct shifts shifts;
 	struct config_builder builder;
 	struct proxy proxy;
 	/**
@@ -186,8 +167,6 @@
 	GHashTable *http_by_vm;
 	/** struct service_grant by service. */
 	GHashTable *grants;
-	/** struct shift_tracker by service. */
-	GHashTable *shift_trackers;
 	/** When the shutdown began; 0 if it has not. */
 	int64_t leaving_since_ms;
 	/** New connections are no longer accepted. */
@@ -389,14 +368,6 @@
 /** Cancels the pending calls to the store and frees the grants. */
 void grants_finish(struct control *c);
 
-/* shifts.c */
-
-/** Writes the shift steps that are due. */
-void shifts_tick(struct control *c, int64_t now);
-
-/** Cancels the pending calls to the store and frees the trackers. */
-void shifts_finish(struct control *c);
-
 /* status.c */
 
 /** Publishes the status as JSON to the traffic threads. */
--- a/cmd/primroseleadd/shifts.c
+++ b/cmd/primroseleadd/shifts.c
@@ -1,3 +1,4 @@
+#include "shifts.h"
 #include "control.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
@@ -7,17 +8,37 @@
 
 #define PERCENT 100
 
+/* Progress of one service's traffic shift as this VM sees it. */
+struct shift_tracker {
+	char service[PRL_NAME_MAX];
+	struct steer_shift_progress progress;
+	/* Plan that was in force when the progress was noted. */
+	uint64_t plan_id;
+	/* When this progress of this plan was first seen; 0 if never. */
+	int64_t seen_ms;
+	struct store_call call;
+	/* Value of the pending write. */
+	char value[64];
+	int calling;
+	struct control *control;
+};
+
+void shifts_init(struct control *c)
+{
+	c->shifts.trackers = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
 static struct shift_tracker *get_tracker(struct control *c, const char *service)
 {
 	struct shift_tracker *t =
-		g_hash_table_lookup(c->shift_trackers, service);
+		g_hash_table_lookup(c->shifts.trackers, service);
 
 	if (t)
 		return t;
 	t = g_new0(struct shift_tracker, 1);
 	t->control = c;
 	snprintf(t->service, sizeof(t->service), "%s", service);
-	g_hash_table_insert(c->shift_trackers, t->service, t);
+	g_hash_table_insert(c->shifts.trackers, t->service, t);
 	return t;
 }
 
@@ -144,7 +165,7 @@
 	GHashTableIter it;
 	void *value;
 
-	g_hash_table_iter_init(&it, c->shift_trackers);
+	g_hash_table_iter_init(&it, c->shifts.trackers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct shift_tracker *t = value;
 
@@ -152,5 +173,5 @@
 			store_call_cancel(&t->call);
 		g_free(t);
 	}
-	g_hash_table_destroy(c->shift_trackers);
+	g_hash_table_destroy(c->shifts.trackers);
 }
