Daemon: grants and loans with their own headers

Wrong: struct service_grant, the table of them and the mark of the ledgers stood in control.h.

Change: grants.h with struct grants, loans.h; BORROW_TIMEOUT_MS is of loans.c alone.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -217,7 +217,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->http_by_vm =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	c->grants = g_hash_table_new(g_str_hash, g_str_equal);
+	grants_init(c);
 	shifts_init(c);
 	config_builder_init(&c->builder);
 	region = config_region_index(&c->builder, s->vm.region);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,7 +3,9 @@
 
 #include "backoff.h"
 #include "claims.h"
+#include "grants.h"
 #include "health.h"
+#include "loans.h"
 #include "news.h"
 #include "objects.h"
 #include "reach.h"
@@ -12,7 +14,6 @@
 #include "shifts.h"
 #include "source.h"
 #include <primroselead/config.h>
-#include <primroselead/grant.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
 #include <primroselead/store.h>
@@ -26,9 +27,6 @@
  * says otherwise.
  */
 
-/** Timeout of a request for a loan, in milliseconds. */
-#define BORROW_TIMEOUT_MS 300
-
 /** Period of the control thread's tick, in milliseconds. */
 #define TICK_MS 50
 
@@ -61,22 +59,6 @@
 	int64_t list_after_ms;
 };
 
-/**
- * One service's capacity on this VM, and the call that synchronizes it with the
- * ledger in the store.
- */
-struct service_grant {
-	char service[PRL_NAME_MAX];
-	struct grant_set grants;
-	struct store_call call;
-	struct backoff backoff;
-	/** Id of the pending loan request by pool; 0 if there is none. */
-	uint64_t borrow_id[LEDGER_POOLS_MAX];
-	/** Tokens by pool as last written to the audit log. */
-	int logged_tokens[LEDGER_POOLS_MAX];
-	struct control *control;
-};
-
 /** All state of the control thread. */
 struct control {
 	const struct prl_settings *settings;
@@ -105,6 +87,7 @@
 	struct reach reach;
 	struct readers readers;
 	struct claims claims;
+	struct grants grants;
 	struct shifts shifts;
 	struct config_builder builder;
 	struct proxy proxy;
@@ -128,8 +111,6 @@
 	int unconfirmed;
 	/** member_table.refuted_deaths when it was last looked at. */
 	uint64_t refuted_deaths;
-	/** The ledgers have been marked invalid, to be read again. */
-	int ledgers_invalidated;
 	/** The view must be rebuilt. */
 	int view_outdated;
 	/**
@@ -165,8 +146,6 @@
 	int listed_as_destroyed;
 	/** HTTP addresses of the VMs in the platform's list, by name. */
 	GHashTable *http_by_vm;
-	/** struct service_grant by service. */
-	GHashTable *grants;
 	/** When the shutdown began; 0 if it has not. */
 	int64_t leaving_since_ms;
 	/** New connections are no longer accepted. */
@@ -325,49 +304,6 @@
 /** Builds a view and publishes it to the traffic threads. */
 void apply_view(struct control *c);
 
-/* loans.c */
-
-/**
- * Handles a message from a traffic thread that a pool has no free capacity:
- * requests a loan. "item" is the index of the pool's semaphore plus 1.
- */
-void loans_handle_shortage(void *ctx, void *item);
-
-/** Ends expired loans and returns idle ones to their lenders. */
-void loans_tick(struct control *c, int64_t now);
-
-/**
- * Handles another VM's request for a loan; answers with 0 tokens if none can be
- * lent.
- */
-void loans_handle_borrow(struct control *c, const struct wire_request *r,
-			 const struct wire_borrow *b);
-
-/** Handles another VM's return of a loan. */
-void loans_handle_return(struct control *c, const struct wire_request *r,
-			 const struct wire_return *b);
-
-/* grants.c */
-
-/** Capacity of a service, created if it is missing. */
-struct service_grant *grants_get(struct control *c,
-				 const struct steer_service *s);
-
-/** Capacity of a service, or null if it has not been created. */
-struct service_grant *grants_find(struct control *c, const char *service);
-
-/**
- * Starts the ledger reads and writes that are due, which acquire, release and
- * reclaim capacity.
- */
-void grants_tick(struct control *c, int64_t now);
-
-/** Releases all capacity. Returns 1 once the ledgers show that, else 0. */
-int grants_release_all(struct control *c);
-
-/** Cancels the pending calls to the store and frees the grants. */
-void grants_finish(struct control *c);
-
 /* status.c */
 
 /** Publishes the status as JSON to the traffic threads. */
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -1,3 +1,4 @@
+#include "grants.h"
 #include "control.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
@@ -10,10 +11,16 @@
 /* Most destroyed VMs whose rows are reclaimed in one tick. */
 #define RECLAIM_VMS_MAX 256
 
+void grants_init(struct control *c)
+{
+	c->grants.services = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
 struct service_grant *grants_get(struct control *c,
 				 const struct steer_service *s)
 {
-	struct service_grant *g = g_hash_table_lookup(c->grants, s->name);
+	struct service_grant *g =
+		g_hash_table_lookup(c->grants.services, s->name);
 
 	if (g)
 		return g;
@@ -24,13 +31,13 @@
 		   c->members.peer[0].vm.incarnation,
 		   c->started_ms + s->deadline_ms + GRANT_LOAN_TERM_MS +
 			   c->settings->control.lease);
-	g_hash_table_insert(c->grants, g->service, g);
+	g_hash_table_insert(c->grants.services, g->service, g);
 	return g;
 }
 
 struct service_grant *grants_find(struct control *c, const char *service)
 {
-	return g_hash_table_lookup(c->grants, service);
+	return g_hash_table_lookup(c->grants.services, service);
 }
 
 static void log_rows(struct service_grant *g)
@@ -252,22 +259,22 @@
 	void *value;
 	int all_valid = 1;
 
-	g_hash_table_iter_init(&it, c->grants);
+	g_hash_table_iter_init(&it, c->grants.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct service_grant *g = value;
 
-		if (!c->ledgers_invalidated) {
+		if (!c->grants.invalidated) {
 			grant_invalidate(&g->grants);
 			g->backoff.retry_ms = 0;
 		}
 		all_valid &= grant_is_valid(&g->grants);
 	}
-	if (!c->ledgers_invalidated || !all_valid) {
-		c->ledgers_invalidated = 1;
+	if (!c->grants.invalidated || !all_valid) {
+		c->grants.invalidated = 1;
 		return;
 	}
 	c->unconfirmed = 0;
-	c->ledgers_invalidated = 0;
+	c->grants.invalidated = 0;
 	log_event(LOG_LEVEL_AUDIT, "confirmed", NULL);
 }
 
@@ -297,7 +304,7 @@
 	void *value;
 	int done = 1;
 
-	g_hash_table_iter_init(&it, c->grants);
+	g_hash_table_iter_init(&it, c->grants.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct service_grant *g = value;
 
@@ -312,7 +319,7 @@
 	GHashTableIter it;
 	void *value;
 
-	g_hash_table_iter_init(&it, c->grants);
+	g_hash_table_iter_init(&it, c->grants.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct service_grant *g = value;
 
@@ -320,5 +327,5 @@
 		grant_finish(&g->grants);
 		g_free(g);
 	}
-	g_hash_table_destroy(c->grants);
+	g_hash_table_destroy(c->grants.services);
 }
--- a/cmd/primroseleadd/loans.c
+++ b/cmd/primroseleadd/loans.c
@@ -1,9 +1,13 @@
+#include "loans.h"
 #include "control.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <stdio.h>
 #include <string.h>
 
+/* Timeout of a request for a loan, in ms. */
+#define BORROW_TIMEOUT_MS 300
+
 /* Tokens requested in one loan. */
 #define LOAN_TOKENS 4
 
@@ -199,7 +203,7 @@
 	GHashTableIter it;
 	void *value;
 
-	g_hash_table_iter_init(&it, c->grants);
+	g_hash_table_iter_init(&it, c->grants.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct service_grant *g = value;
 		int n = grant_update_loans(&g->grants, now, back,
