Daemon: sync and peers with their own headers

Evidence: no change of behaviour. test_path (15 tests), test_fleet (16), test_readers (6), test_store_return (4) and test_upstream_state (3) pass (asan).

Change: sync.h, and peers.h with struct peers.

--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -158,8 +158,8 @@
 	p->capacity = capacity;
 	p->config_version = config_version;
 	p->is_local = region == g->control->proxy.region;
-	p->local_vms = g->control->region_vms[region];
-	p->all_vms = g->control->all_vms;
+	p->local_vms = g->control->peers.region_vms[region];
+	p->all_vms = g->control->peers.all_vms;
 }
 
 /*
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -1,3 +1,4 @@
+#include "peers.h"
 #include "control.h"
 #include "vm_wire.h"
 #include <primroselead/clock.h>
@@ -224,15 +225,15 @@
 			  e.refuted_death ? "yes" : "no", NULL);
 	}
 	/* Other VMs may have reclaimed this VM's capacity. */
-	if (c->refuted_deaths != c->members.refuted_deaths)
+	if (c->peers.refuted_deaths != c->members.refuted_deaths)
 		c->unconfirmed = 1;
-	c->refuted_deaths = c->members.refuted_deaths;
+	c->peers.refuted_deaths = c->members.refuted_deaths;
 }
 
 static void count_vms(struct control *c)
 {
-	memset(c->region_vms, 0, sizeof(c->region_vms));
-	c->all_vms = 0;
+	memset(c->peers.region_vms, 0, sizeof(c->peers.region_vms));
+	c->peers.all_vms = 0;
 	for (int i = 0; i < c->members.npeer; i++) {
 		const struct member_peer *p = &c->members.peer[i];
 		int region;
@@ -240,18 +241,18 @@
 		if (!member_is_usable(p))
 			continue;
 		region = config_region_index(&c->builder, p->vm.region);
-		c->all_vms++;
+		c->peers.all_vms++;
 		if (region >= 0)
-			c->region_vms[region]++;
+			c->peers.region_vms[region]++;
 	}
 }
 
 static void members_changed(struct control *c)
 {
-	c->member_changes_seen = c->members.usable_changes;
+	c->peers.changes_seen = c->members.usable_changes;
 	c->view_outdated = 1;
 	count_vms(c);
-	c->is_watcher = sync_is_watcher(c);
+	c->sync.is_watcher = sync_is_watcher(c);
 	if (control_follows_manifest(c))
 		readers_members_changed(c);
 	claims_assign_owners(c);
@@ -283,7 +284,7 @@
 	if (period_begins)
 		probe_registered(c, now);
 	log_member_events(c);
-	if (c->members.usable_changes != c->member_changes_seen)
+	if (c->members.usable_changes != c->peers.changes_seen)
 		members_changed(c);
 }
 
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -1,3 +1,4 @@
+#include "sync.h"
 #include "control.h"
 #include "tree.h"
 #include <primroselead/clock.h>
@@ -254,7 +255,7 @@
 		return;
 	if (s->needs_list || (!s->ready && now >= s->list_after_ms))
 		start_store_call(c, STORE_LIST, now);
-	else if (s->ready && c->is_watcher)
+	else if (s->ready && c->sync.is_watcher)
 		start_store_call(c, STORE_WATCH, now);
 }
 
