--- a/standin/src/upstream.c
+++ b/standin/src/upstream.c
@@ -16,6 +16,9 @@
 /* Interval between checks for callers that disconnected, in ms. */
 #define DISCONNECT_CHECK_MS 50
 
+/* Field with the id of an attempt, in requests and responses. */
+#define ATTEMPT_HEADER "Attempt-Id"
+
 struct request {
 	struct MHD_Connection *conn;
 	struct loop_timer timer;
@@ -54,6 +57,8 @@
 	int64_t draining;
 	int64_t reject_all;
 	int64_t slow_factor;
+	/* Responses repeat the id of the attempt. */
+	int64_t names_attempts;
 	int64_t running;
 	int64_t running_max;
 	int64_t queued;
@@ -196,13 +201,29 @@
 	return (ssize_t)max;
 }
 
+static void add_attempt_id(const struct request *r, struct MHD_Response *resp)
+{
+	const char *id = MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND,
+						     ATTEMPT_HEADER);
+
+	if (id && server.names_attempts)
+		MHD_add_response_header(resp, ATTEMPT_HEADER, id);
+}
+
 static enum MHD_Result reject(struct request *r)
 {
-	static const char text[] = "{\"cause\":\"no room\"}\n";
+	static char text[] = "{\"cause\":\"no room\"}\n";
+	struct MHD_Response *resp = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rc;
 
-	return send_response_with_header(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE,
-					 text, strlen(text), "Request-Outcome",
-					 "not-run");
+	if (!resp)
+		return MHD_NO;
+	MHD_add_response_header(resp, "Request-Outcome", "not-run");
+	add_attempt_id(r, resp);
+	rc = MHD_queue_response(r->conn, MHD_HTTP_SERVICE_UNAVAILABLE, resp);
+	MHD_destroy_response(resp);
+	return rc;
 }
 
 static enum MHD_Result respond(struct request *r)
@@ -227,6 +248,7 @@
 				     : server.running + server.queued));
 	MHD_add_response_header(resp, "Upstream-Running", text);
 	MHD_add_response_header(resp, "Body-Digest", r->digest_text);
+	add_attempt_id(r, resp);
 	rc = MHD_queue_response(r->conn, status, resp);
 	MHD_destroy_response(resp);
 	return rc;
@@ -405,6 +427,8 @@
 		strtoll(command_option(argc, argv, "queue", "64"), NULL, 10);
 	server.cold_start_ms =
 		strtoll(command_option(argc, argv, "cold", "0"), NULL, 10);
+	server.names_attempts = strtoll(
+		command_option(argc, argv, "name-attempts", "1"), NULL, 10);
 	server.started_ms = prl_now_ms();
 	server.runs_by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
