--- a/cmd/primroseleadd/test/test_check_bytes.c
+++ b/cmd/primroseleadd/test/test_check_bytes.c
@@ -63,6 +63,8 @@
 	size_t surplus_len;
 	int is_late;
 	int is_next;
+	/* Bytes that follow the response. */
+	size_t fill_len;
 } plan;
 
 static const char next_bytes[] =
@@ -100,6 +102,7 @@
 	}
 	append(out, plan.bytes, plan.len);
 	out->end = plan.end;
+	out->fill_len = plan.fill_len;
 	if (!plan.is_late)
 		return;
 	memcpy(out->then, plan.surplus, plan.surplus_len);
@@ -257,6 +260,27 @@
 	}
 }
 
+/* A response that does not end must not be collected without end. */
+static void test_response_is_received_without_a_bound(void **state)
+{
+	static const char *const responses[] = {
+		"HTTP/1.1 200 OK\r\n" OWN "\r\n",
+		"HTTP/1.1 200 OK\r\n" OWN "X-Fill: ",
+	};
+
+	(void)state;
+	memset(&plan, 0, sizeof(plan));
+	plan.fill_len = 1 << 20;
+	plan.end = SCRIPTED_CLOSE;
+	for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
+		plan.bytes = responses[i];
+		plan.len = strlen(responses[i]);
+		assert_int_equal(run_check(), 0);
+		assert_int_not_equal(check.result, CURLE_OK);
+		assert_int_equal(check.status, 0);
+	}
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -287,6 +311,7 @@
 			test_response_that_ends_early_is_taken_for_whole),
 		cmocka_unit_test(test_earlier_response_answers_the_next_check),
 		cmocka_unit_test(test_response_of_another_is_taken),
+		cmocka_unit_test(test_response_is_received_without_a_bound),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
