--- a/soak/check.c
+++ b/soak/check.c
@@ -144,18 +144,19 @@
 	}
 }
 
-/* The promise that a run at an upstream that left breaks, by what befell the
- * VMs meanwhile. */
+/* What a request checks that its VM sends to no upstream that left, by what
+ * befell that VM since. */
 static enum soak_promise left_promise(const struct soak *s,
-				      const struct soak_fault *f)
+				      const struct soak_fault *f,
+				      const struct soak_request *q)
 {
 	int64_t from = f->begin_ms - AFTERMATH_MS;
 
-	if (overlaps(s, "pause", 0, from, f->end_ms))
+	if (overlaps(s, "pause", q->vm, from, q->begin_ms))
 		return SOAK_LEASE;
-	if (overlaps(s, "term", 0, from, f->end_ms) ||
-	    overlaps(s, "kill", 0, from, f->end_ms) ||
-	    overlaps(s, "return", 0, from, f->end_ms))
+	if (overlaps(s, "term", q->vm, from, q->begin_ms) ||
+	    overlaps(s, "kill", q->vm, from, q->begin_ms) ||
+	    overlaps(s, "return", 0, from, q->begin_ms))
 		return SOAK_LEFT_RESTART;
 	return SOAK_LEFT;
 }
@@ -180,16 +181,16 @@
 /* When all VMs must have acted on the change: a store may have been ill as the
  * upstream left, or have had its older entry again as a VM began to read it. */
 static int64_t left_from_ms(const struct soak *s, const struct soak_fault *f,
-			    enum soak_promise promise)
+			    const struct soak_request *q)
 {
-	int64_t from = f->begin_ms;
-
-	from = MAX(from, last_end(s, "store", f->begin_ms - AFTERMATH_MS,
-				  f->begin_ms + SOAK_BOUND_MS));
-	if (promise != SOAK_LEFT)
-		from = MAX(from,
-			   last_end(s, "return", f->begin_ms - AFTERMATH_MS,
-				    f->end_ms));
+	int64_t begin = f->begin_ms - AFTERMATH_MS;
+	int64_t from = MAX(f->begin_ms, last_end(s, "store", begin,
+						 f->begin_ms + SOAK_BOUND_MS));
+
+	if (overlaps(s, "pause", 0, begin, q->begin_ms) ||
+	    overlaps(s, "term", 0, begin, q->begin_ms) ||
+	    overlaps(s, "kill", 0, begin, q->begin_ms))
+		from = MAX(from, last_end(s, "return", begin, q->begin_ms));
 	return from + SOAK_BOUND_MS;
 }
 
@@ -198,20 +199,20 @@
 static void check_left(const struct soak *s, GHashTable *runs,
 		       const struct soak_fault *f)
 {
-	enum soak_promise promise = left_promise(s, f);
-	int64_t from = left_from_ms(s, f, promise);
 	int64_t to = f->end_ms - MARGIN_MS;
 
-	if (from >= to)
-		return;
-	soak_count_check(promise);
 	for (guint i = 0; i < s->requests->len; i++) {
 		const struct soak_request *q =
 			&g_array_index(s->requests, struct soak_request, i);
 		const struct run *run = g_hash_table_lookup(runs, q->id);
+		enum soak_promise promise;
 
-		if (run && run->upstream == f->subject && q->begin_ms >= from &&
-		    run->last_ms <= to)
+		if (!run || q->begin_ms < f->begin_ms || run->last_ms > to ||
+		    q->begin_ms < left_from_ms(s, f, q))
+			continue;
+		promise = left_promise(s, f, q);
+		soak_count_check(promise);
+		if (run->upstream == f->subject)
 			report_request(s, promise, q);
 	}
 }
