Comments: subjects in place of pronouns

Wrong: comments opened with "It", "Its", "This VM", "That"; one told how things were before ("as all did before"); readers.sequence had no comment.

--- a/cmd/primroseleadd/readers.h
+++ b/cmd/primroseleadd/readers.h
@@ -9,8 +9,8 @@
  * Which VMs read the manifest, the upstreams and the evacuations from the
  * store: a few of the fleet, in different regions. They push what has changed
  * to the others, and tell them by beats how recent their replica is. A VM that
- * hears no beats reads the store itself, as all did before; so do the VMs of a
- * fleet whose readers are of a build that knows no beats.
+ * hears no beats reads the store itself; so do the VMs of a fleet whose readers
+ * are of a build that knows no beats.
  */
 
 struct control;
@@ -20,13 +20,15 @@
 	 * readers. */
 	enum spread_role role;
 	int position;
-	/** This VM reads the store, as of the last tick. */
+	/** Whether this VM reads the store, as of the last tick. */
 	int reading;
 	struct spread_beats beats;
 	/** Failure domains with a usable member. */
 	GPtrArray *domains;
 	/** Keys of objects that were read as changed and are to be pushed. */
 	GPtrArray *changed;
+	/** Sequence number of the last message that this VM sent as its origin.
+	 */
 	int64_t sequence;
 	int64_t next_beat_ms;
 	int64_t last_tick_ms;
--- a/cmd/primroseleadd/source.h
+++ b/cmd/primroseleadd/source.h
@@ -22,7 +22,7 @@
 	int64_t next_seed_pull_ms;
 	/** The replica has once been complete, from the store or another VM. */
 	int replica_complete;
-	/** This VM serves requests and takes part in the membership. */
+	/** Whether this VM serves requests and takes part in the membership. */
 	int ready;
 };
 
--- a/cmd/primroseleadd/tree.c
+++ b/cmd/primroseleadd/tree.c
@@ -64,7 +64,7 @@
 		       const struct wire_args *args,
 		       enum tree_delivery delivery)
 {
-	/* This VM, if the domain has no usable member. */
+	/* Index 0, the VM itself, if the domain has no usable member. */
 	int root = 0;
 
 	member_rank(&c->members, domain, topic, &root, 1);
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -32,10 +32,10 @@
 	int64_t limit_resumes_ms;
 	/** When it was last known to name the limit. */
 	int64_t limit_named_ms;
-	/** It has said in a response that it leaves, which its entry may not.
-	 */
+	/** A response of the upstream said that it leaves, which its entry may
+	 * not say. */
 	int said_leaving;
-	/** It wants no requests from this VM until this time. */
+	/** The upstream wants no requests from this VM until this time. */
 	int64_t closed_until_ms;
 	/** Time at which an upstream whose entry is missing is removed. The
 	 * entry may only have expired while the store was down. PRL_NEVER
--- a/config/test/test_inventory.c
+++ b/config/test/test_inventory.c
@@ -568,7 +568,7 @@
 			PRL_E_STALE);
 	}
 	assert_int_equal(count_upstreams(), 0);
-	/* It writes again, or is started again. */
+	/* The upstream writes again, or is started again. */
 	update_upstream("i1", "n-a", 50, 9, 3000);
 	assert_int_equal(count_upstreams(), 1);
 }
--- a/limit/include/primroselead/grant.h
+++ b/limit/include/primroselead/grant.h
@@ -75,7 +75,7 @@
 	/** Active VMs in the pool's region, and in the whole fleet. */
 	int local_vms;
 	int all_vms;
-	/** This process's row as last written, or as read since if that allows
+	/** Row of this process as last written, or as read since if that allows
 	 * less. */
 	int row_tokens;
 	int row_base_capacity;
--- a/model/world.h
+++ b/model/world.h
@@ -168,7 +168,7 @@
 
 /** An entry VM. */
 struct fake_vm {
-	/** Its process runs. */
+	/** Whether the process runs. */
 	int alive;
 	/** The process makes no progress, as in a suspended VM. */
 	int paused;
@@ -187,7 +187,7 @@
 	/** Did not run for longer than its lease: does not renew it before the
 	 * ledger has been read again. */
 	int unconfirmed;
-	/** That reading of the ledger is under way. */
+	/** The ledger is being read again. */
 	int ledger_reread;
 	struct grant_set grant;
 	/** Capacity of each region that this VM may use. */
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -243,7 +243,7 @@
 struct place_attempt {
 	enum place_result result;
 	int region;
-	/** That of the place_request. */
+	/** "sticky" of the place_request. */
 	int sticky;
 	/** Time from sending the request to its end. */
 	int64_t duration_us;
--- a/replay/src/world.h
+++ b/replay/src/world.h
@@ -19,7 +19,7 @@
 	int region;
 	/** Rank in its region, 0 to 999; faults affect the lowest ranks. */
 	int rank_permille;
-	/** Its service time against the usual. */
+	/** Service time in relation to the usual one. */
 	int service_time_permille;
 	/** Requests that run; those that wait, of struct world_request. */
 	int running;
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -92,24 +92,25 @@
 	/** Name of the instance, which a restart may keep; empty if not known.
 	 */
 	char instance[STEER_NAME_MAX];
-	/** Its caches are cold until this time. */
+	/** The caches are cold until this time. */
 	int64_t cold_until_ms;
-	/** It is sent no requests until this time. */
+	/** No requests are sent until this time. */
 	int64_t paused_until_ms;
 	/** Rate at which this VM may send it requests while it is cold, in
 	 * thousandths of a request per second. */
 	int64_t cold_rate_milli;
-	/** It wants no requests from this VM until this time. */
+	/** The upstream wants no requests from this VM until this time. */
 	int64_t closed_until_ms;
-	/** It names a rate limit until this time, and is sent nothing until the
-	 * second one, since it got more before the limit was known. */
+	/** The upstream names a rate limit until the first time, and is sent
+	 * nothing until the second, since it got more before the limit was
+	 * known. */
 	int64_t limited_until_ms;
 	int64_t limit_resumes_ms;
 	/** Limit for all VMs together, and this VM's part of it, in thousandths
 	 * of a request per second. */
 	int64_t limit_milli;
 	int64_t limit_part_milli;
-	/** This VM alone among the entry VMs sends it health checks. */
+	/** Whether this VM alone among the entry VMs sends it health checks. */
 	int is_health_checker;
 };
 
@@ -123,7 +124,7 @@
 	/** Regions that take requests beyond the capacity, nearest first. */
 	int8_t spill[STEER_REGIONS_MAX];
 	int nspill;
-	/** Its upstreams are consecutive in the service's table. */
+	/** The region's upstreams are consecutive in the service's table. */
 	int first_upstream;
 	int nupstream;
 	/** Index of the semaphore for this process's part of the capacity. */
