--- a/store/include/primroselead/follow.h
+++ b/store/include/primroselead/follow.h
@@ -51,9 +51,9 @@
 	/** Time of the next call; PRL_NEVER until the next tick has chosen the
 	 * delay after a failed call. */
 	int64_t next_call_ms;
-	/** When the store last confirmed what was reported: the time of the last
-	 * successful call or, if its answer may have waited while the process
-	 * stood still, a time before it came. 0 if there was none. */
+	/** When the store last confirmed what was reported: the time of the
+	 * last successful call or, if its answer may have waited while the
+	 * process stood still, a time before it came. 0 if there was none. */
 	int64_t confirmed_ms;
 	/** Time of the last tick. */
 	int64_t last_tick_ms;
