Soak: VMs of the ASan build start with the library of links

ASan refuses to start behind a preloaded library ("ASan runtime does not come first in initial library list").

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -92,14 +92,21 @@
 {
 	static char preload[600];
 	static char links[60];
-	static const char *const moved[] = {preload, links, NULL};
+	static char sanitizer[400];
+	static const char *const environment[] = {preload, links, sanitizer,
+						  NULL};
+	const char *options = getenv("ASAN_OPTIONS");
 	int group = soak_group(vm);
 
 	snprintf(preload, sizeof(preload), "LD_PRELOAD=%s", s->links_library);
 	snprintf(links, sizeof(links), SOAK_LINKS_VARIABLE "=%d,%d,%d",
 		 LINK_PORT(0, 1), SOAK_UPSTREAMS,
 		 LINK_PORT(group, 1) - LINK_PORT(0, 1));
-	harness_environment = moved;
+	/* ASan wants to be the first library, which the preloaded one is. */
+	snprintf(sanitizer, sizeof(sanitizer),
+		 "ASAN_OPTIONS=%s:verify_asan_link_order=0",
+		 options ? options : "");
+	harness_environment = environment;
 	s->vm_pid[vm] = routes_spawn_vm(vm, STORE_LINK_PORT(group));
 	harness_environment = NULL;
 	s->vm_pid_now[vm] = s->vm_pid[vm];
