Daemon: the platform's list of VMs in a part of its own

Wrong: what the list says (destroyed VMs, addresses, whether this VM is in it) was four fields of struct control, and apply.c held the reading of it beside the building of the configuration and of views.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -156,7 +156,7 @@
 	grants_tick(c, now);
 	loans_tick(c, now);
 	shifts_tick(c, now);
-	if (!c->unconfirmed && !c->listed_as_destroyed)
+	if (!c->unconfirmed && !c->vm_list.this_is_destroyed)
 		atomic_store(&c->proxy.lease_until_ms,
 			     now + c->settings->control.lease);
 	leave_tick(c, now);
@@ -213,10 +213,7 @@
 	c->pool = pool;
 	c->started_ms = prl_now_ms();
 	c->last_tick_ms = c->started_ms;
-	c->destroyed_vms =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	c->http_by_vm =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	vm_list_init(c);
 	grants_init(c);
 	shifts_init(c);
 	config_builder_init(&c->builder);
@@ -270,8 +267,7 @@
 	member_finish(&c->members);
 	proxy_finish(&c->proxy);
 	config_builder_finish(&c->builder);
-	g_hash_table_destroy(c->destroyed_vms);
-	g_hash_table_destroy(c->http_by_vm);
+	vm_list_finish(c);
 	loop_remove(&c->loop, &c->signal_fd);
 	close(c->signal_fd.fd);
 	loop_finish(&c->loop);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -15,6 +15,7 @@
 #include "shifts.h"
 #include "source.h"
 #include "sync.h"
+#include "vm_list.h"
 #include <primroselead/config.h>
 #include <primroselead/member.h>
 #include <primroselead/proxy.h>
@@ -56,6 +57,7 @@
 	struct source source;
 	struct registry registry;
 	struct objects objects;
+	struct vm_list vm_list;
 	struct health health;
 	struct news news;
 	struct reach reach;
@@ -91,23 +93,6 @@
 	 */
 	int64_t status_due_ms;
 	int64_t idle_status_due_ms;
-	/**
-	 * Destroyed VMs: name to the time (int64_t) from which their capacity
-	 * may be reclaimed.
-	 */
-	GHashTable *destroyed_vms;
-	/**
-	 * The platform's VM list contains entry VMs, so only listed VMs may
-	 * join.
-	 */
-	int has_vm_list;
-	/**
-	 * The platform's VM list says that this VM was destroyed. Other VMs
-	 * reclaim its capacity even if the list is wrong, so this VM uses none.
-	 */
-	int listed_as_destroyed;
-	/** HTTP addresses of the VMs in the platform's list, by name. */
-	GHashTable *http_by_vm;
 	/** When the shutdown began; 0 if it has not. */
 	int64_t leaving_since_ms;
 	/** New connections are no longer accepted. */
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -244,7 +244,7 @@
 	void *key;
 	void *at;
 
-	g_hash_table_iter_init(&it, c->destroyed_vms);
+	g_hash_table_iter_init(&it, c->vm_list.destroyed);
 	while (destroyed.n < RECLAIM_VMS_MAX &&
 	       g_hash_table_iter_next(&it, &key, &at))
 		if (now >= *(int64_t *)at)
--- a/cmd/primroseleadd/loans.c
+++ b/cmd/primroseleadd/loans.c
@@ -231,7 +231,7 @@
 	snprintf(t.pool_name, sizeof(t.pool_name), "%s", b->region);
 	snprintf(t.peer, sizeof(t.peer), "%s", b->borrower);
 	t.is_remote = !peer || strcmp(peer->vm.region, b->region) != 0;
-	if (g && s && !c->unconfirmed && !c->listed_as_destroyed)
+	if (g && s && !c->unconfirmed && !c->vm_list.this_is_destroyed)
 		grant_lend(&g->grants, &t,
 			   prl_now_ms() + borrower_use_ms + s->deadline_ms);
 	else
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -331,7 +331,7 @@
 	prl_address_format(&r->from, source, sizeof(source));
 	if (strcmp(source, from->rpc))
 		return 0;
-	return !c->has_vm_list || is_listed(c, from);
+	return !c->vm_list.has_entries || is_listed(c, from);
 }
 
 static void on_probe(struct control *c, const struct wire_request *r,
