Daemon: status and reload with their own headers and structs

Wrong: times of the status page, and the path and modification time of the settings file, were fields of struct control; when the page is due was decided in control.c.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -16,14 +16,6 @@
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 10000
 
-/*
- * Shortest interval between status updates, in milliseconds. While nobody
- * requests the status, the interval is longer by the second value for each
- * member, since the cost of an update grows with the fleet.
- */
-#define STATUS_INTERVAL_MS 200
-#define STATUS_IDLE_PER_MEMBER_MS 2
-
 uint64_t control_random(void)
 {
 	uint64_t r = 0;
@@ -117,20 +109,6 @@
 	metrics_set(m, METRIC_LOG_LINES_LOST, (uint64_t)log_lost_lines());
 }
 
-static void update_status(struct control *c, int64_t now)
-{
-	int wanted = now >= c->status_due_ms &&
-		     atomic_exchange(&c->proxy.status_requested, 0);
-
-	if (!wanted && now < c->idle_status_due_ms)
-		return;
-	status_update(c, now);
-	c->status_due_ms = now + STATUS_INTERVAL_MS;
-	c->idle_status_due_ms =
-		now + STATUS_INTERVAL_MS +
-		(int64_t)c->members.npeer * STATUS_IDLE_PER_MEMBER_MS;
-}
-
 static void on_tick(struct loop_timer *t, int64_t now)
 {
 	struct control *c = t->ctx;
@@ -161,7 +139,7 @@
 			     now + c->settings->control.lease);
 	leave_tick(c, now);
 	publish_metrics(c);
-	update_status(c, now);
+	status_tick(c, now);
 	t->deadline_ms = now + TICK_MS;
 }
 
@@ -209,7 +187,7 @@
 
 	memset(c, 0, sizeof(*c));
 	c->settings = s;
-	c->settings_path = path;
+	c->reload.path = path;
 	c->pool = pool;
 	c->started_ms = prl_now_ms();
 	c->last_tick_ms = c->started_ms;
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -12,8 +12,10 @@
 #include "reach.h"
 #include "readers.h"
 #include "registry.h"
+#include "reload.h"
 #include "shifts.h"
 #include "source.h"
+#include "status.h"
 #include "sync.h"
 #include "vm_list.h"
 #include <primroselead/config.h>
@@ -36,14 +38,6 @@
 /** All state of the control thread. */
 struct control {
 	const struct prl_settings *settings;
-	/** Path of the settings file. */
-	const char *settings_path;
-	int64_t next_settings_check_ms;
-	/**
-	 * Last known modification time of the file, in microseconds since 1970;
-	 * 0 if unknown.
-	 */
-	int64_t settings_mtime_us;
 	/** Limits of the platform. */
 	struct fleet_bounds bounds;
 	apr_pool_t *pool;
@@ -57,6 +51,8 @@
 	struct source source;
 	struct registry registry;
 	struct objects objects;
+	struct reload reload;
+	struct status status;
 	struct vm_list vm_list;
 	struct health health;
 	struct news news;
@@ -87,12 +83,6 @@
 	int unconfirmed;
 	/** The view must be rebuilt. */
 	int view_outdated;
-	/**
-	 * Earliest time of the next update of the status page if the page has
-	 * been requested, and if it has not.
-	 */
-	int64_t status_due_ms;
-	int64_t idle_status_due_ms;
 	/** When the shutdown began; 0 if it has not. */
 	int64_t leaving_since_ms;
 	/** New connections are no longer accepted. */
@@ -120,14 +110,6 @@
 			   const char *path, apr_pool_t *pool,
 			   struct prl_error *err);
 
-/**
- * Reads a settings file into a pool and prints its faults to standard error.
- * Returns PRL_OK, PRL_E_CONFIG, PRL_E_IO, PRL_E_LIMIT if the file is too large,
- * or PRL_E_MEMORY.
- */
-enum prl_code settings_read(const char *path, apr_pool_t *pool,
-			    struct prl_settings *s, struct prl_error *err);
-
 /**
  * Reads the platform's limits from the settings. Returns PRL_OK, or
  * PRL_E_CONFIG if a value is not a valid number.
@@ -161,21 +143,6 @@
 /** Builds a view and publishes it to the traffic threads. */
 void apply_view(struct control *c);
 
-/* status.c */
-
-/** Publishes the status as JSON to the traffic threads. */
-void status_update(struct control *c, int64_t now);
-
-/* reload.c */
-
-/**
- * Reload the settings: on SIGHUP always, on a tick if the file's modification
- * time has changed. Only the platform's limits take effect; all other settings
- * need a restart.
- */
-void reload_signalled(struct control *c);
-void reload_tick(struct control *c, int64_t now);
-
 /* leave.c */
 
 /** Begins the shutdown; further calls have no effect. */
--- a/cmd/primroseleadd/reload.c
+++ b/cmd/primroseleadd/reload.c
@@ -1,3 +1,4 @@
+#include "reload.h"
 #include "control.h"
 #include <apr_file_info.h>
 #include <primroselead/clock.h>
@@ -41,7 +42,7 @@
 	if (apr_pool_create(&pool, c->pool))
 		return;
 	s = apr_pcalloc(pool, sizeof(*s));
-	if (s && !settings_read(c->settings_path, pool, s, &err) &&
+	if (s && !settings_read(c->reload.path, pool, s, &err) &&
 	    !control_read_bounds(s, &bounds, &err)) {
 		c->bounds = bounds;
 		proxy_set_bounds(&c->proxy, &bounds);
@@ -59,7 +60,7 @@
 
 	if (apr_pool_create(&pool, c->pool))
 		return 0;
-	if (!apr_stat(&info, c->settings_path, APR_FINFO_MTIME, pool))
+	if (!apr_stat(&info, c->reload.path, APR_FINFO_MTIME, pool))
 		at = info.mtime;
 	apr_pool_destroy(pool);
 	return at;
@@ -67,7 +68,7 @@
 
 void reload_signalled(struct control *c)
 {
-	c->settings_mtime_us = settings_mtime(c);
+	c->reload.mtime_us = settings_mtime(c);
 	reload(c, "signal");
 }
 
@@ -75,12 +76,12 @@
 {
 	int64_t at;
 
-	if (now < c->next_settings_check_ms)
+	if (now < c->reload.next_check_ms)
 		return;
-	c->next_settings_check_ms = now + MTIME_CHECK_INTERVAL_MS;
+	c->reload.next_check_ms = now + MTIME_CHECK_INTERVAL_MS;
 	at = settings_mtime(c);
-	if (c->settings_mtime_us && at && at != c->settings_mtime_us)
+	if (c->reload.mtime_us && at && at != c->reload.mtime_us)
 		reload(c, "file");
 	if (at)
-		c->settings_mtime_us = at;
+		c->reload.mtime_us = at;
 }
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -1,7 +1,16 @@
+#include "status.h"
 #include "control.h"
 #include <jansson.h>
 #include <string.h>
 
+/*
+ * Shortest interval between status updates, in milliseconds. While nobody
+ * requests the status, the interval is longer by the second value for each
+ * member, since the cost of an update grows with the fleet.
+ */
+#define STATUS_INTERVAL_MS 200
+#define STATUS_IDLE_PER_MEMBER_MS 2
+
 static json_t *members(const struct control *c)
 {
 	json_t *list = json_array();
@@ -128,7 +137,7 @@
 			 (json_int_t)(confirmed_ms ? now - confirmed_ms : -1));
 }
 
-void status_update(struct control *c, int64_t now)
+static void publish(struct control *c, int64_t now)
 {
 	const char *state = c->leaving_since_ms ? "leaving"
 			    : !c->sync.ready	? "starting"
@@ -149,3 +158,17 @@
 	if (text)
 		proxy_set_status(&c->proxy, text);
 }
+
+void status_tick(struct control *c, int64_t now)
+{
+	int wanted = now >= c->status.due_ms &&
+		     atomic_exchange(&c->proxy.status_requested, 0);
+
+	if (!wanted && now < c->status.idle_due_ms)
+		return;
+	publish(c, now);
+	c->status.due_ms = now + STATUS_INTERVAL_MS;
+	c->status.idle_due_ms =
+		now + STATUS_INTERVAL_MS +
+		(int64_t)c->members.npeer * STATUS_IDLE_PER_MEMBER_MS;
+}
