Tests: test_fleet sets the store's faults by the function of routes.c

Wrong: set_store_faults of system/test_fleet.c was routes_set_store_faults of system/routes.c once more.

No assertion is changed: both assert status 200.

Change: the calls only.

--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -148,22 +148,12 @@
  * checked on, in ms: they may not have written to the store yet. */
 #define CHECKED_AFTER_RETURN_MS 3000
 
-static void set_store_faults(const char *query)
-{
-	char url[160];
-	char text[400];
-
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/faults?%s",
-		 STORE_PORT, query);
-	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
-}
-
 /* After compaction of the store's history a VM lists all objects, and so finds
  * changes that its watch missed. */
 static void test_dropped_history(void **state)
 {
 	(void)state;
-	set_store_faults("compact=1");
+	routes_set_store_faults("compact=1");
 	routes_put_upstream("i-2", "s", UPSTREAM_PORT(2), "draining", 6);
 	harness_sleep_ms(PROPAGATION_MS);
 	expect_no_requests(1, 2);
@@ -178,7 +168,7 @@
 	int64_t end = prl_now_ms() + 4000;
 
 	(void)state;
-	set_store_faults("down_ms=4000");
+	routes_set_store_faults("down_ms=4000");
 	while (prl_now_ms() < end)
 		assert_int_equal(routes_request("GET", "/safe/plain").status,
 				 200);
@@ -210,7 +200,7 @@
 
 	(void)state;
 	checked = routes_upstream_stat(UPSTREAM_PORT(1), "checked");
-	set_store_faults("down_ms=9000");
+	routes_set_store_faults("down_ms=9000");
 	harness_sleep_ms(3500);
 	/* One VM checks each upstream 4 times/s from the first failed store
 	 * request on. */
@@ -259,7 +249,7 @@
 	int64_t sent;
 
 	(void)state;
-	set_store_faults("down_ms=5500");
+	routes_set_store_faults("down_ms=5500");
 	harness_sleep_ms(3000);
 	set_cold(2, 4000);
 	harness_sleep_ms(400);
@@ -289,7 +279,7 @@
 	routes_put_cold_upstream("i-1", "s", UPSTREAM_PORT(1), 6000, 8);
 	set_cold(1, 6000);
 	harness_sleep_ms(500);
-	set_store_faults("down_ms=4000");
+	routes_set_store_faults("down_ms=4000");
 	harness_sleep_ms(3500);
 	assert_in_range(routes_upstream_stat(UPSTREAM_PORT(1), "checked") -
 				checked,
@@ -372,7 +362,7 @@
 static void test_dead_vm_is_not_named(void **state)
 {
 	(void)state;
-	set_store_faults("down_ms=6000");
+	routes_set_store_faults("down_ms=6000");
 	harness_kill(routes_vm_pid[2], SIGKILL);
 	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 0, 5000));
 	harness_sleep_ms(3000);
