Tests: test_fleet runs with any base of ports

Wrong: with ROUTES_PORT_BASE=25000, test_lookups_name_all_that_are_ready, test_planned_stop, test_stop_with_a_request_that_hangs and test_dead_vm_is_not_named failed (4 of 16, asan): look-ups name the VMs at the base that is set, the tests waited for 127.0.0.1:29001 and 29002.

Change: wait_for_lookup takes the VM's number and forms the address from HTTP_PORT, as the rest of the tests do; what is waited for, and for how long, stays.

--- a/system/test_fleet.c
+++ b/system/test_fleet.c
@@ -30,9 +30,12 @@
 	return strstr(text, address) != NULL;
 }
 
-static int wait_for_lookup(int n, const char *address, int expected,
-			   int timeout_ms)
+/* Waits until VM n names another VM in look-ups, or does not. */
+static int wait_for_lookup(int n, int other, int expected, int timeout_ms)
 {
+	char address[32];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d", HTTP_PORT(other));
 	for (int i = 0; i < timeout_ms / 50; i++) {
 		if (lookup_contains(n, address) == expected)
 			return 1;
@@ -44,8 +47,8 @@
 static void test_lookups_name_all_that_are_ready(void **state)
 {
 	(void)state;
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 1, 3000));
-	assert_true(wait_for_lookup(2, "127.0.0.1:29001", 1, 3000));
+	assert_true(wait_for_lookup(1, 2, 1, 3000));
+	assert_true(wait_for_lookup(2, 1, 1, 3000));
 }
 
 static void test_address_of_another_instance(void **state)
@@ -333,11 +336,11 @@
 	assert_false(is_ready(2));
 	assert_int_equal(routes_request_at(2, "GET", "/safe/plain").status,
 			 200);
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 0, 1500));
+	assert_true(wait_for_lookup(1, 2, 0, 1500));
 	assert_int_equal(harness_wait(routes_vm_pid[2]), 0);
 	assert_true(prl_now_ms() - began < 5800);
 	routes_start_vm(2);
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 1, 5000));
+	assert_true(wait_for_lookup(1, 2, 1, 5000));
 }
 
 /* A request that outlasts the grace period is aborted, and the process exits
@@ -355,7 +358,7 @@
 	assert_true(prl_now_ms() - began < 6200);
 	close(fd);
 	routes_start_vm(2);
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 1, 5000));
+	assert_true(wait_for_lookup(1, 2, 1, 5000));
 }
 
 /* A crashed VM drops out of lookups, also during a store outage. */
@@ -364,10 +367,10 @@
 	(void)state;
 	routes_set_store_faults("down_ms=6000");
 	harness_kill(routes_vm_pid[2], SIGKILL);
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 0, 5000));
+	assert_true(wait_for_lookup(1, 2, 0, 5000));
 	harness_sleep_ms(3000);
 	routes_start_vm(2);
-	assert_true(wait_for_lookup(1, "127.0.0.1:29002", 1, 5000));
+	assert_true(wait_for_lookup(1, 2, 1, 5000));
 }
 
 /* A VM that can't reach the store gets its configuration and later changes
