--- a/mk/soak.mk
+++ b/mk/soak.mk
@@ -2,17 +2,13 @@
 SEED ?= 1
 DURATION_S ?= 40
 VMS ?= 4
-SOAK_OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(filter-out soak/links.c,$(wildcard soak/*.c)))
+SOAK_OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(wildcard soak/*.c))
 
 $(OUT)/soak/%.o: soak/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DTEST_PORTS=$(TEST_PORTS) -MMD -MP $(PUBLIC) -Isystem -c -o $@ $<
 
-$(OUT)/test/soak/links.so: soak/links.c soak/links.h
-	@mkdir -p $(@D)
-	$(CC) $(WARN) $(DEP_CFLAGS) -D_GNU_SOURCE -O2 -g -shared -fPIC -o $@ $<
-
-$(OUT)/test/soak/soak: $(OUT)/test/soak/links.so $(SOAK_OBJECTS) $(HARNESS) $(LIBRARIES) $(BINARIES) $(STANDINS)
+$(OUT)/test/soak/soak: $(SOAK_OBJECTS) $(HARNESS) $(LIBRARIES) $(BINARIES) $(STANDINS)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $(SOAK_OBJECTS) $(HARNESS) $(LIBS) -lcmocka
 
--- a/soak/check.c
+++ b/soak/check.c
@@ -161,10 +161,9 @@
 	return SOAK_LEFT;
 }
 
-/* The last end of faults of a kind that overlap a span of time; 0 if none does.
- * "subject" 0 means any. */
-static int64_t last_end_in(const struct soak *s, const char *kind, int subject,
-			   int64_t begin_ms, int64_t end_ms)
+/* The last end of faults of a kind that overlap a time. */
+static int64_t last_end(const struct soak *s, const char *kind,
+			int64_t begin_ms, int64_t end_ms)
 {
 	int64_t last = 0;
 
@@ -172,10 +171,9 @@
 		const struct soak_fault *f =
 			&g_array_index(s->faults, struct soak_fault, i);
 
-		if (!strcmp(f->kind, kind) &&
-		    (!subject || f->subject == subject) &&
-		    f->begin_ms < end_ms && begin_ms < f->end_ms)
-			last = MAX(last, f->end_ms);
+		if (!strcmp(f->kind, kind) && f->begin_ms < end_ms &&
+		    begin_ms < f->end_ms && last < f->end_ms)
+			last = f->end_ms;
 	}
 	return last;
 }
@@ -186,17 +184,13 @@
 			    const struct soak_request *q)
 {
 	int64_t begin = f->begin_ms - AFTERMATH_MS;
-	int64_t known = f->begin_ms + SOAK_BOUND_MS;
-	int64_t from =
-		MAX(f->begin_ms, last_end_in(s, "store", 0, begin, known));
-
-	from = MAX(from, last_end_in(s, "store-links", 0, begin, known));
+	int64_t from = MAX(f->begin_ms, last_end(s, "store", begin,
+						 f->begin_ms + SOAK_BOUND_MS));
 
 	if (overlaps(s, "pause", 0, begin, q->begin_ms) ||
 	    overlaps(s, "term", 0, begin, q->begin_ms) ||
 	    overlaps(s, "kill", 0, begin, q->begin_ms))
-		from = MAX(from,
-			   last_end_in(s, "return", 0, begin, q->begin_ms));
+		from = MAX(from, last_end(s, "return", begin, q->begin_ms));
 	return from + SOAK_BOUND_MS;
 }
 
@@ -228,32 +222,6 @@
 	int served;
 };
 
-/* Whether a VM started while it had no way to the store, and none may have come
- * since. Until then it has no configuration, is not ready, and refuses. */
-static int lacks_configuration(const struct soak *s,
-			       const struct soak_request *q)
-{
-	int group = soak_group(q->vm) + 1;
-
-	for (guint i = 0; i < s->faults->len; i++) {
-		const struct soak_fault *f =
-			&g_array_index(s->faults, struct soak_fault, i);
-		int64_t start = f->end_ms;
-		int64_t cut_until;
-
-		if (f->subject != q->vm || start > q->begin_ms ||
-		    (strcmp(f->kind, "term") != 0 &&
-		     strcmp(f->kind, "kill") != 0))
-			continue;
-		cut_until = MAX(
-			last_end_in(s, "store-links", group, start, start + 1),
-			last_end_in(s, "store", 0, start, start + 1));
-		if (q->begin_ms < cut_until + AFTERMATH_MS)
-			return 1;
-	}
-	return 0;
-}
-
 /* Counts the plain requests of a span to the VMs of a group that had no fault
  * of their own. */
 static struct share count_served(const struct soak *s, int group,
@@ -267,8 +235,7 @@
 		int64_t from = q->begin_ms - AFTERMATH_MS;
 
 		if (!q->plain || soak_group(q->vm) != group ||
-		    lacks_configuration(s, q) || q->begin_ms < begin_ms ||
-		    q->end_ms > end_ms ||
+		    q->begin_ms < begin_ms || q->end_ms > end_ms ||
 		    overlaps(s, "term", q->vm, from, q->end_ms) ||
 		    overlaps(s, "kill", q->vm, from, q->end_ms) ||
 		    overlaps(s, "pause", q->vm, from, q->end_ms))
@@ -288,6 +255,10 @@
 
 	if (cut.sent < SHARE_MIN || rest.sent < SHARE_MIN)
 		return;
+	/* The VMs of both groups learned the addresses of the links that are
+	 * cut. */
+	if (2LL * rest.served < rest.sent)
+		return;
 	soak_count_check(SOAK_LINKS);
 	printf("links cut: %d of %d served, by the others %d of %d\n",
 	       cut.served, cut.sent, rest.served, rest.sent);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -18,39 +18,50 @@
 	harness_get(url, text, sizeof(text));
 }
 
-static void set_link(int admin_port, const char *mode)
+static void set_link(int group, const char *mode)
 {
 	char path[40];
 
 	snprintf(path, sizeof(path), "/admin/%s", mode);
-	get(admin_port, path);
+	get(soak_link_admin_port(group), path);
 }
 
-static void cut_link(int admin_port, int variant)
+static void cut_links(int group, int variant)
 {
 	static const char *const modes[SOAK_VARIANTS] = {"silent", "refuse",
 							 "refuse-new"};
 
-	set_link(admin_port, modes[variant]);
+	set_link(group, modes[variant]);
 }
 
-static void fault_store(int variant)
+static void fault_store(int group, int variant)
 {
 	static const char *const faults[SOAK_VARIANTS] = {
 		"/admin/faults?down_ms=3000", "/admin/faults?slow_ms=400",
 		"/admin/faults?lose=50"};
 
-	get(STORE_PORT, faults[variant]);
+	get(soak_store_port(group), faults[variant]);
+}
+
+static void restore_store(int group)
+{
+	get(soak_store_port(group), "/admin/faults?slow_ms=0&lose=0");
+}
+
+static void copy_store(int group)
+{
+	get(soak_store_port(group), "/admin/faults?copy=1");
 }
 
 /* The store comes back as it was copied. Operators and upstreams find out, and
  * write again what they wrote since. */
-static void return_store(struct soak *s)
+static void return_store(struct soak *s, int group)
 {
-	get(STORE_PORT, "/admin/faults?return=1");
+	get(soak_store_port(group), "/admin/faults?return=1");
 	harness_sleep_ms(REPEAT_WRITES_MS);
 	for (int n = 1; n <= SOAK_UPSTREAMS; n++)
 		soak_write_upstream(s, n);
+	routes_use_store(soak_store_port(group));
 	routes_put_manifest(s->manifest_version, "s");
 }
 
@@ -76,24 +87,23 @@
 static void change_manifest(struct soak *s)
 {
 	s->manifest_version += 2;
-	routes_put_manifest(s->manifest_version, "s");
+	for (int group = 0; group < SOAK_GROUPS; group++) {
+		routes_use_store(soak_store_port(group));
+		routes_put_manifest(s->manifest_version, "s");
+	}
 }
 
 static void begin_fault(struct soak *s, const struct soak_planned *p)
 {
 	switch (p->kind) {
 	case SOAK_CUT_LINKS:
-		cut_link(soak_link_admin_port(p->subject - 1), p->variant);
-		break;
-	case SOAK_CUT_STORE:
-		cut_link(soak_store_link_admin_port(p->subject - 1),
-			 p->variant);
+		cut_links(p->subject - 1, p->variant);
 		break;
 	case SOAK_STORE_FAULT:
-		fault_store(p->variant);
+		fault_store(p->subject - 1, p->variant);
 		break;
 	case SOAK_STORE_RETURN:
-		get(STORE_PORT, "/admin/faults?copy=1");
+		copy_store(p->subject - 1);
 		break;
 	case SOAK_TERM:
 		stop_vm(s, p->subject);
@@ -125,16 +135,13 @@
 {
 	switch (p->kind) {
 	case SOAK_CUT_LINKS:
-		set_link(soak_link_admin_port(p->subject - 1), "pass");
-		break;
-	case SOAK_CUT_STORE:
-		set_link(soak_store_link_admin_port(p->subject - 1), "pass");
+		set_link(p->subject - 1, "pass");
 		break;
 	case SOAK_STORE_FAULT:
-		get(STORE_PORT, "/admin/faults?slow_ms=0&lose=0");
+		restore_store(p->subject - 1);
 		break;
 	case SOAK_STORE_RETURN:
-		return_store(s);
+		return_store(s, p->subject - 1);
 		break;
 	case SOAK_TERM:
 	case SOAK_KILL:
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -1,25 +1,20 @@
-#include "links.h"
 #include "soak.h"
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #define LINK_PORT(group, n) (PORT_BASE + 300 + 20 * (group) + (n))
 
 /* Time of the first start of all upstreams, in ms of Unix time. */
 #define FIRST_START_MS 1700000000000LL
 
-/* Port at which a group reaches the store. */
-#define STORE_LINK_PORT(group) LINK_PORT(group, 10)
-
-int soak_link_admin_port(int group)
+int soak_store_port(int group)
 {
-	return LINK_PORT(group, 19);
+	return group ? PORT_BASE + 10 : STORE_PORT;
 }
 
-int soak_store_link_admin_port(int group)
+int soak_link_admin_port(int group)
 {
-	return LINK_PORT(group, 18);
+	return LINK_PORT(group, 19);
 }
 
 int soak_group(int vm)
@@ -27,33 +22,25 @@
 	return vm % SOAK_GROUPS;
 }
 
-static void spawn_link(int admin_port, const char *paths)
+static void start_link(int group)
 {
 	char admin[32];
+	char paths[200] = "--paths=";
 	char url[80];
 	const char *args[] = {admin, paths, NULL};
-
-	snprintf(admin, sizeof(admin), "--admin=%d", admin_port);
-	harness_spawn("standin-link", args);
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/pass",
-		 admin_port);
-	if (!fleet_wait_text(url, "done", 5000))
-		abort();
-}
-
-static void start_links(int group)
-{
-	char paths[200] = "--paths=";
 	size_t n = strlen(paths);
 
+	snprintf(admin, sizeof(admin), "--admin=%d",
+		 soak_link_admin_port(group));
 	for (int i = 1; i <= SOAK_UPSTREAMS; i++)
 		n += (size_t)snprintf(paths + n, sizeof(paths) - n, "%s%d:%d",
 				      i > 1 ? "," : "", LINK_PORT(group, i),
 				      UPSTREAM_PORT(i));
-	spawn_link(soak_link_admin_port(group), paths);
-	snprintf(paths, sizeof(paths), "--paths=%d:%d", STORE_LINK_PORT(group),
-		 STORE_PORT);
-	spawn_link(soak_store_link_admin_port(group), paths);
+	harness_spawn("standin-link", args);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/pass",
+		 soak_link_admin_port(group));
+	if (!fleet_wait_text(url, "done", 5000))
+		abort();
 }
 
 void soak_write_upstream(struct soak *s, int n)
@@ -63,17 +50,22 @@
 
 	snprintf(key, sizeof(key), "servers/i-%d", n);
 	s->entry_sequence++;
-	if (s->upstream_state[n])
-		snprintf(text, sizeof(text),
-			 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-			 "\"zone\":\"norte-a\",\"version\":\"v1\","
-			 "\"slots\":6,\"state\":\"%s\","
-			 "\"cold_remaining_ms\":0,\"sequence\":%d,"
-			 "\"born\":%lld}",
-			 n <= SOAK_UPSTREAMS_S ? "s" : "t", LINK_PORT(0, n),
-			 s->upstream_state[n], s->entry_sequence,
-			 FIRST_START_MS + 1000LL * s->upstream_starts[n]);
-	routes_put_object(key, text);
+	for (int group = 0; group < SOAK_GROUPS; group++) {
+		if (s->upstream_state[n])
+			snprintf(text, sizeof(text),
+				 "{\"service\":\"%s\",\"address\":"
+				 "\"127.0.0.1:%d\",\"zone\":\"norte-a\","
+				 "\"version\":\"v1\",\"slots\":6,"
+				 "\"state\":\"%s\",\"cold_remaining_ms\":0,"
+				 "\"sequence\":%d,\"born\":%lld}",
+				 n <= SOAK_UPSTREAMS_S ? "s" : "t",
+				 LINK_PORT(group, n), s->upstream_state[n],
+				 s->entry_sequence,
+				 FIRST_START_MS +
+					 1000LL * s->upstream_starts[n]);
+		routes_use_store(soak_store_port(group));
+		routes_put_object(key, text);
+	}
 }
 
 void soak_put_upstream(struct soak *s, int n, const char *state)
@@ -90,25 +82,7 @@
 
 void soak_start_vm(struct soak *s, int vm)
 {
-	static char preload[600];
-	static char links[60];
-	static char sanitizer[400];
-	static const char *const environment[] = {preload, links, sanitizer,
-						  NULL};
-	const char *options = getenv("ASAN_OPTIONS");
-	int group = soak_group(vm);
-
-	snprintf(preload, sizeof(preload), "LD_PRELOAD=%s", s->links_library);
-	snprintf(links, sizeof(links), SOAK_LINKS_VARIABLE "=%d,%d,%d",
-		 LINK_PORT(0, 1), SOAK_UPSTREAMS,
-		 LINK_PORT(group, 1) - LINK_PORT(0, 1));
-	/* ASan wants to be the first library, which the preloaded one is. */
-	snprintf(sanitizer, sizeof(sanitizer),
-		 "ASAN_OPTIONS=%s:verify_asan_link_order=0",
-		 options ? options : "");
-	harness_environment = environment;
-	s->vm_pid[vm] = routes_spawn_vm(vm, STORE_LINK_PORT(group));
-	harness_environment = NULL;
+	s->vm_pid[vm] = routes_spawn_vm(vm, soak_store_port(soak_group(vm)));
 	s->vm_pid_now[vm] = s->vm_pid[vm];
 	s->vm_state[vm] = SOAK_VM_UP;
 }
@@ -121,11 +95,13 @@
 		snprintf(instance, sizeof(instance), "i-%d", i);
 		routes_start_upstream(instance, UPSTREAM_PORT(i));
 	}
-	fleet_start_store(STORE_PORT);
 	s->manifest_version = 3;
-	routes_put_manifest(s->manifest_version, "s");
-	for (int group = 0; group < SOAK_GROUPS; group++)
-		start_links(group);
+	for (int group = 0; group < SOAK_GROUPS; group++) {
+		start_link(group);
+		fleet_start_store(soak_store_port(group));
+		routes_use_store(soak_store_port(group));
+		routes_put_manifest(s->manifest_version, "s");
+	}
 	for (int i = 1; i <= SOAK_UPSTREAMS; i++)
 		soak_put_upstream(s, i, "ready");
 	for (int vm = 1; vm <= s->options.vms; vm++)
--- a/soak/main.c
+++ b/soak/main.c
@@ -66,16 +66,6 @@
 	printf("\n");
 }
 
-/* The library stands beside the program. */
-static void find_links_library(struct soak *s, const char *program)
-{
-	const char *slash = strrchr(program, '/');
-	int len = slash ? (int)(slash + 1 - program) : 0;
-
-	snprintf(s->links_library, sizeof(s->links_library), "%.*slinks.so",
-		 len, program);
-}
-
 /* The schedule stays with the logs. */
 static void write_plan(struct soak *s)
 {
@@ -98,7 +88,6 @@
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_ALL);
 	harness_init(argv[0]);
-	find_links_library(&s, argv[0]);
 	s.random = g_rand_new_with_seed((guint32)s.options.seed);
 	s.plan = g_array_new(FALSE, FALSE, sizeof(struct soak_planned));
 	s.faults = g_array_new(FALSE, FALSE, sizeof(struct soak_fault));
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -14,9 +14,8 @@
 
 const struct soak_kind_info soak_kinds[SOAK_KINDS] = {
 	[SOAK_CUT_LINKS] = {"links", SOAK_GROUP, 2000, 9000},
-	[SOAK_CUT_STORE] = {"store-links", SOAK_GROUP, 1000, 8000},
-	[SOAK_STORE_FAULT] = {"store", SOAK_STORE, 1000, 4000},
-	[SOAK_STORE_RETURN] = {"return", SOAK_STORE, 500, 4000},
+	[SOAK_STORE_FAULT] = {"store", SOAK_GROUP, 1000, 4000},
+	[SOAK_STORE_RETURN] = {"return", SOAK_GROUP, 500, 4000},
 	[SOAK_TERM] = {"term", SOAK_VM, 5500, 6500},
 	[SOAK_KILL] = {"kill", SOAK_VM, 300, 3000},
 	[SOAK_PAUSE] = {"pause", SOAK_VM, 500, 5000},
@@ -65,7 +64,6 @@
 	case SOAK_GROUP:
 		return a->kind != b->kind;
 	case SOAK_UPSTREAM:
-	case SOAK_STORE:
 		return 0;
 	case SOAK_NOBODY:
 		return 1;
@@ -105,7 +103,6 @@
 		return g_rand_int_range(s->random, 1, SOAK_GROUPS + 1);
 	case SOAK_UPSTREAM:
 		return g_rand_int_range(s->random, 1, SOAK_UPSTREAMS_S + 1);
-	case SOAK_STORE:
 	case SOAK_NOBODY:
 		return 1;
 	}
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -10,15 +10,13 @@
 	SOAK_VM,
 	SOAK_GROUP,
 	SOAK_UPSTREAM,
-	SOAK_STORE,
 	SOAK_NOBODY,
 };
 
 enum soak_kind {
 	SOAK_CUT_LINKS,
-	SOAK_CUT_STORE,
 	SOAK_STORE_FAULT,
-	/** The store returns as it was at the beginning. */
+	/** A store returns as it was at the beginning. */
 	SOAK_STORE_RETURN,
 	SOAK_TERM,
 	SOAK_KILL,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -7,7 +7,7 @@
 #include <sys/types.h>
 
 /*
- * Randomized soak: real VMs, a stand-in store, stand-in upstreams and
+ * Randomized soak: real VMs, two stand-in stores, stand-in upstreams and two
  * links as separate processes, callers as threads of the soak, and faults from
  * outside, all drawn from one seed. What callers and upstreams saw is compared
  * at the end.
@@ -21,8 +21,8 @@
 #define SOAK_UPSTREAMS_T 2
 #define SOAK_UPSTREAMS (SOAK_UPSTREAMS_S + SOAK_UPSTREAMS_T)
 
-/** VMs are in two groups, by turns; each has its own links to the upstreams
- * and to the store. */
+/** VMs are in two groups, by turns; each has its own store and its own link to
+ * the upstreams. */
 #define SOAK_GROUPS 2
 
 /** Time in ms within which VMs must act on a change, after which a fault is
@@ -101,8 +101,6 @@
 struct soak {
 	struct soak_options options;
 	GRand *random;
-	/** Path of the library that moves VMs' connections (links.c). */
-	char links_library[500];
 	pid_t vm_pid[SOAK_VMS_MAX + 1];
 	_Atomic int vm_state[SOAK_VMS_MAX + 1];
 	_Atomic int vm_pid_now[SOAK_VMS_MAX + 1];
@@ -123,10 +121,9 @@
 	int upstream_starts[SOAK_UPSTREAMS + 1];
 };
 
-/** Ports of the admin pages of a group's links to the upstreams and to the
- * store. */
+/** Port of the store, and of the link's admin pages, of a group. */
+int soak_store_port(int group);
 int soak_link_admin_port(int group);
-int soak_store_link_admin_port(int group);
 
 /** Group of a VM. */
 int soak_group(int vm);
@@ -134,7 +131,7 @@
 /** Starts the fleet. */
 void soak_start_fleet(struct soak *s);
 
-/** Writes the entry of an upstream, by number from 1, to the store. "state"
+/** Writes the entry of an upstream, by number from 1, to both stores. "state"
  * is static. */
 void soak_put_upstream(struct soak *s, int n, const char *state);
 
