--- a/proxy/test/service_cases.c
+++ b/proxy/test/service_cases.c
@@ -256,6 +256,11 @@
 		report(path, "next", "the next requests are not served", &r);
 }
 
+void service_set_echoes(int upstream_echoes)
+{
+	echoes = upstream_echoes;
+}
+
 void service_begin(int upstream_echoes)
 {
 	nfailed = 0;
--- a/proxy/test/service_cases.h
+++ b/proxy/test/service_cases.h
@@ -56,6 +56,9 @@
  * or does not. */
 void service_begin(int upstream_echoes);
 
+/** Changes whether the upstream repeats them from here on. */
+void service_set_echoes(int upstream_echoes);
+
 /** Ends the series and prints its failures. */
 void service_finish(void);
 
--- a/proxy/test/test_service_bytes.c
+++ b/proxy/test/test_service_bytes.c
@@ -234,6 +234,25 @@
 	assert_int_equal(count_connections_of_requests(1, 20), 0);
 }
 
+/* The upstream has named an attempt, but not over the connection that is kept.
+ */
+static void
+test_request_that_runs_once_goes_over_an_unnamed_connection(void **s)
+{
+	int before;
+
+	(void)s;
+	service_begin(0);
+	service_set_echoes(1);
+	service_send_next("/once/a");
+	service_set_echoes(0);
+	before = scripted_count_connections();
+	assert_int_equal(service_send_next("/once/b").status, 200);
+	assert_int_equal(scripted_count_connections() - before, 1);
+	service_finish();
+	service_expect_no_failures();
+}
+
 static void test_id_of_a_caller_replaces_that_of_the_attempt(void **state)
 {
 	(void)state;
@@ -274,6 +293,8 @@
 			test_refusal_of_an_earlier_request_repeats_the_next),
 		cmocka_unit_test(
 			test_requests_that_run_once_share_an_unnamed_connection),
+		cmocka_unit_test(
+			test_request_that_runs_once_goes_over_an_unnamed_connection),
 		cmocka_unit_test(
 			test_id_of_a_caller_replaces_that_of_the_attempt),
 	};
