Transfers: bytes rejected after a pause end the transfer as failed

What was wrong: as a paused transfer is continued, libcurl hands the bytes that it has kept to the write callback within curl_easy_pause. If the callback rejects them (out of memory for the body's buffer is the one case in the proxy), libcurl drops them and reports that by the result of curl_easy_pause only, which fetch_unpause ignored. The transfer went on without these bytes.

A chunked response would so become a shorter one that looks whole.

Ruled out: the limit on bodies without a length and the limit on discarded bodies don't reject within a continuation: the transfer is not paused once they are exceeded, and at most one receive buffer is kept.

Change: fetch_unpause notes the result; the transfer is ended with it in the next round of the loop, not at once, since callers continue transfers from the listener's callbacks. fetch_cancel forgets it.

--- a/loop/include/primroselead/fetch.h
+++ b/loop/include/primroselead/fetch.h
@@ -9,6 +9,9 @@
 	CURLM *multi;
 	struct loop *loop;
 	struct loop_timer timer;
+	/** Transfers that failed as they were continued; "done" is still to be
+	 * called. */
+	struct fetch *failed;
 };
 
 /** An HTTP transfer; the caller owns it and its easy handle. */
@@ -18,6 +21,9 @@
 	 * pool. */
 	void (*done)(struct fetch *f, CURLcode result);
 	void *ctx;
+	/** Why continuing the transfer failed; CURLE_OK if it did not. */
+	CURLcode unpause_result;
+	struct fetch *next_failed;
 };
 
 /** Initializes an empty pool. Returns PRL_OK or PRL_E_MEMORY. */
@@ -44,7 +50,8 @@
 void fetch_cancel(struct fetch_pool *p, struct fetch *f);
 
 /** Continues a transfer that its libcurl callbacks have paused, in the next
- * round of the loop. */
+ * round of the loop. A callback for received bytes may be called at once; if it
+ * rejects them, the transfer ends in that round. */
 void fetch_unpause(struct fetch_pool *p, struct fetch *f);
 
 #endif
--- a/loop/src/fetch.c
+++ b/loop/src/fetch.c
@@ -11,6 +11,19 @@
  * in seconds. */
 #define KEEPALIVE_S 1L
 
+/* libcurl has dropped bytes that were rejected as a transfer was continued, and
+ * would report it as successful or wait for more. */
+static void complete_failed(struct fetch_pool *p)
+{
+	struct fetch *f;
+
+	while ((f = p->failed)) {
+		p->failed = f->next_failed;
+		curl_multi_remove_handle(p->multi, f->easy);
+		f->done(f, f->unpause_result);
+	}
+}
+
 static void complete_transfers(struct fetch_pool *p)
 {
 	struct fetch *f;
@@ -18,6 +31,7 @@
 	CURLcode result;
 	int left;
 
+	complete_failed(p);
 	while ((msg = curl_multi_info_read(p->multi, &left))) {
 		if (msg->msg != CURLMSG_DONE)
 			continue;
@@ -162,6 +176,7 @@
 {
 	CURLMcode rc;
 
+	f->unpause_result = CURLE_OK;
 	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, f);
 	rc = curl_multi_add_handle(p->multi, f->easy);
 	if (rc)
@@ -170,14 +185,31 @@
 	return PRL_OK;
 }
 
+static void remove_failed(struct fetch_pool *p, const struct fetch *f)
+{
+	struct fetch **at = &p->failed;
+
+	while (*at && *at != f)
+		at = &(*at)->next_failed;
+	if (*at)
+		*at = f->next_failed;
+}
+
 void fetch_cancel(struct fetch_pool *p, struct fetch *f)
 {
+	remove_failed(p, f);
 	curl_multi_remove_handle(p->multi, f->easy);
 }
 
 void fetch_unpause(struct fetch_pool *p, struct fetch *f)
 {
-	curl_easy_pause(f->easy, CURLPAUSE_CONT);
+	CURLcode result = curl_easy_pause(f->easy, CURLPAUSE_CONT);
+
+	if (result && !f->unpause_result) {
+		f->unpause_result = result;
+		f->next_failed = p->failed;
+		p->failed = f;
+	}
 	/* libcurl continues the transfer when its timeout action runs. */
 	p->timer.deadline_ms = prl_now_ms();
 }
