Claims: an answer from another VM counts if it is one to this claim

What was wrong: the verdict that the owner of a claim's shard sends was cast to an enumeration unread. A number that is not known matched no case of the switch in request_claim_settled, behind which the first attempt starts: the request ran without a claim, so that a repetition with its key could run as well. 0, the value of anything that is not set, is a grant, whichever claim it names.

Evidence: test_claim_of_unknown_verdict_is_taken_for_granted of test_service_bytes on the code before: status 200 (0xc8) in place of 503 (0x1f7).

Ruled out: no build sends such a number today; a part of a message or a longer one is not decoded (wire_decode_reply).

Change: claim_answer_is_valid reads the answer; one that is not valid counts as none, and the claim is submitted here, as after a lost answer, where a claim that the owner wrote is found by its token. A grant must name the claim's token and status. request_claim_settled starts the request in the case of a grant only.

--- a/claim/include/primroselead/claim.h
+++ b/claim/include/primroselead/claim.h
@@ -233,6 +233,11 @@
 /** Takes the oldest answer. Returns 1, or 0 if there is none. */
 int claim_next_answer(struct claim_shard *s, struct claim_answer *out);
 
+/** Whether an answer that came from another VM may be one to a claim with this
+ * record: a grant must name its token, and all numbers must be known. */
+int claim_answer_is_valid(const struct claim_answer *a,
+			  const struct claim_record *claim);
+
 /** Latest stored record of a key, or null. */
 const struct claim_record *claim_find(const struct claim_shard *s,
 				      struct prl_hash128 key);
--- a/claim/src/shard.c
+++ b/claim/src/shard.c
@@ -60,6 +60,23 @@
 	return 1;
 }
 
+int claim_answer_is_valid(const struct claim_answer *a,
+			  const struct claim_record *claim)
+{
+	switch (a->verdict) {
+	case CLAIM_GRANTED:
+		return a->record.token == claim->token &&
+		       a->record.status == CLAIM_OPEN;
+	case CLAIM_TAKEN:
+		return a->record.status == CLAIM_OPEN ||
+		       a->record.status == CLAIM_RAN ||
+		       a->record.status == CLAIM_RELEASED;
+	case CLAIM_REFUSED:
+		return 1;
+	}
+	return 0;
+}
+
 /* Answers a record from the stored record of its key. Returns 0 if the record
  * has to be written instead. */
 static int answer_from_table(struct claim_shard *s,
--- a/claim/test/test_claim.c
+++ b/claim/test/test_claim.c
@@ -243,9 +243,44 @@
 	assert_int_equal(taken, CLAIM_PENDING_MAX);
 }
 
+static struct claim_answer make_answer(int verdict, uint64_t token, int status)
+{
+	return (struct claim_answer){
+		.verdict = (enum claim_verdict)verdict,
+		.record = {.token = token, .status = (enum claim_status)status},
+	};
+}
+
+/* What another VM sends is no grant unless it says so of this claim. */
+static void test_grant_of_another_claim_is_valid(void **state)
+{
+	struct claim_record claim = make_record(1, 10);
+	struct claim_answer a = {0};
+
+	(void)state;
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_GRANTED, 11, CLAIM_OPEN);
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_GRANTED, 10, CLAIM_RELEASED);
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_REFUSED + 1, 10, CLAIM_OPEN);
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(-1, 10, CLAIM_OPEN);
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_TAKEN, 11, CLAIM_RELEASED + 1);
+	assert_false(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_GRANTED, 10, CLAIM_OPEN);
+	assert_true(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_TAKEN, 11, CLAIM_RAN);
+	assert_true(claim_answer_is_valid(&a, &claim));
+	a = make_answer(CLAIM_REFUSED, 10, CLAIM_OPEN);
+	assert_true(claim_answer_is_valid(&a, &claim));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_grant_of_another_claim_is_valid),
 		cmocka_unit_test_setup_teardown(test_first_is_granted, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
--- a/cmd/primroseleadd/claims.c
+++ b/cmd/primroseleadd/claims.c
@@ -363,32 +363,34 @@
 	int index;
 };
 
+static void read_verdict(const struct wire_verdict *v,
+			 const struct claim_record *claim,
+			 struct claim_answer *out)
+{
+	out->verdict = (enum claim_verdict)v->verdict;
+	out->code = (enum prl_code)v->code;
+	out->record = *claim;
+	out->record.token = v->token;
+	out->record.status = (enum claim_status)v->status;
+	out->record.http_status = v->http_status;
+}
+
 static void forward_done(void *ctx, const struct wire_result *result)
 {
 	struct forwarded_claim *f = ctx;
 	struct proxy_claim *claim = f->claim;
-	struct claim_answer answer = {0};
+	struct claim_answer answer = {.verdict = CLAIM_REFUSED};
 
-	if (!result) {
-		/*
-		 * The owner may have written the claim although its answer was
-		 * lost. A second claim with the same token is then granted, not
-		 * refused.
-		 */
-		submit_local(f->control, f->index, claim);
-	} else if (claim->handle) {
-		const struct wire_verdict *v = &result->u.verdict;
-
-		answer.verdict = (enum claim_verdict)v->verdict;
-		answer.code = (enum prl_code)v->code;
-		answer.record = claim->record;
-		answer.record.token = v->token;
-		answer.record.status = (enum claim_status)v->status;
-		answer.record.http_status = v->http_status;
-		answer_local(claim, &answer);
-	} else {
+	if (result)
+		read_verdict(&result->u.verdict, &claim->record, &answer);
+	/* The owner may have written the claim although no answer says so. A
+	 * second claim with the same token is then granted, not refused. */
+	if (result && !claim->handle)
 		g_free(claim);
-	}
+	else if (result && claim_answer_is_valid(&answer, &claim->record))
+		answer_local(claim, &answer);
+	else
+		submit_local(f->control, f->index, claim);
 	g_free(f);
 }
 
--- a/proxy/src/claim.c
+++ b/proxy/src/claim.c
@@ -23,22 +23,9 @@
 			     : "the claim of this key could not be kept");
 }
 
-void request_claim_settled(struct proxy_request *r,
-			   const struct claim_answer *a)
+static void start_claimed(struct proxy_request *r)
 {
-	metrics_record_latency(&r->thread->metrics, METRIC_CLAIM_TIME,
-			       prl_now_us() - r->started_us);
-	switch (a->verdict) {
-	case CLAIM_TAKEN:
-		reject_duplicate(r, &a->record);
-		return;
-	case CLAIM_REFUSED:
-		reject_unclaimed(r, a->code);
-		return;
-	case CLAIM_GRANTED:
-		r->claimed = 1;
-		break;
-	}
+	r->claimed = 1;
 	if (prl_now_ms() >= r->deadline_ms) {
 		request_release(r);
 		request_fail(r, MHD_HTTP_GATEWAY_TIMEOUT,
@@ -56,6 +43,24 @@
 	request_start_attempt(r);
 }
 
+void request_claim_settled(struct proxy_request *r,
+			   const struct claim_answer *a)
+{
+	metrics_record_latency(&r->thread->metrics, METRIC_CLAIM_TIME,
+			       prl_now_us() - r->started_us);
+	switch (a->verdict) {
+	case CLAIM_GRANTED:
+		start_claimed(r);
+		return;
+	case CLAIM_TAKEN:
+		reject_duplicate(r, &a->record);
+		return;
+	case CLAIM_REFUSED:
+		break;
+	}
+	reject_unclaimed(r, a->code);
+}
+
 void request_update_claim(struct proxy_request *r, enum claim_status status)
 {
 	struct proxy_claim *c = g_new0(struct proxy_claim, 1);
--- a/proxy/test/service_fixture.c
+++ b/proxy/test/service_fixture.c
@@ -6,6 +6,7 @@
 #include <primroselead/log.h>
 #include <primroselead/proxy.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,6 +39,7 @@
 static pthread_t control_thread;
 static char stop_request;
 static int stopped;
+static atomic_int verdict = CLAIM_GRANTED;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 /* Lower halves of the keys of released claims; protected by the lock. */
 static GHashTable *released;
@@ -92,7 +94,7 @@
 		return;
 	}
 	if (c->handle && !stopped) {
-		c->result.verdict = CLAIM_GRANTED;
+		c->result.verdict = (enum claim_verdict)atomic_load(&verdict);
 		proxy_deliver_claim(c);
 		return;
 	}
@@ -162,6 +164,11 @@
 	usleep(50000);
 }
 
+void service_answer_claims(int answer)
+{
+	atomic_store(&verdict, answer);
+}
+
 void service_spend_retries(void)
 {
 	int i = config_find_service(&builder, "h")->stats_index;
--- a/proxy/test/service_fixture.h
+++ b/proxy/test/service_fixture.h
@@ -5,7 +5,7 @@
  * A proxy with one traffic thread in the test's own process, whose view is
  * built from a service file: the service "h" with one upstream at the scripted
  * server, whose paths /once/ run at most once by POST. Each claim is granted at
- * once.
+ * once, unless service_answer_claims says otherwise.
  */
 
 /** Starts the proxy with its upstream at a port. Returns the port that it
@@ -15,6 +15,9 @@
 /** Whether the claim of an idempotency key was released as not run. */
 int service_claim_released(const char *key);
 
+/** Answers all further claims so; any number. */
+void service_answer_claims(int verdict);
+
 /** Takes the credit for retries away; requests that are served earn it again.
  */
 void service_spend_retries(void);
--- a/proxy/test/test_service_bytes.c
+++ b/proxy/test/test_service_bytes.c
@@ -8,6 +8,7 @@
 #include "service_cases.h"
 #include "service_fixture.h"
 #include <cmocka.h>
+#include <primroselead/claim.h>
 #include <string.h>
 
 static void cut(const struct service_kind *k, size_t len, enum scripted_end end,
@@ -274,6 +275,29 @@
 	service_expect_no_failures();
 }
 
+/* Such as one that a newer VM gives. */
+static void test_claim_of_unknown_verdict_is_taken_for_granted(void **state)
+{
+	static const int unknown[] = {CLAIM_REFUSED, CLAIM_REFUSED + 1, -1};
+
+	(void)state;
+	service_begin(1);
+	for (size_t i = 0; i < sizeof(unknown) / sizeof(*unknown); i++) {
+		struct caller_response r;
+
+		service_answer_claims(unknown[i]);
+		service_plan(&service_kinds[0]);
+		r = service_request("/once/a", service_fault.id);
+		assert_int_equal(r.status, 503);
+		assert_string_equal(r.outcome, "not-run");
+		assert_int_equal(scripted_count_arrivals(service_fault.id), 0);
+	}
+	service_answer_claims(CLAIM_GRANTED);
+	service_expect_served("/once/a");
+	service_finish();
+	service_expect_no_failures();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -297,6 +321,8 @@
 			test_request_that_runs_once_goes_over_an_unnamed_connection),
 		cmocka_unit_test(
 			test_id_of_a_caller_replaces_that_of_the_attempt),
+		cmocka_unit_test(
+			test_claim_of_unknown_verdict_is_taken_for_granted),
 	};
 
 	return cmocka_run_group_tests(tests, service_setup, service_teardown);
