Soak: no request runs after a pause whose caller has gone

A caller that waited 3 s for a VM that was paused has closed its connection; the VM must not send its request on.

--- a/soak/check.c
+++ b/soak/check.c
@@ -122,6 +122,23 @@
 		report_request(s, q->broken, q);
 }
 
+/* A VM that was paused reads what came meanwhile; callers that waited too long
+ * have closed their connections. Silent links hold back what was sent before.
+ */
+static void check_caller_gone(const struct soak *s, GHashTable *runs,
+			      const struct soak_request *q)
+{
+	const struct run *run = g_hash_table_lookup(runs, q->id);
+	int64_t last = run ? run->last_ms : q->end_ms;
+
+	if (q->status || !overlaps(s, "pause", q->vm, q->begin_ms, q->end_ms) ||
+	    overlaps(s, "links", 0, q->begin_ms, last))
+		return;
+	soak_count_check(SOAK_GONE);
+	if (last > q->end_ms + MARGIN_MS)
+		report_request(s, SOAK_GONE, q);
+}
+
 static void check_request(const struct soak *s, GHashTable *runs,
 			  const struct soak_request *q)
 {
@@ -137,6 +154,7 @@
 		if (times(runs, q))
 			report_request(s, SOAK_NOT_RUN, q);
 	}
+	check_caller_gone(s, runs, q);
 	if (overlaps(s, "term", q->vm, q->begin_ms, q->end_ms)) {
 		soak_count_check(SOAK_PLANNED_STOP);
 		if (is_cut_by_stop(s, runs, q))
--- a/soak/report.c
+++ b/soak/report.c
@@ -15,6 +15,7 @@
 	[SOAK_LEFT_RESTART] =
 		"an upstream that left got a request after a restart",
 	[SOAK_LEASE] = "a VM used what it knew from before a pause",
+	[SOAK_GONE] = "a request ran after a pause though its caller had gone",
 	[SOAK_LINKS] = "callers of VMs without links are not served",
 	[SOAK_RECOVERY] = "requests are not served after the last fault",
 };
