--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -1,7 +1,6 @@
 #include "fixture.h"
+#include "port.h"
 #include <apr_general.h>
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <primroselead/inventory.h>
 #include <primroselead/log.h>
@@ -9,7 +8,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define SELF_ID 1
@@ -42,20 +40,6 @@
 	abort();
 }
 
-static int find_free_port(void)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	if (bind(fd, (struct sockaddr *)&addr, len) ||
-	    getsockname(fd, (struct sockaddr *)&addr, &len))
-		die("free port");
-	close(fd);
-	return ntohs(addr.sin_port);
-}
-
 static void read_settings(int port)
 {
 	static struct prl_faults faults;
@@ -155,13 +139,13 @@
 int fixture_start(int server_port)
 {
 	struct fleet_bounds bounds;
-	int port = find_free_port();
+	int port = port_find_free();
 
 	apr_initialize();
 	log_init("vm1");
 	apr_pool_create(&pool, NULL);
 	peer_port = server_port;
-	relay_port = find_free_port();
+	relay_port = port_find_free();
 	read_settings(port);
 	build_inventory(server_port);
 	if (loop_init(&control_loop, &err))
--- a/proxy/test/service_fixture.c
+++ b/proxy/test/service_fixture.c
@@ -1,7 +1,6 @@
 #include "service_fixture.h"
+#include "port.h"
 #include <apr_general.h>
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <primroselead/proxy.h>
@@ -10,7 +9,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define SELF_ID 1
@@ -51,20 +49,6 @@
 	abort();
 }
 
-static int find_free_port(void)
-{
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	if (bind(fd, (struct sockaddr *)&addr, len) ||
-	    getsockname(fd, (struct sockaddr *)&addr, &len))
-		die("free port");
-	close(fd);
-	return ntohs(addr.sin_port);
-}
-
 static gpointer low_half(struct prl_hash128 key)
 {
 	return (gpointer)(uintptr_t)key.low;
@@ -129,7 +113,7 @@
 static void read_settings(int port)
 {
 	char text[1024];
-	int n = snprintf(text, sizeof(text), SETTINGS, port, find_free_port());
+	int n = snprintf(text, sizeof(text), SETTINGS, port, port_find_free());
 
 	if (config_settings_parse(text, (size_t)n, &settings, pool, &faults,
 				  &err))
@@ -179,7 +163,7 @@
 int service_start(int server_port)
 {
 	struct fleet_bounds bounds;
-	int port = find_free_port();
+	int port = port_find_free();
 
 	apr_initialize();
 	log_init("vm1");
--- a/proxy/test/service_fixture.h
+++ b/proxy/test/service_fixture.h
@@ -16,7 +16,7 @@
 int service_claim_released(const char *key);
 
 /** Answers all further claims so; any number. */
-void service_answer_claims(int verdict);
+void service_answer_claims(int answer);
 
 /** Takes the credit for retries away; requests that are served earn it again.
  */
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -155,18 +155,9 @@
 	return 1;
 }
 
-/* Sends a text again and again until the connection closes. */
-static int send_endlessly(const struct connection *conn, const char *text)
+static int repeat(const struct connection *conn, const char *text)
 {
-	char block[8192];
-	size_t len = 0;
-	ssize_t n;
-
-	while (len + strlen(text) < sizeof(block))
-		len += (size_t)snprintf(block + len, sizeof(block) - len, "%s",
-					text);
-	while ((n = send(conn->fd, block, len, MSG_NOSIGNAL)) > 0)
-		endless_bytes += n;
+	endless_bytes += request_repeat(conn, text);
 	return 0;
 }
 
@@ -175,20 +166,20 @@
 	const char *what = conn->mode + strlen("endless-");
 
 	if (!strcmp(what, "line"))
-		return send_endlessly(conn, "no answer ");
+		return repeat(conn, "no answer ");
 	if (!strcmp(what, "early"))
-		return send_endlessly(conn, "HTTP/1.1 103 Early Hints\r\n"
-					    "Link: a\r\n\r\n");
+		return repeat(conn, "HTTP/1.1 103 Early Hints\r\n"
+				    "Link: a\r\n\r\n");
 	if (!strcmp(what, "head")) {
 		send_text(conn, "HTTP/1.1 200 OK\r\n");
-		return send_endlessly(conn, "More: and more\r\n");
+		return repeat(conn, "More: and more\r\n");
 	}
 	if (!strcmp(what, "shed"))
 		respond(conn, "503 Full", conn->request_id,
 			"X-Not-Executed: 1\r\n", "");
 	else
 		respond(conn, "200 OK", conn->request_id, STAMP_HEADER, "");
-	return send_endlessly(conn, "and more ");
+	return repeat(conn, "and more ");
 }
 
 /* The pause lets the other side read what was sent. */
--- a/standin/src/request.c
+++ b/standin/src/request.c
@@ -17,6 +17,21 @@
 	}
 }
 
+long long request_repeat(const struct connection *conn, const char *text)
+{
+	char block[8192];
+	size_t len = 0;
+	long long total = 0;
+	ssize_t n;
+
+	while (len + strlen(text) < sizeof(block))
+		len += (size_t)snprintf(block + len, sizeof(block) - len, "%s",
+					text);
+	while ((n = send(conn->fd, block, len, MSG_NOSIGNAL)) > 0)
+		total += n;
+	return total;
+}
+
 /* Receives more bytes into buf. Returns 0, or -1 if the connection ended. */
 static int read_more(struct connection *conn)
 {
--- a/standin/src/request.h
+++ b/standin/src/request.h
@@ -44,4 +44,8 @@
 /** Sends bytes to a socket, as far as the other side takes them. */
 void request_send(int fd, const char *bytes, size_t len);
 
+/** Sends a text again and again until the connection closes. Returns the number
+ * of bytes. */
+long long request_repeat(const struct connection *conn, const char *text);
+
 #endif
