Connections: one that can't be checked for waiting bytes is not reused

What was wrong: sockets_is_stale said "fit" of a connection that the table doesn't hold (its entry could not be added for lack of memory) and of one whose check failed. An earlier response that waits on such a connection would be read as the next request's: the unknown counted as sound.

Ruled out: a pooled connection that was added but has no endpoints. Each one has passed on_prerequest with the descriptor that on_open noted.

Change: the answer is "stale" in both cases, so that the attempt takes another connection.

--- a/proxy/src/sockets.c
+++ b/proxy/src/sockets.c
@@ -65,9 +65,9 @@
 		struct pollfd p = {.fd = s->socket[i].fd, .events = POLLIN};
 
 		if (s->socket[i].endpoint_hash == endpoint_hash)
-			return poll(&p, 1, 0) > 0;
+			return poll(&p, 1, 0) != 0;
 	}
-	return 0;
+	return 1;
 }
 
 int sockets_count_use(struct proxy_sockets *s, uint64_t endpoint_hash)
--- a/proxy/src/sockets.h
+++ b/proxy/src/sockets.h
@@ -44,8 +44,8 @@
 void sockets_remove(struct proxy_sockets *s, int fd);
 
 /** Whether an idle connection must not be reused: unread bytes wait on its
- * socket, or the peer closed it. 0 also if no socket in the table has this
- * hash. */
+ * socket, or the peer closed it. 1 also if that can't be checked, since no
+ * socket in the table has this hash. */
 int sockets_is_stale(const struct proxy_sockets *s, uint64_t endpoint_hash);
 
 /** Counts a request that is about to be sent over a connection. Returns how
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -141,8 +141,7 @@
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
 	r->new_fd = fd;
-	/* Best effort: a socket that could not be added is reused without the
-	 * check for staleness. */
+	/* Best effort: a socket that could not be added is not reused. */
 	sockets_add(r->thread->sockets, fd);
 	return fd;
 }
