Refusals: of two statements about the outcome none counts

What callers saw: an upstream of a service file that answered 503 with "Request-Outcome: ran" and "Request-Outcome: not-run" counted as not having run the request, since the last of them was taken: a request that may run once ran twice. Of another VM's response the last one counted as well: 503 "not run" for a request that ran. For service files any text that contained "not-run" counted.

Evidence: the kind "503 of two outcomes", new in responses.c and service_cases.c, on the code before: 5 of 10 tests of test_response_bytes failed ("ran, although the caller was told that it did not"), 6 of 11 of test_service_bytes ("ran twice").

Ruled out: a VM of ours sends the field once and drops the upstream's (response.c), so between VMs it takes another sender.

Change: the statements of a head are counted; only one that stands alone, and is the documented word, counts. Otherwise the outcome is unknown.

The list of expected statuses in test_whole_response_is_not_passed_on has the new kind's; nothing else of it changed.

Result: test_response_bytes 10 tests, test_service_bytes 11 and test_long_response pass under ASan.

--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -139,23 +139,25 @@
 	MHD_add_response_header(r->mhd_response, HEADER_OUT_OF_REACH, "1");
 }
 
+static enum peer_outcome parse_outcome(const char *value)
+{
+	value += strspn(value, " \t");
+	if (!strcmp(value, "not-run"))
+		return PEER_NOT_RUN;
+	return strcmp(value, "ran") ? PEER_UNKNOWN : PEER_RAN;
+}
+
 void relay_parse_header(struct proxy_request *r, const char *line)
 {
 	size_t n = strlen(HEADER_OUTCOME);
-	const char *value;
 
 	if (!strncasecmp(line, HEADER_OUT_OF_REACH ":",
 			 strlen(HEADER_OUT_OF_REACH) + 1))
 		r->peer_out_of_reach = 1;
 	if (strncasecmp(line, HEADER_OUTCOME, n) || line[n] != ':')
 		return;
-	value = line + n + 1 + strspn(line + n + 1, " \t");
-	if (!strcmp(value, "not-run"))
-		r->peer_outcome = PEER_NOT_RUN;
-	else if (!strcmp(value, "ran"))
-		r->peer_outcome = PEER_RAN;
-	else
-		r->peer_outcome = PEER_UNKNOWN;
+	r->peer_outcome = r->outcome_statements++ ? PEER_UNKNOWN
+						  : parse_outcome(line + n + 1);
 }
 
 enum verdict relay_verdict(const struct proxy_request *r)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -218,6 +218,9 @@
 	const char *cause;
 	/** Result from libcurl of the last failed attempt. */
 	CURLcode curl_result;
+	/** Statements of the current head about the request's outcome; only one
+	 * that stands alone counts. */
+	int outcome_statements;
 	/** The upstream reported that it did not run the request. */
 	int upstream_refused;
 	/** The response is discarded and a retry has been granted. */
--- a/proxy/src/service.c
+++ b/proxy/src/service.c
@@ -66,6 +66,14 @@
 		r->naming = NAMING_OTHER;
 }
 
+static void read_outcome(struct proxy_request *r, const char *value)
+{
+	value += strspn(value, " \t");
+	r->upstream_refused = !r->outcome_statements++ &&
+			      !strcmp(value, "not-run") &&
+			      r->head.status == MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
 void service_parse_header(struct proxy_request *r, const char *line)
 {
 	struct proxy_upstream_stats *stats = upstream_stats(r, r->upstream);
@@ -74,9 +82,8 @@
 		atomic_store(&stats->reported_running, atoi(line + 17));
 		atomic_store(&stats->reported_ms, prl_now_ms());
 	}
-	if (!strncasecmp(line, "Request-Outcome:", 16) &&
-	    r->head.status == MHD_HTTP_SERVICE_UNAVAILABLE)
-		r->upstream_refused = strstr(line + 16, "not-run") != NULL;
+	if (!strncasecmp(line, "Request-Outcome:", 16))
+		read_outcome(r, line + 16);
 	if (!strncasecmp(line, SERVICE_ATTEMPT_HEADER ":",
 			 sizeof(SERVICE_ATTEMPT_HEADER)))
 		read_attempt_id(r, line + sizeof(SERVICE_ATTEMPT_HEADER));
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -288,6 +288,7 @@
 {
 	curl_slist_free_all(r->response_headers);
 	r->response_headers = NULL;
+	r->outcome_statements = 0;
 	r->upstream_refused = 0;
 	r->naming = NAMING_NONE;
 	r->peer_outcome = PEER_UNKNOWN;
--- a/proxy/test/responses.c
+++ b/proxy/test/responses.c
@@ -46,6 +46,9 @@
 	 OK ID STAMP NOT_RUN LENGTH "\r\n" BODY},
 	{"two ids", 0, 200, 502, 1, 1, 0,
 	 OK "X-Request-Id: another\r\n" ID STAMP LENGTH "\r\n" BODY},
+	{"503 of two outcomes", 0, 503, 502, 1, 1, 0,
+	 "HTTP/1.1 503 Full\r\n" ID "Request-Outcome: ran\r\n"
+	 "Request-Outcome: not-run\r\n" LENGTH "\r\n" BODY},
 	{"503", 0, 503, 200, 0, 0, 0,
 	 "HTTP/1.1 503 Full\r\n" ID NOT_RUN "Content-Length: 0\r\n\r\n"},
 	{"503 with a body", 0, 503, 200, 0, 1, 0,
--- a/proxy/test/service_cases.c
+++ b/proxy/test/service_cases.c
@@ -47,6 +47,9 @@
 	 "HTTP/1.1 503 Full\r\n" NOT_RUN LENGTH NAMED "\r\n" BODY},
 	{"two ids", 0, 1, 1, 0,
 	 OK "Attempt-Id: another\r\n" NAMED LENGTH "\r\n" BODY},
+	{"503 of two outcomes", 0, 1, 1, 0,
+	 "HTTP/1.1 503 Busy\r\nRequest-Outcome: ran\r\n" NOT_RUN LENGTH NAMED
+	 "\r\n" BODY},
 	{"408 for nobody", 0, 1, 0, 0, "HTTP/1.1 408 Timeout\r\n" EMPTY},
 };
 
--- a/proxy/test/test_service_bytes.c
+++ b/proxy/test/test_service_bytes.c
@@ -190,7 +190,7 @@
 static void test_whole_response_is_not_passed_on(void **state)
 {
 	static const int status[] = {200, 200, 200, 200, 204, 200, 200,
-				     500, 503, 200, 200, 502, 408};
+				     500, 503, 200, 200, 502, 503, 408};
 
 	(void)state;
 	for (int named = 0; named <= 1; named++) {
