Health checks: a response that names two instances is not the upstream's

What was wrong: of several X-Instance-Id the last one counted, as it was with ids of requests, so a response that ran together from two could be taken for the checked upstream's, with its news.

Evidence: test_response_of_two_is_taken of test_check_bytes on the code before: "response 1 was taken". Its first response, with two ids of requests, guards the condition on ambiguous_id in check.c: a mutant without it passed the five tests that there were, and fails this one.

Result: test_check_bytes, 6 tests, passes under ASan.

--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -33,7 +33,7 @@
  */
 static int is_own_response(const struct check *k)
 {
-	if (k->response.ambiguous_id)
+	if (k->response.ambiguous_id || k->response.ambiguous_instance)
 		return 0;
 	if (k->response.request_id[0] &&
 	    strcmp(k->response.request_id, k->request_id) != 0)
--- a/cmd/primroseleadd/test/test_check_bytes.c
+++ b/cmd/primroseleadd/test/test_check_bytes.c
@@ -63,6 +63,8 @@
 	size_t surplus_len;
 	int is_late;
 	int is_next;
+	/* The check's id is put in for "%s". */
+	int names_check;
 	/* Bytes that follow the response. */
 	size_t fill_len;
 } plan;
@@ -100,7 +102,11 @@
 		append(out, next_bytes, strlen(next_bytes));
 		return;
 	}
-	append(out, plan.bytes, plan.len);
+	if (plan.names_check)
+		out->len = (size_t)snprintf(out->bytes, sizeof(out->bytes),
+					    plan.bytes, request->id);
+	else
+		append(out, plan.bytes, plan.len);
 	out->end = plan.end;
 	out->fill_len = plan.fill_len;
 	if (!plan.is_late)
@@ -260,6 +266,28 @@
 	}
 }
 
+static void test_response_of_two_is_taken(void **state)
+{
+	static const char *const both[] = {
+		"HTTP/1.1 200 OK\r\n" OWN "X-Request-Id: health-other\r\n"
+		"X-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Instance-Id: i-2\r\n" OWN
+		"X-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	(void)state;
+	memset(&plan, 0, sizeof(plan));
+	plan.names_check = 1;
+	plan.bytes = "HTTP/1.1 200 OK\r\n" OWN "X-Request-Id: %s\r\n"
+		     "Content-Length: 0\r\n\r\n";
+	assert_int_equal(run_check(), 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(both); i++) {
+		plan.bytes = both[i];
+		if (run_check())
+			fail_msg("response %zu was taken", i);
+	}
+}
+
 /* A response that does not end must not be collected without end. */
 static void test_response_is_received_without_a_bound(void **state)
 {
@@ -311,6 +339,7 @@
 			test_response_that_ends_early_is_taken_for_whole),
 		cmocka_unit_test(test_earlier_response_answers_the_next_check),
 		cmocka_unit_test(test_response_of_another_is_taken),
+		cmocka_unit_test(test_response_of_two_is_taken),
 		cmocka_unit_test(test_response_is_received_without_a_bound),
 	};
 
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -171,6 +171,8 @@
 	char request_id[FLEET_NAME_MAX];
 	/** Set if several identifiers are given, or a longer one. */
 	int ambiguous_id;
+	/** More than one instance is named, or one that is too long. */
+	int ambiguous_instance;
 	/** The upstream's running and waiting requests and its slots; -1 if not
 	 * given. */
 	int running;
