Attempts: one that met an unfit connection does not connect without end

Cause: an attempt that finds a kept connection that may not be used starts another transfer. Whether it had found one was told by the count of the whole attempt, so that every later failure to connect began one more transfer, at once where connections are refused, each 700 ms where they hang, each millisecond beyond the deadline.

Change: each transfer notes for itself whether it ended for that reason.

--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -75,6 +75,7 @@
 	r->fetch.done = request_attempt_done;
 	r->fetch.ctx = r;
 	r->new_fd = -1;
+	r->found_unfit = 0;
 	r->attempt_started_us = prl_now_us();
 	request_setup_transfer(r);
 	r->transfer_active = 1;
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -231,8 +231,8 @@
 	struct proxy_request *r = f->ctx;
 
 	request_cleanup_transfer(r);
-	if (result && r->unfit_connections &&
-	    r->unfit_connections <= UNFIT_CONNECTIONS_MAX && !r->maybe_sent) {
+	if (result && r->found_unfit && !r->maybe_sent &&
+	    r->unfit_connections <= UNFIT_CONNECTIONS_MAX) {
 		/* libcurl has closed the connection; a new transfer uses
 		 * another one. Nothing was sent, so the attempt goes on. */
 		request_start_transfer(r);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -163,9 +163,10 @@
 	int maybe_sent;
 	/** Socket opened for the attempt; -1 if it reuses a connection. */
 	int new_fd;
-	/** Keep-alive connections that this attempt has found and may not use.
-	 */
+	/** Keep-alive connections that this attempt has found and may not use;
+	 * the current transfer ends since it found one. */
 	int unfit_connections;
+	int found_unfit;
 	/** Hash of the endpoints of the attempt's connection. */
 	uint64_t endpoint_hash;
 	/** Id of the attempt, unless the request is routed. */
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -118,6 +118,7 @@
 		   may_have_used(r, endpoint_hash) ||
 		   (!r->routed && !service_may_reuse(r, endpoint_hash))) {
 		r->unfit_connections++;
+		r->found_unfit = 1;
 		return CURL_PREREQFUNC_ABORT;
 	}
 	r->endpoint_hash = endpoint_hash;
