Harness: processes that it starts don't hold its connections

Cause: children inherited the sockets of the callers in the test's own process, so that a caller's close did not end its connection while a VM that was started meanwhile held the other copy: `ss` showed VMs as owners of callers' sockets. The VM that was paused could not know. A fault of the tests, not of the VMs.

Change: a child closes all descriptors but the first three before it starts a program. All system tests use it; no check is changed, what callers close is closed now.

--- a/system/harness.c
+++ b/system/harness.c
@@ -113,6 +113,9 @@
 	/* If the test program crashes, its children must not go on to occupy
 	 * the ports that the next test needs. */
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	/* A caller's connection that a child also holds does not end when the
+	 * caller closes it. */
+	close_range(STDERR_FILENO + 1, ~0U, 0);
 	for (int i = 0; i < 30 && args[i]; i++)
 		argv[i + 1] = args[i];
 	snprintf(path, sizeof(path), "%s/%s", bin_dir, program);
