Stand-in: the threads of its connections are detached

Cause: standin-odd starts a thread for each connection and joins none. TSan has room for 8,128 threads that are not joined; callers over new connections used them up. A leak of the stand-in, not of the daemon: ASan runs of the same test pass.

Change: the threads are detached. No check is changed.

--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -471,12 +471,15 @@
 {
 	int fd = listen_on(
 		command_option(argc, argv, "listen", "127.0.0.1:9000"));
+	apr_threadattr_t *detached;
 	apr_pool_t *pool;
 
 	instance = command_option(argc, argv, "instance", "i-1");
 	runs_init();
 	signal(SIGPIPE, SIG_IGN);
-	if (fd < 0 || apr_initialize() || apr_pool_create(&pool, NULL)) {
+	if (fd < 0 || apr_initialize() || apr_pool_create(&pool, NULL) ||
+	    apr_threadattr_create(&detached, pool) ||
+	    apr_threadattr_detach_set(detached, 1)) {
 		fprintf(stderr, "standin-odd: can't listen\n");
 		return 1;
 	}
@@ -489,7 +492,7 @@
 		conn->body_bytes = &body_bytes;
 		conn->fd = accept(fd, NULL, NULL);
 		if (conn->fd < 0 ||
-		    apr_thread_create(&thread, NULL, serve_connection, conn,
+		    apr_thread_create(&thread, detached, serve_connection, conn,
 				      pool))
 			free(conn);
 	}
