--- a/claim/test/test_claim.c
+++ b/claim/test/test_claim.c
@@ -251,7 +251,7 @@
 	};
 }
 
-/* What another VM sends is no grant unless it says so of this claim. */
+/* An answer from another VM is a grant only if it names this claim. */
 static void test_grant_of_another_claim_is_valid(void **state)
 {
 	struct claim_record claim = make_record(1, 10);
--- a/cmd/primroselead/test/test_page_bytes.c
+++ b/cmd/primroselead/test/test_page_bytes.c
@@ -19,7 +19,7 @@
 };
 static const char *const tails[] = {"", "\r\n0\r\n\r"};
 
-/* What the server does; written while no request is active. */
+/* The server's next reply; written while no request is active. */
 static struct {
 	char bytes[1024];
 	size_t len;
--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -192,7 +192,7 @@
 		  "confirmed_ms_ago", age, NULL);
 }
 
-/* What was heard before a standstill says nothing about now. */
+/* Beats heard before a standstill say nothing about now. */
 static void notice_standstill(struct control *c, int64_t now)
 {
 	struct readers *rd = &c->readers;
--- a/cmd/primroseleadd/test/test_check_bytes.c
+++ b/cmd/primroseleadd/test/test_check_bytes.c
@@ -53,7 +53,7 @@
 	{"until close", "HTTP/1.1 200 OK\r\n" OWN "\r\nok", 200, 1},
 };
 
-/* What the server does; written while no check is in flight. */
+/* The server's next reply; written while no check is in flight. */
 static struct {
 	const char *bytes;
 	size_t len;
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -6,7 +6,7 @@
 
 static const char *const outcomes[] = {"not-run", "unknown", "ran"};
 
-/* What is known of the last attempt's response, as texts. */
+/* The last attempt's response as far as it came, as texts. */
 struct response_text {
 	const char *head;
 	const char *framing;
--- a/proxy/test/test_response_bytes.c
+++ b/proxy/test/test_response_bytes.c
@@ -17,7 +17,7 @@
 		       : k->caller_status;
 }
 
-/* So that the other cases are not kept by rejecting everything. */
+/* A proxy that rejected everything would pass all other cases. */
 static void expect_whole_is_passed(enum fixture_hop to)
 {
 	fault_begin(to);
--- a/store/test/test_store_bytes.c
+++ b/store/test/test_store_bytes.c
@@ -24,7 +24,7 @@
 	SURPLUS_WITH_NEXT,
 };
 
-/* What the server does; written while no call is active. */
+/* The server's next reply; written while no call is active. */
 static struct {
 	char bytes[ANSWER_MAX];
 	size_t len;
