Logs: a digest names equal requests in the lines of requests and attempts

The address of the caller is left out: it changes behind other proxies and across a relay. Bodies count by their first 512 KB and their length.

--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -45,6 +45,7 @@
 	char object[LOG_NUMBER_MAX];
 	char priority[LOG_NUMBER_MAX];
 	char objective[LOG_NUMBER_MAX];
+	char digest[IDENTITY_TEXT_MAX];
 	struct response_text response;
 
 	if (!r->routed)
@@ -59,18 +60,20 @@
 	log_format_number(priority, r->policy.priority);
 	log_format_number(objective, r->policy.latency_objective_ms);
 	format_response(&response, r);
+	identity_format(r, digest);
 	snprintf(object, sizeof(object), "%016llx",
 		 (unsigned long long)r->request_meta.object_hash);
-	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id,
-		  "service", r->service_name, "status", status, "outcome",
-		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
-		  ms, "attempts", attempts, "upstream", r->instance, "peer",
-		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
-		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
-		  rank, "object", object, "priority", priority, "objective_ms",
-		  objective, "head", response.head, "framing", response.framing,
-		  "length", response.length, "body", response.body, "uses",
-		  response.uses, "answer_id", response.id, NULL);
+	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id, "digest",
+		  digest, "service", r->service_name, "status", status,
+		  "outcome", outcomes[r->outcome], "cause",
+		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
+		  "upstream", r->instance, "peer", r->peer_address,
+		  "relayed_by", r->relayed_by, "manifest", version, "wait_ms",
+		  wait, "inflight_milli", inflight, "rank", rank, "object",
+		  object, "priority", priority, "objective_ms", objective,
+		  "head", response.head, "framing", response.framing, "length",
+		  response.length, "body", response.body, "uses", response.uses,
+		  "answer_id", response.id, NULL);
 }
 
 void request_log_refused_stop(const struct proxy_request *r)
@@ -90,14 +93,16 @@
 	char status[LOG_NUMBER_MAX];
 	char ms[LOG_NUMBER_MAX];
 	char code[LOG_NUMBER_MAX];
+	char digest[IDENTITY_TEXT_MAX];
 	struct response_text response;
 
 	log_format_number(status, r->head.status);
 	log_format_number(ms, (prl_now_us() - r->attempt_started_us) / 1000);
 	log_format_number(code, r->curl_result);
+	identity_format(r, digest);
 	format_response(&response, r);
 	log_event(LOG_LEVEL_WARNING, "attempt", "id", r->request_meta.id,
-		  "upstream", r->instance, "peer",
+		  "digest", digest, "upstream", r->instance, "peer",
 		  r->hop == HOP_PEER ? r->peer_address : "", "result", result,
 		  "status", status, "ms", ms, "sent",
 		  r->maybe_sent ? "yes" : "no", "client_code", code, "not_run",
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -2,6 +2,7 @@
 #define PROXY_REQUEST_H
 
 #include "body.h"
+#include "identity.h"
 #include "verdict.h"
 #include <primroselead/proxy.h>
 #include <primroselead/response_head.h>
@@ -177,6 +178,7 @@
 	uint64_t used_connection[REQUEST_CONNECTIONS_MAX];
 	int nused_connection;
 
+	struct request_identity identity;
 	/** Body from the caller. */
 	struct body_buffer request_body;
 	int has_body;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -126,6 +126,7 @@
 	r->retry_after_ms = RETRY_NOT_READY_MS;
 	platform_request_meta_parse(read_header, r, &r->request_meta);
 	problem = request_read_framing(r);
+	identity_set_head(r);
 	if (problem) {
 		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
 		return;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -36,6 +36,7 @@
 	size_t n;
 
 	if (r->state == REQUEST_FAILED || r->response_body_ended) {
+		identity_add_body(r, data, *len);
 		r->discarded_bytes += *len;
 		*len = 0;
 		if (r->discarded_bytes > DISCARD_MAX_BYTES ||
@@ -44,6 +45,7 @@
 		return MHD_YES;
 	}
 	n = body_write(&r->request_body, data, *len);
+	identity_add_body(r, data, n);
 	*len -= n;
 	if (n && r->upload_paused && !r->link_paused) {
 		r->upload_paused = 0;
