--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -29,6 +29,9 @@
  * bytes-N       a response with faults drawn from the number N (faulty.h)
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
+ * A request with the header "Crash-After-Ms: MS" ends the process MS after its
+ * head has come.
+ *
  * /admin/runs lists the requests that ran: "ID TIMES LAST_MS" a line, in Unix
  * time.
  *
@@ -363,6 +366,14 @@
 	runs_add(conn->request_id);
 }
 
+/* Ends the process under a request; with it all that other requests wait for.
+ */
+static void crash(const struct connection *conn)
+{
+	usleep((useconds_t)atoi(conn->crash_after_ms) * 1000);
+	_exit(0);
+}
+
 /* Sends a response with the faults that the number in the path selects. */
 static int serve_faulty(struct connection *conn)
 {
@@ -429,6 +440,8 @@
 	ran++;
 	runs_add(conn->request_id);
 	smuggled += !strcmp(conn->mode, "smuggled");
+	if (conn->crash_after_ms[0])
+		crash(conn);
 	if (!strcmp(conn->mode, "early")) {
 		respond(conn, "413 Too Long", conn->request_id,
 			COMPLETE_HEADERS, "hello world\n");
--- a/standin/src/request.c
+++ b/standin/src/request.c
@@ -76,6 +76,9 @@
 	copy_header_value(conn->buf,
 			  "\r\nX-Expected-Instance:", conn->expected_instance,
 			  sizeof(conn->expected_instance));
+	copy_header_value(conn->buf,
+			  "\r\nCrash-After-Ms:", conn->crash_after_ms,
+			  sizeof(conn->crash_after_ms));
 	copy_header_value(conn->buf, "\r\nContent-Length:", number,
 			  sizeof(number));
 	conn->content_length = atoll(number);
--- a/standin/src/request.h
+++ b/standin/src/request.h
@@ -22,6 +22,8 @@
 	char method[16];
 	char request_id[80];
 	char expected_instance[80];
+	/** Value of the header Crash-After-Ms; empty if it is absent. */
+	char crash_after_ms[16];
 	/** Last segment of the path. */
 	char mode[32];
 	long long content_length;
--- a/system/harness.c
+++ b/system/harness.c
@@ -174,6 +174,14 @@
 	return WEXITSTATUS(status);
 }
 
+int harness_has_ended(pid_t pid)
+{
+	if (waitpid(pid, NULL, WNOHANG) != pid)
+		return 0;
+	forget_process(pid);
+	return 1;
+}
+
 int harness_kill(pid_t pid, int sig)
 {
 	kill(pid, sig);
--- a/system/harness.h
+++ b/system/harness.h
@@ -49,6 +49,9 @@
  * test goes on. One such call is pending at a time. */
 void harness_signal_later(pid_t a, pid_t b, int sig, int delay_ms);
 
+/** Whether the process has exited; it is not waited for then. */
+int harness_has_ended(pid_t pid);
+
 /** Waits for the process to exit. Returns as harness_kill does. */
 int harness_wait(pid_t pid);
 
--- a/system/routes.h
+++ b/system/routes.h
@@ -50,7 +50,7 @@
 int routes_teardown(void **state);
 
 /** Starts a stand-in upstream and waits until it responds. */
-void routes_start_upstream(const char *instance, int port);
+pid_t routes_start_upstream(const char *instance, int port);
 
 /** Starts VM n with the store at a port. Does not wait until it is ready. */
 pid_t routes_spawn_vm(int n, int store_port);
