--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # format, bench, replay, soak, demo, fuzz, capacity, mutants, install, generate, clean.
 # MODE is release, asan, tsan, clang or fuzz; output goes to build/MODE.
 
-PACKAGES := base fleet platform schema loop store config steer limit place claim wire member \
+PACKAGES := base fleet platform schema loop store config steer limit place quarantine claim wire member \
 	spread observe proxy
 PROGRAMS := primroseleadd primroselead
 MODE ?= release
--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -126,6 +126,8 @@
 		health_tick(c, now);
 		news_tick(c);
 		reach_tick(c, now);
+		crashes_tick(c, now);
+		quarantines_tick(c, now);
 	} else {
 		sync_tick(c, now);
 	}
@@ -208,6 +210,8 @@
 	readers_init(c);
 	health_init(c);
 	reach_init(c);
+	crashes_init(c);
+	quarantines_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick_timer.on_expiry = on_tick;
@@ -229,6 +233,8 @@
 	proxy_stop(&c->proxy);
 	mailbox_finish(&c->news_mailbox, &c->loop);
 	sync_finish(c);
+	quarantines_finish(c);
+	crashes_finish(c);
 	reach_finish(c);
 	health_finish(c);
 	readers_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -3,12 +3,14 @@
 
 #include "backoff.h"
 #include "claims.h"
+#include "crashes.h"
 #include "grants.h"
 #include "health.h"
 #include "loans.h"
 #include "news.h"
 #include "objects.h"
 #include "peers.h"
+#include "quarantines.h"
 #include "reach.h"
 #include "readers.h"
 #include "registry.h"
@@ -58,6 +60,8 @@
 	struct news news;
 	struct reach reach;
 	struct readers readers;
+	struct crashes crashes;
+	struct quarantines quarantines;
 	struct claims claims;
 	struct grants grants;
 	struct shifts shifts;
--- /dev/null
+++ b/cmd/primroseleadd/crashes.c
@@ -0,0 +1,195 @@
+#include "crashes.h"
+#include "check.h"
+#include "control.h"
+#include <primroselead/clock.h>
+#include <primroselead/log.h>
+#include <string.h>
+
+/* Timeout of the connection that tells whether an upstream has ended, in ms. */
+#define PROBE_TIMEOUT_MS 700
+
+/* Time in ms after which an upstream that could not be asked, and whose entry
+ * is still there, is taken not to have ended. */
+#define WATCH_MS 8000
+
+/* Most upstreams that are watched, and most requests that break with one of
+ * them and are remembered. */
+#define WATCHES_MAX 256
+#define SUSPECTS_MAX 64
+
+enum watch_state {
+	/** The probe is under way. */
+	WATCH_PROBING,
+	/** It told nothing; the entry will. */
+	WATCH_WAITING,
+	WATCH_ENDED,
+	WATCH_LIVE,
+};
+
+/** A request that broke with an upstream. */
+struct crash_suspect {
+	struct prl_hash128 digest;
+	uint64_t head;
+	char about[QUARANTINE_ABOUT_MAX];
+};
+
+/** A start of an upstream whose connections broke. */
+struct crash_watch {
+	struct check probe;
+	enum watch_state state;
+	int64_t forget_at_ms;
+	struct crash_suspect suspect[SUSPECTS_MAX];
+	int nsuspect;
+};
+
+static void watch_free(void *p)
+{
+	struct crash_watch *w = p;
+
+	check_cancel(&w->probe);
+	g_free(w);
+}
+
+void crashes_init(struct control *c)
+{
+	c->crashes.watches = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   NULL, watch_free);
+}
+
+void crashes_finish(struct control *c)
+{
+	g_hash_table_destroy(c->crashes.watches);
+}
+
+static void report(struct crash_watch *w, const struct crash_suspect *s)
+{
+	quarantines_note_crash(w->probe.control,
+			       &(struct quarantines_crash){
+				       .digest = &s->digest,
+				       .head = s->head,
+				       .upstream_id = w->probe.upstream_id,
+				       .instance = w->probe.instance,
+				       .about = s->about,
+			       });
+}
+
+static void end_watch(struct crash_watch *w, enum watch_state state,
+		      const char *reason)
+{
+	char n[LOG_NUMBER_MAX];
+
+	w->state = state;
+	log_format_number(n, w->nsuspect);
+	log_event(LOG_LEVEL_AUDIT, "broken", "upstream", w->probe.instance,
+		  "state", state == WATCH_ENDED ? "ended" : "live", "reason",
+		  reason, "requests", n, NULL);
+	for (int i = 0; state == WATCH_ENDED && i < w->nsuspect; i++)
+		report(w, &w->suspect[i]);
+	w->nsuspect = 0;
+}
+
+static void on_probe_done(struct check *k, int answered)
+{
+	struct crash_watch *w = k->ctx;
+
+	if (answered)
+		end_watch(w, WATCH_LIVE, "it accepts connections");
+	else if (k->result == CURLE_COULDNT_CONNECT)
+		end_watch(w, WATCH_ENDED, "it refuses connections");
+	else
+		w->state = WATCH_WAITING;
+}
+
+static void start_probe(struct crash_watch *w, int64_t now)
+{
+	struct prl_error err = {0};
+
+	w->state = WATCH_PROBING;
+	w->probe.deadline_ms = now + PROBE_TIMEOUT_MS;
+	if (check_start(&w->probe, &err))
+		w->state = WATCH_WAITING;
+}
+
+static struct crash_watch *new_watch(struct control *c,
+				     const struct proxy_news *news, int64_t now)
+{
+	struct crash_watch *w = g_new0(struct crash_watch, 1);
+
+	w->probe.control = c;
+	w->probe.upstream_id = news->upstream_id;
+	memcpy(w->probe.instance, news->instance, sizeof(w->probe.instance));
+	memcpy(w->probe.address, news->u.broken.address,
+	       sizeof(w->probe.address));
+	w->probe.done = on_probe_done;
+	w->probe.ctx = w;
+	w->forget_at_ms = now + WATCH_MS;
+	g_hash_table_insert(c->crashes.watches, &w->probe.upstream_id, w);
+	return w;
+}
+
+static void add_suspect(struct crash_watch *w, const struct proxy_news *news)
+{
+	struct crash_suspect *s;
+
+	if (w->nsuspect == SUSPECTS_MAX)
+		return;
+	s = &w->suspect[w->nsuspect++];
+	s->digest = news->u.broken.digest;
+	s->head = news->u.broken.head;
+	memcpy(s->about, news->u.broken.about, sizeof(s->about));
+}
+
+void crashes_handle_broken(struct control *c, const struct proxy_news *news)
+{
+	int64_t now = prl_now_ms();
+	struct crash_watch *w =
+		g_hash_table_lookup(c->crashes.watches, &news->upstream_id);
+
+	if (!w && g_hash_table_size(c->crashes.watches) >= WATCHES_MAX)
+		return;
+	if (!w)
+		w = new_watch(c, news, now);
+	add_suspect(w, news);
+	switch (w->state) {
+	case WATCH_PROBING:
+		if (!w->probe.in_flight)
+			start_probe(w, now);
+		break;
+	case WATCH_WAITING:
+		break;
+	case WATCH_ENDED:
+		end_watch(w, WATCH_ENDED, "it had ended");
+		break;
+	case WATCH_LIVE:
+		/* It may have ended since. */
+		start_probe(w, now);
+		break;
+	}
+}
+
+static int has_entry(struct control *c, const struct crash_watch *w)
+{
+	const struct inventory_upstream_key key = {w->probe.instance,
+						   w->probe.upstream_id};
+
+	return inventory_has_start(&c->objects.inventory, &key);
+}
+
+void crashes_tick(struct control *c, int64_t now)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, c->crashes.watches);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct crash_watch *w = value;
+
+		if (w->state == WATCH_WAITING && !has_entry(c, w))
+			end_watch(w, WATCH_ENDED, "its entry is gone");
+		if (now < w->forget_at_ms || w->probe.in_flight)
+			continue;
+		if (w->nsuspect)
+			end_watch(w, WATCH_LIVE, "its entry stays");
+		g_hash_table_iter_remove(&it);
+	}
+}
--- a/cmd/primroseleadd/news.c
+++ b/cmd/primroseleadd/news.c
@@ -156,6 +156,9 @@
 	case PROXY_NEWS_ISOLATED:
 		reach_handle_isolated(c, news);
 		break;
+	case PROXY_NEWS_BROKEN:
+		crashes_handle_broken(c, news);
+		break;
 	}
 	g_free(news);
 }
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -358,6 +358,14 @@
 	send_probe(c, i->target, p);
 }
 
+/* What a VM that is no member yet may ask for: what it needs to become one. */
+static int may_ask_before_joining(const struct wire_args *args)
+{
+	return args->proc == WIRE_PULL ||
+	       (args->proc == WIRE_QUARANTINE &&
+		!args->u.quarantine.record.record_len);
+}
+
 static void on_call(void *ctx, const struct wire_request *r,
 		    const struct wire_args *args)
 {
@@ -376,7 +384,7 @@
 	 * configuration.
 	 */
 	if (!peers_is_member(c, r) &&
-	    (args->proc != WIRE_PULL || !control_follows_manifest(c))) {
+	    (!may_ask_before_joining(args) || !control_follows_manifest(c))) {
 		c->wire.rejected_datagrams++;
 		return;
 	}
@@ -413,6 +421,9 @@
 	case WIRE_BEAT:
 		readers_handle_beat(c, &args->u.beat, from);
 		break;
+	case WIRE_QUARANTINE:
+		quarantines_handle_call(c, r, &args->u.quarantine);
+		break;
 	case WIRE_CHANGES:
 		readers_handle_changes(c, r, &args->u.changes);
 		break;
--- a/cmd/primroseleadd/source.c
+++ b/cmd/primroseleadd/source.c
@@ -249,7 +249,8 @@
 	if (src->ready || !src->replica_complete)
 		return;
 	c->objects.inventory.list_complete = 1;
-	if (!c->objects.inventory.manifest.version)
+	if (!c->objects.inventory.manifest.version ||
+	    !quarantines_ready(c, prl_now_ms()))
 		return;
 	src->ready = 1;
 	sync_set_ready(c, src->upstream.listed ? "store" : "peer");
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -138,6 +138,10 @@
 			    const struct inventory_upstream_key *key,
 			    int64_t closed_until_ms);
 
+/** Whether the inventory has this start of an upstream. */
+int inventory_has_start(struct inventory *inv,
+			const struct inventory_upstream_key *key);
+
 /** Marks a failure domain as evacuated ("on" is 1) or as back in use. The
  * upstreams of a domain that comes back are treated as cold. */
 void inventory_set_evacuated(struct inventory *inv, const char *domain, int on,
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -256,6 +256,12 @@
 									 : NULL;
 }
 
+int inventory_has_start(struct inventory *inv,
+			const struct inventory_upstream_key *key)
+{
+	return find_start(inv, key) != NULL;
+}
+
 int inventory_report_limit(struct inventory *inv,
 			   const struct inventory_upstream_key *key,
 			   int64_t limit_milli, int64_t sent_ms, int64_t now)
--- a/mk/packages.mk
+++ b/mk/packages.mk
@@ -11,12 +11,13 @@
 steer_USES := base fleet
 limit_USES := base
 place_USES := base fleet steer limit
+quarantine_USES := base
 claim_USES := base
 wire_USES := base loop
 member_USES := base
 spread_USES := base
 observe_USES := base
-proxy_USES := base fleet platform loop schema spread steer limit place claim config observe
+proxy_USES := base fleet platform loop schema spread steer limit place quarantine claim config observe
 
 # External libraries that a package needs, by their pkg-config names.
 base_NEEDS := apr-1 libxxhash
@@ -27,6 +28,7 @@
 store_NEEDS := libcurl glib-2.0
 config_NEEDS := apr-1 glib-2.0 jansson
 limit_NEEDS := jansson
+quarantine_NEEDS := jansson
 wire_NEEDS := libtirpc glib-2.0
 member_NEEDS := glib-2.0
 spread_NEEDS := glib-2.0
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -19,6 +19,12 @@
 	METRIC_REQUESTS_SHED,
 	/** Requests refused before they were assigned to a service. */
 	METRIC_REQUESTS_BAD,
+	/** Requests rejected because upstreams have ended under them. */
+	METRIC_REQUESTS_QUARANTINED,
+	/** Requests known to this VM under which upstreams have ended: all, and
+	 * those that are in quarantine. */
+	METRIC_QUARANTINE_SUSPECTS,
+	METRIC_QUARANTINE_ACTIVE,
 	METRIC_UPSTREAM_ATTEMPTS,
 	METRIC_UPSTREAM_RETRIES,
 	/** Requests passed on to another VM, and those taken from others. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -11,6 +11,7 @@
 #include <primroselead/mailbox.h>
 #include <primroselead/metrics.h>
 #include <primroselead/place.h>
+#include <primroselead/quarantine.h>
 #include <primroselead/ratio.h>
 #include <primroselead/semaphore.h>
 #include <primroselead/serve.h>
@@ -101,6 +102,8 @@
 	PROXY_NEWS_CLOSED,
 	/** Attempts reach no upstream of its service any longer. */
 	PROXY_NEWS_ISOLATED,
+	/** Its connection broke under a request: it may have ended. */
+	PROXY_NEWS_BROKEN,
 };
 
 /** News of an upstream, sent to the control thread, which frees it. */
@@ -124,6 +127,13 @@
 			/** When an upstream last answered; 0 if never. */
 			int64_t answered_ms;
 		} isolated;
+		struct {
+			char address[PRL_ADDRESS_MAX];
+			/** The request, as in struct quarantine_entry. */
+			struct prl_hash128 digest;
+			uint64_t head;
+			char about[QUARANTINE_ABOUT_MAX];
+		} broken;
 	} u;
 };
 
@@ -265,6 +275,11 @@
 	struct limit_bandwidth *link_bandwidth;
 	/** By stats_index of the service. */
 	struct proxy_service_stats *service;
+	/** Requests that end upstreams; by proxy_lock_quarantine only. */
+	struct quarantine *quarantine;
+	apr_thread_mutex_t *quarantine_lock;
+	/** Number of suspects in it, read without the lock. */
+	_Atomic int nsuspect;
 	/** Takes struct proxy_claim; received by the control thread. */
 	struct mailbox *claim_mailbox;
 	/** Takes the semaphore_index plus one of a region without free
@@ -316,6 +331,13 @@
 /** Sends new bounds of the platform to every thread. */
 void proxy_set_bounds(struct proxy *p, const struct fleet_bounds *b);
 
+/** Locks the table of requests that end upstreams, and returns it; every thread
+ * may, for a short time. */
+struct quarantine *proxy_lock_quarantine(struct proxy *p);
+
+/** Unlocks it. */
+void proxy_unlock_quarantine(struct proxy *p);
+
 /** Sends a claim with its result back to the thread that submitted it. */
 void proxy_deliver_claim(struct proxy_claim *c);
 
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -31,7 +31,8 @@
 	    body_rewind(&r->request_body))
 		return 0;
 	if (r->routed)
-		return placing_take_retry(r);
+		return (did_not_run || suspects_may_retry(r)) &&
+		       placing_take_retry(r);
 	return limit_ratio_withdraw(&upstream_service_stats(r)->retry_limit);
 }
 
@@ -112,6 +113,7 @@
 	r->curl_result = result;
 	r->unreached = !r->maybe_sent;
 	placing_record_result(r, result_of_failure(r, timed_out));
+	suspects_note_failure(r, result);
 	if (r->state == REQUEST_RESPONDING) {
 		request_abort_response(r);
 		return;
@@ -154,10 +156,12 @@
 		return;
 	case VERDICT_PASS:
 		placing_record_result(r, PLACE_ANSWERED);
+		suspects_note_answer(r);
 		request_forward_response(r);
 		return;
 	case VERDICT_FAILED:
 		placing_record_result(r, PLACE_FAILED);
+		suspects_note_answer(r);
 		request_update_outcome(r, 0);
 		if (r->state != REQUEST_RESPONDING && request_may_retry(r, 0))
 			request_retry(r);
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -204,6 +204,7 @@
 	news_tell_isolated(r);
 }
 
+/* What breaks under a request that ends upstreams says nothing of the links. */
 static void record_contact(struct proxy_request *r, enum place_result result)
 {
 	struct place_isolation *isolation = &routed_service_state(r)->isolation;
@@ -211,7 +212,7 @@
 
 	if (r->head.stage != RESPONSE_NOTHING)
 		place_isolation_answered(isolation, now);
-	else if (is_unanswered(r, result) &&
+	else if (!r->suspicion.is_suspect && is_unanswered(r, result) &&
 		 place_isolation_unanswered(isolation, r->upstream->id,
 					    r->service->nupstream, now) &&
 		 !relay_is_isolated(r))
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -33,10 +33,13 @@
 		calloc(CONFIG_INDEXES_MAX, sizeof(*p->link_bandwidth));
 	p->service = calloc(CONFIG_INDEXES_MAX, sizeof(*p->service));
 	p->thread = calloc((size_t)p->nthread, sizeof(*p->thread));
+	p->quarantine = calloc(1, sizeof(*p->quarantine));
 	if (apr_thread_mutex_create(&p->status_lock, APR_THREAD_MUTEX_DEFAULT,
 				    pool) ||
-	    !p->upstream || !p->semaphore || !p->link_bandwidth ||
-	    !p->service || !p->thread) {
+	    apr_thread_mutex_create(&p->quarantine_lock,
+				    APR_THREAD_MUTEX_DEFAULT, pool) ||
+	    !p->quarantine || !p->upstream || !p->semaphore ||
+	    !p->link_bandwidth || !p->service || !p->thread) {
 		proxy_finish(p);
 		return prl_error_set(err, PRL_E_MEMORY,
 				     "tables of the proxy: out of memory");
@@ -54,6 +57,7 @@
 	free(p->link_bandwidth);
 	free(p->service);
 	free(p->thread);
+	free(p->quarantine);
 	free(p->status);
 }
 
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -3,6 +3,7 @@
 
 #include "body.h"
 #include "identity.h"
+#include "suspects.h"
 #include "verdict.h"
 #include <primroselead/proxy.h>
 #include <primroselead/response_head.h>
@@ -179,6 +180,7 @@
 	int nused_connection;
 
 	struct request_identity identity;
+	struct request_suspicion suspicion;
 	/** Body from the caller. */
 	struct body_buffer request_body;
 	int has_body;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -37,6 +37,7 @@
 
 	if (r->state == REQUEST_FAILED || r->response_body_ended) {
 		identity_add_body(r, data, *len);
+		suspects_body_came(r);
 		r->discarded_bytes += *len;
 		*len = 0;
 		if (r->discarded_bytes > DISCARD_MAX_BYTES ||
@@ -46,6 +47,7 @@
 	}
 	n = body_write(&r->request_body, data, *len);
 	identity_add_body(r, data, n);
+	suspects_body_came(r);
 	*len -= n;
 	if (n && r->upload_paused && !r->link_paused) {
 		r->upload_paused = 0;
@@ -61,6 +63,7 @@
 {
 	if (!r->request_body_ended) {
 		r->request_body_ended = 1;
+		suspects_body_came(r);
 		if (r->upload_paused && !r->link_paused) {
 			r->upload_paused = 0;
 			fetch_unpause(&r->thread->fetch_pool, &r->fetch);
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -36,6 +36,9 @@
 /** Entry VMs that registered themselves, by name. */
 #define STORE_KIND_VM "entry-vms"
 
+/** Requests in quarantine, by digest. */
+#define STORE_KIND_QUARANTINE "quarantine"
+
 /** Operation of a call. */
 enum store_op {
 	/** Reads one object by key. */
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -14,6 +14,8 @@
 const WIRE_OBJECTS = 256;
 const WIRE_NEWS_MAX = 64;
 const WIRE_ISOLATED_MAX = 4;
+const WIRE_CRASHES = 3;
+const WIRE_QUARANTINE_MAX = 32;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -190,6 +192,28 @@
 	wire_object object<WIRE_OBJECTS>;
 };
 
+/* A request under which upstreams have ended, by the halves of its digest and the
+ * digest of its head: the starts of upstreams that ended since it was last cleared,
+ * and how often it was cleared. Without crashes it is no suspect any longer. Of two
+ * records the one with the greater clearance counts; else they are united. */
+struct wire_quarantine_record {
+	unsigned hyper digest_high;
+	unsigned hyper digest_low;
+	unsigned hyper head;
+	hyper clearance;
+	unsigned hyper crash<WIRE_CRASHES>;
+	int trials;
+	hyper kept_era;
+};
+
+/* Records that the sender has or has changed. The answer has those of the same
+ * requests that the receiver knows better; to a call without records, those that it
+ * has. "complete" is 1 if the sender has read the store's or another VM's. */
+struct wire_quarantine {
+	wire_quarantine_record record<WIRE_QUARANTINE_MAX>;
+	bool complete;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -204,5 +228,6 @@
 		void WIRE_ISOLATION(wire_isolation) = 10;
 		void WIRE_BEAT(wire_beat) = 11;
 		void WIRE_CHANGES(wire_changes) = 12;
+		wire_quarantine WIRE_QUARANTINE(wire_quarantine) = 13;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -8,6 +8,7 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -20,6 +21,8 @@
 #define WIRE_OBJECTS 256
 #define WIRE_NEWS_MAX 64
 #define WIRE_ISOLATED_MAX 4
+#define WIRE_CRASHES 3
+#define WIRE_QUARANTINE_MAX 32
 
 struct wire_vm {
 	char *name;
@@ -199,135 +202,168 @@
 };
 typedef struct wire_changes wire_changes;
 
+struct wire_quarantine_record {
+	u_quad_t digest_high;
+	u_quad_t digest_low;
+	u_quad_t head;
+	quad_t clearance;
+	struct {
+		u_int crash_len;
+		u_quad_t *crash_val;
+	} crash;
+	int trials;
+	quad_t kept_era;
+};
+typedef struct wire_quarantine_record wire_quarantine_record;
+
+struct wire_quarantine {
+	struct {
+		u_int record_len;
+		wire_quarantine_record *record_val;
+	} record;
+	bool_t complete;
+};
+typedef struct wire_quarantine wire_quarantine;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define WIRE_PROBE 1
-extern wire_ack *wire_probe_1(wire_probe *, CLIENT *);
-extern wire_ack *wire_probe_1_svc(wire_probe *, struct svc_req *);
+extern  wire_ack * wire_probe_1(wire_probe *, CLIENT *);
+extern  wire_ack * wire_probe_1_svc(wire_probe *, struct svc_req *);
 #define WIRE_INDIRECT 2
-extern wire_ack *wire_indirect_1(wire_indirect *, CLIENT *);
-extern wire_ack *wire_indirect_1_svc(wire_indirect *, struct svc_req *);
+extern  wire_ack * wire_indirect_1(wire_indirect *, CLIENT *);
+extern  wire_ack * wire_indirect_1_svc(wire_indirect *, struct svc_req *);
 #define WIRE_PUSH 3
-extern void *wire_push_1(wire_delta *, CLIENT *);
-extern void *wire_push_1_svc(wire_delta *, struct svc_req *);
+extern  void * wire_push_1(wire_delta *, CLIENT *);
+extern  void * wire_push_1_svc(wire_delta *, struct svc_req *);
 #define WIRE_PULL 4
-extern wire_delta *wire_pull_1(wire_pull *, CLIENT *);
-extern wire_delta *wire_pull_1_svc(wire_pull *, struct svc_req *);
+extern  wire_delta * wire_pull_1(wire_pull *, CLIENT *);
+extern  wire_delta * wire_pull_1_svc(wire_pull *, struct svc_req *);
 #define WIRE_CLAIM 5
-extern wire_verdict *wire_claim_1(wire_claim *, CLIENT *);
-extern wire_verdict *wire_claim_1_svc(wire_claim *, struct svc_req *);
+extern  wire_verdict * wire_claim_1(wire_claim *, CLIENT *);
+extern  wire_verdict * wire_claim_1_svc(wire_claim *, struct svc_req *);
 #define WIRE_BORROW 6
-extern wire_loan *wire_borrow_1(wire_borrow *, CLIENT *);
-extern wire_loan *wire_borrow_1_svc(wire_borrow *, struct svc_req *);
+extern  wire_loan * wire_borrow_1(wire_borrow *, CLIENT *);
+extern  wire_loan * wire_borrow_1_svc(wire_borrow *, struct svc_req *);
 #define WIRE_RETURN 7
-extern void *wire_return_1(wire_return *, CLIENT *);
-extern void *wire_return_1_svc(wire_return *, struct svc_req *);
+extern  void * wire_return_1(wire_return *, CLIENT *);
+extern  void * wire_return_1_svc(wire_return *, struct svc_req *);
 #define WIRE_COLD 8
-extern void *wire_cold_1(wire_cold *, CLIENT *);
-extern void *wire_cold_1_svc(wire_cold *, struct svc_req *);
+extern  void * wire_cold_1(wire_cold *, CLIENT *);
+extern  void * wire_cold_1_svc(wire_cold *, struct svc_req *);
 #define WIRE_NEWS 9
-extern void *wire_news_1(wire_news_list *, CLIENT *);
-extern void *wire_news_1_svc(wire_news_list *, struct svc_req *);
+extern  void * wire_news_1(wire_news_list *, CLIENT *);
+extern  void * wire_news_1_svc(wire_news_list *, struct svc_req *);
 #define WIRE_ISOLATION 10
-extern void *wire_isolation_1(wire_isolation *, CLIENT *);
-extern void *wire_isolation_1_svc(wire_isolation *, struct svc_req *);
+extern  void * wire_isolation_1(wire_isolation *, CLIENT *);
+extern  void * wire_isolation_1_svc(wire_isolation *, struct svc_req *);
 #define WIRE_BEAT 11
-extern void *wire_beat_1(wire_beat *, CLIENT *);
-extern void *wire_beat_1_svc(wire_beat *, struct svc_req *);
+extern  void * wire_beat_1(wire_beat *, CLIENT *);
+extern  void * wire_beat_1_svc(wire_beat *, struct svc_req *);
 #define WIRE_CHANGES 12
-extern void *wire_changes_1(wire_changes *, CLIENT *);
-extern void *wire_changes_1_svc(wire_changes *, struct svc_req *);
-extern int wire_program_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * wire_changes_1(wire_changes *, CLIENT *);
+extern  void * wire_changes_1_svc(wire_changes *, struct svc_req *);
+#define WIRE_QUARANTINE 13
+extern  wire_quarantine * wire_quarantine_1(wire_quarantine *, CLIENT *);
+extern  wire_quarantine * wire_quarantine_1_svc(wire_quarantine *, struct svc_req *);
+extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define WIRE_PROBE 1
-extern wire_ack *wire_probe_1();
-extern wire_ack *wire_probe_1_svc();
+extern  wire_ack * wire_probe_1();
+extern  wire_ack * wire_probe_1_svc();
 #define WIRE_INDIRECT 2
-extern wire_ack *wire_indirect_1();
-extern wire_ack *wire_indirect_1_svc();
+extern  wire_ack * wire_indirect_1();
+extern  wire_ack * wire_indirect_1_svc();
 #define WIRE_PUSH 3
-extern void *wire_push_1();
-extern void *wire_push_1_svc();
+extern  void * wire_push_1();
+extern  void * wire_push_1_svc();
 #define WIRE_PULL 4
-extern wire_delta *wire_pull_1();
-extern wire_delta *wire_pull_1_svc();
+extern  wire_delta * wire_pull_1();
+extern  wire_delta * wire_pull_1_svc();
 #define WIRE_CLAIM 5
-extern wire_verdict *wire_claim_1();
-extern wire_verdict *wire_claim_1_svc();
+extern  wire_verdict * wire_claim_1();
+extern  wire_verdict * wire_claim_1_svc();
 #define WIRE_BORROW 6
-extern wire_loan *wire_borrow_1();
-extern wire_loan *wire_borrow_1_svc();
+extern  wire_loan * wire_borrow_1();
+extern  wire_loan * wire_borrow_1_svc();
 #define WIRE_RETURN 7
-extern void *wire_return_1();
-extern void *wire_return_1_svc();
+extern  void * wire_return_1();
+extern  void * wire_return_1_svc();
 #define WIRE_COLD 8
-extern void *wire_cold_1();
-extern void *wire_cold_1_svc();
+extern  void * wire_cold_1();
+extern  void * wire_cold_1_svc();
 #define WIRE_NEWS 9
-extern void *wire_news_1();
-extern void *wire_news_1_svc();
+extern  void * wire_news_1();
+extern  void * wire_news_1_svc();
 #define WIRE_ISOLATION 10
-extern void *wire_isolation_1();
-extern void *wire_isolation_1_svc();
+extern  void * wire_isolation_1();
+extern  void * wire_isolation_1_svc();
 #define WIRE_BEAT 11
-extern void *wire_beat_1();
-extern void *wire_beat_1_svc();
+extern  void * wire_beat_1();
+extern  void * wire_beat_1_svc();
 #define WIRE_CHANGES 12
-extern void *wire_changes_1();
-extern void *wire_changes_1_svc();
-extern int wire_program_1_freeresult();
+extern  void * wire_changes_1();
+extern  void * wire_changes_1_svc();
+#define WIRE_QUARANTINE 13
+extern  wire_quarantine * wire_quarantine_1();
+extern  wire_quarantine * wire_quarantine_1_svc();
+extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_wire_vm(XDR *, wire_vm *);
-extern bool_t xdr_wire_digest(XDR *, wire_digest *);
-extern bool_t xdr_wire_probe(XDR *, wire_probe *);
-extern bool_t xdr_wire_ack(XDR *, wire_ack *);
-extern bool_t xdr_wire_indirect(XDR *, wire_indirect *);
-extern bool_t xdr_wire_object(XDR *, wire_object *);
-extern bool_t xdr_wire_delta(XDR *, wire_delta *);
-extern bool_t xdr_wire_pull(XDR *, wire_pull *);
-extern bool_t xdr_wire_claim(XDR *, wire_claim *);
-extern bool_t xdr_wire_verdict(XDR *, wire_verdict *);
-extern bool_t xdr_wire_borrow(XDR *, wire_borrow *);
-extern bool_t xdr_wire_loan(XDR *, wire_loan *);
-extern bool_t xdr_wire_return(XDR *, wire_return *);
-extern bool_t xdr_wire_cold(XDR *, wire_cold *);
-extern bool_t xdr_wire_news_type(XDR *, wire_news_type *);
-extern bool_t xdr_wire_news_body(XDR *, wire_news_body *);
-extern bool_t xdr_wire_news(XDR *, wire_news *);
-extern bool_t xdr_wire_news_list(XDR *, wire_news_list *);
-extern bool_t xdr_wire_isolation(XDR *, wire_isolation *);
-extern bool_t xdr_wire_beat(XDR *, wire_beat *);
-extern bool_t xdr_wire_changes(XDR *, wire_changes *);
+extern  bool_t xdr_wire_vm (XDR *, wire_vm*);
+extern  bool_t xdr_wire_digest (XDR *, wire_digest*);
+extern  bool_t xdr_wire_probe (XDR *, wire_probe*);
+extern  bool_t xdr_wire_ack (XDR *, wire_ack*);
+extern  bool_t xdr_wire_indirect (XDR *, wire_indirect*);
+extern  bool_t xdr_wire_object (XDR *, wire_object*);
+extern  bool_t xdr_wire_delta (XDR *, wire_delta*);
+extern  bool_t xdr_wire_pull (XDR *, wire_pull*);
+extern  bool_t xdr_wire_claim (XDR *, wire_claim*);
+extern  bool_t xdr_wire_verdict (XDR *, wire_verdict*);
+extern  bool_t xdr_wire_borrow (XDR *, wire_borrow*);
+extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
+extern  bool_t xdr_wire_return (XDR *, wire_return*);
+extern  bool_t xdr_wire_cold (XDR *, wire_cold*);
+extern  bool_t xdr_wire_news_type (XDR *, wire_news_type*);
+extern  bool_t xdr_wire_news_body (XDR *, wire_news_body*);
+extern  bool_t xdr_wire_news (XDR *, wire_news*);
+extern  bool_t xdr_wire_news_list (XDR *, wire_news_list*);
+extern  bool_t xdr_wire_isolation (XDR *, wire_isolation*);
+extern  bool_t xdr_wire_beat (XDR *, wire_beat*);
+extern  bool_t xdr_wire_changes (XDR *, wire_changes*);
+extern  bool_t xdr_wire_quarantine_record (XDR *, wire_quarantine_record*);
+extern  bool_t xdr_wire_quarantine (XDR *, wire_quarantine*);
 
 #else /* K&R C */
-extern bool_t xdr_wire_vm();
-extern bool_t xdr_wire_digest();
-extern bool_t xdr_wire_probe();
-extern bool_t xdr_wire_ack();
-extern bool_t xdr_wire_indirect();
-extern bool_t xdr_wire_object();
-extern bool_t xdr_wire_delta();
-extern bool_t xdr_wire_pull();
-extern bool_t xdr_wire_claim();
-extern bool_t xdr_wire_verdict();
-extern bool_t xdr_wire_borrow();
-extern bool_t xdr_wire_loan();
-extern bool_t xdr_wire_return();
-extern bool_t xdr_wire_cold();
-extern bool_t xdr_wire_news_type();
-extern bool_t xdr_wire_news_body();
-extern bool_t xdr_wire_news();
-extern bool_t xdr_wire_news_list();
-extern bool_t xdr_wire_isolation();
-extern bool_t xdr_wire_beat();
-extern bool_t xdr_wire_changes();
+extern bool_t xdr_wire_vm ();
+extern bool_t xdr_wire_digest ();
+extern bool_t xdr_wire_probe ();
+extern bool_t xdr_wire_ack ();
+extern bool_t xdr_wire_indirect ();
+extern bool_t xdr_wire_object ();
+extern bool_t xdr_wire_delta ();
+extern bool_t xdr_wire_pull ();
+extern bool_t xdr_wire_claim ();
+extern bool_t xdr_wire_verdict ();
+extern bool_t xdr_wire_borrow ();
+extern bool_t xdr_wire_loan ();
+extern bool_t xdr_wire_return ();
+extern bool_t xdr_wire_cold ();
+extern bool_t xdr_wire_news_type ();
+extern bool_t xdr_wire_news_body ();
+extern bool_t xdr_wire_news ();
+extern bool_t xdr_wire_news_list ();
+extern bool_t xdr_wire_isolation ();
+extern bool_t xdr_wire_beat ();
+extern bool_t xdr_wire_changes ();
+extern bool_t xdr_wire_quarantine_record ();
+extern bool_t xdr_wire_quarantine ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -31,6 +31,7 @@
 		struct wire_isolation isolation;
 		struct wire_beat beat;
 		struct wire_changes changes;
+		struct wire_quarantine quarantine;
 	} u;
 };
 
@@ -48,6 +49,8 @@
 		struct wire_verdict verdict;
 		/** Of WIRE_BORROW. */
 		struct wire_loan loan;
+		/** Of WIRE_QUARANTINE. */
+		struct wire_quarantine quarantine;
 	} u;
 };
 
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -44,6 +44,8 @@
 		return (xdrproc_t)xdr_wire_beat;
 	case WIRE_CHANGES:
 		return (xdrproc_t)xdr_wire_changes;
+	case WIRE_QUARANTINE:
+		return (xdrproc_t)xdr_wire_quarantine;
 	}
 	return NULL;
 }
@@ -68,6 +70,8 @@
 		return (xdrproc_t)xdr_wire_verdict;
 	case WIRE_BORROW:
 		return (xdrproc_t)xdr_wire_loan;
+	case WIRE_QUARANTINE:
+		return (xdrproc_t)xdr_wire_quarantine;
 	}
 	return NULL;
 }
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -5,232 +5,244 @@
 
 #include <primroselead/messages.h>
 
-bool_t xdr_wire_vm(XDR *xdrs, wire_vm *objp)
+bool_t
+xdr_wire_vm (XDR *xdrs, wire_vm *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->name, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->region, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->domain, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->http, WIRE_ADDRESS))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->rpc, WIRE_ADDRESS))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->incarnation))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->state))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->http, WIRE_ADDRESS))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->rpc, WIRE_ADDRESS))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_digest(XDR *xdrs, wire_digest *objp)
+bool_t
+xdr_wire_digest (XDR *xdrs, wire_digest *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_quad_t(xdrs, &objp->complete))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sum))
-		return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sum))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_probe(XDR *xdrs, wire_probe *objp)
+bool_t
+xdr_wire_probe (XDR *xdrs, wire_probe *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_wire_vm(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_wire_digest(xdrs, &objp->digest))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->rumor.rumor_val,
-		       (u_int *)&objp->rumor.rumor_len, WIRE_RUMORS,
-		       sizeof(wire_vm), (xdrproc_t)xdr_wire_vm))
-		return FALSE;
+	 if (!xdr_wire_vm (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_wire_digest (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rumor.rumor_val, (u_int *) &objp->rumor.rumor_len, WIRE_RUMORS,
+		sizeof (wire_vm), (xdrproc_t) xdr_wire_vm))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_ack(XDR *xdrs, wire_ack *objp)
+bool_t
+xdr_wire_ack (XDR *xdrs, wire_ack *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_wire_vm(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_wire_digest(xdrs, &objp->digest))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->rumor.rumor_val,
-		       (u_int *)&objp->rumor.rumor_len, WIRE_RUMORS,
-		       sizeof(wire_vm), (xdrproc_t)xdr_wire_vm))
-		return FALSE;
+	 if (!xdr_wire_vm (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_wire_digest (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rumor.rumor_val, (u_int *) &objp->rumor.rumor_len, WIRE_RUMORS,
+		sizeof (wire_vm), (xdrproc_t) xdr_wire_vm))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_indirect(XDR *xdrs, wire_indirect *objp)
+bool_t
+xdr_wire_indirect (XDR *xdrs, wire_indirect *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_wire_vm(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->target, WIRE_ADDRESS))
-		return FALSE;
+	 if (!xdr_wire_vm (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, WIRE_ADDRESS))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_object(XDR *xdrs, wire_object *objp)
+bool_t
+xdr_wire_object (XDR *xdrs, wire_object *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->key, WIRE_KEY))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-		       (u_int *)&objp->value.value_len, WIRE_VALUE))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, WIRE_KEY))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, WIRE_VALUE))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_delta(XDR *xdrs, wire_delta *objp)
+bool_t
+xdr_wire_delta (XDR *xdrs, wire_delta *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_quad_t(xdrs, &objp->after))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->complete))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->hops))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->object.object_val,
-		       (u_int *)&objp->object.object_len, WIRE_OBJECTS,
-		       sizeof(wire_object), (xdrproc_t)xdr_wire_object))
-		return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->object.object_val, (u_int *) &objp->object.object_len, WIRE_OBJECTS,
+		sizeof (wire_object), (xdrproc_t) xdr_wire_object))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_pull(XDR *xdrs, wire_pull *objp)
+bool_t
+xdr_wire_pull (XDR *xdrs, wire_pull *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_quad_t(xdrs, &objp->after))
-		return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->after))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_claim(XDR *xdrs, wire_claim *objp)
+bool_t
+xdr_wire_claim (XDR *xdrs, wire_claim *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->shard))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->key_high))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->key_low))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->token))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->status))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->code))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->shard))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->key_high))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->key_low))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_verdict(XDR *xdrs, wire_verdict *objp)
+bool_t
+xdr_wire_verdict (XDR *xdrs, wire_verdict *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_int(xdrs, &objp->verdict))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->code))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->token))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->status))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->http_status))
-		return FALSE;
+	 if (!xdr_int (xdrs, &objp->verdict))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->http_status))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_borrow(XDR *xdrs, wire_borrow *objp)
+bool_t
+xdr_wire_borrow (XDR *xdrs, wire_borrow *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->service, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->region, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->borrower, WIRE_NAME))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->tokens))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->borrower, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->tokens))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_loan(XDR *xdrs, wire_loan *objp)
+bool_t
+xdr_wire_loan (XDR *xdrs, wire_loan *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_int(xdrs, &objp->tokens))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->base))
-		return FALSE;
+	 if (!xdr_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->base))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_return(XDR *xdrs, wire_return *objp)
+bool_t
+xdr_wire_return (XDR *xdrs, wire_return *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->service, WIRE_NAME))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->region, WIRE_NAME))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->id))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_cold(XDR *xdrs, wire_cold *objp)
+bool_t
+xdr_wire_cold (XDR *xdrs, wire_cold *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->instance, WIRE_NAME))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->left_ms))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->left_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_news_type(XDR *xdrs, wire_news_type *objp)
+bool_t
+xdr_wire_news_type (XDR *xdrs, wire_news_type *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_news_body(XDR *xdrs, wire_news_body *objp)
+bool_t
+xdr_wire_news_body (XDR *xdrs, wire_news_body *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_wire_news_type(xdrs, &objp->type))
-		return FALSE;
+	 if (!xdr_wire_news_type (xdrs, &objp->type))
+		 return FALSE;
 	switch (objp->type) {
 	case WIRE_NEWS_LIMIT:
-		if (!xdr_quad_t(xdrs, &objp->wire_news_body_u.limit_milli))
-			return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->wire_news_body_u.limit_milli))
+			 return FALSE;
 		break;
 	case WIRE_NEWS_LEAVING:
 		break;
@@ -240,75 +252,113 @@
 	return TRUE;
 }
 
-bool_t xdr_wire_news(XDR *xdrs, wire_news *objp)
+bool_t
+xdr_wire_news (XDR *xdrs, wire_news *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->instance, WIRE_NAME))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->upstream))
-		return FALSE;
-	if (!xdr_wire_news_body(xdrs, &objp->body))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_wire_news_body (xdrs, &objp->body))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_news_list(XDR *xdrs, wire_news_list *objp)
+bool_t
+xdr_wire_news_list (XDR *xdrs, wire_news_list *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_array(xdrs, (char **)&objp->news.news_val,
-		       (u_int *)&objp->news.news_len, WIRE_NEWS_MAX,
-		       sizeof(wire_news), (xdrproc_t)xdr_wire_news))
-		return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, WIRE_NEWS_MAX,
+		sizeof (wire_news), (xdrproc_t) xdr_wire_news))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_isolation(XDR *xdrs, wire_isolation *objp)
+bool_t
+xdr_wire_isolation (XDR *xdrs, wire_isolation *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->vm, WIRE_NAME))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->all))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->service.service_val,
-		       (u_int *)&objp->service.service_len, WIRE_ISOLATED_MAX,
-		       sizeof(u_quad_t), (xdrproc_t)xdr_u_quad_t))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->vm, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, WIRE_ISOLATED_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_beat(XDR *xdrs, wire_beat *objp)
+bool_t
+xdr_wire_beat (XDR *xdrs, wire_beat *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->origin, WIRE_NAME))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->complete))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->live_sum))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->age_ms))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->origin, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->live_sum))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_wire_changes(XDR *xdrs, wire_changes *objp)
+bool_t
+xdr_wire_changes (XDR *xdrs, wire_changes *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->origin, WIRE_NAME))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->object.object_val,
-		       (u_int *)&objp->object.object_len, WIRE_OBJECTS,
-		       sizeof(wire_object), (xdrproc_t)xdr_wire_object))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->origin, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->object.object_val, (u_int *) &objp->object.object_len, WIRE_OBJECTS,
+		sizeof (wire_object), (xdrproc_t) xdr_wire_object))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_quarantine_record (XDR *xdrs, wire_quarantine_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest_high))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest_low))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clearance))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crash.crash_val, (u_int *) &objp->crash.crash_len, WIRE_CRASHES,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->trials))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->kept_era))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_quarantine (XDR *xdrs, wire_quarantine *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, WIRE_QUARANTINE_MAX,
+		sizeof (wire_quarantine_record), (xdrproc_t) xdr_wire_quarantine_record))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
 	return TRUE;
 }
