--- a/cmd/primroselead/command.h
+++ b/cmd/primroselead/command.h
@@ -77,6 +77,7 @@
 int command_show(int argc, char **argv);
 int command_lookup(int argc, char **argv);
 int command_explain(int argc, char **argv);
+int command_quarantine(int argc, char **argv);
 
 /** Prints an error to standard error and returns its exit status. */
 int command_report_error(const struct prl_error *err);
--- a/cmd/primroselead/explain.c
+++ b/cmd/primroselead/explain.c
@@ -20,6 +20,8 @@
 	const char *id;
 	/** Entry VM that handled the request; empty if no log line names it. */
 	char vm[PRL_NAME_MAX];
+	/** Digest of the request; empty if no line has one. */
+	char digest[PRL_NAME_MAX];
 	/** Start and end, in ms of the wall clock. */
 	int64_t start_ms;
 	int64_t end_ms;
@@ -95,6 +97,8 @@
 			continue;
 		g_strlcpy(trace->vm, log_line_text(line, "vm"),
 			  sizeof(trace->vm));
+		g_strlcpy(trace->digest, log_line_text(line, "digest"),
+			  sizeof(trace->digest));
 		trace->end_ms = log_line_time_ms(line);
 		trace->start_ms =
 			trace->end_ms - atoll(log_line_text(line, "ms"));
@@ -145,6 +149,10 @@
 
 	if (field_equals(line, "id", trace->id))
 		return 1;
+	/* Why equal requests are no longer sent, from any VM. */
+	if (field_equals(line, "event", "quarantine") && trace->digest[0] &&
+	    field_equals(line, "digest", trace->digest))
+		return time <= trace->end_ms;
 	if (!field_equals(line, "vm", trace->vm))
 		return 0;
 	if (names_upstream(line, trace))
--- a/cmd/primroselead/main.c
+++ b/cmd/primroselead/main.c
@@ -27,6 +27,8 @@
 	{"lookup", command_lookup, "ask a VM which entry VMs to use"},
 	{"explain", command_explain,
 	 "show from logs how a request was handled"},
+	{"quarantine", command_quarantine,
+	 "list requests that end upstreams, or clear one"},
 	{"version", command_version, "print the version"},
 	{0},
 };
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -137,6 +137,31 @@
 			 (json_int_t)(confirmed_ms ? now - confirmed_ms : -1));
 }
 
+/* Requests under which upstreams have ended. */
+static json_t *quarantine(struct control *c)
+{
+	const struct quarantine *q = proxy_lock_quarantine(&c->proxy);
+	json_t *list = json_array();
+
+	for (int i = 0; i < q->nentry; i++) {
+		const struct quarantine_entry *e = &q->entry[i];
+		char name[QUARANTINE_NAME_MAX];
+
+		if (!e->record.ncrash)
+			continue;
+		quarantine_name_format(&e->record.digest, name);
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:b, s:i, s:i, s:b, s:s}", "digest",
+				  name, "active", quarantine_is_active(e),
+				  "ended", e->record.ncrash, "trials",
+				  e->record.ntrial, "kept",
+				  e->record.kept_era > 0, "about", e->about));
+	}
+	proxy_unlock_quarantine(&c->proxy);
+	return list;
+}
+
 static void publish(struct control *c, int64_t now)
 {
 	const char *state = c->leaving_since_ms ? "leaving"
@@ -144,14 +169,14 @@
 			    : c->unconfirmed	? "unconfirmed"
 						: "live";
 	json_t *root = json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o}", "vm",
+		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o, s:o}", "vm",
 		c->settings->vm.name, "state", state, "region",
 		c->settings->vm.region, "domain", c->settings->vm.domain,
 		"revision", (json_int_t)c->sync.replica.complete_revision,
 		"uptime_ms", (json_int_t)(now - c->started_ms), "store",
 		is_store_up(c) ? "up" : "not seen", "store_reading",
-		reading(c, now), "members", members(c), "services",
-		services(c));
+		reading(c, now), "members", members(c), "services", services(c),
+		"quarantine", quarantine(c));
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
