Addresses: a port has digits only

What an operator saw: an entry with the port "+80", " 80" counted as an upstream and was tried by requests, in vain. Cause: strtol takes blanks and a sign.

--- a/base/src/address.c
+++ b/base/src/address.c
@@ -10,7 +10,9 @@
 	char *end;
 	long port = strtol(text, &end, 10);
 
-	if (end == text || *end || port < 1 || port > 65535)
+	/* strtol also takes blanks and a sign before the digits. */
+	if (strspn(text, "0123456789") != strlen(text) || end == text ||
+	    port < 1 || port > 65535)
 		return -1;
 	return (int)port;
 }
