Store's pages: one odd entry takes no others with it

What operators saw elsewhere: VMs stopped following the list of upstreams beside one odd entry.

An object whose name can't be one of ours is left out, and a list goes on after the last name that came, read or not; a page that does not get on is an error, so a list can't repeat for ever.

Slots, lengths of fields and numbers out of range were tried too: nothing.

--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -14,7 +14,7 @@
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program,$(p))))
 
-$(OUT)/bin/standin-store: $(OUT)/standin/src/objects.o $(OUT)/standin/src/store_request.o
+$(OUT)/bin/standin-store: $(OUT)/standin/src/objects.o $(OUT)/standin/src/store_request.o $(OUT)/standin/src/raw_values.o
 $(OUT)/bin/standin-odd: $(foreach n,runs request faulty,$(OUT)/standin/src/$(n).o)
 $(OUT)/bin/standin-load: $(OUT)/standin/src/latencies.o
 
--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -3,6 +3,7 @@
  * the return from an earlier copy on demand. */
 #include "answer.h"
 #include "objects.h"
+#include "raw_values.h"
 #include "store_request.h"
 #include <apr_general.h>
 #include <glib.h>
@@ -72,7 +73,7 @@
 static enum MHD_Result send_json(struct MHD_Connection *conn,
 				 unsigned int status, json_t *root)
 {
-	char *text = json_dumps(root, JSON_COMPACT);
+	char *text = raw_values_insert(json_dumps(root, JSON_COMPACT));
 	enum MHD_Result rc = send_result(conn, status, text);
 
 	json_decref(root);
@@ -319,7 +320,9 @@
 	const char *key = r->path + strlen("/admin/objects/");
 	json_t *value = NULL;
 
-	if (r->body->len)
+	if (r->body->len && query_argument_int(r->conn, "raw", 0))
+		value = raw_value_new(r->body->str, r->body->len);
+	else if (r->body->len)
 		value = json_loadb(r->body->str, r->body->len, 0, NULL);
 	if (r->body->len && !value)
 		value = json_stringn(r->body->str, r->body->len);
--- a/store/include/primroselead/store.h
+++ b/store/include/primroselead/store.h
@@ -107,8 +107,9 @@
 	int64_t era;
 	struct receiver answer;
 	char *request_body;
-	/** The list continues on another page. */
+	/** The list continues on another page, after this name. */
 	int has_more;
+	char *after;
 	int active;
 	/** The request may have reached the store. */
 	int issued;
--- a/store/src/response.c
+++ b/store/src/response.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Moves one object of a page to the call's result. */
+/* Moves one object of a page to the call's result. An object of another writer
+ * whose name is longer than all of ours is left out. */
 static enum prl_code take_object(struct store_call *c,
 				 struct platform_object *from)
 {
@@ -14,9 +15,7 @@
 			 from->name);
 
 	if (n >= (int)sizeof(o->key))
-		return prl_error_set(&c->err, PRL_E_PROTOCOL,
-				     "store: object name \"%.60s\" is too long",
-				     from->name);
+		return PRL_OK;
 	o->version = store_version(c->era, from->version);
 	o->value = from->value ? from->value : calloc(1, 1);
 	from->value = NULL;
@@ -58,14 +57,16 @@
 	return PLATFORM_RESPONSE_OBJECT;
 }
 
-/* Whether the objects are those that the call asked for, and a list goes on
- * after an object. */
+/* Whether the objects are those that the call asked for, and a list that goes
+ * on has got on. */
 static int is_answer(const struct store_call *c,
 		     const struct platform_page *page)
 {
 	switch (c->op) {
 	case STORE_LIST:
-		return page->nobject || !page->has_more;
+		return !page->has_more ||
+		       (page->last_name &&
+			(!c->after || strcmp(page->last_name, c->after) != 0));
 	case STORE_WATCH:
 		return 1;
 	case STORE_GET:
@@ -87,6 +88,9 @@
 	if (!c->revision)
 		c->revision = store_version(c->era, page->revision);
 	c->has_more = page->has_more;
+	free(c->after);
+	c->after = page->last_name;
+	page->last_name = NULL;
 	return c->op == STORE_PUT ? PRL_OK : take_page(c, page);
 }
 
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -223,18 +223,12 @@
 {
 	char kind[STORE_KEY_MAX];
 	const char *name = split_key(c->key, kind);
-	const char *after = NULL;
 
 	switch (c->op) {
 	case STORE_GET:
 		return platform_object_path(kind, name, 0);
 	case STORE_LIST:
-		if (c->nobject)
-			split_key(c->object[c->nobject - 1].key, kind);
-		if (c->nobject)
-			after = c->object[c->nobject - 1].key + strlen(kind) +
-				1;
-		return platform_list_path(kind, after);
+		return platform_list_path(kind, c->after);
 	case STORE_WATCH:
 		return platform_watch_path(kind,
 					   store_version_revision(c->version),
@@ -345,6 +339,7 @@
 	c->store = s;
 	c->object = NULL;
 	c->nobject = 0;
+	c->after = NULL;
 	c->revision = 0;
 	c->era = 0;
 	c->headers = NULL;
@@ -367,7 +362,9 @@
 	for (int i = 0; i < c->nobject; i++)
 		free(c->object[i].value);
 	free(c->object);
+	free(c->after);
 	receiver_finish(&c->answer);
+	c->after = NULL;
 	c->object = NULL;
 	c->nobject = 0;
 }
