Messages: an entry that fits none keeps no VM from the others

What callers saw: none; a VM that starts while the store is away got no list, and did not serve, if any entry was longer than 49,152 bytes. Cause: a message with such a value can't be encoded, so the whole answer to a pull was never sent.

Change: an entry of an upstream or evacuation over 16 KB names nothing (ours have some 250 bytes) and is kept as such under its version, so replicas stay alike. What fits no message all the same (a manifest) is left out of it and the answer is not called complete; such VMs read the store as before.

--- a/cmd/primroseleadd/objects.c
+++ b/cmd/primroseleadd/objects.c
@@ -6,6 +6,9 @@
 #include <primroselead/platform.h>
 #include <string.h>
 
+/* Longest entry of an upstream or of an evacuated domain, in bytes. */
+#define ENTRY_BYTES_MAX 16384
+
 void objects_init(struct control *c)
 {
 	const struct prl_settings *s = c->settings;
@@ -115,6 +118,13 @@
 	       name_of_kind(key, PLATFORM_KIND_EVACUATION);
 }
 
+int objects_is_oversized(const char *key, size_t len)
+{
+	return len > ENTRY_BYTES_MAX &&
+	       (name_of_kind(key, PLATFORM_KIND_UPSTREAM) ||
+		name_of_kind(key, PLATFORM_KIND_EVACUATION));
+}
+
 void objects_apply(struct control *c, const struct spread_object *o,
 		   const struct objects_removal *removal)
 {
--- a/cmd/primroseleadd/objects.h
+++ b/cmd/primroseleadd/objects.h
@@ -22,6 +22,13 @@
 /** Whether a key belongs to one of the kinds. */
 int objects_has_kind(const char *key);
 
+/** Value of an entry that names nothing. */
+#define OBJECTS_UNREADABLE_VALUE "0"
+
+/** Whether a value is longer than any entry of its kind that names something.
+ * It would not fit the messages to other VMs. */
+int objects_is_oversized(const char *key, size_t len);
+
 /** Times at which removed objects cease to count as present. */
 struct objects_removal {
 	int64_t upstream_ms;
--- a/cmd/primroseleadd/readers.c
+++ b/cmd/primroseleadd/readers.c
@@ -137,12 +137,13 @@
 	struct wire_changes *out = &args.u.changes;
 
 	while (n) {
-		guint sent = sync_fill_objects(object, from, n);
+		guint filled;
+		guint sent = sync_fill_objects(object, from, n, &filled);
 
 		out->origin = (char *)c->settings->vm.name;
 		out->sequence = next_sequence(c);
 		out->object.object_val = object;
-		out->object.object_len = sent;
+		out->object.object_len = filled;
 		send_to_fleet(c, topic_of(out->origin, out->sequence), &args,
 			      TREE_ACKNOWLEDGED);
 		from += sent;
--- a/cmd/primroseleadd/sync.c
+++ b/cmd/primroseleadd/sync.c
@@ -89,7 +89,13 @@
 int sync_install_read(struct control *c, const char *key, int64_t version,
 		      const char *value, size_t len)
 {
-	int changed = install(c, key, version, value, len);
+	int changed;
+
+	if (control_follows_manifest(c) && objects_is_oversized(key, len)) {
+		value = OBJECTS_UNREADABLE_VALUE;
+		len = strlen(value);
+	}
+	changed = install(c, key, version, value, len);
 
 	if (changed && control_follows_manifest(c))
 		readers_note_change(c, key);
@@ -113,31 +119,41 @@
 	tree_send_to_children(c, topic, &args, TREE_ACKNOWLEDGED);
 }
 
+static void fill_object(struct wire_object *out,
+			const struct spread_object *from)
+{
+	out->key = (char *)from->key;
+	out->revision = from->version;
+	out->value.value_val = from->value;
+	out->value.value_len = (u_int)from->len;
+}
+
 guint sync_fill_objects(struct wire_object *object,
-			const struct spread_object *const *from, guint n)
+			const struct spread_object *const *from, guint n,
+			guint *filled)
 {
 	size_t bytes = 0;
 	guint i;
 
-	for (i = 0; i < n && i < WIRE_OBJECTS; i++) {
+	*filled = 0;
+	for (i = 0; i < n && *filled < WIRE_OBJECTS; i++) {
+		if (from[i]->len > WIRE_VALUE)
+			continue;
 		bytes += from[i]->len + SPREAD_KEY_MAX;
-		if (i && bytes > DELTA_BYTES_MAX)
+		if (*filled && bytes > DELTA_BYTES_MAX)
 			break;
-		object[i].key = (char *)from[i]->key;
-		object[i].revision = from[i]->version;
-		object[i].value.value_val = from[i]->value;
-		object[i].value.value_len = (u_int)from[i]->len;
+		fill_object(&object[(*filled)++], from[i]);
 	}
 	return i;
 }
 
-/* Fills a delta with as many objects as fit one message. Returns how many. */
-static int fill_delta(struct wire_delta *d, struct wire_object *object,
-		      const struct spread_object *const *from, guint n)
+/* Fills a delta with as many objects as fit one message. Returns how many of
+ * those given are done with, the ones that fit no message included. */
+static guint fill_delta(struct wire_delta *d, struct wire_object *object,
+			const struct spread_object *const *from, guint n)
 {
 	d->object.object_val = object;
-	d->object.object_len = sync_fill_objects(object, from, n);
-	return (int)d->object.object_len;
+	return sync_fill_objects(object, from, n, &d->object.object_len);
 }
 
 /* Relays changes after a revision that were read from the store. */
@@ -146,12 +162,13 @@
 	static struct wire_object object[WIRE_OBJECTS];
 	GPtrArray *objects = spread_changed_since(&c->sync.replica, after);
 	struct wire_delta d = {.after = after};
-	int n = fill_delta(&d, object, (void *)objects->pdata, objects->len);
+	const struct spread_object *const *from = (void *)objects->pdata;
+	guint n = fill_delta(&d, object, from, objects->len);
 
 	d.complete = c->sync.replica.complete_revision;
-	if ((guint)n < objects->len)
-		d.complete = object[n - 1].revision;
-	if (n)
+	if (n && n < objects->len)
+		d.complete = from[n - 1]->version;
+	if (d.object.object_len)
 		relay(c, &d, 1);
 	g_ptr_array_free(objects, TRUE);
 }
@@ -386,18 +403,20 @@
 	static struct wire_object object[WIRE_OBJECTS];
 	struct wire_result result = {.proc = WIRE_PULL};
 	struct wire_delta *d = &result.u.delta;
+	const struct spread_object *const *from;
 	GPtrArray *objects;
-	int n;
+	guint n;
 
 	if (!c->sync.ready)
 		return;
 	objects = spread_changed_since(&c->sync.replica, p->after);
+	from = (void *)objects->pdata;
 	d->after = p->after;
-	n = fill_delta(d, object, (void *)objects->pdata, objects->len);
-	d->hops = objects->len - (guint)n;
+	n = fill_delta(d, object, from, objects->len);
+	d->hops = objects->len - d->object.object_len;
 	d->complete = c->sync.replica.complete_revision;
-	if (d->hops)
-		d->complete = object[n - 1].revision;
+	if (n && n < objects->len)
+		d->complete = from[n - 1]->version;
 	wire_reply(&c->wire, r, &result, NULL);
 	g_ptr_array_free(objects, TRUE);
 }
--- a/cmd/primroseleadd/sync.h
+++ b/cmd/primroseleadd/sync.h
@@ -55,10 +55,12 @@
 
 /**
  * Fills as many objects as fit one message, of which at most WIRE_OBJECTS; they
- * point into the replica. Returns how many.
+ * point into the replica. One that fits no message is left out: VMs read it
+ * from the store. Returns how many of "from" are done with.
  */
 guint sync_fill_objects(struct wire_object *object,
-			const struct spread_object *const *from, guint n);
+			const struct spread_object *const *from, guint n,
+			guint *filled);
 
 /** Installs objects that another VM sent. Returns how many were new. */
 int sync_install_objects(struct control *c, const struct wire_object *object,
