Quarantine: ends that have another cause convict no request

Change: answers of the last 10 s are remembered (1,024 digests, no lock), and one speaks for its request against one end, also when another VM tells of it. While only the entry can tell, breaks within 300 ms of the first count, and only if a single upstream can't be asked. The upstream is asked by a health check where its service has one; three connections in a row that close without an answer mean an end.

--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -5,13 +5,23 @@
 #include <primroselead/log.h>
 #include <string.h>
 
-/* Timeout of the connection that tells whether an upstream has ended, in ms. */
+/* Timeout of the check that tells whether an upstream has ended, in ms. */
 #define PROBE_TIMEOUT_MS 700
 
 /* Time in ms after which an upstream that could not be asked, and whose entry
  * is still there, is taken not to have ended. */
 #define WATCH_MS 8000
 
+/* Checks that must be closed without an answer, one after the other, for the
+ * upstream to have ended: a proxy before it accepts connections. And the pause
+ * between two of them, in ms. */
+#define CLOSED_MIN 3
+#define CLOSED_PAUSE_MS 150
+
+/* Time in ms in which all connections break as an upstream ends. One that
+ * breaks later, while nothing else tells of an end, has another cause. */
+#define BREAKS_MS 300
+
 /* Most upstreams that are watched, and most requests that break with one of
  * them and are remembered. */
 #define WATCHES_MAX 256
@@ -20,6 +30,8 @@
 enum watch_state {
 	/** The probe is under way. */
 	WATCH_PROBING,
+	/** It was closed, and is made again. */
+	WATCH_CLOSED,
 	/** It told nothing; the entry will. */
 	WATCH_WAITING,
 	WATCH_ENDED,
@@ -37,6 +49,9 @@
 struct crash_watch {
 	struct check probe;
 	enum watch_state state;
+	int nclosed;
+	int64_t next_probe_ms;
+	int64_t begun_ms;
 	int64_t forget_at_ms;
 	struct crash_suspect suspect[SUSPECTS_MAX];
 	int nsuspect;
@@ -88,16 +103,34 @@
 	w->nsuspect = 0;
 }
 
+/* Whether a connection was made and ended without an answer. */
+static int is_closed(CURLcode result)
+{
+	return result == CURLE_GOT_NOTHING || result == CURLE_RECV_ERROR ||
+	       result == CURLE_SEND_ERROR;
+}
+
+static void probe_again(struct crash_watch *w)
+{
+	w->state = WATCH_CLOSED;
+	w->next_probe_ms = prl_now_ms() + CLOSED_PAUSE_MS;
+}
+
 static void on_probe_done(struct check *k, int answered)
 {
 	struct crash_watch *w = k->ctx;
 
-	if (answered)
-		end_watch(w, WATCH_LIVE, "it accepts connections");
+	/* A connection alone may be that of a proxy before the upstream. */
+	if (answered && k->path[0])
+		end_watch(w, WATCH_LIVE, "it answers");
 	else if (k->result == CURLE_COULDNT_CONNECT)
 		end_watch(w, WATCH_ENDED, "it refuses connections");
-	else
+	else if (!is_closed(k->result) || !k->path[0])
 		w->state = WATCH_WAITING;
+	else if (++w->nclosed >= CLOSED_MIN)
+		end_watch(w, WATCH_ENDED, "it answers no check");
+	else
+		probe_again(w);
 }
 
 static void start_probe(struct crash_watch *w, int64_t now)
@@ -110,6 +143,17 @@
 		w->state = WATCH_WAITING;
 }
 
+/* The service's path for health checks; empty if it has none. */
+static void set_path(struct crash_watch *w, const char *service)
+{
+	const struct fleet_service *config = fleet_find_service(
+		&w->probe.control->objects.inventory.manifest, service);
+
+	if (config && config->health_path[0] == '/')
+		g_strlcpy(w->probe.path, config->health_path,
+			  sizeof(w->probe.path));
+}
+
 static struct crash_watch *new_watch(struct control *c,
 				     const struct proxy_news *news, int64_t now)
 {
@@ -120,8 +164,10 @@
 	memcpy(w->probe.instance, news->instance, sizeof(w->probe.instance));
 	memcpy(w->probe.address, news->u.broken.address,
 	       sizeof(w->probe.address));
+	set_path(w, news->u.broken.service);
 	w->probe.done = on_probe_done;
 	w->probe.ctx = w;
+	w->begun_ms = now;
 	w->forget_at_ms = now + WATCH_MS;
 	g_hash_table_insert(c->crashes.watches, &w->probe.upstream_id, w);
 	return w;
@@ -149,12 +195,14 @@
 		return;
 	if (!w)
 		w = new_watch(c, news, now);
-	add_suspect(w, news);
+	if (w->state != WATCH_WAITING || now < w->begun_ms + BREAKS_MS)
+		add_suspect(w, news);
 	switch (w->state) {
 	case WATCH_PROBING:
 		if (!w->probe.in_flight)
 			start_probe(w, now);
 		break;
+	case WATCH_CLOSED:
 	case WATCH_WAITING:
 		break;
 	case WATCH_ENDED:
@@ -162,6 +210,9 @@
 		break;
 	case WATCH_LIVE:
 		/* It may have ended since. */
+		w->begun_ms = now;
+		w->forget_at_ms = now + WATCH_MS;
+		w->nclosed = 0;
 		start_probe(w, now);
 		break;
 	}
@@ -175,8 +226,23 @@
 	return inventory_has_start(&c->objects.inventory, &key);
 }
 
+/* If several upstreams can't be asked at a time, the links are the likely
+ * cause, or a failure domain, and no request. */
+static int count_waiting(struct control *c)
+{
+	GHashTableIter it;
+	void *value;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, c->crashes.watches);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += ((struct crash_watch *)value)->state == WATCH_WAITING;
+	return n;
+}
+
 void crashes_tick(struct control *c, int64_t now)
 {
+	int may_tell = count_waiting(c) == 1;
 	GHashTableIter it;
 	void *value;
 
@@ -184,8 +250,11 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct crash_watch *w = value;
 
+		if (w->state == WATCH_CLOSED && now >= w->next_probe_ms)
+			start_probe(w, now);
 		if (w->state == WATCH_WAITING && !has_entry(c, w))
-			end_watch(w, WATCH_ENDED, "its entry is gone");
+			end_watch(w, may_tell ? WATCH_ENDED : WATCH_LIVE,
+				  "its entry is gone");
 		if (now < w->forget_at_ms || w->probe.in_flight)
 			continue;
 		if (w->nsuspect)
--- a/cmd/primroseleadd/crashes.h
+++ b/cmd/primroseleadd/crashes.h
@@ -7,9 +7,9 @@
  * Finds out whether an upstream has ended whose connection broke under a
  * request. A connection may break for other reasons, which must not be put down
  * to the request: a link, a reset, a response that was lost. So the upstream is
- * asked for a connection at once: one that refuses has ended, one that accepts
- * has not. If neither is known in time, the upstream has ended if its entry
- * goes.
+ * asked at once: one that refuses connections has ended, one that answers a
+ * health check has not. If neither is known, as with a service that has no
+ * health check, the upstream has ended if its entry goes soon.
  */
 
 struct control;
--- a/cmd/primroseleadd/quarantines.c
+++ b/cmd/primroseleadd/quarantines.c
@@ -81,10 +81,14 @@
 void quarantines_note_crash(struct control *c,
 			    const struct quarantines_crash *crash)
 {
-	enum quarantine_change change = quarantine_crashed(
-		lock(c), crash->digest, crash->head, crash->upstream_id,
-		crash->about, prl_now_ms());
+	enum quarantine_change change;
 
+	if (quarantine_answers_take(&c->proxy.answers, crash->digest,
+				    prl_now_ms()))
+		return;
+	change = quarantine_crashed(lock(c), crash->digest, crash->head,
+				    crash->upstream_id, crash->about,
+				    prl_now_ms());
 	unlock(c);
 	log_change(crash->digest, change, "upstream", crash->instance,
 		   crash->about);
@@ -154,6 +158,12 @@
 		if (better && change == QUARANTINE_OUTDATED)
 			better->record[better->n++] =
 				quarantine_find(q, &r.digest)->record;
+		/* Another VM may not know that this one has an answer. */
+		if ((change == QUARANTINE_SUSPECTED ||
+		     change == QUARANTINE_BEGUN) &&
+		    quarantine_answers_take(&c->proxy.answers, &r.digest,
+					    prl_now_ms()))
+			change = quarantine_clear(q, &r.digest, prl_now_ms());
 		unlock(c);
 		log_change(&r.digest, change, "peer", "", "");
 	}
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -128,6 +128,7 @@
 			int64_t answered_ms;
 		} isolated;
 		struct {
+			char service[STEER_NAME_MAX];
 			char address[PRL_ADDRESS_MAX];
 			/** The request, as in struct quarantine_entry. */
 			struct prl_hash128 digest;
@@ -278,6 +279,7 @@
 	/** Requests that end upstreams; by proxy_lock_quarantine only. */
 	struct quarantine *quarantine;
 	apr_thread_mutex_t *quarantine_lock;
+	struct quarantine_answers answers;
 	/** Number of suspects in it, read without the lock. */
 	_Atomic int nsuspect;
 	/** Takes struct proxy_claim; received by the control thread. */
--- a/proxy/src/suspects.c
+++ b/proxy/src/suspects.c
@@ -153,6 +153,8 @@
 	news->type = PROXY_NEWS_BROKEN;
 	news->upstream_id = r->upstream->id;
 	memcpy(news->instance, r->instance, sizeof(news->instance));
+	memcpy(news->u.broken.service, r->service_name,
+	       sizeof(news->u.broken.service));
 	memcpy(news->u.broken.address, r->upstream->address,
 	       sizeof(news->u.broken.address));
 	news->u.broken.head = r->identity.head.low;
@@ -167,9 +169,13 @@
 	struct prl_hash128 digest;
 	struct quarantine *q;
 
-	if (!has_suspects(r) || !identity_is_known(r))
+	if (!identity_is_known(r))
 		return;
 	digest = identity_digest(r);
+	quarantine_answers_note(&r->thread->proxy->answers, &digest,
+				prl_now_ms());
+	if (!has_suspects(r))
+		return;
 	q = proxy_lock_quarantine(r->thread->proxy);
 	quarantine_clear(q, &digest, prl_now_ms());
 	proxy_unlock_quarantine(r->thread->proxy);
--- a/quarantine/include/primroselead/quarantine.h
+++ b/quarantine/include/primroselead/quarantine.h
@@ -3,6 +3,7 @@
 
 #include <primroselead/error.h>
 #include <primroselead/hash.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -79,6 +80,27 @@
 	int sampled;
 };
 
+/** Digests that are remembered as answered. */
+#define QUARANTINE_ANSWERS_MAX 1024
+
+/** Requests that were answered lately. Many equal requests may be under way, and
+ * end at once with the upstreams of a failure domain; that they were answered
+ * until then says that they did not end these. Any thread may use it; empty when
+ * zeroed. */
+struct quarantine_answers {
+	/** A part of the digest above the time in seconds. */
+	_Atomic uint64_t slot[QUARANTINE_ANSWERS_MAX];
+};
+
+/** Remembers that a request was answered. */
+void quarantine_answers_note(struct quarantine_answers *a,
+			     const struct prl_hash128 *digest, int64_t now);
+
+/** Whether a request was answered lately. Forgets it: the next crash counts, if
+ * no answer comes before. */
+int quarantine_answers_take(struct quarantine_answers *a,
+			    const struct prl_hash128 *digest, int64_t now);
+
 /** What becomes of a request. */
 enum quarantine_verdict {
 	/** Nothing is known of it. */
--- a/quarantine/test/test_quarantine.c
+++ b/quarantine/test/test_quarantine.c
@@ -151,6 +151,41 @@
 	assert_int_equal(enter(2), QUARANTINE_WATCH);
 }
 
+static struct quarantine_answers answers;
+
+static void note_answer(uint64_t request)
+{
+	struct prl_hash128 digest = digest_of(request << 32);
+
+	quarantine_answers_note(&answers, &digest, now_ms);
+}
+
+static int take_answer(uint64_t request)
+{
+	struct prl_hash128 digest = digest_of(request << 32);
+
+	return quarantine_answers_take(&answers, &digest, now_ms);
+}
+
+/* One crash is put down to others after an answer, for ten seconds. */
+static void test_answer_speaks_for_a_request_too_often(void **state)
+{
+	(void)state;
+	memset(&answers, 0, sizeof(answers));
+	assert_false(take_answer(1));
+	note_answer(1);
+	/* Another request in the same place. */
+	assert_false(take_answer(2));
+	assert_true(take_answer(1));
+	assert_false(take_answer(1));
+	note_answer(1);
+	now_ms += 10000;
+	assert_true(take_answer(1));
+	note_answer(1);
+	now_ms += 11000;
+	assert_false(take_answer(1));
+}
+
 static void make_record(struct quarantine_record *r, uint64_t request,
 			int64_t clearance, uint64_t first, int ncrash)
 {
@@ -395,6 +430,7 @@
 		TEST(test_suspect_is_sent_again_after_a_second_crash),
 		TEST(test_answered_request_stays_a_suspect),
 		TEST(test_bystander_is_convicted),
+		TEST(test_answer_speaks_for_a_request_too_often),
 		TEST(test_crashes_that_others_saw_do_not_count),
 		TEST(test_older_record_undoes_a_clearance),
 		TEST(test_merged_records_depend_on_order),
