Soak: requests that end upstreams beside the others; upstreams that come back

standin-odd can be away for a time under the same name instead of ending, so its record of what ran stays. Two requests are sent all the while that end what runs them; checked are their ends after all VMs must know (at most three, sent by VMs in touch) and that no other request is in quarantine in the end. Entries are written under a lock, since two threads write them now.

--- a/model/main.c
+++ b/model/main.c
@@ -1,7 +1,35 @@
 #include "model.h"
+#include "quarantine_model.h"
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Simulated time of a run of the model of the quarantine, in ms, and most runs.
+ */
+#define QUARANTINE_RUN_MS 40000
+#define QUARANTINE_RUNS_MAX 100
+
+/* Runs the model of the quarantine. Returns 0, or 1 after the first failure. */
+static int run_quarantine(uint64_t first, long runs)
+{
+	for (long i = 0; i < runs && i < QUARANTINE_RUNS_MAX; i++) {
+		uint64_t seed = first + (uint64_t)i;
+		struct quarantine_model_result r;
+
+		if (quarantine_model_run(seed, QUARANTINE_RUN_MS, &r)) {
+			printf("seed %llu of the quarantine: %s\n",
+			       (unsigned long long)seed, r.failure);
+			return 1;
+		}
+		if (r.innocent_convicted) {
+			printf("seed %llu of the quarantine: %ld innocent "
+			       "requests convicted\n",
+			       (unsigned long long)seed, r.innocent_convicted);
+			return 1;
+		}
+	}
+	return 0;
+}
+
 /* Usage: model FIRST-SEED RUNS EVENTS [dump]. Prints the sums over all runs, or
  * the first failure and, with "dump", the state at that point. */
 int main(int argc, char **argv)
@@ -43,5 +71,5 @@
 	       sum.claims_granted, sum.claims_taken, sum.shifted, sum.conflicts,
 	       sum.lost_answers, sum.late_writes, sum.reclaimed,
 	       sum.configs_accepted);
-	return 0;
+	return run_quarantine(first, runs);
 }
--- a/soak/check.c
+++ b/soak/check.c
@@ -313,6 +313,7 @@
 	GHashTable *runs = read_runs();
 
 	check_recovery(s);
+	soak_check_guilty(s);
 	for (guint i = 0; i < s->requests->len; i++)
 		check_request(
 			s, runs,
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -49,6 +49,7 @@
 	char text[400] = "";
 
 	snprintf(key, sizeof(key), "servers/i-%d", n);
+	g_rec_mutex_lock(&s->entries_lock);
 	s->entry_sequence++;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
 		if (s->upstream_state[n])
@@ -66,18 +67,20 @@
 		routes_use_store(soak_store_port(group));
 		routes_put_object(key, text);
 	}
+	g_rec_mutex_unlock(&s->entries_lock);
 }
 
 void soak_put_upstream(struct soak *s, int n, const char *state)
 {
+	g_rec_mutex_lock(&s->entries_lock);
 	s->upstream_state[n] = state;
 	soak_write_upstream(s, n);
+	g_rec_mutex_unlock(&s->entries_lock);
 }
 
 void soak_remove_upstream(struct soak *s, int n)
 {
-	s->upstream_state[n] = NULL;
-	soak_write_upstream(s, n);
+	soak_put_upstream(s, n, NULL);
 }
 
 void soak_start_vm(struct soak *s, int vm)
@@ -93,7 +96,8 @@
 
 	for (int i = 1; i <= SOAK_UPSTREAMS; i++) {
 		snprintf(instance, sizeof(instance), "i-%d", i);
-		routes_start_upstream(instance, UPSTREAM_PORT(i));
+		routes_start_returning_upstream(instance, UPSTREAM_PORT(i),
+						SOAK_AWAY_MS);
 	}
 	s->manifest_version = 3;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
--- a/soak/main.c
+++ b/soak/main.c
@@ -95,9 +95,11 @@
 	write_plan(&s);
 	soak_start_fleet(&s);
 	soak_start_callers(&s);
+	soak_start_guilty(&s);
 	soak_inject_faults(&s);
 	s.stopped = 1;
 	soak_join_callers(&s);
+	soak_join_guilty(&s);
 	soak_check(&s);
 	print_counts(&s);
 	broken = soak_print_promises();
--- a/soak/report.c
+++ b/soak/report.c
@@ -18,6 +18,10 @@
 	[SOAK_GONE] = "a request ran after a pause though its caller had gone",
 	[SOAK_LINKS] = "callers of VMs without links are not served",
 	[SOAK_RECOVERY] = "requests are not served after the last fault",
+	[SOAK_QUARANTINE] =
+		"a request that ends upstreams reached more than three when "
+		"all VMs had to know",
+	[SOAK_INNOCENT] = "a request is in quarantine that ends no upstream",
 };
 
 static int checked[SOAK_PROMISES];
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -40,6 +40,13 @@
 	int callers;
 };
 
+/** Requests that end the upstreams that run them; their ids begin with this. */
+#define SOAK_GUILTY 2
+#define SOAK_GUILTY_ID "g"
+
+/** Time for which such an upstream is away, in ms. */
+#define SOAK_AWAY_MS 500
+
 /** What a VM is doing, as its callers need to know. */
 enum soak_vm_state {
 	SOAK_VM_UP,
@@ -74,6 +81,8 @@
 	SOAK_GONE,
 	SOAK_LINKS,
 	SOAK_RECOVERY,
+	SOAK_QUARANTINE,
+	SOAK_INNOCENT,
 	SOAK_PROMISES,
 };
 
@@ -120,6 +129,8 @@
 	const char *upstream_state[SOAK_UPSTREAMS + 1];
 	/** How often each one has started again. */
 	int upstream_starts[SOAK_UPSTREAMS + 1];
+	/** Held while entries are written. */
+	GRecMutex entries_lock;
 };
 
 /** Port of the store, and of the link's admin pages, of a group. */
@@ -145,6 +156,14 @@
 /** Starts a VM without waiting. */
 void soak_start_vm(struct soak *s, int vm);
 
+/** Starts the thread that sends the guilty requests, and joins it. */
+void soak_start_guilty(struct soak *s);
+void soak_join_guilty(struct soak *s);
+
+/** Checks how many upstreams ended under the guilty requests, and whether
+ * others are in quarantine. */
+void soak_check_guilty(const struct soak *s);
+
 /** Starts the callers' threads, and joins them after "stopped" was set. */
 void soak_start_callers(struct soak *s);
 void soak_join_callers(struct soak *s);
--- /dev/null
+++ b/standin/src/away.c
@@ -0,0 +1,110 @@
+#include "away.h"
+#include <glib.h>
+#include <primroselead/address.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Sockets whose numbers are remembered. */
+#define FDS_MAX 4096
+
+#define BACKLOG 128
+
+static struct {
+	GMutex lock;
+	struct sockaddr_storage address;
+	socklen_t len;
+	int fd;
+	int away_ms;
+	/** Set while it is to go away, until it has. */
+	int is_ending;
+	char is_open[FDS_MAX];
+} listener;
+
+static int open_socket(void)
+{
+	int one = 1;
+	int fd = socket(listener.address.ss_family, SOCK_STREAM | SOCK_CLOEXEC,
+			0);
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&listener.address, listener.len) ||
+	    listen(fd, BACKLOG)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+int away_listen(const char *address, int away_ms)
+{
+	listener.away_ms = away_ms;
+	if (prl_address_parse(address, &listener.address, &listener.len))
+		return -1;
+	listener.fd = open_socket();
+	return listener.fd < 0 ? -1 : 0;
+}
+
+/* Closes the socket, and opens another one once the time is over. */
+static void stay_away(void)
+{
+	g_mutex_lock(&listener.lock);
+	close(listener.fd);
+	listener.fd = -1;
+	listener.is_ending = 0;
+	g_mutex_unlock(&listener.lock);
+	do
+		g_usleep((gulong)listener.away_ms * 1000);
+	while ((listener.fd = open_socket()) < 0);
+}
+
+static int is_ending(void)
+{
+	int ending;
+
+	g_mutex_lock(&listener.lock);
+	ending = listener.is_ending;
+	g_mutex_unlock(&listener.lock);
+	return ending;
+}
+
+int away_accept(void)
+{
+	int fd = accept(listener.fd, NULL, NULL);
+
+	if (is_ending()) {
+		if (fd >= 0)
+			close(fd);
+		stay_away();
+		return -1;
+	}
+	if (fd < 0)
+		return -1;
+	g_mutex_lock(&listener.lock);
+	if (fd < FDS_MAX)
+		listener.is_open[fd] = 1;
+	g_mutex_unlock(&listener.lock);
+	return fd;
+}
+
+void away_remove(int fd)
+{
+	g_mutex_lock(&listener.lock);
+	if (fd < FDS_MAX)
+		listener.is_open[fd] = 0;
+	g_mutex_unlock(&listener.lock);
+}
+
+void away_end(void)
+{
+	if (!listener.away_ms)
+		_exit(0);
+	g_mutex_lock(&listener.lock);
+	listener.is_ending = 1;
+	for (int fd = 0; fd < FDS_MAX; fd++)
+		if (listener.is_open[fd])
+			shutdown(fd, SHUT_RDWR);
+	/* The accept that is under way returns. */
+	if (listener.fd >= 0)
+		shutdown(listener.fd, SHUT_RDWR);
+	g_mutex_unlock(&listener.lock);
+}
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -30,7 +30,8 @@
  * smuggled      valid; counted, since no test sends it as a request of its own
  *
  * A request with the header "Crash-After-Ms: MS" ends the process MS after its
- * head has come.
+ * head has come; with the option --away=MS it only seems to end, and is back
+ * under the same name after that time.
  *
  * /admin/runs lists the requests that ran: "ID TIMES LAST_MS" a line, in Unix
  * time.
@@ -41,6 +42,7 @@
  * time left.
  */
 #include "answer.h"
+#include "away.h"
 #include "faulty.h"
 #include "request.h"
 #include "runs.h"
@@ -48,8 +50,6 @@
 #include <apr_thread_proc.h>
 #include <ctype.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <primroselead/address.h>
 #include <primroselead/clock.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -67,6 +67,7 @@
 static const char *instance;
 static _Atomic int ran;
 static _Atomic int refused;
+static _Atomic int ended;
 static _Atomic int misdirected;
 /* Requests that arrived only because a parser framed another one wrongly. */
 static _Atomic int smuggled;
@@ -310,10 +311,10 @@
 	if (!strncmp(conn->buf, "GET /admin/closed/", 18))
 		closed_until_ms = prl_now_ms() + atoll(conn->buf + 18);
 	snprintf(text, sizeof(text),
-		 "{\"ran\":%d,\"refused\":%d,\"misdirected\":%d,"
+		 "{\"ran\":%d,\"ended\":%d,\"refused\":%d,\"misdirected\":%d,"
 		 "\"smuggled\":%d,\"checked\":%d,\"open_most\":%d,"
 		 "\"body_bytes\":%lld,\"endless_bytes\":%lld}\n",
-		 ran, refused, misdirected, smuggled, health_checks,
+		 ran, ended, refused, misdirected, smuggled, health_checks,
 		 open_connections_max, (long long)body_bytes,
 		 (long long)endless_bytes);
 	send_text(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
@@ -371,7 +372,8 @@
 static void crash(const struct connection *conn)
 {
 	usleep((useconds_t)atoi(conn->crash_after_ms) * 1000);
-	_exit(0);
+	ended++;
+	away_end();
 }
 
 /* Sends a response with the faults that the number in the path selects. */
@@ -459,38 +461,23 @@
 		;
 	if (conn->counted)
 		open_connections--;
+	away_remove(conn->fd);
 	close(conn->fd);
 	free(conn);
 	return NULL;
 }
 
-static int listen_on(const char *address)
-{
-	struct sockaddr_storage addr;
-	socklen_t len;
-	int one = 1;
-	int fd;
-
-	if (prl_address_parse(address, &addr, &len))
-		return -1;
-	fd = socket(addr.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&addr, len) || listen(fd, 128))
-		return -1;
-	return fd;
-}
-
 int main(int argc, char **argv)
 {
-	int fd = listen_on(
-		command_option(argc, argv, "listen", "127.0.0.1:9000"));
 	apr_threadattr_t *detached;
 	apr_pool_t *pool;
 
 	instance = command_option(argc, argv, "instance", "i-1");
 	runs_init();
 	signal(SIGPIPE, SIG_IGN);
-	if (fd < 0 || apr_initialize() || apr_pool_create(&pool, NULL) ||
+	if (away_listen(command_option(argc, argv, "listen", "127.0.0.1:9000"),
+			atoi(command_option(argc, argv, "away", "0"))) ||
+	    apr_initialize() || apr_pool_create(&pool, NULL) ||
 	    apr_threadattr_create(&detached, pool) ||
 	    apr_threadattr_detach_set(detached, 1)) {
 		fprintf(stderr, "standin-odd: can't listen\n");
@@ -503,7 +490,7 @@
 		if (!conn)
 			return 1;
 		conn->body_bytes = &body_bytes;
-		conn->fd = accept(fd, NULL, NULL);
+		conn->fd = away_accept();
 		if (conn->fd < 0 ||
 		    apr_thread_create(&thread, detached, serve_connection, conn,
 				      pool))
--- a/standin/src/raw_values.c
+++ b/standin/src/raw_values.c
@@ -5,7 +5,7 @@
 /* Strings of the store by their names in JSON texts, quotes included. */
 static GHashTable *values;
 
-json_t *raw_value_new(const char *bytes, size_t len)
+static json_t *keep_bytes(const char *bytes, size_t len)
 {
 	char *name;
 
@@ -18,6 +18,18 @@
 	return json_string_nocheck(name);
 }
 
+json_t *raw_value_new(const char *bytes, size_t len, int raw)
+{
+	json_t *value;
+
+	if (!len)
+		return NULL;
+	if (raw)
+		return keep_bytes(bytes, len);
+	value = json_loadb(bytes, len, 0, NULL);
+	return value ? value : json_stringn(bytes, len);
+}
+
 char *raw_values_insert(char *text)
 {
 	GString *out;
--- a/standin/src/store.c
+++ b/standin/src/store.c
@@ -318,14 +318,9 @@
 static void handle_admin_put(const struct request *r)
 {
 	const char *key = r->path + strlen("/admin/objects/");
-	json_t *value = NULL;
-
-	if (r->body->len && query_argument_int(r->conn, "raw", 0))
-		value = raw_value_new(r->body->str, r->body->len);
-	else if (r->body->len)
-		value = json_loadb(r->body->str, r->body->len, 0, NULL);
-	if (r->body->len && !value)
-		value = json_stringn(r->body->str, r->body->len);
+	json_t *value = raw_value_new(r->body->str, r->body->len,
+				      query_argument_int(r->conn, "raw", 0));
+
 	if (server.vm_put_delay_ms && g_str_has_prefix(key, STORE_PREFIX_VM))
 		put_object_delayed(key, value);
 	else
--- a/system/routes.c
+++ b/system/routes.c
@@ -115,22 +115,30 @@
 	put_entry(instance, service, port, state, 0, sequence);
 }
 
-pid_t routes_start_upstream(const char *instance, int port)
+pid_t routes_start_returning_upstream(const char *instance, int port,
+				      int away_ms)
 {
 	char listen[64];
 	char name[64];
-	const char *args[] = {listen, name, NULL};
+	char away[32];
+	const char *args[] = {listen, name, away, NULL};
 	char url[80];
 	pid_t pid;
 
 	snprintf(listen, sizeof(listen), "--listen=127.0.0.1:%d", port);
 	snprintf(name, sizeof(name), "--instance=%s", instance);
+	snprintf(away, sizeof(away), "--away=%d", away_ms);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/stats", port);
 	pid = harness_spawn("standin-odd", args);
 	assert_true(fleet_wait_text(url, "ran", 5000));
 	return pid;
 }
 
+pid_t routes_start_upstream(const char *instance, int port)
+{
+	return routes_start_returning_upstream(instance, port, 0);
+}
+
 int64_t routes_upstream_stat(int port, const char *name)
 {
 	char url[80];
--- a/system/routes.h
+++ b/system/routes.h
@@ -52,6 +52,11 @@
 /** Starts a stand-in upstream and waits until it responds. */
 pid_t routes_start_upstream(const char *instance, int port);
 
+/** Starts one that is away for a time, under the same name, instead of ending.
+ */
+pid_t routes_start_returning_upstream(const char *instance, int port,
+				      int away_ms);
+
 /** Starts VM n with the store at a port. Does not wait until it is ready. */
 pid_t routes_spawn_vm(int n, int store_port);
 
