Quarantine: news to four other VMs, and less memory for what broke

A VM that need not remove an object kept its mark, so that the entry was never forgotten. Requests that broke with an upstream are kept in an array that grows, not 64 places of 190 bytes.

--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -53,8 +53,8 @@
 	int64_t next_probe_ms;
 	int64_t begun_ms;
 	int64_t forget_at_ms;
-	struct crash_suspect suspect[SUSPECTS_MAX];
-	int nsuspect;
+	/** struct crash_suspect. */
+	GArray *suspects;
 };
 
 static void watch_free(void *p)
@@ -62,6 +62,7 @@
 	struct crash_watch *w = p;
 
 	check_cancel(&w->probe);
+	g_array_free(w->suspects, TRUE);
 	g_free(w);
 }
 
@@ -94,13 +95,13 @@
 	char n[LOG_NUMBER_MAX];
 
 	w->state = state;
-	log_format_number(n, w->nsuspect);
+	log_format_number(n, w->suspects->len);
 	log_event(LOG_LEVEL_AUDIT, "broken", "upstream", w->probe.instance,
 		  "state", state == WATCH_ENDED ? "ended" : "live", "reason",
 		  reason, "requests", n, NULL);
-	for (int i = 0; state == WATCH_ENDED && i < w->nsuspect; i++)
-		report(w, &w->suspect[i]);
-	w->nsuspect = 0;
+	for (guint i = 0; state == WATCH_ENDED && i < w->suspects->len; i++)
+		report(w, &g_array_index(w->suspects, struct crash_suspect, i));
+	g_array_set_size(w->suspects, 0);
 }
 
 /* Whether a connection was made and ended without an answer. */
@@ -159,6 +160,7 @@
 {
 	struct crash_watch *w = g_new0(struct crash_watch, 1);
 
+	w->suspects = g_array_new(FALSE, FALSE, sizeof(struct crash_suspect));
 	w->probe.control = c;
 	w->probe.upstream_id = news->upstream_id;
 	memcpy(w->probe.instance, news->instance, sizeof(w->probe.instance));
@@ -175,14 +177,12 @@
 
 static void add_suspect(struct crash_watch *w, const struct proxy_news *news)
 {
-	struct crash_suspect *s;
+	struct crash_suspect s = {.digest = news->u.broken.digest,
+				  .head = news->u.broken.head};
 
-	if (w->nsuspect == SUSPECTS_MAX)
-		return;
-	s = &w->suspect[w->nsuspect++];
-	s->digest = news->u.broken.digest;
-	s->head = news->u.broken.head;
-	memcpy(s->about, news->u.broken.about, sizeof(s->about));
+	memcpy(s.about, news->u.broken.about, sizeof(s.about));
+	if (w->suspects->len < SUSPECTS_MAX)
+		g_array_append_val(w->suspects, s);
 }
 
 void crashes_handle_broken(struct control *c, const struct proxy_news *news)
@@ -257,7 +257,7 @@
 				  "its entry is gone");
 		if (now < w->forget_at_ms || w->probe.in_flight)
 			continue;
-		if (w->nsuspect)
+		if (w->suspects->len)
 			end_watch(w, WATCH_LIVE, "its entry stays");
 		g_hash_table_iter_remove(&it);
 	}
--- a/cmd/primroseleadd/quarantines.c
+++ b/cmd/primroseleadd/quarantines.c
@@ -10,9 +10,9 @@
 #define NEWS_INTERVAL_MS 100
 #define SAMPLE_INTERVAL_MS 1000
 
-/* Other VMs that news are sent to, besides the number of doublings of the
- * fleet; each passes on what is new to it. */
-#define FANOUT_MIN 3
+/* Other VMs that news are sent to; each passes on what is new to it, and samples
+ * reach those that are left out. */
+#define FANOUT 4
 
 /* Retransmission interval and timeout of a message, in ms. */
 #define RETRANSMIT_MS 100
@@ -225,15 +225,6 @@
 	return NULL;
 }
 
-static int fanout(const struct control *c)
-{
-	int n = FANOUT_MIN;
-
-	for (int vms = c->members.npeer; vms > 1; vms /= 2)
-		n++;
-	return n;
-}
-
 static void send_to_some(struct control *c, struct message *m, int count)
 {
 	for (int i = 0; m->n && i < count; i++) {
@@ -254,7 +245,7 @@
 		m.n = quarantine_take_news(lock(c), m.record,
 					   WIRE_QUARANTINE_MAX);
 		unlock(c);
-		send_to_some(c, &m, fanout(c));
+		send_to_some(c, &m, FANOUT);
 	}
 	if (now >= qs->next_sample_ms) {
 		qs->next_sample_ms = now + SAMPLE_INTERVAL_MS;
@@ -531,8 +522,10 @@
 		return;
 	q = lock(c);
 	for (int i = 0; i < q->nentry && !is_due; i++) {
+		/* Those that are to remove it do so at once. */
+		q->entry[i].must_remove = must_remove(c, &q->entry[i]);
 		is_due = must_keep(c, &q->entry[i], now) ||
-			 must_remove(c, &q->entry[i]);
+			 q->entry[i].must_remove;
 		digest = q->entry[i].record.digest;
 	}
 	trial = is_due ? NULL : quarantine_due_trial(q, now);
