--- a/cmd/primroseleadd/main.c
+++ b/cmd/primroseleadd/main.c
@@ -45,7 +45,6 @@
 
 	if (settings_read(path, pool, &settings, err))
 		return err->code;
-	block_signals();
 	log_init(settings.vm.name);
 	if (control_init(&control, &settings, path, pool, err))
 		return err->code;
@@ -66,8 +65,11 @@
 	struct prl_error err = {0};
 	apr_pool_t *pool;
 	const char *path;
-	int faults = arg_parse(argc, argv, table);
+	int faults;
 
+	/* A SIGHUP for changed settings may come as soon as the process runs. */
+	block_signals();
+	faults = arg_parse(argc, argv, table);
 	if (help->count)
 		return usage(table, stdout);
 	if (version->count) {
--- a/proxy/src/identity.c
+++ b/proxy/src/identity.c
@@ -50,6 +50,7 @@
 	add_text(sum, r->target);
 	add_text(sum, request_header(r, MHD_HTTP_HEADER_AUTHORIZATION));
 	add_text(sum, request_header(r, MHD_HTTP_HEADER_COOKIE));
+	add_text(sum, request_header(r, "Idempotency-Key"));
 	add_number(sum, r->request_meta.object_hash);
 	r->identity.head = finish_sum(sum);
 }
--- a/proxy/src/identity.h
+++ b/proxy/src/identity.h
@@ -8,7 +8,8 @@
 /*
  * Identity of a request, by which two requests are the same: method, host,
  * path with query, caller and body, but not the id. The caller is known by its
- * credentials and the object that it names, not by its address, which changes
+ * credentials, its idempotency key and the object that it names, not by its
+ * address, which changes
  * behind other proxies. All VMs derive the same digests from the same request.
  */
 
