Quarantine: what the store keeps apart from messages; the model's fakes apart; one fixture

The model's fakes of messages and store have a file of their own. Two test programs share one fixture.

--- a/cmd/primroseleadd/main.c
+++ b/cmd/primroseleadd/main.c
@@ -67,7 +67,8 @@
 	const char *path;
 	int faults;
 
-	/* A SIGHUP for changed settings may come as soon as the process runs. */
+	/* A SIGHUP for changed settings may come as soon as the process runs.
+	 */
 	block_signals();
 	faults = arg_parse(argc, argv, table);
 	if (help->count)
--- a/cmd/primroseleadd/quarantines.h
+++ b/cmd/primroseleadd/quarantines.h
@@ -1,36 +1,19 @@
 #ifndef PRIMROSELEADD_QUARANTINES_H
 #define PRIMROSELEADD_QUARANTINES_H
 
-#include "backoff.h"
-#include <primroselead/follow.h>
-#include <primroselead/hash.h>
+#include "kept_quarantines.h"
+#include <primroselead/quarantine.h>
 #include <primroselead/wire.h>
 
 /*
- * Spreads what is known of requests that end upstreams: to the other VMs as
- * news, and again by samples, since messages may be lost; and to the store,
- * which keeps those in quarantine for a fleet that is started anew, and by
- * which operators clear them.
+ * Spreads what is known of requests that end upstreams to the other VMs: as
+ * news, and again by samples, since messages may be lost.
  */
 
 struct control;
 
-/** What the store is asked about one request. */
-struct quarantines_errand {
-	struct store_call call;
-	/** Text of the object that is written. */
-	char *value;
-	struct prl_hash128 digest;
-	/** The object opens a trial here. */
-	int is_trial;
-	int active;
-};
-
 struct quarantines {
-	/** Lists the objects in the store. */
-	struct store_follower follower;
-	struct quarantines_errand errand;
-	struct backoff backoff;
+	struct kept_quarantines kept;
 	int64_t next_news_ms;
 	int64_t next_sample_ms;
 	int64_t next_seed_ms;
@@ -56,6 +39,12 @@
 void quarantines_note_crash(struct control *c,
 			    const struct quarantines_crash *crash);
 
+/** Logs how a record has changed, unless it has not. "instance" is the upstream
+ * that ended, and "about" the request; both may be empty. */
+void quarantines_log_change(const struct prl_hash128 *digest,
+			    enum quarantine_change change, const char *from,
+			    const char *instance, const char *about);
+
 /** Handles records of another VM, and replies. */
 void quarantines_handle_call(struct control *c, const struct wire_request *r,
 			     const struct wire_quarantine *from);
--- a/model/quarantine_model.c
+++ b/model/quarantine_model.c
@@ -1,110 +1,9 @@
-#include "quarantine_model.h"
-#include <primroselead/hash.h>
-#include <primroselead/quarantine.h>
+#include "quarantine_world.h"
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define VMS 6
-#define UPSTREAMS 8
-/* Requests that end upstreams, and others. */
-#define GUILTY 3
-#define INNOCENT 12
-#define REQUESTS (GUILTY + INNOCENT)
-#define RUNS_MAX 256
-#define MESSAGES_MAX 512
-#define MESSAGE_RECORDS 8
-
-#define STEP_MS 10
-/* Time in which all VMs must know that a request has ended three upstreams, if
- * no fault came meanwhile, and the ends that are allowed after it. */
-#define KNOWN_MS 4000
-#define LATE_ENDS_MAX 3
-
-#define RUN_MS 60
-#define AWAY_MS 500
-#define PROBE_MAX_MS 100
-#define NEWS_INTERVAL_MS 100
-#define SAMPLE_INTERVAL_MS 1000
-#define FANOUT 4
-#define MESSAGE_MAX_MS 150
-#define MESSAGE_LOSS_PERCENT 20
-#define START_MS 300
-#define LOAD_MAX_MS 2000
-#define FAULT_MAX_MS 3000
-/* Faults come only in the first part of a run, in percent. */
-#define FAULTY_PART_PERCENT 60
-
-struct model_vm {
-	struct quarantine table;
-	int alive;
-	int64_t back_ms;
-	int64_t started_ms;
-	/** Serves requests. */
-	int ready;
-	int side;
-	int64_t next_news_ms;
-	int64_t next_sample_ms;
-};
-
-/** A request at an upstream, or one whose end its VM is finding out about. */
-struct model_run {
-	int used;
-	int vm;
-	int64_t vm_started_ms;
-	int request;
-	int upstream;
-	uint64_t upstream_id;
-	int64_t end_ms;
-	int is_alone;
-	/** The upstream has ended; the VM learns it at "end_ms". */
-	int is_broken;
-};
-
-struct model_message {
-	int used;
-	int from;
-	int to;
-	int64_t at_ms;
-	int is_reply;
-	struct quarantine_record record[MESSAGE_RECORDS];
-	int n;
-};
-
-struct quarantine_world {
-	struct quarantine_model_result *result;
-	uint64_t random_state;
-	uint64_t drawn;
-	int64_t now_ms;
-	struct model_vm vm[VMS];
-	struct {
-		uint64_t id;
-		int64_t back_ms;
-	} upstream[UPSTREAMS];
-	uint64_t last_id;
-	struct model_run run[RUNS_MAX];
-	struct model_message message[MESSAGES_MAX];
-	/** What the store keeps. */
-	struct quarantine_record kept[REQUESTS];
-	int is_kept[REQUESTS];
-	int64_t store_back_ms;
-	int64_t whole_again_ms;
-	/** When the last fault ended. */
-	int64_t disturbed_ms;
-	/** By request: ends since the fleet last knew nothing, when the third
-	 * came, and the late ones. */
-	int ends[REQUESTS];
-	int64_t third_ms[REQUESTS];
-	int late[REQUESTS];
-};
-
-static uint32_t draw(struct quarantine_world *w, uint32_t n)
-{
-	w->random_state = prl_hash_combine(w->random_state, ++w->drawn);
-	return (uint32_t)(w->random_state >> 16) % n;
-}
-
 static void fail(struct quarantine_world *w, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
@@ -119,120 +18,6 @@
 	va_end(ap);
 }
 
-static struct prl_hash128 digest_of(int request)
-{
-	return (struct prl_hash128){7, (uint64_t)request + 1};
-}
-
-static int store_is_up(const struct quarantine_world *w)
-{
-	return w->now_ms >= w->store_back_ms;
-}
-
-static int in_touch(const struct quarantine_world *w, int a, int b)
-{
-	return w->now_ms >= w->whole_again_ms || w->vm[a].side == w->vm[b].side;
-}
-
-/* Messages */
-
-static struct model_message *new_message(struct quarantine_world *w)
-{
-	for (int i = 0; i < MESSAGES_MAX; i++)
-		if (!w->message[i].used)
-			return &w->message[i];
-	return NULL;
-}
-
-static void send_records(struct quarantine_world *w, int from, int to,
-			 const struct quarantine_record *record, int n,
-			 int is_reply)
-{
-	struct model_message *m = new_message(w);
-
-	if (!m || !n || from == to || draw(w, 100) < MESSAGE_LOSS_PERCENT)
-		return;
-	*m = (struct model_message){
-		.used = 1,
-		.from = from,
-		.to = to,
-		.at_ms = w->now_ms + 1 + draw(w, MESSAGE_MAX_MS),
-		.is_reply = is_reply,
-		.n = n,
-	};
-	memcpy(m->record, record, (size_t)n * sizeof(*record));
-}
-
-static void deliver(struct quarantine_world *w, struct model_message *m)
-{
-	struct model_vm *v = &w->vm[m->to];
-	struct quarantine_record better[MESSAGE_RECORDS];
-	int n = 0;
-
-	m->used = 0;
-	if (!v->alive || !in_touch(w, m->from, m->to))
-		return;
-	for (int i = 0; i < m->n; i++)
-		if (quarantine_merge(&v->table, &m->record[i], w->now_ms) ==
-		    QUARANTINE_OUTDATED)
-			better[n++] =
-				quarantine_find(&v->table, &m->record[i].digest)
-					->record;
-	if (!m->is_reply)
-		send_records(w, m->to, m->from, better, n, 1);
-}
-
-static void tell(struct quarantine_world *w, int i)
-{
-	struct model_vm *v = &w->vm[i];
-	struct quarantine_record out[MESSAGE_RECORDS];
-	int n;
-
-	if (w->now_ms >= v->next_news_ms) {
-		v->next_news_ms = w->now_ms + NEWS_INTERVAL_MS;
-		n = quarantine_take_news(&v->table, out, MESSAGE_RECORDS);
-		for (int k = 0; k < FANOUT; k++)
-			send_records(w, i, (int)draw(w, VMS), out, n, 0);
-	}
-	if (w->now_ms >= v->next_sample_ms) {
-		v->next_sample_ms = w->now_ms + SAMPLE_INTERVAL_MS;
-		n = quarantine_sample(&v->table, out, MESSAGE_RECORDS);
-		send_records(w, i, (int)draw(w, VMS), out, n, 0);
-	}
-}
-
-/* The store */
-
-static void keep(struct quarantine_world *w, int i)
-{
-	struct quarantine *q = &w->vm[i].table;
-
-	for (int k = 0; k < q->nentry && store_is_up(w); k++) {
-		struct quarantine_entry *e = &q->entry[k];
-		int request = (int)e->record.digest.low - 1;
-
-		if (quarantine_is_active(e) && !e->record.kept_era) {
-			e->record.kept_era = 1;
-			e->must_tell = 1;
-			w->kept[request] = e->record;
-			w->is_kept[request] = 1;
-		}
-		if (e->must_remove && !e->record.ncrash)
-			w->is_kept[request] = 0;
-		e->must_remove = 0;
-	}
-}
-
-static void load(struct quarantine_world *w, struct model_vm *v)
-{
-	if (!store_is_up(w) && w->now_ms < v->started_ms + LOAD_MAX_MS)
-		return;
-	v->ready = 1;
-	for (int i = 0; i < REQUESTS && store_is_up(w); i++)
-		if (w->is_kept[i])
-			quarantine_merge(&v->table, &w->kept[i], w->now_ms);
-}
-
 /* Requests */
 
 static int is_guilty(int request)
@@ -243,7 +28,7 @@
 /* Whether any VM or the store still knows of all three ends. */
 static int is_known(struct quarantine_world *w, int request)
 {
-	struct prl_hash128 digest = digest_of(request);
+	struct prl_hash128 digest = world_digest(request);
 
 	if (w->is_kept[request])
 		return 1;
@@ -298,14 +83,14 @@
 		if (!r->used || r->is_broken || r->upstream != upstream)
 			continue;
 		r->is_broken = 1;
-		r->end_ms = w->now_ms + 1 + draw(w, PROBE_MAX_MS);
+		r->end_ms = w->now_ms + 1 + world_draw(w, PROBE_MAX_MS);
 	}
 	w->upstream[upstream].back_ms = w->now_ms + AWAY_MS;
 }
 
 static void release(struct model_vm *v, struct model_run *r)
 {
-	struct prl_hash128 digest = digest_of(r->request);
+	struct prl_hash128 digest = world_digest(r->request);
 
 	if (r->is_alone)
 		quarantine_leave(&v->table, &digest);
@@ -316,7 +101,7 @@
 static void end_run(struct quarantine_world *w, struct model_run *r)
 {
 	struct model_vm *v = &w->vm[r->vm];
-	struct prl_hash128 digest = digest_of(r->request);
+	struct prl_hash128 digest = world_digest(r->request);
 	int is_of_vm = v->alive && v->started_ms == r->vm_started_ms;
 
 	if (!r->is_broken && is_guilty(r->request)) {
@@ -350,8 +135,8 @@
 		      int is_alone)
 {
 	struct model_run *r = new_run(w);
-	int u = (int)draw(w, UPSTREAMS);
-	struct prl_hash128 digest = digest_of(request);
+	int u = (int)world_draw(w, UPSTREAMS);
+	struct prl_hash128 digest = world_digest(request);
 
 	if (!r || w->now_ms < w->upstream[u].back_ms) {
 		if (is_alone)
@@ -372,9 +157,9 @@
 
 static void send_request(struct quarantine_world *w, int request)
 {
-	int vm = (int)draw(w, VMS);
+	int vm = (int)world_draw(w, VMS);
 	struct model_vm *v = &w->vm[vm];
-	struct prl_hash128 digest = digest_of(request);
+	struct prl_hash128 digest = world_digest(request);
 	enum quarantine_verdict verdict;
 
 	if (!v->alive || !v->ready)
@@ -405,11 +190,11 @@
 
 static void inject_fault(struct quarantine_world *w)
 {
-	int64_t until_ms = w->now_ms + 100 + draw(w, FAULT_MAX_MS);
+	int64_t until_ms = w->now_ms + 100 + world_draw(w, FAULT_MAX_MS);
 
-	switch (draw(w, 4)) {
+	switch (world_draw(w, 4)) {
 	case 0:
-		kill_vm(w, (int)draw(w, VMS));
+		kill_vm(w, (int)world_draw(w, VMS));
 		until_ms = w->now_ms + START_MS + LOAD_MAX_MS;
 		break;
 	case 1:
@@ -419,7 +204,7 @@
 		break;
 	case 2:
 		for (int i = 0; i < VMS; i++)
-			w->vm[i].side = (int)draw(w, 2);
+			w->vm[i].side = (int)world_draw(w, 2);
 		w->whole_again_ms = until_ms;
 		break;
 	default:
@@ -445,9 +230,9 @@
 	if (!v->alive)
 		return;
 	if (!v->ready)
-		load(w, v);
-	tell(w, i);
-	keep(w, i);
+		world_load(w, v);
+	world_tell(w, i);
+	world_keep(w, i);
 }
 
 static void step_upstreams(struct quarantine_world *w)
@@ -470,11 +255,11 @@
 			end_run(w, &w->run[i]);
 	for (int i = 0; i < MESSAGES_MAX; i++)
 		if (w->message[i].used && w->now_ms >= w->message[i].at_ms)
-			deliver(w, &w->message[i]);
+			world_deliver(w, &w->message[i]);
 	for (int i = 0; i < VMS; i++)
 		step_vm(w, i);
 	for (int i = 0; i < REQUESTS; i++)
-		if (!draw(w, 15))
+		if (!world_draw(w, 15))
 			send_request(w, i);
 	forget_lost(w);
 }
@@ -483,7 +268,7 @@
 {
 	for (int i = 0; i < VMS; i++)
 		for (int k = GUILTY; k < REQUESTS; k++) {
-			struct prl_hash128 digest = digest_of(k);
+			struct prl_hash128 digest = world_digest(k);
 
 			w->result->innocent_convicted +=
 				quarantine_enter(&w->vm[i].table, &digest,
@@ -510,7 +295,7 @@
 	for (int64_t ms = 0; ms < duration_ms && !out->failure[0];
 	     ms += STEP_MS) {
 		if (ms * 100 < duration_ms * FAULTY_PART_PERCENT &&
-		    !draw(w, 150))
+		    !world_draw(w, 150))
 			inject_fault(w);
 		step(w);
 	}
--- a/system/returning.c
+++ b/system/returning.c
@@ -67,6 +67,13 @@
 	harness_sleep_ms(FOLLOW_MS);
 }
 
+int returning_setup(void **state)
+{
+	routes_setup(state);
+	returning_start();
+	return 0;
+}
+
 static void tend_one(int i, int64_t now)
 {
 	if (upstream[i].left[0] && now >= upstream[i].left_until_ms) {
--- a/system/returning.h
+++ b/system/returning.h
@@ -24,6 +24,9 @@
 /** Starts the upstreams in place of those of the fixture. */
 void returning_start(void);
 
+/** Starts the fixture with them; for a cmocka test group. */
+int returning_setup(void **state);
+
 /** Waits, and meanwhile starts the upstreams again that have ended, each after
  * a while and under another id. */
 void returning_wait(int ms);
--- a/system/test_crashing_request.c
+++ b/system/test_crashing_request.c
@@ -58,13 +58,6 @@
 	expect_no_more(&q);
 }
 
-static int setup(void **state)
-{
-	routes_setup(state);
-	returning_start();
-	return 0;
-}
-
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -76,5 +69,5 @@
 
 	(void)argc;
 	harness_init(argv[0]);
-	return cmocka_run_group_tests(tests, setup, routes_teardown);
+	return cmocka_run_group_tests(tests, returning_setup, routes_teardown);
 }
--- a/system/test_quarantine.c
+++ b/system/test_quarantine.c
@@ -253,13 +253,6 @@
 	assert_int_not_equal(run_command("--clear=0123"), 0);
 }
 
-static int setup(void **state)
-{
-	routes_setup(state);
-	returning_start();
-	return 0;
-}
-
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -275,5 +268,5 @@
 
 	(void)argc;
 	harness_init(argv[0]);
-	return cmocka_run_group_tests(tests, setup, routes_teardown);
+	return cmocka_run_group_tests(tests, returning_setup, routes_teardown);
 }
