Quarantine: only what ran there as an upstream ended counts; trials by real VMs

Change: breaks within 100 ms of the first count, in all states, and later ones begin a new inquiry; an answer of the last ten seconds speaks against all ends of the next two. Another VM's trial that was just read from the store is not followed by one here.

--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -156,7 +156,7 @@
 }
 
 static struct crash_watch *new_watch(struct control *c,
-				     const struct proxy_news *news, int64_t now)
+				     const struct proxy_news *news)
 {
 	struct crash_watch *w = g_new0(struct crash_watch, 1);
 
@@ -169,8 +169,6 @@
 	set_path(w, news->u.broken.service);
 	w->probe.done = on_probe_done;
 	w->probe.ctx = w;
-	w->begun_ms = now;
-	w->forget_at_ms = now + WATCH_MS;
 	g_hash_table_insert(c->crashes.watches, &w->probe.upstream_id, w);
 	return w;
 }
@@ -185,37 +183,41 @@
 		g_array_append_val(w->suspects, s);
 }
 
+/* Begins to find out about the upstream, also after it was found out: it may be
+ * back, or have ended since. */
+static void begin_watch(struct crash_watch *w, const struct proxy_news *news,
+			int64_t now)
+{
+	w->begun_ms = now;
+	w->forget_at_ms = now + WATCH_MS;
+	w->nclosed = 0;
+	add_suspect(w, news);
+	start_probe(w, now);
+}
+
 void crashes_handle_broken(struct control *c, const struct proxy_news *news)
 {
 	int64_t now = prl_now_ms();
 	struct crash_watch *w =
 		g_hash_table_lookup(c->crashes.watches, &news->upstream_id);
+	int is_late;
 
 	if (!w && g_hash_table_size(c->crashes.watches) >= WATCHES_MAX)
 		return;
-	if (!w)
-		w = new_watch(c, news, now);
-	if (w->state != WATCH_WAITING || now < w->begun_ms + BREAKS_MS)
-		add_suspect(w, news);
-	switch (w->state) {
-	case WATCH_PROBING:
-		if (!w->probe.in_flight)
-			start_probe(w, now);
-		break;
-	case WATCH_CLOSED:
-	case WATCH_WAITING:
-		break;
-	case WATCH_ENDED:
-		end_watch(w, WATCH_ENDED, "it had ended");
-		break;
-	case WATCH_LIVE:
-		/* It may have ended since. */
-		w->begun_ms = now;
-		w->forget_at_ms = now + WATCH_MS;
-		w->nclosed = 0;
-		start_probe(w, now);
-		break;
+	if (!w) {
+		begin_watch(new_watch(c, news), news, now);
+		return;
 	}
+	is_late = now >= w->begun_ms + BREAKS_MS;
+	if (w->state == WATCH_LIVE || (is_late && w->state == WATCH_ENDED)) {
+		begin_watch(w, news, now);
+		return;
+	}
+	if (is_late)
+		return;
+	add_suspect(w, news);
+	if (w->state == WATCH_ENDED)
+		end_watch(w, WATCH_ENDED, "it has ended");
 }
 
 static int has_entry(struct control *c, const struct crash_watch *w)
--- a/cmd/primroseleadd/kept_quarantines.c
+++ b/cmd/primroseleadd/kept_quarantines.c
@@ -154,6 +154,12 @@
 	errand_done(c, call->err.code != PRL_OK);
 }
 
+/* Whether a trial is still due: another VM may just have had it. */
+static int is_trial_due(const struct quarantine_entry *e)
+{
+	return e && quarantine_is_active(e) && prl_now_ms() >= e->trial_ms;
+}
+
 /* Writes or removes the object. Returns 0, or -1 if there is nothing to do or
  * the call can't be made. */
 static int start_write(struct control *c, int64_t version)
@@ -162,14 +168,15 @@
 	const struct quarantine_entry *e = quarantine_find(
 		proxy_lock_quarantine(&c->proxy), &errand->digest);
 	struct quarantine_record r = {0};
+	int is_void = errand->is_trial && !is_trial_due(e);
 
 	if (e)
 		r = e->record;
 	r.ntrial += errand->is_trial;
-	if (r.ncrash)
+	if (r.ncrash && !is_void)
 		errand->value = quarantine_record_format(&r, e->about);
 	proxy_unlock_quarantine(&c->proxy);
-	if (!errand->value && !version)
+	if (is_void || (!errand->value && !version))
 		return -1;
 	store_call_finish(&errand->call);
 	errand->call.op = STORE_PUT;
--- a/cmd/primroseleadd/quarantines.c
+++ b/cmd/primroseleadd/quarantines.c
@@ -61,8 +61,8 @@
 {
 	enum quarantine_change change;
 
-	if (quarantine_answers_take(&c->proxy.answers, crash->digest,
-				    prl_now_ms()))
+	if (quarantine_answers_speak(&c->proxy.answers, crash->digest,
+				     prl_now_ms()))
 		return;
 	change = quarantine_crashed(
 		proxy_lock_quarantine(&c->proxy), crash->digest, crash->head,
@@ -139,8 +139,8 @@
 		/* Another VM may not know that this one has an answer. */
 		if ((change == QUARANTINE_SUSPECTED ||
 		     change == QUARANTINE_BEGUN) &&
-		    quarantine_answers_take(&c->proxy.answers, &r.digest,
-					    prl_now_ms()))
+		    quarantine_answers_speak(&c->proxy.answers, &r.digest,
+					     prl_now_ms()))
 			change = quarantine_clear(q, &r.digest, prl_now_ms());
 		proxy_unlock_quarantine(&c->proxy);
 		quarantines_log_change(&r.digest, change, "peer", "", "");
--- a/quarantine/include/primroselead/quarantine.h
+++ b/quarantine/include/primroselead/quarantine.h
@@ -83,10 +83,10 @@
 /** Digests that are remembered as answered. */
 #define QUARANTINE_ANSWERS_MAX 1024
 
-/** Requests that were answered lately. Many equal requests may be under way, and
- * end at once with the upstreams of a failure domain; that they were answered
- * until then says that they did not end these. Any thread may use it; empty when
- * zeroed. */
+/** Requests that were answered lately. Many equal requests may be under way,
+ * and end at once with the upstreams of a failure domain; that they were
+ * answered until then says that they did not end these. Any thread may use it;
+ * empty when zeroed. */
 struct quarantine_answers {
 	/** A part of the digest above the time in seconds. */
 	_Atomic uint64_t slot[QUARANTINE_ANSWERS_MAX];
@@ -96,10 +96,11 @@
 void quarantine_answers_note(struct quarantine_answers *a,
 			     const struct prl_hash128 *digest, int64_t now);
 
-/** Whether a request was answered lately. Forgets it: the next crash counts, if
- * no answer comes before. */
-int quarantine_answers_take(struct quarantine_answers *a,
-			    const struct prl_hash128 *digest, int64_t now);
+/** Whether an answer speaks for a request under which an upstream has ended:
+ * one of the last ten seconds does, for two seconds, against all that end then.
+ */
+int quarantine_answers_speak(struct quarantine_answers *a,
+			     const struct prl_hash128 *digest, int64_t now);
 
 /** What becomes of a request. */
 enum quarantine_verdict {
