--- a/standin/src/away.c
+++ b/standin/src/away.c
@@ -106,7 +106,7 @@
 	listener.is_ending = 1;
 	for (int fd = 0; fd < FDS_MAX; fd++)
 		if (listener.is_open[fd])
-			connect(fd, &none, sizeof(none));
+			(void)connect(fd, &none, sizeof(none));
 	/* The accept that is under way returns. */
 	if (listener.fd >= 0)
 		shutdown(listener.fd, SHUT_RDWR);
