--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -18,8 +18,9 @@
 #define CLOSED_MIN 3
 #define CLOSED_PAUSE_MS 150
 
-/* Time in ms in which all connections break as an upstream ends. One that
- * breaks later, while nothing else tells of an end, has another cause. */
+/* Time in ms in which all connections break as an upstream ends. What breaks
+ * later did not run there then, though a proxy before the upstream may have
+ * taken it. */
 #define BREAKS_MS 300
 
 /* Most upstreams that are watched, and most requests that break with one of
