--- a/standin/src/away.c
+++ b/standin/src/away.c
@@ -1,6 +1,6 @@
 #include "away.h"
-#include <glib.h>
 #include <primroselead/address.h>
+#include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,7 +10,7 @@
 #define BACKLOG 128
 
 static struct {
-	GMutex lock;
+	pthread_mutex_t lock;
 	struct sockaddr_storage address;
 	socklen_t len;
 	int fd;
@@ -18,7 +18,7 @@
 	/** Set while it is to go away, until it has. */
 	int is_ending;
 	char is_open[FDS_MAX];
-} listener;
+} listener = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 static int open_socket(void)
 {
@@ -47,23 +47,29 @@
 /* Closes the socket, and opens another one once the time is over. */
 static void stay_away(void)
 {
-	g_mutex_lock(&listener.lock);
+	int fd;
+
+	pthread_mutex_lock(&listener.lock);
 	close(listener.fd);
 	listener.fd = -1;
 	listener.is_ending = 0;
-	g_mutex_unlock(&listener.lock);
-	do
-		g_usleep((gulong)listener.away_ms * 1000);
-	while ((listener.fd = open_socket()) < 0);
+	pthread_mutex_unlock(&listener.lock);
+	do {
+		usleep((useconds_t)listener.away_ms * 1000);
+		fd = open_socket();
+	} while (fd < 0);
+	pthread_mutex_lock(&listener.lock);
+	listener.fd = fd;
+	pthread_mutex_unlock(&listener.lock);
 }
 
 static int is_ending(void)
 {
 	int ending;
 
-	g_mutex_lock(&listener.lock);
+	pthread_mutex_lock(&listener.lock);
 	ending = listener.is_ending;
-	g_mutex_unlock(&listener.lock);
+	pthread_mutex_unlock(&listener.lock);
 	return ending;
 }
 
@@ -79,19 +85,19 @@
 	}
 	if (fd < 0)
 		return -1;
-	g_mutex_lock(&listener.lock);
+	pthread_mutex_lock(&listener.lock);
 	if (fd < FDS_MAX)
 		listener.is_open[fd] = 1;
-	g_mutex_unlock(&listener.lock);
+	pthread_mutex_unlock(&listener.lock);
 	return fd;
 }
 
 void away_remove(int fd)
 {
-	g_mutex_lock(&listener.lock);
+	pthread_mutex_lock(&listener.lock);
 	if (fd < FDS_MAX)
 		listener.is_open[fd] = 0;
-	g_mutex_unlock(&listener.lock);
+	pthread_mutex_unlock(&listener.lock);
 }
 
 void away_end(void)
@@ -102,7 +108,7 @@
 
 	if (!listener.away_ms)
 		_exit(0);
-	g_mutex_lock(&listener.lock);
+	pthread_mutex_lock(&listener.lock);
 	listener.is_ending = 1;
 	for (int fd = 0; fd < FDS_MAX; fd++)
 		if (listener.is_open[fd])
@@ -110,5 +116,5 @@
 	/* The accept that is under way returns. */
 	if (listener.fd >= 0)
 		shutdown(listener.fd, SHUT_RDWR);
-	g_mutex_unlock(&listener.lock);
+	pthread_mutex_unlock(&listener.lock);
 }
