--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -97,6 +97,17 @@
 		curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 }
 
+void check_set_path(struct check *k, const char *service)
+{
+	const struct fleet_service *config = fleet_find_service(
+		&k->control->objects.inventory.manifest, service);
+
+	g_strlcpy(k->path,
+		  config && config->health_path[0] == '/' ? config->health_path
+							  : "",
+		  sizeof(k->path));
+}
+
 enum prl_code check_start(struct check *k, struct prl_error *err)
 {
 	CURL *easy = curl_easy_init();
--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -40,6 +40,10 @@
 	CURLcode result;
 };
 
+/** Sets the path to the service's for health checks, or to an empty one if it
+ * has none. */
+void check_set_path(struct check *k, const char *service);
+
 /** Starts the check. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY; after an error
  * "done" is not called. */
 enum prl_code check_start(struct check *k, struct prl_error *err);
--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -145,17 +145,6 @@
 		w->state = WATCH_WAITING;
 }
 
-/* The service's path for health checks; empty if it has none. */
-static void set_path(struct crash_watch *w, const char *service)
-{
-	const struct fleet_service *config = fleet_find_service(
-		&w->probe.control->objects.inventory.manifest, service);
-
-	if (config && config->health_path[0] == '/')
-		g_strlcpy(w->probe.path, config->health_path,
-			  sizeof(w->probe.path));
-}
-
 static struct crash_watch *new_watch(struct control *c,
 				     const struct proxy_news *news)
 {
@@ -167,7 +156,7 @@
 	memcpy(w->probe.instance, news->instance, sizeof(w->probe.instance));
 	memcpy(w->probe.address, news->u.broken.address,
 	       sizeof(w->probe.address));
-	set_path(w, news->u.broken.service);
+	check_set_path(&w->probe, news->u.broken.service);
 	w->probe.done = on_probe_done;
 	w->probe.ctx = w;
 	g_hash_table_insert(c->crashes.watches, &w->probe.upstream_id, w);
--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -166,17 +166,12 @@
 static void start_probe(struct reach_service *s, struct check *k,
 			const struct steer_upstream *u, int64_t now)
 {
-	const struct fleet_service *config = fleet_find_service(
-		&s->control->objects.inventory.manifest, s->name);
 	struct prl_error err = {0};
 
 	k->upstream_id = u->id;
 	memcpy(k->instance, u->instance, sizeof(k->instance));
 	memcpy(k->address, u->address, sizeof(k->address));
-	g_strlcpy(k->path,
-		  config && config->health_path[0] == '/' ? config->health_path
-							  : "",
-		  sizeof(k->path));
+	check_set_path(k, s->name);
 	k->deadline_ms = now + PROBE_TIMEOUT_MS;
 	if (check_start(k, &err))
 		log_event(LOG_LEVEL_WARNING, "isolated", "service", s->name,
