--- a/review/rig.c
+++ b/review/rig.c
@@ -27,6 +27,9 @@
 /* Time in which a process must be ready, in ms. */
 #define READY_MAX_MS 15000
 
+/* Time in which an upstream must have its port back, in ms. */
+#define PORT_MAX_MS 5000
+
 #define PROCESSES_MAX 8
 #define UPSTREAM_CONNECTIONS_MAX 4096
 #define RUNS_MAX 65536
@@ -203,7 +206,7 @@
 
 static int port_of(int fd)
 {
-	struct sockaddr_in a;
+	struct sockaddr_in a = {0};
 	socklen_t len = sizeof(a);
 
 	if (getsockname(fd, (struct sockaddr *)&a, &len))
@@ -732,9 +735,14 @@
 
 void rig_start_upstream(struct rig_upstream *u)
 {
-	u->listener = listen_at(u->port);
-	if (u->listener < 0)
-		give_up("upstream");
+	int64_t until = rig_now_ms() + PORT_MAX_MS;
+
+	/* After a crash another connection may use the port for a moment. */
+	while ((u->listener = listen_at(u->port)) < 0) {
+		if (rig_now_ms() > until)
+			give_up("upstream");
+		rig_sleep_ms(50);
+	}
 	u->port = port_of(u->listener);
 	u->is_down = 0;
 	start_thread(run_upstream, u);
