--- a/review/rig.c
+++ b/review/rig.c
@@ -30,6 +30,9 @@
 /* Time in which an upstream must have its port back, in ms. */
 #define PORT_MAX_MS 5000
 
+/* Time from SIGTERM to SIGKILL, in ms. */
+#define GRACE_MS 6000
+
 #define PROCESSES_MAX 8
 #define UPSTREAM_CONNECTIONS_MAX 4096
 #define RUNS_MAX 65536
@@ -104,7 +107,8 @@
 static void kill_processes(void)
 {
 	for (int i = 0; i < rig.nprocess; i++)
-		kill(rig.process[i], SIGKILL);
+		if (rig.process[i])
+			kill(rig.process[i], SIGKILL);
 }
 
 static void remove_work(void)
@@ -173,7 +177,8 @@
 {
 	kill_processes();
 	for (int i = 0; i < rig.nprocess; i++)
-		waitpid(rig.process[i], NULL, 0);
+		if (rig.process[i])
+			waitpid(rig.process[i], NULL, 0);
 	if (!getenv("KEEP"))
 		remove_work();
 	rig_note("%s", status == RIG_BROKEN ? "the rule was broken"
@@ -524,9 +529,29 @@
 	return rig.vm[vm].http;
 }
 
-int rig_vm_has_ended(int vm)
+const char *rig_stop_vm(int vm)
 {
-	return waitpid(rig.vm[vm].pid, NULL, WNOHANG) == rig.vm[vm].pid;
+	static char text[64];
+	int64_t until = rig_now_ms() + GRACE_MS;
+	pid_t pid = rig.vm[vm].pid;
+	int status = 0;
+
+	kill(pid, SIGTERM);
+	while (!waitpid(pid, &status, WNOHANG)) {
+		if (rig_now_ms() > until)
+			return "did not end within the grace period";
+		rig_sleep_ms(20);
+	}
+	for (int i = 0; i < rig.nprocess; i++)
+		if (rig.process[i] == pid)
+			rig.process[i] = 0;
+	if (WIFSIGNALED(status))
+		snprintf(text, sizeof(text), "crashed by signal %d",
+			 WTERMSIG(status));
+	else
+		snprintf(text, sizeof(text), "ended with status %d",
+			 WEXITSTATUS(status));
+	return text;
 }
 
 /* Returns 0, or -1 if the connection ends before a whole line. */
--- a/review/rig.h
+++ b/review/rig.h
@@ -54,8 +54,9 @@
 /** Port on which a VM takes callers' connections. */
 int rig_vm_port(int vm);
 
-/** Whether a VM's process has ended. */
-int rig_vm_has_ended(int vm);
+/** Sends SIGTERM to a VM and waits for its end. Returns how it ended, as text.
+ */
+const char *rig_stop_vm(int vm);
 
 /** A request as it came to an upstream. */
 struct rig_request {
