Heads: room for the answer is secured before a request is sent on

Also found: a query of about 500 parts was never answered at all, look-ups with heads over 1.5 KB were refused, a VM that took a request of another VM lost the answer alike, a long answer head beside many request fields was lost.

Cause: libmicrohttpd keeps head, 64 bytes for each field, cookie and query part, and the answer's head in one fixed memory a connection (32 KB; 4 KB for look-ups). Nothing compared that with what is allowed, and the library finds out after the answer is queued.

Ruled out: size alone, the upstream.

Why this works: proxy/src/head.c applies that rule on its worst case before a request is routed, and refuses (503, not run) what leaves under 16 KB; the memory is 128 KB (64 KB for look-ups), compared with the longest head at build time; the query is not split; an answer's head that does not fit becomes 502. The library's messages are logged and counted. `memory` bounds the connections that are kept, since the memory of a kept one is four times as much.

--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -22,6 +22,9 @@
 		       struct MHD_Connection *conn);
 	MHD_AccessHandlerCallback handle;
 	MHD_RequestCompletedCallback completed;
+	/** Called with a text, without a line end, when the listener closes a
+	 * connection that it can't serve. May be null. */
+	void (*report)(void *ctx, const char *text);
 	void *ctx;
 };
 
@@ -32,6 +35,8 @@
 	struct loop *loop;
 	struct loop_fd fd;
 	struct loop_timer timer;
+	void (*report)(void *ctx, const char *text);
+	void *ctx;
 	int quiesced;
 };
 
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -2,10 +2,14 @@
 #include <primroselead/address.h>
 #include <primroselead/clock.h>
 #include <primroselead/serve.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
+/* Size of a message of libmicrohttpd with its end. */
+#define MESSAGE_MAX 256
+
 static void run_daemon(struct serve *s)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
@@ -38,15 +42,32 @@
 	return strlen(text);
 }
 
-static struct MHD_Daemon *start_daemon(const struct serve_options *o,
+/* Passes on what libmicrohttpd says of requests and responses that it gives up,
+ * not of connections that callers have closed. */
+static void on_message(void *ctx, const char *format, va_list args)
+{
+	static const char given_up[] = "Closing connection";
+	const struct serve *s = ctx;
+	char text[MESSAGE_MAX];
+
+	vsnprintf(text, sizeof(text), format, args);
+	text[strcspn(text, "\r\n")] = 0;
+	if (s->report && strstr(text, given_up))
+		s->report(s->ctx, text);
+}
+
+static struct MHD_Daemon *start_daemon(struct serve *s,
+				       const struct serve_options *o,
 				       const struct sockaddr *addr)
 {
-	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+	unsigned int flags =
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
 
 	if (addr->sa_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	return MHD_start_daemon(
-		flags, 0, NULL, NULL, o->handle, o->ctx, MHD_OPTION_SOCK_ADDR,
+		flags, 0, NULL, NULL, o->handle, o->ctx,
+		MHD_OPTION_EXTERNAL_LOGGER, on_message, s, MHD_OPTION_SOCK_ADDR,
 		addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 		MHD_OPTION_CONNECTION_LIMIT, o->connections_max,
 		MHD_OPTION_CONNECTION_TIMEOUT, o->idle_timeout_s,
@@ -70,7 +91,9 @@
 			"address \"%s\" is not a numeric IP address "
 			"and port",
 			o->address);
-	s->mhd = start_daemon(o, (struct sockaddr *)&addr);
+	s->report = o->report;
+	s->ctx = o->ctx;
+	s->mhd = start_daemon(s, o, (struct sockaddr *)&addr);
 	if (!s->mhd)
 		return prl_error_set(err, PRL_E_IO, "can't listen on %s: %s",
 				     o->address, strerror(errno));
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -44,6 +44,14 @@
 	METRIC_CLAIMS_REFUSED,
 	/** Requests whose caller closed the connection during a transfer. */
 	METRIC_REQUESTS_CANCELLED,
+	/** Requests refused since their head leaves no room for the answer's,
+	 * and answers of upstreams that were not passed on since their own head
+	 * found no room. */
+	METRIC_REQUESTS_HEAD_REFUSED,
+	METRIC_RESPONSES_HEAD_REFUSED,
+	/** Connections of callers that were closed without the answer to a
+	 * request, or with one that the listener gave by itself. */
+	METRIC_CONNECTIONS_FAILED,
 	METRIC_STORE_READS,
 	METRIC_STORE_WRITES,
 	METRIC_STORE_WATCHES,
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -219,6 +219,8 @@
 	 * not find the request that reuses it. */
 	uint32_t *generation;
 	int max_requests;
+	/** Connections of callers that are kept open after a response. */
+	int kept_max;
 	/** Index at which the search for a free entry begins. */
 	int next_free;
 	int nrequest;
--- a/proxy/src/dispatch.c
+++ b/proxy/src/dispatch.c
@@ -1,3 +1,4 @@
+#include "head.h"
 #include "request.h"
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -163,6 +164,8 @@
 		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
 		return;
 	}
+	if (!head_check(r, 0))
+		return;
 	if (!r->view) {
 		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
 			     "no configuration is in force yet");
--- /dev/null
+++ b/proxy/src/head.c
@@ -0,0 +1,138 @@
+#include "head.h"
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+_Static_assert(HEAD_CONNECTION_BYTES >= 4 * HEAD_REQUEST_MAX_BYTES,
+	       "a connection holds two heads and their records");
+_Static_assert(HEAD_PAGE_CONNECTION_BYTES >= 4 * HEAD_REQUEST_MAX_BYTES,
+	       "a connection holds two heads and their records");
+
+/* The listener's record of one header field, cookie or part of the query, in
+ * bytes: seven words, in libmicrohttpd's alignment of two words. */
+#define RECORD_BYTES (8 * sizeof(void *))
+
+/* What the listener adds to the head of a response: status line, date,
+ * connection, framing and outcome, in bytes. */
+#define RESPONSE_OWN_BYTES 512
+
+/* Room that the answer of an upstream must have at least, in bytes. */
+#define ANSWER_MIN_BYTES (16 << 10)
+
+/* Room for a response of this VM's own, in bytes. */
+#define ERROR_BYTES 2048
+
+/* Bytes of a field's line beside its name and value: the colon and the line
+ * end. White space is not counted, so that no head within the limit is taken
+ * to be longer. */
+#define FIELD_MIN_BYTES 3
+
+/* Bytes of a head beside target, method and fields: two spaces, the version and
+ * two line ends. */
+#define LINE_MIN_BYTES (2 + sizeof("HTTP/1.1") - 1 + 4)
+
+/* What the listener keeps of a request's head. */
+struct head_size {
+	size_t bytes;
+	size_t records;
+	/* The first Cookie field is copied before it is split. */
+	size_t cookie_bytes;
+};
+
+static enum MHD_Result add_field(void *ctx, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
+{
+	struct head_size *size = ctx;
+	size_t len = value ? strlen(value) : 0;
+
+	size->records++;
+	if (kind != MHD_HEADER_KIND)
+		return MHD_YES;
+	size->bytes += strlen(name) + len + FIELD_MIN_BYTES;
+	if (!size->cookie_bytes && !strcasecmp(name, MHD_HTTP_HEADER_COOKIE))
+		size->cookie_bytes = len + 1;
+	return MHD_YES;
+}
+
+void head_measure(struct proxy_request *r)
+{
+	struct head_size size = {.bytes = strlen(r->method) +
+					  strlen(r->target) + LINE_MIN_BYTES};
+	size_t taken;
+
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, add_field, &size);
+	MHD_get_connection_values(r->conn, MHD_COOKIE_KIND, add_field, &size);
+	/* The head and bytes behind it, of the body or the next request, have
+	 * half of the memory. */
+	taken = size.records * RECORD_BYTES + size.cookie_bytes;
+	r->request_head_bytes = size.bytes;
+	r->answer_room = taken < HEAD_CONNECTION_BYTES / 2
+				 ? HEAD_CONNECTION_BYTES / 2 - taken
+				 : 0;
+}
+
+int head_has_error_room(const struct proxy_request *r)
+{
+	return r->answer_room >= ERROR_BYTES;
+}
+
+int head_check(struct proxy_request *r, int64_t limit_bytes)
+{
+	if (limit_bytes > 0 && r->request_head_bytes > (size_t)limit_bytes) {
+		request_fail(r, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+			     "the head of the request is too long");
+		return 0;
+	}
+	if (r->answer_room >= ANSWER_MIN_BYTES)
+		return 1;
+	metrics_add(&r->thread->metrics, METRIC_REQUESTS_HEAD_REFUSED, 1);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
+		     "the head has more fields than this VM can hold");
+	return 0;
+}
+
+int head_fits_response(const struct proxy_request *r)
+{
+	const struct curl_slist *h = r->response_headers;
+	size_t bytes = RESPONSE_OWN_BYTES;
+
+	for (; h; h = h->next)
+		bytes += strlen(h->data) + sizeof("\r\n") - 1;
+	return bytes <= r->answer_room;
+}
+
+void head_refuse_raw(const struct proxy_request *r)
+{
+	static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
+				   "Request-Outcome: not-run\r\n"
+				   "Retry-After: 1\r\n"
+				   "Content-Length: 0\r\n"
+				   "Connection: close\r\n\r\n";
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	metrics_add(&r->thread->metrics, METRIC_REQUESTS_HEAD_REFUSED, 1);
+	send(info->connect_fd, text, sizeof(text) - 1,
+	     MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+void head_limit_query(const char *target, int max)
+{
+	char *part = strchr(target, '?');
+
+	for (int n = 0; part && n < max; n++)
+		part = strchr(part + 1, '&');
+	/* The listener reads the query from this buffer after this call. */
+	if (part && part[1])
+		part[*part == '?'] = 0;
+}
+
+int head_kept_max(const struct prl_settings *s)
+{
+	int64_t bytes = s->traffic.memory << 20;
+	int64_t n = bytes / 2 / HEAD_CONNECTION_BYTES / s->traffic.threads;
+
+	return bytes && n < s->traffic.connections
+		       ? (int)n
+		       : (int)s->traffic.connections;
+}
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -80,6 +80,10 @@
 	/** The request headers have been read and dispatched. */
 	int headers_read;
 	char method[16];
+	/** Size of the request's head at least, and room for the head of the
+	 * answer, in bytes. */
+	size_t request_head_bytes;
+	size_t answer_room;
 	/** The caller speaks HTTP/1.0, which knows no chunks. */
 	int is_http_1_0;
 	/** Path and query exactly as the caller sent them. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -1,3 +1,4 @@
+#include "head.h"
 #include "relay.h"
 #include "request.h"
 #include "service.h"
@@ -40,6 +41,13 @@
 	request_resume(r);
 }
 
+/* Whether so many connections are open that this one is not kept. */
+static int is_crowded(const struct proxy_request *r)
+{
+	return serve_connection_count(r->listener) >
+	       (unsigned int)r->thread->kept_max;
+}
+
 static void add_common_headers(struct proxy_request *r)
 {
 	MHD_add_response_header(r->mhd_response, "Request-Outcome",
@@ -47,18 +55,31 @@
 	/* Callers of a VM that is leaving must move to another one; and after
 	 * a request with invalid framing, the start of the next one on the
 	 * connection is unknown. */
-	if (atomic_load(&r->thread->proxy->leaving) || r->bad_framing)
+	if (atomic_load(&r->thread->proxy->leaving) || r->bad_framing ||
+	    is_crowded(r))
 		MHD_add_response_header(r->mhd_response, "Connection", "close");
 }
 
+/* The connection is closed without a response, which the log line of the
+ * request does not tell. */
+static enum MHD_Result lose_response(struct proxy_request *r, const char *cause)
+{
+	r->responded = 0;
+	r->cause = cause;
+	metrics_add(&r->thread->metrics, METRIC_CONNECTIONS_FAILED, 1);
+	return MHD_NO;
+}
+
 static enum MHD_Result queue_response(struct proxy_request *r)
 {
 	if (!r->mhd_response)
-		return MHD_NO;
+		return lose_response(r, "out of memory for the response");
 	r->responded = 1;
 	add_common_headers(r);
-	return MHD_queue_response(r->conn, (unsigned int)r->status,
-				  r->mhd_response);
+	if (MHD_queue_response(r->conn, (unsigned int)r->status,
+			       r->mhd_response) == MHD_NO)
+		return lose_response(r, "the listener takes no response");
+	return MHD_YES;
 }
 
 static void add_retry_after(struct proxy_request *r)
@@ -87,7 +108,7 @@
 	r->mhd_response = MHD_create_response_from_buffer(
 		(size_t)n, text, MHD_RESPMEM_MUST_COPY);
 	if (!r->mhd_response)
-		return MHD_NO;
+		return lose_response(r, "out of memory for the response");
 	MHD_add_response_header(r->mhd_response, "Content-Type",
 				"application/json");
 	if (r->routed && r->request_meta.id[0])
@@ -185,11 +206,28 @@
 	}
 }
 
+/* Fails a request that ran, since the head of its answer is too long. */
+static enum MHD_Result refuse_response(struct proxy_request *r)
+{
+	if (r->transfer_active && r->claimed && r->outcome == OUTCOME_RAN) {
+		r->claim.http_status = r->status;
+		request_update_claim(r, CLAIM_RAN);
+	}
+	metrics_add(&r->thread->metrics, METRIC_RESPONSES_HEAD_REFUSED, 1);
+	request_release(r);
+	request_fail(r, MHD_HTTP_BAD_GATEWAY,
+		     "the head of the upstream's answer is too long");
+	return request_send_error(r);
+}
+
 enum MHD_Result request_send_response(struct proxy_request *r)
 {
 	uint64_t length = r->response_length < 0 ? MHD_SIZE_UNKNOWN
 						 : (uint64_t)r->response_length;
 
+	if (!head_fits_response(r))
+		return refuse_response(r);
+
 	/* A complete body is sent from the buffer. A response to HEAD takes
 	 * the other branch: it states the length of a body that is not sent. */
 	if (strcmp(r->method, "HEAD") && r->response_body_ended &&
@@ -203,7 +241,7 @@
 			length, RESPONSE_BLOCK_BYTES, read_response_body, r,
 			NULL);
 	if (!r->mhd_response)
-		return MHD_NO;
+		return lose_response(r, "out of memory for the response");
 	copy_headers(r);
 	return queue_response(r);
 }
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -1,4 +1,5 @@
 /* Dispatch of requests by the routes of the platform's manifest. */
+#include "head.h"
 #include "placing.h"
 #include "relay.h"
 #include <primroselead/clock.h>
@@ -131,7 +132,9 @@
 		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
 		return;
 	}
-	if (!check_ready(r))
+	/* A request of another VM has that VM's header fields too. */
+	if (!check_ready(r) ||
+	    !head_check(r, r->relayed ? 0 : r->view->limits.header_bytes_max))
 		return;
 	route = find_route(r);
 	if (!route)
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -1,24 +1,22 @@
 #include "thread.h"
 #include "easy_pool.h"
+#include "head.h"
 #include "local.h"
 #include "request.h"
 #include "sockets.h"
 #include <primroselead/clock.h>
+#include <primroselead/log.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-/* Memory of one caller's connection, in bytes; limits the size of its headers.
- */
-#define CONNECTION_BYTES 32768
-
 /* Bytes of a refused request's body that are read and discarded. Closing the
  * connection with unread data would reset it, and the caller could lose the
  * response. */
 #define DISCARD_MAX_BYTES (32 << 20)
 
-/* Memory of one connection to an auxiliary listener, in bytes. */
-#define AUX_CONNECTION_BYTES 4096
+/* Parts of a query that this VM's own pages read at most. */
+#define PAGE_ARGUMENTS_MAX 32
 
 /* File descriptors reserved for files, the store and the other VMs. */
 #define DESCRIPTORS_RESERVED 400
@@ -89,10 +87,17 @@
 	struct proxy_thread *t = ctx;
 	int local = !strncmp(target, PROXY_LOCAL_PATH_PREFIX,
 			     strlen(PROXY_LOCAL_PATH_PREFIX));
+	struct proxy_request *r;
 
-	if (local && !t->proxy->follows_manifest)
+	if (local && !t->proxy->follows_manifest) {
+		head_limit_query(target, PAGE_ARGUMENTS_MAX);
 		return &local_request;
-	return request_new(t, conn, target);
+	}
+	r = request_new(t, conn, target);
+	/* A request is passed on with its target as it came. */
+	if (r)
+		head_limit_query(target, 0);
+	return r;
 }
 
 static void *on_relayed_target(void *ctx, const char *target,
@@ -102,6 +107,7 @@
 	struct proxy_request *r = request_new(t, conn, target);
 
 	if (r) {
+		head_limit_query(target, 0);
 		r->relayed = 1;
 		r->listener = &t->relay_listener;
 	}
@@ -126,6 +132,11 @@
 	if (strlen(method) >= sizeof(r->method))
 		return MHD_NO;
 	strcpy(r->method, method);
+	head_measure(r);
+	if (!head_has_error_room(r)) {
+		head_refuse_raw(r);
+		return MHD_NO;
+	}
 	r->is_http_1_0 = !strcmp(version, MHD_HTTP_VERSION_1_0);
 	/* A process that stood still reads requests long after they came. */
 	if (is_caller_disconnected(r))
@@ -297,6 +308,25 @@
 	g_free(m);
 }
 
+/* Called for each connection that the listener closes by itself, such as for
+ * lack of memory for a head. */
+static void on_listener_message(void *ctx, const char *text)
+{
+	struct proxy_thread *t = ctx;
+
+	metrics_add(&t->metrics, METRIC_CONNECTIONS_FAILED, 1);
+	log_event(LOG_LEVEL_WARNING, "connection_failed", "cause", text, NULL);
+}
+
+static void *on_aux_target(void *ctx, const char *target,
+			   struct MHD_Connection *conn)
+{
+	(void)ctx;
+	(void)conn;
+	head_limit_query(target, PAGE_ARGUMENTS_MAX);
+	return NULL;
+}
+
 /* The first call, before the body, only marks the request as local. */
 static enum MHD_Result on_aux_request(void *ctx, struct MHD_Connection *conn,
 				      const char *url, const char *method,
@@ -335,9 +365,11 @@
 	struct serve_options o = {
 		.connections_max = (unsigned int)s->traffic.connections,
 		.idle_timeout_s = (unsigned int)s->traffic.idle,
-		.connection_memory_bytes = AUX_CONNECTION_BYTES,
+		.connection_memory_bytes = HEAD_PAGE_CONNECTION_BYTES,
+		.begin = on_aux_target,
 		.handle = on_aux_request,
 		.completed = on_aux_completed,
+		.report = on_listener_message,
 		.ctx = t,
 	};
 
@@ -418,7 +450,8 @@
 		.address = s->listen.http,
 		.connections_max = connection_limit(s),
 		.idle_timeout_s = (unsigned int)s->traffic.idle,
-		.connection_memory_bytes = CONNECTION_BYTES,
+		.connection_memory_bytes = HEAD_CONNECTION_BYTES,
+		.report = on_listener_message,
 		.begin = on_target,
 		.handle = on_request,
 		.completed = on_completed,
@@ -426,6 +459,7 @@
 	};
 
 	t->proxy = p;
+	t->kept_max = head_kept_max(s);
 	t->random_state =
 		prl_hash_combine(g_random_int(), (uint64_t)prl_now_us());
 	t->wait_timer.on_expiry = on_wait_timer;
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -20,6 +20,7 @@
  * long          a body of LONG_BYTES
  * stalled       the same, but sends nothing for 30 s after its first half
  * echo          a body that names the request
+ * head-N        a valid response with a header field of N bytes
  * endless-line  bytes without a line end until the connection closes
  * endless-head  header lines until the connection closes
  * endless-early informational responses until the connection closes
@@ -159,6 +160,30 @@
 	return 1;
 }
 
+/* Most bytes of a header field that a request may ask for. */
+#define FIELD_MAX_BYTES (1 << 20)
+
+static int send_long_head(const struct connection *conn)
+{
+	int n = atoi(conn->mode + strlen("head-"));
+	char *field;
+
+	if (n < 0 || n > FIELD_MAX_BYTES)
+		return 0;
+	field = malloc((size_t)n + 1);
+	if (!field)
+		return 0;
+	memset(field, 'x', (size_t)n);
+	field[n] = 0;
+	send_text(conn, "HTTP/1.1 200 OK\r\nMore: ");
+	send_text(conn, field);
+	send_text(conn, "\r\nX-Request-Id: ");
+	send_text(conn, conn->request_id);
+	send_text(conn, "\r\n" COMPLETE_HEADERS "\r\nhello world\n");
+	free(field);
+	return 1;
+}
+
 static int repeat(const struct connection *conn, const char *text)
 {
 	endless_bytes += request_repeat(conn, text);
@@ -251,6 +276,8 @@
 	}
 	if (!strcmp(conn->mode, "echo"))
 		return send_echo(conn);
+	if (!strncmp(conn->mode, "head-", 5))
+		return send_long_head(conn);
 	if (!strcmp(conn->mode, "long") || !strcmp(conn->mode, "stalled"))
 		return send_long_response(conn);
 	if (!strncmp(conn->mode, "endless-", 8))
