Manifest: texts and tables of the size that it has

Cause: platform/src/manifest.c held parts in arrays; one that did not fit failed read_route(), and with it the whole. Ruled out: store, watch, messages (2,000 routes were in force in time before, too).

Weights below 1 counted as 0. A route without a known home region was served everywhere, and each unknown region took one of 32 places. A long health path was cut and used.

Why this works: texts are allocated in the manifest and copied to the view that uses them; the credits of a split have its number of parts. What stays bounded (a service's name, 255 bytes; indexes) leaves out just that part, with line, counter and `status`.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -119,8 +119,26 @@
 				 c->sync.replica.complete_revision);
 }
 
+/* Logs when what there is no index for changes in number. */
+static void note_left_out(struct control *c, const struct steer_view *v)
+{
+	char n[LOG_NUMBER_MAX];
+	char held[LOG_NUMBER_MAX];
+
+	metrics_set(&c->proxy.control_metrics, METRIC_UPSTREAMS_LEFT_OUT,
+		    (uint64_t)v->nleft_out);
+	if (v->nleft_out == c->objects.nupstream_left_out)
+		return;
+	c->objects.nupstream_left_out = v->nleft_out;
+	log_format_number(n, v->nleft_out);
+	log_format_number(held, CONFIG_INDEXES_MAX);
+	log_event(LOG_LEVEL_WARNING, "left_out", "number", n, "field",
+		  "upstreams and services", "held", held, NULL);
+}
+
 static void set_manifest_view(struct control *c, struct steer_view *v)
 {
+	note_left_out(c, v);
 	health_set_view(c, v);
 	reach_set_view(c, v);
 }
--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -18,12 +18,14 @@
 	k->in_flight = 0;
 }
 
-void check_cancel(struct check *k)
+void check_finish(struct check *k)
 {
-	if (!k->in_flight)
-		return;
-	fetch_cancel(&k->control->fetch_pool, &k->fetch);
-	end_transfer(k);
+	if (k->in_flight) {
+		fetch_cancel(&k->control->fetch_pool, &k->fetch);
+		end_transfer(k);
+	}
+	g_free(k->path);
+	k->path = NULL;
 }
 
 /*
@@ -53,7 +55,7 @@
 	struct check *k = f->ctx;
 	int answered = !result;
 
-	if (k->path[0]) {
+	if (k->path) {
 		result = receiver_result(&k->answer, result);
 		if (!result)
 			read_response(k);
@@ -83,17 +85,18 @@
 static void set_options(struct check *k)
 {
 	CURL *easy = k->fetch.easy;
-	char url[PRL_ADDRESS_MAX + FLEET_PATH_MAX + 16];
+	char *url = g_strdup_printf("http://%s%s", k->address,
+				    k->path ? k->path : "");
 
-	snprintf(url, sizeof(url), "http://%s%s", k->address, k->path);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
+	g_free(url);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, k->headers);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)(k->deadline_ms - k->sent_ms));
 	receiver_attach(&k->answer, easy);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	if (!k->path[0])
+	if (!k->path)
 		curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 }
 
@@ -102,10 +105,10 @@
 	const struct fleet_service *config = fleet_find_service(
 		&k->control->objects.inventory.manifest, service);
 
-	g_strlcpy(k->path,
-		  config && config->health_path[0] == '/' ? config->health_path
-							  : "",
-		  sizeof(k->path));
+	g_free(k->path);
+	k->path = config && fleet_has_health_path(config)
+			  ? g_strdup(config->health_path)
+			  : NULL;
 }
 
 enum prl_code check_start(struct check *k, struct prl_error *err)
--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -16,8 +16,9 @@
 	uint64_t upstream_id;
 	char instance[STEER_NAME_MAX];
 	char address[PRL_ADDRESS_MAX];
-	/** Path of the health check; empty to make a connection only. */
-	char path[FLEET_PATH_MAX];
+	/** Path of the health check, allocated with g_malloc; null to make a
+	 * connection only. */
+	char *path;
 	/** Time in ms by which the check must have ended. */
 	int64_t deadline_ms;
 	/** Called once after a check that was started, unless it is cancelled;
@@ -40,15 +41,16 @@
 	CURLcode result;
 };
 
-/** Sets the path to the service's for health checks, or to an empty one if it
- * has none. */
+/** Sets the path to the service's for health checks, or to none if it has none.
+ */
 void check_set_path(struct check *k, const char *service);
 
 /** Starts the check. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY; after an error
  * "done" is not called. */
 enum prl_code check_start(struct check *k, struct prl_error *err);
 
-/** Ends a check that is in flight without calling "done". */
-void check_cancel(struct check *k);
+/** Ends a check that is in flight without calling "done", and frees its path.
+ */
+void check_finish(struct check *k);
 
 #endif
--- a/cmd/primroseleadd/crashes.c
+++ b/cmd/primroseleadd/crashes.c
@@ -62,7 +62,7 @@
 {
 	struct crash_watch *w = p;
 
-	check_cancel(&w->probe);
+	check_finish(&w->probe);
 	g_array_free(w->suspects, TRUE);
 	g_free(w);
 }
@@ -123,11 +123,11 @@
 	struct crash_watch *w = k->ctx;
 
 	/* A connection alone may be that of a proxy before the upstream. */
-	if (answered && k->path[0])
+	if (answered && k->path)
 		end_watch(w, WATCH_LIVE, "it answers");
 	else if (k->result == CURLE_COULDNT_CONNECT)
 		end_watch(w, WATCH_ENDED, "it refuses connections");
-	else if (!is_closed(k->result) || !k->path[0])
+	else if (!is_closed(k->result) || !k->path)
 		w->state = WATCH_WAITING;
 	else if (++w->nclosed >= CLOSED_MIN)
 		end_watch(w, WATCH_ENDED, "it answers no check");
--- a/cmd/primroseleadd/grants.c
+++ b/cmd/primroseleadd/grants.c
@@ -26,7 +26,8 @@
 		return g;
 	g = g_new0(struct service_grant, 1);
 	g->control = c;
-	snprintf(g->service, sizeof(g->service), "%s", s->name);
+	/* Services of files, which alone have grants, have short names. */
+	g_strlcpy(g->service, s->name, sizeof(g->service));
 	grant_init(&g->grants, c->settings->vm.name,
 		   c->members.peer[0].vm.incarnation,
 		   c->started_ms + s->deadline_ms + GRANT_LOAN_TERM_MS +
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -46,7 +46,7 @@
 {
 	struct health_check *h = p;
 
-	check_cancel(&h->check);
+	check_finish(&h->check);
 	g_free(h);
 }
 
@@ -165,7 +165,7 @@
 }
 
 static void set_check(struct control *c, const struct steer_upstream *u,
-		      const char *path)
+		      const char *service)
 {
 	struct health_check *h = g_hash_table_lookup(c->health.checks, &u->id);
 
@@ -174,7 +174,7 @@
 		g_hash_table_insert(c->health.checks, &h->check.upstream_id, h);
 	}
 	memcpy(h->check.address, u->address, sizeof(h->check.address));
-	g_strlcpy(h->check.path, path, sizeof(h->check.path));
+	check_set_path(&h->check, service);
 	h->interval_ms = check_interval_ms(u, prl_now_ms());
 	h->next_check_ms = MAX(h->next_check_ms, u->closed_until_ms);
 	h->in_view = 1;
@@ -185,11 +185,11 @@
 	const struct fleet_service *config =
 		fleet_find_service(&c->objects.inventory.manifest, s->name);
 
-	if (!config || config->health_path[0] != '/')
+	if (!config || !fleet_has_health_path(config))
 		return;
 	for (int i = 0; i < s->nupstream; i++)
 		if (s->upstream[i].is_health_checker)
-			set_check(c, &s->upstream[i], config->health_path);
+			set_check(c, &s->upstream[i], s->name);
 }
 
 void health_set_view(struct control *c, const struct steer_view *v)
--- a/cmd/primroseleadd/objects.c
+++ b/cmd/primroseleadd/objects.c
@@ -20,19 +20,58 @@
 					    s->domain[i].region);
 }
 
+/* Limits of the manifest that are greater than what this VM holds. */
+static void check_limits(const struct fleet_limits *l)
+{
+	char value[LOG_NUMBER_MAX];
+	char held[LOG_NUMBER_MAX];
+
+	if (l->header_bytes_max <= PROXY_REQUEST_HEAD_MAX_BYTES)
+		return;
+	log_format_number(value, l->header_bytes_max);
+	log_format_number(held, PROXY_REQUEST_HEAD_MAX_BYTES);
+	log_event(LOG_LEVEL_WARNING, "manifest_limit", "field",
+		  "max_header_bytes", "value", value, "held", held, NULL);
+}
+
+/* The version in force stays in force if a newer one can't be used. */
+static void note_manifest(struct control *c, const struct prl_error *err)
+{
+	const struct fleet_manifest *m = &c->objects.inventory.manifest;
+
+	if (err->code && err->code != PRL_E_STALE) {
+		metrics_add(&c->proxy.control_metrics, METRIC_MANIFESTS_REFUSED,
+			    1);
+		g_strlcpy(c->objects.manifest_problem, err->text,
+			  sizeof(c->objects.manifest_problem));
+		return;
+	}
+	if (err->code)
+		return;
+	metrics_set(&c->proxy.control_metrics, METRIC_MANIFEST_LEFT_OUT,
+		    (uint64_t)m->nleft_out);
+	g_strlcpy(c->objects.manifest_problem, m->left_out,
+		  sizeof(c->objects.manifest_problem));
+	check_limits(&m->limits);
+}
+
 static void apply_manifest(struct control *c, const struct spread_object *o)
 {
 	struct fleet_manifest m;
 	struct prl_error err = {0};
 	char version[LOG_NUMBER_MAX];
+	char left_out[LOG_NUMBER_MAX];
 	enum prl_code rc = platform_manifest_parse(o->value, &m, &err);
 
 	log_format_number(version, rc ? 0 : m.version);
+	log_format_number(left_out, rc ? 0 : m.nleft_out);
 	if (!rc)
 		rc = inventory_install_manifest(&c->objects.inventory, &m,
 						&err);
+	note_manifest(c, &err);
 	log_event(rc ? LOG_LEVEL_WARNING : LOG_LEVEL_AUDIT, "manifest",
-		  "version", version, "error", rc ? err.text : "", NULL);
+		  "version", version, "error", rc ? err.text : "", "left_out",
+		  left_out, "problem", c->objects.manifest_problem, NULL);
 }
 
 static void log_upstream(const struct fleet_upstream *u)
--- a/cmd/primroseleadd/objects.h
+++ b/cmd/primroseleadd/objects.h
@@ -14,6 +14,11 @@
 /** Objects of the platform, by kind. */
 struct objects {
 	struct inventory inventory;
+	/** Why the newest version of the manifest could not be used, or which
+	 * of its parts this VM goes without; empty if all is in force. */
+	char manifest_problem[FLEET_LEFT_OUT_MAX];
+	/** Upstreams and services that the last view goes without. */
+	int nupstream_left_out;
 };
 
 /** Initializes an inventory that knows the settings' failure domains. */
--- a/cmd/primroseleadd/reach.c
+++ b/cmd/primroseleadd/reach.c
@@ -19,7 +19,7 @@
 /* A service that this VM may not reach. */
 struct reach_service {
 	struct control *control;
-	char name[STEER_NAME_MAX];
+	char name[FLEET_SERVICE_MAX];
 	struct place_reach reach;
 	/** When the isolation began; 0 while it is only suspected. */
 	int64_t isolated_ms;
@@ -50,7 +50,7 @@
 	struct reach_service *s = p;
 
 	for (int i = 0; i < PROBES; i++)
-		check_cancel(&s->probe[i]);
+		check_finish(&s->probe[i]);
 	g_free(s);
 }
 
--- a/cmd/primroseleadd/shifts.c
+++ b/cmd/primroseleadd/shifts.c
@@ -37,7 +37,8 @@
 		return t;
 	t = g_new0(struct shift_tracker, 1);
 	t->control = c;
-	snprintf(t->service, sizeof(t->service), "%s", service);
+	/* Services of files, which alone have shifts, have short names. */
+	g_strlcpy(t->service, service, sizeof(t->service));
 	g_hash_table_insert(c->shifts.trackers, t->service, t);
 	return t;
 }
@@ -122,7 +123,7 @@
 	const struct spread_object *o;
 	char key[STORE_KEY_MAX];
 
-	snprintf(key, sizeof(key), STORE_PREFIX_SHIFT "%s", s->name);
+	snprintf(key, sizeof(key), STORE_PREFIX_SHIFT "%s", t->service);
 	o = spread_find(&c->sync.replica, key);
 	input.progress = config_progress_parse(o);
 	if (input.progress.share_permille != t->progress.share_permille ||
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -137,6 +137,19 @@
 			 (json_int_t)(confirmed_ms ? now - confirmed_ms : -1));
 }
 
+/* The manifest in force, and what of the newest one is not; null with service
+ * files as source. */
+static json_t *manifest(const struct control *c)
+{
+	const struct fleet_manifest *m = &c->objects.inventory.manifest;
+
+	if (!control_follows_manifest(c))
+		return json_null();
+	return json_pack("{s:I, s:i, s:s}", "version", (json_int_t)m->version,
+			 "left_out", m->nleft_out, "problem",
+			 c->objects.manifest_problem);
+}
+
 /* Requests under which upstreams have ended. */
 static json_t *quarantine(struct control *c)
 {
@@ -169,14 +182,14 @@
 			    : c->unconfirmed	? "unconfirmed"
 						: "live";
 	json_t *root = json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o, s:o}", "vm",
-		c->settings->vm.name, "state", state, "region",
+		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o, s:o, s:o}",
+		"vm", c->settings->vm.name, "state", state, "region",
 		c->settings->vm.region, "domain", c->settings->vm.domain,
 		"revision", (json_int_t)c->sync.replica.complete_revision,
 		"uptime_ms", (json_int_t)(now - c->started_ms), "store",
 		is_store_up(c) ? "up" : "not seen", "store_reading",
 		reading(c, now), "members", members(c), "services", services(c),
-		"quarantine", quarantine(c));
+		"quarantine", quarantine(c), "manifest", manifest(c));
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
--- a/config/include/primroselead/config.h
+++ b/config/include/primroselead/config.h
@@ -126,8 +126,7 @@
 	/** Indexes of failure domains by name, plus 1. */
 	GHashTable *domains;
 	struct config_index_table upstream_indexes;
-	/** Indexes of the semaphores of regions and links; for a manifest,
-	 * of the counters of its routes. */
+	/** Indexes of the semaphores of regions and links. */
 	struct config_index_table semaphore_indexes;
 	struct config_index_table service_indexes;
 	/** Reference-counted services by name; views share them. */
@@ -145,6 +144,9 @@
  * STEER_REGIONS_MAX regions are already known. */
 int config_region_index(struct config_builder *b, const char *name);
 
+/** Returns the index of a region, or -1 if it has none yet. */
+int config_region_find(const struct config_builder *b, const char *name);
+
 /** Returns the index of a failure domain and assigns one on first use. */
 int config_domain_index(struct config_builder *b, const char *name);
 
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -35,12 +35,21 @@
 	g_hash_table_destroy(b->vm_state);
 }
 
-int config_region_index(struct config_builder *b, const char *name)
+int config_region_find(const struct config_builder *b, const char *name)
 {
 	for (int i = 0; i < b->nregion; i++)
 		if (!strcmp(b->region[i], name))
 			return i;
-	if (b->nregion == STEER_REGIONS_MAX)
+	return -1;
+}
+
+int config_region_index(struct config_builder *b, const char *name)
+{
+	int i = config_region_find(b, name);
+
+	if (i >= 0)
+		return i;
+	if (b->nregion == STEER_REGIONS_MAX || strlen(name) >= STEER_NAME_MAX)
 		return -1;
 	snprintf(b->region[b->nregion], STEER_NAME_MAX, "%s", name);
 	return b->nregion++;
@@ -234,13 +243,16 @@
 	struct steer_service *s = &shared->service;
 	enum prl_code rc;
 
-	memcpy(s->name, file->service.name, sizeof(s->name));
+	strcpy(s->name, file->service.name);
 	s->deadline_ms = file->service.deadline;
 	s->lookup_ttl_ms = file->service.lookup_ttl;
 	s->warmup_ms = file->service.warmup;
 	s->retry_percent = (int)file->service.retry_budget;
 	s->lb_policy = (enum steer_lb_policy)file->service.choice;
 	s->stats_index = config_index_get(&b->service_indexes, s->name, "");
+	if (s->stats_index < 0)
+		return prl_error_set(err, PRL_E_LIMIT, "more than %d services",
+				     CONFIG_INDEXES_MAX);
 	rc = fill_regions(b, file, s, err);
 	if (!rc)
 		rc = fill_links(b, file, shared, err);
--- a/config/src/index_table.c
+++ b/config/src/index_table.c
@@ -47,22 +47,20 @@
 int config_index_get(struct config_index_table *t, const char *service,
 		     const char *name)
 {
-	char key[PRL_NAME_MAX * 3 + 4];
-	struct index_entry *e;
-	int index;
+	char *key = g_strdup_printf("%s %s", service, name);
+	struct index_entry *e = g_hash_table_lookup(t->by_name, key);
+	int index = e ? e->index : allocate_index(t);
 
-	snprintf(key, sizeof(key), "%s %s", service, name);
-	e = g_hash_table_lookup(t->by_name, key);
-	if (!e) {
-		index = allocate_index(t);
-		if (index < 0)
-			return -1;
+	if (!e && index >= 0) {
 		e = g_new0(struct index_entry, 1);
 		e->index = index;
-		g_hash_table_insert(t->by_name, g_strdup(key), e);
+		g_hash_table_insert(t->by_name, key, e);
+		key = NULL;
 	}
-	e->round = t->round;
-	return e->index;
+	g_free(key);
+	if (e)
+		e->round = t->round;
+	return index;
 }
 
 void config_index_round_begin(struct config_index_table *t)
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -130,8 +130,10 @@
 	u->limit_milli = from->limit_milli;
 	u->stats_index = config_index_get(&build->builder->upstream_indexes,
 					  entry->service, start);
-	if (u->region < 0 || u->stats_index < 0)
+	if (u->region < 0 || u->stats_index < 0) {
+		build->view->nleft_out++;
 		return -1;
+	}
 	set_paced_rates(build, u, service);
 	return 0;
 }
@@ -172,23 +174,29 @@
 	if (!shared)
 		return;
 	s = &shared->service;
-	memcpy(s->name, service->name, sizeof(s->name));
+	strcpy(s->name, service->name);
 	s->shift.from = STEER_NONE;
 	s->shift.to = STEER_NONE;
 	s->stats_index =
 		config_index_get(&build->builder->service_indexes, s->name, "");
+	if (s->stats_index < 0) {
+		build->view->nleft_out++;
+		config_service_release(s);
+		return;
+	}
 	fill_upstreams(build, service, shared);
 	build->view->service[build->view->nservice++] = s;
 }
 
+/* Regions without an index have no VM and no upstream. */
 static uint32_t home_region_mask(const struct view_build *build,
 				 const struct fleet_route *from)
 {
 	uint32_t mask = 0;
 
 	for (int i = 0; i < from->nallowed_region; i++) {
-		int region = config_region_index(build->builder,
-						 from->allowed_region[i]);
+		int region = config_region_find(build->builder,
+						from->allowed_region[i]);
 
 		if (region >= 0)
 			mask |= (uint32_t)1 << region;
@@ -196,21 +204,35 @@
 	return mask;
 }
 
+static const struct fleet_split *copy_split(const struct view_build *build,
+					    const struct fleet_route *from)
+{
+	struct fleet_split *split = config_view_alloc(
+		build->view, sizeof(*split) * (size_t)from->nsplit);
+
+	for (int i = 0; i < from->nsplit; i++) {
+		split[i].weight_milli = from->split[i].weight_milli;
+		split[i].service = config_view_copy_text(
+			build->view, from->split[i].service);
+	}
+	return split;
+}
+
 static void add_route(const struct view_build *build,
 		      const struct fleet_route *from)
 {
 	struct steer_route *r = &build->view->route[build->view->nroute++];
 
-	memcpy(r->host, from->host, sizeof(r->host));
-	memcpy(r->prefix, from->prefix, sizeof(r->prefix));
+	r->id = prl_hash_string(from->name);
+	r->host = config_view_copy_text(build->view, from->host);
+	r->prefix = config_view_copy_text(build->view, from->prefix);
 	r->policy = from->policy;
 	if (r->policy.attempts_max < 1)
 		r->policy.attempts_max = 1;
 	r->region_mask = home_region_mask(build, from);
-	memcpy(r->split, from->split, sizeof(r->split));
+	r->is_homeless = from->nallowed_region && !r->region_mask;
+	r->split = copy_split(build, from);
 	r->nsplit = from->nsplit;
-	r->stats_index = config_index_get(&build->builder->semaphore_indexes,
-					  "route", from->name);
 }
 
 /* Orders routes by host, which steer_find_route searches for, then by length of
@@ -244,9 +266,11 @@
 	v->limits = m->limits;
 	v->service = g_new0(struct steer_service *, (gsize)m->nservice + 1);
 	config_index_round_begin(&b->upstream_indexes);
+	config_index_round_begin(&b->service_indexes);
 	for (int i = 0; i < m->nservice; i++)
 		add_service(&build, &m->service[i]);
 	config_index_round_end(&b->upstream_indexes, now);
+	config_index_round_end(&b->service_indexes, now);
 	config_view_sort_services(v);
 	v->route = g_new0(struct steer_route, (gsize)m->nroute + 1);
 	for (int i = 0; i < m->nroute; i++)
--- a/config/src/shared_service.h
+++ b/config/src/shared_service.h
@@ -34,6 +34,10 @@
 				   const struct steer_vm *vm, int nvm,
 				   uint64_t self, int64_t revision);
 
+/** Copies a text, or allocates zeroed memory, for as long as the view lasts. */
+char *config_view_copy_text(struct steer_view *v, const char *text);
+void *config_view_alloc(struct steer_view *v, size_t size);
+
 /** Sorts a view's services by name. */
 void config_view_sort_services(struct steer_view *v);
 
--- a/config/src/view.c
+++ b/config/src/view.c
@@ -4,12 +4,34 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Block in which a view's texts are allocated, in bytes. */
+#define TEXTS_BLOCK_BYTES 1024
+
 /* A view and its reference count; threads share it. */
 struct shared_view {
 	struct steer_view view;
 	_Atomic int refcount;
+	/* Texts and tables of the routes. */
+	GStringChunk *texts;
+	GPtrArray *tables;
 };
 
+char *config_view_copy_text(struct steer_view *v, const char *text)
+{
+	struct shared_view *shared = (struct shared_view *)(void *)v;
+
+	return g_string_chunk_insert(shared->texts, text);
+}
+
+void *config_view_alloc(struct steer_view *v, size_t size)
+{
+	struct shared_view *shared = (struct shared_view *)(void *)v;
+	void *p = g_malloc0(size);
+
+	g_ptr_array_add(shared->tables, p);
+	return p;
+}
+
 void config_view_release(struct steer_view *v)
 {
 	struct shared_view *shared = (struct shared_view *)(void *)v;
@@ -21,6 +43,8 @@
 	g_free(v->service);
 	g_free(v->route);
 	g_free(v->vm);
+	g_string_chunk_free(shared->texts);
+	g_ptr_array_free(shared->tables, TRUE);
 	g_free(shared);
 }
 
@@ -97,6 +121,8 @@
 	struct steer_view *v = &shared->view;
 
 	atomic_init(&shared->refcount, 1);
+	shared->texts = g_string_chunk_new(TEXTS_BLOCK_BYTES);
+	shared->tables = g_ptr_array_new_with_free_func(g_free);
 	v->revision = revision;
 	v->nregion = b->nregion;
 	memcpy(v->region, b->region, sizeof(v->region));
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -16,17 +16,11 @@
 /** Size of a name, including the terminating null byte. */
 #define FLEET_NAME_MAX 64
 
-/** Size of a host name, including the terminating null byte. */
-#define FLEET_HOST_MAX 128
+/** Size of a service's name, including the terminating null byte. */
+#define FLEET_SERVICE_MAX 256
 
-/** Size of a path or path prefix, including the terminating null byte. */
-#define FLEET_PATH_MAX 256
-
-/** Maximum number of services that share one route. */
-#define FLEET_SPLITS_MAX 8
-
-/** Maximum number of home regions of a route. */
-#define FLEET_ALLOWED_REGIONS_MAX 16
+/** Size of the text about a part of a manifest that is left out. */
+#define FLEET_LEFT_OUT_MAX 160
 
 /** Whether a request may be retried after it may have run. */
 enum fleet_request_kind {
@@ -40,9 +34,10 @@
 
 /** One service's share of a route's traffic. */
 struct fleet_split {
-	char service[FLEET_NAME_MAX];
-	/** Share relative to the weights of the route's other services. */
-	int weight;
+	char *service;
+	/** Share relative to the weights of the route's other services, in
+	 * thousandths. */
+	int64_t weight_milli;
 };
 
 /** Policy for the requests of a route. */
@@ -61,23 +56,27 @@
 	int sticky;
 };
 
-/** A route: the requests for one host whose path begins with a prefix. */
+/** A route: the requests for one host whose path begins with a prefix. All
+ * texts and tables are allocated with malloc. */
 struct fleet_route {
-	char name[FLEET_NAME_MAX];
-	char host[FLEET_HOST_MAX];
-	char prefix[FLEET_PATH_MAX];
+	char *name;
+	char *host;
+	char *prefix;
 	struct fleet_policy policy;
 	/** Regions whose upstreams may serve the route; none means all. */
-	char allowed_region[FLEET_ALLOWED_REGIONS_MAX][FLEET_NAME_MAX];
+	char **allowed_region;
 	int nallowed_region;
-	struct fleet_split split[FLEET_SPLITS_MAX];
+	struct fleet_split *split;
 	int nsplit;
 };
 
 /** A service of the manifest. */
 struct fleet_service {
-	char name[FLEET_NAME_MAX];
-	char health_path[FLEET_PATH_MAX];
+	/** Shorter than FLEET_SERVICE_MAX; allocated with malloc, as the path.
+	 */
+	char *name;
+	/** Null if not given. */
+	char *health_path;
 	/** Maximum number of connections that one upstream accepts from all VMs
 	 * together; 0 if not given. */
 	int connections_max;
@@ -104,6 +103,10 @@
 	struct fleet_service *service;
 	int nservice;
 	struct fleet_limits limits;
+	/** Number of parts that this VM can't hold and so goes without, and
+	 * what the first one is. */
+	int nleft_out;
+	char left_out[FLEET_LEFT_OUT_MAX];
 };
 
 void fleet_manifest_finish(struct fleet_manifest *m);
@@ -112,12 +115,15 @@
 const struct fleet_service *fleet_find_service(const struct fleet_manifest *m,
 					       const char *name);
 
+/** Whether a service names a path for health checks that can be used. */
+int fleet_has_health_path(const struct fleet_service *s);
+
 /** An upstream's own entry in the store. */
 struct fleet_upstream {
 	/** Identifies one start of the upstream in most cases; a restart may
 	 * keep the instance name and change only "started_ms". */
 	char instance[FLEET_NAME_MAX];
-	char service[FLEET_NAME_MAX];
+	char service[FLEET_SERVICE_MAX];
 	char domain[FLEET_NAME_MAX];
 	/** Version of the upstream's software. */
 	char version[FLEET_NAME_MAX];
--- a/fleet/src/manifest.c
+++ b/fleet/src/manifest.c
@@ -2,13 +2,37 @@
 #include <stdlib.h>
 #include <string.h>
 
+static void finish_route(struct fleet_route *r)
+{
+	free(r->name);
+	free(r->host);
+	free(r->prefix);
+	for (int i = 0; i < r->nallowed_region; i++)
+		free(r->allowed_region[i]);
+	free(r->allowed_region);
+	for (int i = 0; i < r->nsplit; i++)
+		free(r->split[i].service);
+	free(r->split);
+}
+
 void fleet_manifest_finish(struct fleet_manifest *m)
 {
+	for (int i = 0; i < m->nroute; i++)
+		finish_route(&m->route[i]);
+	for (int i = 0; i < m->nservice; i++) {
+		free(m->service[i].name);
+		free(m->service[i].health_path);
+	}
 	free(m->route);
 	free(m->service);
 	memset(m, 0, sizeof(*m));
 }
 
+int fleet_has_health_path(const struct fleet_service *s)
+{
+	return s->health_path && s->health_path[0] == '/';
+}
+
 const struct fleet_service *fleet_find_service(const struct fleet_manifest *m,
 					       const char *name)
 {
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -66,6 +66,12 @@
 	 */
 	METRIC_CONFIG_OLDER,
 	METRIC_CONFIG_PULLS,
+	/** Versions of the manifest that could not be used, and parts of the
+	 * one in force that this VM goes without: services, and upstreams and
+	 * services without an index. */
+	METRIC_MANIFESTS_REFUSED,
+	METRIC_MANIFEST_LEFT_OUT,
+	METRIC_UPSTREAMS_LEFT_OUT,
 	METRIC_TOKENS_BORROWED,
 	METRIC_LOG_LINES_LOST,
 	METRIC_COUNT,
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -41,6 +41,9 @@
 	"config_installed",
 	"config_older",
 	"config_pulls",
+	"manifests_refused",
+	"manifest_left_out",
+	"upstreams_left_out",
 	"tokens_borrowed",
 	"log_lines_lost"};
 
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -23,6 +23,10 @@
  * that accepted it. The steer, place and limit packages make the decisions.
  */
 
+/** Size of the longest head of a request that a caller's connection is sure to
+ * hold if it has the usual number of fields, in bytes. */
+#define PROXY_REQUEST_HEAD_MAX_BYTES (16 << 10)
+
 /** Path prefix of the pages that this VM serves itself instead of proxying. */
 #define PROXY_LOCAL_PATH_PREFIX "/-/"
 
@@ -123,12 +127,12 @@
 		/** PROXY_NEWS_CLOSED: end of that time. */
 		int64_t closed_until_ms;
 		struct {
-			char service[STEER_NAME_MAX];
+			char service[FLEET_SERVICE_MAX];
 			/** When an upstream last answered; 0 if never. */
 			int64_t answered_ms;
 		} isolated;
 		struct {
-			char service[STEER_NAME_MAX];
+			char service[FLEET_SERVICE_MAX];
 			char address[PRL_ADDRESS_MAX];
 			/** The request, as in struct quarantine_entry. */
 			struct prl_hash128 digest;
@@ -179,6 +183,13 @@
 struct proxy_request;
 struct proxy_sockets;
 
+/** State of the routes' traffic splits; empty when zeroed. */
+struct proxy_splits {
+	/** By id of the route; null as long as there is none. */
+	GHashTable *by_route;
+	int64_t manifest_version;
+};
+
 /** Most handles that an easy_pool keeps. */
 #define EASY_POOL_MAX 64
 
@@ -236,7 +247,7 @@
 	struct loop_timer link_timer;
 	/** Placement statistics of this thread, by stats_index of the upstream;
 	 * those shared by all threads are in struct proxy. This and the next
-	 * four tables are for routed requests, and null unless the VM follows
+	 * three tables are for routed requests, and null unless the VM follows
 	 * the manifest. */
 	struct place_upstream_stats *placement_stats;
 	/** Keep-alive timeout that the upstream announced, in s, by its
@@ -246,9 +257,7 @@
 	struct proxy_named_limit *named_limit;
 	/** Placement state of this thread, by stats_index of the service. */
 	struct place_service_state *placement_state;
-	/** Credit of each service of a route's traffic split, by stats_index of
-	 * the route. */
-	int64_t (*split_credit)[FLEET_SPLITS_MAX];
+	struct proxy_splits splits;
 	/** Open connections to upstreams. */
 	struct proxy_sockets *sockets;
 	struct easy_pool easy_pool;
--- a/proxy/src/head.c
+++ b/proxy/src/head.c
@@ -3,9 +3,9 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-_Static_assert(HEAD_CONNECTION_BYTES >= 4 * HEAD_REQUEST_MAX_BYTES,
+_Static_assert(HEAD_CONNECTION_BYTES >= 4 * PROXY_REQUEST_HEAD_MAX_BYTES,
 	       "a connection holds two heads and their records");
-_Static_assert(HEAD_PAGE_CONNECTION_BYTES >= 4 * HEAD_REQUEST_MAX_BYTES,
+_Static_assert(HEAD_PAGE_CONNECTION_BYTES >= 4 * PROXY_REQUEST_HEAD_MAX_BYTES,
 	       "a connection holds two heads and their records");
 
 /* The listener's record of one header field, cookie or part of the query, in
--- a/proxy/src/head.h
+++ b/proxy/src/head.h
@@ -15,10 +15,6 @@
 /** Memory of a connection to a listener of this VM's own pages, in bytes. */
 #define HEAD_PAGE_CONNECTION_BYTES (64 << 10)
 
-/** Size of the longest head of a request that fits into either if it has the
- * usual number of fields, in bytes. */
-#define HEAD_REQUEST_MAX_BYTES (16 << 10)
-
 /** Sets "answer_room" of a request whose head has been read, and
  * "request_head_bytes". */
 void head_measure(struct proxy_request *r);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -113,7 +113,7 @@
 	struct fleet_policy policy;
 	/** Bit mask of the regions that may serve it; 0 means all. */
 	uint32_t region_mask;
-	char service_name[STEER_NAME_MAX];
+	char service_name[FLEET_SERVICE_MAX];
 	struct fleet_request_meta request_meta;
 	struct fleet_response_meta response_meta;
 	enum verdict verdict;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -2,6 +2,7 @@
 #include "head.h"
 #include "placing.h"
 #include "relay.h"
+#include "splits.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdlib.h>
@@ -30,34 +31,23 @@
 	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
 
-/* Routes match the path without the query. */
 static const struct steer_route *find_route(const struct proxy_request *r)
 {
 	const char *host = request_header(r, MHD_HTTP_HEADER_HOST);
-	size_t len = strcspn(r->target, "?");
-	char path[FLEET_PATH_MAX];
-
-	if (!host)
-		return NULL;
-	/* No route prefix is longer than the buffer, so truncation does not
-	 * change the match. */
-	if (len >= sizeof(path))
-		len = sizeof(path) - 1;
-	memcpy(path, r->target, len);
-	path[len] = 0;
-	return steer_find_route(r->view, host, path);
+
+	return host ? steer_find_route(r->view, host, r->target) : NULL;
 }
 
 static int choose_service(struct proxy_request *r,
 			  const struct steer_route *route)
 {
 	int i = steer_next_split(route,
-				 r->thread->split_credit[route->stats_index]);
+				 splits_credit(&r->thread->splits, route));
 
-	if (i == STEER_NONE)
+	if (i == STEER_NONE ||
+	    strlen(route->split[i].service) >= sizeof(r->service_name))
 		return -1;
-	memcpy(r->service_name, route->split[i].service,
-	       sizeof(r->service_name));
+	strcpy(r->service_name, route->split[i].service);
 	return 0;
 }
 
@@ -105,6 +95,10 @@
 			     "the body is too large");
 		return 0;
 	}
+	if (route->is_homeless) {
+		reject(r, "none of the route's home regions is known");
+		return 0;
+	}
 	if (choose_service(r, route)) {
 		reject(r, "the route leads to no service");
 		return 0;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -4,6 +4,7 @@
 #include "local.h"
 #include "request.h"
 #include "sockets.h"
+#include "splits.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <stdlib.h>
@@ -285,6 +286,7 @@
 		if (t->view)
 			config_view_release(t->view);
 		t->view = m->u.view;
+		splits_forget(&t->splits, t->view);
 		break;
 	case PROXY_MESSAGE_BOUNDS:
 		t->bounds = m->u.bounds;
@@ -406,9 +408,8 @@
 	t->named_limit = calloc(CONFIG_INDEXES_MAX, sizeof(*t->named_limit));
 	t->placement_state =
 		calloc(CONFIG_INDEXES_MAX, sizeof(*t->placement_state));
-	t->split_credit = calloc(CONFIG_INDEXES_MAX, sizeof(*t->split_credit));
 	if (!t->placement_stats || !t->keep_alive_s || !t->named_limit ||
-	    !t->placement_state || !t->split_credit)
+	    !t->placement_state)
 		return prl_error_set(
 			err, PRL_E_MEMORY,
 			"tables of a traffic thread: out of memory");
@@ -512,5 +513,5 @@
 	free(t->keep_alive_s);
 	free(t->named_limit);
 	free(t->placement_state);
-	free(t->split_credit);
+	splits_finish(&t->splits);
 }
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -179,7 +179,7 @@
 
 /** Configuration of one service. */
 struct steer_service {
-	char name[STEER_NAME_MAX];
+	char name[FLEET_SERVICE_MAX];
 	/** Time that a request may take if its caller gives no deadline. */
 	int64_t deadline_ms;
 	/** Time for which a caller may use the answer to a look-up. */
@@ -206,16 +206,19 @@
 
 /** A route of the operators' manifest. */
 struct steer_route {
-	char host[FLEET_HOST_MAX];
-	char prefix[FLEET_PATH_MAX];
+	/** Hash of the route's name. */
+	uint64_t id;
+	/** Texts and split are the view's. */
+	const char *host;
+	const char *prefix;
 	struct fleet_policy policy;
 	/** Bit mask of the regions that may serve it; 0 means all. */
 	uint32_t region_mask;
+	/** It has home regions, and no VM or upstream is in any of them. */
+	int is_homeless;
 	/** Services among which its requests are split by weight. */
-	struct fleet_split split[FLEET_SPLITS_MAX];
+	const struct fleet_split *split;
 	int nsplit;
-	/** Index of its statistics in this process. */
-	int stats_index;
 };
 
 /** Snapshot of the configuration and the VM list on which all decisions are
@@ -248,6 +251,9 @@
 	struct steer_route *route;
 	int nroute;
 	struct fleet_limits limits;
+	/** Services and upstreams of the manifest for which there is no index.
+	 */
+	int nleft_out;
 	/** Number of active entry VMs, this one included. */
 	int nactive;
 	/** Index of this VM, or STEER_NONE if it is not listed. */
@@ -442,8 +448,7 @@
 /** Returns the index of the split of a route that gets the next request, by
  * smooth weighted round robin, or STEER_NONE if no split has a weight. "credit"
  * is the state between calls, all zero at first. */
-int steer_next_split(const struct steer_route *r,
-		     int64_t credit[FLEET_SPLITS_MAX]);
+int steer_next_split(const struct steer_route *r, int64_t *credit);
 
 /** Progress of a shift as kept in the store. */
 struct steer_shift_progress {
--- a/steer/src/route.c
+++ b/steer/src/route.c
@@ -32,13 +32,15 @@
 					   const char *host, const char *path)
 {
 	size_t len = strcspn(host, ":");
+	size_t path_len = strcspn(path, "?");
 
 	for (int i = first_route_of_host(v, host, len); i < v->nroute; i++) {
 		const struct steer_route *r = &v->route[i];
 
 		if (compare_host(host, len, r->host))
 			return NULL;
-		if (!strncmp(path, r->prefix, strlen(r->prefix)))
+		if (strlen(r->prefix) <= path_len &&
+		    !strncmp(path, r->prefix, strlen(r->prefix)))
 			return r;
 	}
 	return NULL;
--- a/steer/src/split.c
+++ b/steer/src/split.c
@@ -1,16 +1,15 @@
 #include <primroselead/steer.h>
 
-int steer_next_split(const struct steer_route *r,
-		     int64_t credit[FLEET_SPLITS_MAX])
+int steer_next_split(const struct steer_route *r, int64_t *credit)
 {
 	int64_t total = 0;
 	int best = STEER_NONE;
 
 	for (int i = 0; i < r->nsplit; i++) {
-		if (r->split[i].weight <= 0)
+		if (r->split[i].weight_milli <= 0)
 			continue;
-		credit[i] += r->split[i].weight;
-		total += r->split[i].weight;
+		credit[i] += r->split[i].weight_milli;
+		total += r->split[i].weight_milli;
 		if (best == STEER_NONE || credit[i] > credit[best])
 			best = i;
 	}
--- a/system/http.c
+++ b/system/http.c
@@ -51,7 +51,7 @@
 static struct curl_slist *build_headers(const struct http_request *req)
 {
 	struct curl_slist *h = curl_slist_append(NULL, "Expect:");
-	char line[300];
+	char line[8192];
 
 	if (req->host) {
 		snprintf(line, sizeof(line), "Host: %s", req->host);
--- a/system/routes.c
+++ b/system/routes.c
@@ -91,7 +91,7 @@
 		      const char *state, int cold_ms, int sequence)
 {
 	char key[80];
-	char text[400];
+	char text[2048];
 
 	snprintf(key, sizeof(key), "servers/%s", instance);
 	snprintf(text, sizeof(text),
