Bytes without end: others no longer wait for them

What callers saw: beside 24 responses whose head, or a chunk's extension, never ends, other callers of that VM waited 1.1 s to 1.8 s (target 500 ms).

Cause: header lines were appended by walking the list (8 million steps for a head of 64 KB); libcurl drops chunk extensions without a callback, 100 buffers in a row for each transfer; one-byte chunks cost a callback each. Ruled out: memory (VmHWM, reset before each case), the upstream's ejection (others have a service of their own in the test).

Why this works: appending takes constant time; of a chunked response the raw bytes are counted and the transfer ends at 64 KB and eight times the body; after 64 pieces a transfer waits for the others. Store pages: 8 MB instead of 64.

--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -46,7 +46,7 @@
 static void read_response(struct check *k)
 {
 	k->status = k->answer.head.status;
-	for (struct curl_slist *f = k->answer.field; f; f = f->next)
+	for (struct curl_slist *f = k->answer.fields.first; f; f = f->next)
 		platform_response_meta_parse_header(f->data, &k->response);
 }
 
--- a/loop/include/primroselead/receiver.h
+++ b/loop/include/primroselead/receiver.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSELEAD_RECEIVER_H
 #define PRIMROSELEAD_RECEIVER_H
 
+#include <primroselead/header_list.h>
 #include <primroselead/response_head.h>
 
 /*
@@ -13,7 +14,7 @@
 struct receiver {
 	struct response_head head;
 	/** Fields of the head, "name: value" without the line end. */
-	struct curl_slist *field;
+	struct header_list fields;
 	/** Body, which a null byte follows; null if it is empty. */
 	char *body;
 	size_t body_len;
--- a/loop/src/receiver.c
+++ b/loop/src/receiver.c
@@ -13,22 +13,13 @@
 	r->max_bytes = max_bytes;
 }
 
-static void drop_fields(struct receiver *r)
-{
-	curl_slist_free_all(r->field);
-	r->field = NULL;
-}
-
 static int add_field(struct receiver *r, const char *data, size_t len)
 {
 	char *line = g_strchomp(g_strndup(data, len));
-	struct curl_slist *more = curl_slist_append(r->field, line);
+	int rc = header_list_append(&r->fields, line);
 
 	g_free(line);
-	if (!more)
-		return -1;
-	r->field = more;
-	return 0;
+	return rc;
 }
 
 /* Returns 0, or -1 to abort the transfer. */
@@ -36,7 +27,7 @@
 {
 	switch (response_head_read(&r->head, data, len)) {
 	case RESPONSE_STATUS_LINE:
-		drop_fields(r);
+		header_list_finish(&r->fields);
 		return 0;
 	case RESPONSE_FIELD:
 		return add_field(r, data, len);
@@ -114,7 +105,7 @@
 
 void receiver_finish(struct receiver *r)
 {
-	drop_fields(r);
+	header_list_finish(&r->fields);
 	free(r->body);
 	receiver_init(r, r->max_bytes);
 }
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -11,8 +11,7 @@
 {
 	struct proxy_thread *t = r->thread;
 
-	curl_slist_free_all(r->request_headers);
-	r->request_headers = NULL;
+	header_list_finish(&r->request_headers);
 	r->transfer_active = 0;
 	easy_pool_put(&t->easy_pool, r->fetch.easy);
 	/* The handle may soon be another request's. */
--- a/proxy/src/head.c
+++ b/proxy/src/head.c
@@ -93,7 +93,7 @@
 
 int head_fits_response(const struct proxy_request *r)
 {
-	const struct curl_slist *h = r->response_headers;
+	const struct curl_slist *h = r->response_headers.first;
 	size_t bytes = RESPONSE_OWN_BYTES;
 
 	for (; h; h = h->next)
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -128,10 +128,10 @@
 
 	snprintf(line, sizeof(line), HEADER_RELAYED_BY ": %s",
 		 r->thread->proxy->settings->vm.name);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 	snprintf(line, sizeof(line), HEADER_ATTEMPTS ": %d",
 		 r->policy.attempts_max - r->attempts_sent);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 }
 
 void relay_add_out_of_reach(struct proxy_request *r)
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -96,7 +96,7 @@
 	request_release(r);
 	if (r->service)
 		count_outcome(r);
-	curl_slist_free_all(r->response_headers);
+	header_list_finish(&r->response_headers);
 	suspects_release(r);
 	identity_finish(&r->identity);
 	body_finish(&r->request_body);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -5,6 +5,7 @@
 #include "identity.h"
 #include "suspects.h"
 #include "verdict.h"
+#include <primroselead/header_list.h>
 #include <primroselead/proxy.h>
 #include <primroselead/response_head.h>
 
@@ -200,6 +201,10 @@
 	 * current attempt. */
 	size_t head_bytes;
 	size_t received_bytes;
+	/** Bytes of the response's body with its framing, if it comes in
+	 * chunks, and pieces of it since others had their turn. */
+	uint64_t framed_bytes;
+	int pieces;
 	/** This VM ended the transfer, since a body that is not passed on was
 	 * too long. */
 	int discard_ended;
@@ -211,13 +216,13 @@
 	int upload_paused;
 	int download_paused;
 	/** Headers sent to the upstream. */
-	struct curl_slist *request_headers;
+	struct header_list request_headers;
 	/** HTTP status: of the upstream's response, or of the error response
 	 * if the request failed. */
 	int status;
 	/** Content-Length of the response; -1 if there is none. */
 	int64_t response_length;
-	struct curl_slist *response_headers;
+	struct header_list response_headers;
 	/** How far the response of the current attempt has come. */
 	struct response_head head;
 	/** Requests that the current attempt's connection has carried, this one
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -187,8 +187,8 @@
 
 static void copy_headers(struct proxy_request *r)
 {
-	const char *connection = find_connection(r->response_headers);
-	const struct curl_slist *h = r->response_headers;
+	const char *connection = find_connection(r->response_headers.first);
+	const struct curl_slist *h = r->response_headers.first;
 
 	for (; h; h = h->next) {
 		char *colon = strchr(h->data, ':');
--- a/proxy/src/service.c
+++ b/proxy/src/service.c
@@ -23,10 +23,10 @@
 
 	snprintf(line, sizeof(line), "Request-Deadline: %" PRId64,
 		 prl_wall_ms() + remaining_ms);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 	snprintf(line, sizeof(line), SERVICE_ATTEMPT_HEADER ": %s",
 		 r->attempt_id);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 }
 
 /* A connection that does not tell responses apart carries one at-most-once
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -43,6 +43,13 @@
  */
 #define UNSIZED_BODY_MAX_BYTES (64 << 20)
 
+/* Pieces of a body taken in a row; then other transfers get their turn. */
+#define PIECES_MAX 64
+
+/* Bytes of a chunked body's framing: so many, and so many times the body. */
+#define FRAMING_MAX_BYTES (64 << 10)
+#define FRAMING_MAX_TIMES 8
+
 static void charge_link(struct proxy_request *r, size_t bytes)
 {
 	if (r->link != STEER_NONE)
@@ -211,6 +218,12 @@
 		r->download_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
 	}
+	if (++r->pieces > PIECES_MAX) {
+		r->pieces = 0;
+		link_pause_transfer(r);
+		r->download_paused = 1;
+		return CURL_WRITEFUNC_PAUSE;
+	}
 	if (body_writable(&r->response_body) < len) {
 		/* A response larger than the buffer is passed on while it is
 		 * received. */
@@ -237,7 +250,50 @@
 		platform_response_meta_parse_header(line, &r->response_meta);
 	else
 		service_parse_header(r, line);
-	r->response_headers = curl_slist_append(r->response_headers, line);
+	header_list_append(&r->response_headers, line);
+}
+
+/* Counts what comes of a body before libcurl takes its framing off. */
+static int on_debug(CURL *easy, curl_infotype type, char *data, size_t n,
+		    void *ctx)
+{
+	struct proxy_request *r = ctx;
+
+	(void)easy;
+	(void)data;
+	if (type == CURLINFO_DATA_IN)
+		r->framed_bytes += n;
+	return 0;
+}
+
+/* Ends a transfer of which more than the framing of a body comes. */
+static int on_progress(void *ctx, curl_off_t total, curl_off_t body,
+		       curl_off_t upload_total, curl_off_t upload)
+{
+	const struct proxy_request *r = ctx;
+
+	(void)total;
+	(void)upload_total;
+	(void)upload;
+	return r->framed_bytes >
+	       FRAMING_MAX_BYTES + (uint64_t)body * FRAMING_MAX_TIMES;
+}
+
+/* The sizes, extensions and ends of chunks reach no callback of libcurl but the
+ * one for its log. */
+static void watch_framing(struct proxy_request *r)
+{
+	CURL *easy = r->fetch.easy;
+
+	r->framed_bytes = 0;
+	if (r->head.framing != RESPONSE_CHUNKED)
+		return;
+	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
+	curl_easy_setopt(easy, CURLOPT_DEBUGDATA, r);
+	curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, r);
+	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
 }
 
 /* Classifies the response by its complete head. Returns 0, or -1 if it is not
@@ -271,6 +327,7 @@
 
 	r->status = status;
 	r->response_length = r->head.length;
+	watch_framing(r);
 	if (r->routed)
 		return judge_head(r);
 	if (service_check_response(r))
@@ -287,8 +344,7 @@
 /* Discards what an earlier head of the same attempt has left. */
 static void begin_head(struct proxy_request *r)
 {
-	curl_slist_free_all(r->response_headers);
-	r->response_headers = NULL;
+	header_list_finish(&r->response_headers);
 	r->outcome_statements = 0;
 	r->upstream_refused = 0;
 	r->naming = NAMING_NONE;
@@ -370,7 +426,7 @@
 		line = g_strdup_printf("%s: %s", key, value);
 	else
 		line = g_strdup_printf("%s;", key);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 	g_free(line);
 	return MHD_YES;
 }
@@ -384,14 +440,14 @@
 		return;
 	}
 	platform_deadline_header_format(line, sizeof(line), remaining_ms);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 	if (r->hop == HOP_PEER) {
 		relay_add_headers(r);
 		return;
 	}
 	platform_instance_header_format(line, sizeof(line),
 					r->upstream->instance);
-	r->request_headers = curl_slist_append(r->request_headers, line);
+	header_list_append(&r->request_headers, line);
 }
 
 static void set_headers(struct proxy_request *r)
@@ -405,11 +461,11 @@
 	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, copy_header, &copy);
 	add_proxy_headers(r, remaining_ms > 0 ? remaining_ms : 1);
 	/* Keep libcurl from adding headers of its own. */
-	r->request_headers = curl_slist_append(r->request_headers, "Expect:");
+	header_list_append(&r->request_headers, "Expect:");
 	if (!request_header(r, "Accept"))
-		r->request_headers =
-			curl_slist_append(r->request_headers, "Accept:");
-	curl_easy_setopt(r->fetch.easy, CURLOPT_HTTPHEADER, r->request_headers);
+		header_list_append(&r->request_headers, "Accept:");
+	curl_easy_setopt(r->fetch.easy, CURLOPT_HTTPHEADER,
+			 r->request_headers.first);
 }
 
 static void set_body(struct proxy_request *r)
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -26,6 +26,12 @@
  * endless-early informational responses until the connection closes
  * endless-body  a body without a length until the connection closes
  * endless-shed  the same in a rejection with X-Not-Executed
+ * endless-chunks   a body of small chunks
+ * endless-ext      an extension of a chunk's size
+ * endless-size     digits of a chunk's size
+ * endless-trailer  trailer fields after the last chunk
+ * endless-length   a body of a length that it never reaches
+ * endless-extra    bytes after a complete response
  * health        reports the remaining cold time, which /admin/cold/MS sets
  * bytes-N       a response with faults drawn from the number N (faulty.h)
  * smuggled      valid; counted, since no test sends it as a request of its own
@@ -190,6 +196,27 @@
 	return 0;
 }
 
+/* A response whose body or framing is repeated without end. */
+struct endless_body {
+	const char *name;
+	const char *headers;
+	const char *begin;
+	const char *text;
+};
+
+#define CHUNKED_HEADERS STAMP_HEADER "Transfer-Encoding: chunked\r\n"
+
+static const struct endless_body endless_bodies[] = {
+	{"chunks", CHUNKED_HEADERS, "", "1\r\nx\r\n"},
+	{"ext", CHUNKED_HEADERS, "5;", "more=and-more;"},
+	{"size", CHUNKED_HEADERS, "", "0000000000"},
+	{"trailer", CHUNKED_HEADERS, "5\r\nhello\r\n0\r\n",
+	 "More: and more\r\n"},
+	{"length", STAMP_HEADER "Content-Length: 100000000000000000\r\n", "",
+	 "and more "},
+	{"extra", COMPLETE_HEADERS, "hello world\n", "and more "},
+};
+
 static int respond_endlessly(const struct connection *conn)
 {
 	const char *what = conn->mode + strlen("endless-");
@@ -203,6 +230,14 @@
 		send_text(conn, "HTTP/1.1 200 OK\r\n");
 		return repeat(conn, "More: and more\r\n");
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_bodies); i++) {
+		const struct endless_body *b = &endless_bodies[i];
+
+		if (strcmp(what, b->name) != 0)
+			continue;
+		respond(conn, "200 OK", conn->request_id, b->headers, b->begin);
+		return repeat(conn, b->text);
+	}
 	if (!strcmp(what, "shed"))
 		respond(conn, "503 Full", conn->request_id,
 			"X-Not-Executed: 1\r\n", "");
--- a/store/src/store.c
+++ b/store/src/store.c
@@ -8,7 +8,7 @@
 
 /* Maximum size in bytes of one response, its head included; a list may have
  * many objects. */
-#define RESPONSE_MAX (64 << 20)
+#define RESPONSE_MAX (8 << 20)
 
 /* Time in ms without a TCP acknowledgement after which a connection is closed.
  */
@@ -166,7 +166,7 @@
 /* An era counts once the whole response has come. */
 static void read_era(struct store_call *c)
 {
-	for (struct curl_slist *f = c->answer.field; f; f = f->next)
+	for (struct curl_slist *f = c->answer.fields.first; f; f = f->next)
 		platform_store_era_parse_header(f->data, &c->era);
 	store_note_era(c->store, c->era);
 }
