Uploads: one owner of what becomes of a body whose answer is decided

Cause: five places decided from different fields whether to suspend, discard or close, and the answer waited for the end of the body, since libmicrohttpd takes one only then. Evidence: with a line for each piece of a body: the state changes within receive_body(), and the connection is suspended after it. Ruled out: the upstreams, the quarantine's verdict.

Why this works: proxy/src/upload.c owns the state (open, discarded, answered), asks before and after each piece whether the answer is decided, and suspends in the first state only. The answer is written to the connection 0.3 s after it is decided, at once at a stop, and the rest of the body is read until the deadline, so that no unread bytes reset the connection.

Failed try: an answer of over 64 KB was cut at a stop while it was only sent when whole; it is streamed to the connection now.

--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -230,6 +230,9 @@
 	 * not find the request that reuses it. */
 	uint32_t *generation;
 	int max_requests;
+	/** The listeners are about to be closed: no connection may be suspended
+	 * any more. */
+	int is_stopping;
 	/** Connections of callers that are kept open after a response. */
 	int kept_max;
 	/** Index at which the search for a free entry begins. */
--- a/proxy/src/ending.c
+++ b/proxy/src/ending.c
@@ -1,5 +1,6 @@
 /* Requests of a VM that was told to stop. */
 #include "attempt.h"
+#include "upload.h"
 #include "upstream.h"
 
 /* Retry-After from a VM that is about to end, in ms; short because other VMs
@@ -21,8 +22,10 @@
 		return;
 	switch (r->state) {
 	case REQUEST_NEW:
+		return;
 	case REQUEST_RESPONDING:
 	case REQUEST_FAILED:
+		upload_answer_now(r);
 		return;
 	case REQUEST_WAITING:
 	case REQUEST_CLAIMING:
@@ -33,4 +36,5 @@
 	request_dequeue(r);
 	request_release(r);
 	request_fail_routed(r, "this VM ended before the answer");
+	upload_answer_now(r);
 }
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -65,7 +65,7 @@
 
 void request_suspend(struct proxy_request *r)
 {
-	if (r->suspended)
+	if (r->suspended || r->thread->is_stopping)
 		return;
 	r->suspended = 1;
 	MHD_suspend_connection(r->conn);
@@ -98,6 +98,8 @@
 		count_outcome(r);
 	header_list_finish(&r->response_headers);
 	suspects_release(r);
+	if (r->answer)
+		g_string_free(r->answer, TRUE);
 	identity_finish(&r->identity);
 	body_finish(&r->request_body);
 	body_finish(&r->response_body);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -64,6 +64,22 @@
 	PEER_RAN,
 };
 
+/**
+ * The body of a request, from its first byte to the answer. While it is open it
+ * goes to the upstream, and its connection may be suspended until there is
+ * room. Once the answer is decided, nobody reads it any more: it is discarded,
+ * and the connection is never suspended. libmicrohttpd takes a response only
+ * when the body has ended; if that takes long, the answer is sent on the
+ * connection itself, which is closed after the body.
+ */
+enum upload_state {
+	UPLOAD_OPEN,
+	/** The answer is decided and not sent. */
+	UPLOAD_DISCARDED,
+	/** The answer is being sent, or was, while the body still came. */
+	UPLOAD_ANSWERED,
+};
+
 /** One caller's request. Points in time ending in _ms are on the clock of
  * prl_now_ms, those ending in _us on that of prl_now_us. */
 struct proxy_request {
@@ -247,10 +263,16 @@
 	int responded;
 	/** The listener does not read from or write to the connection. */
 	int suspended;
-	/** The rest of a refused request's body is read and discarded until
-	 * this time; and the bytes discarded so far. */
+	enum upload_state upload;
+	/** When an answer that is decided is sent although the body has not
+	 * ended; until when the body is discarded then, and the bytes discarded
+	 * so far. */
+	int64_t answer_at_ms;
 	int64_t discard_until_ms;
 	size_t discarded_bytes;
+	/** What is left of an answer that is sent on the connection itself;
+	 * null before. */
+	GString *answer;
 	/** Close the connection when the listener next calls the handler: the
 	 * caller disconnected while suspended, or the thread stops. */
 	int abort_connection;
@@ -306,6 +328,10 @@
 void request_fail(struct proxy_request *r, unsigned int status,
 		  const char *cause);
 
+/** Formats the whole answer of a failed request, or the head of the upstream's
+ * response, as the bytes of an HTTP response. Returns null if out of memory. */
+GString *request_format_answer(struct proxy_request *r);
+
 /** Queues the error response of a failed request. */
 enum MHD_Result request_send_error(struct proxy_request *r);
 
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -14,9 +14,8 @@
 /* Block size in which the listener reads the response body, in bytes. */
 #define RESPONSE_BLOCK_BYTES 8192
 
-/* Time for which the rest of a refused request's body is read and discarded, in
- * ms. */
-#define DISCARD_MAX_MS 3000
+/* Size of the body of an error response with its end. */
+#define ERROR_TEXT_MAX 256
 
 static const char *outcome_name(enum request_outcome outcome)
 {
@@ -37,7 +36,6 @@
 	r->state = REQUEST_FAILED;
 	r->status = (int)status;
 	r->cause = cause;
-	r->discard_until_ms = prl_now_ms() + DISCARD_MAX_MS;
 	request_resume(r);
 }
 
@@ -95,20 +93,28 @@
 	MHD_add_response_header(r->mhd_response, "Retry-After", seconds);
 }
 
-enum MHD_Result request_send_error(struct proxy_request *r)
+/* Formats the body of the error response. Returns its length. */
+static size_t format_error(const struct proxy_request *r, char *text,
+			   size_t size)
 {
-	char text[256];
+	return (size_t)snprintf(text, size,
+				"{\"outcome\":\"%s\",\"cause\":\"%s\"}\n",
+				outcome_name(r->outcome), r->cause);
+}
+
+/* Returns 0, or -1 if out of memory. */
+static int build_error(struct proxy_request *r)
+{
+	char text[ERROR_TEXT_MAX];
 	char first_status[16];
-	int n = snprintf(text, sizeof(text),
-			 "{\"outcome\":\"%s\",\"cause\":\"%s\"}\n",
-			 outcome_name(r->outcome), r->cause);
+	size_t n = format_error(r, text, sizeof(text));
 
 	if (!r->service)
 		metrics_add(&r->thread->metrics, METRIC_REQUESTS_BAD, 1);
-	r->mhd_response = MHD_create_response_from_buffer(
-		(size_t)n, text, MHD_RESPMEM_MUST_COPY);
+	r->mhd_response =
+		MHD_create_response_from_buffer(n, text, MHD_RESPMEM_MUST_COPY);
 	if (!r->mhd_response)
-		return lose_response(r, "out of memory for the response");
+		return -1;
 	MHD_add_response_header(r->mhd_response, "Content-Type",
 				"application/json");
 	if (r->routed && r->request_meta.id[0])
@@ -125,6 +131,13 @@
 		MHD_add_response_header(r->mhd_response, "First-Status",
 					first_status);
 	}
+	return 0;
+}
+
+enum MHD_Result request_send_error(struct proxy_request *r)
+{
+	if (build_error(r))
+		return lose_response(r, "out of memory for the response");
 	return queue_response(r);
 }
 
@@ -157,7 +170,8 @@
 		return (ssize_t)n;
 	if (r->response_body_ended && !r->response_body_failed)
 		return MHD_CONTENT_READER_END_OF_STREAM;
-	if (r->response_body_failed || r->abort_connection) {
+	if (r->response_body_failed || r->abort_connection ||
+	    r->thread->is_stopping) {
 		if (r->is_http_1_0)
 			reset_connection(r);
 		return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -220,14 +234,11 @@
 	return request_send_error(r);
 }
 
-enum MHD_Result request_send_response(struct proxy_request *r)
+static int build_response(struct proxy_request *r)
 {
 	uint64_t length = r->response_length < 0 ? MHD_SIZE_UNKNOWN
 						 : (uint64_t)r->response_length;
 
-	if (!head_fits_response(r))
-		return refuse_response(r);
-
 	/* A complete body is sent from the buffer. A response to HEAD takes
 	 * the other branch: it states the length of a body that is not sent. */
 	if (strcmp(r->method, "HEAD") && r->response_body_ended &&
@@ -241,7 +252,53 @@
 			length, RESPONSE_BLOCK_BYTES, read_response_body, r,
 			NULL);
 	if (!r->mhd_response)
-		return lose_response(r, "out of memory for the response");
+		return -1;
 	copy_headers(r);
+	return 0;
+}
+
+enum MHD_Result request_send_response(struct proxy_request *r)
+{
+	if (!head_fits_response(r))
+		return refuse_response(r);
+	if (build_response(r))
+		return lose_response(r, "out of memory for the response");
 	return queue_response(r);
 }
+
+static enum MHD_Result format_header(void *ctx, enum MHD_ValueKind kind,
+				     const char *name, const char *value)
+{
+	GString *text = ctx;
+
+	(void)kind;
+	if (strcasecmp(name, "Connection") != 0)
+		g_string_append_printf(text, "%s: %s\r\n", name, value);
+	return MHD_YES;
+}
+
+GString *request_format_answer(struct proxy_request *r)
+{
+	char error[ERROR_TEXT_MAX] = "";
+	uint64_t len;
+	GString *text;
+
+	if (r->state == REQUEST_FAILED ? build_error(r) : build_response(r))
+		return NULL;
+	if (r->state == REQUEST_FAILED)
+		len = format_error(r, error, sizeof(error));
+	else
+		len = r->response_body_ended ? r->response_body.len
+					     : (uint64_t)r->response_length;
+	add_common_headers(r);
+	text = g_string_new(NULL);
+	g_string_append_printf(
+		text, "HTTP/1.1 %d %s\r\n", r->status,
+		MHD_get_reason_phrase_for((unsigned int)r->status));
+	MHD_get_response_headers(r->mhd_response, format_header, text);
+	g_string_append_printf(text,
+			       "Content-Length: %llu\r\n"
+			       "Connection: close\r\n\r\n",
+			       (unsigned long long)len);
+	return g_string_append(text, error);
+}
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -5,81 +5,25 @@
 #include "request.h"
 #include "sockets.h"
 #include "splits.h"
+#include "upload.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-/* Bytes of a refused request's body that are read and discarded. Closing the
- * connection with unread data would reset it, and the caller could lose the
- * response. */
-#define DISCARD_MAX_BYTES (32 << 20)
-
 /* Parts of a query that this VM's own pages read at most. */
 #define PAGE_ARGUMENTS_MAX 32
 
 /* File descriptors reserved for files, the store and the other VMs. */
 #define DESCRIPTORS_RESERVED 400
 
-/* Interval between checks for disconnected callers, in milliseconds. */
+/* Interval between checks for disconnected callers and late uploads, in ms. */
 #define SWEEP_MS 100
 
 /* Its address marks a request for one of this VM's own pages. */
 static char local_request;
 
-/* Sets "len" to the number of bytes not consumed. */
-static enum MHD_Result receive_body(struct proxy_request *r, const char *data,
-				    size_t *len)
-{
-	size_t n;
-
-	if (r->state == REQUEST_FAILED || r->response_body_ended) {
-		identity_add_body(r, data, *len);
-		suspects_body_came(r);
-		r->discarded_bytes += *len;
-		*len = 0;
-		if (r->discarded_bytes > DISCARD_MAX_BYTES ||
-		    (r->discard_until_ms && prl_now_ms() > r->discard_until_ms))
-			return MHD_NO;
-		return MHD_YES;
-	}
-	n = body_write(&r->request_body, data, *len);
-	identity_add_body(r, data, n);
-	suspects_body_came(r);
-	*len -= n;
-	if (n && r->upload_paused && !r->link_paused) {
-		r->upload_paused = 0;
-		fetch_unpause(&r->thread->fetch_pool, &r->fetch);
-	}
-	if (*len)
-		request_suspend(r);
-	return MHD_YES;
-}
-
-/* Called when the request body is complete and again after each resume. */
-static enum MHD_Result continue_request(struct proxy_request *r)
-{
-	if (!r->request_body_ended) {
-		r->request_body_ended = 1;
-		suspects_body_came(r);
-		if (r->upload_paused && !r->link_paused) {
-			r->upload_paused = 0;
-			fetch_unpause(&r->thread->fetch_pool, &r->fetch);
-		}
-	}
-	if (r->abort_connection)
-		return MHD_NO;
-	if (r->responded)
-		return MHD_YES;
-	if (r->state == REQUEST_FAILED)
-		return request_send_error(r);
-	if (r->state == REQUEST_RESPONDING)
-		return request_send_response(r);
-	request_suspend(r);
-	return MHD_YES;
-}
-
 /* In a fleet that follows the manifest, all paths are proxied here; this VM's
  * own pages are on the auxiliary listeners. */
 static void *on_target(void *ctx, const char *target,
@@ -174,8 +118,8 @@
 	if (!r->headers_read)
 		return dispatch(r, url, method, version);
 	if (*len)
-		return receive_body(r, data, len);
-	return continue_request(r);
+		return upload_receive(r, data, len);
+	return upload_end(r);
 }
 
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
@@ -211,14 +155,17 @@
 	request_free(r);
 }
 
-static void abort_disconnected(struct loop_timer *timer, int64_t now)
+static void sweep_requests(struct loop_timer *timer, int64_t now)
 {
 	struct proxy_thread *t = timer->ctx;
 
 	for (int i = 0; i < t->max_requests; i++) {
 		struct proxy_request *r = t->request[i];
 
-		if (!r || !r->suspended || r->abort_connection || r->responded)
+		if (!r)
+			continue;
+		upload_tick(r, now);
+		if (!r->suspended || r->abort_connection || r->responded)
 			continue;
 		if (!is_caller_disconnected(r))
 			continue;
@@ -266,6 +213,7 @@
  * while some are suspended; they are closed in the same loop iteration. */
 static void abort_connections(struct proxy_thread *t)
 {
+	t->is_stopping = 1;
 	for (int i = 0; i < t->max_requests; i++) {
 		struct proxy_request *r = t->request[i];
 
@@ -467,7 +415,7 @@
 	t->wait_timer.ctx = t;
 	t->link_timer.on_expiry = link_resume_transfers;
 	t->link_timer.ctx = t;
-	t->sweep_timer.on_expiry = abort_disconnected;
+	t->sweep_timer.on_expiry = sweep_requests;
 	t->sweep_timer.ctx = t;
 	if (alloc_request_table(t, err) || loop_init(&t->loop, err) ||
 	    fetch_pool_init(&t->fetch_pool, &t->loop, err) ||
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -12,6 +12,7 @@
  * shed          rejects the request with X-Not-Executed
  * bare          503 without X-Not-Executed
  * early         responds before it reads the body
+ * early-N       the same with a body of N bytes, and reads on 1 s later
  * encoded       a body with Content-Encoding
  * slow          responds after 1 s
  * after-MS      responds after MS
@@ -473,6 +474,25 @@
 	return r.end == FAULTY_KEEP;
 }
 
+/* Rejects an upload with a body of the length that the path names, and reads
+ * nothing for a while. */
+static void send_early(const struct connection *conn)
+{
+	int left = atoi(conn->mode + strlen("early-"));
+	char length[80];
+	char block[1024];
+
+	snprintf(length, sizeof(length), STAMP_HEADER "Content-Length: %d\r\n",
+		 left);
+	respond(conn, "413 Too Long", conn->request_id, length, "");
+	memset(block, 'x', sizeof(block));
+	for (; left > 0; left -= (int)sizeof(block))
+		request_send(conn->fd, block,
+			     left < (int)sizeof(block) ? (size_t)left
+						       : sizeof(block));
+	sleep(1);
+}
+
 /* Serves one request. Returns 1 to keep the connection, 0 to close it. */
 static int serve_request(struct connection *conn)
 {
@@ -511,6 +531,10 @@
 			COMPLETE_HEADERS, "hello world\n");
 		return !request_discard_body(conn);
 	}
+	if (!strncmp(conn->mode, "early-", 6)) {
+		send_early(conn);
+		return !request_discard_body(conn);
+	}
 	return !request_discard_body(conn) && respond_by_mode(conn);
 }
 
--- a/system/test_quarantine.c
+++ b/system/test_quarantine.c
@@ -114,6 +114,23 @@
 	expect_served(&q);
 }
 
+/* A request is refused as the piece of its body arrives that tells it apart,
+ * and more of the body than is buffered follows. */
+static void test_refused_upload_gets_no_answer(void **state)
+{
+	static char body[700001];
+	struct returning_request q = {.method = "POST",
+				      .path = "/safe/large",
+				      .body = body,
+				      .header = "Authorization: a"};
+
+	(void)state;
+	memset(body, 'x', sizeof(body) - 1);
+	convict(&q, 2);
+	expect_rejected(1, &q);
+	expect_rejected(2, &q);
+}
+
 struct copies {
 	struct returning_request request;
 	_Atomic int stopped;
@@ -284,6 +301,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_other_request_is_rejected),
+		cmocka_unit_test(test_refused_upload_gets_no_answer),
 		cmocka_unit_test(test_copies_at_the_same_time_reach_more),
 		cmocka_unit_test(test_innocent_request_is_rejected),
 		cmocka_unit_test(test_paused_vm_sends_more),
