--- a/proxy/src/head.c
+++ b/proxy/src/head.c
@@ -12,7 +12,7 @@
  * bytes: seven words, in libmicrohttpd's alignment of two words. */
 #define RECORD_BYTES (8 * sizeof(void *))
 
-/* What the listener adds to the head of a response: status line, date,
+/* Lines of a response's head that the listener adds: status line, date,
  * connection, framing and outcome, in bytes. */
 #define RESPONSE_OWN_BYTES 512
 
@@ -31,7 +31,7 @@
  * two line ends. */
 #define LINE_MIN_BYTES (2 + sizeof("HTTP/1.1") - 1 + 4)
 
-/* What the listener keeps of a request's head. */
+/* Memory that the listener takes for a request's head. */
 struct head_size {
 	size_t bytes;
 	size_t records;
--- a/proxy/src/link.c
+++ b/proxy/src/link.c
@@ -38,6 +38,14 @@
 				     link_rate(p, link), prl_now_us());
 }
 
+void link_charge(struct proxy_request *r, size_t bytes)
+{
+	if (r->link != STEER_NONE)
+		limit_bandwidth_charge(
+			&r->thread->proxy->link_bandwidth[r->link],
+			(int64_t)bytes);
+}
+
 void link_pause_transfer(struct proxy_request *r)
 {
 	struct proxy_thread *t = r->thread;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -390,6 +390,9 @@
 /** Whether a new request may use a link now. Always 1 for STEER_NONE. */
 int link_admits(struct proxy *p, int link);
 
+/** Counts bytes that a transfer has sent or received against its link. */
+void link_charge(struct proxy_request *r, size_t bytes);
+
 /** Marks the request's transfer as paused until its link is ready. */
 void link_pause_transfer(struct proxy_request *r);
 
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -49,8 +49,10 @@
  * that it leaves. For MS after /admin/closed/MS requests are rejected, with the
  * time left.
  */
+#include "odd.h"
 #include "answer.h"
 #include "away.h"
+#include "endless.h"
 #include "faulty.h"
 #include "request.h"
 #include "runs.h"
@@ -114,8 +116,8 @@
 		snprintf(lines + n, size - n, "Server-Leaving: 1\r\n");
 }
 
-static void respond(const struct connection *conn, const char *status,
-		    const char *id, const char *headers, const char *body)
+void odd_respond(const struct connection *conn, const char *status,
+		 const char *id, const char *headers, const char *body)
 {
 	char text[1024];
 	char state[64];
@@ -128,9 +130,6 @@
 	send_text(conn, text);
 }
 
-#define STAMP_HEADER "X-Server-Stamp: 1.2.3\r\n"
-#define COMPLETE_HEADERS STAMP_HEADER "Content-Length: 12\r\n"
-
 static int send_long_response(const struct connection *conn)
 {
 	int stalls = !strcmp(conn->mode, "stalled");
@@ -139,7 +138,7 @@
 
 	snprintf(length, sizeof(length), STAMP_HEADER "Content-Length: %d\r\n",
 		 LONG_BYTES);
-	respond(conn, "200 OK", conn->request_id, length, "");
+	odd_respond(conn, "200 OK", conn->request_id, length, "");
 	memset(block, 'x', sizeof(block) - 1);
 	block[sizeof(block) - 1] = 0;
 	for (int sent = 0; sent < LONG_BYTES; sent += (int)sizeof(block) - 1) {
@@ -163,7 +162,7 @@
 
 	snprintf(headers, sizeof(headers),
 		 STAMP_HEADER "Content-Length: %d\r\n", n);
-	respond(conn, "200 OK", conn->request_id, headers, body);
+	odd_respond(conn, "200 OK", conn->request_id, headers, body);
 	return 1;
 }
 
@@ -191,60 +190,10 @@
 	return 1;
 }
 
-static int repeat(const struct connection *conn, const char *text)
-{
-	endless_bytes += request_repeat(conn, text);
-	return 0;
-}
-
-/* A response whose body or framing is repeated without end. */
-struct endless_body {
-	const char *name;
-	const char *headers;
-	const char *begin;
-	const char *text;
-};
-
-#define CHUNKED_HEADERS STAMP_HEADER "Transfer-Encoding: chunked\r\n"
-
-static const struct endless_body endless_bodies[] = {
-	{"chunks", CHUNKED_HEADERS, "", "1\r\nx\r\n"},
-	{"ext", CHUNKED_HEADERS, "5;", "more=and-more;"},
-	{"size", CHUNKED_HEADERS, "", "0000000000"},
-	{"trailer", CHUNKED_HEADERS, "5\r\nhello\r\n0\r\n",
-	 "More: and more\r\n"},
-	{"length", STAMP_HEADER "Content-Length: 100000000000000000\r\n", "",
-	 "and more "},
-	{"extra", COMPLETE_HEADERS, "hello world\n", "and more "},
-};
-
 static int respond_endlessly(const struct connection *conn)
 {
-	const char *what = conn->mode + strlen("endless-");
-
-	if (!strcmp(what, "line"))
-		return repeat(conn, "no answer ");
-	if (!strcmp(what, "early"))
-		return repeat(conn, "HTTP/1.1 103 Early Hints\r\n"
-				    "Link: a\r\n\r\n");
-	if (!strcmp(what, "head")) {
-		send_text(conn, "HTTP/1.1 200 OK\r\n");
-		return repeat(conn, "More: and more\r\n");
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(endless_bodies); i++) {
-		const struct endless_body *b = &endless_bodies[i];
-
-		if (strcmp(what, b->name) != 0)
-			continue;
-		respond(conn, "200 OK", conn->request_id, b->headers, b->begin);
-		return repeat(conn, b->text);
-	}
-	if (!strcmp(what, "shed"))
-		respond(conn, "503 Full", conn->request_id,
-			"X-Not-Executed: 1\r\n", "");
-	else
-		respond(conn, "200 OK", conn->request_id, STAMP_HEADER, "");
-	return repeat(conn, "and more ");
+	endless_bytes += endless_respond(conn);
+	return 0;
 }
 
 /* The pause lets the other side read what was sent. */
@@ -269,24 +218,24 @@
 static int respond_by_mode(struct connection *conn)
 {
 	if (!strcmp(conn->mode, "cut")) {
-		respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
-			"hello");
+		odd_respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
+			    "hello");
 		return 0;
 	}
 	if (!strcmp(conn->mode, "unframed")) {
-		respond(conn, "200 OK", conn->request_id, STAMP_HEADER,
-			"hello world\n");
+		odd_respond(conn, "200 OK", conn->request_id, STAMP_HEADER,
+			    "hello world\n");
 		return 0;
 	}
 	if (!strcmp(conn->mode, "unframed-cut")) {
-		respond(conn, "200 OK", conn->request_id, STAMP_HEADER,
-			"hello");
+		odd_respond(conn, "200 OK", conn->request_id, STAMP_HEADER,
+			    "hello");
 		reset_when_closed(conn->fd, 50);
 		return 0;
 	}
 	if (!strcmp(conn->mode, "other")) {
-		respond(conn, "200 OK", "of-another", COMPLETE_HEADERS,
-			"hello world\n");
+		odd_respond(conn, "200 OK", "of-another", COMPLETE_HEADERS,
+			    "hello world\n");
 		return 1;
 	}
 	if (!strcmp(conn->mode, "garbage")) {
@@ -300,14 +249,14 @@
 		return 0;
 	}
 	if (!strcmp(conn->mode, "bare")) {
-		respond(conn, "503 Busy", conn->request_id, COMPLETE_HEADERS,
-			"hello world\n");
+		odd_respond(conn, "503 Busy", conn->request_id,
+			    COMPLETE_HEADERS, "hello world\n");
 		return 1;
 	}
 	if (!strcmp(conn->mode, "encoded")) {
-		respond(conn, "200 OK", conn->request_id,
-			COMPLETE_HEADERS "Content-Encoding: gzip\r\n",
-			"hello world\n");
+		odd_respond(conn, "200 OK", conn->request_id,
+			    COMPLETE_HEADERS "Content-Encoding: gzip\r\n",
+			    "hello world\n");
 		return 1;
 	}
 	if (!strcmp(conn->mode, "echo"))
@@ -321,11 +270,11 @@
 	if (!strcmp(conn->mode, "slow"))
 		sleep(1);
 	sleep_as_named(conn, "after-");
-	respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
-		"hello world\n");
+	odd_respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
+		    "hello world\n");
 	if (!strcmp(conn->mode, "extra"))
-		respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
-			"HELLO WORLD\n");
+		odd_respond(conn, "200 OK", conn->request_id, COMPLETE_HEADERS,
+			    "HELLO WORLD\n");
 	return 1;
 }
 
@@ -409,7 +358,7 @@
 		 "X-Not-Executed: 1\r\nRetry-After: %lld.%03lld\r\n"
 		 "Content-Length: 0\r\n",
 		 left / 1000, left % 1000);
-	respond(conn, "503 Closed", conn->request_id, headers, "");
+	odd_respond(conn, "503 Closed", conn->request_id, headers, "");
 	return !request_discard_body(conn);
 }
 
@@ -484,7 +433,7 @@
 
 	snprintf(length, sizeof(length), STAMP_HEADER "Content-Length: %d\r\n",
 		 left);
-	respond(conn, "413 Too Long", conn->request_id, length, "");
+	odd_respond(conn, "413 Too Long", conn->request_id, length, "");
 	memset(block, 'x', sizeof(block));
 	for (; left > 0; left -= (int)sizeof(block))
 		request_send(conn->fd, block,
@@ -503,8 +452,8 @@
 	if (conn->expected_instance[0] &&
 	    strcmp(conn->expected_instance, instance)) {
 		misdirected++;
-		respond(conn, "421 Misdirected", conn->request_id,
-			"Content-Length: 0\r\n", "");
+		odd_respond(conn, "421 Misdirected", conn->request_id,
+			    "Content-Length: 0\r\n", "");
 		return !request_discard_body(conn);
 	}
 	if (prl_now_ms() < closed_until_ms)
@@ -512,8 +461,8 @@
 	if (!strcmp(conn->mode, "shed") || !strncmp(conn->mode, "shed-", 5)) {
 		refused++;
 		sleep_as_named(conn, "shed-");
-		respond(conn, "503 Full", conn->request_id,
-			"X-Not-Executed: 1\r\nContent-Length: 0\r\n", "");
+		odd_respond(conn, "503 Full", conn->request_id,
+			    "X-Not-Executed: 1\r\nContent-Length: 0\r\n", "");
 		return !request_discard_body(conn);
 	}
 	if (!strcmp(conn->mode, "health"))
@@ -527,8 +476,8 @@
 	if (conn->crash_after_ms[0])
 		crash(conn);
 	if (!strcmp(conn->mode, "early")) {
-		respond(conn, "413 Too Long", conn->request_id,
-			COMPLETE_HEADERS, "hello world\n");
+		odd_respond(conn, "413 Too Long", conn->request_id,
+			    COMPLETE_HEADERS, "hello world\n");
 		return !request_discard_body(conn);
 	}
 	if (!strncmp(conn->mode, "early-", 6)) {
--- a/system/test_endless_many.c
+++ b/system/test_endless_many.c
@@ -32,7 +32,7 @@
 /* Port on which a VM takes requests of other VMs. */
 #define RELAY_PORT(n) (PORT_BASE + 100 + (n))
 
-/* One caller, and what it got. */
+/* A caller, and the answer that it got. */
 struct endless_call {
 	pthread_t thread;
 	int port;
--- a/system/test_heads.c
+++ b/system/test_heads.c
@@ -27,7 +27,7 @@
 /* Port on which a VM takes requests of other VMs. */
 #define RELAY_PORT(n) (PORT_BASE + 100 + (n))
 
-/* What fills a head up to its size. */
+/* Parts that fill a head up to its size. */
 enum filling {
 	FILL_LONG_FIELDS,
 	FILL_SHORT_FIELDS,
