--- a/system/test_endless_many.c
+++ b/system/test_endless_many.c
@@ -16,6 +16,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* The memory and the speed of a build with a sanitizer are not the product's:
+ * the targets are checked in the release build, which system/endless.sh runs.
+ */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define HAS_SANITIZER 1
+#else
+#define HAS_SANITIZER 0
+#endif
+
 /* Requests with such responses at once. */
 #define COPIES 24
 
@@ -183,9 +192,11 @@
 		      nfailed, (long long)slowest_ms);
 	for (int i = 0; i < COPIES; i++)
 		assert_in_range(calls[i].ms, 0, 2 * TIMEOUT_MS);
-	assert_true(peak_kb() - before <= MEMORY_MAX_KB);
 	assert_int_equal(nfailed, 0);
 	assert_true(ninnocent > 0);
+	if (HAS_SANITIZER)
+		return;
+	assert_true(peak_kb() - before <= MEMORY_MAX_KB);
 	assert_in_range(slowest_ms, 0, LATENCY_MAX_MS);
 }
 
