--- a/cmd/primroseleadd/check.c
+++ b/cmd/primroseleadd/check.c
@@ -100,17 +100,22 @@
 		curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 }
 
-void check_set_path(struct check *k, const char *service)
+void check_use_path_of(struct check *k, const struct fleet_service *config)
 {
-	const struct fleet_service *config = fleet_find_service(
-		&k->control->objects.inventory.manifest, service);
-
 	g_free(k->path);
 	k->path = config && fleet_has_health_path(config)
 			  ? g_strdup(config->health_path)
 			  : NULL;
 }
 
+void check_set_path(struct check *k, const char *service)
+{
+	const struct fleet_service *config = fleet_find_service(
+		&k->control->objects.inventory.manifest, service);
+
+	check_use_path_of(k, config);
+}
+
 enum prl_code check_start(struct check *k, struct prl_error *err)
 {
 	CURL *easy = curl_easy_init();
--- a/cmd/primroseleadd/check.h
+++ b/cmd/primroseleadd/check.h
@@ -45,6 +45,10 @@
  */
 void check_set_path(struct check *k, const char *service);
 
+/** As check_set_path, for a service that has been found already; null stands
+ * for none. */
+void check_use_path_of(struct check *k, const struct fleet_service *config);
+
 /** Starts the check. Returns PRL_OK, PRL_E_IO or PRL_E_MEMORY; after an error
  * "done" is not called. */
 enum prl_code check_start(struct check *k, struct prl_error *err);
--- a/cmd/primroseleadd/health.c
+++ b/cmd/primroseleadd/health.c
@@ -165,7 +165,7 @@
 }
 
 static void set_check(struct control *c, const struct steer_upstream *u,
-		      const char *service)
+		      const struct fleet_service *config)
 {
 	struct health_check *h = g_hash_table_lookup(c->health.checks, &u->id);
 
@@ -174,7 +174,7 @@
 		g_hash_table_insert(c->health.checks, &h->check.upstream_id, h);
 	}
 	memcpy(h->check.address, u->address, sizeof(h->check.address));
-	check_set_path(&h->check, service);
+	check_use_path_of(&h->check, config);
 	h->interval_ms = check_interval_ms(u, prl_now_ms());
 	h->next_check_ms = MAX(h->next_check_ms, u->closed_until_ms);
 	h->in_view = 1;
@@ -189,7 +189,7 @@
 		return;
 	for (int i = 0; i < s->nupstream; i++)
 		if (s->upstream[i].is_health_checker)
-			set_check(c, &s->upstream[i], s->name);
+			set_check(c, &s->upstream[i], config);
 }
 
 void health_set_view(struct control *c, const struct steer_view *v)
--- a/proxy/src/download.c
+++ b/proxy/src/download.c
@@ -75,12 +75,8 @@
 		r->received_bytes += len;
 		return len;
 	}
-	if (!link_ready(r->thread->proxy, r->link)) {
-		link_pause_transfer(r);
-		r->download_paused = 1;
-		return CURL_WRITEFUNC_PAUSE;
-	}
-	if (++r->pieces > PIECES_MAX) {
+	if (!link_ready(r->thread->proxy, r->link) ||
+	    ++r->pieces > PIECES_MAX) {
 		r->pieces = 0;
 		link_pause_transfer(r);
 		r->download_paused = 1;
--- a/proxy/src/upload.c
+++ b/proxy/src/upload.c
@@ -51,11 +51,12 @@
 
 static void begin_discarding(struct proxy_request *r)
 {
-	int64_t now = prl_now_ms();
 	int64_t until = r->deadline_ms + DISCARD_AFTER_DEADLINE_MS;
+	int64_t now;
 
 	if (r->upload != UPLOAD_OPEN || !is_decided(r))
 		return;
+	now = prl_now_ms();
 	r->upload = UPLOAD_DISCARDED;
 	r->answer_at_ms = now + END_WAIT_MS;
 	r->discard_until_ms =
