--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEAD_FLEET_H
 
 #include <primroselead/address.h>
+#include <primroselead/hash.h>
 #include <stdint.h>
 
 /*
@@ -19,6 +20,9 @@
 /** Size of a service's name, including the terminating null byte. */
 #define FLEET_SERVICE_MAX 256
 
+/** Size of a workspace's name, including the terminating null byte. */
+#define FLEET_WORKSPACE_MAX 256
+
 /** Size of the text about a part of a manifest that is left out. */
 #define FLEET_LEFT_OUT_MAX 160
 
@@ -68,6 +72,27 @@
 	int nallowed_region;
 	struct fleet_split *split;
 	int nsplit;
+	/** Requests need no key although the manifest has workspaces. */
+	int is_public;
+};
+
+/** A workspace: callers that are told by their keys, and their policy. All
+ * texts and tables are allocated with malloc. */
+struct fleet_workspace {
+	/** Shorter than FLEET_WORKSPACE_MAX. */
+	char *name;
+	/** Digests of its keys; the keys themselves are not kept. */
+	struct prl_hash128 *key;
+	int nkey;
+	/** Takes precedence over the route's; -1 if not given. */
+	int priority;
+	/** Regions whose upstreams may serve it; none means all. */
+	char **allowed_region;
+	int nallowed_region;
+	/** Quota for all VMs together: requests per second and burst, in
+	 * thousandths of a request; a rate of 0 means no limit. */
+	int64_t rate_milli;
+	int64_t burst_milli;
 };
 
 /** A service of the manifest. */
@@ -102,6 +127,10 @@
 	int nroute;
 	struct fleet_service *service;
 	int nservice;
+	/** Requests need a key, but on public routes. */
+	int has_workspaces;
+	struct fleet_workspace *workspace;
+	int nworkspace;
 	struct fleet_limits limits;
 	/** Number of parts that this VM can't hold and so goes without, and
 	 * what the first one is. */
@@ -184,6 +213,9 @@
 	int running;
 	int waiting;
 	int slots;
+	/** How long work takes on the upstream's VM now, in percent of the
+	 * usual; -1 if not given. */
+	int slowness_percent;
 	/** Idle time after which the upstream closes the connection, in s; 0 if
 	 * not given. */
 	int keep_alive_s;
@@ -219,6 +251,12 @@
 	/** Maximum share of a region's requests whose serving region may change
 	 * within 2 s, in permille. */
 	int64_t move_max_permille;
+	/** Window over which the quota of a workspace is counted, in ms, the
+	 * part by which it may be exceeded, in permille, and a constant number
+	 * of requests beyond that. */
+	int64_t quota_window_ms;
+	int64_t quota_overage_permille;
+	int64_t quota_slack;
 	/** Maximum lifetime of a look-up response, in s. */
 	int64_t lookup_ttl_max_s;
 	/** Time from the stop signal until the process is killed, in
--- a/fleet/src/manifest.c
+++ b/fleet/src/manifest.c
@@ -15,6 +15,15 @@
 	free(r->split);
 }
 
+static void finish_workspace(struct fleet_workspace *w)
+{
+	free(w->name);
+	free(w->key);
+	for (int i = 0; i < w->nallowed_region; i++)
+		free(w->allowed_region[i]);
+	free(w->allowed_region);
+}
+
 void fleet_manifest_finish(struct fleet_manifest *m)
 {
 	for (int i = 0; i < m->nroute; i++)
@@ -23,6 +32,9 @@
 		free(m->service[i].name);
 		free(m->service[i].health_path);
 	}
+	for (int i = 0; i < m->nworkspace; i++)
+		finish_workspace(&m->workspace[i]);
+	free(m->workspace);
 	free(m->route);
 	free(m->service);
 	memset(m, 0, sizeof(*m));
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -78,6 +78,10 @@
 	_Atomic uint64_t shifted_total;
 	/** Requests whose home is the source region of the shift. */
 	_Atomic uint64_t shift_source_total;
+	/** Rate of the requests that callers send to the VMs of each region for
+	 * the service, in thousandths of a request per second, as the VMs tell
+	 * each other; 0 while it is not known. */
+	_Atomic int64_t region_demand_milli[STEER_REGIONS_MAX];
 };
 
 struct proxy;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -131,6 +131,10 @@
 	/** Bit mask of the regions that may serve it; 0 means all. */
 	uint32_t region_mask;
 	char service_name[FLEET_SERVICE_MAX];
+	/** Hash and name of the caller's workspace; 0 and empty if it has none.
+	 * The workspace itself is the view's, which may be replaced. */
+	uint64_t workspace_id;
+	char workspace_name[FLEET_WORKSPACE_MAX];
 	struct fleet_request_meta request_meta;
 	struct fleet_response_meta response_meta;
 	enum verdict verdict;
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -219,6 +219,36 @@
 	/** Services among which its requests are split by weight. */
 	const struct fleet_split *split;
 	int nsplit;
+	/** Requests need no key although the view has workspaces. */
+	int is_public;
+};
+
+/** A workspace of the operators' manifest. */
+struct steer_workspace {
+	/** Hash of the name. */
+	uint64_t id;
+	/** The view's. */
+	const char *name;
+	/** Takes precedence over the route's; -1 if not given. */
+	int priority;
+	/** Bit mask of the regions that may serve it; 0 means all. */
+	uint32_t region_mask;
+	/** It has home regions, and no VM or upstream is in any of them. */
+	int is_homeless;
+	/** Quota for all VMs together, in thousandths of a request per second
+	 * and of a request; a rate of 0 means no limit. */
+	int64_t rate_milli;
+	int64_t burst_milli;
+	/** Index of its quota's state in this process. */
+	int stats_index;
+};
+
+/** A key of a workspace. */
+struct steer_key {
+	struct prl_hash128 digest;
+	/** Index of the workspace; STEER_NONE if several hold the key, which
+	 * then identifies none. */
+	int workspace;
 };
 
 /** Snapshot of the configuration and the VM list on which all decisions are
@@ -253,6 +283,14 @@
 	/** Sorted by host, longest prefix first. */
 	struct steer_route *route;
 	int nroute;
+	/** Requests need a key, but on public routes. */
+	int has_workspaces;
+	/** Sorted by id. */
+	struct steer_workspace *workspace;
+	int nworkspace;
+	/** Sorted by digest. */
+	struct steer_key *key;
+	int nkey;
 	struct fleet_limits limits;
 	/** Services and upstreams of the manifest for which there is no index.
 	 */
@@ -300,6 +338,14 @@
 const struct steer_route *steer_find_route(const struct steer_view *v,
 					   const char *host, const char *path);
 
+/** Returns the workspace that holds a key, or null. */
+const struct steer_workspace *
+steer_find_workspace(const struct steer_view *v, const struct prl_hash128 *key);
+
+/** Returns the workspace with an id, or null. */
+const struct steer_workspace *
+steer_find_workspace_by_id(const struct steer_view *v, uint64_t id);
+
 /** Returns whether the service file demands that a request runs at most once.
  */
 int steer_runs_at_most_once(const struct steer_service *s, const char *method,
