Workspaces: keys, homes, priority and the upstream's header

The manifest's workspaces were not read: keys were passed on to upstreams and names not set. A request on a route that is not public now needs one known key; keys are kept and compared by their digests. A VM that relays a request names the workspace and marks in Relay-Attempts that it judged the key. Each request is judged by the newest view.

--- a/cmd/primroseleadd/apply.c
+++ b/cmd/primroseleadd/apply.c
@@ -133,7 +133,7 @@
 	log_format_number(n, v->nleft_out);
 	log_format_number(held, CONFIG_INDEXES_MAX);
 	log_event(LOG_LEVEL_WARNING, "left_out", "number", n, "field",
-		  "upstreams and services", "held", held, NULL);
+		  "upstreams, services and workspaces", "held", held, NULL);
 }
 
 static void set_manifest_view(struct control *c, struct steer_view *v)
--- a/cmd/primroseleadd/objects.c
+++ b/cmd/primroseleadd/objects.c
@@ -64,10 +64,11 @@
 	enum prl_code rc = platform_manifest_parse(o->value, &m, &err);
 
 	log_format_number(version, rc ? 0 : m.version);
-	log_format_number(left_out, rc ? 0 : m.nleft_out);
 	if (!rc)
 		rc = inventory_install_manifest(&c->objects.inventory, &m,
 						&err);
+	log_format_number(left_out,
+			  rc ? 0 : c->objects.inventory.manifest.nleft_out);
 	note_manifest(c, &err);
 	log_event(rc ? LOG_LEVEL_WARNING : LOG_LEVEL_AUDIT, "manifest",
 		  "version", version, "error", rc ? err.text : "", "left_out",
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -145,9 +145,10 @@
 
 	if (!control_follows_manifest(c))
 		return json_null();
-	return json_pack("{s:I, s:i, s:s}", "version", (json_int_t)m->version,
-			 "left_out", m->nleft_out, "problem",
-			 c->objects.manifest_problem);
+	return json_pack("{s:I, s:i, s:s, s:i, s:i}", "version",
+			 (json_int_t)m->version, "left_out", m->nleft_out,
+			 "problem", c->objects.manifest_problem, "workspaces",
+			 m->nworkspace, "keys", c->objects.inventory.nkey);
 }
 
 /* Requests under which upstreams have ended. */
--- a/config/include/primroselead/config.h
+++ b/config/include/primroselead/config.h
@@ -129,6 +129,7 @@
 	/** Indexes of the semaphores of regions and links. */
 	struct config_index_table semaphore_indexes;
 	struct config_index_table service_indexes;
+	struct config_index_table workspace_indexes;
 	/** Reference-counted services by name; views share them. */
 	GHashTable *services;
 	/** enum steer_state by HTTP address, from the platform's VM list. */
@@ -147,6 +148,11 @@
 /** Returns the index of a region, or -1 if it has none yet. */
 int config_region_find(const struct config_builder *b, const char *name);
 
+/** Returns the bit mask of the named regions that have an index; the others have
+ * no VM and no upstream. */
+uint32_t config_region_mask(const struct config_builder *b, char *const *name,
+			    int n);
+
 /** Returns the index of a failure domain and assigns one on first use. */
 int config_domain_index(struct config_builder *b, const char *name);
 
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -52,7 +52,11 @@
 
 /** State of the platform's objects; used by the control thread only. */
 struct inventory {
+	/** Its workspaces are sorted by the hash of their names. */
 	struct fleet_manifest manifest;
+	/** Keys of its workspaces, sorted by digest. */
+	struct steer_key *key;
+	int nkey;
 	/** struct inventory_upstream by instance name. */
 	GHashTable *upstreams;
 	/** struct inventory_departed by instance name. */
--- a/config/src/build.c
+++ b/config/src/build.c
@@ -19,6 +19,7 @@
 	config_index_table_init(&b->upstream_indexes);
 	config_index_table_init(&b->semaphore_indexes);
 	config_index_table_init(&b->service_indexes);
+	config_index_table_init(&b->workspace_indexes);
 	b->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    release_service);
 	b->vm_state =
@@ -31,6 +32,7 @@
 	config_index_table_finish(&b->upstream_indexes);
 	config_index_table_finish(&b->semaphore_indexes);
 	config_index_table_finish(&b->service_indexes);
+	config_index_table_finish(&b->workspace_indexes);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->vm_state);
 }
@@ -55,6 +57,20 @@
 	return b->nregion++;
 }
 
+uint32_t config_region_mask(const struct config_builder *b, char *const *name,
+			    int n)
+{
+	uint32_t mask = 0;
+
+	for (int i = 0; i < n; i++) {
+		int region = config_region_find(b, name[i]);
+
+		if (region >= 0)
+			mask |= (uint32_t)1 << region;
+	}
+	return mask;
+}
+
 int config_domain_index(struct config_builder *b, const char *name)
 {
 	int i = GPOINTER_TO_INT(g_hash_table_lookup(b->domains, name));
--- a/config/src/inventory.c
+++ b/config/src/inventory.c
@@ -1,4 +1,5 @@
 #include "upstream_id.h"
+#include "workspaces.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <primroselead/inventory.h>
@@ -48,6 +49,7 @@
 void inventory_finish(struct inventory *inv)
 {
 	fleet_manifest_finish(&inv->manifest);
+	g_free(inv->key);
 	g_hash_table_destroy(inv->upstreams);
 	g_hash_table_destroy(inv->departed);
 	g_hash_table_destroy(inv->evacuated_domains);
@@ -78,6 +80,7 @@
 	}
 	fleet_manifest_finish(&inv->manifest);
 	inv->manifest = *m;
+	config_workspaces_sort(inv);
 	return PRL_OK;
 }
 
--- a/config/src/inventory_view.c
+++ b/config/src/inventory_view.c
@@ -1,6 +1,7 @@
 /* Builds the view of a fleet that is configured by the platform's manifest. */
 #include "shared_service.h"
 #include "upstream_id.h"
+#include "workspaces.h"
 #include <primroselead/hash.h>
 #include <primroselead/inventory.h>
 #include <stdio.h>
@@ -188,22 +189,6 @@
 	build->view->service[build->view->nservice++] = s;
 }
 
-/* Regions without an index have no VM and no upstream. */
-static uint32_t home_region_mask(const struct view_build *build,
-				 const struct fleet_route *from)
-{
-	uint32_t mask = 0;
-
-	for (int i = 0; i < from->nallowed_region; i++) {
-		int region = config_region_find(build->builder,
-						from->allowed_region[i]);
-
-		if (region >= 0)
-			mask |= (uint32_t)1 << region;
-	}
-	return mask;
-}
-
 static const struct fleet_split *copy_split(const struct view_build *build,
 					    const struct fleet_route *from)
 {
@@ -229,10 +214,12 @@
 	r->policy = from->policy;
 	if (r->policy.attempts_max < 1)
 		r->policy.attempts_max = 1;
-	r->region_mask = home_region_mask(build, from);
+	r->region_mask = config_region_mask(
+		build->builder, from->allowed_region, from->nallowed_region);
 	r->is_homeless = from->nallowed_region && !r->region_mask;
 	r->split = copy_split(build, from);
 	r->nsplit = from->nsplit;
+	r->is_public = from->is_public;
 }
 
 /* Orders routes by host, which steer_find_route searches for, then by length of
@@ -277,6 +264,7 @@
 		add_route(&build, &m->route[i]);
 	qsort(v->route, (size_t)v->nroute, sizeof(*v->route),
 	      by_host_and_prefix);
+	config_workspaces_fill(inv, b, v, now);
 	/* Building the services and routes may have added regions. */
 	v->nregion = b->nregion;
 	memcpy(v->region, b->region, sizeof(v->region));
--- a/fleet/include/primroselead/fleet.h
+++ b/fleet/include/primroselead/fleet.h
@@ -23,6 +23,9 @@
 /** Size of a workspace's name, including the terminating null byte. */
 #define FLEET_WORKSPACE_MAX 256
 
+/** Size of a workspace's key, including the terminating null byte. */
+#define FLEET_KEY_MAX 1024
+
 /** Size of the text about a part of a manifest that is left out. */
 #define FLEET_LEFT_OUT_MAX 160
 
@@ -138,6 +141,9 @@
 	char left_out[FLEET_LEFT_OUT_MAX];
 };
 
+/** Frees what a workspace holds and makes it empty. */
+void fleet_workspace_finish(struct fleet_workspace *w);
+
 void fleet_manifest_finish(struct fleet_manifest *m);
 
 /** Returns a service of the manifest by name, or null. */
--- a/fleet/src/manifest.c
+++ b/fleet/src/manifest.c
@@ -15,13 +15,14 @@
 	free(r->split);
 }
 
-static void finish_workspace(struct fleet_workspace *w)
+void fleet_workspace_finish(struct fleet_workspace *w)
 {
 	free(w->name);
 	free(w->key);
 	for (int i = 0; i < w->nallowed_region; i++)
 		free(w->allowed_region[i]);
 	free(w->allowed_region);
+	memset(w, 0, sizeof(*w));
 }
 
 void fleet_manifest_finish(struct fleet_manifest *m)
@@ -33,7 +34,7 @@
 		free(m->service[i].health_path);
 	}
 	for (int i = 0; i < m->nworkspace; i++)
-		finish_workspace(&m->workspace[i]);
+		fleet_workspace_finish(&m->workspace[i]);
 	free(m->workspace);
 	free(m->route);
 	free(m->service);
--- a/mk/packages.mk
+++ b/mk/packages.mk
@@ -20,7 +20,7 @@
 proxy_USES := base fleet platform loop schema spread steer limit place quarantine claim config observe
 
 # External libraries that a package needs, by their pkg-config names.
-base_NEEDS := apr-1 libxxhash
+base_NEEDS := apr-1 glib-2.0 libxxhash
 schema_NEEDS := apr-1 glib-2.0
 fleet_NEEDS :=
 platform_NEEDS := jansson
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -19,6 +19,8 @@
 	METRIC_REQUESTS_SHED,
 	/** Requests refused before they were assigned to a service. */
 	METRIC_REQUESTS_BAD,
+	/** Requests refused for want of a valid key. */
+	METRIC_REQUESTS_UNAUTHORIZED,
 	/** Requests rejected because upstreams have ended under them. */
 	METRIC_REQUESTS_QUARANTINED,
 	/** Requests known to this VM under which upstreams have ended: all, and
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -13,6 +13,7 @@
 	"requests_unknown",
 	"requests_shed",
 	"requests_bad",
+	"requests_unauthorized",
 	"requests_quarantined",
 	"quarantine_suspects",
 	"quarantine_active",
--- a/proxy/src/identity.c
+++ b/proxy/src/identity.c
@@ -30,15 +30,10 @@
 {
 	guint8 bytes[SHA256_BYTES];
 	gsize len = sizeof(bytes);
-	struct prl_hash128 out = {0};
 
 	g_checksum_get_digest(sum, bytes, &len);
 	g_checksum_free(sum);
-	for (size_t i = 0; i < sizeof(out.high); i++) {
-		out.high = out.high << 8 | bytes[i];
-		out.low = out.low << 8 | bytes[i + sizeof(out.high)];
-	}
-	return out;
+	return prl_digest_read(bytes);
 }
 
 void identity_set_head(struct proxy_request *r)
@@ -52,6 +47,8 @@
 	add_text(sum, request_header(r, MHD_HTTP_HEADER_COOKIE));
 	add_text(sum, request_header(r, "Idempotency-Key"));
 	add_number(sum, r->request_meta.object_hash);
+	if (r->workspace_name[0])
+		add_text(sum, r->workspace_name);
 	r->identity.head = finish_sum(sum);
 }
 
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -64,7 +64,8 @@
 	snprintf(object, sizeof(object), "%016llx",
 		 (unsigned long long)r->request_meta.object_hash);
 	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id, "digest",
-		  digest, "service", r->service_name, "status", status,
+		  digest, "service", r->service_name, "workspace",
+		  r->workspace_name, "status", status,
 		  "outcome", outcomes[r->outcome], "cause",
 		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
 		  "upstream", r->instance, "peer", r->peer_address,
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -132,14 +132,6 @@
 		r->tried[r->ntried++] = u->id;
 }
 
-static void use_newest_view(struct proxy_request *r)
-{
-	if (r->view == r->thread->view)
-		return;
-	config_view_release(r->view);
-	r->view = config_view_ref(r->thread->view);
-}
-
 static void set_retry_after(struct proxy_request *r, int64_t wait_ms)
 {
 	struct proxy_thread *t = r->thread;
@@ -162,7 +154,7 @@
 	struct place_request request;
 	int i;
 
-	use_newest_view(r);
+	request_use_newest_view(r);
 	r->service = NULL;
 	r->upstream = NULL;
 	r->hop = HOP_UPSTREAM;
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
+#include <primroselead/platform.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,11 @@
 #define HEADER_OUTCOME "Request-Outcome"
 #define HEADER_OUT_OF_REACH "Relay-Out-Of-Reach"
 
+/* Ends the value of HEADER_ATTEMPTS if the sender has judged the caller's key
+ * and names its workspace. Part of a header that every build sets itself, so
+ * that a caller can't send it through a VM that forwards all others. */
+#define WORKSPACE_MARK "; workspace"
+
 /* Most VMs to which one request is sent in turn; each but the last has said, or
  * could not be reached to say, that it did not run it. */
 #define RELAYS_MAX 3
@@ -129,8 +135,9 @@
 	snprintf(line, sizeof(line), HEADER_RELAYED_BY ": %s",
 		 r->thread->proxy->settings->vm.name);
 	header_list_append(&r->request_headers, line);
-	snprintf(line, sizeof(line), HEADER_ATTEMPTS ": %d",
-		 r->policy.attempts_max - r->attempts_sent);
+	snprintf(line, sizeof(line), HEADER_ATTEMPTS ": %d%s",
+		 r->policy.attempts_max - r->attempts_sent,
+		 r->workspace_name[0] ? WORKSPACE_MARK : "");
 	header_list_append(&r->request_headers, line);
 }
 
@@ -284,6 +291,16 @@
 	return 0;
 }
 
+const char *relay_workspace(const struct proxy_request *r)
+{
+	const char *attempts = request_header(r, HEADER_ATTEMPTS);
+	const char *name = request_header(r, platform_workspace_header());
+
+	if (!attempts || !name || strlen(name) >= FLEET_WORKSPACE_MAX)
+		return NULL;
+	return strstr(attempts, WORKSPACE_MARK) ? name : NULL;
+}
+
 int relay_accept(struct proxy_request *r)
 {
 	const char *attempts = request_header(r, HEADER_ATTEMPTS);
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -47,4 +47,8 @@
  * or 0 after rejecting one that comes from elsewhere. */
 int relay_accept(struct proxy_request *r);
 
+/** Returns the workspace that the VM names which relayed a request that was
+ * accepted; null if it names none, so that the caller's key is to be judged. */
+const char *relay_workspace(const struct proxy_request *r);
+
 #endif
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -55,6 +55,15 @@
 	return r;
 }
 
+void request_use_newest_view(struct proxy_request *r)
+{
+	if (r->view == r->thread->view)
+		return;
+	if (r->view)
+		config_view_release(r->view);
+	r->view = config_view_ref(r->thread->view);
+}
+
 void request_resume(struct proxy_request *r)
 {
 	if (!r->suspended)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -135,6 +135,8 @@
 	 * The workspace itself is the view's, which may be replaced. */
 	uint64_t workspace_id;
 	char workspace_name[FLEET_WORKSPACE_MAX];
+	/** The manifest had workspaces when the request was judged. */
+	int hides_key;
 	struct fleet_request_meta request_meta;
 	struct fleet_response_meta response_meta;
 	enum verdict verdict;
@@ -307,6 +309,9 @@
 /** Returns the request with a handle, or null if it has been freed. */
 struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle);
 
+/** Makes the thread's newest view that of the request. */
+void request_use_newest_view(struct proxy_request *r);
+
 /** Resumes the caller's connection if it is suspended. */
 void request_resume(struct proxy_request *r);
 
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -3,6 +3,7 @@
 #include "placing.h"
 #include "relay.h"
 #include "splits.h"
+#include "workspace.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdlib.h>
@@ -82,12 +83,10 @@
 	return 1;
 }
 
-/* Applies the route's policy and selects the service. Returns 1; or 0 after
- * failing a request that violates the policy. */
+/* Checks the request against its policy and selects the service. Returns 1; or
+ * 0 after failing a request that violates the policy. */
 static int apply_route(struct proxy_request *r, const struct steer_route *route)
 {
-	r->policy = route->policy;
-	r->region_mask = route->region_mask;
 	r->at_most_once = route->policy.kind != FLEET_SAFE;
 	set_deadline(r);
 	if (is_too_large(r)) {
@@ -110,29 +109,52 @@
 	return 1;
 }
 
+/* Finds the route of a request and the workspace that it belongs to. Returns 1;
+ * or 0 after failing a request that is not allowed. */
+static int accept_request(struct proxy_request *r)
+{
+	const struct steer_route *route = find_route(r);
+
+	if (!route) {
+		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
+		return 0;
+	}
+	r->policy = route->policy;
+	r->region_mask = route->region_mask;
+	return (!r->relayed || relay_accept(r)) && workspace_accept(r, route) &&
+	       apply_route(r, route);
+}
+
+/* Returns 1 if the head is valid and the request allowed; else 0 after failing
+ * it. */
+static int check_head(struct proxy_request *r)
+{
+	const char *problem = request_read_framing(r);
+
+	if (problem) {
+		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
+		return 0;
+	}
+	/* A request of another VM has that VM's header fields too. */
+	return check_ready(r) &&
+	       head_check(r,
+			  r->relayed ? 0 : r->view->limits.header_bytes_max) &&
+	       accept_request(r);
+}
+
 void request_dispatch_routed(struct proxy_request *r)
 {
-	const struct steer_route *route;
-	const char *problem;
+	int is_accepted;
 
 	r->routed = 1;
 	r->request_body.max_size = REQUEST_BUFFER_BYTES;
 	r->response_body.max_size = RESPONSE_BUFFER_BYTES;
 	r->retry_after_ms = RETRY_NOT_READY_MS;
+	/* The head may have come long after the request's first line. */
+	request_use_newest_view(r);
 	platform_request_meta_parse(read_header, r, &r->request_meta);
-	problem = request_read_framing(r);
+	is_accepted = check_head(r);
 	identity_set_head(r);
-	if (problem) {
-		request_fail(r, MHD_HTTP_BAD_REQUEST, problem);
-		return;
-	}
-	/* A request of another VM has that VM's header fields too. */
-	if (!check_ready(r) ||
-	    !head_check(r, r->relayed ? 0 : r->view->limits.header_bytes_max))
-		return;
-	route = find_route(r);
-	if (!route)
-		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
-	else if (apply_route(r, route) && (!r->relayed || relay_accept(r)))
+	if (is_accepted)
 		suspects_dispatch(r);
 }
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -5,6 +5,7 @@
 #include "relay.h"
 #include "service.h"
 #include "sockets.h"
+#include "workspace.h"
 #include <primroselead/clock.h>
 #include <primroselead/platform.h>
 #include <stdio.h>
@@ -153,7 +154,8 @@
 	if ((r->relayed || r->hop == HOP_PEER) && relay_is_header(key))
 		return 1;
 	if (r->routed)
-		return platform_is_reserved_header(key);
+		return platform_is_reserved_header(key) ||
+		       workspace_is_header(r, key);
 	return !strcasecmp(key, "Request-Deadline") ||
 	       !strcasecmp(key, SERVICE_ATTEMPT_HEADER);
 }
@@ -189,6 +191,7 @@
 	}
 	platform_deadline_header_format(line, sizeof(line), remaining_ms);
 	header_list_append(&r->request_headers, line);
+	workspace_add_header(r);
 	if (r->hop == HOP_PEER) {
 		relay_add_headers(r);
 		return;
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -239,7 +239,8 @@
 	 * and of a request; a rate of 0 means no limit. */
 	int64_t rate_milli;
 	int64_t burst_milli;
-	/** Index of its quota's state in this process. */
+	/** Index of its quota's state in this process; STEER_NONE if there is
+	 * none left for it. */
 	int stats_index;
 };
 
