--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -2,6 +2,7 @@
 #include "port.h"
 #include <apr_general.h>
 #include <primroselead/clock.h>
+#include <primroselead/hash.h>
 #include <primroselead/inventory.h>
 #include <primroselead/log.h>
 #include <primroselead/proxy.h>
@@ -69,16 +70,24 @@
 	route->split[0].service = strdup("s");
 }
 
-static void install_manifest(void)
+static void install_manifest(int version, struct fleet_workspace *workspace,
+			     int nworkspace)
 {
-	struct fleet_manifest m = {.version = 1, .nroute = 2, .nservice = 1};
-
-	m.route = calloc(2, sizeof(*m.route));
+	struct fleet_manifest m = {.version = version,
+				   .nroute = 3,
+				   .nservice = 1,
+				   .has_workspaces = workspace != NULL,
+				   .workspace = workspace,
+				   .nworkspace = nworkspace};
+
+	m.route = calloc(3, sizeof(*m.route));
 	m.service = calloc(1, sizeof(*m.service));
 	m.service[0].name = strdup("s");
 	m.service[0].connections_max = 1000;
 	set_route(&m.route[0], "safe", FLEET_SAFE);
 	set_route(&m.route[1], "once", FLEET_UNSAFE);
+	set_route(&m.route[2], "open", FLEET_SAFE);
+	m.route[2].is_public = 1;
 	if (inventory_install_manifest(&inv, &m, &err))
 		die("manifest");
 }
@@ -133,7 +142,7 @@
 	config_builder_init(&builder);
 	inventory_set_domain_region(&inv, "n-a", "n");
 	config_region_index(&builder, "n");
-	install_manifest();
+	install_manifest(1, NULL, 0);
 	add_upstreams(server_port);
 }
 
@@ -165,6 +174,30 @@
 	return port;
 }
 
+static void set_workspace(struct fleet_workspace *w, const char *name,
+			  const char *key)
+{
+	w->name = strdup(name);
+	w->nkey = 1;
+	w->key = calloc(1, sizeof(*w->key));
+	w->key[0] = prl_digest(key, strlen(key));
+	w->priority = -1;
+}
+
+void fixture_add_workspaces(void)
+{
+	struct fleet_workspace *w = calloc(3, sizeof(*w));
+
+	set_workspace(&w[0], "alpha", "key-of-alpha");
+	set_workspace(&w[1], "beta", "key-of-beta");
+	set_workspace(&w[2], "homeless", "key-of-homeless");
+	w[2].allowed_region = calloc(1, sizeof(*w[2].allowed_region));
+	w[2].allowed_region[0] = strdup("nowhere");
+	w[2].nallowed_region = 1;
+	install_manifest(2, w, 3);
+	fixture_set_hop(FIXTURE_UPSTREAM);
+}
+
 int fixture_relay_port(void)
 {
 	return relay_port;
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -3,8 +3,8 @@
 
 /*
  * A proxy with one traffic thread in the test's own process, whose view has one
- * service "s" with two upstreams at the scripted server, the routes /safe/ and
- * /once/ to it, and other VMs at the scripted server.
+ * service "s" with two upstreams at the scripted server, the routes /safe/,
+ * /once/ and /open/, which is public, to it, and other VMs at the scripted server.
  */
 
 /** Where the proxy sends requests. */
@@ -21,6 +21,10 @@
 /** Puts a view in force that leads requests there. */
 void fixture_set_hop(enum fixture_hop hop);
 
+/** Puts a manifest in force whose workspaces "alpha" and "beta" have one key each,
+ * "key-of-NAME", and "homeless" one and a home region that is not known. */
+void fixture_add_workspaces(void);
+
 /** Port on which the proxy takes requests that other VMs relay. */
 int fixture_relay_port(void);
 
--- a/testkit/scripted.c
+++ b/testkit/scripted.c
@@ -189,6 +189,7 @@
 		return -1;
 	}
 	*end = 0;
+	g_strlcpy(c->request.head, c->buf, sizeof(c->request.head));
 	read_first_line(c);
 	copy_value(c->buf, "\r\nX-Request-Id:", c->request.id,
 		   sizeof(c->request.id));
--- a/testkit/scripted.h
+++ b/testkit/scripted.h
@@ -12,6 +12,7 @@
 #define SCRIPTED_ID_MAX 64
 #define SCRIPTED_BYTES_MAX 4096
 #define SCRIPTED_TARGET_MAX 256
+#define SCRIPTED_HEAD_MAX 4096
 
 /** How the connection goes on after the bytes were sent. */
 enum scripted_end {
@@ -31,6 +32,9 @@
 	char id_before[SCRIPTED_ID_MAX];
 	/** Value of Attempt-Id; empty if none. */
 	char attempt_id[SCRIPTED_ID_MAX];
+	/** Its head without the line end that ends it, as far as there is room.
+	 */
+	char head[SCRIPTED_HEAD_MAX];
 };
 
 /** What the server does with a request. */
