--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -21,6 +21,7 @@
  * long          a body of LONG_BYTES
  * stalled       the same, but sends nothing for 30 s after its first half
  * echo          a body that names the request
+ * fields        a body that is the head of the request, as it came
  * head-N        a valid response with a header field of N bytes
  * open-head-N   the same with a body in chunks, which ends after a second
  * endless-line  bytes without a line end until the connection closes
@@ -141,6 +142,22 @@
 	return 1;
 }
 
+static int send_fields(struct connection *conn)
+{
+	char headers[120];
+	char head[REQUEST_HEAD_MAX];
+	size_t len = conn->head_len;
+
+	memcpy(head, conn->buf, len);
+	if (request_discard_body(conn))
+		return 0;
+	snprintf(headers, sizeof(headers),
+		 STAMP_HEADER "Content-Length: %zu\r\n", len);
+	odd_respond(conn, "200 OK", conn->request_id, headers, "");
+	request_send(conn->fd, head, len);
+	return 1;
+}
+
 static int respond_endlessly(const struct connection *conn)
 {
 	endless_bytes += endless_respond(conn);
@@ -433,6 +450,8 @@
 		send_early(conn);
 		return !request_discard_body(conn);
 	}
+	if (!strcmp(conn->mode, "fields"))
+		return send_fields(conn);
 	return !request_discard_body(conn) && respond_by_mode(conn);
 }
 
--- a/system/test_isolated_vm.c
+++ b/system/test_isolated_vm.c
@@ -5,74 +5,23 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "routes.h"
+#include "isolated.h"
 #include <cmocka.h>
 #include <primroselead/clock.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
-/* The VM that loses its links. Its store names other addresses of the upstreams
- * than that of the other VMs: those of the links. */
-#define ISOLATED_VM 3
-#define ISOLATED_STORE_PORT (PORT_BASE + 10)
-#define LINK_PORT(n) (PORT_BASE + 300 + (n))
-#define LINK_ADMIN_PORT (PORT_BASE + 310)
-
-/* Time from the cut until callers must be served again, in ms. */
-#define TOUCH_MS 4000
-
 /* Time from the return of the links until the VM must use them, in ms. */
 #define RETURN_MS 3000
 
 /* Pause between two requests, in ms. */
 #define REQUEST_INTERVAL_MS 40
 
-static void set_link(const char *mode)
-{
-	char url[80];
-	char text[64];
-
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/%s",
-		 LINK_ADMIN_PORT, mode);
-	assert_int_equal(harness_get(url, text, sizeof(text)), 200);
-}
-
-static void start_link(void)
-{
-	char admin[32];
-	char paths[120];
-	char url[80];
-	const char *args[] = {admin, paths, NULL};
-
-	snprintf(admin, sizeof(admin), "--admin=%d", LINK_ADMIN_PORT);
-	snprintf(paths, sizeof(paths), "--paths=%d:%d,%d:%d,%d:%d",
-		 LINK_PORT(1), UPSTREAM_PORT(1), LINK_PORT(2), UPSTREAM_PORT(2),
-		 LINK_PORT(3), UPSTREAM_PORT(3));
-	harness_spawn("standin-link", args);
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/pass",
-		 LINK_ADMIN_PORT);
-	assert_true(fleet_wait_text(url, "done", 5000));
-}
-
-static void put_isolated_upstreams(int sequence)
-{
-	routes_use_store(ISOLATED_STORE_PORT);
-	routes_put_upstream("i-1", "s", LINK_PORT(1), "ready", sequence);
-	routes_put_upstream("i-2", "s", LINK_PORT(2), "ready", sequence);
-	routes_put_upstream("i-3", "t", LINK_PORT(3), "ready", sequence);
-	routes_use_store(STORE_PORT);
-}
-
 static int setup(void **state)
 {
 	routes_setup(state);
-	start_link();
-	fleet_start_store(ISOLATED_STORE_PORT);
-	routes_use_store(ISOLATED_STORE_PORT);
-	routes_put_manifest(3, "s");
-	put_isolated_upstreams(1);
-	routes_start_vm_with_store(ISOLATED_VM, ISOLATED_STORE_PORT);
+	isolated_start();
 	return 0;
 }
 
@@ -80,7 +29,7 @@
 static int restore_link(void **state)
 {
 	(void)state;
-	set_link("pass");
+	isolated_set_link("pass");
 	harness_sleep_ms(RETURN_MS);
 	return 0;
 }
@@ -110,18 +59,6 @@
 	return t;
 }
 
-/* Makes some attempts fail, so that the VM can find out. */
-static void press_while_cut(void)
-{
-	for (int ms = 0; ms < TOUCH_MS;) {
-		struct http_response resp =
-			routes_request_at(ISOLATED_VM, "GET", "/safe/plain");
-
-		ms += resp.status == 200 ? REQUEST_INTERVAL_MS : 700;
-		harness_sleep_ms(REQUEST_INTERVAL_MS);
-	}
-}
-
 static void expect_served(const struct tally *t)
 {
 	print_message("%d of %d served\n", t->served, t->sent);
@@ -135,15 +72,15 @@
 	int64_t ran;
 
 	expect_served(&t);
-	set_link(mode);
-	press_while_cut();
+	isolated_set_link(mode);
+	isolated_press();
 	t = send_requests("GET", "/safe/plain", 2000);
 	expect_served(&t);
 	ran = routes_runs_of_s();
 	t = send_requests("POST", "/once/plain", 1000);
 	expect_served(&t);
 	assert_int_equal(routes_runs_of_s() - ran, t.sent);
-	set_link("pass");
+	isolated_set_link("pass");
 	harness_sleep_ms(RETURN_MS);
 	t = send_requests("GET", "/safe/plain", 400);
 	expect_served(&t);
@@ -167,12 +104,6 @@
 	cut_and_expect_service("refuse-new");
 }
 
-static void isolate(void)
-{
-	set_link("refuse");
-	press_while_cut();
-}
-
 /* Bodies reach the upstream and the caller whole across two VMs, and an answer
  * that breaks off does not look complete. */
 static void test_relayed_body_is_cut(void **state)
@@ -186,7 +117,7 @@
 	int64_t before;
 
 	(void)state;
-	isolate();
+	isolated_cut();
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/up/plain",
 		 HTTP_PORT(ISOLATED_VM));
 	upload.url = url;
@@ -217,7 +148,7 @@
 	int64_t before;
 
 	(void)state;
-	isolate();
+	isolated_cut();
 	before = routes_runs_of_s();
 	resp = routes_request_at(ISOLATED_VM, "POST", "/once/shed");
 	assert_int_equal(resp.status, 503);
@@ -249,10 +180,10 @@
 {
 	(void)state;
 	assert_true(is_named(1));
-	isolate();
+	isolated_cut();
 	assert_false(is_named(1));
 	assert_false(is_named(ISOLATED_VM));
-	set_link("pass");
+	isolated_set_link("pass");
 	harness_sleep_ms(RETURN_MS);
 	assert_true(is_named(1));
 	assert_true(is_named(ISOLATED_VM));
@@ -269,7 +200,7 @@
 	int64_t before;
 
 	(void)state;
-	isolate();
+	isolated_cut();
 	before = routes_runs_of_s();
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/safe/plain",
 		 PORT_BASE + 100 + ISOLATED_VM);
@@ -287,7 +218,7 @@
 	struct tally t;
 
 	(void)state;
-	isolate();
+	isolated_cut();
 	t = send_requests("POST", "/once/plain", 400);
 	expect_served(&t);
 	kill(routes_vm_pid[1], SIGTERM);
@@ -312,7 +243,7 @@
 	int64_t started_ms;
 
 	(void)state;
-	isolate();
+	isolated_cut();
 	before = routes_runs_of_s();
 	harness_signal_later(routes_vm_pid[1], routes_vm_pid[2], SIGKILL, 300);
 	resp = routes_request_at(ISOLATED_VM, "POST", "/once/slow");
@@ -327,7 +258,7 @@
 	assert_int_equal(resp.status, 503);
 	assert_string_equal(resp.outcome, "not-run");
 	assert_true(resp.retry_after_s >= 0.5 && resp.retry_after_s <= 2);
-	set_link("pass");
+	isolated_set_link("pass");
 	harness_sleep_ms(RETURN_MS);
 	t = send_requests("GET", "/safe/plain", 1000);
 	expect_served(&t);
