--- a/config/test/test_workspaces.c
+++ b/config/test/test_workspaces.c
@@ -141,7 +141,8 @@
 	assert_string_equal(name_of(v, "k2"), "b");
 	assert_string_equal(name_of(v, "k3"), "c");
 	assert_int_equal(inv.manifest.nleft_out, 1);
-	snprintf(text, sizeof(text), "%016llx", (unsigned long long)digest.high);
+	snprintf(text, sizeof(text), "%016llx",
+		 (unsigned long long)digest.high);
 	assert_non_null(strstr(inv.manifest.left_out, text));
 	assert_null(strstr(inv.manifest.left_out, "shared"));
 	config_view_release(v);
--- a/proxy/test/test_workspaces.c
+++ b/proxy/test/test_workspaces.c
@@ -106,9 +106,8 @@
 static void test_key_is_passed_on(void **state)
 {
 	(void)state;
-	assert_int_equal(request(&caller, "/safe/a",
-				 "Api-Key: key-of-alpha\r\n"),
-			 200);
+	assert_int_equal(
+		request(&caller, "/safe/a", "Api-Key: key-of-alpha\r\n"), 200);
 	expect_name_and_no_key("\r\nX-Tenant-Name: alpha");
 	assert_int_equal(request(&caller, "/safe/a",
 				 "api-key: key-of-beta\r\n"
@@ -161,9 +160,9 @@
 static void test_workspace_is_served_outside_its_homes(void **state)
 {
 	(void)state;
-	assert_int_equal(request(&caller, "/safe/a",
-				 "Api-Key: key-of-homeless\r\n"),
-			 503);
+	assert_int_equal(
+		request(&caller, "/safe/a", "Api-Key: key-of-homeless\r\n"),
+		503);
 	assert_string_equal(response.outcome, "not-run");
 }
 
--- a/steer/test/test_workspaces.c
+++ b/steer/test/test_workspaces.c
@@ -17,8 +17,8 @@
 				   {{UINT64_MAX, 0}, 1}};
 	struct steer_view v = {
 		.workspace = w, .nworkspace = 3, .key = key, .nkey = 4};
-	const struct prl_hash128 none[] = {
-		{0, 0}, {1, 7}, {1, 10}, {2, 2}, {3, 0}, {UINT64_MAX, 1}};
+	const struct prl_hash128 none[] = {{0, 0}, {1, 7}, {1, 10},
+					   {2, 2}, {3, 0}, {UINT64_MAX, 1}};
 
 	(void)state;
 	assert_ptr_equal(steer_find_workspace(&v, &key[0].digest), &w[2]);
--- a/system/isolated.c
+++ b/system/isolated.c
@@ -65,8 +65,8 @@
 void isolated_press(void)
 {
 	for (int ms = 0; ms < TOUCH_MS;) {
-		struct http_response resp = routes_request_at(
-			ISOLATED_VM, "GET", "/safe/plain");
+		struct http_response resp =
+			routes_request_at(ISOLATED_VM, "GET", "/safe/plain");
 
 		ms += resp.status == 200 ? REQUEST_INTERVAL_MS
 					 : FAILED_INTERVAL_MS;
--- a/system/test_workspaces.c
+++ b/system/test_workspaces.c
@@ -21,6 +21,9 @@
 #define REQUEST_INTERVAL_MS 20
 #define SETTLED_MS 500
 
+/* Time in which a request that has ended is logged, in ms. */
+#define LOGGED_MS 200
+
 static int version = 10;
 
 static int setup(void **state)
@@ -132,11 +135,12 @@
 }
 
 /* Another VM gets the name in place of the key, and both derive the same digest
- * of the request. */
+ * of the request, which is another for another workspace. */
 static void test_key_is_relayed(void **state)
 {
-	int64_t before = harness_metric(METRICS_PORT(ISOLATED_VM),
-					"relays_sent");
+	int64_t before =
+		harness_metric(METRICS_PORT(ISOLATED_VM), "relays_sent");
+	char digest[2][WORKSPACES_DIGEST_MAX];
 	struct http_response resp;
 
 	(void)state;
@@ -144,8 +148,13 @@
 	resp = workspaces_request_with_key(ISOLATED_VM, KEY_OF_ACME);
 	workspaces_expect_name(&resp, "acme");
 	assert_null(strstr(resp.body, "Relay"));
+	harness_sleep_ms(LOGGED_MS);
+	assert_int_equal(workspaces_read_digest(digest[0]), 2);
 	resp = workspaces_request_with_key(ISOLATED_VM, KEY_OF_BIRCH);
 	workspaces_expect_name(&resp, "birch");
+	harness_sleep_ms(LOGGED_MS);
+	assert_int_equal(workspaces_read_digest(digest[1]), 2);
+	assert_string_not_equal(digest[0], digest[1]);
 	resp = workspaces_request_with_key(ISOLATED_VM, "nobody");
 	assert_int_equal(resp.status, 401);
 	assert_true(harness_metric(METRICS_PORT(ISOLATED_VM), "relays_sent") >=
@@ -180,8 +189,8 @@
 	char url[80];
 
 	(void)state;
-	assert_true(workspaces_count_files(".log", "\"workspace\":\"acme\""));
-	assert_int_equal(workspaces_count_files(".log", KEY_MARK), 0);
+	assert_true(workspaces_count_log_lines("\"workspace\":\"acme\"") > 0);
+	assert_int_equal(workspaces_count_log_lines(KEY_MARK), 0);
 	for (size_t i = 0; i < sizeof(pages) / sizeof(*pages); i++) {
 		snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/%s",
 			 METRICS_PORT(1), pages[i]);
--- a/system/workspaces.c
+++ b/system/workspaces.c
@@ -45,20 +45,24 @@
 	routes_use_store(STORE_PORT);
 }
 
+/* Id of the last request. */
+static char last_id[40];
+
 struct http_response workspaces_request(int port, const char *path,
 					const char *const *lines)
 {
 	static int serial;
-	char id[64];
+	char id[80];
 	char url[160];
-	const char *headers[LINES_MAX + 3] = {
-		id, "X-Deadline-Remaining-Ms: 2000"};
+	const char *headers[LINES_MAX + 3] = {id,
+					      "X-Deadline-Remaining-Ms: 2000"};
 	struct http_request req = {
 		.url = url, .host = "h.example", .headers = headers};
 
 	for (int i = 0; i < LINES_MAX && lines[i]; i++)
 		headers[2 + i] = lines[i];
-	snprintf(id, sizeof(id), "X-Request-Id: ws%d", ++serial);
+	snprintf(last_id, sizeof(last_id), "ws%d", ++serial);
+	snprintf(id, sizeof(id), "X-Request-Id: %s", last_id);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", port, path);
 	return harness_send_request(&req);
 }
@@ -92,36 +96,78 @@
 	assert_int_equal(count(resp->body, KEY_MARK), 0);
 }
 
-/* Whether a file of any length has a text. */
-static int file_has(const char *path, const char *text)
+/* Calls "each" for each line of the log files in the work directory. */
+static void read_logs(void (*each)(void *ctx, const char *line), void *ctx)
 {
-	FILE *f = fopen(path, "r");
+	DIR *dir = opendir(harness_path(""));
+	struct dirent *e;
 	char *line = NULL;
 	size_t size = 0;
-	int found = 0;
 
-	assert_non_null(f);
-	while (!found && getline(&line, &size, f) >= 0)
-		found = strstr(line, text) != NULL;
+	assert_non_null(dir);
+	while ((e = readdir(dir))) {
+		FILE *f = strstr(e->d_name, ".log")
+				  ? fopen(harness_path(e->d_name), "r")
+				  : NULL;
+
+		while (f && getline(&line, &size, f) >= 0)
+			each(ctx, line);
+		if (f)
+			fclose(f);
+	}
 	free(line);
-	fclose(f);
-	return found;
+	closedir(dir);
 }
 
-int workspaces_count_files(const char *ending, const char *text)
+struct line_count {
+	const char *text;
+	int n;
+};
+
+static void count_line(void *ctx, const char *line)
 {
-	DIR *dir = opendir(harness_path(""));
-	struct dirent *e;
-	int n = 0;
+	struct line_count *c = ctx;
 
-	assert_non_null(dir);
-	while ((e = readdir(dir))) {
-		size_t len = strlen(e->d_name);
+	c->n += strstr(line, c->text) != NULL;
+}
 
-		if (len > strlen(ending) &&
-		    !strcmp(e->d_name + len - strlen(ending), ending))
-			n += file_has(harness_path(e->d_name), text);
-	}
-	closedir(dir);
-	return n;
+int workspaces_count_log_lines(const char *text)
+{
+	struct line_count c = {.text = text};
+
+	read_logs(count_line, &c);
+	return c.n;
+}
+
+struct digest_search {
+	char mark[120];
+	char *digest;
+	int n;
+	int differ;
+};
+
+static void find_digest(void *ctx, const char *line)
+{
+	struct digest_search *s = ctx;
+	const char *at = strstr(line, s->mark);
+	char digest[WORKSPACES_DIGEST_MAX];
+
+	if (!at)
+		return;
+	at += strlen(s->mark);
+	snprintf(digest, sizeof(digest), "%.*s", (int)strcspn(at, "\""), at);
+	s->differ |= s->n && strcmp(digest, s->digest) != 0;
+	strcpy(s->digest, digest);
+	s->n++;
+}
+
+int workspaces_read_digest(char out[WORKSPACES_DIGEST_MAX])
+{
+	struct digest_search s = {.digest = out};
+
+	out[0] = 0;
+	snprintf(s.mark, sizeof(s.mark),
+		 "\"event\":\"request\",\"id\":\"%s\",\"digest\":\"", last_id);
+	read_logs(find_digest, &s);
+	return s.differ ? -1 : s.n;
 }
--- a/system/workspaces.h
+++ b/system/workspaces.h
@@ -5,8 +5,8 @@
 
 /*
  * Workspaces in the fixture of routes.h: "acme", with one key that stays and
- * one that a test names, and "birch". The routes /keyed/ and /keyed-once/ need a
- * key, /safe/ is public.
+ * one that a test names, and "birch". The routes /keyed/ and /keyed-once/ need
+ * a key, /safe/ is public.
  */
 
 #define KEY_OF_ACME "kept-key-of-acme-4kq"
@@ -32,8 +32,14 @@
  * key. */
 void workspaces_expect_name(const struct http_response *resp, const char *name);
 
-/** Number of the files in the work directory that have a text, of those whose
- * name ends so. */
-int workspaces_count_files(const char *ending, const char *text);
+/** Size of a request's digest as text, with its end. */
+#define WORKSPACES_DIGEST_MAX 40
+
+/** Copies the digest that the VMs logged for the last request that was sent.
+ * Returns the number of VMs that logged it; -1 if they differ. */
+int workspaces_read_digest(char out[WORKSPACES_DIGEST_MAX]);
+
+/** Number of lines in the log files of all processes that have a text. */
+int workspaces_count_log_lines(const char *text);
 
 #endif
