--- a/model/fuzz_platform.c
+++ b/model/fuzz_platform.c
@@ -18,6 +18,31 @@
 		abort();
 }
 
+/* A workspace is found by its id, and each key leads to one workspace or to
+ * none. */
+static void expect_workspaces(const struct steer_view *v)
+{
+	for (int i = 0; i < v->nworkspace; i++) {
+		const struct steer_workspace *w = &v->workspace[i];
+
+		if (!w->name[0] || strlen(w->name) >= FLEET_WORKSPACE_MAX ||
+		    strpbrk(w->name, "\r\n") || w->rate_milli < 0 ||
+		    w->burst_milli < 0 || w->priority < -1 ||
+		    !steer_find_workspace_by_id(v, w->id))
+			abort();
+	}
+	for (int i = 0; i < v->nkey; i++) {
+		int workspace = v->key[i].workspace;
+		const struct steer_workspace *w =
+			steer_find_workspace(v, &v->key[i].digest);
+
+		if (w ? w != &v->workspace[workspace] : workspace != STEER_NONE)
+			abort();
+	}
+	if (!v->has_workspaces && (v->nworkspace || v->nkey))
+		abort();
+}
+
 /* Installs any manifest that the parser accepts, with one upstream, and looks
  * its routes up in the view that results. */
 static void check_view(struct fleet_manifest *m,
@@ -41,6 +66,7 @@
 	if (v) {
 		for (int i = 0; i < v->nroute; i++)
 			expect_route(v, &v->route[i]);
+		expect_workspaces(v);
 		config_view_release(v);
 	}
 end:
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -70,17 +70,23 @@
 	route->split[0].service = strdup("s");
 }
 
-static void install_manifest(int version, struct fleet_workspace *workspace,
-			     int nworkspace)
+static void set_home(struct fleet_route *route, const char *region)
 {
-	struct fleet_manifest m = {.version = version,
-				   .nroute = 3,
+	route->allowed_region = calloc(1, sizeof(*route->allowed_region));
+	route->allowed_region[0] = strdup(region);
+	route->nallowed_region = 1;
+}
+
+static void install_manifest(struct fleet_workspace *workspace, int nworkspace)
+{
+	struct fleet_manifest m = {.version = inv.manifest.version + 1,
+				   .nroute = 4,
 				   .nservice = 1,
 				   .has_workspaces = workspace != NULL,
 				   .workspace = workspace,
 				   .nworkspace = nworkspace};
 
-	m.route = calloc(3, sizeof(*m.route));
+	m.route = calloc(4, sizeof(*m.route));
 	m.service = calloc(1, sizeof(*m.service));
 	m.service[0].name = strdup("s");
 	m.service[0].connections_max = 1000;
@@ -88,6 +94,8 @@
 	set_route(&m.route[1], "once", FLEET_UNSAFE);
 	set_route(&m.route[2], "open", FLEET_SAFE);
 	m.route[2].is_public = 1;
+	set_route(&m.route[3], "near", FLEET_SAFE);
+	set_home(&m.route[3], "n");
 	if (inventory_install_manifest(&inv, &m, &err))
 		die("manifest");
 }
@@ -142,7 +150,8 @@
 	config_builder_init(&builder);
 	inventory_set_domain_region(&inv, "n-a", "n");
 	config_region_index(&builder, "n");
-	install_manifest(1, NULL, 0);
+	config_region_index(&builder, "s");
+	install_manifest(NULL, 0);
 	add_upstreams(server_port);
 }
 
@@ -175,26 +184,29 @@
 }
 
 static void set_workspace(struct fleet_workspace *w, const char *name,
-			  const char *key)
+			  const char *key, const char *home)
 {
 	w->name = strdup(name);
 	w->nkey = 1;
 	w->key = calloc(1, sizeof(*w->key));
 	w->key[0] = prl_digest(key, strlen(key));
 	w->priority = -1;
+	if (!home)
+		return;
+	w->allowed_region = calloc(1, sizeof(*w->allowed_region));
+	w->allowed_region[0] = strdup(home);
+	w->nallowed_region = 1;
 }
 
-void fixture_add_workspaces(void)
+void fixture_set_workspaces(const char *key_of_alpha)
 {
-	struct fleet_workspace *w = calloc(3, sizeof(*w));
-
-	set_workspace(&w[0], "alpha", "key-of-alpha");
-	set_workspace(&w[1], "beta", "key-of-beta");
-	set_workspace(&w[2], "homeless", "key-of-homeless");
-	w[2].allowed_region = calloc(1, sizeof(*w[2].allowed_region));
-	w[2].allowed_region[0] = strdup("nowhere");
-	w[2].nallowed_region = 1;
-	install_manifest(2, w, 3);
+	struct fleet_workspace *w = calloc(4, sizeof(*w));
+
+	set_workspace(&w[0], "alpha", key_of_alpha, NULL);
+	set_workspace(&w[1], "beta", "key-of-beta", "n");
+	set_workspace(&w[2], "homeless", "key-of-homeless", "nowhere");
+	set_workspace(&w[3], "remote", "key-of-remote", "s");
+	install_manifest(w, 4);
 	fixture_set_hop(FIXTURE_UPSTREAM);
 }
 
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -4,7 +4,8 @@
 /*
  * A proxy with one traffic thread in the test's own process, whose view has one
  * service "s" with two upstreams at the scripted server, the routes /safe/,
- * /once/ and /open/, which is public, to it, and other VMs at the scripted server.
+ * /once/, /open/, which is public, and /near/, whose home is the VM's region, to
+ * it, and other VMs at the scripted server.
  */
 
 /** Where the proxy sends requests. */
@@ -21,9 +22,10 @@
 /** Puts a view in force that leads requests there. */
 void fixture_set_hop(enum fixture_hop hop);
 
-/** Puts a manifest in force whose workspaces "alpha" and "beta" have one key each,
- * "key-of-NAME", and "homeless" one and a home region that is not known. */
-void fixture_add_workspaces(void);
+/** Puts a manifest in force whose workspaces are "alpha", with one key, "beta",
+ * "homeless" and "remote" with the key "key-of-NAME" each. The last two have a
+ * home region that is not known, and one without upstreams. */
+void fixture_set_workspaces(const char *key_of_alpha);
 
 /** Port on which the proxy takes requests that other VMs relay. */
 int fixture_relay_port(void);
--- a/proxy/test/test_workspaces.c
+++ b/proxy/test/test_workspaces.c
@@ -12,6 +12,8 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 static struct caller caller;
 static struct caller relaying;
@@ -54,7 +56,7 @@
 static int add_workspaces(void **state)
 {
 	(void)state;
-	fixture_add_workspaces();
+	fixture_set_workspaces("key-of-alpha");
 	return 0;
 }
 
@@ -164,6 +166,13 @@
 		request(&caller, "/safe/a", "Api-Key: key-of-homeless\r\n"),
 		503);
 	assert_string_equal(response.outcome, "not-run");
+	assert_int_equal(
+		request(&caller, "/near/a", "Api-Key: key-of-remote\r\n"), 503);
+	assert_string_equal(response.outcome, "not-run");
+	assert_int_equal(
+		request(&caller, "/safe/a", "Api-Key: key-of-remote\r\n"), 503);
+	assert_int_equal(
+		request(&caller, "/near/a", "Api-Key: key-of-beta\r\n"), 200);
 }
 
 /* Another VM gets the name in place of the key. */
@@ -220,6 +229,35 @@
 			 404);
 }
 
+static void send_text(int fd, const char *text)
+{
+	size_t n = strlen(text);
+
+	assert_int_equal(send(fd, text, n, MSG_NOSIGNAL), n);
+	usleep(50000);
+}
+
+/* The head may come long after the request's first line. */
+static void test_key_of_an_older_version_is_valid(void **state)
+{
+	char text[1024] = "";
+
+	(void)state;
+	assert_int_equal(
+		request(&caller, "/safe/a", "Api-Key: key-of-alpha\r\n"), 200);
+	send_text(caller.fd, "GET /safe/a HTTP/1.1\r\nHost: h\r\n");
+	fixture_set_workspaces("another-key-of-alpha");
+	send_text(caller.fd, "X-Request-Id: late\r\n"
+			     "Api-Key: key-of-alpha\r\n\r\n");
+	assert_true(recv(caller.fd, text, sizeof(text) - 1, 0) > 0);
+	assert_memory_equal(text, "HTTP/1.1 401 ", 13);
+	assert_int_equal(scripted_count_arrivals("late"), 0);
+	caller_finish(&caller);
+	assert_int_equal(request(&caller, "/safe/a",
+				 "Api-Key: another-key-of-alpha\r\n"),
+			 200);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -231,6 +269,7 @@
 		cmocka_unit_test(test_key_is_relayed),
 		cmocka_unit_test(test_name_of_a_caller_is_believed),
 		cmocka_unit_test(test_unknown_name_of_another_vm_runs),
+		cmocka_unit_test(test_key_of_an_older_version_is_valid),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/system/test_workspaces.c
+++ b/system/test_workspaces.c
@@ -191,6 +191,8 @@
 	(void)state;
 	assert_true(workspaces_count_log_lines("\"workspace\":\"acme\"") > 0);
 	assert_int_equal(workspaces_count_log_lines(KEY_MARK), 0);
+	/* The priority of acme, which no route has. */
+	assert_true(workspaces_count_log_lines("\"priority\":\"7\"") > 0);
 	for (size_t i = 0; i < sizeof(pages) / sizeof(*pages); i++) {
 		snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/%s",
 			 METRICS_PORT(1), pages[i]);
--- a/system/test_workspaces_upgrade.c
+++ b/system/test_workspaces_upgrade.c
@@ -33,7 +33,8 @@
 /* The other VM judges the key that comes, and no name. */
 static void test_relay_of_an_earlier_build_chooses_its_name(void **state)
 {
-	static const char *const forged[] = {"X-Tenant-Name: acme", NULL};
+	static const char *const forged[] = {
+		"X-Tenant-Name: acme", "Relay-Attempts: 2; workspace", NULL};
 	static const char *const keyed[] = {"Api-Key: " KEY_OF_BIRCH,
 					    "X-Tenant-Name: acme", NULL};
 	int64_t before;
--- a/system/workspaces.c
+++ b/system/workspaces.c
@@ -28,7 +28,7 @@
 	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	"\"tenants\":{"
-	"\"acme\":{\"api_keys\":[\"" KEY_OF_ACME "\",\"%s\"],\"priority\":1},"
+	"\"acme\":{\"api_keys\":[\"" KEY_OF_ACME "\",\"%s\"],\"priority\":7},"
 	"\"birch\":{\"api_keys\":[\"" KEY_OF_BIRCH "\"],"
 	"\"home_regions\":[\"norte\"]}}}";
 
