--- a/base/include/primroselead/hash.h
+++ b/base/include/primroselead/hash.h
@@ -19,8 +19,8 @@
 /** Returns the 128-bit XXH3 hash of a byte string. */
 struct prl_hash128 prl_hash128(const void *data, size_t len);
 
-/** Returns the first half of the SHA-256 digest of a byte string, for texts that
- * callers choose or that must stay secret. */
+/** Returns the first half of the SHA-256 digest of a byte string, for texts
+ * that callers choose or that must stay secret. */
 struct prl_hash128 prl_digest(const void *data, size_t len);
 
 /** Returns the number of the first bytes of a digest, most significant first.
--- a/config/include/primroselead/config.h
+++ b/config/include/primroselead/config.h
@@ -148,8 +148,8 @@
 /** Returns the index of a region, or -1 if it has none yet. */
 int config_region_find(const struct config_builder *b, const char *name);
 
-/** Returns the bit mask of the named regions that have an index; the others have
- * no VM and no upstream. */
+/** Returns the bit mask of the named regions that have an index; the others
+ * have no VM and no upstream. */
 uint32_t config_region_mask(const struct config_builder *b, char *const *name,
 			    int n);
 
--- a/config/src/workspaces.c
+++ b/config/src/workspaces.c
@@ -60,21 +60,21 @@
 /* Makes one entry of the keys that are the same. */
 static void merge_equal_keys(struct inventory *inv)
 {
-	int n = 0;
+	struct steer_key *last = inv->key;
 
-	for (int i = 0; i < inv->nkey; i++) {
+	for (int i = 1; i < inv->nkey; i++) {
 		const struct steer_key *from = &inv->key[i];
-		struct steer_key *last = n ? &inv->key[n - 1] : NULL;
 
-		if (!last || by_digest(last, from)) {
-			inv->key[n++] = *from;
+		if (by_digest(last, from)) {
+			*++last = *from;
 		} else if (last->workspace != STEER_NONE &&
 			   last->workspace != from->workspace) {
 			last->workspace = STEER_NONE;
 			note_shared_key(&inv->manifest, &last->digest);
 		}
 	}
-	inv->nkey = n;
+	if (inv->nkey)
+		inv->nkey = (int)(last - inv->key) + 1;
 }
 
 void config_workspaces_sort(struct inventory *inv)
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -65,16 +65,15 @@
 		 (unsigned long long)r->request_meta.object_hash);
 	log_event(LOG_LEVEL_INFO, "request", "id", r->request_meta.id, "digest",
 		  digest, "service", r->service_name, "workspace",
-		  r->workspace_name, "status", status,
-		  "outcome", outcomes[r->outcome], "cause",
-		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
-		  "upstream", r->instance, "peer", r->peer_address,
-		  "relayed_by", r->relayed_by, "manifest", version, "wait_ms",
-		  wait, "inflight_milli", inflight, "rank", rank, "object",
-		  object, "priority", priority, "objective_ms", objective,
-		  "head", response.head, "framing", response.framing, "length",
-		  response.length, "body", response.body, "uses", response.uses,
-		  "answer_id", response.id, NULL);
+		  r->workspace_name, "status", status, "outcome",
+		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
+		  ms, "attempts", attempts, "upstream", r->instance, "peer",
+		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
+		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
+		  rank, "object", object, "priority", priority, "objective_ms",
+		  objective, "head", response.head, "framing", response.framing,
+		  "length", response.length, "body", response.body, "uses",
+		  response.uses, "answer_id", response.id, NULL);
 }
 
 void request_log_refused_stop(const struct proxy_request *r)
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -4,8 +4,8 @@
 /*
  * A proxy with one traffic thread in the test's own process, whose view has one
  * service "s" with two upstreams at the scripted server, the routes /safe/,
- * /once/, /open/, which is public, and /near/, whose home is the VM's region, to
- * it, and other VMs at the scripted server.
+ * /once/, /open/, which is public, and /near/, whose home is the VM's region,
+ * to it, and other VMs at the scripted server.
  */
 
 /** Where the proxy sends requests. */
