--- a/proxy/test/test_workspaces.c
+++ b/proxy/test/test_workspaces.c
@@ -15,6 +15,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Time after which the listener reads a head that is not complete, in ms, with
+ * a margin. */
+#define HEAD_PART_MS 1200
+
 static struct caller caller;
 static struct caller relaying;
 static struct caller_response response;
@@ -234,7 +238,6 @@
 	size_t n = strlen(text);
 
 	assert_int_equal(send(fd, text, n, MSG_NOSIGNAL), n);
-	usleep(50000);
 }
 
 /* The head may come long after the request's first line. */
@@ -246,6 +249,7 @@
 	assert_int_equal(
 		request(&caller, "/safe/a", "Api-Key: key-of-alpha\r\n"), 200);
 	send_text(caller.fd, "GET /safe/a HTTP/1.1\r\nHost: h\r\n");
+	usleep(HEAD_PART_MS * 1000);
 	fixture_set_workspaces("another-key-of-alpha");
 	send_text(caller.fd, "X-Request-Id: late\r\n"
 			     "Api-Key: key-of-alpha\r\n\r\n");
