The fourth figure of an upstream's load report, in the estimate and the log

Cause: the figure that says how long work takes on the upstream's VM was not read. Change: it is kept with its time, and moves the estimated slowness the less the older it is, up to 0.6 s. Requests log the figure of the answer and the age of the report that the placement rested on.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -27,6 +27,10 @@
 	 * last load report, in thousandths. */
 	int64_t others_inflight_milli;
 	int64_t reported_ms;
+	/** How long work takes on the upstream's VM, in permille of the usual,
+	 * as last reported, and when that was; 0 if it never was. */
+	int slowness_permille;
+	int64_t slowness_reported_ms;
 	/** Time of an attempt. */
 	struct place_average latency;
 	/** Moving average of the share of failed attempts, in permille. */
@@ -265,6 +269,15 @@
 void place_record_load(struct place_upstream_stats *u, int running, int waiting,
 		       int own_outstanding, int64_t now_ms);
 
+/** Records how long work takes on the upstream's VM, in percent of the usual, as
+ * the upstream reports it. */
+void place_record_slowness(struct place_upstream_stats *u, int percent,
+			   int64_t now_ms);
+
+/** Age of the upstream's last load report in ms; PRL_NEVER without one. */
+int64_t place_report_age_ms(const struct place_upstream_stats *u,
+			    int64_t now_ms);
+
 /**
  * Returns the time after which a refused caller may retry, in ms: the shortest
  * wait found (wait_ms, or PRL_NEVER) within fixed bounds, plus up to as much
--- a/place/src/stats.c
+++ b/place/src/stats.c
@@ -1,11 +1,16 @@
 /* Statistics of an upstream: decay, moving averages, outlier ejection. */
 #include <primroselead/backoff.h>
+#include <primroselead/clock.h>
 #include <primroselead/place.h>
 
 /* Age at which a load report has decayed to 0, in ms. A VM gets a report from
  * each upstream about once a second. */
 #define REPORT_AGE_MAX_MS 3000
 
+/* Age at which a reported slowness no longer counts, in ms: an upstream's VM is
+ * shared, and its load changes within fractions of a second. */
+#define SLOWNESS_AGE_MAX_MS 600
+
 /* Age of the last latency sample or failure at which its average expires, in
  * ms. */
 #define STATS_EXPIRY_MS 4000
@@ -23,6 +28,7 @@
 #define SMOOTHING_DIVISOR 8
 
 #define THOUSAND 1000
+#define PERCENT 100
 
 int64_t place_inflight(const struct place_upstream_stats *u,
 		       int own_outstanding, int64_t now_ms)
@@ -43,6 +49,20 @@
 	return now_ms - a->sampled_ms < STATS_EXPIRY_MS ? a->us : 0;
 }
 
+/* Moves the measured slowness towards the reported one, the less the older that
+ * is. */
+static int64_t apply_report(const struct place_upstream_stats *u,
+			    int64_t measured_permille, int64_t now_ms)
+{
+	int64_t weight =
+		SLOWNESS_AGE_MAX_MS - (now_ms - u->slowness_reported_ms);
+
+	if (!u->slowness_permille || weight <= 0)
+		return measured_permille;
+	return measured_permille + (u->slowness_permille - measured_permille) *
+					   weight / SLOWNESS_AGE_MAX_MS;
+}
+
 void place_estimate_fill(const struct place_upstream_stats *u,
 			 int own_outstanding, int64_t service_time_us,
 			 int64_t now_ms, struct place_estimate *out)
@@ -50,8 +70,10 @@
 	int64_t latency_us = average_us(&u->latency, now_ms);
 
 	out->inflight_milli = place_inflight(u, own_outstanding, now_ms);
-	out->slowness_permille =
-		latency_us ? latency_us * THOUSAND / service_time_us : THOUSAND;
+	out->slowness_permille = apply_report(
+		u,
+		latency_us ? latency_us * THOUSAND / service_time_us : THOUSAND,
+		now_ms);
 	out->failure_permille = now_ms - u->last_failure_ms < STATS_EXPIRY_MS
 					? u->failure_permille
 					: 0;
@@ -145,3 +167,16 @@
 	u->others_inflight_milli = others > 0 ? (int64_t)others * THOUSAND : 0;
 	u->reported_ms = now_ms;
 }
+
+void place_record_slowness(struct place_upstream_stats *u, int percent,
+			   int64_t now_ms)
+{
+	u->slowness_permille = percent * THOUSAND / PERCENT;
+	u->slowness_reported_ms = now_ms;
+}
+
+int64_t place_report_age_ms(const struct place_upstream_stats *u,
+			    int64_t now_ms)
+{
+	return u->reported_ms ? now_ms - u->reported_ms : PRL_NEVER;
+}
--- a/place/test/test_choose_stats.c
+++ b/place/test/test_choose_stats.c
@@ -200,6 +200,36 @@
 	assert_int_equal(place_choose(&req, &decision), 1);
 }
 
+/* A report of a slow VM counts at once, and the less the older it is. */
+static void test_reported_slowness_ages(void **unused)
+{
+	struct place_upstream_stats u = {0};
+	struct place_estimate e;
+
+	(void)unused;
+	place_estimate_fill(&u, 0, 100000, 5000, &e);
+	assert_int_equal(e.slowness_permille, 1000);
+	place_record_slowness(&u, 300, 5000);
+	place_estimate_fill(&u, 0, 100000, 5000, &e);
+	assert_int_equal(e.slowness_permille, 3000);
+	place_estimate_fill(&u, 0, 100000, 5300, &e);
+	assert_int_equal(e.slowness_permille, 2000);
+	place_estimate_fill(&u, 0, 100000, 5600, &e);
+	assert_int_equal(e.slowness_permille, 1000);
+}
+
+static void test_slow_report_moves_requests(void **unused)
+{
+	int before;
+
+	(void)unused;
+	before = count_chosen(100, 0);
+	place_record_slowness(&stats[0], 500, now_ms);
+	assert_true(count_chosen(100, 0) * 4 < before);
+	now_ms += 1000;
+	assert_int_equal(count_chosen(100, 0), before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -210,6 +240,8 @@
 		cmocka_unit_test_setup(test_failures_are_forgotten, setup),
 		cmocka_unit_test_setup(test_slow_one_is_avoided, setup),
 		cmocka_unit_test_setup(test_reports_age, setup),
+		cmocka_unit_test_setup(test_reported_slowness_ages, setup),
+		cmocka_unit_test_setup(test_slow_report_moves_requests, setup),
 		cmocka_unit_test_setup(test_retry_after_is_spread, setup),
 		cmocka_unit_test_setup(test_kinds_of_requests_are_told_apart,
 				       setup),
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -33,6 +33,14 @@
 	log_format_number(out->uses, r->connection_uses);
 }
 
+/* In percent; -1 if no upstream has told its own. */
+static int slowness_of(const struct proxy_request *r)
+{
+	int percent = r->response_meta.slowness_percent;
+
+	return percent > 0 ? percent : -1;
+}
+
 void request_log(const struct proxy_request *r)
 {
 	char status[LOG_NUMBER_MAX];
@@ -41,6 +49,8 @@
 	char version[LOG_NUMBER_MAX];
 	char wait[LOG_NUMBER_MAX];
 	char inflight[LOG_NUMBER_MAX];
+	char age[LOG_NUMBER_MAX];
+	char slowness[LOG_NUMBER_MAX];
 	char rank[LOG_NUMBER_MAX];
 	char object[LOG_NUMBER_MAX];
 	char priority[LOG_NUMBER_MAX];
@@ -56,6 +66,9 @@
 	log_format_number(version, r->view ? r->view->manifest_version : 0);
 	log_format_number(wait, r->expected_wait_ms);
 	log_format_number(inflight, r->inflight_milli);
+	log_format_number(
+		age, r->report_age_ms == PRL_NEVER ? -1 : r->report_age_ms);
+	log_format_number(slowness, slowness_of(r));
 	log_format_number(rank, r->rank);
 	log_format_number(priority, r->policy.priority);
 	log_format_number(objective, r->policy.latency_objective_ms);
@@ -69,9 +82,10 @@
 		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
 		  "upstream", r->instance, "peer", r->peer_address,
 		  "relayed_by", r->relayed_by, "manifest", version, "wait_ms",
-		  wait, "inflight_milli", inflight, "rank", rank, "object",
-		  object, "priority", priority, "objective_ms", objective,
-		  "head", response.head, "framing", response.framing, "length",
+		  wait, "inflight_milli", inflight, "report_age_ms", age,
+		  "slowness_percent", slowness, "rank", rank, "object", object,
+		  "priority", priority, "objective_ms", objective, "head",
+		  response.head, "framing", response.framing, "length",
 		  response.length, "body", response.body, "uses", response.uses,
 		  "answer_id", response.id, NULL);
 }
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -125,6 +125,8 @@
 	r->inflight_milli = to->inflight_milli;
 	r->expected_wait_ms = to->wait_ms;
 	r->rank = to->rank;
+	r->report_age_ms = place_report_age_ms(
+		&r->thread->placement_stats[u->stats_index], prl_now_ms());
 	memcpy(r->instance, u->instance, sizeof(r->instance));
 	atomic_fetch_add(
 		&r->thread->proxy->upstream[u->stats_index].outstanding, 1);
@@ -255,13 +257,17 @@
 	const struct fleet_response_meta *a = &r->response_meta;
 	int own_outstanding =
 		get_outstanding(r->thread->proxy, r->upstream->stats_index);
+	int64_t now = prl_now_ms();
 
 	if (a->keep_alive_s > 0)
 		r->thread->keep_alive_s[r->upstream->stats_index] =
 			a->keep_alive_s;
 	if (a->slots >= 0)
 		place_record_load(routed_upstream_stats(r), a->running,
-				  a->waiting, own_outstanding, prl_now_ms());
+				  a->waiting, own_outstanding, now);
+	if (a->slowness_percent >= 0)
+		place_record_slowness(routed_upstream_stats(r),
+				      a->slowness_percent, now);
 }
 
 int placing_take_retry(struct proxy_request *r)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -145,6 +145,8 @@
 	 * and requests in flight there, in thousandths. */
 	int64_t expected_wait_ms;
 	int64_t inflight_milli;
+	/** Age of the upstream's load report then; PRL_NEVER without one. */
+	int64_t report_age_ms;
 	/** Position of the upstream in the object's preference order. */
 	int rank;
 	/** Instance name of the last attempt's upstream. */
