proxy: routed requests wait at the VM until an upstream can take them

Cause: a request for which no upstream was found was refused at once, also if one was about to be free. Change: it waits in its thread, in the order of the package place, if an upstream is likely to be free within a quarter of its time left; it is tried again whenever a request ends and each 10 ms, by the newest view. It is turned away, as not run, as soon as the expected time exceeds that, when a more urgent one needs its place, or when this VM ends. A new request queues behind more urgent ones of its service. Relayed requests do not wait. Retries go to urgent requests that can be in time while these find none.

--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -25,6 +25,16 @@
 	 * those that are in quarantine. */
 	METRIC_QUARANTINE_SUSPECTS,
 	METRIC_QUARANTINE_ACTIVE,
+	/** Routed requests that began to wait for an upstream; that were then
+	 * started, or turned away because the wait was of no use any longer or
+	 * a more urgent one took the place; and those that wait now: the ones
+	 * that can be in time, and the others. */
+	METRIC_REQUESTS_QUEUED,
+	METRIC_QUEUE_STARTED,
+	METRIC_QUEUE_ENDED,
+	METRIC_QUEUE_REPLACED,
+	METRIC_QUEUE_TIMELY,
+	METRIC_QUEUE_LATE,
 	METRIC_UPSTREAM_ATTEMPTS,
 	METRIC_UPSTREAM_RETRIES,
 	/** Requests passed on to another VM, and those taken from others. */
@@ -82,6 +92,7 @@
 	METRIC_REQUEST_TIME,
 	METRIC_UPSTREAM_TIME,
 	METRIC_CLAIM_TIME,
+	METRIC_QUEUE_TIME,
 	METRIC_LATENCY_COUNT,
 };
 
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -16,6 +16,12 @@
 	"requests_quarantined",
 	"quarantine_suspects",
 	"quarantine_active",
+	"requests_queued",
+	"queue_started",
+	"queue_ended",
+	"queue_replaced",
+	"queue_timely",
+	"queue_late",
 	"upstream_attempts",
 	"upstream_retries",
 	"relays_sent",
@@ -48,7 +54,8 @@
 	"log_lines_lost"};
 
 static const char *const latency_names[METRIC_LATENCY_COUNT] = {
-	"request_time_us", "upstream_time_us", "claim_time_us"};
+	"request_time_us", "upstream_time_us", "claim_time_us",
+	"queue_time_us"};
 
 void metrics_add(struct metrics *m, enum metric which, uint64_t n)
 {
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEAD_PLACE_H
 
 #include <primroselead/budget.h>
+#include <primroselead/order.h>
 #include <primroselead/steer.h>
 
 /*
@@ -134,6 +135,8 @@
 	struct place_move_window move_window;
 	/** Limits retries; used by the code that calls this package. */
 	struct limit_budget retry_budget;
+	/** Divides the retries by urgency. */
+	struct order_retries retries;
 	/** Limits requests placed outside of the region that the shares give.
 	 */
 	struct limit_budget overflow_budget;
@@ -214,6 +217,9 @@
 	int priority;
 	int64_t latency_objective_ms;
 	int64_t deadline_ms;
+	/** An earlier call for this request, which waits since then, found no
+	 * upstream and counted it. */
+	int is_repeated;
 	int64_t now_ms;
 	int64_t now_us;
 	const struct place_params *params;
@@ -227,6 +233,9 @@
 	/** Expected wait in the upstream's queue in ms. If no upstream was
 	 * found: the shortest wait among those looked at, or PRL_NEVER. */
 	int64_t wait_ms;
+	/** If no upstream was found: the time until the wait at one of those
+	 * looked at is useful, or PRL_NEVER. */
+	int64_t delay_ms;
 	/** Position of the upstream among the usable ones in the object's
 	 * rendezvous order, counted up to 4; 0 is the first home. */
 	int rank;
@@ -269,8 +278,8 @@
 void place_record_load(struct place_upstream_stats *u, int running, int waiting,
 		       int own_outstanding, int64_t now_ms);
 
-/** Records how long work takes on the upstream's VM, in percent of the usual, as
- * the upstream reports it. */
+/** Records how long work takes on the upstream's VM, in percent of the usual,
+ * as the upstream reports it. */
 void place_record_slowness(struct place_upstream_stats *u, int percent,
 			   int64_t now_ms);
 
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -203,6 +203,20 @@
 	return shortest;
 }
 
+/* Keeps the shortest wait of the regions without a useful upstream. */
+static void note_wait(const struct placement *p, int region,
+		      const struct place_region_decision *found,
+		      int64_t wait_max_ms)
+{
+	int64_t wait = found->wait_ms;
+	int64_t delay = wait == PRL_NEVER ? wait : MAX(wait - wait_max_ms, 0);
+
+	if (wait == PRL_NEVER)
+		wait = delay = wait_for_opening_ms(p, region);
+	p->out->wait_ms = MIN(p->out->wait_ms, wait);
+	p->out->delay_ms = MIN(p->out->delay_ms, delay);
+}
+
 static int try_region(const struct placement *p, int region)
 {
 	const struct place_request *req = p->request;
@@ -232,10 +246,7 @@
 		commit_decision(p, region, &found);
 		return 1;
 	}
-	if (found.wait_ms == PRL_NEVER)
-		found.wait_ms = wait_for_opening_ms(p, region);
-	if (found.wait_ms < p->out->wait_ms)
-		p->out->wait_ms = found.wait_ms;
+	note_wait(p, region, &found, candidates.wait_max_ms);
 	return 0;
 }
 
@@ -297,12 +308,14 @@
 	int planned;
 
 	out->wait_ms = PRL_NEVER;
+	out->delay_ms = PRL_NEVER;
 	update_shares(&p);
 	planned = place_shares_next_region(&req->state->shares,
 					   req->region_mask, req->region_id,
 					   req->sticky ? req->object_hash : 0);
 	limit_budget_set_burst(overflow, OVERFLOW_BURST_REQUESTS);
-	limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
+	if (!req->is_repeated)
+		limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
 	if (planned != STEER_NONE && try_region(&p, planned))
 		return 1;
 	if (planned != STEER_NONE && !limit_budget_withdraw(overflow))
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -246,6 +246,10 @@
 	struct proxy_request *first_waiting;
 	struct proxy_request *last_waiting;
 	int nwaiting;
+	/** Routed requests that wait for an upstream, and the timer that tries
+	 * them again. */
+	struct order_queue routed_waiting;
+	struct loop_timer routed_wait_timer;
 	/** Retries admission of the queued requests. */
 	struct loop_timer wait_timer;
 	/** Looks for disconnected callers. */
--- a/proxy/src/admit.c
+++ b/proxy/src/admit.c
@@ -1,4 +1,5 @@
 #include "request.h"
+#include "waiting.h"
 #include <primroselead/clock.h>
 
 /* Maximum wait for capacity, in milliseconds; then the request is shed. */
@@ -160,6 +161,10 @@
 
 	if (r->state != REQUEST_WAITING)
 		return;
+	if (r->routed) {
+		waiting_remove(r);
+		return;
+	}
 	while (*p != r) {
 		prev = *p;
 		p = &prev->next_waiting;
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -4,6 +4,7 @@
 #include "placing.h"
 #include "service.h"
 #include "upstream.h"
+#include "waiting.h"
 #include <primroselead/clock.h>
 #include <primroselead/stop.h>
 
@@ -29,6 +30,8 @@
 		request_cleanup_transfer(r);
 	}
 	upstream_release(r);
+	if (r->routed)
+		waiting_wake(r->thread);
 	if (r->region == STEER_NONE || r->routed)
 		return;
 	region = &r->service->region[r->region];
@@ -57,6 +60,8 @@
 	if (r->upstream ||
 	    (r->routed ? placing_reserve(r) : upstream_reserve(r)))
 		return 1;
+	if (waiting_enqueue(r))
+		return 0;
 	metrics_add(&r->thread->metrics, METRIC_REQUESTS_SHED, 1);
 	release_and_fail(r, r->isolated
 				    ? "no upstream of the service is in reach"
@@ -85,7 +90,7 @@
 }
 
 /* Relaying does not help: the answer has to pass through this VM. */
-static int outlasts_vm(const struct proxy_request *r)
+int request_outlasts_vm(const struct proxy_request *r)
 {
 	return r->routed && r->outcome == OUTCOME_NOT_RUN &&
 	       !limit_stop_admits(atomic_load(&r->thread->proxy->end_ms),
@@ -94,12 +99,16 @@
 
 void request_start_attempt(struct proxy_request *r)
 {
-	if (outlasts_vm(r)) {
+	if (request_outlasts_vm(r)) {
 		request_refuse_stop(r, "this VM ends before the deadline");
 		return;
 	}
-	if (!request_reserve_upstream(r))
-		return;
+	if (!waiting_must_queue(r) && request_reserve_upstream(r))
+		request_begin_attempt(r);
+}
+
+void request_begin_attempt(struct proxy_request *r)
+{
 	r->state = REQUEST_ATTEMPTING;
 	r->maybe_sent = 0;
 	r->unfit_connections = 0;
--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -29,6 +29,12 @@
 /** Whether a transfer that ends now has ended by the request's deadline. */
 int request_timed_out(const struct proxy_request *r);
 
+/** Starts an attempt at the reserved upstream or VM. */
+void request_begin_attempt(struct proxy_request *r);
+
+/** Whether a routed request that has not run may last longer than this VM. */
+int request_outlasts_vm(const struct proxy_request *r);
+
 /** Starts another attempt. */
 void request_retry(struct proxy_request *r);
 
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -49,6 +49,7 @@
 	char version[LOG_NUMBER_MAX];
 	char wait[LOG_NUMBER_MAX];
 	char inflight[LOG_NUMBER_MAX];
+	char queued[LOG_NUMBER_MAX];
 	char age[LOG_NUMBER_MAX];
 	char slowness[LOG_NUMBER_MAX];
 	char rank[LOG_NUMBER_MAX];
@@ -66,6 +67,7 @@
 	log_format_number(version, r->view ? r->view->manifest_version : 0);
 	log_format_number(wait, r->expected_wait_ms);
 	log_format_number(inflight, r->inflight_milli);
+	log_format_number(queued, r->queued_us / 1000);
 	log_format_number(
 		age, r->report_age_ms == PRL_NEVER ? -1 : r->report_age_ms);
 	log_format_number(slowness, slowness_of(r));
@@ -81,13 +83,13 @@
 		  "outcome", outcomes[r->outcome], "cause",
 		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
 		  "upstream", r->instance, "peer", r->peer_address,
-		  "relayed_by", r->relayed_by, "manifest", version, "wait_ms",
-		  wait, "inflight_milli", inflight, "report_age_ms", age,
-		  "slowness_percent", slowness, "rank", rank, "object", object,
-		  "priority", priority, "objective_ms", objective, "head",
-		  response.head, "framing", response.framing, "length",
-		  response.length, "body", response.body, "uses", response.uses,
-		  "answer_id", response.id, NULL);
+		  "relayed_by", r->relayed_by, "manifest", version, "queued_ms",
+		  queued, "wait_ms", wait, "inflight_milli", inflight,
+		  "report_age_ms", age, "slowness_percent", slowness, "rank",
+		  rank, "object", object, "priority", priority, "objective_ms",
+		  objective, "head", response.head, "framing", response.framing,
+		  "length", response.length, "body", response.body, "uses",
+		  response.uses, "answer_id", response.id, NULL);
 }
 
 void request_log_refused_stop(const struct proxy_request *r)
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -5,6 +5,7 @@
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
 #include <string.h>
+#include <sys/param.h>
 
 /* Part of the platform's constant retry budget that is divided among the known
  * VMs, in percent; the rest is a reserve for VMs that have joined but are not
@@ -26,6 +27,7 @@
 #define RETRY_ISOLATED_MS 500
 
 #define PERCENT 100
+#define US_PER_MS 1000
 
 static struct place_upstream_stats *
 routed_upstream_stats(const struct proxy_request *r)
@@ -72,9 +74,11 @@
 
 	set_retry_budget(r);
 	/* The VM that relayed the request has counted it. */
-	if (!r->attempts && !r->relayed)
-		limit_budget_deposit(&routed_service_state(r)->retry_budget,
-				     ratio * RETRY_RATIO_PERCENT / PERCENT);
+	if (r->counted || r->relayed)
+		return;
+	r->counted = 1;
+	limit_budget_deposit(&routed_service_state(r)->retry_budget,
+			     ratio * RETRY_RATIO_PERCENT / PERCENT);
 }
 
 /* Upstreams are faster for an object that they handled lately. */
@@ -109,6 +113,7 @@
 		.priority = r->policy.priority,
 		.latency_objective_ms = r->policy.latency_objective_ms,
 		.deadline_ms = r->deadline_ms,
+		.is_repeated = r->state == REQUEST_WAITING,
 		.now_ms = prl_now_ms(),
 		.now_us = prl_now_us(),
 		.params = &place_default_params,
@@ -147,7 +152,9 @@
 	struct proxy_thread *t = r->thread;
 
 	t->random_state = prl_hash_combine(t->random_state, r->handle);
-	r->retry_after_ms = place_retry_after(wait_ms, t->random_state);
+	r->retry_after_ms = place_retry_after(
+		MAX(wait_ms, order_drain_ms(&t->routed_waiting)),
+		t->random_state);
 }
 
 /* Trying the upstreams would keep the caller waiting in vain; probes find out
@@ -158,20 +165,26 @@
 	set_retry_after(r, RETRY_ISOLATED_MS);
 }
 
-int placing_reserve(struct proxy_request *r)
+int placing_find_service(struct proxy_request *r)
 {
-	struct place_decision chosen = {.wait_ms = PRL_NEVER};
-	struct place_request request;
 	int i;
 
 	use_newest_view(r);
-	r->service = NULL;
-	r->upstream = NULL;
-	r->hop = HOP_UPSTREAM;
 	i = steer_find_service(r->view, r->service_name,
 			       strlen(r->service_name));
-	if (i != STEER_NONE) {
-		r->service = r->view->service[i];
+	r->service = i == STEER_NONE ? NULL : r->view->service[i];
+	return i != STEER_NONE;
+}
+
+int placing_reserve(struct proxy_request *r)
+{
+	struct place_decision chosen = {.wait_ms = PRL_NEVER,
+					.delay_ms = PRL_NEVER};
+	struct place_request request;
+
+	r->upstream = NULL;
+	r->hop = HOP_UPSTREAM;
+	if (placing_find_service(r)) {
 		count_for_retry_budget(r);
 		if (relay_reserve(r))
 			return 1;
@@ -185,10 +198,33 @@
 			return 1;
 		}
 	}
+	r->delay_ms = chosen.delay_ms;
 	set_retry_after(r, chosen.wait_ms);
 	return 0;
 }
 
+static int64_t expected_time_ms(const struct proxy_request *r)
+{
+	int64_t us = place_kind_time_us(routed_service_state(r), is_sticky(r),
+					r->thread->proxy->region, prl_now_ms());
+
+	return us / US_PER_MS;
+}
+
+void placing_fill_order(const struct proxy_request *r, struct order_entry *out)
+{
+	*out = (struct order_entry){
+		.handle = r->handle,
+		.service = r->service->stats_index,
+		.priority = r->policy.priority,
+		.workspace = r->workspace_id,
+		.work_ms = expected_time_ms(r),
+		.objective_ms = r->started_us / US_PER_MS +
+				r->policy.latency_objective_ms,
+		.deadline_ms = r->deadline_ms,
+	};
+}
+
 /* An attempt at the caller's deadline is no evidence: the upstream may only be
  * slow. */
 static int is_unanswered(const struct proxy_request *r,
@@ -272,7 +308,16 @@
 
 int placing_take_retry(struct proxy_request *r)
 {
-	return limit_budget_withdraw(&routed_service_state(r)->retry_budget);
+	struct place_service_state *s = routed_service_state(r);
+	struct order_entry e;
+
+	placing_fill_order(r, &e);
+	if (!order_may_retry(&s->retries, &e, prl_now_ms()))
+		return 0;
+	if (limit_budget_withdraw(&s->retry_budget))
+		return 1;
+	order_retry_denied(&s->retries, &e, prl_now_ms());
+	return 0;
 }
 
 long placing_idle_max_s(const struct proxy_request *r)
--- a/proxy/src/placing.h
+++ b/proxy/src/placing.h
@@ -11,6 +11,14 @@
  */
 int placing_reserve(struct proxy_request *r);
 
+/** Finds the request's service in the newest view. Returns 1, or 0 if it is not
+ * there. */
+int placing_find_service(struct proxy_request *r);
+
+/** Fills in what the order of waiting requests depends on. The service must be
+ * known. */
+void placing_fill_order(const struct proxy_request *r, struct order_entry *out);
+
 /** Updates the statistics of the upstream and service after an attempt; logs an
  * attempt that did not succeed. */
 void placing_record_result(struct proxy_request *r, enum place_result result);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -13,7 +13,7 @@
 enum request_state {
 	/** Not admitted yet. */
 	REQUEST_NEW,
-	/** Queued for capacity. */
+	/** Queued for capacity; a routed request, for an upstream. */
 	REQUEST_WAITING,
 	/** Waits until its idempotency key is claimed. */
 	REQUEST_CLAIMING,
@@ -153,6 +153,14 @@
 	char instance[STEER_NAME_MAX];
 	/** Delay announced to a refused caller. */
 	int64_t retry_after_ms;
+	/** Expected time until an upstream can take it, if none could when it
+	 * was last tried; PRL_NEVER if that is not known. */
+	int64_t delay_ms;
+	/** Has been credited to the retry budget. */
+	int counted;
+	/** Begin of its last wait for an upstream, and the time of all. */
+	int64_t queued_at_us;
+	int64_t queued_us;
 
 	/** Relayed by another VM, and the name that this VM gave. */
 	int relayed;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -6,6 +6,7 @@
 #include "sockets.h"
 #include "splits.h"
 #include "upload.h"
+#include "waiting.h"
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <stdlib.h>
@@ -415,6 +416,8 @@
 		prl_hash_combine(g_random_int(), (uint64_t)prl_now_us());
 	t->wait_timer.on_expiry = on_wait_timer;
 	t->wait_timer.ctx = t;
+	t->routed_wait_timer.on_expiry = waiting_run;
+	t->routed_wait_timer.ctx = t;
 	t->link_timer.on_expiry = link_resume_transfers;
 	t->link_timer.ctx = t;
 	t->sweep_timer.on_expiry = sweep_requests;
@@ -432,6 +435,7 @@
 	curl_multi_setopt(t->fetch_pool.multi, CURLMOPT_MAXCONNECTS,
 			  (long)connection_limit(s));
 	loop_timer_add(&t->loop, &t->wait_timer);
+	loop_timer_add(&t->loop, &t->routed_wait_timer);
 	loop_timer_add(&t->loop, &t->sweep_timer);
 	loop_timer_add(&t->loop, &t->link_timer);
 	t->sweep_timer.deadline_ms = prl_now_ms() + SWEEP_MS;
