--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -126,6 +126,7 @@
 		health_tick(c, now);
 		news_tick(c);
 		reach_tick(c, now);
+		loads_tick(c, now);
 		crashes_tick(c, now);
 		quarantines_tick(c, now);
 	} else {
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -6,6 +6,7 @@
 #include "crashes.h"
 #include "grants.h"
 #include "health.h"
+#include "loads.h"
 #include "loans.h"
 #include "news.h"
 #include "objects.h"
@@ -58,6 +59,7 @@
 	struct vm_list vm_list;
 	struct health health;
 	struct news news;
+	struct loads loads;
 	struct reach reach;
 	struct readers readers;
 	struct crashes crashes;
--- /dev/null
+++ b/cmd/primroseleadd/loads.c
@@ -0,0 +1,112 @@
+#include "loads.h"
+#include "control.h"
+#include <primroselead/clock.h>
+#include <string.h>
+
+/* Interval of the reports, in ms. */
+#define REPORT_INTERVAL_MS 100
+
+/* Age above which a load is not passed on or taken in, in ms. */
+#define AGE_MAX_MS 2000
+
+/* Bounds of plausible figures. */
+#define REQUESTS_MAX 100000
+#define SLOWNESS_MAX_PERCENT 10000
+
+static void report_to_region(struct control *c, struct wire_load *load, int n)
+{
+	struct wire_args args = {.proc = WIRE_LOADS};
+
+	args.u.loads.load.load_val = load;
+	args.u.loads.load.load_len = (u_int)n;
+	for (int i = 1; n && i < c->members.npeer; i++) {
+		const struct member_peer *p = &c->members.peer[i];
+
+		if (member_is_usable(p) &&
+		    !strcmp(p->vm.region, c->settings->vm.region))
+			wire_notify(&c->wire, p->vm.rpc, &args, NULL);
+	}
+}
+
+/* Returns 1 if the upstream told its load since the last report. */
+static int fill_load(const struct control *c, const struct steer_upstream *u,
+		     int64_t now, struct wire_load *out)
+{
+	struct proxy_load told;
+
+	if (!proxy_get_own_load(&c->proxy, u->stats_index, &told) ||
+	    told.told_ms <= c->loads.reported_ms ||
+	    now - told.told_ms > AGE_MAX_MS)
+		return 0;
+	*out = (struct wire_load){
+		.upstream = u->id,
+		.running = told.running,
+		.waiting = told.waiting,
+		.slowness_percent = told.slowness_percent,
+		.age_ms = (int)(now - told.told_ms),
+	};
+	return 1;
+}
+
+void loads_tick(struct control *c, int64_t now)
+{
+	const struct steer_view *v = c->reach.view;
+	struct wire_load load[WIRE_LOADS_MAX];
+	int n = 0;
+
+	if (!v || now < c->loads.next_report_ms)
+		return;
+	c->loads.next_report_ms = now + REPORT_INTERVAL_MS;
+	for (int i = 0; i < v->nservice; i++) {
+		const struct steer_service *s = v->service[i];
+
+		for (int k = 0; k < s->nupstream && n < WIRE_LOADS_MAX; k++)
+			n += fill_load(c, &s->upstream[k], now, &load[n]);
+	}
+	report_to_region(c, load, n);
+	c->loads.reported_ms = now;
+}
+
+static const struct steer_upstream *find_upstream(const struct steer_view *v,
+						  uint64_t id)
+{
+	for (int i = 0; v && i < v->nservice; i++) {
+		const struct steer_service *s = v->service[i];
+
+		for (int k = 0; k < s->nupstream; k++)
+			if (s->upstream[k].id == id)
+				return &s->upstream[k];
+	}
+	return NULL;
+}
+
+static int is_plausible(const struct wire_load *load)
+{
+	return load->running >= 0 && load->running <= REQUESTS_MAX &&
+	       load->waiting >= 0 && load->waiting <= REQUESTS_MAX &&
+	       load->slowness_percent >= -1 &&
+	       load->slowness_percent <= SLOWNESS_MAX_PERCENT &&
+	       load->age_ms >= 0 && load->age_ms <= AGE_MAX_MS;
+}
+
+void loads_handle_remote(struct control *c, const struct wire_load_list *list)
+{
+	int64_t now = prl_now_ms();
+
+	for (u_int i = 0; i < list->load.load_len; i++) {
+		const struct wire_load *load = &list->load.load_val[i];
+		const struct steer_upstream *u =
+			find_upstream(c->reach.view, load->upstream);
+
+		if (!u || !is_plausible(load))
+			continue;
+		proxy_set_peer_load(
+			&c->proxy, u->stats_index,
+			&(struct proxy_load){
+				.running = load->running,
+				.waiting = load->waiting,
+				.slowness_percent = load->slowness_percent,
+				.told_ms = now - load->age_ms,
+			});
+	}
+}
--- /dev/null
+++ b/cmd/primroseleadd/loads.h
@@ -0,0 +1,27 @@
+#ifndef PRIMROSELEADD_LOADS_H
+#define PRIMROSELEADD_LOADS_H
+
+#include <primroselead/wire.h>
+
+/*
+ * VMs of a region tell each other the loads that upstreams told them. A VM
+ * alone hears from each upstream too seldom to know which of an object's homes
+ * is free. What is lost is not repeated, and counts less with its age.
+ */
+
+struct control;
+
+/** State of the reports to other VMs. */
+struct loads {
+	int64_t next_report_ms;
+	/** Loads told up to then have been reported. */
+	int64_t reported_ms;
+};
+
+/** Sends the loads that were told since the last report. */
+void loads_tick(struct control *c, int64_t now);
+
+/** Handles the report of another VM. */
+void loads_handle_remote(struct control *c, const struct wire_load_list *list);
+
+#endif
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -21,13 +21,19 @@
 	int64_t sampled_ms;
 };
 
+/** Load report of an upstream. All zero means none. */
+struct place_report {
+	/** Requests of other VMs that run or wait there, in thousandths. */
+	int64_t others_inflight_milli;
+	int64_t reported_ms;
+};
+
 /** Statistics that one thread keeps of one upstream. All zero is the initial
  * state. */
 struct place_upstream_stats {
-	/** Requests of other VMs that run or wait at the upstream, as of its
-	 * last load report, in thousandths. */
-	int64_t others_inflight_milli;
-	int64_t reported_ms;
+	/** Newest load report, and the newest one that this VM got itself. */
+	struct place_report report;
+	struct place_report own_report;
 	/** How long work takes on the upstream's VM, in permille of the usual,
 	 * as last reported, and when that was; 0 if it never was. */
 	int slowness_permille;
@@ -278,6 +284,10 @@
 void place_record_load(struct place_upstream_stats *u, int running, int waiting,
 		       int own_outstanding, int64_t now_ms);
 
+/** Records a load report that another VM got. */
+void place_record_peer_load(struct place_upstream_stats *u, int running,
+			    int waiting, int own_outstanding, int64_t told_ms);
+
 /** Records how long work takes on the upstream's VM, in percent of the usual,
  * as the upstream reports it. */
 void place_record_slowness(struct place_upstream_stats *u, int percent,
@@ -378,6 +388,11 @@
 int64_t place_inflight(const struct place_upstream_stats *u,
 		       int own_outstanding, int64_t now_ms);
 
+/** The same by the reports that this VM got itself. Other VMs pass on little of
+ * other regions, so that this compares regions better. */
+int64_t place_inflight_seen(const struct place_upstream_stats *u,
+			    int own_outstanding, int64_t now_ms);
+
 /** Returns the average time of a request of one kind that does not queue, in
  * us, or 0 if there is no recent sample: else a kind that is refused because it
  * was slow would never be measured again. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -282,7 +282,7 @@
 		    now < u->cold_until_ms || now < u->limited_until_ms)
 			continue;
 		out->slots += u->slots;
-		out->inflight_milli += place_inflight(
+		out->inflight_milli += place_inflight_seen(
 			stats_of(p, u), own_outstanding(p, u), now);
 	}
 }
--- a/place/src/stats.c
+++ b/place/src/stats.c
@@ -30,19 +30,31 @@
 #define THOUSAND 1000
 #define PERCENT 100
 
-int64_t place_inflight(const struct place_upstream_stats *u,
-		       int own_outstanding, int64_t now_ms)
+static int64_t inflight(const struct place_report *report, int own_outstanding,
+			int64_t now)
 {
-	int64_t age = now_ms - u->reported_ms;
+	int64_t age = now - report->reported_ms;
 	int64_t own_milli = (int64_t)own_outstanding * THOUSAND;
 
 	if (age >= REPORT_AGE_MAX_MS)
 		return own_milli;
-	return own_milli + u->others_inflight_milli *
+	return own_milli + report->others_inflight_milli *
 				   (REPORT_AGE_MAX_MS - age) /
 				   REPORT_AGE_MAX_MS;
 }
 
+int64_t place_inflight(const struct place_upstream_stats *u,
+		       int own_outstanding, int64_t now_ms)
+{
+	return inflight(&u->report, own_outstanding, now_ms);
+}
+
+int64_t place_inflight_seen(const struct place_upstream_stats *u,
+			    int own_outstanding, int64_t now_ms)
+{
+	return inflight(&u->own_report, own_outstanding, now_ms);
+}
+
 /* Returns 0 without a recent sample. */
 static int64_t average_us(const struct place_average *a, int64_t now_ms)
 {
@@ -157,15 +169,23 @@
 	}
 }
 
-void place_record_load(struct place_upstream_stats *u, int running, int waiting,
-		       int own_outstanding, int64_t now_ms)
+void place_record_peer_load(struct place_upstream_stats *u, int running,
+			    int waiting, int own_outstanding, int64_t told_ms)
 {
 	int others = running + waiting - own_outstanding;
 
 	/* The report may still include the request that it answers, and miss
 	 * requests that the upstream has not received yet. */
-	u->others_inflight_milli = others > 0 ? (int64_t)others * THOUSAND : 0;
-	u->reported_ms = now_ms;
+	u->report.others_inflight_milli =
+		others > 0 ? (int64_t)others * THOUSAND : 0;
+	u->report.reported_ms = told_ms;
+}
+
+void place_record_load(struct place_upstream_stats *u, int running, int waiting,
+		       int own_outstanding, int64_t now_ms)
+{
+	place_record_peer_load(u, running, waiting, own_outstanding, now_ms);
+	u->own_report = u->report;
 }
 
 void place_record_slowness(struct place_upstream_stats *u, int percent,
@@ -178,5 +198,6 @@
 int64_t place_report_age_ms(const struct place_upstream_stats *u,
 			    int64_t now_ms)
 {
-	return u->reported_ms ? now_ms - u->reported_ms : PRL_NEVER;
+	return u->report.reported_ms ? now_ms - u->report.reported_ms
+				     : PRL_NEVER;
 }
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -42,6 +42,26 @@
 /** Maximum number of requests queued for capacity in one thread. */
 #define PROXY_WAITING_MAX 1024
 
+/** Load that an upstream told in a response. */
+struct proxy_load {
+	/** Requests that run and wait there. */
+	int running;
+	int waiting;
+	/** How long work takes on its VM, in percent of the usual; -1 if not
+	 * told. */
+	int slowness_percent;
+	/** When it was told. */
+	int64_t told_ms;
+};
+
+/** The newest struct proxy_load of one source, shared by threads: a reader may
+ * see the time of an older one. */
+struct proxy_shared_load {
+	_Atomic uint64_t packed;
+	/** 0 if there is none yet. */
+	_Atomic int64_t told_ms;
+};
+
 /** Load and health of one upstream as seen by this process, shared by all
  * threads. Times ending in _ms are on the clock of prl_now_ms. */
 struct proxy_upstream_stats {
@@ -61,6 +81,10 @@
 	_Atomic int64_t first_seen_ms;
 	/** Its last response named the attempt that it answers. */
 	_Atomic int names_attempts;
+	/** Load that it told this VM, and other VMs, which passed that on. Of
+	 * routed requests only. */
+	struct proxy_shared_load own_load;
+	struct proxy_shared_load peer_load;
 };
 
 /** State of one service, shared by all threads. */
@@ -355,6 +379,15 @@
 /** Sends new bounds of the platform to every thread. */
 void proxy_set_bounds(struct proxy *p, const struct fleet_bounds *b);
 
+/** Returns 1 and the load that an upstream last told this VM; or 0 if it told
+ * none. */
+int proxy_get_own_load(const struct proxy *p, int stats_index,
+		       struct proxy_load *out);
+
+/** Takes the load that an upstream told another VM, if it is news. */
+void proxy_set_peer_load(struct proxy *p, int stats_index,
+			 const struct proxy_load *load);
+
 /** Locks the table of requests that end upstreams, and returns it; every thread
  * may, for a short time. */
 struct quarantine *proxy_lock_quarantine(struct proxy *p);
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -1,5 +1,6 @@
 /* Placement of routed requests: connects them to the package place. */
 #include "placing.h"
+#include "loads.h"
 #include "news.h"
 #include "relay.h"
 #include <primroselead/clock.h>
@@ -192,6 +193,7 @@
 			reject_isolated(r);
 			return 0;
 		}
+		loads_read_peers(r->thread, r->service);
 		fill_place_request(r, &request);
 		if (place_choose(&request, &chosen)) {
 			assign_upstream(r, &chosen);
@@ -291,19 +293,19 @@
 void placing_record_load(struct proxy_request *r)
 {
 	const struct fleet_response_meta *a = &r->response_meta;
-	int own_outstanding =
-		get_outstanding(r->thread->proxy, r->upstream->stats_index);
-	int64_t now = prl_now_ms();
 
 	if (a->keep_alive_s > 0)
 		r->thread->keep_alive_s[r->upstream->stats_index] =
 			a->keep_alive_s;
 	if (a->slots >= 0)
-		place_record_load(routed_upstream_stats(r), a->running,
-				  a->waiting, own_outstanding, now);
-	if (a->slowness_percent >= 0)
-		place_record_slowness(routed_upstream_stats(r),
-				      a->slowness_percent, now);
+		loads_record_own(
+			r->thread, r->upstream->stats_index,
+			&(struct proxy_load){
+				.running = a->running,
+				.waiting = a->waiting,
+				.slowness_percent = a->slowness_percent,
+				.told_ms = prl_now_ms(),
+			});
 }
 
 int placing_take_retry(struct proxy_request *r)
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -16,6 +16,7 @@
 const WIRE_ISOLATED_MAX = 4;
 const WIRE_CRASHES = 3;
 const WIRE_QUARANTINE_MAX = 32;
+const WIRE_LOADS_MAX = 64;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -214,6 +215,21 @@
 	bool complete;
 };
 
+/* What an upstream said of its load in a response to the sender, age_ms ago: the
+ * requests that run and wait there, and how long work takes on its VM in percent of
+ * the usual, -1 if it did not say that. */
+struct wire_load {
+	unsigned hyper upstream;
+	int running;
+	int waiting;
+	int slowness_percent;
+	int age_ms;
+};
+
+struct wire_load_list {
+	wire_load load<WIRE_LOADS_MAX>;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -229,5 +245,6 @@
 		void WIRE_BEAT(wire_beat) = 11;
 		void WIRE_CHANGES(wire_changes) = 12;
 		wire_quarantine WIRE_QUARANTINE(wire_quarantine) = 13;
+		void WIRE_LOADS(wire_load_list) = 18;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -23,6 +23,7 @@
 #define WIRE_ISOLATED_MAX 4
 #define WIRE_CRASHES 3
 #define WIRE_QUARANTINE_MAX 32
+#define WIRE_LOADS_MAX 64
 
 struct wire_vm {
 	char *name;
@@ -225,6 +226,23 @@
 };
 typedef struct wire_quarantine wire_quarantine;
 
+struct wire_load {
+	u_quad_t upstream;
+	int running;
+	int waiting;
+	int slowness_percent;
+	int age_ms;
+};
+typedef struct wire_load wire_load;
+
+struct wire_load_list {
+	struct {
+		u_int load_len;
+		wire_load *load_val;
+	} load;
+};
+typedef struct wire_load_list wire_load_list;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -268,6 +286,9 @@
 #define WIRE_QUARANTINE 13
 extern  wire_quarantine * wire_quarantine_1(wire_quarantine *, CLIENT *);
 extern  wire_quarantine * wire_quarantine_1_svc(wire_quarantine *, struct svc_req *);
+#define WIRE_LOADS 18
+extern  void * wire_loads_1(wire_load_list *, CLIENT *);
+extern  void * wire_loads_1_svc(wire_load_list *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -310,6 +331,9 @@
 #define WIRE_QUARANTINE 13
 extern  wire_quarantine * wire_quarantine_1();
 extern  wire_quarantine * wire_quarantine_1_svc();
+#define WIRE_LOADS 18
+extern  void * wire_loads_1();
+extern  void * wire_loads_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -339,6 +363,8 @@
 extern  bool_t xdr_wire_changes (XDR *, wire_changes*);
 extern  bool_t xdr_wire_quarantine_record (XDR *, wire_quarantine_record*);
 extern  bool_t xdr_wire_quarantine (XDR *, wire_quarantine*);
+extern  bool_t xdr_wire_load (XDR *, wire_load*);
+extern  bool_t xdr_wire_load_list (XDR *, wire_load_list*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -364,6 +390,8 @@
 extern bool_t xdr_wire_changes ();
 extern bool_t xdr_wire_quarantine_record ();
 extern bool_t xdr_wire_quarantine ();
+extern bool_t xdr_wire_load ();
+extern bool_t xdr_wire_load_list ();
 
 #endif /* K&R C */
 
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -46,6 +46,8 @@
 		return (xdrproc_t)xdr_wire_changes;
 	case WIRE_QUARANTINE:
 		return (xdrproc_t)xdr_wire_quarantine;
+	case WIRE_LOADS:
+		return (xdrproc_t)xdr_wire_load_list;
 	}
 	return NULL;
 }
@@ -63,6 +65,7 @@
 	case WIRE_ISOLATION:
 	case WIRE_BEAT:
 	case WIRE_CHANGES:
+	case WIRE_LOADS:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -362,3 +362,75 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_load (XDR *xdrs, wire_load *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->slowness_percent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_LONG(buf, objp->running);
+			IXDR_PUT_LONG(buf, objp->waiting);
+			IXDR_PUT_LONG(buf, objp->slowness_percent);
+			IXDR_PUT_LONG(buf, objp->age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->slowness_percent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			objp->running = IXDR_GET_LONG(buf);
+			objp->waiting = IXDR_GET_LONG(buf);
+			objp->slowness_percent = IXDR_GET_LONG(buf);
+			objp->age_ms = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->slowness_percent))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_load_list (XDR *xdrs, wire_load_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, WIRE_LOADS_MAX,
+		sizeof (wire_load), (xdrproc_t) xdr_wire_load))
+		 return FALSE;
+	return TRUE;
+}
