--- a/cmd/primroseleadd/loads.c
+++ b/cmd/primroseleadd/loads.c
@@ -1,7 +1,9 @@
 #include "loads.h"
 #include "control.h"
 #include <primroselead/clock.h>
+#include <primroselead/hash.h>
 #include <string.h>
+#include <sys/param.h>
 
 /* Interval of the reports, in ms. */
 #define REPORT_INTERVAL_MS 100
@@ -12,6 +14,7 @@
 /* Bounds of plausible figures. */
 #define REQUESTS_MAX 100000
 #define SLOWNESS_MAX_PERCENT 10000
+#define INFLIGHT_MAX_MILLI 1000000000000
 
 static void report_to_region(struct control *c, struct wire_load *load, int n)
 {
@@ -48,6 +51,73 @@
 	return 1;
 }
 
+/* Returns the requests at the upstreams of this VM's region, in thousandths. */
+static int64_t sum_own_region(const struct control *c,
+			      const struct steer_service *s, int64_t now)
+{
+	const struct steer_service_region *sr = &s->region[c->proxy.region];
+	int64_t sum = 0;
+
+	for (int i = 0; i < sr->nupstream; i++) {
+		const struct steer_upstream *u =
+			&s->upstream[sr->first_upstream + i];
+
+		sum += proxy_told_inflight_milli(&c->proxy, u->stats_index,
+						 now);
+	}
+	return sum;
+}
+
+/* Returns a usable VM of the region at random, or null. */
+static const struct member_peer *choose_vm(const struct control *c,
+					   const char *region)
+{
+	const struct member_peer *chosen = NULL;
+	uint64_t random = control_random();
+	uint64_t n = 0;
+
+	for (int i = 1; i < c->members.npeer; i++) {
+		const struct member_peer *p = &c->members.peer[i];
+
+		if (!member_is_usable(p) || strcmp(p->vm.region, region) != 0)
+			continue;
+		n++;
+		if (prl_hash_combine(random, n) % n == 0)
+			chosen = p;
+	}
+	return chosen;
+}
+
+static void send_totals(struct control *c, const struct wire_args *args)
+{
+	const struct steer_view *v = c->reach.view;
+
+	for (int i = 0; i < v->nregion; i++) {
+		const struct member_peer *p = choose_vm(c, c->builder.region[i]);
+
+		if (i != c->proxy.region && p)
+			wire_notify(&c->wire, p->vm.rpc, args, NULL);
+	}
+}
+
+static void report_totals(struct control *c, int64_t now)
+{
+	const struct steer_view *v = c->reach.view;
+	struct wire_region_load load[WIRE_REGION_LOADS_MAX];
+	struct wire_args args = {.proc = WIRE_REGION_LOADS};
+	int n = MIN(v->nservice, WIRE_REGION_LOADS_MAX);
+
+	for (int i = 0; i < n; i++)
+		load[i] = (struct wire_region_load){
+			.service = prl_hash_string(v->service[i]->name),
+			.inflight_milli = sum_own_region(c, v->service[i], now),
+		};
+	args.u.region_loads.region = (char *)c->settings->vm.region;
+	args.u.region_loads.load.load_val = load;
+	args.u.region_loads.load.load_len = (u_int)n;
+	send_totals(c, &args);
+}
+
 void loads_tick(struct control *c, int64_t now)
 {
 	const struct steer_view *v = c->reach.view;
@@ -64,6 +134,7 @@
 			n += fill_load(c, &s->upstream[k], now, &load[n]);
 	}
 	report_to_region(c, load, n);
+	report_totals(c, now);
 	c->loads.reported_ms = now;
 }
 
@@ -110,3 +181,32 @@
 			});
 	}
 }
+
+static const struct steer_service *find_service(const struct steer_view *v,
+						uint64_t hash)
+{
+	for (int i = 0; v && i < v->nservice; i++)
+		if (prl_hash_string(v->service[i]->name) == hash)
+			return v->service[i];
+	return NULL;
+}
+
+void loads_handle_region(struct control *c,
+			 const struct wire_region_loads *list)
+{
+	int region = config_region_index(&c->builder, list->region);
+
+	if (region < 0 || region == c->proxy.region)
+		return;
+	for (u_int i = 0; i < list->load.load_len; i++) {
+		const struct wire_region_load *load = &list->load.load_val[i];
+		const struct steer_service *s =
+			find_service(c->reach.view, load->service);
+
+		if (s && load->inflight_milli >= 0 &&
+		    load->inflight_milli <= INFLIGHT_MAX_MILLI)
+			proxy_set_region_load(&c->proxy, s->stats_index, region,
+					      load->inflight_milli,
+					      prl_now_ms());
+	}
+}
--- a/cmd/primroseleadd/loads.h
+++ b/cmd/primroseleadd/loads.h
@@ -6,7 +6,9 @@
 /*
  * VMs of a region tell each other the loads that upstreams told them. A VM
  * alone hears from each upstream too seldom to know which of an object's homes
- * is free. What is lost is not repeated, and counts less with its age.
+ * is free. To the other regions the VMs tell the totals of their own, each VM
+ * to one of each region. What is lost is not repeated, and counts less with its
+ * age.
  */
 
 struct control;
@@ -24,4 +26,8 @@
 /** Handles the report of another VM. */
 void loads_handle_remote(struct control *c, const struct wire_load_list *list);
 
+/** Handles the totals of another region. */
+void loads_handle_region(struct control *c,
+			 const struct wire_region_loads *list);
+
 #endif
--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -427,6 +427,9 @@
 	case WIRE_LOADS:
 		loads_handle_remote(c, &args->u.loads);
 		break;
+	case WIRE_REGION_LOADS:
+		loads_handle_region(c, &args->u.region_loads);
+		break;
 	case WIRE_CHANGES:
 		readers_handle_changes(c, r, &args->u.changes);
 		break;
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -31,9 +31,8 @@
 /** Statistics that one thread keeps of one upstream. All zero is the initial
  * state. */
 struct place_upstream_stats {
-	/** Newest load report, and the newest one that this VM got itself. */
+	/** Newest load report, to this VM or another one of its region. */
 	struct place_report report;
-	struct place_report own_report;
 	/** How long work takes on the upstream's VM, in permille of the usual,
 	 * as last reported, and when that was; 0 if it never was. */
 	int slowness_permille;
@@ -149,8 +148,14 @@
 	/** Moving average of the time of a request that does not queue at the
 	 * upstream, for each region, in microseconds; 0 without a sample. */
 	int64_t service_time_us[STEER_REGIONS_MAX];
-	/** The same for the requests without "sticky" (index 0) and for those
-	 * with it. */
+	/** What VMs of another region tell of the requests that run or wait
+	 * there, in thousandths, and when they told it. */
+	struct {
+		int64_t inflight_milli;
+		int64_t told_ms;
+	} told[STEER_REGIONS_MAX];
+	/** The same as service_time_us for the requests without "sticky" (index
+	 * 0) and for those with it. */
 	struct place_average kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
 };
@@ -282,11 +287,7 @@
 /** Updates the statistics from a load report of the upstream: its running and
  * waiting requests, of which this VM has own_outstanding. */
 void place_record_load(struct place_upstream_stats *u, int running, int waiting,
-		       int own_outstanding, int64_t now_ms);
-
-/** Records a load report that another VM got. */
-void place_record_peer_load(struct place_upstream_stats *u, int running,
-			    int waiting, int own_outstanding, int64_t told_ms);
+		       int own_outstanding, int64_t told_ms);
 
 /** Records how long work takes on the upstream's VM, in percent of the usual,
  * as the upstream reports it. */
@@ -383,16 +384,14 @@
 	int failure_permille;
 };
 
+/** Returns what a load report of some age still counts for. */
+int64_t place_decay(int64_t inflight_milli, int64_t age_ms);
+
 /** Returns the requests at an upstream in thousandths: this VM's own, and those
  * of others by its last report, which decays linearly to 0 with its age. */
 int64_t place_inflight(const struct place_upstream_stats *u,
 		       int own_outstanding, int64_t now_ms);
 
-/** The same by the reports that this VM got itself. Other VMs pass on little of
- * other regions, so that this compares regions better. */
-int64_t place_inflight_seen(const struct place_upstream_stats *u,
-			    int own_outstanding, int64_t now_ms);
-
 /** Returns the average time of a request of one kind that does not queue, in
  * us, or 0 if there is no recent sample: else a kind that is refused because it
  * was slow would never be measured again. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -23,6 +23,10 @@
  * for changes of the shares. */
 #define REMOTE_EXCESS_PERCENT 20
 
+/* Age up to which the load that another region tells of itself is used, in ms.
+ */
+#define TOLD_AGE_MAX_MS 1500
+
 #define MILLION 1000000
 #define THOUSAND 1000
 #define PERCENT 100
@@ -282,18 +286,31 @@
 		    now < u->cold_until_ms || now < u->limited_until_ms)
 			continue;
 		out->slots += u->slots;
-		out->inflight_milli += place_inflight_seen(
+		out->inflight_milli += place_inflight(
 			stats_of(p, u), own_outstanding(p, u), now);
 	}
 }
 
+/* The VMs of another region know its load better. */
+static void use_told_load(const struct placement *p, int region,
+			  struct place_region_load *out)
+{
+	const struct place_request *req = p->request;
+	int64_t age = req->now_ms - req->state->told[region].told_ms;
+
+	if (region != req->own_region && out->slots && age < TOLD_AGE_MAX_MS)
+		out->inflight_milli = req->state->told[region].inflight_milli;
+}
+
 static void update_shares(const struct placement *p)
 {
 	const struct place_request *req = p->request;
 	struct place_region_load load[STEER_REGIONS_MAX];
 
-	for (int i = 0; i < req->nregion; i++)
+	for (int i = 0; i < req->nregion; i++) {
 		sum_region_load(p, i, &load[i]);
+		use_told_load(p, i, &load[i]);
+	}
 	place_shares_update(&req->state->shares, load, req->nregion,
 			    req->own_region, SHARE_RATE_PPM_PER_S, req->now_ms);
 }
--- a/place/src/stats.c
+++ b/place/src/stats.c
@@ -30,29 +30,20 @@
 #define THOUSAND 1000
 #define PERCENT 100
 
-static int64_t inflight(const struct place_report *report, int own_outstanding,
-			int64_t now)
+int64_t place_decay(int64_t inflight_milli, int64_t age_ms)
 {
-	int64_t age = now - report->reported_ms;
-	int64_t own_milli = (int64_t)own_outstanding * THOUSAND;
-
-	if (age >= REPORT_AGE_MAX_MS)
-		return own_milli;
-	return own_milli + report->others_inflight_milli *
-				   (REPORT_AGE_MAX_MS - age) /
-				   REPORT_AGE_MAX_MS;
+	if (age_ms >= REPORT_AGE_MAX_MS)
+		return 0;
+	return inflight_milli * (REPORT_AGE_MAX_MS - age_ms) /
+	       REPORT_AGE_MAX_MS;
 }
 
 int64_t place_inflight(const struct place_upstream_stats *u,
 		       int own_outstanding, int64_t now_ms)
 {
-	return inflight(&u->report, own_outstanding, now_ms);
-}
-
-int64_t place_inflight_seen(const struct place_upstream_stats *u,
-			    int own_outstanding, int64_t now_ms)
-{
-	return inflight(&u->own_report, own_outstanding, now_ms);
+	return (int64_t)own_outstanding * THOUSAND +
+	       place_decay(u->report.others_inflight_milli,
+			   now_ms - u->report.reported_ms);
 }
 
 /* Returns 0 without a recent sample. */
@@ -169,8 +160,8 @@
 	}
 }
 
-void place_record_peer_load(struct place_upstream_stats *u, int running,
-			    int waiting, int own_outstanding, int64_t told_ms)
+void place_record_load(struct place_upstream_stats *u, int running, int waiting,
+		       int own_outstanding, int64_t told_ms)
 {
 	int others = running + waiting - own_outstanding;
 
@@ -181,13 +172,6 @@
 	u->report.reported_ms = told_ms;
 }
 
-void place_record_load(struct place_upstream_stats *u, int running, int waiting,
-		       int own_outstanding, int64_t now_ms)
-{
-	place_record_peer_load(u, running, waiting, own_outstanding, now_ms);
-	u->own_report = u->report;
-}
-
 void place_record_slowness(struct place_upstream_stats *u, int percent,
 			   int64_t now_ms)
 {
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -106,6 +106,10 @@
 	 * the service, in thousandths of a request per second, as the VMs tell
 	 * each other; 0 while it is not known. */
 	_Atomic int64_t region_demand_milli[STEER_REGIONS_MAX];
+	/** Requests that run or wait at the upstreams of another region, in
+	 * thousandths, as its VMs tell, and when they told it. */
+	_Atomic int64_t region_inflight_milli[STEER_REGIONS_MAX];
+	_Atomic int64_t region_told_ms[STEER_REGIONS_MAX];
 };
 
 struct proxy;
@@ -384,6 +388,15 @@
 int proxy_get_own_load(const struct proxy *p, int stats_index,
 		       struct proxy_load *out);
 
+/** Returns the requests that run or wait at an upstream by what it told this VM
+ * and others, in thousandths; older reports count less. */
+int64_t proxy_told_inflight_milli(const struct proxy *p, int stats_index,
+				  int64_t now_ms);
+
+/** Takes what VMs of another region tell of the requests of a service there. */
+void proxy_set_region_load(struct proxy *p, int service_index, int region,
+			   int64_t inflight_milli, int64_t now_ms);
+
 /** Takes the load that an upstream told another VM, if it is news. */
 void proxy_set_peer_load(struct proxy *p, int stats_index,
 			 const struct proxy_load *load);
--- a/wire/def/wire.x
+++ b/wire/def/wire.x
@@ -17,6 +17,7 @@
 const WIRE_CRASHES = 3;
 const WIRE_QUARANTINE_MAX = 32;
 const WIRE_LOADS_MAX = 64;
+const WIRE_REGION_LOADS_MAX = 32;
 
 /* A VM of the fleet: its identity, addresses and membership state (enum
  * member_state). */
@@ -230,6 +231,18 @@
 	wire_load load<WIRE_LOADS_MAX>;
 };
 
+/* Requests that run or wait at all upstreams of a service, by the hash of its name,
+ * in the sender's region, in thousandths. */
+struct wire_region_load {
+	unsigned hyper service;
+	hyper inflight_milli;
+};
+
+struct wire_region_loads {
+	string region<WIRE_NAME>;
+	wire_region_load load<WIRE_REGION_LOADS_MAX>;
+};
+
 program WIRE_PROGRAM {
 	version WIRE_VERSION {
 		wire_ack WIRE_PROBE(wire_probe) = 1;
@@ -246,5 +259,6 @@
 		void WIRE_CHANGES(wire_changes) = 12;
 		wire_quarantine WIRE_QUARANTINE(wire_quarantine) = 13;
 		void WIRE_LOADS(wire_load_list) = 18;
+		void WIRE_REGION_LOADS(wire_region_loads) = 19;
 	} = 1;
 } = 0x20ab7315;
--- a/wire/include/primroselead/messages.h
+++ b/wire/include/primroselead/messages.h
@@ -24,6 +24,7 @@
 #define WIRE_CRASHES 3
 #define WIRE_QUARANTINE_MAX 32
 #define WIRE_LOADS_MAX 64
+#define WIRE_REGION_LOADS_MAX 32
 
 struct wire_vm {
 	char *name;
@@ -243,6 +244,21 @@
 };
 typedef struct wire_load_list wire_load_list;
 
+struct wire_region_load {
+	u_quad_t service;
+	quad_t inflight_milli;
+};
+typedef struct wire_region_load wire_region_load;
+
+struct wire_region_loads {
+	char *region;
+	struct {
+		u_int load_len;
+		wire_region_load *load_val;
+	} load;
+};
+typedef struct wire_region_loads wire_region_loads;
+
 #define WIRE_PROGRAM 0x20ab7315
 #define WIRE_VERSION 1
 
@@ -289,6 +305,9 @@
 #define WIRE_LOADS 18
 extern  void * wire_loads_1(wire_load_list *, CLIENT *);
 extern  void * wire_loads_1_svc(wire_load_list *, struct svc_req *);
+#define WIRE_REGION_LOADS 19
+extern  void * wire_region_loads_1(wire_region_loads *, CLIENT *);
+extern  void * wire_region_loads_1_svc(wire_region_loads *, struct svc_req *);
 extern int wire_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -334,6 +353,9 @@
 #define WIRE_LOADS 18
 extern  void * wire_loads_1();
 extern  void * wire_loads_1_svc();
+#define WIRE_REGION_LOADS 19
+extern  void * wire_region_loads_1();
+extern  void * wire_region_loads_1_svc();
 extern int wire_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -365,6 +387,8 @@
 extern  bool_t xdr_wire_quarantine (XDR *, wire_quarantine*);
 extern  bool_t xdr_wire_load (XDR *, wire_load*);
 extern  bool_t xdr_wire_load_list (XDR *, wire_load_list*);
+extern  bool_t xdr_wire_region_load (XDR *, wire_region_load*);
+extern  bool_t xdr_wire_region_loads (XDR *, wire_region_loads*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_vm ();
@@ -392,6 +416,8 @@
 extern bool_t xdr_wire_quarantine ();
 extern bool_t xdr_wire_load ();
 extern bool_t xdr_wire_load_list ();
+extern bool_t xdr_wire_region_load ();
+extern bool_t xdr_wire_region_loads ();
 
 #endif /* K&R C */
 
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -33,12 +33,13 @@
 		struct wire_changes changes;
 		struct wire_quarantine quarantine;
 		struct wire_load_list loads;
+		struct wire_region_loads region_loads;
 	} u;
 };
 
 /** Result of a call; the procedure selects the member of the union, and
  * WIRE_PUSH, WIRE_RETURN, WIRE_COLD, WIRE_NEWS, WIRE_ISOLATION, WIRE_BEAT,
- * WIRE_CHANGES and WIRE_LOADS have none. */
+ * WIRE_CHANGES, WIRE_LOADS and WIRE_REGION_LOADS have none. */
 struct wire_result {
 	uint32_t proc;
 	union {
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -48,6 +48,8 @@
 		return (xdrproc_t)xdr_wire_quarantine;
 	case WIRE_LOADS:
 		return (xdrproc_t)xdr_wire_load_list;
+	case WIRE_REGION_LOADS:
+		return (xdrproc_t)xdr_wire_region_loads;
 	}
 	return NULL;
 }
@@ -66,6 +68,7 @@
 	case WIRE_BEAT:
 	case WIRE_CHANGES:
 	case WIRE_LOADS:
+	case WIRE_REGION_LOADS:
 		return (xdrproc_t)xdr_void;
 	case WIRE_PULL:
 		return (xdrproc_t)xdr_wire_delta;
--- a/wire/src/messages.c
+++ b/wire/src/messages.c
@@ -434,3 +434,28 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_region_load (XDR *xdrs, wire_region_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->inflight_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_region_loads (XDR *xdrs, wire_region_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->region, WIRE_NAME))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, WIRE_REGION_LOADS_MAX,
+		sizeof (wire_region_load), (xdrproc_t) xdr_wire_region_load))
+		 return FALSE;
+	return TRUE;
+}
