No place at an upstream without the object if a miss outlasts the deadline

Change: such a place is not used if the expected time of a miss exceeds the time left; the request waits at the VM for a home, or is refused.

Tests: the miss (fails before), loads and totals between VMs, their messages.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -421,6 +421,8 @@
 	int64_t service_time_ms;
 	/** Longest useful wait in an upstream's queue, in ms. */
 	int64_t wait_max_ms;
+	/** Time until the deadline, in ms. */
+	int64_t time_left_ms;
 	const struct place_params *params;
 };
 
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -238,6 +238,7 @@
 		.ntried = req->ntried,
 		.service_time_ms = service_ms,
 		.wait_max_ms = useful_wait_max_ms(req, request_ms),
+		.time_left_ms = req->deadline_ms - req->now_ms,
 		.params = req->params,
 	};
 	struct place_region_decision found;
--- a/place/src/choose_in_region.c
+++ b/place/src/choose_in_region.c
@@ -59,6 +59,15 @@
 	       (int64_t)c->upstream[i].slots * c->params->idle_max_permille;
 }
 
+/* Whether an upstream that is not a home may answer in time without the object
+ * in its cache. */
+static int has_time_for_miss(const struct place_candidates *c)
+{
+	int64_t permille = THOUSAND + c->params->non_home_penalty_permille;
+
+	return c->service_time_ms * permille / THOUSAND < c->time_left_ms;
+}
+
 /* Expected time of the request at an upstream, penalties included, in ms. */
 static int64_t expected_cost_ms(const struct place_candidates *c, int i,
 				int rank)
@@ -111,7 +120,8 @@
 		out->wait_ms = wait;
 	if (wait > c->wait_max_ms)
 		return;
-	if (c->sticky && rank >= c->params->home_count && !is_idle(c, i))
+	if (c->sticky && rank >= c->params->home_count &&
+	    (!is_idle(c, i) || !has_time_for_miss(c)))
 		return;
 	cost = expected_cost_ms(c, i, rank);
 	if (out->upstream != STEER_NONE && cost >= *least_cost)
--- a/place/test/test_choose_stats.c
+++ b/place/test/test_choose_stats.c
@@ -218,6 +218,26 @@
 	assert_int_equal(e.slowness_permille, 1000);
 }
 
+/* The VMs of another region know its load: the shares follow what they tell,
+ * until that is old. */
+static void test_told_load_of_a_region(void **unused)
+{
+	struct place_decision decision;
+	struct place_request req = make_request(1);
+
+	(void)unused;
+	service_state.told[1].inflight_milli =
+		(int64_t)PER_REGION * SLOTS * 1000;
+	service_state.told[1].told_ms = now_ms;
+	set_outstanding(0, SLOTS);
+	place_choose(&req, &decision);
+	assert_int_equal(service_state.shares.share_ppm[1], 0);
+	now_ms += 1500;
+	req = make_request(1);
+	place_choose(&req, &decision);
+	assert_true(service_state.shares.share_ppm[1] > 0);
+}
+
 static void test_slow_report_moves_requests(void **unused)
 {
 	int before;
@@ -242,6 +262,7 @@
 		cmocka_unit_test_setup(test_reports_age, setup),
 		cmocka_unit_test_setup(test_reported_slowness_ages, setup),
 		cmocka_unit_test_setup(test_slow_report_moves_requests, setup),
+		cmocka_unit_test_setup(test_told_load_of_a_region, setup),
 		cmocka_unit_test_setup(test_retry_after_is_spread, setup),
 		cmocka_unit_test_setup(test_kinds_of_requests_are_told_apart,
 				       setup),
--- a/place/test/test_place.c
+++ b/place/test/test_place.c
@@ -41,6 +41,7 @@
 		.sticky = 1,
 		.service_time_ms = 200,
 		.wait_max_ms = 200,
+		.time_left_ms = 2000,
 	};
 }
 
@@ -145,6 +146,31 @@
 	}
 }
 
+/* An upstream without the object in its cache is not used if the deadline would
+ * pass before it answers. */
+static void test_miss_must_fit_the_deadline(void **state)
+{
+	struct place_candidates c = make_candidates(1);
+	struct place_region_decision out;
+	int64_t miss_ms = 3 * c.service_time_ms;
+
+	(void)state;
+	reset_upstreams();
+	for (int i = 0; i < UPSTREAMS; i++)
+		if (reference_rank(1, i) < 2)
+			estimate[i].inflight_milli = 20 * SLOTS * 1000;
+	c.time_left_ms = miss_ms + 1;
+	place_choose_in_region(&c, &out);
+	assert_int_not_equal(out.upstream, STEER_NONE);
+	c.time_left_ms = miss_ms;
+	place_choose_in_region(&c, &out);
+	assert_int_equal(out.upstream, STEER_NONE);
+	/* Without a cache there is no miss. */
+	c.sticky = 0;
+	place_choose_in_region(&c, &out);
+	assert_int_not_equal(out.upstream, STEER_NONE);
+}
+
 /* Whatever the estimates: the wait is within the useful maximum, and the
  * upstream is available, active and not tried before. */
 static void test_random_estimates(void **state)
@@ -383,6 +409,7 @@
 		cmocka_unit_test(test_loss_moves_only_its_objects),
 		cmocka_unit_test(test_full_home_gives_to_the_second),
 		cmocka_unit_test(test_others_only_while_idle),
+		cmocka_unit_test(test_miss_must_fit_the_deadline),
 		cmocka_unit_test(test_random_estimates),
 		cmocka_unit_test(test_objects_stay_in_warm_caches),
 		cmocka_unit_test(test_shares_start_by_slots),
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -139,6 +139,9 @@
 	struct wire_news news = {
 		.instance = "i-1", .upstream = 3, .body.type = WIRE_NEWS_LIMIT};
 	uint64_t service = 4;
+	struct wire_quarantine_record record = {.head = 5};
+	struct wire_load load = {6, 3, 1, 140, 70};
+	struct wire_region_load region_load = {7, 12000};
 	struct wire_args a = {.proc = proc};
 
 	switch (proc) {
@@ -184,6 +187,19 @@
 		a.u.changes.object.object_val = &object;
 		a.u.changes.object.object_len = 1;
 		break;
+	case WIRE_QUARANTINE:
+		a.u.quarantine.record.record_val = &record;
+		a.u.quarantine.record.record_len = 1;
+		break;
+	case WIRE_LOADS:
+		a.u.loads.load.load_val = &load;
+		a.u.loads.load.load_len = 1;
+		break;
+	case WIRE_REGION_LOADS:
+		a.u.region_loads.region = "r";
+		a.u.region_loads.load.load_val = &region_load;
+		a.u.region_loads.load.load_len = 1;
+		break;
 	default:
 		break;
 	}
@@ -228,6 +244,37 @@
 	return rc;
 }
 
+static int is_unused(uint32_t proc)
+{
+	return proc > WIRE_QUARANTINE && proc < WIRE_LOADS;
+}
+
+/* Loads arrive as they were sent, the slowness that is not known too. */
+static void test_loads_round_trip(void **state)
+{
+	struct wire_load sent = {6, 3, 1, -1, 70};
+	struct wire_args a = {.proc = WIRE_LOADS};
+	const struct wire_load *load;
+	struct wire_args back;
+	struct wire_request r;
+	char data[1024];
+	size_t n;
+
+	(void)state;
+	a.u.loads.load.load_val = &sent;
+	a.u.loads.load.load_len = 1;
+	n = wire_encode_call(data, sizeof(data), 9, &a);
+	assert_int_equal(wire_decode_call(data, n, &r, &back), 0);
+	assert_int_equal(back.u.loads.load.load_len, 1);
+	load = back.u.loads.load.load_val;
+	assert_int_equal(load->upstream, 6);
+	assert_int_equal(load->running, 3);
+	assert_int_equal(load->waiting, 1);
+	assert_int_equal(load->slowness_percent, -1);
+	assert_int_equal(load->age_ms, 70);
+	wire_args_free(&back);
+}
+
 /* Only the whole message counts: not a part of it, nor one that something
  * follows, be it padding or another message. */
 static void test_message_of_another_length_is_taken(void **state)
@@ -235,8 +282,9 @@
 	int nfailed = 0;
 
 	(void)state;
-	for (uint32_t proc = WIRE_PROBE; proc <= WIRE_CHANGES; proc++)
-		for (int is_reply = 0; is_reply < 2; is_reply++) {
+	for (uint32_t proc = WIRE_PROBE; proc <= WIRE_REGION_LOADS; proc++)
+		for (int is_reply = 0; !is_unused(proc) && is_reply < 2;
+		     is_reply++) {
 			char data[2048] = {0};
 			size_t n =
 				is_reply ? encode_sample_reply(proc, data, 1024)
@@ -331,6 +379,7 @@
 		cmocka_unit_test(test_beat_and_changes_round_trip),
 		cmocka_unit_test(test_reply_round_trip),
 		cmocka_unit_test(test_hostile_messages),
+		cmocka_unit_test(test_loads_round_trip),
 		cmocka_unit_test(test_message_of_another_length_is_taken),
 		cmocka_unit_test(test_call_and_timeout),
 	};
