Shares shrink only while the other regions are less full

Cause: with the loads of all regions known, an overloaded region moved its requests to others that were as full, where they found cold caches. Change: the thresholds of the own region's occupancy rise with the occupancy of the others.

The test fails without the change.

--- a/place/src/shares.c
+++ b/place/src/shares.c
@@ -2,6 +2,7 @@
 #include <primroselead/hash.h>
 #include <primroselead/place.h>
 #include <string.h>
+#include <sys/param.h>
 
 #define MILLION 1000000
 #define THOUSAND 1000
@@ -57,19 +58,41 @@
 	return share < MILLION ? share : MILLION;
 }
 
+/* Occupancy of all other regions together, in permille. */
+static int64_t others_occupancy_permille(const struct place_region_load *load,
+					 int nregion, int own)
+{
+	struct place_region_load others = {0};
+
+	for (int r = 0; r < nregion; r++) {
+		if (r == own)
+			continue;
+		others.slots += load[r].slots;
+		others.inflight_milli += load[r].inflight_milli;
+	}
+	return occupancy_permille(&others);
+}
+
+/* While the others are as full as the own region, moving requests there only
+ * costs them their warm caches. */
 static int64_t own_region_target(const struct place_shares *s,
 				 const struct place_region_load *load,
 				 int nregion, int own)
 {
 	int64_t occupancy = occupancy_permille(&load[own]);
+	int64_t others = others_occupancy_permille(load, nregion, own);
+	int64_t high = MAX(OCCUPANCY_HIGH_PERMILLE, others);
+	int64_t low =
+		MAX(OCCUPANCY_LOW_PERMILLE,
+		    others * OCCUPANCY_LOW_PERMILLE / OCCUPANCY_HIGH_PERMILLE);
 
 	if (!load[own].slots)
 		return 0;
 	if (!s->initialized)
 		return initial_own_share(load, nregion, own);
-	if (occupancy > OCCUPANCY_HIGH_PERMILLE)
-		return s->share_ppm[own] * OCCUPANCY_HIGH_PERMILLE / occupancy;
-	if (occupancy < OCCUPANCY_LOW_PERMILLE)
+	if (occupancy > high)
+		return s->share_ppm[own] * high / occupancy;
+	if (occupancy < low)
 		return MILLION;
 	return s->share_ppm[own];
 }
--- a/place/test/test_place.c
+++ b/place/test/test_place.c
@@ -287,6 +287,33 @@
 	}
 }
 
+/* Returns the own region's share after a minute at these loads, in percent of
+ * the slots. */
+static int64_t settled_own_share(int64_t own_percent, int64_t others_percent)
+{
+	struct place_shares s = {0};
+
+	for (int r = 0; r < 3; r++)
+		load[r] = (struct place_region_load){
+			.slots = 100,
+			.inflight_milli =
+				1000 * (r ? others_percent : own_percent),
+		};
+	for (int64_t now = 0; now < 60000; now += 100)
+		place_shares_update(&s, load, 3, 0, 40000, now);
+	return s.share_ppm[0];
+}
+
+/* Requests move from a full region only to regions that are less full. */
+static void test_shares_stay_while_all_are_full(void **state)
+{
+	(void)state;
+	assert_in_range(settled_own_share(150, 20), 0, 100);
+	assert_int_equal(settled_own_share(150, 150), 1000000);
+	assert_int_equal(settled_own_share(150, 200), 1000000);
+	assert_in_range(settled_own_share(150, 120), 0, 100);
+}
+
 static const uint64_t region_ids[STEER_REGIONS_MAX] = {7, 8, 9};
 
 /* Without an object the regions get their shares to within one request, and
@@ -414,6 +441,7 @@
 		cmocka_unit_test(test_objects_stay_in_warm_caches),
 		cmocka_unit_test(test_shares_start_by_slots),
 		cmocka_unit_test(test_shares_move_at_the_pace),
+		cmocka_unit_test(test_shares_stay_while_all_are_full),
 		cmocka_unit_test(test_shares_are_exact),
 		cmocka_unit_test(test_objects_keep_their_region),
 		cmocka_unit_test(test_order_of_regions_does_not_matter),
