--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -2,6 +2,7 @@
 #define PRIMROSELEAD_PLACE_H
 
 #include <primroselead/budget.h>
+#include <primroselead/order.h>
 #include <primroselead/steer.h>
 
 /*
@@ -20,13 +21,22 @@
 	int64_t sampled_ms;
 };
 
+/** Load report of an upstream. All zero means none. */
+struct place_report {
+	/** Requests of other VMs that run or wait there, in thousandths. */
+	int64_t others_inflight_milli;
+	int64_t reported_ms;
+};
+
 /** Statistics that one thread keeps of one upstream. All zero is the initial
  * state. */
 struct place_upstream_stats {
-	/** Requests of other VMs that run or wait at the upstream, as of its
-	 * last load report, in thousandths. */
-	int64_t others_inflight_milli;
-	int64_t reported_ms;
+	/** Newest load report, to this VM or another one of its region. */
+	struct place_report report;
+	/** How long work takes on the upstream's VM, in permille of the usual,
+	 * as last reported, and when that was; 0 if it never was. */
+	int slowness_permille;
+	int64_t slowness_reported_ms;
 	/** Time of an attempt. */
 	struct place_average latency;
 	/** Moving average of the share of failed attempts, in permille. */
@@ -130,14 +140,22 @@
 	struct place_move_window move_window;
 	/** Limits retries; used by the code that calls this package. */
 	struct limit_budget retry_budget;
+	/** Divides the retries by urgency. */
+	struct order_retries retries;
 	/** Limits requests placed outside of the region that the shares give.
 	 */
 	struct limit_budget overflow_budget;
 	/** Moving average of the time of a request that does not queue at the
 	 * upstream, for each region, in microseconds; 0 without a sample. */
 	int64_t service_time_us[STEER_REGIONS_MAX];
-	/** The same for the requests without "sticky" (index 0) and for those
-	 * with it. */
+	/** What VMs of another region tell of the requests that run or wait
+	 * there, in thousandths, and when they told it. */
+	struct {
+		int64_t inflight_milli;
+		int64_t told_ms;
+	} told[STEER_REGIONS_MAX];
+	/** The same as service_time_us for the requests without "sticky" (index
+	 * 0) and for those with it. */
 	struct place_average kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
 };
@@ -210,6 +228,9 @@
 	int priority;
 	int64_t latency_objective_ms;
 	int64_t deadline_ms;
+	/** An earlier call for this request, which waits since then, found no
+	 * upstream and counted it. */
+	int is_repeated;
 	int64_t now_ms;
 	int64_t now_us;
 	const struct place_params *params;
@@ -223,6 +244,9 @@
 	/** Expected wait in the upstream's queue in ms. If no upstream was
 	 * found: the shortest wait among those looked at, or PRL_NEVER. */
 	int64_t wait_ms;
+	/** If no upstream was found: the time until the wait at one of those
+	 * looked at is useful, or PRL_NEVER. */
+	int64_t delay_ms;
 	/** Position of the upstream among the usable ones in the object's
 	 * rendezvous order, counted up to 4; 0 is the first home. */
 	int rank;
@@ -263,7 +287,16 @@
 /** Updates the statistics from a load report of the upstream: its running and
  * waiting requests, of which this VM has own_outstanding. */
 void place_record_load(struct place_upstream_stats *u, int running, int waiting,
-		       int own_outstanding, int64_t now_ms);
+		       int own_outstanding, int64_t told_ms);
+
+/** Records how long work takes on the upstream's VM, in percent of the usual,
+ * as the upstream reports it. */
+void place_record_slowness(struct place_upstream_stats *u, int percent,
+			   int64_t now_ms);
+
+/** Age of the upstream's last load report in ms; PRL_NEVER without one. */
+int64_t place_report_age_ms(const struct place_upstream_stats *u,
+			    int64_t now_ms);
 
 /**
  * Returns the time after which a refused caller may retry, in ms: the shortest
@@ -351,6 +384,9 @@
 	int failure_permille;
 };
 
+/** Returns what a load report of some age still counts for. */
+int64_t place_decay(int64_t inflight_milli, int64_t age_ms);
+
 /** Returns the requests at an upstream in thousandths: this VM's own, and those
  * of others by its last report, which decays linearly to 0 with its age. */
 int64_t place_inflight(const struct place_upstream_stats *u,
@@ -385,6 +421,8 @@
 	int64_t service_time_ms;
 	/** Longest useful wait in an upstream's queue, in ms. */
 	int64_t wait_max_ms;
+	/** Time until the deadline, in ms. */
+	int64_t time_left_ms;
 	const struct place_params *params;
 };
 
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -23,6 +23,10 @@
  * for changes of the shares. */
 #define REMOTE_EXCESS_PERCENT 20
 
+/* Age up to which the load that another region tells of itself is used, in ms.
+ */
+#define TOLD_AGE_MAX_MS 1500
+
 #define MILLION 1000000
 #define THOUSAND 1000
 #define PERCENT 100
@@ -203,6 +207,20 @@
 	return shortest;
 }
 
+/* Keeps the shortest wait of the regions without a useful upstream. */
+static void note_wait(const struct placement *p, int region,
+		      const struct place_region_decision *found,
+		      int64_t wait_max_ms)
+{
+	int64_t wait = found->wait_ms;
+	int64_t delay = wait == PRL_NEVER ? wait : MAX(wait - wait_max_ms, 0);
+
+	if (wait == PRL_NEVER)
+		wait = delay = wait_for_opening_ms(p, region);
+	p->out->wait_ms = MIN(p->out->wait_ms, wait);
+	p->out->delay_ms = MIN(p->out->delay_ms, delay);
+}
+
 static int try_region(const struct placement *p, int region)
 {
 	const struct place_request *req = p->request;
@@ -220,6 +238,7 @@
 		.ntried = req->ntried,
 		.service_time_ms = service_ms,
 		.wait_max_ms = useful_wait_max_ms(req, request_ms),
+		.time_left_ms = req->deadline_ms - req->now_ms,
 		.params = req->params,
 	};
 	struct place_region_decision found;
@@ -232,10 +251,7 @@
 		commit_decision(p, region, &found);
 		return 1;
 	}
-	if (found.wait_ms == PRL_NEVER)
-		found.wait_ms = wait_for_opening_ms(p, region);
-	if (found.wait_ms < p->out->wait_ms)
-		p->out->wait_ms = found.wait_ms;
+	note_wait(p, region, &found, candidates.wait_max_ms);
 	return 0;
 }
 
@@ -276,13 +292,26 @@
 	}
 }
 
+/* The VMs of another region know its load better. */
+static void use_told_load(const struct placement *p, int region,
+			  struct place_region_load *out)
+{
+	const struct place_request *req = p->request;
+	int64_t age = req->now_ms - req->state->told[region].told_ms;
+
+	if (region != req->own_region && out->slots && age < TOLD_AGE_MAX_MS)
+		out->inflight_milli = req->state->told[region].inflight_milli;
+}
+
 static void update_shares(const struct placement *p)
 {
 	const struct place_request *req = p->request;
 	struct place_region_load load[STEER_REGIONS_MAX];
 
-	for (int i = 0; i < req->nregion; i++)
+	for (int i = 0; i < req->nregion; i++) {
 		sum_region_load(p, i, &load[i]);
+		use_told_load(p, i, &load[i]);
+	}
 	place_shares_update(&req->state->shares, load, req->nregion,
 			    req->own_region, SHARE_RATE_PPM_PER_S, req->now_ms);
 }
@@ -297,12 +326,14 @@
 	int planned;
 
 	out->wait_ms = PRL_NEVER;
+	out->delay_ms = PRL_NEVER;
 	update_shares(&p);
 	planned = place_shares_next_region(&req->state->shares,
 					   req->region_mask, req->region_id,
 					   req->sticky ? req->object_hash : 0);
 	limit_budget_set_burst(overflow, OVERFLOW_BURST_REQUESTS);
-	limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
+	if (!req->is_repeated)
+		limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
 	if (planned != STEER_NONE && try_region(&p, planned))
 		return 1;
 	if (planned != STEER_NONE && !limit_budget_withdraw(overflow))
--- a/place/test/test_choose_stats.c
+++ b/place/test/test_choose_stats.c
@@ -200,6 +200,56 @@
 	assert_int_equal(place_choose(&req, &decision), 1);
 }
 
+/* A report of a slow VM counts at once, and the less the older it is. */
+static void test_reported_slowness_ages(void **unused)
+{
+	struct place_upstream_stats u = {0};
+	struct place_estimate e;
+
+	(void)unused;
+	place_estimate_fill(&u, 0, 100000, 5000, &e);
+	assert_int_equal(e.slowness_permille, 1000);
+	place_record_slowness(&u, 300, 5000);
+	place_estimate_fill(&u, 0, 100000, 5000, &e);
+	assert_int_equal(e.slowness_permille, 3000);
+	place_estimate_fill(&u, 0, 100000, 5300, &e);
+	assert_int_equal(e.slowness_permille, 2000);
+	place_estimate_fill(&u, 0, 100000, 5600, &e);
+	assert_int_equal(e.slowness_permille, 1000);
+}
+
+/* The VMs of another region know its load: the shares follow what they tell,
+ * until that is old. */
+static void test_told_load_of_a_region(void **unused)
+{
+	struct place_decision decision;
+	struct place_request req = make_request(1);
+
+	(void)unused;
+	service_state.told[1].inflight_milli =
+		(int64_t)PER_REGION * SLOTS * 1000;
+	service_state.told[1].told_ms = now_ms;
+	set_outstanding(0, SLOTS);
+	place_choose(&req, &decision);
+	assert_int_equal(service_state.shares.share_ppm[1], 0);
+	now_ms += 1500;
+	req = make_request(1);
+	place_choose(&req, &decision);
+	assert_true(service_state.shares.share_ppm[1] > 0);
+}
+
+static void test_slow_report_moves_requests(void **unused)
+{
+	int before;
+
+	(void)unused;
+	before = count_chosen(100, 0);
+	place_record_slowness(&stats[0], 500, now_ms);
+	assert_true(count_chosen(100, 0) * 4 < before);
+	now_ms += 1000;
+	assert_int_equal(count_chosen(100, 0), before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -210,6 +260,9 @@
 		cmocka_unit_test_setup(test_failures_are_forgotten, setup),
 		cmocka_unit_test_setup(test_slow_one_is_avoided, setup),
 		cmocka_unit_test_setup(test_reports_age, setup),
+		cmocka_unit_test_setup(test_reported_slowness_ages, setup),
+		cmocka_unit_test_setup(test_slow_report_moves_requests, setup),
+		cmocka_unit_test_setup(test_told_load_of_a_region, setup),
 		cmocka_unit_test_setup(test_retry_after_is_spread, setup),
 		cmocka_unit_test_setup(test_kinds_of_requests_are_told_apart,
 				       setup),
