Placement: a request does not wait for upstreams that it was tried at

Change: the expected delay counts upstreams that the request has not been tried at; the Retry-After of a refusal still counts all.

--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -187,9 +187,25 @@
 		(MILLION - own_share) / THOUSAND + excess, req->now_ms);
 }
 
-/* Time until an upstream of the region is neither paused nor closed, or
+static int was_tried(const struct placement *p, const struct steer_upstream *u)
+{
+	for (int i = 0; i < p->request->ntried; i++)
+		if (p->request->tried_ids[i] == u->id)
+			return 1;
+	return 0;
+}
+
+/* Which upstreams an opening is awaited of. */
+enum opening {
+	OPENING_OF_ANY,
+	/** Of those that the request has not been tried at. */
+	OPENING_OF_OTHERS,
+};
+
+/* Time until such an upstream of the region is neither paused nor closed, or
  * PRL_NEVER if there is none that is active. */
-static int64_t wait_for_opening_ms(const struct placement *p, int region)
+static int64_t wait_for_opening_ms(const struct placement *p, int region,
+				   enum opening which)
 {
 	const struct steer_service *s = p->request->service;
 	const struct steer_service_region *sr = &s->region[region];
@@ -201,7 +217,8 @@
 			&s->upstream[sr->first_upstream + i];
 		int64_t opens = MAX(u->paused_until_ms, u->closed_until_ms);
 
-		if (u->state == STEER_ACTIVE)
+		if (u->state == STEER_ACTIVE &&
+		    (which == OPENING_OF_ANY || !was_tried(p, u)))
 			shortest = MIN(shortest, MAX(opens - now, 0));
 	}
 	return shortest;
@@ -215,8 +232,10 @@
 	int64_t wait = found->wait_ms;
 	int64_t delay = wait == PRL_NEVER ? wait : MAX(wait - wait_max_ms, 0);
 
-	if (wait == PRL_NEVER)
-		wait = delay = wait_for_opening_ms(p, region);
+	if (wait == PRL_NEVER) {
+		wait = wait_for_opening_ms(p, region, OPENING_OF_ANY);
+		delay = wait_for_opening_ms(p, region, OPENING_OF_OTHERS);
+	}
 	p->out->wait_ms = MIN(p->out->wait_ms, wait);
 	p->out->delay_ms = MIN(p->out->delay_ms, delay);
 }
