--- a/cmd/primroseleadd/loads.c
+++ b/cmd/primroseleadd/loads.c
@@ -93,7 +93,8 @@
 	const struct steer_view *v = c->reach.view;
 
 	for (int i = 0; i < v->nregion; i++) {
-		const struct member_peer *p = choose_vm(c, c->builder.region[i]);
+		const struct member_peer *p =
+			choose_vm(c, c->builder.region[i]);
 
 		if (i != c->proxy.region && p)
 			wire_notify(&c->wire, p->vm.rpc, args, NULL);
