--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -192,7 +192,7 @@
 	service_state.overflow_budget.credit_milli = 0;
 	req.is_repeated = 1;
 	before = service_state.overflow_budget.credit_milli;
-	for (int i = 0; i < 100; i++)
+	for (int i = 0; i < 20; i++)
 		place_choose(&req, &decision);
 	assert_int_equal(service_state.overflow_budget.credit_milli, before);
 }
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -31,6 +31,7 @@
 static struct mailbox mailbox[3];
 static struct config_builder builder;
 static struct inventory inv;
+static struct steer_view *last_view;
 static int relay_port;
 static int peer_port;
 
@@ -123,7 +124,9 @@
 	if (!view)
 		die("view");
 	proxy_set_view(&proxy, view);
-	config_view_release(view);
+	if (last_view)
+		config_view_release(last_view);
+	last_view = view;
 	usleep(50000);
 }
 
@@ -175,10 +178,36 @@
 	return !atomic_load(&proxy.open_requests);
 }
 
+void fixture_add_outstanding(int n)
+{
+	const struct steer_service *s = last_view->service[0];
+
+	for (int i = 0; i < s->nupstream; i++)
+		atomic_fetch_add(
+			&proxy.upstream[s->upstream[i].stats_index].outstanding,
+			n);
+}
+
+int fixture_counter(enum metric which)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < proxy.nthread; i++)
+		sum += atomic_load(&proxy.thread[i].metrics.counter[which]);
+	return (int)sum;
+}
+
+void fixture_end_requests(void)
+{
+	proxy_end_requests(&proxy);
+}
+
 void fixture_stop(void)
 {
 	proxy_stop(&proxy);
 	proxy_finish(&proxy);
+	config_view_release(last_view);
+	last_view = NULL;
 	for (int i = 0; i < 3; i++)
 		mailbox_finish(&mailbox[i], &control_loop);
 	loop_finish(&control_loop);
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -1,6 +1,8 @@
 #ifndef PROXY_TEST_FIXTURE_H
 #define PROXY_TEST_FIXTURE_H
 
+#include <primroselead/metrics.h>
+
 /*
  * A proxy with one traffic thread in the test's own process, whose view has one
  * service "s" with two upstreams at the scripted server, the routes /safe/ and
@@ -27,6 +29,15 @@
 /** Whether the proxy has no request under way. */
 int fixture_is_idle(void);
 
+/** Makes both upstreams count as having that many more requests of this VM. */
+void fixture_add_outstanding(int n);
+
+/** Value of a counter, of all traffic threads. */
+int fixture_counter(enum metric which);
+
+/** Ends the requests that wait for an answer, as a planned stop does. */
+void fixture_end_requests(void);
+
 void fixture_stop(void);
 
 #endif
