Requests of another region's share go through a VM there

Cause: such a request went to an upstream directly. A pair of VM and upstream is used too rarely for its connection to be kept, so it paid for the distance twice, and the VM that placed it knew little of the upstream's load.

Change: it is relayed to a VM of the region over a kept connection, and that VM places it in its own region only (proxy/src/region_relay.c, on the relay for isolated VMs). The first VM counts it for the shares and the bound on moves.

--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -43,7 +43,7 @@
 $(OUT)/bin/primroseleadd-production: deploy/system.toml tools/build-production
 	tools/build-production $@
 
-$(OUT)/test/system/test_upgrade $(OUT)/test/system/test_quarantine_upgrade: $(OUT)/bin/primroseleadd-production
+$(OUT)/test/system/test_upgrade $(OUT)/test/system/test_quarantine_upgrade $(OUT)/test/system/test_region_relay: $(OUT)/bin/primroseleadd-production
 
 .PHONY: tests check check-one bench replay fuzz capacity mutants
 tests: $(TESTS) $(PROGRAM_TESTS) $(SYSTEM_TESTS) $(OUT)/test/model/test_model $(OUT)/test/replay/test_replay
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -30,6 +30,11 @@
 	/** Requests passed on to another VM, and those taken from others. */
 	METRIC_RELAYS_SENT,
 	METRIC_RELAYS_TAKEN,
+	/** Of these, those that go to a region since their share is served
+	 * there; and those that the region's VMs had no room for. */
+	METRIC_RELAYS_REGION_SENT,
+	METRIC_RELAYS_REGION_TAKEN,
+	METRIC_RELAYS_REGION_REFUSED,
 	/** Services of which this VM reaches no upstream at present. */
 	METRIC_SERVICES_ISOLATED,
 	/** Requests sent to another region because their own was full or had
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -123,6 +123,16 @@
 	int64_t isolated_until_ms;
 };
 
+/** Recent requests of one thread that are to run in another region. All zero is
+ * the initial state. */
+struct place_region_uses {
+	/** Requests in the last seconds, in thousandths. */
+	int64_t milli;
+	int64_t counted_ms;
+	/** So many that connections to the region's upstreams are kept. */
+	int keeps_connections;
+};
+
 /** State that one thread keeps of one service. All zero is the initial state.
  */
 struct place_service_state {
@@ -140,6 +150,7 @@
 	 * with it. */
 	struct place_average kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
+	struct place_region_uses region_uses[STEER_REGIONS_MAX];
 };
 
 /**
@@ -181,6 +192,12 @@
 	int own_region;
 	/** Bit mask of the regions that may serve the request. */
 	uint32_t region_mask;
+	/** Another VM has chosen this VM's region and passed the request on:
+	 * it is placed nowhere else, and counts for the shares and the move
+	 * window of that VM only. */
+	int passed_on;
+	/** Bit mask of the regions that have just refused the request. */
+	uint32_t full_regions;
 	/** Indexed by steer_upstream.stats_index. */
 	struct place_upstream_stats *stats;
 	struct place_service_state *state;
@@ -241,6 +258,30 @@
  */
 int place_choose(const struct place_request *req, struct place_decision *out);
 
+/** The first part of place_choose(): returns the region by the shares, or
+ * STEER_NONE if none has a share. */
+int place_plan_region(const struct place_request *req);
+
+/** The second part: chooses an upstream, first in the planned region. */
+int place_choose_planned(const struct place_request *req, int planned,
+			 struct place_decision *out);
+
+/** Returns the upstream of a region that is the first home of the request's
+ * object, or any if there is none, as an index in the service's table; else
+ * STEER_NONE. */
+int place_first_home(const struct place_request *req, int region);
+
+/** Counts a request that is to run in a region. Returns whether there are so
+ * many of them that the connections to its upstreams, which these close when
+ * they have been idle for idle_ms, are mostly kept: uses_min for each upstream
+ * in that time. */
+int place_keeps_connections(const struct place_request *req, int region,
+			    int64_t idle_ms, int64_t uses_min);
+
+/** Whether the request may be passed on to a VM of another region, which places
+ * it there. If so, counts it in the move window. */
+int place_pass_on(const struct place_request *req, int region);
+
 /** A finished attempt at an upstream. */
 struct place_attempt {
 	enum place_result result;
@@ -447,4 +488,34 @@
 void place_move_window_count(struct place_move_window *w, int remote,
 			     int64_t now_ms);
 
+/** Most VMs whose times are known at once. */
+#define PLACE_PEERS_MAX 64
+
+/** Time that relays to a VM take beside the time that the VM itself takes. */
+struct place_peer_time {
+	/** Id of the VM; 0 in an entry that is not used. */
+	uint64_t id;
+	int region;
+	/** Moving average. */
+	int64_t us;
+	int64_t sampled_ms;
+};
+
+/** Times of relays to the VMs of other regions: the distance, and what packets
+ * wait at the links of the VMs. All zero is the initial state. */
+struct place_peer_times {
+	struct place_peer_time peer[PLACE_PEERS_MAX];
+	/** Least time of each region in the last seconds. */
+	struct place_average least[STEER_REGIONS_MAX];
+};
+
+/** Records the time of one relay. */
+void place_peer_times_record(struct place_peer_times *t, uint64_t id,
+			     int region, int64_t us, int64_t now_ms);
+
+/** Fills the ids of the VMs of a region whose links delay relays at present, so
+ * that more relays would delay those VMs' callers. Returns their number. */
+int place_peer_times_list_slow(const struct place_peer_times *t, int region,
+			       int64_t now_ms, uint64_t id[PLACE_PEERS_MAX]);
+
 #endif
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -161,16 +161,16 @@
 		limit_rate_record(&stats_of(p, u)->named_limit,
 				  u->limit_part_milli / req->vm_threads,
 				  req->now_us);
-	place_move_window_count(&req->state->move_window,
-				region != req->own_region, req->now_ms);
+	if (!req->passed_on)
+		place_move_window_count(&req->state->move_window,
+					region != req->own_region, req->now_ms);
 }
 
 /* Whether the request may be placed in a region. Another region than the own
  * one is always allowed if the own one has no share or may not serve the
  * request; else the bound on moves decides. */
-static int region_allowed(const struct placement *p, int region)
+static int region_allowed(const struct place_request *req, int region)
 {
-	const struct place_request *req = p->request;
 	int64_t own_share = req->state->shares.share_ppm[req->own_region];
 	int64_t excess =
 		req->move_max_permille * REMOTE_EXCESS_PERCENT / PERCENT;
@@ -224,7 +224,9 @@
 	};
 	struct place_region_decision found;
 
-	if (!candidates.n || !region_allowed(p, region))
+	if (req->full_regions >> region & 1)
+		return 0;
+	if (!candidates.n || !region_allowed(req, region))
 		return 0;
 	fill_estimates(p, candidates.upstream, candidates.n, region);
 	place_choose_in_region(&candidates, &found);
@@ -287,25 +289,72 @@
 			    req->own_region, SHARE_RATE_PPM_PER_S, req->now_ms);
 }
 
-int place_choose(const struct place_request *req, struct place_decision *out)
+int place_plan_region(const struct place_request *req)
+{
+	struct limit_budget *overflow = &req->state->overflow_budget;
+	struct placement p = {.request = req};
+
+	if (req->passed_on)
+		return req->region_mask >> req->own_region & 1 ? req->own_region
+							       : STEER_NONE;
+	update_shares(&p);
+	limit_budget_set_burst(overflow, OVERFLOW_BURST_REQUESTS);
+	limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
+	return place_shares_next_region(&req->state->shares, req->region_mask,
+					req->region_id,
+					req->sticky ? req->object_hash : 0);
+}
+
+int place_choose_planned(const struct place_request *req, int planned,
+			 struct place_decision *out)
 {
 	/* Not initialized: clearing 32 KB for each request would be costly, and
 	 * few elements are used. */
 	struct place_estimate estimate[CANDIDATES_MAX];
 	struct placement p = {.request = req, .estimate = estimate, .out = out};
-	struct limit_budget *overflow = &req->state->overflow_budget;
-	int planned;
 
 	out->wait_ms = PRL_NEVER;
-	update_shares(&p);
-	planned = place_shares_next_region(&req->state->shares,
-					   req->region_mask, req->region_id,
-					   req->sticky ? req->object_hash : 0);
-	limit_budget_set_burst(overflow, OVERFLOW_BURST_REQUESTS);
-	limit_budget_deposit(overflow, OVERFLOW_PERMILLE);
 	if (planned != STEER_NONE && try_region(&p, planned))
 		return 1;
-	if (planned != STEER_NONE && !limit_budget_withdraw(overflow))
+	if (req->passed_on)
+		return 0;
+	if (planned != STEER_NONE &&
+	    !limit_budget_withdraw(&req->state->overflow_budget))
 		return 0;
 	return try_other_regions(&p, planned);
 }
+
+int place_choose(const struct place_request *req, struct place_decision *out)
+{
+	return place_choose_planned(req, place_plan_region(req), out);
+}
+
+int place_first_home(const struct place_request *req, int region)
+{
+	const struct steer_service_region *sr = &req->service->region[region];
+	const struct placement p = {.request = req};
+	uint64_t key = req->sticky ? req->object_hash : req->random;
+	uint64_t greatest = 0;
+	int best = STEER_NONE;
+
+	for (int i = 0; i < sr->nupstream; i++) {
+		const struct steer_upstream *u =
+			&req->service->upstream[sr->first_upstream + i];
+		uint64_t h = prl_hash_combine(key, u->id);
+
+		if (u->state != STEER_ACTIVE || !is_available(&p, u) ||
+		    (best != STEER_NONE && h < greatest))
+			continue;
+		greatest = h;
+		best = sr->first_upstream + i;
+	}
+	return best;
+}
+
+int place_pass_on(const struct place_request *req, int region)
+{
+	if (req->full_regions >> region & 1 || !region_allowed(req, region))
+		return 0;
+	place_move_window_count(&req->state->move_window, 1, req->now_ms);
+	return 1;
+}
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -222,6 +222,7 @@
 		int64_t until_ms;
 	} avoided_peer[PROXY_AVOIDED_MAX];
 	unsigned int next_avoided;
+	struct place_peer_times peer_times;
 	struct fetch_pool fetch_pool;
 	struct mailbox mailbox;
 	struct metrics metrics;
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -58,6 +58,7 @@
 	    (r->routed ? placing_reserve(r) : upstream_reserve(r)))
 		return 1;
 	metrics_add(&r->thread->metrics, METRIC_REQUESTS_SHED, 1);
+	r->refusal = r->isolated ? PEER_REFUSAL_VM : PEER_REFUSAL_REGION;
 	release_and_fail(r, r->isolated
 				    ? "no upstream of the service is in reach"
 				    : "no upstream takes new work");
@@ -115,6 +116,8 @@
 	r->discard_ended = 0;
 	r->peer_outcome = PEER_UNKNOWN;
 	r->peer_out_of_reach = 0;
+	r->peer_attempts = -1;
+	r->peer_refusal = PEER_REFUSAL_FINAL;
 	body_finish(&r->response_body);
 	r->upload_paused = 0;
 	r->download_paused = 0;
--- a/proxy/src/download.c
+++ b/proxy/src/download.c
@@ -208,6 +208,8 @@
 	r->naming = NAMING_NONE;
 	r->peer_outcome = PEER_UNKNOWN;
 	r->peer_out_of_reach = 0;
+	r->peer_attempts = -1;
+	r->peer_refusal = PEER_REFUSAL_FINAL;
 	platform_response_meta_init(&r->response_meta);
 }
 
--- a/proxy/src/ending.c
+++ b/proxy/src/ending.c
@@ -12,6 +12,7 @@
 	r->retry_after_ms = RETRY_STOPPING_MS;
 	request_log_refused_stop(r);
 	metrics_add(&r->thread->metrics, METRIC_REQUESTS_SHED, 1);
+	r->refusal = PEER_REFUSAL_VM;
 	request_release(r);
 	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -33,6 +33,13 @@
 	log_format_number(out->uses, r->connection_uses);
 }
 
+/* Region in which the request was placed last. */
+static const char *region_name(const struct proxy_request *r)
+{
+	return r->view && r->region != STEER_NONE ? r->view->region[r->region]
+						  : "";
+}
+
 void request_log(const struct proxy_request *r)
 {
 	char status[LOG_NUMBER_MAX];
@@ -67,13 +74,13 @@
 		  digest, "service", r->service_name, "status", status,
 		  "outcome", outcomes[r->outcome], "cause",
 		  r->cause ? r->cause : "", "ms", ms, "attempts", attempts,
-		  "upstream", r->instance, "peer", r->peer_address,
-		  "relayed_by", r->relayed_by, "manifest", version, "wait_ms",
-		  wait, "inflight_milli", inflight, "rank", rank, "object",
-		  object, "priority", priority, "objective_ms", objective,
-		  "head", response.head, "framing", response.framing, "length",
-		  response.length, "body", response.body, "uses", response.uses,
-		  "answer_id", response.id, NULL);
+		  "upstream", r->instance, "region", region_name(r), "peer",
+		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
+		  version, "wait_ms", wait, "inflight_milli", inflight, "rank",
+		  rank, "object", object, "priority", priority, "objective_ms",
+		  objective, "head", response.head, "framing", response.framing,
+		  "length", response.length, "body", response.body, "uses",
+		  response.uses, "answer_id", response.id, NULL);
 }
 
 void request_log_refused_stop(const struct proxy_request *r)
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -1,6 +1,7 @@
 /* Placement of routed requests: connects them to the package place. */
 #include "placing.h"
 #include "news.h"
+#include "region_relay.h"
 #include "relay.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
@@ -94,6 +95,8 @@
 		.region_id = r->view->region_id,
 		.own_region = t->proxy->region,
 		.region_mask = r->region_mask ? r->region_mask : UINT32_MAX,
+		.passed_on = r->passed_on,
+		.full_regions = r->full_regions,
 		.stats = t->placement_stats,
 		.state = routed_service_state(r),
 		.outstanding = get_outstanding,
@@ -160,12 +163,14 @@
 {
 	struct place_decision chosen = {.wait_ms = PRL_NEVER};
 	struct place_request request;
+	int planned;
 	int i;
 
 	use_newest_view(r);
 	r->service = NULL;
 	r->upstream = NULL;
 	r->hop = HOP_UPSTREAM;
+	r->peer_region = STEER_NONE;
 	i = steer_find_service(r->view, r->service_name,
 			       strlen(r->service_name));
 	if (i != STEER_NONE) {
@@ -178,7 +183,10 @@
 			return 0;
 		}
 		fill_place_request(r, &request);
-		if (place_choose(&request, &chosen)) {
+		planned = place_plan_region(&request);
+		if (region_relay_reserve(r, &request, planned))
+			return 1;
+		if (place_choose_planned(&request, planned, &chosen)) {
 			assign_upstream(r, &chosen);
 			return 1;
 		}
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 #include "attempt.h"
+#include "region_relay.h"
 #include <netinet/in.h>
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
@@ -45,25 +46,34 @@
 		steer_vm_is_isolated(&v->vm[v->self], service_hash(r)));
 }
 
-static int choose_peer(const struct proxy_request *r)
+void relay_fill_peer_request(const struct proxy_request *r,
+			     uint64_t avoided[PROXY_AVOIDED_MAX],
+			     struct steer_peer_request *out)
 {
 	const struct proxy_thread *t = r->thread;
-	uint64_t avoided[PROXY_AVOIDED_MAX];
 	int64_t now = prl_now_ms();
-	struct steer_peer_request req = {
+
+	*out = (struct steer_peer_request){
 		.service = service_hash(r),
 		.region_mask = r->region_mask,
 		.avoided = avoided,
 		.random = prl_hash_combine(t->random_state, r->handle),
 	};
-
 	for (int i = 0; i < PROXY_AVOIDED_MAX; i++)
 		if (now < t->avoided_peer[i].until_ms)
-			avoided[req.navoided++] = t->avoided_peer[i].id;
+			avoided[out->navoided++] = t->avoided_peer[i].id;
+}
+
+static int choose_peer(const struct proxy_request *r)
+{
+	uint64_t avoided[PROXY_AVOIDED_MAX];
+	struct steer_peer_request req;
+
+	relay_fill_peer_request(r, avoided, &req);
 	return steer_choose_peer(r->view, &req);
 }
 
-static void avoid_peer(struct proxy_request *r)
+void relay_avoid_peer(struct proxy_request *r)
 {
 	struct proxy_thread *t = r->thread;
 	int i = t->next_avoided++ % PROXY_AVOIDED_MAX;
@@ -73,7 +83,7 @@
 }
 
 /* Whether the request may go to another VM at all. */
-static int may_relay(const struct proxy_request *r)
+int relay_is_allowed(const struct proxy_request *r)
 {
 	return r->routed && !r->relayed && !r->detached && !r->responded &&
 	       r->nrelay < RELAYS_MAX &&
@@ -91,35 +101,42 @@
 
 int relay_may_follow(const struct proxy_request *r)
 {
-	return r->service && may_relay(r) && should_relay(r) &&
+	return r->service && relay_is_allowed(r) && should_relay(r) &&
 	       choose_peer(r) != STEER_NONE;
 }
 
-int relay_reserve(struct proxy_request *r)
+void relay_set_peer(struct proxy_request *r, int i)
 {
-	const struct steer_vm *vm;
-	int i;
+	const struct steer_vm *vm = &r->view->vm[i];
 
-	if (!may_relay(r) || !should_relay(r))
-		return 0;
-	i = choose_peer(r);
-	if (i == STEER_NONE)
-		return 0;
-	vm = &r->view->vm[i];
 	r->hop = HOP_PEER;
 	r->peer_id = vm->id;
 	memcpy(r->peer_address, vm->relay_address, sizeof(r->peer_address));
 	r->instance[0] = 0;
 	r->nrelay++;
 	r->thread->random_state++;
+	r->peer_allowed = r->policy.attempts_max - r->attempts_sent;
 	metrics_add(&r->thread->metrics, METRIC_RELAYS_SENT, 1);
+}
+
+int relay_reserve(struct proxy_request *r)
+{
+	int i;
+
+	if (!relay_is_allowed(r) || !should_relay(r))
+		return 0;
+	i = choose_peer(r);
+	if (i == STEER_NONE)
+		return 0;
+	relay_set_peer(r, i);
 	return 1;
 }
 
 int relay_is_header(const char *name)
 {
 	return !strcasecmp(name, HEADER_RELAYED_BY) ||
-	       !strcasecmp(name, HEADER_ATTEMPTS);
+	       !strcasecmp(name, HEADER_ATTEMPTS) ||
+	       region_relay_is_header(name);
 }
 
 void relay_add_headers(struct proxy_request *r)
@@ -129,9 +146,10 @@
 	snprintf(line, sizeof(line), HEADER_RELAYED_BY ": %s",
 		 r->thread->proxy->settings->vm.name);
 	header_list_append(&r->request_headers, line);
-	snprintf(line, sizeof(line), HEADER_ATTEMPTS ": %d",
-		 r->policy.attempts_max - r->attempts_sent);
+	snprintf(line, sizeof(line), HEADER_ATTEMPTS ": %d", r->peer_allowed);
 	header_list_append(&r->request_headers, line);
+	if (r->peer_region != STEER_NONE)
+		region_relay_add_headers(r);
 }
 
 void relay_add_out_of_reach(struct proxy_request *r)
@@ -154,6 +172,7 @@
 	if (!strncasecmp(line, HEADER_OUT_OF_REACH ":",
 			 strlen(HEADER_OUT_OF_REACH) + 1))
 		r->peer_out_of_reach = 1;
+	region_relay_parse_header(r, line);
 	if (strncasecmp(line, HEADER_OUTCOME, n) || line[n] != ':')
 		return;
 	r->peer_outcome = r->outcome_statements++ ? PEER_UNKNOWN
@@ -180,7 +199,7 @@
 /* Sends the request to the next VM, or fails it. */
 static void relay_again_or_fail(struct proxy_request *r, const char *cause)
 {
-	if (may_relay(r) && choose_peer(r) != STEER_NONE &&
+	if (relay_is_allowed(r) && choose_peer(r) != STEER_NONE &&
 	    !body_rewind(&r->request_body)) {
 		request_retry(r);
 		return;
@@ -194,6 +213,10 @@
 	request_update_outcome(r, 1);
 	if (r->response_meta.retry_after_ms > 0)
 		r->retry_after_ms = r->response_meta.retry_after_ms;
+	if (r->peer_region != STEER_NONE) {
+		region_relay_refused(r);
+		return;
+	}
 	if (!r->peer_out_of_reach &&
 	    r->status == MHD_HTTP_SERVICE_UNAVAILABLE) {
 		request_release(r);
@@ -201,7 +224,7 @@
 		return;
 	}
 	/* Another VM may reach an upstream, or have a newer configuration. */
-	avoid_peer(r);
+	relay_avoid_peer(r);
 	relay_again_or_fail(r, "other VMs could not serve the request");
 }
 
@@ -215,8 +238,12 @@
 	}
 	/* At the deadline the other VM may only wait for its upstream. */
 	if (!r->maybe_sent || !request_timed_out(r))
-		avoid_peer(r);
+		relay_avoid_peer(r);
 	request_update_outcome(r, !r->maybe_sent);
+	if (r->peer_region != STEER_NONE) {
+		region_relay_failed(r);
+		return;
+	}
 	if (!r->maybe_sent) {
 		relay_again_or_fail(r, "other VMs could not be reached");
 		return;
@@ -290,7 +317,9 @@
 	const char *from = request_header(r, HEADER_RELAYED_BY);
 	int max = attempts ? atoi(attempts) : 0;
 
+	r->passed_on = region_relay_is_requested(r);
 	if (max < 1 || !is_from_vm(r)) {
+		r->refusal = PEER_REFUSAL_VM;
 		request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE,
 			     "the sender is not a known VM");
 		return 0;
@@ -299,5 +328,5 @@
 		r->policy.attempts_max = max;
 	snprintf(r->relayed_by, sizeof(r->relayed_by), "%s", from ? from : "");
 	metrics_add(&r->thread->metrics, METRIC_RELAYS_TAKEN, 1);
-	return 1;
+	return !r->passed_on || region_relay_accept(r);
 }
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -23,6 +23,20 @@
  * next. */
 int relay_may_follow(const struct proxy_request *r);
 
+/** Whether the request may go to another VM at all. */
+int relay_is_allowed(const struct proxy_request *r);
+
+/** Fills a request for the VM to relay to; "avoided" is the list in it. */
+void relay_fill_peer_request(const struct proxy_request *r,
+			     uint64_t avoided[PROXY_AVOIDED_MAX],
+			     struct steer_peer_request *out);
+
+/** Makes a VM, given by its index, that of the next attempt. */
+void relay_set_peer(struct proxy_request *r, int i);
+
+/** Chooses the VM of the last attempt for no request in the next seconds. */
+void relay_avoid_peer(struct proxy_request *r);
+
 /** Whether a header belongs to the protocol between VMs, so that neither a
  * caller's is sent to a VM nor a VM's to an upstream. */
 int relay_is_header(const char *name);
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -40,6 +40,7 @@
 	r->conn = conn;
 	r->listener = &t->listener;
 	r->region = STEER_NONE;
+	r->peer_region = STEER_NONE;
 	r->link = STEER_NONE;
 	r->started_us = prl_now_us();
 	r->target = strdup(target);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -37,7 +37,8 @@
 /** Where an attempt is sent. */
 enum request_hop {
 	HOP_UPSTREAM,
-	/** Another VM, since this one reaches no upstream. */
+	/** Another VM: this one reaches no upstream, or that one is in the
+	 * region where the request is to run. */
 	HOP_PEER,
 };
 
@@ -64,6 +65,16 @@
 	PEER_RAN,
 };
 
+/** Why another VM refuses a request that it is to place in its region. */
+enum peer_refusal {
+	/** For a reason that holds at all VMs, or that it does not tell. */
+	PEER_REFUSAL_FINAL,
+	/** No upstream of the region takes new work. */
+	PEER_REFUSAL_REGION,
+	/** For a reason of its own; others may take the request. */
+	PEER_REFUSAL_VM,
+};
+
 /**
  * The body of a request, from its first byte to the answer. While it is open it
  * goes to the upstream, and its connection may be suspended until there is
@@ -162,6 +173,20 @@
 	enum peer_outcome peer_outcome;
 	/** That VM says that it did not reach an upstream either. */
 	int peer_out_of_reach;
+	/** Region for which that VM is to place the request; STEER_NONE if it
+	 * treats the request as its own. */
+	int peer_region;
+	/** Attempts at upstreams that it was allowed, and, if it refuses the
+	 * request, those that it made and why it refuses. */
+	int peer_allowed;
+	int peer_attempts;
+	enum peer_refusal peer_refusal;
+	/** Why this VM refuses a request that it was to place in its region. */
+	enum peer_refusal refusal;
+	/** Another VM has chosen this VM's region for the request. */
+	int passed_on;
+	/** Bit mask of the regions whose VMs had no room for the request. */
+	uint32_t full_regions;
 	/** VMs that the request was relayed to so far. */
 	int nrelay;
 	/** Attempts that may have reached an upstream. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -1,4 +1,5 @@
 #include "head.h"
+#include "region_relay.h"
 #include "relay.h"
 #include "request.h"
 #include "service.h"
@@ -50,6 +51,8 @@
 {
 	MHD_add_response_header(r->mhd_response, "Request-Outcome",
 				outcome_name(r->outcome));
+	if (r->passed_on)
+		region_relay_add_time(r);
 	/* Callers of a VM that is leaving must move to another one; and after
 	 * a request with invalid framing, the start of the next one on the
 	 * connection is unknown. */
@@ -125,6 +128,8 @@
 		add_retry_after(r);
 	if (r->relayed && (r->isolated || r->unreached))
 		relay_add_out_of_reach(r);
+	if (r->passed_on)
+		region_relay_add_refusal(r);
 	if (r->status == MHD_HTTP_CONFLICT && r->outcome == OUTCOME_RAN) {
 		snprintf(first_status, sizeof(first_status), "%d",
 			 r->claim.http_status);
@@ -196,6 +201,8 @@
 	if (!strcasecmp(name, "Content-Length") ||
 	    !strcasecmp(name, "Request-Outcome"))
 		return 1;
+	if (r->hop == HOP_PEER && region_relay_is_header(name))
+		return 1;
 	return !r->routed && !strcasecmp(name, SERVICE_ATTEMPT_HEADER);
 }
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -2,6 +2,7 @@
 #include "attempt.h"
 #include "download.h"
 #include "placing.h"
+#include "region_relay.h"
 #include "relay.h"
 #include "service.h"
 #include "sockets.h"
@@ -247,7 +248,10 @@
 	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, r);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, r->thread);
-	if (r->hop == HOP_PEER)
+	if (r->hop == HOP_PEER && r->peer_region != STEER_NONE)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+				 region_relay_idle_max_s(r));
+	else if (r->hop == HOP_PEER)
 		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
 				 r->at_most_once ? ONCE_IDLE_MAX_S
 						 : PEER_IDLE_MAX_S);
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -88,6 +88,10 @@
 	int64_t memory;
 	/** Idle time after which a caller's connection is closed. Unit: s. */
 	int64_t idle;
+	/** Requests to another region for each of its upstreams, in the time
+	 * for which that keeps an idle connection, from which they are sent to
+	 * the upstreams instead of a VM of the region; 0: always. */
+	int64_t direct_uses;
 };
 
 /** [control] The control thread. */
--- a/schema/src/settings.c
+++ b/schema/src/settings.c
@@ -125,6 +125,13 @@
 	 .min = 1,
 	 .max = 3600,
 	 .unit = "s"},
+	{.name = "direct_uses",
+	 .type = PRL_TYPE_INT,
+	 .offset = offsetof(struct prl_settings_traffic, direct_uses),
+	 .preset = "2",
+	 .min = 0,
+	 .max = 1000000,
+	 .unit = ""},
 	{0},
 };
 
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -326,6 +326,17 @@
 int steer_choose_peer(const struct steer_view *v,
 		      const struct steer_peer_request *req);
 
+/**
+ * Chooses an active VM of a region that is not isolated from the service, of a
+ * failure domain in it if that has one: one of two, by rendezvous hashing of
+ * this VM's id, so that few connections carry many requests and all VMs of the
+ * region get their part. Ignores the region mask. Returns the VM's index, or
+ * STEER_NONE.
+ */
+int steer_choose_region_peer(const struct steer_view *v,
+			     const struct steer_peer_request *req, int region,
+			     int domain);
+
 /** Returns the index of a service by name (len bytes), or STEER_NONE. */
 int steer_find_service(const struct steer_view *v, const char *name,
 		       size_t len);
--- a/steer/src/peer.c
+++ b/steer/src/peer.c
@@ -1,8 +1,13 @@
+#include <primroselead/hash.h>
 #include <primroselead/steer.h>
 
 /* Fewest VMs among which relayed requests are spread, if there are as many. */
 #define PEERS_MIN 2
 
+/* VMs of one failure domain of another region to which one VM sends requests.
+ */
+#define REGION_PEERS 2
+
 /* How near a VM is to this one. A nearer one also counts as all farther ones.
  */
 enum distance { SAME_DOMAIN, SAME_REGION, ANYWHERE, DISTANCES };
@@ -76,3 +81,50 @@
 			return i;
 	return STEER_NONE;
 }
+
+/* Fills the VMs with the greatest rendezvous hashes and returns their number.
+ * A domain of STEER_NONE stands for all domains. */
+static int rank_region_peers(const struct steer_view *v,
+			     const struct steer_peer_request *req, int region,
+			     int domain, int peer[REGION_PEERS])
+{
+	uint64_t self = v->self == STEER_NONE ? 0 : v->vm[v->self].id;
+	uint64_t hash[REGION_PEERS];
+	int n = 0;
+
+	for (int i = v->first_vm[region]; i < v->first_vm[region + 1]; i++) {
+		uint64_t h = prl_hash_combine(self, v->vm[i].id);
+		int at;
+
+		if (!may_take(v, req, i) ||
+		    (domain != STEER_NONE && v->vm[i].domain != domain))
+			continue;
+		for (at = n; at > 0 && hash[at - 1] < h; at--)
+			if (at < REGION_PEERS) {
+				hash[at] = hash[at - 1];
+				peer[at] = peer[at - 1];
+			}
+		if (at == REGION_PEERS)
+			continue;
+		hash[at] = h;
+		peer[at] = i;
+		if (n < REGION_PEERS)
+			n++;
+	}
+	return n;
+}
+
+int steer_choose_region_peer(const struct steer_view *v,
+			     const struct steer_peer_request *req, int region,
+			     int domain)
+{
+	struct steer_peer_request here = *req;
+	int peer[REGION_PEERS];
+	int n;
+
+	here.region_mask = 0;
+	n = rank_region_peers(v, &here, region, domain, peer);
+	if (!n && domain != STEER_NONE)
+		n = rank_region_peers(v, &here, region, STEER_NONE, peer);
+	return n ? peer[req->random % (uint64_t)n] : STEER_NONE;
+}
--- a/steer/test/test_peer.c
+++ b/steer/test/test_peer.c
@@ -116,6 +116,49 @@
 	assert_int_equal(chosen_for(&req), 0x03c);
 }
 
+/* Chooses often for region 1, whose domains are 2 and 3, as the VM with an
+ * index. */
+static uint32_t chosen_in_region(int self, int domain)
+{
+	uint32_t chosen = 0;
+
+	view.self = self;
+	for (uint64_t k = 0; k < DRAWS; k++) {
+		struct steer_peer_request req = {
+			.service = SERVICE, .random = prl_hash_combine(k, 5)};
+		int i = steer_choose_region_peer(&view, &req, 1, domain);
+
+		if (i == STEER_NONE)
+			return 0;
+		chosen |= (uint32_t)1 << i;
+	}
+	return chosen;
+}
+
+/* Two VMs of the domain, not the same for all senders; others if that has
+ * none. */
+static void test_vms_of_a_region(void **state)
+{
+	uint32_t all = 0;
+
+	(void)state;
+	for (int self = 0; self < 6; self++) {
+		uint32_t two = chosen_in_region(self, 2);
+
+		assert_int_equal(__builtin_popcount(two), 2);
+		assert_int_equal(two & ~0x1c0U, 0);
+		all |= two;
+	}
+	assert_int_equal(all, 0x1c0);
+	vm[6].state = STEER_LEAVING;
+	isolate(7, 8);
+	assert_int_equal(chosen_in_region(0, 2), 0x100);
+	isolate(6, 9);
+	assert_int_equal(chosen_in_region(0, 2) & ~0xe00U, 0);
+	isolate(6, VMS);
+	assert_int_equal(chosen_in_region(0, 2), 0);
+}
+
 static int nearby(int region, int out[STEER_NEARBY_MAX])
 {
 	return steer_nearby_vms(&view, region, out);
@@ -146,6 +189,7 @@
 		cmocka_unit_test_setup(test_nearest_vms_take_over, setup),
 		cmocka_unit_test_setup(test_isolated_vm_takes_over, setup),
 		cmocka_unit_test_setup(test_homes_bind_the_other_vm, setup),
+		cmocka_unit_test_setup(test_vms_of_a_region, setup),
 		cmocka_unit_test_setup(test_avoided_vm_is_chosen, setup),
 		cmocka_unit_test_setup(test_isolated_vms_are_named, setup),
 	};
--- a/system/routes.c
+++ b/system/routes.c
@@ -19,6 +19,8 @@
 
 int routes_is_production[ROUTES_VMS_MAX + 1];
 
+const char *routes_region[ROUTES_VMS_MAX + 1];
+
 /* 0 stands for STORE_PORT. */
 static int objects_port;
 
@@ -157,7 +159,7 @@
 
 static const char vm_settings_format[] =
 	"[steering]\nsource = manifest\n"
-	"[traffic]\nthreads = 1\nidle = 5\n"
+	"[traffic]\nthreads = 1\nidle = 5\n%s"
 	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = %d\n%s"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
@@ -166,23 +168,31 @@
 pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
-	char settings[sizeof(vm_settings_format) + 32];
-	char readers[32] = "";
+	char settings[sizeof(vm_settings_format) + 240];
+	char more[160] = "";
+	char domain[40];
+	const char *traffic = "";
+	const char *region = routes_region[n] ? routes_region[n] : "norte";
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
 			       .store_port = store_port,
-			       .region = "norte",
-			       .domain = "norte-a",
+			       .region = region,
+			       .domain = domain,
 			       .extra_listen_lines = listen,
 			       .extra_settings = settings};
 
+	snprintf(domain, sizeof(domain), "%s-a", region);
 	if (routes_is_production[n])
 		vm.program = "primroseleadd-production";
 	else
-		snprintf(readers, sizeof(readers), "readers = %d\n",
-			 routes_readers);
-	snprintf(settings, sizeof(settings), vm_settings_format,
-		 routes_drain_ms, readers);
+		snprintf(more, sizeof(more), "readers = %d\n", routes_readers);
+	if (routes_region[n]) {
+		traffic = "direct_uses = 1000000\n";
+		snprintf(more + strlen(more), sizeof(more) - strlen(more),
+			 "[domain %s]\nregion = %s\n", domain, region);
+	}
+	snprintf(settings, sizeof(settings), vm_settings_format, traffic,
+		 routes_drain_ms, more);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -32,7 +32,12 @@
  * know all settings. */
 extern int routes_is_production[ROUTES_VMS_MAX + 1];
 
+/** By VM number: region of the VM, whose failure domain is "REGION-a"; null
+ * for norte. */
+extern const char *routes_region[ROUTES_VMS_MAX + 1];
+
 #define PORT_BASE routes_port_base
+#define RELAY_PORT(n) (PORT_BASE + 100 + (n))
 #define STORE_PORT (PORT_BASE + 0)
 /* No process listens on this port. */
 #define UNUSED_PORT (PORT_BASE + 9)
