Shares follow a plan that all VMs of a region agree on

Cause: shares came from each VM's own measurements, and within a range of occupancy they stayed where chance had brought them, so the VMs of a region disagreed where an object belongs, and its caches were cold in several regions.

--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -68,8 +68,30 @@
 	int64_t slots;
 	/** Requests that run or wait at these upstreams, in thousandths. */
 	int64_t inflight_milli;
+	/** Slots of the upstreams that only this VM has ejected. */
+	int64_t ejected_slots;
+	/** Number of upstreams with these and those slots; 0 if not known. */
+	int64_t nupstream;
+	/** Requests of the region's callers, in thousandths a second; 0 if not
+	 * known. */
+	int64_t demand_milli;
 };
 
+/** Returns the occupancy of a region up to which its callers are best served
+ * there, in permille, for upstreams of so many slots: the fewer these are, the
+ * earlier requests queue. */
+int64_t place_occupancy_max(int64_t slots);
+
+/**
+ * Computes the shares in which the requests of one region's callers are to be
+ * split over the regions, from what all VMs know alike: each region carries a
+ * part of all demand as its slots are of all slots, its own callers first. With
+ * demand that is not known, that of all regions counts as equal. All 0 if there
+ * are no slots.
+ */
+void place_region_split(const struct place_region_load *load, int nregion,
+			int own, int64_t share_ppm[STEER_REGIONS_MAX]);
+
 /** Distribution of one region's requests over the regions that serve them. */
 struct place_shares {
 	/** Share of each region in millionths; the shares sum to about a
@@ -192,6 +214,9 @@
 	int own_region;
 	/** Bit mask of the regions that may serve the request. */
 	uint32_t region_mask;
+	/** Requests of each region's callers for the service, in thousandths a
+	 * second; 0 if not known. */
+	int64_t region_demand_milli[STEER_REGIONS_MAX];
 	/** Another VM has chosen this VM's region and passed the request on:
 	 * it is placed nowhere else, and counts for the shares and the move
 	 * window of that VM only. */
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -265,13 +265,18 @@
 	int64_t now = p->request->now_ms;
 
 	memset(out, 0, sizeof(*out));
+	out->demand_milli = p->request->region_demand_milli[region];
 	for (int i = 0; i < sr->nupstream; i++) {
 		const struct steer_upstream *u =
 			&s->upstream[sr->first_upstream + i];
 
-		if (now < stats_of(p, u)->ejected_until_ms ||
-		    now < u->cold_until_ms || now < u->limited_until_ms)
+		if (now < u->cold_until_ms || now < u->limited_until_ms)
 			continue;
+		out->nupstream += u->slots > 0;
+		if (now < stats_of(p, u)->ejected_until_ms) {
+			out->ejected_slots += u->slots;
+			continue;
+		}
 		out->slots += u->slots;
 		out->inflight_milli += place_inflight(
 			stats_of(p, u), own_outstanding(p, u), now);
--- a/place/src/shares.c
+++ b/place/src/shares.c
@@ -6,10 +6,9 @@
 #define MILLION 1000000
 #define THOUSAND 1000
 
-/* Occupancy of the own region's slots above which its share shrinks, and below
- * which it grows to the whole, in permille. */
-#define OCCUPANCY_HIGH_PERMILLE 850
-#define OCCUPANCY_LOW_PERMILLE 650
+/* Range of the own region's occupancy, below the greatest useful one, within
+ * which its share is the planned one, in permille. */
+#define OCCUPANCY_RANGE_PERMILLE 200
 
 /* Requests by which a region may be ahead of its share to keep its objects: few
  * enough to hardly matter in the shares of a window of 2 s. */
@@ -46,50 +45,59 @@
 	return total;
 }
 
-/* Share of the own region while its load is unknown; assumes that the callers
- * of every region send equally many requests. */
-static int64_t initial_own_share(const struct place_region_load *load,
-				 int nregion, int own)
-{
-	int64_t total = total_slots(load, nregion);
-	int64_t share = load[own].slots * nregion * MILLION / total;
-
-	return share < MILLION ? share : MILLION;
-}
-
+/* The planned share, so that all VMs of the region agree on it, as long as it
+ * would leave the region neither crowded nor idle by this VM's measurement. */
 static int64_t own_region_target(const struct place_shares *s,
 				 const struct place_region_load *load,
-				 int nregion, int own)
+				 int64_t plan, int own)
 {
 	int64_t occupancy = occupancy_permille(&load[own]);
+	int64_t n = load[own].nupstream;
+	int64_t slots = load[own].slots + load[own].ejected_slots;
+	int64_t high = place_occupancy_max(n ? slots / n : slots);
+	int64_t share = s->share_ppm[own];
+	int64_t most;
+	int64_t least;
 
 	if (!load[own].slots)
 		return 0;
-	if (!s->initialized)
-		return initial_own_share(load, nregion, own);
-	if (occupancy > OCCUPANCY_HIGH_PERMILLE)
-		return s->share_ppm[own] * OCCUPANCY_HIGH_PERMILLE / occupancy;
-	if (occupancy < OCCUPANCY_LOW_PERMILLE)
+	if (!s->initialized || !share)
+		return plan;
+	if (!occupancy)
 		return MILLION;
-	return s->share_ppm[own];
+	most = share * high / occupancy;
+	least = share * (high - OCCUPANCY_RANGE_PERMILLE) / occupancy;
+	if (plan > most)
+		plan = most;
+	if (plan < least)
+		plan = least;
+	return plan < MILLION ? plan : MILLION;
 }
 
+/* Divides what the own region does not get by the plan; by the free slots if it
+ * plans everything there. */
 static void set_targets(const struct place_shares *s,
 			const struct place_region_load *load, int nregion,
 			int own, int64_t *target)
 {
-	int64_t total_free = 0;
+	int64_t plan[STEER_REGIONS_MAX];
+	int64_t part[STEER_REGIONS_MAX];
+	int64_t total = 0;
 
 	memset(target, 0, sizeof(*target) * STEER_REGIONS_MAX);
-	for (int r = 0; r < nregion; r++)
-		if (r != own)
-			total_free += free_slots_milli(&load[r]);
+	place_region_split(load, nregion, own, plan);
+	for (int r = 0; r < nregion; r++) {
+		part[r] = plan[own] < MILLION ? plan[r]
+					      : free_slots_milli(&load[r]);
+		if (r == own)
+			part[r] = 0;
+		total += part[r];
+	}
 	target[own] =
-		total_free ? own_region_target(s, load, nregion, own) : MILLION;
+		total ? own_region_target(s, load, plan[own], own) : MILLION;
 	for (int r = 0; r < nregion; r++)
-		if (r != own && total_free)
-			target[r] = (MILLION - target[own]) *
-				    free_slots_milli(&load[r]) / total_free;
+		if (r != own && total)
+			target[r] = (MILLION - target[own]) * part[r] / total;
 }
 
 /* Divides the shares of regions without slots among the others. */
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -116,6 +116,10 @@
 		.now_us = prl_now_us(),
 		.params = &place_default_params,
 	};
+	for (int i = 0; i < r->view->nregion; i++)
+		request->region_demand_milli[i] =
+			atomic_load(&t->proxy->service[r->service->stats_index]
+					     .region_demand_milli[i]);
 }
 
 static void assign_upstream(struct proxy_request *r,
