--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -78,8 +78,30 @@
 	int64_t slots;
 	/** Requests that run or wait at these upstreams, in thousandths. */
 	int64_t inflight_milli;
+	/** Slots of the upstreams that only this VM has ejected. */
+	int64_t ejected_slots;
+	/** Number of upstreams with these and those slots; 0 if not known. */
+	int64_t nupstream;
+	/** Requests of the region's callers, in thousandths a second; 0 if not
+	 * known. */
+	int64_t demand_milli;
 };
 
+/** Returns the occupancy of a region up to which its callers are best served
+ * there, in permille, for upstreams of so many slots: the fewer these are, the
+ * earlier requests queue. */
+int64_t place_occupancy_max(int64_t slots);
+
+/**
+ * Computes the shares in which the requests of one region's callers are to be
+ * split over the regions, from what all VMs know alike: each region carries a
+ * part of all demand as its slots are of all slots, its own callers first. With
+ * demand that is not known, that of all regions counts as equal. All 0 if there
+ * are no slots.
+ */
+void place_region_split(const struct place_region_load *load, int nregion,
+			int own, int64_t share_ppm[STEER_REGIONS_MAX]);
+
 /** Distribution of one region's requests over the regions that serve them. */
 struct place_shares {
 	/** Share of each region in millionths; the shares sum to about a
@@ -133,6 +155,16 @@
 	int64_t isolated_until_ms;
 };
 
+/** Recent requests of one thread that are to run in another region. All zero is
+ * the initial state. */
+struct place_region_uses {
+	/** Requests in the last seconds, in thousandths. */
+	int64_t milli;
+	int64_t counted_ms;
+	/** So many that connections to the region's upstreams are kept. */
+	int keeps_connections;
+};
+
 /** State that one thread keeps of one service. All zero is the initial state.
  */
 struct place_service_state {
@@ -158,6 +190,7 @@
 	 * 0) and for those with it. */
 	struct place_average kind_time[2][STEER_REGIONS_MAX];
 	struct place_isolation isolation;
+	struct place_region_uses region_uses[STEER_REGIONS_MAX];
 };
 
 /**
@@ -199,6 +232,15 @@
 	int own_region;
 	/** Bit mask of the regions that may serve the request. */
 	uint32_t region_mask;
+	/** Requests of each region's callers for the service, in thousandths a
+	 * second; 0 if not known. */
+	int64_t region_demand_milli[STEER_REGIONS_MAX];
+	/** Another VM has chosen this VM's region and passed the request on:
+	 * it is placed nowhere else, and counts for the shares and the move
+	 * window of that VM only. */
+	int passed_on;
+	/** Bit mask of the regions that have just refused the request. */
+	uint32_t full_regions;
 	/** Indexed by steer_upstream.stats_index. */
 	struct place_upstream_stats *stats;
 	struct place_service_state *state;
@@ -265,6 +307,30 @@
  */
 int place_choose(const struct place_request *req, struct place_decision *out);
 
+/** The first part of place_choose(): returns the region by the shares, or
+ * STEER_NONE if none has a share. */
+int place_plan_region(const struct place_request *req);
+
+/** The second part: chooses an upstream, first in the planned region. */
+int place_choose_planned(const struct place_request *req, int planned,
+			 struct place_decision *out);
+
+/** Returns the upstream of a region that is the first home of the request's
+ * object, or any if there is none, as an index in the service's table; else
+ * STEER_NONE. */
+int place_first_home(const struct place_request *req, int region);
+
+/** Counts a request that is to run in a region. Returns whether there are so
+ * many of them that the connections to its upstreams, which these close when
+ * they have been idle for idle_ms, are mostly kept: uses_min for each upstream
+ * in that time. */
+int place_keeps_connections(const struct place_request *req, int region,
+			    int64_t idle_ms, int64_t uses_min);
+
+/** Whether the request may be passed on to a VM of another region, which places
+ * it there. If so, counts it in the move window. */
+int place_pass_on(const struct place_request *req, int region);
+
 /** A finished attempt at an upstream. */
 struct place_attempt {
 	enum place_result result;
@@ -485,4 +551,34 @@
 void place_move_window_count(struct place_move_window *w, int remote,
 			     int64_t now_ms);
 
+/** Most VMs whose times are known at once. */
+#define PLACE_PEERS_MAX 64
+
+/** Time that relays to a VM take beside the time that the VM itself takes. */
+struct place_peer_time {
+	/** Id of the VM; 0 in an entry that is not used. */
+	uint64_t id;
+	int region;
+	/** Moving average. */
+	int64_t us;
+	int64_t sampled_ms;
+};
+
+/** Times of relays to the VMs of other regions: the distance, and what packets
+ * wait at the links of the VMs. All zero is the initial state. */
+struct place_peer_times {
+	struct place_peer_time peer[PLACE_PEERS_MAX];
+	/** Least time of each region in the last seconds. */
+	struct place_average least[STEER_REGIONS_MAX];
+};
+
+/** Records the time of one relay. */
+void place_peer_times_record(struct place_peer_times *t, uint64_t id,
+			     int region, int64_t us, int64_t now_ms);
+
+/** Fills the ids of the VMs of a region whose links delay relays at present, so
+ * that more relays would delay those VMs' callers. Returns their number. */
+int place_peer_times_list_slow(const struct place_peer_times *t, int region,
+			       int64_t now_ms, uint64_t id[PLACE_PEERS_MAX]);
+
 #endif
--- a/proxy/src/log.c
+++ b/proxy/src/log.c
@@ -41,6 +41,13 @@
 	return percent > 0 ? percent : -1;
 }
 
+/* Region in which the request was placed last. */
+static const char *region_name(const struct proxy_request *r)
+{
+	return r->view && r->region != STEER_NONE ? r->view->region[r->region]
+						  : "";
+}
+
 void request_log(const struct proxy_request *r)
 {
 	char status[LOG_NUMBER_MAX];
@@ -82,13 +89,13 @@
 		  digest, "service", r->service_name, "workspace",
 		  r->workspace_name, "status", status, "outcome",
 		  outcomes[r->outcome], "cause", r->cause ? r->cause : "", "ms",
-		  ms, "attempts", attempts, "upstream", r->instance, "peer",
-		  r->peer_address, "relayed_by", r->relayed_by, "manifest",
-		  version, "queued_ms", queued, "wait_ms", wait,
-		  "inflight_milli", inflight, "report_age_ms", age,
-		  "slowness_percent", slowness, "rank", rank, "object", object,
-		  "priority", priority, "objective_ms", objective, "head",
-		  response.head, "framing", response.framing, "length",
+		  ms, "attempts", attempts, "upstream", r->instance, "region",
+		  region_name(r), "peer", r->peer_address, "relayed_by",
+		  r->relayed_by, "manifest", version, "queued_ms", queued,
+		  "wait_ms", wait, "inflight_milli", inflight, "report_age_ms",
+		  age, "slowness_percent", slowness, "rank", rank, "object",
+		  object, "priority", priority, "objective_ms", objective,
+		  "head", response.head, "framing", response.framing, "length",
 		  response.length, "body", response.body, "uses", response.uses,
 		  "answer_id", response.id, NULL);
 }
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -2,6 +2,7 @@
 #include "placing.h"
 #include "loads.h"
 #include "news.h"
+#include "region_relay.h"
 #include "relay.h"
 #include <primroselead/clock.h>
 #include <primroselead/hash.h>
@@ -99,6 +100,8 @@
 		.region_id = r->view->region_id,
 		.own_region = t->proxy->region,
 		.region_mask = r->region_mask ? r->region_mask : UINT32_MAX,
+		.passed_on = r->passed_on,
+		.full_regions = r->full_regions,
 		.stats = t->placement_stats,
 		.state = routed_service_state(r),
 		.outstanding = get_outstanding,
@@ -119,6 +122,10 @@
 		.now_us = prl_now_us(),
 		.params = &place_default_params,
 	};
+	for (int i = 0; i < r->view->nregion; i++)
+		request->region_demand_milli[i] =
+			atomic_load(&t->proxy->service[r->service->stats_index]
+					     .region_demand_milli[i]);
 }
 
 static void assign_upstream(struct proxy_request *r,
@@ -174,9 +181,11 @@
 	struct place_decision chosen = {.wait_ms = PRL_NEVER,
 					.delay_ms = PRL_NEVER};
 	struct place_request request;
+	int planned;
 
 	r->upstream = NULL;
 	r->hop = HOP_UPSTREAM;
+	r->peer_region = STEER_NONE;
 	if (placing_find_service(r)) {
 		count_for_retry_budget(r);
 		if (relay_reserve(r))
@@ -187,7 +196,10 @@
 		}
 		loads_read_peers(r->thread, r->service);
 		fill_place_request(r, &request);
-		if (place_choose(&request, &chosen)) {
+		planned = place_plan_region(&request);
+		if (region_relay_reserve(r, &request, planned))
+			return 1;
+		if (place_choose_planned(&request, planned, &chosen)) {
 			assign_upstream(r, &chosen);
 			return 1;
 		}
