--- a/limit/src/credit.h
+++ b/limit/src/credit.h
@@ -18,4 +18,15 @@
 	} while (!atomic_compare_exchange_weak(credit, &old, sum));
 }
 
+/** Returns what a rate, in thousandths per second, adds in a time; "rest"
+ * carries what is too small to count. */
+static inline int64_t credit_grown(int64_t rate_milli, int64_t elapsed_ms,
+				   int64_t *rest)
+{
+	int64_t sum = rate_milli * elapsed_ms + *rest;
+
+	*rest = sum % 1000;
+	return sum / 1000;
+}
+
 #endif
