Bounds: read also from a table, where the label is the name

The settings of the new deployments give the bounds as a table; the template then renders the value alone, with the name as the section's label.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -167,12 +167,13 @@
 {
 	fleet_bounds_init(out);
 	for (int i = 0; i < s->nbound; i++)
-		if (platform_bound_parse(s->bound[i].is, out))
+		if (platform_bound_parse(s->bound[i].label, s->bound[i].is,
+					 out))
 			return prl_error_set(
 				err, PRL_E_CONFIG,
-				"bound \"%s\": value is not a number from "
-				"0 to 1000000",
-				s->bound[i].is);
+				"bound \"%s\" \"%s\": value is not a number "
+				"from 0 to 1000000",
+				s->bound[i].label, s->bound[i].is);
 	return PRL_OK;
 }
 
--- a/model/fuzz_platform.c
+++ b/model/fuzz_platform.c
@@ -151,7 +151,7 @@
 		break;
 	case 7:
 		fleet_bounds_init(&bounds);
-		platform_bound_parse(text, &bounds);
+		platform_bound_parse(text, text, &bounds);
 		fuzz_page(text, size - 1, PLATFORM_RESPONSE_OBJECT);
 		break;
 	}
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -132,7 +132,8 @@
 	char label[PRL_NAME_MAX];
 	/** Line of the section's heading; 0 if it is absent. */
 	int line;
-	/** Name and value, "name=value" in the platform's words. */
+	/** Name and value, "name=value" in the platform's words; or the value
+	 * alone if the label is the name. */
 	char is[PRL_NAME_MAX];
 };
 
