--- a/limit/test/test_usage.c
+++ b/limit/test/test_usage.c
@@ -177,6 +177,18 @@
 	assert_true(update(&f, &l, &fleet) <= BURST_MILLI / VMS);
 }
 
+static void test_aggregator_is_silent(void **state)
+{
+	struct limit_fleet fleet = new_fleet(0);
+	struct limit_follower f = {.terms = rule.terms};
+	struct shared_limit l = {0};
+
+	(void)state;
+	assert_int_equal(update(&f, &l, &fleet), BURST_MILLI);
+	fleet.now_ms += USAGE_RELIED_MS + 1;
+	assert_true(update(&f, &l, &fleet) <= BURST_MILLI / VMS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -192,6 +204,7 @@
 		cmocka_unit_test(test_unused_limit),
 		cmocka_unit_test(test_retries_wait_for_an_answer),
 		cmocka_unit_test(test_question_is_lost),
+		cmocka_unit_test(test_aggregator_is_silent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
