--- a/limit/src/shared_limit.c
+++ b/limit/src/shared_limit.c
@@ -348,7 +348,7 @@
 			taken_milli;
 }
 
-/* What the traffic threads took before the first tick counts, too. */
+/* The counts of a limit that was another one's before begin anew. */
 static void begin(struct limit_follower *f, struct shared_limit *l,
 		  const struct limit_fleet *fleet)
 {
@@ -356,6 +356,7 @@
 	f->updated_ms = fleet->now_ms;
 	f->mode = LIMIT_ALONE;
 	f->usage = shared_limit_usage(l);
+	f->reported = f->usage;
 	f->alone_milli = min64(shared_limit_credit(l),
 			       own_part(&f->terms, fleet->vms).burst_milli);
 	atomic_fetch_add(&l->paced_permille, (int64_t)(fleet->random % MILLI));
--- a/limit/test/test_usage.c
+++ b/limit/test/test_usage.c
@@ -189,6 +189,21 @@
 	assert_true(update(&f, &l, &fleet) <= BURST_MILLI / VMS);
 }
 
+/* The traffic threads' side of a limit may have been another limit's before. */
+static void test_limit_takes_over_counts(void **state)
+{
+	struct limit_fleet fleet = new_fleet(0);
+	struct limit_follower f = {.terms = rule.terms};
+	struct shared_limit l = {.taken = 1000, .burst_milli = BURST_MILLI};
+	struct limit_report r;
+
+	(void)state;
+	update(&f, &l, &fleet);
+	r = limit_follower_report(&f, &l, NOW_MS);
+	assert_int_equal(r.unconfirmed, 0);
+	assert_int_equal(r.usage.taken, 1000);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -205,6 +220,7 @@
 		cmocka_unit_test(test_retries_wait_for_an_answer),
 		cmocka_unit_test(test_question_is_lost),
 		cmocka_unit_test(test_aggregator_is_silent),
+		cmocka_unit_test(test_limit_takes_over_counts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
