--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -181,6 +181,24 @@
 /* Limits in use that are listed at most. */
 #define LIMITS_LISTED_MAX 32
 
+/* Requests for a service by the region that they came to, in thousandths of a
+ * request per second; null for a quota. */
+static json_t *demand_of_regions(const struct control *c,
+				 const struct usage_follower *f)
+{
+	json_t *demand;
+
+	if (f->service_index == STEER_NONE)
+		return json_null();
+	demand = json_object();
+	for (int r = 0; r < c->builder.nregion; r++)
+		json_object_set_new(demand, c->builder.region[r],
+				    json_integer(atomic_load(
+					    &c->proxy.service[f->service_index]
+						     .region_demand_milli[r])));
+	return demand;
+}
+
 static json_t *limits_in_use(const struct control *c, int64_t now)
 {
 	json_t *list = json_array();
@@ -196,8 +214,8 @@
 			continue;
 		json_array_append_new(
 			list,
-			json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I}", "name",
-				  f->name, "type",
+			json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:o}",
+				  "name", f->name, "type",
 				  f->service_index == STEER_NONE ? "quota"
 								 : "retries",
 				  "state",
@@ -212,7 +230,9 @@
 				  "taken",
 				  (json_int_t)atomic_load(&f->limit->taken),
 				  "refused",
-				  (json_int_t)atomic_load(&f->limit->refused)));
+				  (json_int_t)atomic_load(&f->limit->refused),
+				  "region_demand_milli",
+				  demand_of_regions(c, f)));
 	}
 	return list;
 }
--- a/system/test_shared_limits.c
+++ b/system/test_shared_limits.c
@@ -8,6 +8,9 @@
 #include "routes.h"
 #include <cmocka.h>
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #define VMS 4
 
@@ -59,6 +62,37 @@
 	return 0;
 }
 
+/* Returns the demand of VM 1's region for service "s" by the status page of VM
+ * n, in thousandths of a request per second. */
+static int read_demand(int n)
+{
+	static char text[32768];
+	char url[80];
+	const char *at;
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/status",
+		 METRICS_PORT(n));
+	harness_get(url, text, sizeof(text));
+	at = strstr(text, "\"name\":\"s\",\"type\":\"retries\"");
+	at = at ? strstr(at, "\"norte\":") : NULL;
+	return at ? atoi(at + strlen("\"norte\":")) : -1;
+}
+
+/* All VMs learn how many requests come to a region, whichever VM takes them. */
+static void test_demand_of_a_region(void **state)
+{
+	int is_gone[VMS + 1] = {0};
+
+	(void)state;
+	assert_true(wait_for_aggregator(VMS, is_gone) > 0);
+	for (int i = 0; i < 100; i++) {
+		routes_request("GET", "/safe/plain");
+		harness_sleep_ms(40);
+	}
+	assert_in_range(read_demand(1), 5000, 40000);
+	assert_in_range(read_demand(VMS), 5000, 40000);
+}
+
 /* VMs that lose the one that adds up use their own parts until another one
  * does, which withholds the part of the VM that is gone. */
 static void test_aggregator_is_lost(void **state)
@@ -84,6 +118,7 @@
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_demand_of_a_region),
 		cmocka_unit_test(test_aggregator_is_lost),
 	};
 
