--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -129,6 +129,7 @@
 		loads_tick(c, now);
 		crashes_tick(c, now);
 		quarantines_tick(c, now);
+		usage_tick(c, now);
 	} else {
 		sync_tick(c, now);
 	}
@@ -168,12 +169,13 @@
 {
 	fleet_bounds_init(out);
 	for (int i = 0; i < s->nbound; i++)
-		if (platform_bound_parse(s->bound[i].is, out))
+		if (platform_bound_parse(s->bound[i].label, s->bound[i].is,
+					 out))
 			return prl_error_set(
 				err, PRL_E_CONFIG,
-				"bound \"%s\": value is not a number from "
-				"0 to 1000000",
-				s->bound[i].is);
+				"bound \"%s\" \"%s\": value is not a number "
+				"from 0 to 1000000",
+				s->bound[i].label, s->bound[i].is);
 	return PRL_OK;
 }
 
@@ -213,6 +215,7 @@
 	reach_init(c);
 	crashes_init(c);
 	quarantines_init(c);
+	usage_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick_timer.on_expiry = on_tick;
@@ -234,6 +237,7 @@
 	proxy_stop(&c->proxy);
 	mailbox_finish(&c->news_mailbox, &c->loop);
 	sync_finish(c);
+	usage_finish(c);
 	quarantines_finish(c);
 	crashes_finish(c);
 	reach_finish(c);
--- a/cmd/primroseleadd/control.h
+++ b/cmd/primroseleadd/control.h
@@ -20,6 +20,7 @@
 #include "source.h"
 #include "status.h"
 #include "sync.h"
+#include "usage.h"
 #include "vm_list.h"
 #include <primroselead/config.h>
 #include <primroselead/member.h>
@@ -64,6 +65,7 @@
 	struct readers readers;
 	struct crashes crashes;
 	struct quarantines quarantines;
+	struct usage usage;
 	struct claims claims;
 	struct grants grants;
 	struct shifts shifts;
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -2,6 +2,7 @@
 #include "placing.h"
 #include "loads.h"
 #include "news.h"
+#include "quota.h"
 #include "region_relay.h"
 #include "relay.h"
 #include <primroselead/clock.h>
@@ -9,14 +10,6 @@
 #include <string.h>
 #include <sys/param.h>
 
-/* Part of the platform's constant retry budget that is divided among the known
- * VMs, in percent; the rest is a reserve for VMs that have joined but are not
- * in the view yet. */
-#define RETRY_BURST_PERCENT 50
-
-/* Part of the platform's retry ratio that is used, in percent. */
-#define RETRY_RATIO_PERCENT 85
-
 /* Maximum idle time of a connection to an upstream that has announced no
  * keep-alive timeout, in s. */
 #define IDLE_DEFAULT_S 4
@@ -28,7 +21,6 @@
  * service: that of a probe. */
 #define RETRY_ISOLATED_MS 500
 
-#define PERCENT 100
 #define US_PER_MS 1000
 
 static struct place_upstream_stats *
@@ -59,28 +51,15 @@
 	return vms * r->thread->proxy->nthread;
 }
 
-/* Sets this thread's part of the retry budget's constant, which all threads of
- * all VMs share. */
-static void set_retry_budget(struct proxy_request *r)
-{
-	int64_t burst = r->thread->bounds.retry_extra * RETRY_BURST_PERCENT /
-			PERCENT / count_fleet_threads(r);
-
-	limit_budget_set_burst(&routed_service_state(r)->retry_budget,
-			       burst > 1 ? burst : 1);
-}
-
 static void count_for_retry_budget(struct proxy_request *r)
 {
-	int64_t ratio = r->thread->bounds.retry_permille;
+	struct shared_limit *budget = quota_retry_budget(r);
 
-	set_retry_budget(r);
 	/* The VM that relayed the request has counted it. */
 	if (r->counted || r->relayed)
 		return;
 	r->counted = 1;
-	limit_budget_deposit(&routed_service_state(r)->retry_budget,
-			     ratio * RETRY_RATIO_PERCENT / PERCENT);
+	shared_limit_deposit(budget);
 }
 
 /* Upstreams are faster for an object that they handled lately. */
@@ -320,7 +299,7 @@
 	placing_fill_order(r, &e);
 	if (!order_may_retry(&s->retries, &e, prl_now_ms()))
 		return 0;
-	if (limit_budget_withdraw(&s->retry_budget))
+	if (quota_take(r, quota_retry_budget(r), 0))
 		return 1;
 	order_retry_denied(&s->retries, &e, prl_now_ms());
 	return 0;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -148,6 +148,8 @@
 	char workspace_name[FLEET_WORKSPACE_MAX];
 	/** The manifest had workspaces when the request was judged. */
 	int hides_key;
+	/** Quota that the request has taken from; null if none. */
+	struct shared_limit *quota;
 	struct fleet_request_meta request_meta;
 	struct fleet_response_meta response_meta;
 	enum verdict verdict;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -1,6 +1,7 @@
 /* Dispatch of requests by the routes of the platform's manifest. */
 #include "head.h"
 #include "placing.h"
+#include "quota.h"
 #include "relay.h"
 #include "splits.h"
 #include "workspace.h"
@@ -122,7 +123,7 @@
 	r->policy = route->policy;
 	r->region_mask = route->region_mask;
 	return (!r->relayed || relay_accept(r)) && workspace_accept(r, route) &&
-	       apply_route(r, route);
+	       apply_route(r, route) && quota_admit(r);
 }
 
 /* Returns 1 if the head is valid and the request allowed; else 0 after failing
--- a/wire/include/primroselead/wire.h
+++ b/wire/include/primroselead/wire.h
@@ -34,6 +34,7 @@
 		struct wire_quarantine quarantine;
 		struct wire_load_list loads;
 		struct wire_region_loads region_loads;
+		struct wire_usage usage;
 	} u;
 };
 
@@ -53,6 +54,8 @@
 		struct wire_loan loan;
 		/** Of WIRE_QUARANTINE. */
 		struct wire_quarantine quarantine;
+		/** Of WIRE_USAGE. */
+		struct wire_usage_result usage;
 	} u;
 };
 
--- a/wire/src/codec.c
+++ b/wire/src/codec.c
@@ -50,6 +50,8 @@
 		return (xdrproc_t)xdr_wire_load_list;
 	case WIRE_REGION_LOADS:
 		return (xdrproc_t)xdr_wire_region_loads;
+	case WIRE_USAGE:
+		return (xdrproc_t)xdr_wire_usage;
 	}
 	return NULL;
 }
@@ -78,6 +80,8 @@
 		return (xdrproc_t)xdr_wire_loan;
 	case WIRE_QUARANTINE:
 		return (xdrproc_t)xdr_wire_quarantine;
+	case WIRE_USAGE:
+		return (xdrproc_t)xdr_wire_usage_result;
 	}
 	return NULL;
 }
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -142,6 +142,7 @@
 	struct wire_quarantine_record record = {.head = 5};
 	struct wire_load load = {6, 3, 1, 140, 70};
 	struct wire_region_load region_load = {7, 12000};
+	struct wire_usage_entry entry = {.limit = 5, .taken = 6};
 	struct wire_args a = {.proc = proc};
 
 	switch (proc) {
@@ -200,6 +201,10 @@
 		a.u.region_loads.load.load_val = &region_load;
 		a.u.region_loads.load.load_len = 1;
 		break;
+	case WIRE_USAGE:
+		a.u.usage.entry.entry_val = &entry;
+		a.u.usage.entry.entry_len = 1;
+		break;
 	default:
 		break;
 	}
@@ -210,8 +215,19 @@
 {
 	struct wire_vm vm = {"a", "r", "d", "127.0.0.1:1", "127.0.0.1:2", 3, 0};
 	struct wire_object object = {"servers/a", 12, {3, "xyz"}};
+	struct wire_usage_answer answer = {.known = 1, .credit_milli = -5};
+	struct wire_demand demand = {.limit = 5, .rate_milli = 6};
+	uint64_t low = 5;
 	struct wire_result r = {.proc = proc};
 
+	if (proc == WIRE_USAGE) {
+		r.u.usage.answer.answer_val = &answer;
+		r.u.usage.answer.answer_len = 1;
+		r.u.usage.low.low_val = &low;
+		r.u.usage.low.low_len = 1;
+		r.u.usage.demand.demand_val = &demand;
+		r.u.usage.demand.demand_len = 1;
+	}
 	if (proc == WIRE_PROBE || proc == WIRE_INDIRECT) {
 		r.u.ack.from = vm;
 		r.u.ack.rumor.rumor_val = &vm;
@@ -244,11 +260,6 @@
 	return rc;
 }
 
-static int is_unused(uint32_t proc)
-{
-	return proc > WIRE_QUARANTINE && proc < WIRE_LOADS;
-}
-
 /* Loads arrive as they were sent, the slowness that is not known too. */
 static void test_loads_round_trip(void **state)
 {
@@ -283,8 +294,7 @@
 
 	(void)state;
 	for (uint32_t proc = WIRE_PROBE; proc <= WIRE_REGION_LOADS; proc++)
-		for (int is_reply = 0; !is_unused(proc) && is_reply < 2;
-		     is_reply++) {
+		for (int is_reply = 0; is_reply < 2; is_reply++) {
 			char data[2048] = {0};
 			size_t n =
 				is_reply ? encode_sample_reply(proc, data, 1024)
