--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -67,3 +67,5 @@
 
 mutants:
 	bench/mutants
+
+-include $(wildcard $(OUT)/system/*.d)
--- a/system/routes.c
+++ b/system/routes.c
@@ -17,6 +17,8 @@
 
 int routes_drain_ms = 500;
 
+const char *routes_traffic_lines = "";
+
 int routes_is_production[ROUTES_VMS_MAX + 1];
 
 /* 0 stands for STORE_PORT. */
@@ -157,7 +159,7 @@
 
 static const char vm_settings_format[] =
 	"[steering]\nsource = manifest\n"
-	"[traffic]\nthreads = 1\nidle = 5\n"
+	"[traffic]\nthreads = 1\nidle = 5\n%s"
 	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = %d\n%s"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
@@ -166,7 +168,7 @@
 pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
-	char settings[sizeof(vm_settings_format) + 32];
+	char settings[sizeof(vm_settings_format) + 200];
 	char readers[32] = "";
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
@@ -182,7 +184,7 @@
 		snprintf(readers, sizeof(readers), "readers = %d\n",
 			 routes_readers);
 	snprintf(settings, sizeof(settings), vm_settings_format,
-		 routes_drain_ms, readers);
+		 routes_traffic_lines, routes_drain_ms, readers);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -25,6 +25,10 @@
  * VMs are started. */
 extern int routes_drain_ms;
 
+/** Further lines of the section "traffic", or empty; may be set before VMs are
+ * started. */
+extern const char *routes_traffic_lines;
+
 /** Most VMs of the fixture. */
 #define ROUTES_VMS_MAX 8
 
