Listeners: bounds for connections and for those with the larger memory; what holds them without need is ended for others

Cause: requests sent ahead fill the window that is looked at, so their last, incomplete head was taken for a long one, and each such connection got 640 KB; nothing bounded the number of those, nor a page listener's connections beside descriptors and memory. Change: a listener has at most 1/16 of [traffic] memory (pages 1/64, at least two) in connections with the larger memory; a head that finds none waits, and a connection that has held one for 1 s with an unfinished request or an unread answer is ended for it. At the bound of connections (1/4 of the memory at the front, 1/8 for relays, half of the front's number at each page listener) the connection without progress for longest, 1 s at least, is ended. The library is never suspended there, so none that waits for an upstream is taken.

--- a/loop/include/primroselead/head_need.h
+++ b/loop/include/primroselead/head_need.h
@@ -25,6 +25,8 @@
 	HEAD_NEED_FITS,
 	/** It may not. */
 	HEAD_NEED_ROOM,
+	/** Only a request behind the first may need more memory. */
+	HEAD_NEED_ROOM_LATER,
 };
 
 /** Bytes that head_need has to see of a connection with that much memory. */
--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -19,6 +19,9 @@
 	/** Memory of a connection whose heads may not fit there; 0 if all
 	 * connections have the same. */
 	size_t large_memory_bytes;
+	/** Connections with that memory at most; 0 for no bound of their own.
+	 */
+	unsigned int large_max;
 	/** Called with the undecoded target of each request before any other
 	 * callback; its result is the request's context at the first call of
 	 * "handle". May be null. */
@@ -55,6 +58,11 @@
  * connection belongs to the one with less memory unless a head that waits on it
  * needs more. Between two requests it is suspended, and the bytes that come
  * are looked at before the library reads them.
+ *
+ * The number of connections is bounded, and that of those with more memory. Who
+ * finds no room waits, and takes that of a connection that holds it without
+ * need: one on which a request, or the reading of its answer, makes no
+ * progress.
  */
 struct serve {
 	struct loop *loop;
@@ -66,6 +74,7 @@
 	/** Without a daemon if all connections have the same memory. */
 	struct serve_tier large;
 	unsigned int connections_max;
+	unsigned int large_max;
 	int idle_ms;
 	/** All connections, and by descriptor those that a daemon has. */
 	struct serve_connection *connections;
@@ -74,6 +83,8 @@
 	struct serve_connection *ended;
 	unsigned int nconnection;
 	unsigned int nlarge;
+	/** Connections whose head waits for the larger memory. */
+	unsigned int nwaiting;
 	/** Looks for connections that have been idle for too long. */
 	struct loop_timer idle_timer;
 	void *(*begin)(void *ctx, const char *target,
--- a/loop/src/head_need.c
+++ b/loop/src/head_need.c
@@ -97,6 +97,13 @@
 	}
 }
 
+/* What an incomplete head behind others needs, of which so many bytes are seen:
+ * requests that are sent ahead fill any window with heads of all sizes. */
+static enum head_need need_behind(size_t seen, size_t max)
+{
+	return seen > max / 2 ? HEAD_NEED_ROOM_LATER : HEAD_NEED_FITS;
+}
+
 size_t head_need_window(size_t memory_bytes)
 {
 	return memory_bytes / HEAD_NEED_SHARE + 1;
@@ -113,9 +120,9 @@
 		struct head h = read_head(bytes + at, len - at);
 
 		if (h.records * HEAD_NEED_RECORD_BYTES + h.cookie_bytes > max)
-			return HEAD_NEED_ROOM;
+			return at ? HEAD_NEED_ROOM_LATER : HEAD_NEED_ROOM;
 		if (!h.len && len > max)
-			return HEAD_NEED_ROOM;
+			return at ? need_behind(len - at, max) : HEAD_NEED_ROOM;
 		if (!h.len)
 			return at ? HEAD_NEED_FITS : HEAD_NEED_MORE;
 		if (!at && h.body_bytes >= 0)
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -82,7 +82,7 @@
 {
 	const struct serve *s = ctx;
 
-	connection_method_read(find_connection(mhd), method);
+	connection_received(find_connection(mhd), method, *len);
 	return s->handle(s->ctx, mhd, url, method, version, data, len, state);
 }
 
@@ -187,6 +187,7 @@
 	s->report = o->report;
 	s->ctx = o->ctx;
 	s->connections_max = o->connections_max;
+	s->large_max = o->large_max ? o->large_max : o->connections_max;
 	s->idle_ms = (int)o->idle_timeout_s * 1000;
 	s->by_fd = g_hash_table_new(NULL, NULL);
 	s->idle_timer.on_expiry = on_idle_timer;
@@ -277,5 +278,5 @@
 	const struct serve_connection *c = find_connection(conn);
 
 	return c->tier == &c->serve->large &&
-	       c->serve->nlarge > SERVE_LARGE_KEPT_MAX;
+	       c->serve->nlarge > connection_large_kept_max(c->serve);
 }
--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -72,6 +72,25 @@
 	c->is_watched = 0;
 }
 
+void connection_wake_sweep(struct serve *s, int64_t deadline_ms)
+{
+	if (deadline_ms < s->idle_timer.deadline_ms)
+		s->idle_timer.deadline_ms = deadline_ms;
+}
+
+static void stop_awaiting_room(struct serve_connection *c)
+{
+	c->serve->nwaiting -= (unsigned int)c->awaits_room;
+	c->awaits_room = 0;
+}
+
+static void release_room(struct serve *s)
+{
+	s->nlarge--;
+	if (s->nwaiting)
+		connection_wake_sweep(s, prl_now_ms());
+}
+
 /* Frees a connection whose descriptor is still open. */
 static void free_connection(struct serve_connection *c)
 {
@@ -81,8 +100,9 @@
 	unlink_connection(s, c);
 	if (c->has_ended)
 		unlink_ended(s, c);
+	stop_awaiting_room(c);
 	if (c->tier == &s->large)
-		s->nlarge--;
+		release_room(s);
 	g_hash_table_remove(s->by_fd, GINT_TO_POINTER(c->fd.fd));
 	g_free(c);
 	if (s->is_full && s->nconnection < s->connections_max)
@@ -97,7 +117,7 @@
 }
 
 /* Ends a suspended connection: the library finds it closed. */
-static void end_suspended(struct serve_connection *c)
+void connection_end_suspended(struct serve_connection *c)
 {
 	shutdown(c->fd.fd, SHUT_RDWR);
 	if (c->state == CONNECTION_MOVED)
@@ -126,7 +146,7 @@
 	connection_closed(c);
 }
 
-static void close_new(struct serve_connection *c)
+void connection_close_new(struct serve_connection *c)
 {
 	int fd = c->fd.fd;
 
@@ -186,13 +206,45 @@
 	return 0;
 }
 
+void connection_await(struct serve_connection *c, int ms)
+{
+	c->deadline_ms = prl_now_ms() + ms;
+	connection_wake_sweep(c->serve, c->deadline_ms);
+}
+
+int connection_has_room(const struct serve *s)
+{
+	return s->nlarge < s->large_max;
+}
+
+/* Whether the connection needs the larger memory and does not have it. */
+static int lacks_room(const struct serve_connection *c, enum head_need need)
+{
+	if (need != HEAD_NEED_ROOM || !c->serve->large.mhd)
+		return 0;
+	return c->state == CONNECTION_NEW || c->tier == &c->serve->usual;
+}
+
+static void await_room(struct serve_connection *c)
+{
+	struct serve *s = c->serve;
+
+	c->has_part = 0;
+	c->awaits_room = 1;
+	s->nwaiting++;
+	connection_await(c, s->idle_ms);
+	connection_wake_sweep(s, prl_now_ms());
+}
+
 /* Chooses the daemon for the requests that wait, or goes on with the present
  * one. */
-static void proceed(struct serve_connection *c, enum head_need need,
-		    int64_t first_bytes)
+void connection_proceed(struct serve_connection *c, enum head_need need,
+			int64_t first_bytes)
 {
 	struct serve *s = c->serve;
 
+	if (need == HEAD_NEED_ROOM_LATER)
+		need = connection_has_room(s) ? HEAD_NEED_ROOM : HEAD_NEED_FITS;
 	c->has_part = 0;
 	if (need == HEAD_NEED_ROOM && c->state == CONNECTION_PARKED &&
 	    c->tier == &s->usual && !move(c))
@@ -207,18 +259,6 @@
 	resume(c);
 }
 
-static void wake_sweep(struct serve *s, int64_t deadline_ms)
-{
-	if (deadline_ms < s->idle_timer.deadline_ms)
-		s->idle_timer.deadline_ms = deadline_ms;
-}
-
-static void await(struct serve_connection *c, int ms)
-{
-	c->deadline_ms = prl_now_ms() + ms;
-	wake_sweep(c->serve, c->deadline_ms);
-}
-
 /* Looks at what waits on a new or parked connection. Returns 0 if it goes on
  * waiting. */
 static int look(struct serve_connection *c)
@@ -236,22 +276,28 @@
 		return 0;
 	if (n <= 0) {
 		if (c->state == CONNECTION_NEW)
-			close_new(c);
+			connection_close_new(c);
 		else
 			resume(c);
 		return 1;
 	}
 	need = head_need(bytes, (size_t)n, memory, &first_bytes);
 	if (need == HEAD_NEED_MORE) {
-		if (!c->has_part)
-			await(c, PART_WAIT_MS);
+		if (!c->has_part) {
+			c->is_late = 0;
+			connection_await(c, PART_WAIT_MS);
+		}
 		c->has_part = 1;
 		return 0;
 	}
+	if (lacks_room(c, need) && !connection_has_room(c->serve)) {
+		await_room(c);
+		return 0;
+	}
 	if (c->state == CONNECTION_PARKED && c->request_bytes < 0 &&
 	    need == HEAD_NEED_FITS)
 		count_anew(c, bytes, (size_t)n);
-	proceed(c, need, first_bytes);
+	connection_proceed(c, need, first_bytes);
 	return 1;
 }
 
@@ -260,7 +306,8 @@
 	struct serve_connection *c = f->ctx;
 
 	(void)events;
-	if (c->state == CONNECTION_NEW || c->state == CONNECTION_PARKED)
+	if (!c->awaits_room &&
+	    (c->state == CONNECTION_NEW || c->state == CONNECTION_PARKED))
 		look(c);
 }
 
@@ -269,6 +316,7 @@
 	struct serve_connection *c = g_new0(struct serve_connection, 1);
 
 	c->serve = s;
+	c->progress_ms = prl_now_ms();
 	c->fd.fd = fd;
 	c->fd.on_ready = on_readable;
 	c->fd.ctx = c;
@@ -286,9 +334,9 @@
 		give(c, &s->usual);
 		return;
 	}
-	await(c, s->idle_ms);
+	connection_await(c, s->idle_ms);
 	if (!look(c) && watch(c))
-		close_new(c);
+		connection_close_new(c);
 }
 
 void connection_accept_all(struct serve *s)
@@ -306,7 +354,7 @@
 	}
 	/* No room, or no descriptors or memory for now. */
 	serve_listen(s, 0);
-	wake_sweep(s, prl_now_ms() + LISTEN_AGAIN_MS);
+	connection_wake_sweep(s, prl_now_ms() + LISTEN_AGAIN_MS);
 }
 
 struct serve_connection *connection_opened(struct serve *s,
@@ -329,11 +377,15 @@
 
 	free_connection(c);
 	if (from && !is_finishing)
-		end_suspended(from);
+		connection_end_suspended(from);
 }
 
 void connection_begun(struct serve_connection *c)
 {
+	c->begun_ms = prl_now_ms();
+	c->progress_ms = c->begun_ms;
+	c->is_head_read = 0;
+	c->is_received = 0;
 	if (!c->has_ended)
 		return;
 	/* The library had read another request with the one before. */
@@ -342,13 +394,25 @@
 	unlink_ended(c->serve, c);
 }
 
-void connection_method_read(struct serve_connection *c, const char *method)
+static void check_method(struct serve_connection *c, const char *method)
 {
 	if (c->method_len && strlen(method) != c->method_len)
 		c->request_bytes = -1;
 	c->method_len = 0;
 }
 
+void connection_received(struct serve_connection *c, const char *method,
+			 size_t len)
+{
+	check_method(c, method);
+	/* The first call comes before the body. */
+	if (!c->is_head_read)
+		c->is_head_read = 1;
+	else if (!len)
+		c->is_received = 1;
+	c->progress_ms = prl_now_ms();
+}
+
 void connection_ended(struct serve_connection *c)
 {
 	if (c->has_ended || !c->serve->large.mhd)
@@ -365,11 +429,12 @@
 	MHD_suspend_connection(c->mhd);
 	c->state = CONNECTION_PARKED;
 	c->has_part = 0;
-	await(c, s->idle_ms);
-	if (c->tier == &s->large && s->nlarge > SERVE_LARGE_KEPT_MAX)
-		end_suspended(c);
+	c->progress_ms = prl_now_ms();
+	connection_await(c, s->idle_ms);
+	if (c->tier == &s->large && s->nlarge > connection_large_kept_max(s))
+		connection_end_suspended(c);
 	else if (!look(c) && watch(c))
-		end_suspended(c);
+		connection_end_suspended(c);
 }
 
 void connection_park_ended(struct serve *s)
@@ -383,31 +448,10 @@
 	}
 }
 
-static void expire(struct serve_connection *c)
+void connection_give_room(struct serve_connection *c)
 {
-	if (c->has_part)
-		proceed(c, HEAD_NEED_ROOM, -1);
-	else if (c->state == CONNECTION_NEW)
-		close_new(c);
-	else
-		end_suspended(c);
-}
-
-void connection_sweep(struct serve *s, int64_t now)
-{
-	struct serve_connection *next;
-
-	if (s->nconnection < s->connections_max)
-		serve_listen(s, 1);
-	for (struct serve_connection *c = s->connections; c; c = next) {
-		next = c->next;
-		if (c->state != CONNECTION_NEW && c->state != CONNECTION_PARKED)
-			continue;
-		if (c->deadline_ms <= now)
-			expire(c);
-		else
-			wake_sweep(s, c->deadline_ms);
-	}
+	stop_awaiting_room(c);
+	look(c);
 }
 
 void connection_release_all(struct serve *s)
@@ -418,11 +462,11 @@
 		next = c->next;
 		switch (c->state) {
 		case CONNECTION_NEW:
-			close_new(c);
+			connection_close_new(c);
 			break;
 		case CONNECTION_PARKED:
 		case CONNECTION_MOVED:
-			end_suspended(c);
+			connection_end_suspended(c);
 			break;
 		case CONNECTION_BUSY:
 			break;
--- a/loop/src/serve_connection.h
+++ b/loop/src/serve_connection.h
@@ -1,6 +1,7 @@
 #ifndef LOOP_SERVE_CONNECTION_H
 #define LOOP_SERVE_CONNECTION_H
 
+#include <primroselead/head_need.h>
 #include <primroselead/serve.h>
 
 /** Connections with the larger memory that are kept between requests, which
@@ -33,6 +34,18 @@
 	int64_t deadline_ms;
 	/** Part of a head waits. */
 	int has_part;
+	/** It has waited for its rest for longer than usual. */
+	int is_late;
+	/** Its head waits until another connection gives up the larger memory.
+	 */
+	int awaits_room;
+	/** When the present request began, and when it last made progress. */
+	int64_t begun_ms;
+	int64_t progress_ms;
+	/** The head of the present request has been handled; all of it has
+	 * come. */
+	int is_head_read;
+	int is_received;
 	/** Bytes of the requests so far; -1 if that is not known. */
 	int64_t request_bytes;
 	/** Length of the method that proves this; 0 if it is proved. */
@@ -59,8 +72,10 @@
 /** The library has read the line of a request. */
 void connection_begun(struct serve_connection *c);
 
-/** The library has read the head of a request. */
-void connection_method_read(struct serve_connection *c, const char *method);
+/** The library has read the head of a request, "len" bytes of its body, or its
+ * end. */
+void connection_received(struct serve_connection *c, const char *method,
+			 size_t len);
 
 /** The request has ended. */
 void connection_ended(struct serve_connection *c);
@@ -68,6 +83,33 @@
 /** Parks the connections whose request has ended and that are still open. */
 void connection_park_ended(struct serve *s);
 
+/** Runs connection_sweep at a time, or earlier. */
+void connection_wake_sweep(struct serve *s, int64_t deadline_ms);
+
+/** Lets a new or parked connection wait for so long from now on. */
+void connection_await(struct serve_connection *c, int ms);
+
+/** Chooses the daemon for the requests that wait on a new or parked connection,
+ * or goes on with the present one. "first_bytes" is as in head_need. */
+void connection_proceed(struct serve_connection *c, enum head_need need,
+			int64_t first_bytes);
+
+/** Closes a connection that no daemon has. */
+void connection_close_new(struct serve_connection *c);
+
+/** Ends a parked or moved connection: the library finds it closed. */
+void connection_end_suspended(struct serve_connection *c);
+
+/** Whether another connection may have the larger memory. */
+int connection_has_room(const struct serve *s);
+
+/** Lets a head that waits for the larger memory go on. */
+void connection_give_room(struct serve_connection *c);
+
+/** Number of connections with the larger memory that are kept between requests.
+ */
+unsigned int connection_large_kept_max(const struct serve *s);
+
 /** Closes what has been idle for too long, and lets the library read heads that
  * remain incomplete. */
 void connection_sweep(struct serve *s, int64_t now);
--- a/proxy/src/head.c
+++ b/proxy/src/head.c
@@ -30,6 +30,13 @@
  * two line ends. */
 #define LINE_MIN_BYTES (2 + sizeof("HTTP/1.1") - 1 + 4)
 
+/* File descriptors reserved for files, the store and the other VMs. */
+#define DESCRIPTORS_RESERVED 400
+
+/* Fewest connections of a listener, and fewest with the larger memory. */
+#define CONNECTIONS_MIN 16
+#define LARGE_MIN 2
+
 /* Memory that the listener takes for a request's head. */
 struct head_size {
 	size_t bytes;
@@ -120,6 +127,43 @@
 		part[*part == '?'] = 0;
 }
 
+/* Each request needs two descriptors: the caller's connection and the one to
+ * its upstream. */
+static int64_t descriptors_limit(const struct prl_settings *s)
+{
+	int64_t n = (s->traffic.descriptors - DESCRIPTORS_RESERVED) / 2;
+
+	return s->traffic.descriptors ? n : s->traffic.connections;
+}
+
+static int64_t memory_limit(const struct prl_settings *s, int share,
+			    size_t connection_bytes)
+{
+	return (s->traffic.memory << 20) / share / s->traffic.threads /
+	       (int64_t)connection_bytes;
+}
+
+unsigned int head_connections_max(const struct prl_settings *s, int share)
+{
+	int64_t n = s->traffic.connections;
+
+	if (descriptors_limit(s) < n)
+		n = descriptors_limit(s);
+	if (s->traffic.memory &&
+	    memory_limit(s, share, HEAD_CONNECTION_BYTES) < n)
+		n = memory_limit(s, share, HEAD_CONNECTION_BYTES);
+	return n > CONNECTIONS_MIN ? (unsigned int)n : CONNECTIONS_MIN;
+}
+
+unsigned int head_large_max(const struct prl_settings *s, int share)
+{
+	int64_t n = memory_limit(s, share, HEAD_LARGE_CONNECTION_BYTES);
+
+	if (!s->traffic.memory)
+		return 0;
+	return n > LARGE_MIN ? (unsigned int)n : LARGE_MIN;
+}
+
 int head_kept_max(const struct prl_settings *s)
 {
 	int64_t bytes = s->traffic.memory << 20;
--- a/proxy/src/head.h
+++ b/proxy/src/head.h
@@ -40,6 +40,14 @@
  * "max" parts, each of which takes a record. */
 void head_limit_query(const char *target, int max);
 
+/** Number of connections that one listener takes, out of 1/share of the
+ * process's memory, each with one to an upstream. */
+unsigned int head_connections_max(const struct prl_settings *s, int share);
+
+/** Number of connections with the larger memory that a listener takes, out of
+ * 1/share of the process's memory. */
+unsigned int head_large_max(const struct prl_settings *s, int share);
+
 /** Number of callers' connections that one thread keeps open after a response,
  * so that their memory stays below half of the process's. */
 int head_kept_max(const struct prl_settings *s);
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -15,8 +15,19 @@
 /* Parts of a query that this VM's own pages read at most. */
 #define PAGE_ARGUMENTS_MAX 32
 
-/* File descriptors reserved for files, the store and the other VMs. */
-#define DESCRIPTORS_RESERVED 400
+/* Parts of the process's memory that the connections of callers may take, and
+ * those of other VMs. */
+#define FRONT_SHARE 4
+#define RELAY_SHARE 8
+
+/* Parts that connections of large heads may take: at a listener for requests,
+ * and at one of this VM's own pages. */
+#define LARGE_SHARE 16
+#define PAGE_LARGE_SHARE 64
+
+/* Part of the connections of a listener for requests that one of this VM's own
+ * pages takes. */
+#define PAGE_CONNECTIONS_SHARE 2
 
 /* Interval between checks for disconnected callers and late uploads, in ms. */
 #define SWEEP_MS 100
@@ -313,10 +324,12 @@
 	const char *address[] = {s->listen.lookup, s->listen.ready,
 				 s->listen.metrics};
 	struct serve_options o = {
-		.connections_max = (unsigned int)s->traffic.connections,
+		.connections_max = head_connections_max(s, FRONT_SHARE) /
+				   PAGE_CONNECTIONS_SHARE,
 		.idle_timeout_s = (unsigned int)s->traffic.idle,
 		.connection_memory_bytes = HEAD_PAGE_CONNECTION_BYTES,
 		.large_memory_bytes = HEAD_LARGE_CONNECTION_BYTES,
+		.large_max = head_large_max(s, PAGE_LARGE_SHARE),
 		.begin = on_aux_target,
 		.handle = on_aux_request,
 		.completed = on_aux_completed,
@@ -345,6 +358,8 @@
 
 	o.address = t->proxy->settings->listen.rpc;
 	o.begin = on_relayed_target;
+	o.connections_max =
+		head_connections_max(t->proxy->settings, RELAY_SHARE);
 	return serve_init(&t->relay_listener, &t->loop, &o, err);
 }
 
@@ -365,19 +380,6 @@
 	return PRL_OK;
 }
 
-/* Each request needs two descriptors: the caller's connection and the one to
- * its upstream. */
-static unsigned int connection_limit(const struct prl_settings *s)
-{
-	int64_t n = s->traffic.connections;
-	int64_t max_requests =
-		(s->traffic.descriptors - DESCRIPTORS_RESERVED) / 2;
-
-	if (s->traffic.descriptors && max_requests < n)
-		n = max_requests > 16 ? max_requests : 16;
-	return (unsigned int)n;
-}
-
 static enum prl_code alloc_request_table(struct proxy_thread *t,
 					 struct prl_error *err)
 {
@@ -398,10 +400,11 @@
 	const struct prl_settings *s = p->settings;
 	struct serve_options o = {
 		.address = s->listen.http,
-		.connections_max = connection_limit(s),
+		.connections_max = head_connections_max(s, FRONT_SHARE),
 		.idle_timeout_s = (unsigned int)s->traffic.idle,
 		.connection_memory_bytes = HEAD_CONNECTION_BYTES,
 		.large_memory_bytes = HEAD_LARGE_CONNECTION_BYTES,
+		.large_max = head_large_max(s, LARGE_SHARE),
 		.report = on_listener_message,
 		.begin = on_target,
 		.handle = on_request,
@@ -430,7 +433,7 @@
 	/* By default libcurl's connection cache shrinks with the number of
 	 * transfers under way, which would close idle connections. */
 	curl_multi_setopt(t->fetch_pool.multi, CURLMOPT_MAXCONNECTS,
-			  (long)connection_limit(s));
+			  (long)head_connections_max(s, FRONT_SHARE));
 	loop_timer_add(&t->loop, &t->wait_timer);
 	loop_timer_add(&t->loop, &t->sweep_timer);
 	loop_timer_add(&t->loop, &t->link_timer);
