Unfinished requests hold few places at upstreams, and stalled ones give way

Cause: a request took its place at an upstream as its head had come, and kept it while its body did not come or its answer was not read; bodies that stopped short held every place until their deadline. Change: of the requests whose body has not come, as many start as half the service's slots, divided among the fleet's threads (at least one); the others are held until the body has come, or has filled its buffer and one of those places is free. In calm nothing changes. Where a request finds no place, or one that is held waits for a start, up to eight requests end whose callers have sent or read less than 1 KB in 1 s: held ones with 503, not run; of the others the connection is closed. A VM that stood still counts that time for nobody. Bodies have 1/8 of [traffic] memory beside 16 KB each, and are freed once nobody waits for them. A caller that leaves is noticed also behind bytes of its body that are not read.

--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -107,6 +107,9 @@
 /** Resumes a suspended connection in the next round of the loop. */
 void serve_resume(struct serve *s, struct MHD_Connection *conn);
 
+/** Closes a connection that is not suspended, whatever its caller does. */
+void serve_close(struct MHD_Connection *conn);
+
 /** Stops accepting connections; open connections are still served. */
 void serve_quiesce(struct serve *s);
 
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -242,6 +242,14 @@
 	serve_wake(c->tier);
 }
 
+void serve_close(struct MHD_Connection *conn)
+{
+	const struct serve_connection *c = find_connection(conn);
+
+	shutdown(c->fd.fd, SHUT_RDWR);
+	serve_wake(c->tier);
+}
+
 void serve_listen(struct serve *s, int on)
 {
 	if (s->listener.fd < 0 || s->is_full == !on)
--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -21,6 +21,7 @@
 	METRIC_REQUESTS_BAD,
 	/** Requests rejected because upstreams have ended under them. */
 	METRIC_REQUESTS_QUARANTINED,
+	METRIC_CALLERS_STALLED,
 	/** Requests known to this VM under which upstreams have ended: all, and
 	 * those that are in quarantine. */
 	METRIC_QUARANTINE_SUSPECTS,
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -14,6 +14,7 @@
 	"requests_shed",
 	"requests_bad",
 	"requests_quarantined",
+	"callers_stalled",
 	"quarantine_suspects",
 	"quarantine_active",
 	"upstream_attempts",
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -187,6 +187,12 @@
 struct proxy_request;
 struct proxy_sockets;
 
+/** Memory that several body buffers share; without a bound if "max" is 0. */
+struct body_budget {
+	size_t used;
+	size_t max;
+};
+
 /** State of the routes' traffic splits; empty when zeroed. */
 struct proxy_splits {
 	/** By id of the route; null as long as there is none. */
@@ -246,6 +252,16 @@
 	struct proxy_request *first_waiting;
 	struct proxy_request *last_waiting;
 	int nwaiting;
+	/** Requests whose body has not come: started, and queued for a start,
+	 * oldest first; and requests whose callers make no progress. */
+	struct {
+		int nstarted;
+		int nstalled;
+		int64_t swept_ms;
+		struct proxy_request *first;
+	} unfinished;
+	/** Memory of the bodies of requests. */
+	struct body_budget body_budget;
 	/** Retries admission of the queued requests. */
 	struct loop_timer wait_timer;
 	/** Looks for disconnected callers. */
--- a/proxy/src/body.c
+++ b/proxy/src/body.c
@@ -1,4 +1,5 @@
 #include "body.h"
+#include <primroselead/proxy.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,6 +29,15 @@
 	b->discarded = 1;
 }
 
+static int is_within_budget(const struct body_buffer *b, size_t size)
+{
+	const struct body_budget *budget = b->budget;
+
+	if (!budget || !budget->max || size <= BODY_DEFAULT_MAX_BYTES)
+		return 1;
+	return budget->used + size - b->allocated <= budget->max;
+}
+
 /* Grows the allocation towards "want" bytes, up to the maximum size; leaves it
  * as it is if out of memory. */
 static void grow(struct body_buffer *b, size_t want)
@@ -39,12 +49,14 @@
 		size *= 2;
 	if (size > max_size(b))
 		size = max_size(b);
-	if (size <= b->allocated)
+	if (size <= b->allocated || !is_within_budget(b, size))
 		return;
 	data = realloc(b->data, size);
 	if (!data)
 		return;
 	b->data = data;
+	if (b->budget)
+		b->budget->used += size - b->allocated;
 	b->allocated = size;
 }
 
@@ -85,8 +97,12 @@
 void body_finish(struct body_buffer *b)
 {
 	size_t max = b->max_size;
+	struct body_budget *budget = b->budget;
 
+	if (budget)
+		budget->used -= b->allocated;
 	free(b->data);
 	memset(b, 0, sizeof(*b));
 	b->max_size = max;
+	b->budget = budget;
 }
--- a/proxy/src/body.h
+++ b/proxy/src/body.h
@@ -3,6 +3,8 @@
 
 #include <stddef.h>
 
+struct body_budget;
+
 /** Default maximum size of a body buffer, in bytes. */
 #define BODY_DEFAULT_MAX_BYTES 16384
 
@@ -13,6 +15,8 @@
 struct body_buffer {
 	/** Maximum size in bytes; 0 stands for BODY_DEFAULT_MAX_BYTES. */
 	size_t max_size;
+	/** Bounds what is allocated beyond BODY_DEFAULT_MAX_BYTES, or null. */
+	struct body_budget *budget;
 	/** Bytes allocated. */
 	size_t allocated;
 	char *data;
@@ -42,7 +46,8 @@
  * if that was discarded. */
 int body_rewind(struct body_buffer *b);
 
-/** Frees the memory and empties the buffer; keeps "max_size". */
+/** Frees the memory and empties the buffer; keeps "max_size" and
+ * "budget". */
 void body_finish(struct body_buffer *b);
 
 #endif
--- a/proxy/src/dispatch.c
+++ b/proxy/src/dispatch.c
@@ -199,5 +199,5 @@
 			     "the deadline has passed");
 		return;
 	}
-	request_admit(r);
+	unfinished_dispatch(r);
 }
--- a/proxy/src/ending.c
+++ b/proxy/src/ending.c
@@ -22,7 +22,10 @@
 		return;
 	switch (r->state) {
 	case REQUEST_NEW:
-		return;
+		if (!unfinished_is_held(r))
+			return;
+		unfinished_release(r);
+		break;
 	case REQUEST_RESPONDING:
 	case REQUEST_FAILED:
 		upload_answer_now(r);
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -183,6 +183,7 @@
 			return 1;
 		}
 	}
+	unfinished_end_stalled(r->thread, r->service_name);
 	set_retry_after(r, chosen.wait_ms);
 	return 0;
 }
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -39,6 +39,7 @@
 	r->thread = t;
 	r->conn = conn;
 	r->listener = &t->listener;
+	r->request_body.budget = &t->body_budget;
 	r->region = STEER_NONE;
 	r->link = STEER_NONE;
 	r->started_us = prl_now_us();
@@ -90,6 +91,7 @@
 	uint32_t i = (uint32_t)r->handle - 1;
 
 	request_log(r);
+	unfinished_release(r);
 	request_dequeue(r);
 	if (r->claimed && r->outcome == OUTCOME_NOT_RUN)
 		request_update_claim(r, CLAIM_RELEASED);
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -4,6 +4,7 @@
 #include "body.h"
 #include "identity.h"
 #include "suspects.h"
+#include "unfinished.h"
 #include "verdict.h"
 #include <primroselead/header_list.h>
 #include <primroselead/proxy.h>
@@ -206,6 +207,7 @@
 
 	struct request_identity identity;
 	struct request_suspicion suspicion;
+	struct request_unfinished unfinished;
 	/** Body from the caller. */
 	struct body_buffer request_body;
 	int has_body;
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -134,5 +134,5 @@
 	if (!route)
 		request_fail(r, MHD_HTTP_NOT_FOUND, "no route matches");
 	else if (apply_route(r, route) && (!r->relayed || relay_accept(r)))
-		suspects_dispatch(r);
+		unfinished_dispatch(r);
 }
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -6,6 +6,7 @@
 #include "sockets.h"
 #include "splits.h"
 #include "upload.h"
+#include <poll.h>
 #include <primroselead/clock.h>
 #include <primroselead/log.h>
 #include <stdlib.h>
@@ -20,6 +21,9 @@
 #define FRONT_SHARE 4
 #define RELAY_SHARE 8
 
+/* Part that the bodies of requests may take. */
+#define BODY_SHARE 8
+
 /* Parts that connections of large heads may take: at a listener for requests,
  * and at one of this VM's own pages. */
 #define LARGE_SHARE 16
@@ -76,8 +80,13 @@
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct pollfd end = {.fd = info->connect_fd, .events = POLLRDHUP};
 	char byte;
 
+	/* Bytes of a body that are not read yet may stand before the end. */
+	if (!r->request_body_ended && r->has_body && r->headers_read &&
+	    poll(&end, 1, 0) == 1)
+		return 1;
 	return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
@@ -175,6 +184,7 @@
 
 		if (!r)
 			continue;
+		unfinished_tick(r, now);
 		upload_tick(r, now);
 		if (!r->suspended || r->abort_connection || r->responded)
 			continue;
@@ -183,6 +193,7 @@
 		r->abort_connection = 1;
 		request_resume(r);
 	}
+	unfinished_sweep(t);
 	t->connections = (int)serve_connection_count(&t->listener);
 	if (t->proxy->follows_manifest)
 		t->connections +=
@@ -414,6 +425,8 @@
 
 	t->proxy = p;
 	t->kept_max = head_kept_max(s);
+	t->body_budget.max = (size_t)(s->traffic.memory << 20) / BODY_SHARE /
+			     (size_t)s->traffic.threads;
 	t->random_state =
 		prl_hash_combine(g_random_int(), (uint64_t)prl_now_us());
 	t->wait_timer.on_expiry = on_wait_timer;
--- /dev/null
+++ b/proxy/src/unfinished.c
@@ -0,0 +1,237 @@
+#include "unfinished.h"
+#include "attempt.h"
+#include <primroselead/clock.h>
+#include <string.h>
+
+/* Part of a service's slots, divided among the fleet's threads, that requests
+ * may take whose body has not come. */
+#define SLOTS_SHARE 2
+
+/* Time in ms after which a caller is stalled that has sent or read less than
+ * the next number of bytes. */
+#define STALLED_MS 1000
+#define PROGRESS_MIN_BYTES 1024
+
+/* Time in ms between two looks after which this thread has stood still. */
+#define STOOD_STILL_MS 400
+
+/* Stalled requests that are ended at a time. */
+#define ENDED_MAX 8
+
+static int count_slots(const struct steer_service *s)
+{
+	int n = 0;
+
+	for (int i = 0; i < s->nupstream; i++)
+		n += s->upstream[i].slots > 0 ? s->upstream[i].slots : 1;
+	return n;
+}
+
+static const struct steer_service *find_service(const struct proxy_request *r)
+{
+	int i;
+
+	if (!r->routed)
+		return r->service;
+	i = steer_find_service(r->view, r->service_name,
+			       strlen(r->service_name));
+	return i == STEER_NONE ? NULL : r->view->service[i];
+}
+
+/* Whether one more request of this service may start before its body has come.
+ */
+static int has_place(const struct proxy_request *r)
+{
+	const struct proxy_thread *t = r->thread;
+	const struct steer_service *s;
+	int threads;
+
+	if (!t->unfinished.nstarted)
+		return 1;
+	s = find_service(r);
+	if (!s)
+		return 1;
+	threads = (r->view->nactive > 0 ? r->view->nactive : 1) *
+		  t->proxy->nthread;
+	return t->unfinished.nstarted < count_slots(s) / SLOTS_SHARE / threads;
+}
+
+static void unqueue(struct proxy_request *r)
+{
+	struct proxy_thread *t = r->thread;
+	struct proxy_request **p = &t->unfinished.first;
+
+	while (*p && *p != r)
+		p = &(*p)->unfinished.next;
+	if (*p)
+		*p = r->unfinished.next;
+}
+
+static void enqueue(struct proxy_request *r)
+{
+	struct proxy_request **p = &r->thread->unfinished.first;
+
+	while (*p)
+		p = &(*p)->unfinished.next;
+	*p = r;
+	r->unfinished.next = NULL;
+	r->unfinished.state = UNFINISHED_QUEUED;
+}
+
+static void start(struct proxy_request *r)
+{
+	if (r->routed)
+		suspects_dispatch(r);
+	else
+		request_admit(r);
+}
+
+static void start_unfinished(struct proxy_request *r)
+{
+	r->unfinished.state = UNFINISHED_STARTED;
+	r->thread->unfinished.nstarted++;
+	start(r);
+}
+
+void unfinished_dispatch(struct proxy_request *r)
+{
+	r->unfinished.progress_ms = prl_now_ms();
+	if (!r->has_body)
+		start(r);
+	else if (has_place(r))
+		start_unfinished(r);
+	else
+		r->unfinished.state = UNFINISHED_HELD;
+}
+
+void unfinished_received(struct proxy_request *r, size_t n, int is_full)
+{
+	r->unfinished.bytes += n;
+	if (is_full && r->unfinished.state == UNFINISHED_HELD)
+		enqueue(r);
+}
+
+int unfinished_is_held(const struct proxy_request *r)
+{
+	return r->unfinished.state == UNFINISHED_HELD ||
+	       r->unfinished.state == UNFINISHED_QUEUED;
+}
+
+static void set_stalled(struct proxy_request *r, int is_stalled)
+{
+	r->thread->unfinished.nstalled += is_stalled - r->unfinished.is_stalled;
+	r->unfinished.is_stalled = is_stalled;
+}
+
+void unfinished_release(struct proxy_request *r)
+{
+	set_stalled(r, 0);
+	if (r->unfinished.state == UNFINISHED_QUEUED)
+		unqueue(r);
+	if (r->unfinished.state == UNFINISHED_STARTED)
+		r->thread->unfinished.nstarted--;
+	r->unfinished.state = UNFINISHED_NONE;
+}
+
+void unfinished_ended(struct proxy_request *r)
+{
+	int is_held = unfinished_is_held(r);
+
+	unfinished_release(r);
+	if (is_held)
+		start(r);
+}
+
+void unfinished_passed(struct proxy_request *r, size_t n)
+{
+	r->unfinished.bytes += n;
+}
+
+static void fail_held(struct proxy_request *r, const char *cause)
+{
+	unfinished_release(r);
+	metrics_add(&r->thread->metrics, METRIC_REQUESTS_SHED, 1);
+	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
+}
+
+/* Whether it is for the caller to go on: to send its body, or to read the rest
+ * of an answer for which an upstream waits. */
+static int is_callers_turn(const struct proxy_request *r)
+{
+	if (!r->conn || r->suspended)
+		return 0;
+	return r->unfinished.state != UNFINISHED_NONE ||
+	       (r->responded && r->transfer_active);
+}
+
+/* What came meanwhile has not been read. */
+static int has_stood_still(const struct proxy_thread *t, int64_t now)
+{
+	return now > t->unfinished.swept_ms + STOOD_STILL_MS;
+}
+
+static void measure(struct proxy_request *r, int64_t now)
+{
+	struct request_unfinished *u = &r->unfinished;
+
+	if (!is_callers_turn(r) || has_stood_still(r->thread, now) ||
+	    u->bytes - u->bytes_before >= PROGRESS_MIN_BYTES) {
+		u->progress_ms = now;
+		u->bytes_before = u->bytes;
+	}
+	set_stalled(r, now >= u->progress_ms + STALLED_MS);
+}
+
+void unfinished_tick(struct proxy_request *r, int64_t now)
+{
+	measure(r, now);
+	if (unfinished_is_held(r) && now >= r->deadline_ms)
+		fail_held(r, "the deadline passed before the body had come");
+}
+
+/* Ends one that is stalled: those that are held are told so, the connections of
+ * others are closed. */
+static void end_stalled(struct proxy_request *r)
+{
+	set_stalled(r, 0);
+	metrics_add(&r->thread->metrics, METRIC_CALLERS_STALLED, 1);
+	if (unfinished_is_held(r))
+		fail_held(r, "the body came too slowly");
+	else
+		serve_close(r->conn);
+}
+
+static int is_in_the_way(const struct proxy_request *r, const char *service)
+{
+	if (!r || !r->unfinished.is_stalled)
+		return 0;
+	return !service ||
+	       (!unfinished_is_held(r) && !strcmp(r->service_name, service));
+}
+
+void unfinished_end_stalled(struct proxy_thread *t, const char *service)
+{
+	int left = ENDED_MAX;
+
+	for (int i = 0; t->unfinished.nstalled && i < t->max_requests; i++) {
+		if (!is_in_the_way(t->request[i], service))
+			continue;
+		end_stalled(t->request[i]);
+		if (!--left)
+			return;
+	}
+}
+
+void unfinished_sweep(struct proxy_thread *t)
+{
+	struct proxy_request *r = t->unfinished.first;
+
+	t->unfinished.swept_ms = prl_now_ms();
+	while (r && has_place(r)) {
+		unqueue(r);
+		start_unfinished(r);
+		r = t->unfinished.first;
+	}
+	if (r)
+		unfinished_end_stalled(t, NULL);
+}
--- a/proxy/src/upload.c
+++ b/proxy/src/upload.c
@@ -66,6 +66,9 @@
 	if (r->upload != UPLOAD_OPEN || !is_decided(r))
 		return;
 	now = prl_now_ms();
+	unfinished_release(r);
+	if (!r->transfer_active)
+		body_finish(&r->request_body);
 	r->upload = UPLOAD_DISCARDED;
 	r->answer_at_ms = now + END_WAIT_MS;
 	set_discard_end(r, now);
@@ -204,6 +207,7 @@
 		return discard(r, data, len);
 	n = body_write(&r->request_body, data, *len);
 	identity_add_body(r, data, n);
+	unfinished_received(r, n, n < *len);
 	suspects_body_came(r);
 	/* The bytes may have told that the request is refused. */
 	begin_discarding(r);
@@ -230,6 +234,7 @@
 {
 	if (!r->request_body_ended) {
 		r->request_body_ended = 1;
+		unfinished_ended(r);
 		suspects_body_came(r);
 		unpause_upload(r);
 	}
