--- a/cmd/primroselead/test/test_page_bytes.c
+++ b/cmd/primroselead/test/test_page_bytes.c
@@ -85,6 +85,26 @@
 	assert_int_equal(nfailed, 0);
 }
 
+static const char *const bad_statuses[] = {"000", "001", "099", "600", "999",
+					   "2x0", "20",	 "0",	"-200"};
+
+static void test_status_that_is_none_is_taken(void **state)
+{
+	char head[100];
+	char *page;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad_statuses) / sizeof(bad_statuses[0]);
+	     i++) {
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 %s OK\r\nContent-Length: 18\r\n\r\n",
+			 bad_statuses[i]);
+		plan_page(head, "");
+		plan.end = SCRIPTED_CLOSE;
+		assert_int_equal(fetch(&page), PRL_E_IO);
+	}
+}
+
 /* VMs give the length of their pages, so that a cut is seen; a page without it
  * may be cut anywhere. */
 static void test_page_without_length_is_taken_for_whole(void **state)
@@ -120,6 +140,7 @@
 		cmocka_unit_test(test_whole_page_is_not_taken),
 		cmocka_unit_test(test_page_that_ends_early_is_taken_for_whole),
 		cmocka_unit_test(test_page_without_length_is_taken_for_whole),
+		cmocka_unit_test(test_status_that_is_none_is_taken),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/cmd/primroseleadd/test/test_check_bytes.c
+++ b/cmd/primroseleadd/test/test_check_bytes.c
@@ -266,6 +266,27 @@
 	}
 }
 
+static const char *const bad_statuses[] = {"000", "001", "099", "600", "999",
+					   "2x0", "20",	 "0",	"-200"};
+
+static void test_status_that_is_none_is_taken(void **state)
+{
+	char text[200];
+
+	(void)state;
+	memset(&plan, 0, sizeof(plan));
+	plan.bytes = text;
+	plan.end = SCRIPTED_CLOSE;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_statuses); i++) {
+		snprintf(text, sizeof(text),
+			 "HTTP/1.1 %s OK\r\n" OWN "Content-Length: 0\r\n\r\n",
+			 bad_statuses[i]);
+		plan.len = strlen(text);
+		assert_int_equal(run_check(), 0);
+		assert_int_equal(check.status, 0);
+	}
+}
+
 static void test_response_of_two_is_taken(void **state)
 {
 	static const char *const both[] = {
@@ -339,6 +360,7 @@
 			test_response_that_ends_early_is_taken_for_whole),
 		cmocka_unit_test(test_earlier_response_answers_the_next_check),
 		cmocka_unit_test(test_response_of_another_is_taken),
+		cmocka_unit_test(test_status_that_is_none_is_taken),
 		cmocka_unit_test(test_response_of_two_is_taken),
 		cmocka_unit_test(test_response_is_received_without_a_bound),
 	};
--- a/proxy/src/head.c
+++ b/proxy/src/head.c
@@ -37,6 +37,10 @@
 #define CONNECTIONS_MIN 16
 #define LARGE_MIN 2
 
+/* Part of the connections at a time that are kept after an answer, in eighths.
+ */
+#define KEPT_EIGHTHS 7
+
 /* Memory that the listener takes for a request's head. */
 struct head_size {
 	size_t bytes;
@@ -164,12 +168,7 @@
 	return n > LARGE_MIN ? (unsigned int)n : LARGE_MIN;
 }
 
-int head_kept_max(const struct prl_settings *s)
+int head_kept_max(int connections_max)
 {
-	int64_t bytes = s->traffic.memory << 20;
-	int64_t n = bytes / 2 / HEAD_CONNECTION_BYTES / s->traffic.threads;
-
-	return bytes && n < s->traffic.connections
-		       ? (int)n
-		       : (int)s->traffic.connections;
+	return connections_max * KEPT_EIGHTHS / 8;
 }
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -424,7 +424,7 @@
 	};
 
 	t->proxy = p;
-	t->kept_max = head_kept_max(s);
+	t->kept_max = head_kept_max((int)o.connections_max);
 	t->body_budget.max = (size_t)(s->traffic.memory << 20) / BODY_SHARE /
 			     (size_t)s->traffic.threads;
 	t->random_state =
--- a/proxy/test/test_long_uploads.c
+++ b/proxy/test/test_long_uploads.c
@@ -12,7 +12,7 @@
 #define BODY_BYTES (8 << 20)
 
 /* Time in ms in which the rest of the body is written before the end. */
-#define WRITTEN_MS 4
+#define WRITTEN_MS 2
 
 /* More than the VM holds of a response before it passes a part on. */
 #define FILL_BYTES 300000
--- a/schema/include/primroselead/settings.h
+++ b/schema/include/primroselead/settings.h
@@ -83,8 +83,8 @@
 	/** Descriptors that the process may open; 0 sets no bound beside the
 	 * number of connections. */
 	int64_t descriptors;
-	/** Memory that the process may use; half of it may go to callers'
-	 * connections that are kept open; 0 sets no bound. Unit: MB. */
+	/** Memory that the process may use, of which callers' connections,
+	 * large heads and bodies have parts; 0 sets no bound. Unit: MB. */
 	int64_t memory;
 	/** Idle time after which a caller's connection is closed. Unit: s. */
 	int64_t idle;
--- a/store/test/test_store_bytes.c
+++ b/store/test/test_store_bytes.c
@@ -172,6 +172,29 @@
 	assert_int_equal(nfailed, 0);
 }
 
+static void test_status_that_is_none_is_taken(void **state)
+{
+	static const char *const statuses[] = {"000", "001", "099", "600",
+					       "999", "2x0", "20",  "-200"};
+	char line[64];
+
+	(void)state;
+	nfailed = 0;
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++)
+		for (int n = 0; n < answer_nkind; n++) {
+			struct answer_kind k = answer_kinds[n];
+
+			snprintf(line, sizeof(line), "HTTP/1.1 %s OK",
+				 statuses[i]);
+			k.status_line = line;
+			plan_answer(&k, RESPONSE_WITH_LENGTH);
+			plan.end = SCRIPTED_CLOSE;
+			expect(&k, i, broken_code(&k),
+			       k.is_second_page ? ANSWER_ERA : 0);
+		}
+	assert_int_equal(nfailed, 0);
+}
+
 /* Whether all has come but the last line end behind the chunks. */
 static int is_known_whole(size_t n, size_t len, enum response_framing framing)
 {
@@ -345,6 +368,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_whole_answer_is_not_taken),
+		cmocka_unit_test(test_status_that_is_none_is_taken),
 		cmocka_unit_test(
 			test_answer_that_ends_early_is_taken_for_whole),
 		cmocka_unit_test(test_surplus_bytes_answer_the_next_call),
