Several daemons a listener, so that idle connections cost others nothing; held requests start in turn as places come free

The library walks all suspended connections of a daemon at each resume. A listener now starts a daemon for each 128 connections, up to 32 daemons.

--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -37,9 +37,17 @@
 
 struct serve;
 
+/** Connections of one of the library's daemons before another is started, and
+ * most daemons for the usual memory. The library walks all suspended
+ * connections of a daemon whenever it resumes one. */
+#define SERVE_DAEMON_CONNECTIONS 128
+#define SERVE_DAEMONS_MAX 32
+
 /** A library's daemon and the memory that each of its connections has. */
 struct serve_tier {
 	struct MHD_Daemon *mhd;
+	/** Its connections. */
+	unsigned int n;
 	size_t memory_bytes;
 	struct serve *serve;
 	struct loop_fd fd;
@@ -54,10 +62,10 @@
  *
  * libmicrohttpd gives each connection of a daemon the same memory and clears
  * all of it after each request that the connection is kept for. So that heads
- * of all sizes cost memory only where they come, there are two daemons: a
- * connection belongs to the one with less memory unless a head that waits on it
- * needs more. Between two requests it is suspended, and the bytes that come
- * are looked at before the library reads them.
+ * of all sizes cost memory only where they come, there are two kinds of
+ * daemons: a connection belongs to one with less memory unless a head that
+ * waits on it needs more. Between two requests it is suspended, and the bytes
+ * that come are looked at before the library reads them.
  *
  * The number of connections is bounded, and that of those with more memory. Who
  * finds no room waits, and takes that of a connection that holds it without
@@ -70,11 +78,15 @@
 	struct loop_fd listener;
 	/** Not accepting, since there are as many connections as allowed. */
 	int is_full;
-	struct serve_tier usual;
+	/** Daemons for the usual memory; more are started as they fill. */
+	struct serve_tier usual[SERVE_DAEMONS_MAX];
+	int nusual;
 	/** Without a daemon if all connections have the same memory. */
 	struct serve_tier large;
 	unsigned int connections_max;
 	unsigned int large_max;
+	unsigned int idle_timeout_s;
+	size_t memory_bytes;
 	int idle_ms;
 	/** All connections, and by descriptor those that a daemon has. */
 	struct serve_connection *connections;
@@ -82,7 +94,6 @@
 	/** Connections whose request has ended in this round. */
 	struct serve_connection *ended;
 	unsigned int nconnection;
-	unsigned int nlarge;
 	/** Connections whose head waits for the larger memory. */
 	unsigned int nwaiting;
 	/** Looks for connections that have been idle for too long. */
--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -121,7 +121,6 @@
 }
 
 static enum prl_code start_tier(struct serve *s, struct serve_tier *t,
-				const struct serve_options *o,
 				size_t memory_bytes, struct prl_error *err)
 {
 	t->mhd = MHD_start_daemon(
@@ -129,15 +128,15 @@
 			MHD_USE_NO_LISTEN_SOCKET,
 		0, NULL, NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER,
 		on_message, s, MHD_OPTION_CONNECTION_LIMIT,
-		2 * o->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
-		o->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		2 * s->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+		s->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		memory_bytes, MHD_OPTION_UNESCAPE_CALLBACK, skip_unescape, NULL,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, s,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
 		MHD_OPTION_URI_LOG_CALLBACK, on_begin, s, MHD_OPTION_END);
 	if (!t->mhd)
-		return prl_error_set(err, PRL_E_IO, "can't serve %s: %s",
-				     o->address, strerror(errno));
+		return prl_error_set(err, PRL_E_IO, "can't start a daemon: %s",
+				     strerror(errno));
 	t->memory_bytes = memory_bytes;
 	t->serve = s;
 	t->fd.fd =
@@ -146,8 +145,29 @@
 	t->fd.ctx = t;
 	t->timer.on_expiry = on_timer;
 	t->timer.ctx = t;
+	if (loop_add(s->loop, &t->fd, EPOLLIN, err)) {
+		MHD_stop_daemon(t->mhd);
+		t->mhd = NULL;
+		return PRL_E_IO;
+	}
 	loop_timer_add(s->loop, &t->timer);
-	return loop_add(s->loop, &t->fd, EPOLLIN, err);
+	return PRL_OK;
+}
+
+struct serve_tier *serve_usual_tier(struct serve *s)
+{
+	struct serve_tier *least = &s->usual[0];
+
+	for (int i = 0; i < s->nusual; i++) {
+		if (s->usual[i].n < SERVE_DAEMON_CONNECTIONS)
+			return &s->usual[i];
+		if (s->usual[i].n < least->n)
+			least = &s->usual[i];
+	}
+	if (s->nusual == SERVE_DAEMONS_MAX ||
+	    start_tier(s, &s->usual[s->nusual], s->memory_bytes, NULL))
+		return least;
+	return &s->usual[s->nusual++];
 }
 
 static int open_listener(const struct sockaddr *addr, socklen_t len)
@@ -188,6 +208,8 @@
 	s->ctx = o->ctx;
 	s->connections_max = o->connections_max;
 	s->large_max = o->large_max ? o->large_max : o->connections_max;
+	s->idle_timeout_s = o->idle_timeout_s;
+	s->memory_bytes = o->connection_memory_bytes;
 	s->idle_ms = (int)o->idle_timeout_s * 1000;
 	s->by_fd = g_hash_table_new(NULL, NULL);
 	s->idle_timer.on_expiry = on_idle_timer;
@@ -199,10 +221,11 @@
 	if (s->listener.fd < 0)
 		return prl_error_set(err, PRL_E_IO, "can't listen on %s: %s",
 				     o->address, strerror(errno));
-	if (start_tier(s, &s->usual, o, o->connection_memory_bytes, err) ||
+	if (start_tier(s, &s->usual[0], s->memory_bytes, err) ||
 	    (o->large_memory_bytes &&
-	     start_tier(s, &s->large, o, o->large_memory_bytes, err)))
+	     start_tier(s, &s->large, o->large_memory_bytes, err)))
 		return err->code;
+	s->nusual = 1;
 	return loop_add(l, &s->listener, EPOLLIN, err);
 }
 
@@ -223,7 +246,8 @@
 	loop_timer_remove(s->loop, &s->idle_timer);
 	connection_release_all(s);
 	stop_tier(&s->large);
-	stop_tier(&s->usual);
+	while (s->nusual)
+		stop_tier(&s->usual[--s->nusual]);
 	connection_free_all(s);
 	g_hash_table_destroy(s->by_fd);
 }
@@ -286,5 +310,5 @@
 	const struct serve_connection *c = find_connection(conn);
 
 	return c->tier == &c->serve->large &&
-	       c->serve->nlarge > connection_large_kept_max(c->serve);
+	       c->tier->n > connection_large_kept_max(c->serve);
 }
--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -84,10 +84,12 @@
 	c->awaits_room = 0;
 }
 
-static void release_room(struct serve *s)
+static void release_tier(const struct serve_connection *c)
 {
-	s->nlarge--;
-	if (s->nwaiting)
+	struct serve *s = c->serve;
+
+	c->tier->n--;
+	if (c->tier == &s->large && s->nwaiting)
 		connection_wake_sweep(s, prl_now_ms());
 }
 
@@ -101,8 +103,8 @@
 	if (c->has_ended)
 		unlink_ended(s, c);
 	stop_awaiting_room(c);
-	if (c->tier == &s->large)
-		release_room(s);
+	if (c->tier)
+		release_tier(c);
 	g_hash_table_remove(s->by_fd, GINT_TO_POINTER(c->fd.fd));
 	g_free(c);
 	if (s->is_full && s->nconnection < s->connections_max)
@@ -135,7 +137,7 @@
 
 	c->tier = t;
 	c->state = CONNECTION_BUSY;
-	s->nlarge += t == &s->large;
+	t->n++;
 	g_hash_table_insert(s->by_fd, GINT_TO_POINTER(c->fd.fd), c);
 	getpeername(c->fd.fd, (struct sockaddr *)&addr, &len);
 	if (MHD_add_connection(t->mhd, c->fd.fd, (struct sockaddr *)&addr,
@@ -214,7 +216,7 @@
 
 int connection_has_room(const struct serve *s)
 {
-	return s->nlarge < s->large_max;
+	return s->large.n < s->large_max;
 }
 
 /* Whether the connection needs the larger memory and does not have it. */
@@ -222,7 +224,7 @@
 {
 	if (need != HEAD_NEED_ROOM || !c->serve->large.mhd)
 		return 0;
-	return c->state == CONNECTION_NEW || c->tier == &c->serve->usual;
+	return c->state == CONNECTION_NEW || c->tier != &c->serve->large;
 }
 
 static void await_room(struct serve_connection *c)
@@ -247,13 +249,14 @@
 		need = connection_has_room(s) ? HEAD_NEED_ROOM : HEAD_NEED_FITS;
 	c->has_part = 0;
 	if (need == HEAD_NEED_ROOM && c->state == CONNECTION_PARKED &&
-	    c->tier == &s->usual && !move(c))
+	    c->tier != &s->large && !move(c))
 		return;
 	if (c->request_bytes >= 0)
 		c->request_bytes =
 			first_bytes < 0 ? -1 : c->request_bytes + first_bytes;
 	if (c->state == CONNECTION_NEW) {
-		give(c, need == HEAD_NEED_FITS ? &s->usual : &s->large);
+		give(c,
+		     need == HEAD_NEED_FITS ? serve_usual_tier(s) : &s->large);
 		return;
 	}
 	resume(c);
@@ -264,7 +267,7 @@
 static int look(struct serve_connection *c)
 {
 	char bytes[WINDOW_MAX];
-	size_t memory = c->serve->usual.memory_bytes;
+	size_t memory = c->serve->memory_bytes;
 	size_t window = head_need_window(memory);
 	ssize_t n = recv(c->fd.fd, bytes,
 			 window < sizeof(bytes) ? window : sizeof(bytes),
@@ -331,7 +334,7 @@
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (!s->large.mhd) {
-		give(c, &s->usual);
+		give(c, serve_usual_tier(s));
 		return;
 	}
 	connection_await(c, s->idle_ms);
@@ -431,7 +434,7 @@
 	c->has_part = 0;
 	c->progress_ms = prl_now_ms();
 	connection_await(c, s->idle_ms);
-	if (c->tier == &s->large && s->nlarge > connection_large_kept_max(s))
+	if (c->tier == &s->large && s->large.n > connection_large_kept_max(s))
 		connection_end_suspended(c);
 	else if (!look(c) && watch(c))
 		connection_end_suspended(c);
--- a/loop/src/serve_connection.h
+++ b/loop/src/serve_connection.h
@@ -121,6 +121,9 @@
 /** Frees what the daemons had not begun with as they were stopped. */
 void connection_free_all(struct serve *s);
 
+/** Returns a daemon with room for a connection of the usual memory. */
+struct serve_tier *serve_usual_tier(struct serve *s);
+
 /** Lets a daemon run in the next round of the loop. */
 void serve_wake(struct serve_tier *t);
 
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -252,8 +252,8 @@
 	struct proxy_request *first_waiting;
 	struct proxy_request *last_waiting;
 	int nwaiting;
-	/** Requests whose body has not come: started, and queued for a start,
-	 * oldest first; and requests whose callers make no progress. */
+	/** Requests whose body has not come: started, and held, oldest first;
+	 * and requests whose callers make no progress. */
 	struct {
 		int nstarted;
 		int nstalled;
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -56,6 +56,12 @@
 	return t->unfinished.nstarted < count_slots(s) / SLOTS_SHARE / threads;
 }
 
+int unfinished_is_held(const struct proxy_request *r)
+{
+	return r->unfinished.state == UNFINISHED_HELD ||
+	       r->unfinished.state == UNFINISHED_FULL;
+}
+
 static void unqueue(struct proxy_request *r)
 {
 	struct proxy_thread *t = r->thread;
@@ -75,7 +81,6 @@
 		p = &(*p)->unfinished.next;
 	*p = r;
 	r->unfinished.next = NULL;
-	r->unfinished.state = UNFINISHED_QUEUED;
 }
 
 static void start(struct proxy_request *r)
@@ -93,6 +98,12 @@
 	start(r);
 }
 
+static void hold(struct proxy_request *r)
+{
+	enqueue(r);
+	r->unfinished.state = UNFINISHED_HELD;
+}
+
 void unfinished_dispatch(struct proxy_request *r)
 {
 	r->unfinished.progress_ms = prl_now_ms();
@@ -101,20 +112,14 @@
 	else if (has_place(r))
 		start_unfinished(r);
 	else
-		r->unfinished.state = UNFINISHED_HELD;
+		hold(r);
 }
 
 void unfinished_received(struct proxy_request *r, size_t n, int is_full)
 {
 	r->unfinished.bytes += n;
 	if (is_full && r->unfinished.state == UNFINISHED_HELD)
-		enqueue(r);
-}
-
-int unfinished_is_held(const struct proxy_request *r)
-{
-	return r->unfinished.state == UNFINISHED_HELD ||
-	       r->unfinished.state == UNFINISHED_QUEUED;
+		r->unfinished.state = UNFINISHED_FULL;
 }
 
 static void set_stalled(struct proxy_request *r, int is_stalled)
@@ -125,11 +130,16 @@
 
 void unfinished_release(struct proxy_request *r)
 {
+	struct proxy_thread *t = r->thread;
+
 	set_stalled(r, 0);
-	if (r->unfinished.state == UNFINISHED_QUEUED)
+	if (unfinished_is_held(r))
 		unqueue(r);
-	if (r->unfinished.state == UNFINISHED_STARTED)
-		r->thread->unfinished.nstarted--;
+	if (r->unfinished.state == UNFINISHED_STARTED) {
+		t->unfinished.nstarted--;
+		if (t->unfinished.first)
+			t->sweep_timer.deadline_ms = prl_now_ms();
+	}
 	r->unfinished.state = UNFINISHED_NONE;
 }
 
@@ -222,16 +232,30 @@
 	}
 }
 
+/* Who can't take more of its body goes first; who does not send waits. */
+static struct proxy_request *choose_next(const struct proxy_thread *t)
+{
+	struct proxy_request *next = NULL;
+
+	for (struct proxy_request *r = t->unfinished.first; r;
+	     r = r->unfinished.next) {
+		if (r->unfinished.state == UNFINISHED_FULL)
+			return r;
+		if (!next && !r->unfinished.is_stalled)
+			next = r;
+	}
+	return next;
+}
+
 void unfinished_sweep(struct proxy_thread *t)
 {
-	struct proxy_request *r = t->unfinished.first;
+	struct proxy_request *r = choose_next(t);
 
 	t->unfinished.swept_ms = prl_now_ms();
-	while (r && has_place(r)) {
+	for (; r && has_place(r); r = choose_next(t)) {
 		unqueue(r);
 		start_unfinished(r);
-		r = t->unfinished.first;
 	}
-	if (r)
+	if (r && r->unfinished.state == UNFINISHED_FULL)
 		unfinished_end_stalled(t, NULL);
 }
--- a/proxy/src/unfinished.h
+++ b/proxy/src/unfinished.h
@@ -20,7 +20,7 @@
 	/** Held until the body has come. */
 	UNFINISHED_HELD,
 	/** The same; the buffer is full. */
-	UNFINISHED_QUEUED,
+	UNFINISHED_FULL,
 	/** Started before the body has come. */
 	UNFINISHED_STARTED,
 };
@@ -61,7 +61,7 @@
 /** Whether the request is held. */
 int unfinished_is_held(const struct proxy_request *r);
 
-/** Starts queued requests for which there is a place now, or makes one; called
+/** Starts held requests for which there is a place now, or makes one; called
  * from time to time. */
 void unfinished_sweep(struct proxy_thread *t);
 
