--- a/mk/tests.mk
+++ b/mk/tests.mk
@@ -68,3 +68,5 @@
 
 mutants:
 	bench/mutants
+
+-include $(wildcard $(OUT)/system/*.d)
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -15,6 +15,7 @@
 	"requests_bad",
 	"requests_unauthorized",
 	"requests_quarantined",
+	"callers_stalled",
 	"quarantine_suspects",
 	"quarantine_active",
 	"requests_queued",
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -184,6 +184,7 @@
 		}
 	}
 	r->delay_ms = chosen.delay_ms;
+	unfinished_end_stalled(r->thread, r->service_name);
 	set_retry_after(r, chosen.wait_ms);
 	return 0;
 }
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -39,6 +39,7 @@
 	r->thread = t;
 	r->conn = conn;
 	r->listener = &t->listener;
+	r->request_body.budget = &t->body_budget;
 	r->region = STEER_NONE;
 	r->peer_region = STEER_NONE;
 	r->link = STEER_NONE;
@@ -101,6 +102,7 @@
 
 	request_log(r);
 	quota_finish(r);
+	unfinished_release(r);
 	request_dequeue(r);
 	if (r->claimed && r->outcome == OUTCOME_NOT_RUN)
 		request_update_claim(r, CLAIM_RELEASED);
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -157,5 +157,5 @@
 	is_accepted = check_head(r);
 	identity_set_head(r);
 	if (is_accepted)
-		suspects_dispatch(r);
+		unfinished_dispatch(r);
 }
--- a/system/routes.c
+++ b/system/routes.c
@@ -17,6 +17,8 @@
 
 int routes_drain_ms = 500;
 
+const char *routes_traffic_lines = "";
+
 int routes_is_production[ROUTES_VMS_MAX + 1];
 
 const char *routes_region[ROUTES_VMS_MAX + 1];
@@ -168,10 +170,10 @@
 pid_t routes_spawn_vm(int n, int store_port)
 {
 	char listen[200];
-	char settings[sizeof(vm_settings_format) + 240];
+	char settings[sizeof(vm_settings_format) + 300];
 	char more[160] = "";
+	char traffic[120];
 	char domain[40];
-	const char *traffic = "";
 	const char *region = routes_region[n] ? routes_region[n] : "norte";
 	struct vm_config vm = {.number = n,
 			       .port_base = PORT_BASE,
@@ -186,8 +188,9 @@
 		vm.program = "primroseleadd-production";
 	else
 		snprintf(more, sizeof(more), "readers = %d\n", routes_readers);
+	g_strlcpy(traffic, routes_traffic_lines, sizeof(traffic));
 	if (routes_region[n]) {
-		traffic = "direct_uses = 1000000\n";
+		g_strlcat(traffic, "direct_uses = 1000000\n", sizeof(traffic));
 		snprintf(more + strlen(more), sizeof(more) - strlen(more),
 			 "[domain %s]\nregion = %s\n", domain, region);
 	}
