--- a/system/crowds.sh
+++ b/system/crowds.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 # Apart for each TEST_PORTS, so that two work trees can run it side by side.
-ports=$((29500 + ${TEST_PORTS:-2} * 1000))
+ports=$((29900 + ${TEST_PORTS:-2} * 1000))
 failed=0
 for name in bodies pipeline heads slow; do
 	test=build/release/test/system/test_crowd_$name
