--- a/system/routes.c
+++ b/system/routes.c
@@ -5,6 +5,7 @@
 
 #include "routes.h"
 #include <cmocka.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
