--- a/place/src/choose_in_region.c
+++ b/place/src/choose_in_region.c
@@ -12,8 +12,8 @@
 	.non_home_penalty_permille = 2000,
 	.idle_max_permille = 125,
 	.failure_penalty_permille = 2000,
-	.wait_max_permille = 900,
-	.urgent_wait_max_permille = 1500,
+	.wait_max_permille = 450,
+	.urgent_wait_max_permille = 1200,
 };
 
 #define THOUSAND 1000
--- a/place/src/shares.c
+++ b/place/src/shares.c
@@ -11,6 +11,10 @@
  * which its share is the planned one, in permille. */
 #define OCCUPANCY_RANGE_PERMILLE 200
 
+/* Least share of the own region from which its bounds are computed, so that a
+ * share that was lost grows again, in millionths. */
+#define SHARE_MIN_PPM 100
+
 /* Requests by which a region may be ahead of its share to keep its objects: few
  * enough to hardly matter in the shares of a window of 2 s. */
 #define LEAD_MAX_REQUESTS 3
@@ -74,13 +78,13 @@
 	int64_t n = load[own].nupstream;
 	int64_t slots = load[own].slots + load[own].ejected_slots;
 	int64_t high = MAX(place_occupancy_max(n ? slots / n : slots), others);
-	int64_t share = s->share_ppm[own];
+	int64_t share = MAX(s->share_ppm[own], SHARE_MIN_PPM);
 	int64_t most;
 	int64_t least;
 
 	if (!load[own].slots)
 		return 0;
-	if (!s->initialized || !share)
+	if (!s->initialized)
 		return plan;
 	if (!occupancy)
 		return MILLION;
