--- a/place/test/test_choose.c
+++ b/place/test/test_choose.c
@@ -169,7 +169,7 @@
 	set_outstanding(1, 3 * SLOTS);
 	assert_int_equal(place_choose(&req, &decision), 0);
 	assert_int_equal(decision.wait_ms, 450);
-	assert_int_equal(decision.delay_ms, 90);
+	assert_int_equal(decision.delay_ms, 270);
 	/* Nothing opens while no upstream is active. */
 	for (int i = 0; i < UPSTREAMS; i++)
 		upstream[i].state = STEER_LEAVING;
