--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -3,6 +3,7 @@
 
 #include <primroselead/budget.h>
 #include <primroselead/order.h>
+#include <primroselead/reach.h>
 #include <primroselead/steer.h>
 
 /*
@@ -133,28 +134,6 @@
 	} bucket[PLACE_MOVE_BUCKETS];
 };
 
-/**
- * Whether the attempts of one thread reach any upstream of a service. An
- * attempt is unanswered if it found no connection, or if its connection broke
- * before a byte of the response. All zero is the initial state.
- */
-struct place_isolation {
-	/** Unanswered attempts in a row. */
-	int failures;
-	/** Id of the upstream of the first of them, and whether another
-	 * upstream is among them. */
-	uint64_t first_failed;
-	int several_failed;
-	/** Times of the last unanswered attempt and of the last answer. */
-	int64_t failed_ms;
-	int64_t answered_ms;
-	/** Moving average of the share of unanswered attempts, in permille. */
-	int unanswered_permille;
-	/** Set by the caller of this package, which relays requests until
-	 * then. */
-	int64_t isolated_until_ms;
-};
-
 /** Recent requests of one thread that are to run in another region. All zero is
  * the initial state. */
 struct place_region_uses {
@@ -371,72 +350,6 @@
  */
 int64_t place_retry_after(int64_t wait_ms, uint64_t random);
 
-/** Records that an upstream answered. */
-void place_isolation_answered(struct place_isolation *s, int64_t now_ms);
-
-/**
- * Records an unanswered attempt at an upstream of a service that has
- * "nupstream" of them. Returns 1 if no upstream seems to be reached: several
- * attempts in a row were unanswered, at more than one upstream if there is more
- * than one, and none was answered for a while. Else returns 0.
- */
-int place_isolation_unanswered(struct place_isolation *s, uint64_t upstream,
-			       int nupstream, int64_t now_ms);
-
-/** Whether so many of the recent attempts were unanswered that a request whose
- * attempt found no connection should not try another upstream. */
-int place_isolation_is_impaired(const struct place_isolation *s,
-				int64_t now_ms);
-
-/** Whether a VM reaches the upstreams of a service. */
-enum place_reach_state {
-	PLACE_REACHED,
-	/** Another service is isolated; this one is probed. */
-	PLACE_SUSPECTED,
-	/** No upstream answers. */
-	PLACE_ISOLATED,
-};
-
-/** Reach of one service by a VM's own attempts and probes. All zero is the
- * initial state, PLACE_REACHED. */
-struct place_reach {
-	enum place_reach_state state;
-	/** When the state began. */
-	int64_t since_ms;
-	int64_t next_probe_ms;
-	/** Probes in a row that were answered, and the upstream of the last
-	 * one; probes in a row that were not. */
-	int answered;
-	uint64_t last_answered;
-	int unanswered;
-};
-
-/** Begins to probe a service that the VM may not reach. */
-void place_reach_suspect(struct place_reach *s, int64_t now_ms);
-
-/** Marks a service as isolated, on the evidence of attempts. */
-void place_reach_isolate(struct place_reach *s, int64_t now_ms);
-
-/** Returns 1 if probes are due now, and schedules the next ones; else 0. */
-int place_reach_probe_due(struct place_reach *s, uint64_t random,
-			  int64_t now_ms);
-
-/** A probe of an upstream that has ended. */
-struct place_probe {
-	uint64_t upstream;
-	/** The upstream responded, healthy or not. */
-	int answered;
-	/** Upstreams of the service. */
-	int nupstream;
-};
-
-/** Updates the state after a probe. */
-void place_reach_probe_ended(struct place_reach *s,
-			     const struct place_probe *probe, int64_t now_ms);
-
-/** Whether the isolation is to be announced to the other VMs. */
-int place_reach_is_announced(const struct place_reach *s, int64_t now_ms);
-
 /** Estimated state of one upstream when a request is placed. */
 struct place_estimate {
 	/** The upstream may be sent a request now. */
@@ -551,34 +464,4 @@
 void place_move_window_count(struct place_move_window *w, int remote,
 			     int64_t now_ms);
 
-/** Most VMs whose times are known at once. */
-#define PLACE_PEERS_MAX 64
-
-/** Time that relays to a VM take beside the time that the VM itself takes. */
-struct place_peer_time {
-	/** Id of the VM; 0 in an entry that is not used. */
-	uint64_t id;
-	int region;
-	/** Moving average. */
-	int64_t us;
-	int64_t sampled_ms;
-};
-
-/** Times of relays to the VMs of other regions: the distance, and what packets
- * wait at the links of the VMs. All zero is the initial state. */
-struct place_peer_times {
-	struct place_peer_time peer[PLACE_PEERS_MAX];
-	/** Least time of each region in the last seconds. */
-	struct place_average least[STEER_REGIONS_MAX];
-};
-
-/** Records the time of one relay. */
-void place_peer_times_record(struct place_peer_times *t, uint64_t id,
-			     int region, int64_t us, int64_t now_ms);
-
-/** Fills the ids of the VMs of a region whose links delay relays at present, so
- * that more relays would delay those VMs' callers. Returns their number. */
-int place_peer_times_list_slow(const struct place_peer_times *t, int region,
-			       int64_t now_ms, uint64_t id[PLACE_PEERS_MAX]);
-
 #endif
--- a/place/src/isolation.c
+++ b/place/src/isolation.c
@@ -1,4 +1,4 @@
-#include <primroselead/place.h>
+#include <primroselead/reach.h>
 
 /* Attempts without an answer after which the upstreams of a service count as
  * out of reach. */
--- a/place/src/peer_times.c
+++ b/place/src/peer_times.c
@@ -1,4 +1,4 @@
-#include <primroselead/place.h>
+#include <primroselead/peer_times.h>
 
 /* A VM is slow if its relays take longer than this part of the least time of
  * its region, in percent, and so much more. */
--- a/place/src/reach.c
+++ b/place/src/reach.c
@@ -1,5 +1,5 @@
 #include <primroselead/backoff.h>
-#include <primroselead/place.h>
+#include <primroselead/reach.h>
 
 /* Average interval between two probes while no upstream answers, in ms. */
 #define PROBE_INTERVAL_MS 500
--- a/place/test/test_reach.c
+++ b/place/test/test_reach.c
@@ -4,7 +4,7 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <primroselead/place.h>
+#include <primroselead/reach.h>
 
 #define UPSTREAMS 5
 
--- a/place/test/test_region_relay.c
+++ b/place/test/test_region_relay.c
@@ -6,6 +6,7 @@
 
 #include "choose_fixture.h"
 #include <cmocka.h>
+#include <primroselead/peer_times.h>
 
 /* A VM places what others pass on to it in its own region, whatever its own
  * shares say, and does not count it for them. */
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -10,6 +10,7 @@
 #include <primroselead/fetch.h>
 #include <primroselead/mailbox.h>
 #include <primroselead/metrics.h>
+#include <primroselead/peer_times.h>
 #include <primroselead/place.h>
 #include <primroselead/quarantine.h>
 #include <primroselead/ratio.h>
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -2,6 +2,7 @@
 #define PROXY_RELAY_H
 
 #include "request.h"
+#include <primroselead/steer_peer.h>
 
 /*
  * Relays: a request of a service of which this VM reaches no upstream is sent
--- a/steer/include/primroselead/steer.h
+++ b/steer/include/primroselead/steer.h
@@ -3,6 +3,7 @@
 
 #include <primroselead/address.h>
 #include <primroselead/fleet.h>
+#include <primroselead/steer_workspace.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -223,35 +224,6 @@
 	int is_public;
 };
 
-/** A workspace of the operators' manifest. */
-struct steer_workspace {
-	/** Hash of the name. */
-	uint64_t id;
-	/** The view's. */
-	const char *name;
-	/** Takes precedence over the route's; -1 if not given. */
-	int priority;
-	/** Bit mask of the regions that may serve it; 0 means all. */
-	uint32_t region_mask;
-	/** It has home regions, and no VM or upstream is in any of them. */
-	int is_homeless;
-	/** Quota for all VMs together, in thousandths of a request per second
-	 * and of a request; a rate of 0 means no limit. */
-	int64_t rate_milli;
-	int64_t burst_milli;
-	/** Index of its quota's state in this process; STEER_NONE if there is
-	 * none left for it. */
-	int stats_index;
-};
-
-/** A key of a workspace. */
-struct steer_key {
-	struct prl_hash128 digest;
-	/** Index of the workspace; STEER_NONE if several hold the key, which
-	 * then identifies none. */
-	int workspace;
-};
-
 /** Snapshot of the configuration and the VM list on which all decisions are
  * based. Immutable once built. */
 struct steer_view {
@@ -305,39 +277,6 @@
 /** Whether a VM is isolated from a service, given by the hash of its name. */
 int steer_vm_is_isolated(const struct steer_vm *vm, uint64_t service);
 
-/** Request for a VM that is to take over a request. */
-struct steer_peer_request {
-	/** Hash of the service's name. */
-	uint64_t service;
-	/** Bit mask of the regions that the VM may be in; 0 means all. */
-	uint32_t region_mask;
-	/** Ids of VMs that are not to be chosen. */
-	const uint64_t *avoided;
-	int navoided;
-	uint64_t random;
-};
-
-/**
- * Chooses at random an active VM, other than this one, that is not isolated
- * from the service: of this VM's failure domain if that has two of them, else
- * of its region if that has two, else of any region. So the nearest VMs take
- * the requests, and never a single one as long as there are others. Returns its
- * index, or STEER_NONE.
- */
-int steer_choose_peer(const struct steer_view *v,
-		      const struct steer_peer_request *req);
-
-/**
- * Chooses an active VM of a region that is not isolated from the service, of a
- * failure domain in it if that has one: one of two, by rendezvous hashing of
- * this VM's id, so that few connections carry many requests and all VMs of the
- * region get their part. Ignores the region mask. Returns the VM's index, or
- * STEER_NONE.
- */
-int steer_choose_region_peer(const struct steer_view *v,
-			     const struct steer_peer_request *req, int region,
-			     int domain);
-
 /** Returns the index of a service by name (len bytes), or STEER_NONE. */
 int steer_find_service(const struct steer_view *v, const char *name,
 		       size_t len);
@@ -350,14 +289,6 @@
 const struct steer_route *steer_find_route(const struct steer_view *v,
 					   const char *host, const char *path);
 
-/** Returns the workspace that holds a key, or null. */
-const struct steer_workspace *
-steer_find_workspace(const struct steer_view *v, const struct prl_hash128 *key);
-
-/** Returns the workspace with an id, or null. */
-const struct steer_workspace *
-steer_find_workspace_by_id(const struct steer_view *v, uint64_t id);
-
 /** Returns whether the service file demands that a request runs at most once.
  */
 int steer_runs_at_most_once(const struct steer_service *s, const char *method,
--- a/steer/src/peer.c
+++ b/steer/src/peer.c
@@ -1,5 +1,5 @@
 #include <primroselead/hash.h>
-#include <primroselead/steer.h>
+#include <primroselead/steer_peer.h>
 
 /* Fewest VMs among which relayed requests are spread, if there are as many. */
 #define PEERS_MIN 2
--- a/steer/test/test_peer.c
+++ b/steer/test/test_peer.c
@@ -7,7 +7,7 @@
 
 #include <cmocka.h>
 #include <primroselead/hash.h>
-#include <primroselead/steer.h>
+#include <primroselead/steer_peer.h>
 #include <stdio.h>
 #include <string.h>
 
