--- a/cmd/primroseleadd/peers.c
+++ b/cmd/primroseleadd/peers.c
@@ -366,28 +366,12 @@
 		!args->u.quarantine.record.record_len);
 }
 
-static void on_call(void *ctx, const struct wire_request *r,
-		    const struct wire_args *args)
+static void dispatch_call(struct control *c, const struct wire_request *r,
+			  const struct wire_args *args)
 {
-	struct control *c = ctx;
 	struct wire_result empty = {.proc = WIRE_PUSH};
 	char from[PRL_ADDRESS_MAX];
 
-	if (is_joining(c))
-		return;
-	if (args->proc == WIRE_PROBE) {
-		on_probe(c, r, &args->u.probe);
-		return;
-	}
-	/*
-	 * A VM that cannot serve yet is not a member, but may pull the
-	 * configuration.
-	 */
-	if (!peers_is_member(c, r) &&
-	    (!may_ask_before_joining(args) || !control_follows_manifest(c))) {
-		c->wire.rejected_datagrams++;
-		return;
-	}
 	prl_address_format(&r->from, from, sizeof(from));
 	switch (args->proc) {
 	case WIRE_INDIRECT:
@@ -439,6 +423,29 @@
 	}
 }
 
+static void on_call(void *ctx, const struct wire_request *r,
+		    const struct wire_args *args)
+{
+	struct control *c = ctx;
+
+	if (is_joining(c))
+		return;
+	if (args->proc == WIRE_PROBE) {
+		on_probe(c, r, &args->u.probe);
+		return;
+	}
+	/*
+	 * A VM that cannot serve yet is not a member, but may pull the
+	 * configuration.
+	 */
+	if (!peers_is_member(c, r) &&
+	    (!may_ask_before_joining(args) || !control_follows_manifest(c))) {
+		c->wire.rejected_datagrams++;
+		return;
+	}
+	dispatch_call(c, r, args);
+}
+
 enum prl_code peers_init(struct control *c, struct prl_error *err)
 {
 	const struct prl_settings *s = c->settings;
--- a/cmd/primroseleadd/usage.c
+++ b/cmd/primroseleadd/usage.c
@@ -5,12 +5,13 @@
 #include <primroselead/log.h>
 #include <string.h>
 
-/* Interval in ms between two reports without a change, and between two
- * questions for the demand of the regions. */
+/* Interval in ms between two reports without a change. */
 #define HEARTBEAT_MS 500
 
 /* Interval in ms between two reports while none is answered. */
 #define RESEND_MS 200
+
+/* Interval in ms between two questions for the demand of the regions. */
 #define DEMAND_INTERVAL_MS 1000
 
 /* Time in ms after which an answer is no longer awaited. */
--- a/cmd/primroseleadd/usage.h
+++ b/cmd/primroseleadd/usage.h
@@ -23,14 +23,14 @@
 	struct limit_follower follower;
 	/** The traffic threads' side. */
 	struct shared_limit *limit;
-	/** Window of its rule, in ms. */
+	/** Window over which the limit is kept, in ms. */
 	int64_t window_ms;
-	/** Index of the service whose retry budget it is; STEER_NONE for a
+	/** Index of the service whose retry budget this is; STEER_NONE for a
 	 * quota. */
 	int service_index;
-	/** When its counts last changed. */
+	/** When the counts last changed. */
 	int64_t active_ms;
-	/** Removed when it is not part of the newest view. */
+	/** usage.view_sequence of the last view that has the limit. */
 	uint64_t view_sequence;
 };
 
@@ -41,31 +41,35 @@
 	int nregion;
 };
 
+/** State of the shared limits at this VM. */
 struct usage {
 	/** struct usage_follower by id. */
 	GHashTable *followers;
+	/** Number of views so far. */
 	uint64_t view_sequence;
+	/** Random number of this process, and number of the last report. */
 	uint64_t series;
 	uint32_t sequence;
 	/** Position of the aggregator among the VMs, and its address; empty if
 	 * it is this VM itself. */
 	int rank;
 	char aggregator[PRL_ADDRESS_MAX];
+	/** member.usable_changes at the last choice. */
 	uint64_t members_seen;
-	/** When it was chosen, last answered, and when the last question was
-	 * sent that it has answered and counted; 0 if none. */
+	/** When the aggregator was chosen and last answered, and when the last
+	 * report was sent that it has answered and counted; 0 if none. */
 	int64_t chosen_ms;
 	int64_t heard_ms;
 	int64_t answered_ms;
 	int64_t next_heartbeat_ms;
 	int64_t next_demand_ms;
 	int64_t next_return_ms;
-	/** Part of the VMs that it adds up, and what it said is low in credit.
-	 */
+	/** Part of the VMs that the aggregator adds up, and the limits that it
+	 * said are low in credit; USAGE_ALL_LOW of them if any may be. */
 	int heard_permille;
 	uint64_t low[USAGE_LOW_MAX];
 	int nlow;
-	/** When it last told the demand of the regions. */
+	/** When the aggregator last told the demand of the regions. */
 	int64_t demand_ms;
 	/** Number of VMs that may run, the greatest of this and the last
 	 * period. */
@@ -73,9 +77,10 @@
 	int vms_before;
 	int64_t vms_counted_ms;
 	int64_t vms_period_ms;
+	/** The aggregator has answered lately. */
 	int is_following;
 
-	/** This VM's part as the aggregator: struct usage_demand by limit. */
+	/** State as the aggregator of others; struct usage_demand by limit. */
 	struct usage_aggregator aggregator_state;
 	GHashTable *demand;
 	int64_t next_forget_ms;
@@ -136,6 +141,7 @@
 int usage_sums_add(struct control *c, const struct wire_usage *report,
 		   struct usage_reply *out);
 
+/** Forgets what is old, at intervals. */
 void usage_sums_tick(struct control *c, int64_t now);
 
 #endif
--- a/cmd/primroseleadd/usage_choice.c
+++ b/cmd/primroseleadd/usage_choice.c
@@ -29,7 +29,8 @@
 	return n;
 }
 
-/* One that is thought dead may only be out of reach. */
+/* A VM that is thought dead may only be out of reach, so the number
+ * falls only after COUNT_HOLD_MS. */
 void usage_update_vms(struct control *c, int64_t now)
 {
 	struct usage *u = &c->usage;
--- a/cmd/primroseleadd/usage_sums.c
+++ b/cmd/primroseleadd/usage_sums.c
@@ -78,7 +78,7 @@
 	struct limit_usage since;
 
 	*out = (struct wire_usage_answer){0};
-	/* Its configuration may be older than the sender's. */
+	/* This VM's configuration may be older than the sender's. */
 	if (!f)
 		return;
 	rule.terms = f->follower.terms;
--- a/config/include/primroselead/inventory.h
+++ b/config/include/primroselead/inventory.h
@@ -52,9 +52,9 @@
 
 /** State of the platform's objects; used by the control thread only. */
 struct inventory {
-	/** Its workspaces are sorted by the hash of their names. */
+	/** Workspaces are sorted by the hash of their names. */
 	struct fleet_manifest manifest;
-	/** Keys of its workspaces, sorted by digest. */
+	/** Keys of the manifest's workspaces, sorted by digest. */
 	struct steer_key *key;
 	int nkey;
 	/** struct inventory_upstream by instance name. */
--- a/limit/include/primroselead/shared_limit.h
+++ b/limit/include/primroselead/shared_limit.h
@@ -55,7 +55,8 @@
 	_Atomic int64_t taken;
 	_Atomic int64_t asked;
 	_Atomic int64_t deposits;
-	/** Credit when the counts had the values ..._base, and its bound. */
+	/** Credit when the counts had the values ..._base, and its upper bound.
+	 */
 	_Atomic int64_t credit_milli;
 	_Atomic int64_t burst_milli;
 	_Atomic int64_t deposit_permille;
@@ -83,9 +84,8 @@
 /** Counts a request that the credit grows by. */
 void shared_limit_deposit(struct shared_limit *l);
 
-/** Takes a token, but not from the last "reserve_milli" of the credit. Returns
- * 1, or 0 if there is none for this request. */
-int shared_limit_take(struct shared_limit *l, int64_t reserve_milli);
+/** Takes a token. Returns 1, or 0 if there is none for this request. */
+int shared_limit_take(struct shared_limit *l);
 
 /** Gives back a token that was not used. */
 void shared_limit_give_back(struct shared_limit *l);
--- a/limit/include/primroselead/usage_aggregator.h
+++ b/limit/include/primroselead/usage_aggregator.h
@@ -28,10 +28,10 @@
 	uint64_t series;
 	uint32_t sequence;
 	int64_t heard_ms;
-	/** When it is counted from: an aggregator that it reported to before
-	 * may count it until then. */
+	/** When the VM begins to be counted: an aggregator that it reported to
+	 * before may count it until then. */
 	int64_t counted_ms;
-	/** Number of the time without gaps in which it is heard. */
+	/** Incremented when the VM restarts, or is heard again after a gap. */
 	uint32_t period;
 };
 
@@ -77,6 +77,7 @@
 	int64_t covered_ms;
 };
 
+/** Initializes an aggregator that has heard no VM. */
 void usage_aggregator_init(struct usage_aggregator *a);
 
 void usage_aggregator_finish(struct usage_aggregator *a);
--- a/limit/include/primroselead/usage_total.h
+++ b/limit/include/primroselead/usage_total.h
@@ -45,9 +45,9 @@
 	struct usage_rate asked_short;
 	struct usage_rate deposits;
 	int64_t updated_ms;
-	/** When that is; 0 if it has been. */
+	/** When opening_milli replaces the credit; 0 if it has. */
 	int64_t opens_ms;
-	/** Told to VMs as low in credit. */
+	/** VMs are told that the credit is low. */
 	int is_low;
 };
 
--- a/limit/src/shared_limit.c
+++ b/limit/src/shared_limit.c
@@ -114,9 +114,9 @@
 
 /* Rate at which tokens may be taken by all VMs, so that a surplus of credit is
  * used up and a lack of it made good in time. */
-static int64_t pace_milli(const struct shared_limit *l, int64_t reserve_milli)
+static int64_t pace_milli(const struct shared_limit *l)
 {
-	int64_t credit = shared_limit_credit(l) - reserve_milli;
+	int64_t credit = shared_limit_credit(l);
 	int64_t growth = atomic_load(&l->growth_milli);
 
 	if (credit <= -growth * AHEAD_MS / MS_PER_S)
@@ -143,10 +143,10 @@
 	return (before + part) / MILLI > before / MILLI;
 }
 
-int shared_limit_take(struct shared_limit *l, int64_t reserve_milli)
+int shared_limit_take(struct shared_limit *l)
 {
 	int64_t asked = atomic_fetch_add(&l->asked, 1) + 1;
-	int64_t pace = pace_milli(l, reserve_milli);
+	int64_t pace = pace_milli(l);
 	int64_t demand = demand_milli(l, asked);
 
 	if (pace <= 0 || (pace < demand && !take_paced(l, pace, demand))) {
@@ -273,8 +273,7 @@
 	atomic_store(&l->others_milli, 0);
 }
 
-/* The aggregator answers only about limits that were asked for; one that it
- * does not count as low has all its credit. */
+/* Whether there is an answer about this limit that is not too old. */
 static int has_answer(const struct limit_follower *f, int64_t max_age_ms,
 		      int64_t now_ms)
 {
@@ -298,6 +297,8 @@
 	atomic_store(&l->others_milli, others);
 }
 
+/* A limit that was not asked about, and that the aggregator does not count as
+ * low, has all its credit. */
 static void publish_full(struct limit_follower *f, struct shared_limit *l,
 			 const struct limit_usage *usage, int heard_permille)
 {
@@ -348,7 +349,8 @@
 			taken_milli;
 }
 
-/* The counts of a limit that was another one's before begin anew. */
+/* The index of the limit may have belonged to another one, whose counts are not
+ * counted here. */
 static void begin(struct limit_follower *f, struct shared_limit *l,
 		  const struct limit_fleet *fleet)
 {
--- a/limit/src/usage_aggregator.c
+++ b/limit/src/usage_aggregator.c
@@ -199,11 +199,10 @@
 	struct usage_limit *l;
 
 	*since = (struct limit_usage){0};
-	/* Without any VM that counts there is nothing to share. */
+	/* While no VM is counted there is nothing to share. */
 	if (!a->coverage.heard)
 		return (struct limit_answer){0};
 	l = get_limit(a, limit, rule, now_ms);
-
 	usage_total_set_terms(&l->total, &rule->terms);
 	usage_total_advance(&l->total, &a->coverage, now_ms);
 	*since = replace_counts(l, from->vm, vm, counts, now_ms);
--- a/limit/test/limit_world.c
+++ b/limit/test/limit_world.c
@@ -68,7 +68,7 @@
 		return;
 	for (; n; n--) {
 		w->asked[step]++;
-		w->taken[step] += shared_limit_take(&w->vm[i].limit, 0);
+		w->taken[step] += shared_limit_take(&w->vm[i].limit);
 	}
 }
 
--- a/limit/test/test_usage.c
+++ b/limit/test/test_usage.c
@@ -135,7 +135,7 @@
 
 	(void)state;
 	assert_int_equal(update(&f, &l, &fleet), BURST_MILLI);
-	assert_int_equal(shared_limit_take(&l, 0), 1);
+	assert_int_equal(shared_limit_take(&l), 1);
 	assert_int_equal(shared_limit_credit(&l), BURST_MILLI - 1000);
 	assert_int_equal(update(&f, &l, &fleet), BURST_MILLI - 1000);
 	fleet.heard_permille = 500;
--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -38,15 +38,15 @@
 struct serve;
 
 /** Connections of one of the library's daemons before another is started, and
- * most daemons for the usual memory. The library walks all suspended
- * connections of a daemon whenever it resumes one. */
+ * most daemons for the usual memory. Whenever it resumes a connection the
+ * library walks all suspended ones of its daemon. */
 #define SERVE_DAEMON_CONNECTIONS 128
 #define SERVE_DAEMONS_MAX 32
 
 /** A library's daemon and the memory that each of its connections has. */
 struct serve_tier {
 	struct MHD_Daemon *mhd;
-	/** Its connections. */
+	/** Number of the daemon's connections. */
 	unsigned int n;
 	size_t memory_bytes;
 	struct serve *serve;
@@ -67,9 +67,9 @@
  * waits on it needs more. Between two requests it is suspended, and the bytes
  * that come are looked at before the library reads them.
  *
- * The number of connections is bounded, and that of those with more memory. Who
- * finds no room waits, and takes that of a connection that holds it without
- * need: one on which a request, or the reading of its answer, makes no
+ * The number of connections is bounded, and so is the number of those with more
+ * memory. A caller that finds no room waits, and takes the place of a
+ * connection on which a request, or the reading of its answer, makes no
  * progress.
  */
 struct serve {
--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -173,7 +173,7 @@
 
 /* Begins to count anew where the length of a request was not known. If a part
  * of the next one was read with it, the library finds a longer method than what
- * waits begins with (connection_method_read). */
+ * waits begins with (check_method). */
 static void count_anew(struct serve_connection *c, const char *bytes, size_t n)
 {
 	const char *end = memchr(bytes, ' ', n);
--- a/loop/src/serve_connection.h
+++ b/loop/src/serve_connection.h
@@ -34,9 +34,9 @@
 	int64_t deadline_ms;
 	/** Part of a head waits. */
 	int has_part;
-	/** It has waited for its rest for longer than usual. */
+	/** The rest of that head has not come in the usual time. */
 	int is_late;
-	/** Its head waits until another connection gives up the larger memory.
+	/** The head waits until another connection gives up the larger memory.
 	 */
 	int awaits_room;
 	/** When the present request began, and when it last made progress. */
--- a/loop/src/serve_sweep.c
+++ b/loop/src/serve_sweep.c
@@ -20,7 +20,7 @@
 	if (c->has_part && connection_has_room(c->serve))
 		connection_proceed(c, HEAD_NEED_ROOM, -1);
 	else if (c->has_part && !is_late)
-		/* Its rest may still come, and fit. */
+		/* The rest may still come, and fit. */
 		connection_await(c, c->serve->idle_ms);
 	else if (c->state == CONNECTION_NEW)
 		connection_close_new(c);
@@ -29,8 +29,8 @@
 }
 
 /* Whether a connection with a daemon holds its memory without need: its request
- * comes too slowly, or its answer is not read. Who waits for an upstream is
- * suspended. */
+ * comes too slowly, or its answer is not read. A connection that waits for an
+ * upstream is suspended. */
 static int is_stalled(const struct serve_connection *c, int64_t since_ms,
 		      int64_t now)
 {
--- a/place/include/primroselead/place.h
+++ b/place/include/primroselead/place.h
@@ -140,7 +140,8 @@
 	/** Requests in the last seconds, in thousandths. */
 	int64_t milli;
 	int64_t counted_ms;
-	/** So many that connections to the region's upstreams are kept. */
+	/** The requests are so many that connections to the region's upstreams
+	 * are kept. */
 	int keeps_connections;
 };
 
@@ -249,8 +250,8 @@
 	int priority;
 	int64_t latency_objective_ms;
 	int64_t deadline_ms;
-	/** An earlier call for this request, which waits since then, found no
-	 * upstream and counted it. */
+	/** The request waits: an earlier call found no upstream for it, and
+	 * counted it. */
 	int is_repeated;
 	int64_t now_ms;
 	int64_t now_us;
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -195,7 +195,7 @@
 	return 0;
 }
 
-/* Which upstreams an opening is awaited of. */
+/* Upstreams that a request waits for. */
 enum opening {
 	OPENING_OF_ANY,
 	/** Of those that the request has not been tried at. */
--- a/place/src/order.c
+++ b/place/src/order.c
@@ -59,7 +59,7 @@
 	       now_ms + delay_ms < end_of_wait_ms(e, now_ms);
 }
 
-/* Compares two numbers as order_compare() does. */
+/* Returns a negative number if a is less than b, 0 if they are equal. */
 static int compare(int64_t a, int64_t b)
 {
 	return (a > b) - (a < b);
--- a/place/src/region_uses.c
+++ b/place/src/region_uses.c
@@ -1,7 +1,7 @@
 #include <primroselead/place.h>
 
-/* Part of the uses from which connections count as kept below which they no
- * longer do. */
+/* Connections count as kept until the uses are below this part of those from
+ * which they do. */
 #define UNTIL_PART 2
 
 /* Time over which requests are counted, in ms. */
--- a/place/src/shares.c
+++ b/place/src/shares.c
@@ -61,8 +61,8 @@
 	return occupancy_permille(&others);
 }
 
-/* The planned share, so that all VMs of the region agree on it, as long as it
- * would leave the region neither crowded nor idle by this VM's measurement.
+/* The planned share, so that all VMs of the region agree on it, as long as the
+ * region is neither crowded nor idle with it by this VM's measurement.
  * While the others are as full as the own region, moving requests there only
  * costs them their warm caches. */
 static int64_t own_region_target(const struct place_shares *s,
--- a/proxy/src/head.h
+++ b/proxy/src/head.h
@@ -49,7 +49,7 @@
 unsigned int head_large_max(const struct prl_settings *s, int share);
 
 /** Number of callers' connections that one thread keeps open after a response,
- * of so many at a time. */
+ * if it takes connections_max at a time. */
 int head_kept_max(int connections_max);
 
 #endif
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -56,9 +56,9 @@
 	struct shared_limit *budget = quota_retry_budget(r);
 
 	/* The VM that relayed the request has counted it. */
-	if (r->counted || r->relayed)
+	if (r->retry_deposited || r->relayed)
 		return;
-	r->counted = 1;
+	r->retry_deposited = 1;
 	shared_limit_deposit(budget);
 }
 
@@ -300,7 +300,7 @@
 	placing_fill_order(r, &e);
 	if (!order_may_retry(&s->retries, &e, prl_now_ms()))
 		return 0;
-	if (quota_take(r, quota_retry_budget(r), 0))
+	if (quota_take(r, quota_retry_budget(r)))
 		return 1;
 	order_retry_denied(&s->retries, &e, prl_now_ms());
 	return 0;
--- a/proxy/src/quota.c
+++ b/proxy/src/quota.c
@@ -12,11 +12,9 @@
 	return !until_ms || prl_now_ms() <= until_ms;
 }
 
-int quota_take(struct proxy_request *r, struct shared_limit *l,
-	       int64_t reserve_milli)
+int quota_take(struct proxy_request *r, struct shared_limit *l)
 {
-	return is_current(r->thread->proxy) &&
-	       shared_limit_take(l, reserve_milli);
+	return is_current(r->thread->proxy) && shared_limit_take(l);
 }
 
 static int count_vms(const struct proxy_request *r)
@@ -73,7 +71,7 @@
 
 	if (!l)
 		return 1;
-	if (!quota_take(r, l, 0)) {
+	if (!quota_take(r, l)) {
 		reject(r, l);
 		return 0;
 	}
--- a/proxy/src/quota.h
+++ b/proxy/src/quota.h
@@ -16,9 +16,8 @@
 /** Returns the retry budget of the request's service. */
 struct shared_limit *quota_retry_budget(struct proxy_request *r);
 
-/** Takes a token from a limit, but not from the last "reserve_milli" of its
- * credit. Returns 1, or 0 if there is none. */
-int quota_take(struct proxy_request *r, struct shared_limit *l,
-	       int64_t reserve_milli);
+/** Takes a token from a limit. Returns 1, or 0 if there is none, or if the
+ * control thread has not updated the limits for too long. */
+int quota_take(struct proxy_request *r, struct shared_limit *l);
 
 #endif
--- a/proxy/src/relay.c
+++ b/proxy/src/relay.c
@@ -88,7 +88,6 @@
 	t->avoided_peer[i].until_ms = prl_now_ms() + AVOID_MS;
 }
 
-/* Whether the request may go to another VM at all. */
 int relay_is_allowed(const struct proxy_request *r)
 {
 	return r->routed && !r->relayed && !r->detached && !r->responded &&
--- a/proxy/src/relay.h
+++ b/proxy/src/relay.h
@@ -27,7 +27,8 @@
 /** Whether the request may go to another VM at all. */
 int relay_is_allowed(const struct proxy_request *r);
 
-/** Fills a request for the VM to relay to; "avoided" is the list in it. */
+/** Fills a request for the VM to relay to. Its list of avoided VMs is
+ * "avoided", and has to live as long. */
 void relay_fill_peer_request(const struct proxy_request *r,
 			     uint64_t avoided[PROXY_AVOIDED_MAX],
 			     struct steer_peer_request *out);
@@ -35,7 +36,7 @@
 /** Makes a VM, given by its index, that of the next attempt. */
 void relay_set_peer(struct proxy_request *r, int i);
 
-/** Chooses the VM of the last attempt for no request in the next seconds. */
+/** Relays nothing to the VM of the last attempt for the next seconds. */
 void relay_avoid_peer(struct proxy_request *r);
 
 /** Whether a header belongs to the protocol between VMs, so that neither a
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -169,12 +169,12 @@
 	char instance[STEER_NAME_MAX];
 	/** Delay announced to a refused caller. */
 	int64_t retry_after_ms;
-	/** Expected time until an upstream can take it, if none could when it
-	 * was last tried; PRL_NEVER if that is not known. */
+	/** Expected time until an upstream can take the request, if none could
+	 * when it was last tried; PRL_NEVER if that is not known. */
 	int64_t delay_ms;
-	/** Has been credited to the retry budget. */
-	int counted;
-	/** Begin of its last wait for an upstream, and the time of all. */
+	/** The request has been deposited in the retry budget. */
+	int retry_deposited;
+	/** Begin of the last wait for an upstream, and the sum of all waits. */
 	int64_t queued_at_us;
 	int64_t queued_us;
 
--- a/proxy/src/sockets.c
+++ b/proxy/src/sockets.c
@@ -52,7 +52,7 @@
 	if (!socket)
 		return;
 	socket->endpoint_hash = endpoint_hash;
-	/* An earlier connection may have had the same ones. */
+	/* An earlier connection may have had the same endpoints. */
 	for (int i = 0; i < SOCKETS_CLOSED_MAX; i++)
 		if (s->unacked[i] == endpoint_hash)
 			s->unacked[i] = 0;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -84,7 +84,7 @@
 	struct pollfd end = {.fd = info->connect_fd, .events = POLLRDHUP};
 	char byte;
 
-	/* Bytes of a body that are not read yet may stand before the end. */
+	/* The end of the stream is behind the rest of the body. */
 	if (!r->request_body_ended && r->has_body && r->headers_read &&
 	    poll(&end, 1, 0) == 1)
 		return 1;
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -164,8 +164,8 @@
 	request_fail(r, MHD_HTTP_SERVICE_UNAVAILABLE, cause);
 }
 
-/* Whether it is for the caller to go on: to send its body, or to read the rest
- * of an answer for which an upstream waits. */
+/* Whether the caller has to go on: to send its body, or to read the rest of an
+ * answer for which an upstream waits. */
 static int is_callers_turn(const struct proxy_request *r)
 {
 	if (!r->conn || r->suspended)
@@ -174,7 +174,8 @@
 	       (r->responded && r->transfer_active);
 }
 
-/* What came meanwhile has not been read. */
+/* Whether this thread has not run for a while: what came meanwhile has not been
+ * read. */
 static int has_stood_still(const struct proxy_thread *t, int64_t now)
 {
 	return now > t->unfinished.swept_ms + STOOD_STILL_MS;
@@ -199,8 +200,8 @@
 		fail_held(r, "the deadline passed before the body had come");
 }
 
-/* Ends one that is stalled: those that are held are told so, the connections of
- * others are closed. */
+/* Ends a stalled request: one that is held gets an answer, the connection of
+ * another one is closed. */
 static void end_stalled(struct proxy_request *r)
 {
 	set_stalled(r, 0);
@@ -232,7 +233,7 @@
 	}
 }
 
-/* Who can't take more of its body goes first; who does not send waits. */
+/* Requests whose buffers are full go first; stalled ones wait. */
 static struct proxy_request *choose_next(const struct proxy_thread *t)
 {
 	struct proxy_request *next = NULL;
--- a/proxy/src/unfinished.h
+++ b/proxy/src/unfinished.h
@@ -14,27 +14,29 @@
 struct proxy_request;
 struct proxy_thread;
 
+/** How far a request is whose body may not have come. */
 enum unfinished_state {
 	/** There is no body, or it has come, or nobody waits for it. */
 	UNFINISHED_NONE,
 	/** Held until the body has come. */
 	UNFINISHED_HELD,
-	/** The same; the buffer is full. */
+	/** Held with a full buffer, until another one has ended. */
 	UNFINISHED_FULL,
 	/** Started before the body has come. */
 	UNFINISHED_STARTED,
 };
 
-/** What a request needs for it; empty when zeroed. */
+/** State of one request; empty when zeroed. */
 struct request_unfinished {
 	enum unfinished_state state;
 	struct proxy_request *next;
-	/** Bytes of both bodies that the caller has sent or taken; as of its
-	 * last progress, and when that was. */
+	/** Bytes of the request's and the answer's body that the caller has
+	 * sent or taken; the same as of its last progress, and when that was.
+	 */
 	uint64_t bytes;
 	uint64_t bytes_before;
 	int64_t progress_ms;
-	/** It has made no progress for a while. */
+	/** The caller has made no progress for a while. */
 	int is_stalled;
 };
 
@@ -65,8 +67,8 @@
  * from time to time. */
 void unfinished_sweep(struct proxy_thread *t);
 
-/** Ends requests of a service that hold places at its upstreams while their
- * callers neither send nor read; all such requests if it is null. */
+/** Ends requests of a service that were sent on and whose callers neither send
+ * nor read; those of all services, held ones included, if it is null. */
 void unfinished_end_stalled(struct proxy_thread *t, const char *service);
 
 #endif
--- a/proxy/src/waiting.c
+++ b/proxy/src/waiting.c
@@ -7,7 +7,7 @@
  * falls with time. */
 #define TICK_MS 10
 
-/* Requests for which no upstream is found in one pass before it ends. */
+/* Requests without an upstream after which a pass ends. */
 #define TRIES_MAX 16
 
 static void count(struct proxy_thread *t, enum metric which)
