Tests and stand-ins: checks that stood twice, long files and functions

harness_peak_kb() was in crowd.c and test_endless_many.c, the checks that a crowd does no harm in three tests (test_crowd_heads has one more between them and keeps its own). The entry of an upstream with other slots goes through routes.c. No expectation changes.

--- a/mk/programs.mk
+++ b/mk/programs.mk
@@ -15,7 +15,7 @@
 $(foreach p,$(PROGRAMS),$(eval $(call program,$(p))))
 
 $(OUT)/bin/standin-store: $(OUT)/standin/src/objects.o $(OUT)/standin/src/store_request.o $(OUT)/standin/src/raw_values.o
-$(OUT)/bin/standin-odd: $(foreach n,runs request faulty away endless long,$(OUT)/standin/src/$(n).o)
+$(OUT)/bin/standin-odd: $(foreach n,runs request faulty away endless fields long,$(OUT)/standin/src/$(n).o)
 $(OUT)/bin/standin-load: $(OUT)/standin/src/latencies.o
 
 $(OUT)/bin/standin-%: $(OUT)/standin/src/%.o $(OUT)/standin/src/answer.o $(LIBRARIES)
--- a/standin/src/odd.c
+++ b/standin/src/odd.c
@@ -56,6 +56,7 @@
 #include "away.h"
 #include "endless.h"
 #include "faulty.h"
+#include "fields.h"
 #include "long.h"
 #include "request.h"
 #include "runs.h"
@@ -142,22 +143,6 @@
 	return 1;
 }
 
-static int send_fields(struct connection *conn)
-{
-	char headers[120];
-	char head[REQUEST_HEAD_MAX];
-	size_t len = conn->head_len;
-
-	memcpy(head, conn->buf, len);
-	if (request_discard_body(conn))
-		return 0;
-	snprintf(headers, sizeof(headers),
-		 STAMP_HEADER "Content-Length: %zu\r\n", len);
-	odd_respond(conn, "200 OK", conn->request_id, headers, "");
-	request_send(conn->fd, head, len);
-	return 1;
-}
-
 static int respond_endlessly(const struct connection *conn)
 {
 	endless_bytes += endless_respond(conn);
@@ -451,7 +436,7 @@
 		return !request_discard_body(conn);
 	}
 	if (!strcmp(conn->mode, "fields"))
-		return send_fields(conn);
+		return fields_respond(conn);
 	return !request_discard_body(conn) && respond_by_mode(conn);
 }
 
--- a/system/crowd.c
+++ b/system/crowd.c
@@ -187,23 +187,6 @@
 			close_at(c, i);
 }
 
-static long peak_kb(void)
-{
-	char path[64];
-	char line[128];
-	long kb = -1;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)routes_vm_pid[1]);
-	f = fopen(path, "r");
-	while (f && fgets(line, sizeof(line), f))
-		if (!strncmp(line, "VmHWM:", 6))
-			sscanf(line + 6, "%ld", &kb);
-	if (f)
-		fclose(f);
-	return kb;
-}
-
 static int count_descriptors(void)
 {
 	char path[64];
@@ -226,7 +209,7 @@
 
 	if (harness_has_ended(routes_vm_pid[1]))
 		fail_msg("%s at %s: the VM has ended", kind, doors[door].name);
-	kb = peak_kb();
+	kb = harness_peak_kb(routes_vm_pid[1]);
 	n = count_descriptors();
 	print_message("%s at %s: peak %ld KB, %d descriptors\n", kind,
 		      doors[door].name, kb, n);
@@ -311,3 +294,13 @@
 {
 	expect_served(kind, door, TRIES_AFTER);
 }
+
+void crowd_expect_harmless(struct crowd *c, const char *kind,
+			   enum crowd_door door)
+{
+	crowd_expect_served_beside(kind, door);
+	crowd_expect_bounds(kind, door);
+	crowd_close(c);
+	crowd_expect_served_after(kind, door);
+	crowd_expect_bounds(kind, door);
+}
--- a/system/crowd.h
+++ b/system/crowd.h
@@ -80,4 +80,10 @@
 void crowd_expect_served_beside(const char *kind, enum crowd_door door);
 void crowd_expect_served_after(const char *kind, enum crowd_door door);
 
+/** Makes all these checks while the crowd stays, closes it, and makes them
+ * again.
+ */
+void crowd_expect_harmless(struct crowd *c, const char *kind,
+			   enum crowd_door door);
+
 #endif
--- a/system/harness.c
+++ b/system/harness.c
@@ -364,3 +364,20 @@
 	} while (prl_now_ms() < deadline_ms);
 	return 0;
 }
+
+long harness_peak_kb(pid_t pid)
+{
+	char path[64];
+	char line[128];
+	long kb = -1;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "r");
+	while (f && fgets(line, sizeof(line), f))
+		if (!strncmp(line, "VmHWM:", 6))
+			sscanf(line + 6, "%ld", &kb);
+	if (f)
+		fclose(f);
+	return kb;
+}
--- a/system/harness.h
+++ b/system/harness.h
@@ -73,6 +73,9 @@
 
 void harness_sleep_ms(int ms);
 
+/** Peak of a process's resident memory in KB; -1 if not known. */
+long harness_peak_kb(pid_t pid);
+
 /** Value of a counter on a VM's metrics page; -1 if it is absent. */
 int64_t harness_metric(int http_port, const char *name);
 
--- a/system/routes.c
+++ b/system/routes.c
@@ -92,8 +92,11 @@
 	routes_put_object("config/main", text);
 }
 
+/* Slots of an upstream, unless a test needs others. */
+#define UPSTREAM_SLOTS 6
+
 static void put_entry(const char *instance, const char *service, int port,
-		      const char *state, int cold_ms, int sequence)
+		      const char *state, int slots, int cold_ms, int sequence)
 {
 	char key[80];
 	char text[2048];
@@ -101,23 +104,30 @@
 	snprintf(key, sizeof(key), "servers/%s", instance);
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":6,"
+		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":%d,"
 		 "\"state\":\"%s\",\"cold_remaining_ms\":%d,\"sequence\":%d,"
 		 "\"born\":1700000000000}",
-		 service, port, state, cold_ms, sequence);
+		 service, port, slots, state, cold_ms, sequence);
 	routes_put_object(key, text);
 }
 
 void routes_put_cold_upstream(const char *instance, const char *service,
 			      int port, int cold_ms, int sequence)
 {
-	put_entry(instance, service, port, "ready", cold_ms, sequence);
+	put_entry(instance, service, port, "ready", UPSTREAM_SLOTS, cold_ms,
+		  sequence);
 }
 
 void routes_put_upstream(const char *instance, const char *service, int port,
 			 const char *state, int sequence)
 {
-	put_entry(instance, service, port, state, 0, sequence);
+	put_entry(instance, service, port, state, UPSTREAM_SLOTS, 0, sequence);
+}
+
+void routes_put_slots(const char *instance, const char *service, int port,
+		      int slots, int sequence)
+{
+	put_entry(instance, service, port, "ready", slots, 0, sequence);
 }
 
 pid_t routes_start_returning_upstream(const char *instance, int port,
--- a/system/routes.h
+++ b/system/routes.h
@@ -96,6 +96,10 @@
 void routes_put_upstream(const char *instance, const char *service, int port,
 			 const char *state, int sequence);
 
+/** Writes the entry of an upstream that is ready and has this many slots. */
+void routes_put_slots(const char *instance, const char *service, int port,
+		      int slots, int sequence);
+
 /** Writes the entry of an upstream that is ready and stays cold for cold_ms. */
 void routes_put_cold_upstream(const char *instance, const char *service,
 			      int port, int cold_ms, int sequence);
--- a/system/test_crowd_bodies.c
+++ b/system/test_crowd_bodies.c
@@ -69,11 +69,7 @@
 	crowd_open(&c, door, CROWD);
 	crowd_send(&c, text->str, text->len);
 	g_string_free(text, TRUE);
-	crowd_expect_served_beside(kind, door);
-	crowd_expect_bounds(kind, door);
-	crowd_close(&c);
-	crowd_expect_served_after(kind, door);
-	crowd_expect_bounds(kind, door);
+	crowd_expect_harmless(&c, kind, door);
 }
 
 static void test_short_bodies_of_a_length(void **state)
--- a/system/test_crowd_pipeline.c
+++ b/system/test_crowd_pipeline.c
@@ -45,11 +45,7 @@
 	crowd_open(&c, door, CROWD);
 	crowd_send(&c, text->str, text->len);
 	g_string_free(text, TRUE);
-	crowd_expect_served_beside(kind, door);
-	crowd_expect_bounds(kind, door);
-	crowd_close(&c);
-	crowd_expect_served_after(kind, door);
-	crowd_expect_bounds(kind, door);
+	crowd_expect_harmless(&c, kind, door);
 }
 
 static void test_requests_sent_ahead_at_routes(void **state)
--- a/system/test_crowd_slow.c
+++ b/system/test_crowd_slow.c
@@ -17,16 +17,6 @@
 #define PIECES 20
 #define PIECE_MS 50
 
-static void expect_bounds_and_service(struct crowd *c, const char *kind,
-				      enum crowd_door door)
-{
-	crowd_expect_served_beside(kind, door);
-	crowd_expect_bounds(kind, door);
-	crowd_close(c);
-	crowd_expect_served_after(kind, door);
-	crowd_expect_bounds(kind, door);
-}
-
 static GString *format_head(const char *method, enum crowd_door door,
 			    const char *route, const char *last)
 {
@@ -52,7 +42,7 @@
 		crowd_send_some(&c, piece, strlen(piece));
 		harness_sleep_ms(PIECE_MS);
 	}
-	expect_bounds_and_service(&c, kind, door);
+	crowd_expect_harmless(&c, kind, door);
 }
 
 static void test_slow_heads(void **state)
@@ -105,7 +95,7 @@
 			crowd_read_some(&c, bytes);
 		harness_sleep_ms(PIECE_MS);
 	}
-	expect_bounds_and_service(&c, kind, door);
+	crowd_expect_harmless(&c, kind, door);
 }
 
 static void test_answers_that_are_not_read(void **state)
--- a/system/test_endless_many.c
+++ b/system/test_endless_many.c
@@ -120,23 +120,6 @@
 	return NULL;
 }
 
-static long peak_kb(void)
-{
-	char path[64];
-	char line[128];
-	long kb = -1;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)routes_vm_pid[1]);
-	f = fopen(path, "r");
-	while (f && fgets(line, sizeof(line), f))
-		if (!strncmp(line, "VmHWM:", 6))
-			sscanf(line + 6, "%ld", &kb);
-	if (f)
-		fclose(f);
-	return kb;
-}
-
 /* Sets the peak to the memory in use now. */
 static void reset_peak(void)
 {
@@ -170,7 +153,7 @@
 
 	await_upstreams();
 	reset_peak();
-	before = peak_kb();
+	before = harness_peak_kb(routes_vm_pid[1]);
 	over = 0;
 	slowest_ms = 0;
 	ninnocent = 0;
@@ -188,7 +171,8 @@
 	print_message("%s%s: status %d, %lld ms; growth at the peak %ld KB; "
 		      "%d others, %d not served, slowest %lld ms\n",
 		      path, is_mute ? " (not read)" : "", calls[0].status,
-		      (long long)calls[0].ms, peak_kb() - before, ninnocent,
+		      (long long)calls[0].ms,
+		      harness_peak_kb(routes_vm_pid[1]) - before, ninnocent,
 		      nfailed, (long long)slowest_ms);
 	for (int i = 0; i < COPIES; i++)
 		assert_in_range(calls[i].ms, 0, 2 * TIMEOUT_MS);
@@ -196,7 +180,8 @@
 	assert_true(ninnocent > 0);
 	if (HAS_SANITIZER)
 		return;
-	assert_true(peak_kb() - before <= MEMORY_MAX_KB);
+	assert_true(harness_peak_kb(routes_vm_pid[1]) - before <=
+		    MEMORY_MAX_KB);
 	assert_in_range(slowest_ms, 0, LATENCY_MAX_MS);
 }
 
--- a/system/test_planned_stop.c
+++ b/system/test_planned_stop.c
@@ -446,21 +446,6 @@
  * have come: half of them is divided among the VMs. */
 #define MANY_SLOTS 64
 
-static void put_many_slots(const char *instance, int port)
-{
-	char key[40];
-	char text[300];
-
-	snprintf(key, sizeof(key), "servers/%s", instance);
-	snprintf(text, sizeof(text),
-		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"norte-a\",\"version\":\"v1\",\"slots\":%d,"
-		 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
-		 "\"sequence\":90,\"born\":1700000000000}",
-		 port, MANY_SLOTS);
-	routes_put_object(key, text);
-}
-
 /* Bodies that end about when the process does, 20 ms apart: the VM waits a
  * little for those that are too late for the upstream. */
 static void test_body_at_the_end_of_a_stop_is_cut(void **state)
@@ -469,8 +454,8 @@
 	int answered_last = 0;
 
 	(void)state;
-	put_many_slots("i-1", UPSTREAM_PORT(1));
-	put_many_slots("i-2", UPSTREAM_PORT(2));
+	routes_put_slots("i-1", "s", UPSTREAM_PORT(1), MANY_SLOTS, 90);
+	routes_put_slots("i-2", "s", UPSTREAM_PORT(2), MANY_SLOTS, 90);
 	harness_sleep_ms(PROPAGATION_MS);
 	for (int i = 0; i < UPLOADS; i++) {
 		struct call_request upload = {.method = "POST",
--- a/wire/test/test_wire.c
+++ b/wire/test/test_wire.c
@@ -131,6 +131,32 @@
 	assert_true(refused > 10000);
 }
 
+/* Fills the arguments of the procedures about loads and shared limits. */
+static void fill_load_sample(uint32_t proc, struct wire_args *a)
+{
+	static struct wire_load load = {6, 3, 1, 140, 70};
+	static struct wire_region_load region_load = {7, 12000};
+	static struct wire_usage_entry entry = {.limit = 5, .taken = 6};
+
+	switch (proc) {
+	case WIRE_LOADS:
+		a->u.loads.load.load_val = &load;
+		a->u.loads.load.load_len = 1;
+		break;
+	case WIRE_REGION_LOADS:
+		a->u.region_loads.region = "r";
+		a->u.region_loads.load.load_val = &region_load;
+		a->u.region_loads.load.load_len = 1;
+		break;
+	case WIRE_USAGE:
+		a->u.usage.entry.entry_val = &entry;
+		a->u.usage.entry.entry_len = 1;
+		break;
+	default:
+		break;
+	}
+}
+
 /* Calls of all procedures, with each array filled. */
 static size_t encode_sample(uint32_t proc, char *data, size_t size)
 {
@@ -140,9 +166,6 @@
 		.instance = "i-1", .upstream = 3, .body.type = WIRE_NEWS_LIMIT};
 	uint64_t service = 4;
 	struct wire_quarantine_record record = {.head = 5};
-	struct wire_load load = {6, 3, 1, 140, 70};
-	struct wire_region_load region_load = {7, 12000};
-	struct wire_usage_entry entry = {.limit = 5, .taken = 6};
 	struct wire_args a = {.proc = proc};
 
 	switch (proc) {
@@ -192,20 +215,8 @@
 		a.u.quarantine.record.record_val = &record;
 		a.u.quarantine.record.record_len = 1;
 		break;
-	case WIRE_LOADS:
-		a.u.loads.load.load_val = &load;
-		a.u.loads.load.load_len = 1;
-		break;
-	case WIRE_REGION_LOADS:
-		a.u.region_loads.region = "r";
-		a.u.region_loads.load.load_val = &region_load;
-		a.u.region_loads.load.load_len = 1;
-		break;
-	case WIRE_USAGE:
-		a.u.usage.entry.entry_val = &entry;
-		a.u.usage.entry.entry_len = 1;
-		break;
 	default:
+		fill_load_sample(proc, &a);
 		break;
 	}
 	return wire_encode_call(data, size, 9, &a);
