Loads: in large regions to 24 VMs each 100 ms, in turn

Each VM told its upstreams' loads to all VMs of its region, so messages grew with the square of the region: 4,390 a second at each of 440 VMs. Now at most 24 VMs get a report each 100 ms, in turn, with what is new of at most 0.5 s. Up to 25 VMs nothing changes. A message that is full has the newest reports, not the first upstreams'. A VM of another region is drawn first and looked for among all only if 64 draws fail: looking through 7,900 VMs for each of 17 regions each 100 ms is 1.3 million comparisons a second.

Messages were not counted with real VMs.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -216,6 +216,7 @@
 	crashes_init(c);
 	quarantines_init(c);
 	usage_init(c);
+	loads_init(c);
 	if (proxy_start(&c->proxy, pool, err))
 		return err->code;
 	c->tick_timer.on_expiry = on_tick;
--- a/cmd/primroseleadd/loads.c
+++ b/cmd/primroseleadd/loads.c
@@ -16,30 +16,55 @@
 #define SLOWNESS_MAX_PERCENT 10000
 #define INFLIGHT_MAX_MILLI 1000000000000
 
-static void report_to_region(struct control *c, struct wire_load *load, int n)
+/* Random draws of a VM, among all, before all are looked at. */
+#define DRAWS_MAX 64
+
+void loads_init(struct control *c)
+{
+	spread_turns_init(&c->loads.turns, control_random());
+}
+
+static int is_usable_in(const struct member_peer *p, const char *region)
+{
+	return member_is_usable(p) && !strcmp(p->vm.region, region);
+}
+
+/* Returns the number of usable VMs of this VM's region but for itself. */
+static int count_receivers(const struct control *c)
+{
+	int n = 0;
+
+	for (int i = 1; i < c->members.npeer; i++)
+		n += is_usable_in(&c->members.peer[i], c->settings->vm.region);
+	return n;
+}
+
+static void report_to_region(struct control *c, const struct spread_turn *turn,
+			     struct wire_load *load, int n)
 {
 	struct wire_args args = {.proc = WIRE_LOADS};
+	int k = 0;
 
 	args.u.loads.load.load_val = load;
 	args.u.loads.load.load_len = (u_int)n;
-	for (int i = 1; n && i < c->members.npeer; i++) {
+	for (int i = 1; i < c->members.npeer; i++) {
 		const struct member_peer *p = &c->members.peer[i];
 
-		if (member_is_usable(p) &&
-		    !strcmp(p->vm.region, c->settings->vm.region))
+		if (!is_usable_in(p, c->settings->vm.region))
+			continue;
+		if (k++ % turn->step == turn->first)
 			wire_notify(&c->wire, p->vm.rpc, &args, NULL);
 	}
 }
 
-/* Returns 1 if the upstream told its load since the last report. */
+/* Returns 1 if the upstream told its load after "since_ms". */
 static int fill_load(const struct control *c, const struct steer_upstream *u,
-		     int64_t now, struct wire_load *out)
+		     int64_t since_ms, int64_t now, struct wire_load *out)
 {
 	struct proxy_load told;
 
 	if (!proxy_get_own_load(&c->proxy, u->stats_index, &told) ||
-	    told.told_ms <= c->loads.reported_ms ||
-	    now - told.told_ms > AGE_MAX_MS)
+	    told.told_ms <= since_ms || now - told.told_ms > AGE_MAX_MS)
 		return 0;
 	*out = (struct wire_load){
 		.upstream = u->id,
@@ -68,9 +93,9 @@
 	return sum;
 }
 
-/* Returns a usable VM of the region at random, or null. */
-static const struct member_peer *choose_vm(const struct control *c,
-					   const char *region)
+/* Returns a usable VM of the region at random, or null. Looks at all VMs. */
+static const struct member_peer *choose_of_all(const struct control *c,
+					       const char *region)
 {
 	const struct member_peer *chosen = NULL;
 	uint64_t random = control_random();
@@ -79,7 +104,7 @@
 	for (int i = 1; i < c->members.npeer; i++) {
 		const struct member_peer *p = &c->members.peer[i];
 
-		if (!member_is_usable(p) || strcmp(p->vm.region, region) != 0)
+		if (!is_usable_in(p, region))
 			continue;
 		n++;
 		if (prl_hash_combine(random, n) % n == 0)
@@ -88,6 +113,23 @@
 	return chosen;
 }
 
+/* Returns a usable VM of the region at random, or null. */
+static const struct member_peer *choose_vm(const struct control *c,
+					   const char *region)
+{
+	uint64_t random = control_random();
+	int nother = c->members.npeer - 1;
+
+	for (uint64_t i = 0; nother > 0 && i < DRAWS_MAX; i++) {
+		uint64_t draw = prl_hash_combine(random, i) % (uint64_t)nother;
+		const struct member_peer *p = &c->members.peer[1 + draw];
+
+		if (is_usable_in(p, region))
+			return p;
+	}
+	return choose_of_all(c, region);
+}
+
 static void send_totals(struct control *c, const struct wire_args *args)
 {
 	const struct steer_view *v = c->reach.view;
@@ -119,24 +161,58 @@
 	send_totals(c, &args);
 }
 
-void loads_tick(struct control *c, int64_t now)
+/* Adds a load, if need be in place of the oldest. Returns the new number. */
+static int add_load(struct wire_load *load, int n,
+		    const struct wire_load *added)
+{
+	int oldest = 0;
+
+	if (n < WIRE_LOADS_MAX) {
+		load[n] = *added;
+		return n + 1;
+	}
+	for (int i = 1; i < n; i++)
+		if (load[i].age_ms > load[oldest].age_ms)
+			oldest = i;
+	if (added->age_ms < load[oldest].age_ms)
+		load[oldest] = *added;
+	return n;
+}
+
+/* Fills the newest loads that were told after "since_ms". Returns their number.
+ */
+static int fill_loads(const struct control *c, int64_t since_ms, int64_t now,
+		      struct wire_load load[WIRE_LOADS_MAX])
 {
 	const struct steer_view *v = c->reach.view;
-	struct wire_load load[WIRE_LOADS_MAX];
+	struct wire_load told;
 	int n = 0;
 
-	if (!v || now < c->loads.next_report_ms)
-		return;
-	c->loads.next_report_ms = now + REPORT_INTERVAL_MS;
 	for (int i = 0; i < v->nservice; i++) {
 		const struct steer_service *s = v->service[i];
 
-		for (int k = 0; k < s->nupstream && n < WIRE_LOADS_MAX; k++)
-			n += fill_load(c, &s->upstream[k], now, &load[n]);
+		for (int k = 0; k < s->nupstream; k++)
+			if (fill_load(c, &s->upstream[k], since_ms, now, &told))
+				n = add_load(load, n, &told);
+	}
+	return n;
+}
+
+void loads_tick(struct control *c, int64_t now)
+{
+	struct wire_load load[WIRE_LOADS_MAX];
+	struct spread_turn turn;
+	int n;
+
+	if (!c->reach.view || now < c->loads.next_report_ms)
+		return;
+	c->loads.next_report_ms = now + REPORT_INTERVAL_MS;
+	if (spread_next_turn(&c->loads.turns, count_receivers(c), now, &turn)) {
+		n = fill_loads(c, turn.since_ms, now, load);
+		if (n)
+			report_to_region(c, &turn, load, n);
 	}
-	report_to_region(c, load, n);
 	report_totals(c, now);
-	c->loads.reported_ms = now;
 }
 
 static const struct steer_upstream *find_upstream(const struct steer_view *v,
