Quota: a request that is held takes its token when it starts

A request whose body has not come took its token with its head and might be held for its whole timeout (20 s for uploads): held requests of earlier windows could then run together, beyond what the quota allows in one. hold() now gives the token back, so that held requests hold none, and one is taken when the request starts, by the end of its body or by a place that comes free; without one it is refused with 429. Looked at besides: refused, 429, caller left, planned stop, waiting and quarantined requests end in request_free, where the outcome not-run gives the token back; from the moment a request is sent its outcome is unknown, so that a caller who leaves does not get it back. test_waiting: a request that waits is counted once for the retry budget.

--- a/proxy/src/quota.h
+++ b/proxy/src/quota.h
@@ -6,7 +6,8 @@
 /**
  * Counts a request against the quota of its workspace. Returns 1; or 0 after
  * failing it with 429 if the quota is used up. A request that another VM
- * relayed was counted there.
+ * relayed was counted there. One that was held until its body came is counted
+ * when it starts; what it took before is given back.
  */
 int quota_admit(struct proxy_request *r);
 
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -1,5 +1,6 @@
 #include "unfinished.h"
 #include "attempt.h"
+#include "quota.h"
 #include <primroselead/clock.h>
 #include <string.h>
 
@@ -98,10 +99,21 @@
 	start(r);
 }
 
+/* Tokens of requests that are held for long would let more of them run at once
+ * than the quota allows. */
 static void hold(struct proxy_request *r)
 {
 	enqueue(r);
 	r->unfinished.state = UNFINISHED_HELD;
+	quota_finish(r);
+}
+
+/* Returns 0 if the request was refused. */
+static int admit_held(struct proxy_request *r)
+{
+	if (r->routed)
+		request_use_newest_view(r);
+	return quota_admit(r);
 }
 
 void unfinished_dispatch(struct proxy_request *r)
@@ -148,7 +160,7 @@
 	int is_held = unfinished_is_held(r);
 
 	unfinished_release(r);
-	if (is_held)
+	if (is_held && admit_held(r))
 		start(r);
 }
 
@@ -254,7 +266,9 @@
 	t->unfinished.swept_ms = prl_now_ms();
 	for (; r && has_place(r); r = choose_next(t)) {
 		unqueue(r);
-		start_unfinished(r);
+		r->unfinished.state = UNFINISHED_NONE;
+		if (admit_held(r))
+			start_unfinished(r);
 	}
 	if (r && r->unfinished.state == UNFINISHED_FULL)
 		unfinished_end_stalled(t, NULL);
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -242,6 +242,16 @@
 	return (int)sum;
 }
 
+int64_t fixture_retry_deposits(void)
+{
+	int64_t n = 0;
+
+	for (int i = 0; i < CONFIG_INDEXES_MAX; i++)
+		n += shared_limit_usage(&proxy.service[i].retry_budget)
+			     .deposits;
+	return n;
+}
+
 void fixture_end_requests(void)
 {
 	proxy_end_requests(&proxy);
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -2,6 +2,7 @@
 #define PROXY_TEST_FIXTURE_H
 
 #include <primroselead/metrics.h>
+#include <stdint.h>
 
 /*
  * A proxy with one traffic thread in the test's own process, whose view has one
@@ -41,6 +42,9 @@
 /** Value of a counter, of all traffic threads. */
 int fixture_counter(enum metric which);
 
+/** Requests that the retry budgets of all services have counted. */
+int64_t fixture_retry_deposits(void);
+
 /** Ends the requests that wait for an answer, as a planned stop does. */
 void fixture_end_requests(void);
 
--- a/proxy/test/test_quota.c
+++ b/proxy/test/test_quota.c
@@ -22,7 +22,11 @@
 	 .burst_milli = BURST_MILLI,
 	 .stats_index = 0},
 };
+static struct steer_service service = {.name = "s"};
+static struct steer_service *services[] = {&service};
 static struct steer_view view = {
+	.service = services,
+	.nservice = 1,
 	.workspace = workspace,
 	.nworkspace = 2,
 	.nactive = 1,
@@ -34,7 +38,11 @@
 	memset(quota, 0, sizeof(quota));
 	memset(&proxy, 0, sizeof(proxy));
 	proxy.quota = quota;
+	proxy.nthread = 1;
+	memset(&thread, 0, sizeof(thread));
 	thread.proxy = &proxy;
+	thread.view = &view;
+	thread.unfinished.nstarted = 1;
 	return 0;
 }
 
@@ -126,6 +134,54 @@
 	assert_int_equal(shared_limit_usage(&quota[0]).taken, 1);
 }
 
+static void begin_hold(struct proxy_request *r)
+{
+	*r = new_request(WORKSPACE);
+	r->has_body = 1;
+	strcpy(r->service_name, "s");
+	assert_int_equal(quota_admit(r), 1);
+	unfinished_dispatch(r);
+	assert_true(unfinished_is_held(r));
+}
+
+/* A request whose body has not come holds no token, and needs one to start. */
+static void test_request_that_is_held(void **state)
+{
+	struct proxy_request r;
+
+	(void)state;
+	set_credit(BURST_MILLI);
+	begin_hold(&r);
+	assert_int_equal(shared_limit_usage(&quota[0]).taken, 0);
+	set_credit(-BURST_MILLI);
+	unfinished_ended(&r);
+	assert_false(unfinished_is_held(&r));
+	assert_null(thread.unfinished.first);
+	assert_int_equal(r.state, REQUEST_FAILED);
+	assert_int_equal(r.status, MHD_HTTP_TOO_MANY_REQUESTS);
+	quota_finish(&r);
+	assert_int_equal(shared_limit_usage(&quota[0]).taken, 0);
+}
+
+/* Places that come free do not let held requests start beyond the quota. */
+static void test_held_requests_start_within_the_quota(void **state)
+{
+	struct proxy_request r[3];
+
+	(void)state;
+	set_credit(BURST_MILLI);
+	for (int i = 0; i < 3; i++)
+		begin_hold(&r[i]);
+	set_credit(-BURST_MILLI);
+	thread.unfinished.nstarted = 0;
+	unfinished_sweep(&thread);
+	assert_null(thread.unfinished.first);
+	assert_int_equal(thread.unfinished.nstarted, 0);
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(r[i].status, MHD_HTTP_TOO_MANY_REQUESTS);
+	assert_int_equal(shared_limit_usage(&quota[0]).taken, 0);
+}
+
 /* A VM that was paused does not know what the others have taken. */
 static void test_old_values_are_not_used(void **state)
 {
@@ -144,6 +200,9 @@
 		cmocka_unit_test_setup(test_request_without_a_quota, setup),
 		cmocka_unit_test_setup(test_relayed_request_counts_once, setup),
 		cmocka_unit_test_setup(test_request_that_does_not_run, setup),
+		cmocka_unit_test_setup(test_request_that_is_held, setup),
+		cmocka_unit_test_setup(
+			test_held_requests_start_within_the_quota, setup),
 		cmocka_unit_test_setup(test_old_values_are_not_used, setup),
 	};
 
--- a/proxy/test/test_waiting.c
+++ b/proxy/test/test_waiting.c
@@ -23,6 +23,9 @@
 /* Time in which the queue follows a change, in ms. */
 #define SETTLE_MS 2000
 
+/* Time in which the queue is tried several times, in us. */
+#define TRIES_US 60000
+
 static struct caller caller;
 
 static void reply(const struct scripted_request *request,
@@ -106,6 +109,26 @@
 	assert_int_equal(fixture_counter(METRIC_QUEUE_STARTED), started + 1);
 }
 
+/* Lets the queue try the request some times before there is room. */
+static void free_upstreams_later(void)
+{
+	usleep(TRIES_US);
+	free_upstreams();
+}
+
+/* A request counts once towards the retry budget, however often the queue tries
+ * it. */
+static void test_waiting_earns_one_deposit(void **state)
+{
+	int64_t deposits = fixture_retry_deposits();
+	struct caller_response r;
+
+	(void)state;
+	request_and_act(free_upstreams_later, "w0000006", &r);
+	assert_int_equal(r.status, 200);
+	assert_int_equal(fixture_retry_deposits(), deposits + 1);
+}
+
 static void do_nothing(void)
 {
 }
@@ -178,6 +201,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_waits_until_there_is_room),
+		cmocka_unit_test(test_waiting_earns_one_deposit),
 		cmocka_unit_test(test_is_turned_away_as_not_run),
 		cmocka_unit_test(test_planned_stop_refuses_at_once),
 		cmocka_unit_test(test_caller_that_leaves_is_removed),
