Placement: only a queue that gets shorter, or a connection, is waited for

Cause: a request that found all upstreams paused waited for their opening, up to a quarter of its time, and was late in place of being refused at once with the time of the opening: two tests of test_fleet failed (200 in place of 503 while cold upstreams are paused; requests sent once the pause was over). Change: the expected delay counts queues and connections that are used up; an opening counts for Retry-After only. This replaces the list of tried upstreams there.

--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -98,14 +98,20 @@
 		limit_rate_allows(&stats->named_limit, req->now_us));
 }
 
-static int is_available(const struct placement *p,
-			const struct steer_upstream *u)
+/* Whether the upstream takes requests now, apart from its connections. */
+static int is_open(const struct placement *p, const struct steer_upstream *u)
 {
 	int64_t now = p->request->now_ms;
 
 	return now >= stats_of(p, u)->ejected_until_ms &&
 	       now >= u->paused_until_ms && now >= u->closed_until_ms &&
-	       may_open_connection(p, u) && is_within_rates(p, u);
+	       is_within_rates(p, u);
+}
+
+static int is_available(const struct placement *p,
+			const struct steer_upstream *u)
+{
+	return is_open(p, u) && may_open_connection(p, u);
 }
 
 /* If all upstreams are ejected, the ejections are ignored: the cause may be on
@@ -187,6 +193,26 @@
 		(MILLION - own_share) / THOUSAND + excess, req->now_ms);
 }
 
+/* Time until an upstream of the region is neither paused nor closed, or
+ * PRL_NEVER if there is none that is active. */
+static int64_t wait_for_opening_ms(const struct placement *p, int region)
+{
+	const struct steer_service *s = p->request->service;
+	const struct steer_service_region *sr = &s->region[region];
+	int64_t now = p->request->now_ms;
+	int64_t shortest = PRL_NEVER;
+
+	for (int i = 0; i < sr->nupstream; i++) {
+		const struct steer_upstream *u =
+			&s->upstream[sr->first_upstream + i];
+		int64_t opens = MAX(u->paused_until_ms, u->closed_until_ms);
+
+		if (u->state == STEER_ACTIVE)
+			shortest = MIN(shortest, MAX(opens - now, 0));
+	}
+	return shortest;
+}
+
 static int was_tried(const struct placement *p, const struct steer_upstream *u)
 {
 	for (int i = 0; i < p->request->ntried; i++)
@@ -195,36 +221,27 @@
 	return 0;
 }
 
-/* Upstreams that a request waits for. */
-enum opening {
-	OPENING_OF_ANY,
-	/** Of those that the request has not been tried at. */
-	OPENING_OF_OTHERS,
-};
-
-/* Time until such an upstream of the region is neither paused nor closed, or
- * PRL_NEVER if there is none that is active. */
-static int64_t wait_for_opening_ms(const struct placement *p, int region,
-				   enum opening which)
+/* Whether an upstream of the region lacks nothing but a connection for the
+ * request, which is free once another request ends. */
+static int lacks_connection_only(const struct placement *p, int region)
 {
 	const struct steer_service *s = p->request->service;
 	const struct steer_service_region *sr = &s->region[region];
-	int64_t now = p->request->now_ms;
-	int64_t shortest = PRL_NEVER;
 
 	for (int i = 0; i < sr->nupstream; i++) {
 		const struct steer_upstream *u =
 			&s->upstream[sr->first_upstream + i];
-		int64_t opens = MAX(u->paused_until_ms, u->closed_until_ms);
 
-		if (u->state == STEER_ACTIVE &&
-		    (which == OPENING_OF_ANY || !was_tried(p, u)))
-			shortest = MIN(shortest, MAX(opens - now, 0));
+		if (u->state == STEER_ACTIVE && is_open(p, u) &&
+		    !may_open_connection(p, u) && !was_tried(p, u))
+			return 1;
 	}
-	return shortest;
+	return 0;
 }
 
-/* Keeps the shortest wait of the regions without a useful upstream. */
+/* Keeps the shortest wait of the regions without a useful upstream. A queue
+ * that gets shorter and a connection that gets free are worth waiting for at
+ * this VM; who finds all upstreams closed is told when to come back. */
 static void note_wait(const struct placement *p, int region,
 		      const struct place_region_decision *found,
 		      int64_t wait_max_ms)
@@ -233,8 +250,8 @@
 	int64_t delay = wait == PRL_NEVER ? wait : MAX(wait - wait_max_ms, 0);
 
 	if (wait == PRL_NEVER) {
-		wait = wait_for_opening_ms(p, region, OPENING_OF_ANY);
-		delay = wait_for_opening_ms(p, region, OPENING_OF_OTHERS);
+		wait = wait_for_opening_ms(p, region);
+		delay = lacks_connection_only(p, region) ? 0 : PRL_NEVER;
 	}
 	p->out->wait_ms = MIN(p->out->wait_ms, wait);
 	p->out->delay_ms = MIN(p->out->delay_ms, delay);
