--- a/limit/test/limit_world.h
+++ b/limit/test/limit_world.h
@@ -44,7 +44,7 @@
 	int is_low;
 };
 
-/** Settings, then state. */
+/** A simulated fleet: settings, then state. */
 struct world {
 	int nvm;
 	struct limit_terms terms;
--- a/limit/test/test_usage.c
+++ b/limit/test/test_usage.c
@@ -55,7 +55,7 @@
 		.credit_milli;
 }
 
-/* Another aggregator may count the VM for a time after it has left that. */
+/* An aggregator may still count a VM for a time after the VM has left it. */
 static void test_vm_is_counted_late(void **state)
 {
 	(void)state;
@@ -189,7 +189,7 @@
 	assert_true(update(&f, &l, &fleet) <= BURST_MILLI / VMS);
 }
 
-/* The traffic threads' side of a limit may have been another limit's before. */
+/* The struct shared_limit may have been that of another limit before. */
 static void test_limit_takes_over_counts(void **state)
 {
 	struct limit_fleet fleet = new_fleet(0);
--- a/place/test/test_region_relay.c
+++ b/place/test/test_region_relay.c
@@ -91,7 +91,8 @@
 	assert_int_equal(place_first_home(&req, 1), STEER_NONE);
 }
 
-/* At so many requests a second for each upstream of region 1. */
+/* Whether connections count as kept at this rate for each upstream of region 1.
+ */
 static int keeps_connections_at(int per_s)
 {
 	int interval_ms = 1000 / (per_s * PER_REGION);
--- a/place/test/test_region_split.c
+++ b/place/test/test_region_split.c
@@ -245,7 +245,7 @@
 	place_region_split(load, REGIONS, 0, share);
 	assert_in_range(share[0], 200000, 220000);
 	assert_true(share[1] > share[2]);
-	/* One that is not known makes all count as equal. */
+	/* A demand that is not known makes all count as equal. */
 	load[2].demand_milli = 0;
 	place_region_split(load, REGIONS, 0, share);
 	assert_in_range(share[0], 290000, 296000);
--- a/testkit/scripted.h
+++ b/testkit/scripted.h
@@ -32,7 +32,7 @@
 	char id_before[SCRIPTED_ID_MAX];
 	/** Value of Attempt-Id; empty if none. */
 	char attempt_id[SCRIPTED_ID_MAX];
-	/** Its head without the line end that ends it, as far as there is room.
+	/** The head without the line end that ends it, as far as there is room.
 	 */
 	char head[SCRIPTED_HEAD_MAX];
 };
