--- a/system/routes.c
+++ b/system/routes.c
@@ -20,6 +20,8 @@
 
 const char *routes_traffic_lines = "";
 
+const char *routes_more_sections = "";
+
 int routes_is_production[ROUTES_VMS_MAX + 1];
 
 const char *routes_region[ROUTES_VMS_MAX + 1];
@@ -166,7 +168,8 @@
 	"[control]\nheartbeat = 100\nsuspect = 600\ndrain = %d\n%s"
 	"[domain norte-a]\nregion = norte\n"
 	"[bound 0]\nis = grace_period_s=6\n"
-	"[bound 1]\nis = budget_extra_retries=600\n";
+	"[bound 1]\nis = budget_extra_retries=600\n"
+	"%s";
 
 pid_t routes_spawn_vm(int n, int store_port)
 {
@@ -196,7 +199,7 @@
 			 "[domain %s]\nregion = %s\n", domain, region);
 	}
 	snprintf(settings, sizeof(settings), vm_settings_format, traffic,
-		 routes_drain_ms, more);
+		 routes_drain_ms, more, routes_more_sections);
 	snprintf(listen, sizeof(listen),
 		 "lookup = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
 		 "metrics = 127.0.0.1:%d\n",
--- a/system/routes.h
+++ b/system/routes.h
@@ -29,6 +29,10 @@
  * started. */
 extern const char *routes_traffic_lines;
 
+/** Further sections of the settings, or empty; may be set before VMs are
+ * started. */
+extern const char *routes_more_sections;
+
 /** Most VMs of the fixture. */
 #define ROUTES_VMS_MAX 8
 
