Status: requests that wait, shares of the regions

The page has "queue": what waits at the VM now, timely and late, and the totals of those that have waited; primroselead status prints it where requests wait. Each service in shared_limits has region_share_permille, the parts of this VM's requests that it plans for each region; the traffic thread tells them at each placement, since its own state is not for other threads. With the manifest as source the page's list of services is empty (as before), so a first try that put the shares there showed none.

--- a/cmd/primroselead/status.c
+++ b/cmd/primroselead/status.c
@@ -82,6 +82,17 @@
 	       (long long)integer_member(reading, "copy_age_ms"));
 }
 
+/* Requests that wait at the VM for an upstream. */
+static void print_queue(const json_t *vm)
+{
+	const json_t *queue = json_object_get(vm, "queue");
+	long long timely = integer_member(queue, "timely");
+	long long late = integer_member(queue, "late");
+
+	if (timely || late)
+		printf(" queue %lld timely, %lld late", timely, late);
+}
+
 static void print_vm(const json_t *vm)
 {
 	printf("%-12s %-11s %-10s %-12s revision %-8lld store %s",
@@ -90,6 +101,7 @@
 	       (long long)integer_member(vm, "revision"),
 	       string_member(vm, "store"));
 	print_reading(json_object_get(vm, "store_reading"));
+	print_queue(vm);
 	printf("\n");
 }
 
--- a/cmd/primroseleadd/status.c
+++ b/cmd/primroseleadd/status.c
@@ -179,6 +179,8 @@
 	return list;
 }
 
+#define PPM_PER_MILLE 1000
+
 /* Limits in use that are listed at most. */
 #define LIMITS_LISTED_MAX 32
 
@@ -200,6 +202,26 @@
 	return demand;
 }
 
+/* Shares of the regions in this VM's requests for a service, in permille; null
+ * for a quota. */
+static json_t *shares_of_regions(const struct control *c,
+				 const struct usage_follower *f)
+{
+	json_t *shares;
+	int64_t ppm;
+
+	if (f->service_index == STEER_NONE)
+		return json_null();
+	shares = json_object();
+	for (int r = 0; r < c->builder.nregion; r++) {
+		ppm = atomic_load(&c->proxy.service[f->service_index]
+					   .region_share_ppm[r]);
+		json_object_set_new(shares, c->builder.region[r],
+				    json_integer(ppm / PPM_PER_MILLE));
+	}
+	return shares;
+}
+
 static json_t *limits_in_use(const struct control *c, int64_t now)
 {
 	json_t *list = json_array();
@@ -215,25 +237,27 @@
 			continue;
 		json_array_append_new(
 			list,
-			json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:o}",
-				  "name", f->name, "type",
-				  f->service_index == STEER_NONE ? "quota"
-								 : "retries",
-				  "state",
-				  f->follower.mode == LIMIT_FOLLOWING
-					  ? "common"
-					  : "own part",
-				  "credit_milli",
-				  (json_int_t)shared_limit_credit(f->limit),
-				  "growth_milli",
-				  (json_int_t)atomic_load(
-					  &f->limit->growth_milli),
-				  "taken",
-				  (json_int_t)atomic_load(&f->limit->taken),
-				  "refused",
-				  (json_int_t)atomic_load(&f->limit->refused),
-				  "region_demand_milli",
-				  demand_of_regions(c, f)));
+			json_pack(
+				"{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:o, s:o}",
+				"name", f->name, "type",
+				f->service_index == STEER_NONE ? "quota"
+							       : "retries",
+				"state",
+				f->follower.mode == LIMIT_FOLLOWING
+					? "common"
+					: "own part",
+				"credit_milli",
+				(json_int_t)shared_limit_credit(f->limit),
+				"growth_milli",
+				(json_int_t)atomic_load(
+					&f->limit->growth_milli),
+				"taken",
+				(json_int_t)atomic_load(&f->limit->taken),
+				"refused",
+				(json_int_t)atomic_load(&f->limit->refused),
+				"region_demand_milli", demand_of_regions(c, f),
+				"region_share_permille",
+				shares_of_regions(c, f)));
 	}
 	return list;
 }
@@ -253,6 +277,28 @@
 		"limits", limits_in_use(c, now));
 }
 
+static json_int_t sum_over_threads(const struct control *c, enum metric which)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < c->proxy.nthread; i++)
+		sum += atomic_load(&c->proxy.thread[i].metrics.counter[which]);
+	return (json_int_t)sum;
+}
+
+/* Routed requests that wait at this VM for an upstream, by whether they can
+ * still meet their objective, and what became of those that have waited. */
+static json_t *queue(const struct control *c)
+{
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "timely",
+			 sum_over_threads(c, METRIC_QUEUE_TIMELY), "late",
+			 sum_over_threads(c, METRIC_QUEUE_LATE), "queued",
+			 sum_over_threads(c, METRIC_REQUESTS_QUEUED), "started",
+			 sum_over_threads(c, METRIC_QUEUE_STARTED), "ended",
+			 sum_over_threads(c, METRIC_QUEUE_ENDED), "replaced",
+			 sum_over_threads(c, METRIC_QUEUE_REPLACED));
+}
+
 static void publish(struct control *c, int64_t now)
 {
 	const char *state = c->leaving_since_ms ? "leaving"
@@ -261,7 +307,7 @@
 						: "live";
 	json_t *root = json_pack(
 		"{s:s, s:s, s:s, s:s, s:I, s:I, s:s, s:o, s:o, s:o, s:o, s:o, "
-		"s:o}",
+		"s:o, s:o}",
 		"vm", c->settings->vm.name, "state", state, "region",
 		c->settings->vm.region, "domain", c->settings->vm.domain,
 		"revision", (json_int_t)c->sync.replica.complete_revision,
@@ -269,7 +315,7 @@
 		is_store_up(c) ? "up" : "not seen", "store_reading",
 		reading(c, now), "members", members(c), "services", services(c),
 		"quarantine", quarantine(c), "manifest", manifest(c),
-		"shared_limits", shared_limits(c, now));
+		"shared_limits", shared_limits(c, now), "queue", queue(c));
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -109,6 +109,9 @@
 	 * the service, in thousandths of a request per second, as the VMs tell
 	 * each other; 0 while it is not known. */
 	_Atomic int64_t region_demand_milli[STEER_REGIONS_MAX];
+	/** Shares of the regions in this VM's requests for the service, in
+	 * millionths; 0 before the first one. */
+	_Atomic int64_t region_share_ppm[STEER_REGIONS_MAX];
 	/** Requests that run or wait at the upstreams of another region, in
 	 * thousandths, as its VMs tell, and when they told it. */
 	_Atomic int64_t region_inflight_milli[STEER_REGIONS_MAX];
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -155,6 +155,19 @@
 	return i != STEER_NONE;
 }
 
+/* Tells the status page which shares are in use. */
+static void publish_shares(const struct proxy_request *r)
+{
+	const struct place_shares *shares = &routed_service_state(r)->shares;
+	struct proxy_service_stats *stats =
+		&r->thread->proxy->service[r->service->stats_index];
+
+	for (int i = 0; i < r->view->nregion; i++)
+		atomic_store_explicit(&stats->region_share_ppm[i],
+				      shares->share_ppm[i],
+				      memory_order_relaxed);
+}
+
 int placing_reserve(struct proxy_request *r)
 {
 	struct place_decision chosen = {.wait_ms = PRL_NEVER,
@@ -176,6 +189,7 @@
 		loads_read_peers(r->thread, r->service);
 		fill_place_request(r, &request);
 		planned = place_plan_region(&request);
+		publish_shares(r);
 		if (region_relay_reserve(r, &request, planned))
 			return 1;
 		if (place_choose_planned(&request, planned, &chosen)) {
--- a/system/test_shared_limits.c
+++ b/system/test_shared_limits.c
@@ -20,6 +20,9 @@
 /* Time in which the VMs are sure to have noticed the loss of one, in ms. */
 #define LOSS_MS 1500
 
+/* Time in which the status page that was asked for is renewed, in ms. */
+#define STATUS_MS 300
+
 static int setup(void **state)
 {
 	routes_setup(state);
@@ -93,6 +96,41 @@
 	assert_in_range(read_demand(VMS), 5000, 40000);
 }
 
+/* The status page has the shares of the regions in use, and the queue. */
+static void test_status_of_shares_and_queue(void **state)
+{
+	static const char share[] = "\"region_share_permille\":{\"norte\":";
+	static char text[32768];
+	char arg[40];
+	char url[80];
+	const char *at;
+
+	(void)state;
+	assert_int_equal(routes_request("GET", "/safe/plain").status, 200);
+	harness_sleep_ms(STATUS_MS);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/-/status",
+		 METRICS_PORT(1));
+	harness_get(url, text, sizeof(text));
+	harness_sleep_ms(STATUS_MS);
+	harness_get(url, text, sizeof(text));
+	at = strstr(text, "\"name\":\"s\",\"type\":\"retries\"");
+	assert_non_null(at);
+	at = strstr(at, share);
+	assert_non_null(at);
+	assert_in_range(atoi(at + strlen(share)), 999, 1000);
+	at = strstr(text, "\"queue\":{");
+	assert_non_null(at);
+	assert_int_equal(harness_json_int(at, "timely"), 0);
+	assert_int_equal(harness_json_int(at, "late"), 0);
+	assert_int_equal(harness_json_int(at, "queued"),
+			 harness_metric(METRICS_PORT(1), "requests_queued"));
+	snprintf(arg, sizeof(arg), "--vm=127.0.0.1:%d", METRICS_PORT(1));
+	assert_int_equal(harness_run(text, sizeof(text), "primroselead",
+				     "status", arg, NULL),
+			 0);
+	assert_non_null(strstr(text, "vm1 "));
+}
+
 /* VMs that lose the one that adds up use their own parts until another one
  * does, which withholds the part of the VM that is gone. */
 static void test_aggregator_is_lost(void **state)
@@ -119,6 +157,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_demand_of_a_region),
+		cmocka_unit_test(test_status_of_shares_and_queue),
 		cmocka_unit_test(test_aggregator_is_lost),
 	};
 
