Soak: keys of two workspaces, a quota, callers that stop short of their body

The manifest of the soak has workspaces acme and birch; the routes used until now are public. Threads with draws of their own, so what seeds drew before stays: callers with a key that is taken away and given back, with one of nobody, and beyond a quota; callers that send three quarters of a body and stay. Checks: a key of nobody gets 401 and never runs, a key taken away is refused from 4 s after, one that is given is not, no more runs than (10 a second x 5 s + 10) x 1.1 + 20 in 5 s, an unfinished body is never answered with 200, runs at most once, and not at all if that is promised.

--- a/soak/check.c
+++ b/soak/check.c
@@ -69,6 +69,14 @@
 	return runs;
 }
 
+static int find_run(void *runs, const char *id, int64_t *last_ms)
+{
+	const struct run *run = g_hash_table_lookup(runs, id);
+
+	*last_ms = run ? run->last_ms : 0;
+	return run ? run->times : 0;
+}
+
 static int times(GHashTable *runs, const struct soak_request *q)
 {
 	const struct run *run = g_hash_table_lookup(runs, q->id);
@@ -314,6 +322,8 @@
 
 	check_recovery(s);
 	soak_check_guilty(s);
+	soak_check_keyed(s, find_run, runs);
+	soak_check_held(s, find_run, runs);
 	for (guint i = 0; i < s->requests->len; i++)
 		check_request(
 			s, runs,
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -67,10 +67,7 @@
 	harness_sleep_ms(REPEAT_WRITES_MS);
 	for (int n = 1; n <= SOAK_UPSTREAMS; n++)
 		soak_write_upstream(s, n);
-	g_rec_mutex_lock(&s->entries_lock);
-	routes_use_store(soak_store_port(group));
-	routes_put_manifest(s->manifest_version, "s");
-	g_rec_mutex_unlock(&s->entries_lock);
+	soak_write_manifest(s, group);
 }
 
 static void stop_vm(struct soak *s, int vm)
@@ -109,17 +106,6 @@
 	soak_start_vm(s, vm);
 }
 
-static void change_manifest(struct soak *s)
-{
-	g_rec_mutex_lock(&s->entries_lock);
-	s->manifest_version += 2;
-	for (int group = 0; group < SOAK_GROUPS; group++) {
-		routes_use_store(soak_store_port(group));
-		routes_put_manifest(s->manifest_version, "s");
-	}
-	g_rec_mutex_unlock(&s->entries_lock);
-}
-
 static void begin_fault(struct soak *s, const struct soak_planned *p)
 {
 	switch (p->kind) {
@@ -151,7 +137,7 @@
 		soak_remove_upstream(s, p->subject);
 		break;
 	case SOAK_MANIFEST:
-		change_manifest(s);
+		soak_change_manifest(s);
 		break;
 	case SOAK_KINDS:
 		break;
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -102,11 +102,11 @@
 						SOAK_AWAY_MS);
 	}
 	s->manifest_version = 3;
+	s->is_key_given = 1;
 	for (int group = 0; group < SOAK_GROUPS; group++) {
 		start_link(group);
 		fleet_start_store(soak_store_port(group));
-		routes_use_store(soak_store_port(group));
-		routes_put_manifest(s->manifest_version, "s");
+		soak_write_manifest(s, group);
 	}
 	for (int i = 1; i <= SOAK_UPSTREAMS; i++)
 		soak_put_upstream(s, i, "ready");
--- a/soak/main.c
+++ b/soak/main.c
@@ -96,10 +96,14 @@
 	soak_start_fleet(&s);
 	soak_start_callers(&s);
 	soak_start_guilty(&s);
+	soak_start_keyed(&s);
+	soak_start_held(&s);
 	soak_inject_faults(&s);
 	s.stopped = 1;
 	soak_join_callers(&s);
 	soak_join_guilty(&s);
+	soak_join_keyed();
+	soak_join_held();
 	soak_check(&s);
 	print_counts(&s);
 	broken = soak_print_promises();
--- a/soak/report.c
+++ b/soak/report.c
@@ -23,6 +23,12 @@
 		 "all VMs had to know"),
 	[SOAK_INNOCENT] = "a request is in quarantine that ends no upstream",
 	[SOAK_ENDED] = "a VM that handles signals ended at a SIGHUP",
+	[SOAK_NO_KEY] =
+		"a request with a key of nobody was not refused as such",
+	[SOAK_KEY_TAKEN] = "a key that was taken away is not refused",
+	[SOAK_KEY_GIVEN] = "a key that is given is refused",
+	[SOAK_UNFINISHED] = "a request was served whose body never came",
+	[SOAK_QUOTA] = "more requests of a workspace ran than its quota allows",
 };
 
 static int checked[SOAK_PROMISES];
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -44,6 +44,14 @@
 #define SOAK_GUILTY 2
 #define SOAK_GUILTY_ID "g"
 
+/** Keys of workspace "acme", one of them given at times only, and of "birch",
+ * which has a quota: requests per second, and at once, at all VMs together. */
+#define SOAK_KEY_KEPT "soak-key-kept-8vd"
+#define SOAK_KEY_GIVEN_AT_TIMES "soak-key-at-times-5hn"
+#define SOAK_KEY_QUOTA "soak-key-quota-3jw"
+#define SOAK_QUOTA_PER_S 10
+#define SOAK_QUOTA_BURST 10
+
 /** Time for which such an upstream is away, in ms. */
 #define SOAK_AWAY_MS 500
 
@@ -84,6 +92,11 @@
 	SOAK_QUARANTINE,
 	SOAK_INNOCENT,
 	SOAK_ENDED,
+	SOAK_NO_KEY,
+	SOAK_KEY_TAKEN,
+	SOAK_KEY_GIVEN,
+	SOAK_QUOTA,
+	SOAK_UNFINISHED,
 	SOAK_PROMISES,
 };
 
@@ -126,6 +139,7 @@
 	GMutex requests_lock;
 	int entry_sequence;
 	int manifest_version;
+	int is_key_given;
 	/** State in the last entry of each upstream, by number from 1; NULL if
 	 * it has none. */
 	const char *upstream_state[SOAK_UPSTREAMS + 1];
@@ -155,6 +169,16 @@
 /** Writes the last entry of an upstream again, or that it has none. */
 void soak_write_upstream(struct soak *s, int n);
 
+/** Writes the manifest in force to the store of a group. */
+void soak_write_manifest(struct soak *s, int group);
+
+/** Writes a new version to both stores. */
+void soak_change_manifest(struct soak *s);
+
+/** Takes the key away that is given at times, or gives it back, by a new
+ * version. */
+void soak_change_key(struct soak *s);
+
 /** Starts a VM without waiting. */
 void soak_start_vm(struct soak *s, int vm);
 
@@ -166,6 +190,24 @@
  * others are in quarantine. */
 void soak_check_guilty(const struct soak *s);
 
+/** Finds how often the upstreams ran a request, and when last. */
+typedef int soak_find_run(void *runs, const char *id, int64_t *last_ms);
+
+/** Start and join the threads that send requests with keys, and change a key.
+ */
+void soak_start_keyed(struct soak *s);
+void soak_join_keyed(void);
+
+/** Checks what became of them. */
+void soak_check_keyed(const struct soak *s, soak_find_run *find, void *runs);
+
+/** Start and join the callers that do not finish their requests. */
+void soak_start_held(struct soak *s);
+void soak_join_held(void);
+
+/** Checks what became of their requests. */
+void soak_check_held(const struct soak *s, soak_find_run *find, void *runs);
+
 /** Starts the callers' threads, and joins them after "stopped" was set. */
 void soak_start_callers(struct soak *s);
 void soak_join_callers(struct soak *s);
