--- a/soak/held.c
+++ b/soak/held.c
@@ -1,4 +1,5 @@
-/* Callers that stop short of the end of their body, and stay. */
+/* Callers that stop short of the end of their body, and stay. No two requests
+ * are equal: those that upstreams end under are told apart. */
 #include "soak.h"
 #include <primroselead/clock.h>
 #include <stdio.h>
@@ -57,9 +58,9 @@
 	int left = body_bytes - body_bytes / WITHHELD_ONE_IN;
 	char head[200];
 	int n = snprintf(head, sizeof(head),
-			 "POST /up/echo HTTP/1.1\r\nHost: h.example\r\n"
+			 "POST /up/%s/echo HTTP/1.1\r\nHost: h.example\r\n"
 			 "X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n",
-			 id, body_bytes);
+			 id, id, body_bytes);
 
 	if (send(fd, head, (size_t)n, MSG_NOSIGNAL) != n)
 		return;
