Faults found by reading the whole change

- an aggregator that counted no VM yet answered a credit of 0 as known;
- the service that a passed-on request was sent for was chosen anew by the receiver;
- a request that waits kept moving the shares' credits, the overflow budget and the uses of a region at each try: its region is planned once;
- a slow upload that holds no place was closed in place of being refused;
- names of regions in messages made indexes; an upstream's own relay fields were passed on;
- quotas above 10^12 thousandths overflowed.

--- a/cmd/primroseleadd/loads.c
+++ b/cmd/primroseleadd/loads.c
@@ -271,7 +271,7 @@
 void loads_handle_region(struct control *c,
 			 const struct wire_region_loads *list)
 {
-	int region = config_region_index(&c->builder, list->region);
+	int region = config_region_find(&c->builder, list->region);
 
 	if (region < 0 || region == c->proxy.region)
 		return;
--- a/cmd/primroseleadd/usage_sums.c
+++ b/cmd/primroseleadd/usage_sums.c
@@ -87,7 +87,8 @@
 				 &from, &counts, &since, now);
 	if (f->service_index != STEER_NONE)
 		count_demand(c, e->limit, report->region, since.deposits, now);
-	out->known = 1;
+	/* Without a VM that is counted there is no credit to tell of. */
+	out->known = c->usage.aggregator_state.coverage.heard > 0;
 	out->credit_milli = a.credit_milli;
 	out->growth_milli = (u_int)CLAMP(a.growth_milli, 0, UINT32_MAX);
 	out->demand_milli = (u_int)CLAMP(a.demand_milli, 0, UINT32_MAX);
--- a/config/src/workspaces.c
+++ b/config/src/workspaces.c
@@ -6,6 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Greatest rate and burst that are told apart, in thousandths of a request: no
+ * fleet serves as many, and their products with a window stay in range. */
+#define QUOTA_MAX_MILLI INT64_C(1000000000000)
+
 static int compare_id(uint64_t a, uint64_t b)
 {
 	return a < b ? -1 : a > b;
@@ -104,8 +108,8 @@
 	w->region_mask = config_region_mask(b, from->allowed_region,
 					    from->nallowed_region);
 	w->is_homeless = from->nallowed_region && !w->region_mask;
-	w->rate_milli = from->rate_milli;
-	w->burst_milli = from->burst_milli;
+	w->rate_milli = MIN(from->rate_milli, QUOTA_MAX_MILLI);
+	w->burst_milli = MIN(from->burst_milli, QUOTA_MAX_MILLI);
 	w->stats_index =
 		config_index_get(&b->workspace_indexes, from->name, "");
 	v->nleft_out += w->stats_index < 0;
--- a/place/src/choose.c
+++ b/place/src/choose.c
@@ -391,7 +391,8 @@
 	if (req->passed_on)
 		return 0;
 	if (planned != STEER_NONE &&
-	    !limit_budget_withdraw(&req->state->overflow_budget))
+	    (req->is_repeated ||
+	     !limit_budget_withdraw(&req->state->overflow_budget)))
 		return 0;
 	return try_other_regions(&p, planned);
 }
--- a/place/src/region_uses.c
+++ b/place/src/region_uses.c
@@ -26,7 +26,8 @@
 	int64_t uses_milli;
 	int64_t n = req->service->region[region].nupstream;
 
-	count(u, req->now_ms);
+	if (!req->is_repeated)
+		count(u, req->now_ms);
 	uses_milli = u->milli * idle_ms / WINDOW_MS;
 	if (uses_milli >= n * uses_min * THOUSAND)
 		u->keeps_connections = 1;
--- a/proxy/src/body.c
+++ b/proxy/src/body.c
@@ -49,7 +49,9 @@
 		size *= 2;
 	if (size > max_size(b))
 		size = max_size(b);
-	if (size <= b->allocated || !is_within_budget(b, size))
+	if (!is_within_budget(b, size))
+		size = BODY_DEFAULT_MAX_BYTES;
+	if (size <= b->allocated)
 		return;
 	data = realloc(b->data, size);
 	if (!data)
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -96,7 +96,7 @@
 		.priority = r->policy.priority,
 		.latency_objective_ms = r->policy.latency_objective_ms,
 		.deadline_ms = r->deadline_ms,
-		.is_repeated = r->state == REQUEST_WAITING,
+		.is_repeated = r->is_planned && r->state == REQUEST_WAITING,
 		.now_ms = prl_now_ms(),
 		.now_us = prl_now_us(),
 		.params = &place_default_params,
@@ -168,6 +168,17 @@
 				      memory_order_relaxed);
 }
 
+/* A request that waits keeps its region: each try would count for the shares.
+ */
+static int plan_region(struct proxy_request *r,
+		       const struct place_request *request)
+{
+	if (!request->is_repeated)
+		r->planned_region = place_plan_region(request);
+	r->is_planned = 1;
+	return r->planned_region;
+}
+
 int placing_reserve(struct proxy_request *r)
 {
 	struct place_decision chosen = {.wait_ms = PRL_NEVER,
@@ -188,7 +199,7 @@
 		}
 		loads_read_peers(r->thread, r->service);
 		fill_place_request(r, &request);
-		planned = place_plan_region(&request);
+		planned = plan_region(r, &request);
 		publish_shares(r);
 		if (region_relay_reserve(r, &request, planned))
 			return 1;
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -200,6 +200,10 @@
 	enum peer_refusal refusal;
 	/** Another VM has chosen this VM's region for the request. */
 	int passed_on;
+	/** Region that the shares gave the request when it was placed first, if
+	 * it was. */
+	int planned_region;
+	int is_planned;
 	/** Bit mask of the regions whose VMs had no room for the request. */
 	uint32_t full_regions;
 	/** VMs that the request was relayed to so far. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -203,7 +203,7 @@
 	if (!strcasecmp(name, "Content-Length") ||
 	    !strcasecmp(name, "Request-Outcome"))
 		return 1;
-	if (r->hop == HOP_PEER && region_relay_is_header(name))
+	if (r->routed && region_relay_is_header(name))
 		return 1;
 	return !r->routed && !strcasecmp(name, SERVICE_ATTEMPT_HEADER);
 }
--- a/proxy/src/routed.c
+++ b/proxy/src/routed.c
@@ -99,7 +99,8 @@
 		reject(r, "none of the route's home regions is known");
 		return 0;
 	}
-	if (choose_service(r, route)) {
+	/* The VM that passed the request on has chosen it. */
+	if (!r->service_name[0] && choose_service(r, route)) {
 		reject(r, "the route leads to no service");
 		return 0;
 	}
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -165,6 +165,7 @@
 	    r->maybe_sent) {
 		r->detached = 1;
 		r->conn = NULL;
+		unfinished_release(r);
 		if (r->download_paused) {
 			r->download_paused = 0;
 			fetch_unpause(&r->thread->fetch_pool, &r->fetch);
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -228,8 +228,8 @@
 {
 	if (!r || !r->unfinished.is_stalled)
 		return 0;
-	return !service ||
-	       (!unfinished_is_held(r) && !strcmp(r->service_name, service));
+	return !service || (r->transfer_active && !unfinished_is_held(r) &&
+			    !strcmp(r->service_name, service));
 }
 
 void unfinished_end_stalled(struct proxy_thread *t, const char *service)
