Soak: callers with unfinished bodies leave as the run ends; recovery is judged until then

Joining them took up to 5 s, and the check of the recovery took the 6 s before its own call, when the others had stopped: it judged 127 to 609 requests instead of some 1,000. Now it ends where the callers were stopped (stricter: a whole window).

--- a/soak/check.c
+++ b/soak/check.c
@@ -298,7 +298,7 @@
 /* After the last fault nearly all requests are served. */
 static void check_recovery(const struct soak *s)
 {
-	int64_t end_ms = prl_now_ms();
+	int64_t end_ms = s->stopped_ms;
 	int64_t from = end_ms - (SOAK_QUIET_MS - SOAK_BOUND_MS);
 	struct share all = {0};
 
--- a/soak/held.c
+++ b/soak/held.c
@@ -1,6 +1,7 @@
 /* Callers that stop short of the end of their body, and stay. No two requests
  * are equal: those that upstreams end under are told apart. */
 #include "soak.h"
+#include <errno.h>
 #include <primroselead/clock.h>
 #include <stdio.h>
 #include <string.h>
@@ -10,10 +11,13 @@
 
 #define CALLERS 4
 
-/* Time for which a caller stays if its connection is not ended, in s, and
+/* Time for which a caller stays if its connection is not ended, in ms, and
  * that in which the VM must take some of the body. */
-#define STAY_S 5
-#define SEND_S 1
+#define STAY_MS 5000
+#define SEND_MS 1000
+
+/* Time between two looks at whether the run has ended, in ms. */
+#define POLL_MS 100
 
 /* Pause between two connections of a caller, in ms. */
 #define INTERVAL_MS 200
@@ -45,9 +49,9 @@
 static GArray *requests;
 static GMutex lock;
 
-static void set_timeout(int fd, int option, int seconds)
+static void set_timeout(int fd, int option, int ms)
 {
-	struct timeval t = {.tv_sec = seconds};
+	struct timeval t = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000L};
 
 	setsockopt(fd, SOL_SOCKET, option, &t, sizeof(t));
 }
@@ -75,12 +79,18 @@
 }
 
 /* Waits for an answer. Returns its status, or 0. */
-static int read_status(int fd)
+static int read_status(const struct soak *s, int fd)
 {
+	int64_t until_ms = prl_now_ms() + STAY_MS;
 	char text[512] = "";
 	int status = 0;
+	ssize_t n;
 
-	if (recv(fd, text, sizeof(text) - 1, 0) > 0)
+	do
+		n = recv(fd, text, sizeof(text) - 1, 0);
+	while (n < 0 && errno == EAGAIN && !s->stopped &&
+	       prl_now_ms() < until_ms);
+	if (n > 0)
 		sscanf(text, "HTTP/1.1 %d", &status);
 	return status;
 }
@@ -93,10 +103,10 @@
 	if (fd < 0)
 		return;
 	snprintf(q.id, sizeof(q.id), "h%d-%d", c->number, serial);
-	set_timeout(fd, SO_SNDTIMEO, SEND_S);
-	set_timeout(fd, SO_RCVTIMEO, STAY_S);
+	set_timeout(fd, SO_SNDTIMEO, SEND_MS);
+	set_timeout(fd, SO_RCVTIMEO, POLL_MS);
 	send_part(fd, q.id, c->number % 2 ? LONG_BYTES : SHORT_BYTES);
-	q.status = read_status(fd);
+	q.status = read_status(c->soak, fd);
 	close(fd);
 	q.end_ms = prl_now_ms();
 	g_mutex_lock(&lock);
--- a/soak/main.c
+++ b/soak/main.c
@@ -99,6 +99,7 @@
 	soak_start_keyed(&s);
 	soak_start_held(&s);
 	soak_inject_faults(&s);
+	s.stopped_ms = prl_now_ms();
 	s.stopped = 1;
 	soak_join_callers(&s);
 	soak_join_guilty(&s);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -132,6 +132,7 @@
 	/** No more faults. */
 	_Atomic int is_quiet;
 	_Atomic int stopped;
+	int64_t stopped_ms;
 	/** struct soak_planned, struct soak_fault, and struct soak_request. */
 	GArray *plan;
 	GArray *faults;
