--- a/limit/src/shared_limit.c
+++ b/limit/src/shared_limit.c
@@ -35,11 +35,6 @@
 #define REPORT_MIN_MS 100
 #define REPORT_MAX_MS 2000
 
-/* VMs of a fleet in which reports are sent at the least interval. In larger
- * ones the interval grows with their number, so that the aggregator gets as
- * many reports, also while none is answered. */
-#define REPORT_FLEET_VMS 100
-
 /* Time in ms in which counts are collected for a first report, and the interval
  * for a limit whose demand rises everywhere. */
 #define REPORT_FIRST_MS 150
@@ -419,14 +414,6 @@
 }
 
 /* Time in ms in which all VMs might use up a quarter of the credit. */
-static int64_t report_min_ms(const struct limit_follower *f)
-{
-	int64_t ms = REPORT_MIN_MS * max64(f->vms, REPORT_FLEET_VMS) /
-		     REPORT_FLEET_VMS;
-
-	return min64(ms, REPORT_MAX_MS);
-}
-
 static int64_t report_interval_ms(const struct limit_follower *f,
 				  const struct shared_limit *l, int64_t now_ms)
 {
@@ -438,13 +425,13 @@
 	if (f->mode == LIMIT_ALONE ||
 	    credit * 2 < atomic_load(&l->burst_milli) ||
 	    is_surprising(f, taken, credit, now_ms))
-		return report_min_ms(f);
+		return REPORT_MIN_MS;
 	if (!has_answer(f, ANSWER_MAX_AGE_MS, now_ms))
 		return REPORT_FIRST_MS;
 	if (f->terms.rises_everywhere)
 		return REPORT_USUAL_MS;
 	interval_ms = credit * MS_PER_S / 4 / max64(demand, 1);
-	return min64(max64(interval_ms, report_min_ms(f)), REPORT_MAX_MS);
+	return min64(max64(interval_ms, REPORT_MIN_MS), REPORT_MAX_MS);
 }
 
 int limit_follower_must_report(const struct limit_follower *f,
