--- a/cmd/primroseleadd/usage.c
+++ b/cmd/primroseleadd/usage.c
@@ -11,8 +11,14 @@
 /* Interval in ms between two reports while none is answered. */
 #define RESEND_MS 200
 
-/* Interval in ms between two questions for the demand of the regions. */
+/*
+ * Interval in ms between two questions for the demand of the regions, whose
+ * answer is the longest part of a message: in larger fleets than the given
+ * number of VMs it grows with them, up to a limit below DEMAND_MAX_AGE_MS.
+ */
 #define DEMAND_INTERVAL_MS 1000
+#define DEMAND_INTERVAL_MAX_MS 4000
+#define DEMAND_FLEET_VMS 100
 
 /* Time in ms after which an answer is no longer awaited. */
 #define ANSWER_TIMEOUT_MS 1000
@@ -291,6 +297,14 @@
 	g_free(call);
 }
 
+static int64_t demand_interval_ms(const struct control *c)
+{
+	int64_t vms = MAX(usage_count_vms(c), DEMAND_FLEET_VMS);
+
+	return MIN(DEMAND_INTERVAL_MS * vms / DEMAND_FLEET_VMS,
+		   DEMAND_INTERVAL_MAX_MS);
+}
+
 static void send_report(struct control *c, struct report_call *call,
 			struct wire_usage_entry *entry, int64_t now)
 {
@@ -312,7 +326,7 @@
 	usage->entry.entry_len = (u_int)call->n;
 	usage->wants_demand = now >= u->next_demand_ms;
 	if (usage->wants_demand)
-		u->next_demand_ms = now + DEMAND_INTERVAL_MS;
+		u->next_demand_ms = now + demand_interval_ms(c);
 	if (!call->to[0])
 		send_to_self(c, call, usage);
 	else if (wire_call(&c->wire, call->to, &args, &o, NULL))
