--- a/review/kit-2.sh
+++ b/review/kit-2.sh
@@ -133,7 +133,7 @@
 		"$bin/primroseleadd"
 	vm_pid[n]=$last_pid
 }
-declare -A vm_pid
+vm_pid=()
 
 wait_ready() { # n: until VM n says that it is ready
 	local i
