review: case 8, answers that are being read are cut when places are taken

Found by reading: reclaim() ends the connection without progress for longest, and nothing notes progress as an answer is sent, so an answer that goes out 1 s after its request came counts as one that is not read.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 make -s -j4 OUT=target/release target/release/bin/standin-store \
 	target/release/bin/standin-load
 mkdir -p target/review-2
-for name in upstream callers crowd; do
+for name in upstream callers crowd senders; do
 	[ -f "review/stage/$name.c" ] || continue
 	cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra \
 		-o "target/review-2/$name" "review/stage/$name.c" -lpthread
--- a/review/kit-2.sh
+++ b/review/kit-2.sh
@@ -71,9 +71,9 @@
 		"cold_remaining_ms":0,"sequence":1,"born":1700000000000}'
 }
 
-put_manifest() { # kind of the route /once/
+put_manifest() { # kind of the route /once/, its timeout_ms
 	put config/main '{"version":7,"routes":{"r":{"host":"h.example",
-		"path_prefix":"/once/","kind":"'"$1"'","timeout_ms":2500,
+		"path_prefix":"/once/","kind":"'"$1"'","timeout_ms":'"${2:-2500}"',
 		"target_latency_ms":600,"priority":1,"service":"s",
 		"max_attempts":2,"sticky_sessions":true,"home_regions":[]}},
 		"services":{"s":{"health_check_path":"/health",
--- a/review/stage/crowd.c
+++ b/review/stage/crowd.c
@@ -8,8 +8,11 @@
  * callers     number of them
  * answer      bytes of each long answer
  * bytes, every_ms  it reads so many bytes at a time
+ * buffer      of its socket, in bytes
  * pause_ms    time between an answer and the next request
  * query       bytes of the query of the requests for a long answer
+ * post        1: they are POST requests with a short body
+ * deadline_ms of each request
  * per_s       callers that begin in a second
  * seconds     for which they go on
  * record      file to which it appends what became of the requests
@@ -32,8 +35,6 @@
 
 #define CALLERS_MAX 4096
 #define SEGMENT_BYTES 1400
-#define BUFFER_BYTES 4096
-#define DEADLINE_MS 4000
 #define TICK_MS 2
 #define HEAD_MAX 1024
 #define READ_MAX 65536
@@ -58,18 +59,23 @@
 	int callers;
 	long answer;
 	int bytes;
+	int buffer;
 	int every_ms;
 	int pause_ms;
 	int per_s;
 	int query;
+	int post;
+	int deadline_ms;
 	int seconds;
 	char record[512];
 } options = {.callers = 100,
 	     .answer = 300000,
 	     .bytes = 16,
+	     .buffer = 4096,
 	     .every_ms = 1000,
 	     .pause_ms = 1000,
 	     .per_s = 400,
+	     .deadline_ms = 4000,
 	     .seconds = 30};
 
 static struct caller caller[CALLERS_MAX];
@@ -77,6 +83,8 @@
 static unsigned long whole;
 static unsigned long refused;
 static unsigned long ended;
+/* Of those: the answer had begun. */
+static unsigned long cut;
 static unsigned long given_up;
 
 static int64_t now_ms(void)
@@ -93,7 +101,7 @@
 				 .sin_port = htons((uint16_t)port),
 				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	int segment = SEGMENT_BYTES;
-	int size = BUFFER_BYTES;
+	int size = options.buffer;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	if (fd < 0)
@@ -114,6 +122,7 @@
 	if (c->fd >= 0)
 		close(c->fd);
 	ended += (unsigned long)c->is_asking;
+	cut += (unsigned long)(c->is_asking && c->left > 0);
 	c->fd = -1;
 	c->is_asking = 0;
 	c->is_long = 0;
@@ -129,12 +138,16 @@
 
 	memset(query, 'q', (size_t)options.query);
 	n = snprintf(text, sizeof(text),
-		     "GET /once/%ld%s%s HTTP/1.1\r\nHost: h.example\r\n"
+		     "%s /once/%ld%s%s HTTP/1.1\r\nHost: h.example\r\n"
 		     "X-Request-Id: r%d-%lu\r\n"
-		     "X-Deadline-Remaining-Ms: %d\r\n\r\n",
+		     "X-Deadline-Remaining-Ms: %d\r\n%s\r\n%s",
+		     options.post ? "POST" : "GET",
 		     c->is_long ? options.answer : SHORT_BYTES,
 		     c->is_long && options.query ? "?" : "",
-		     c->is_long ? query : "", (int)getpid(), sent, DEADLINE_MS);
+		     c->is_long ? query : "", (int)getpid(), sent,
+		     options.deadline_ms,
+		     options.post ? "Content-Length: 2\r\n" : "",
+		     options.post ? "ab" : "");
 	rc = send(c->fd, text, (size_t)n, MSG_NOSIGNAL);
 	if (rc < 0 && errno == EAGAIN) {
 		c->next_ms = now + TICK_MS;
@@ -148,7 +161,7 @@
 	c->is_asking = 1;
 	c->left = -1;
 	c->head_len = 0;
-	c->give_up_ms = now + DEADLINE_MS;
+	c->give_up_ms = now + options.deadline_ms;
 	c->next_ms = now + (c->is_long ? options.every_ms : TICK_MS);
 }
 
@@ -158,11 +171,12 @@
 	const char *end_of_head;
 	const char *length;
 	size_t before = c->head_len;
+	size_t kept = n;
 
-	if (c->head_len + n >= HEAD_MAX)
-		n = HEAD_MAX - 1 - c->head_len;
-	memcpy(c->head + c->head_len, bytes, n);
-	c->head_len += n;
+	if (kept > HEAD_MAX - 1 - before)
+		kept = HEAD_MAX - 1 - before;
+	memcpy(c->head + before, bytes, kept);
+	c->head_len += kept;
 	c->head[c->head_len] = 0;
 	end_of_head = strstr(c->head, "\r\n\r\n");
 	if (!end_of_head)
@@ -238,10 +252,13 @@
 		sscanf(argv[i], "--callers=%d", &options.callers);
 		sscanf(argv[i], "--answer=%ld", &options.answer);
 		sscanf(argv[i], "--bytes=%d", &options.bytes);
+		sscanf(argv[i], "--buffer=%d", &options.buffer);
 		sscanf(argv[i], "--every_ms=%d", &options.every_ms);
 		sscanf(argv[i], "--pause_ms=%d", &options.pause_ms);
 		sscanf(argv[i], "--per_s=%d", &options.per_s);
 		sscanf(argv[i], "--query=%d", &options.query);
+		sscanf(argv[i], "--post=%d", &options.post);
+		sscanf(argv[i], "--deadline_ms=%d", &options.deadline_ms);
 		sscanf(argv[i], "--seconds=%d", &options.seconds);
 		sscanf(argv[i], "--record=%511s", options.record);
 	}
@@ -271,8 +288,9 @@
 		return 2;
 	fprintf(record,
 		"crowd at port %d: %lu requests sent, %lu answered whole, "
-		"%lu refused, %lu ended by the VM, %lu given up\n",
-		options.port, sent, whole, refused, ended, given_up);
+		"%lu refused, %lu ended by the VM, %lu of them in the answer, "
+		"%lu given up\n",
+		options.port, sent, whole, refused, ended, cut, given_up);
 	fclose(record);
 	return 0;
 }
