Placement: a slow caller's time is not counted as its upstream's

Cause: the time of an attempt, from which a VM learns how long an upstream needs, went on while the transfer waited for the caller to read or to send. When a stalled caller was ended, its unsafe request ran on without it, ended as answered, and was counted with 1,050 ms or more. By the log of VM 1 of the test, 48 of them ended at 1.12 s; then ordinary POSTs waited 82 ms and were refused, and only 9 requests an upstream were placed where 24 had been: the queue there seemed to take seconds.

Ruled out: places held by the crowd alone (18 of 48 were free at 2.2 s, and requests still refused); the kernel's buffers alone (with these bounded and nothing else changed, 2 of 2 runs failed).

Change: request_await_caller() and request_caller_came() stand where a transfer is paused and resumed for its caller; the time between doesn't count for the estimates of placement and the histogram of upstreams' times. Uploads whose body comes late had the same fault.

Tests: test_slow_caller, two tests; on the code before 3 of 3 runs failed, with 1.57 s and 2.10 s taken for a caller's pause of 1.2 s; ASan 5 of 5 hold. test_crowd_slow, release build, this commit alone: 2 of 2 runs passed (before: 3 of 3 failed); tries, crowd and bounds unchanged.

--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -90,6 +90,30 @@
 	}
 }
 
+void request_await_caller(struct proxy_request *r)
+{
+	if (!r->caller_awaited_since_us)
+		r->caller_awaited_since_us = prl_now_us();
+}
+
+void request_caller_came(struct proxy_request *r)
+{
+	if (!r->caller_awaited_since_us)
+		return;
+	r->caller_awaited_us += prl_now_us() - r->caller_awaited_since_us;
+	r->caller_awaited_since_us = 0;
+}
+
+int64_t request_attempt_time_us(const struct proxy_request *r)
+{
+	int64_t now = prl_now_us();
+	int64_t awaited = r->caller_awaited_us;
+
+	if (r->caller_awaited_since_us)
+		awaited += now - r->caller_awaited_since_us;
+	return now - r->attempt_started_us - awaited;
+}
+
 /* Relaying does not help: the answer has to pass through this VM. */
 int request_outlasts_vm(const struct proxy_request *r)
 {
@@ -131,6 +155,8 @@
 	r->upload_paused = 0;
 	r->download_paused = 0;
 	r->link_paused = 0;
+	r->caller_awaited_since_us = 0;
+	r->caller_awaited_us = 0;
 	r->attempts++;
 	if (!r->routed)
 		service_name_attempt(r);
--- a/proxy/src/attempt.h
+++ b/proxy/src/attempt.h
@@ -32,6 +32,16 @@
 /** Starts an attempt at the reserved upstream or VM. */
 void request_begin_attempt(struct proxy_request *r);
 
+/** The attempt's transfer waits for the caller to send or to read. */
+void request_await_caller(struct proxy_request *r);
+
+/** The caller has sent or read, or left. */
+void request_caller_came(struct proxy_request *r);
+
+/** Returns the time in us that the attempt has taken so far, without the time
+ * for which it waited for the caller. */
+int64_t request_attempt_time_us(const struct proxy_request *r);
+
 /** Whether a routed request that has not run may last longer than this VM. */
 int request_outlasts_vm(const struct proxy_request *r);
 
--- a/proxy/src/download.c
+++ b/proxy/src/download.c
@@ -88,6 +88,7 @@
 		if (r->routed)
 			request_accept_response(r);
 		request_resume(r);
+		request_await_caller(r);
 		r->download_paused = 1;
 		return CURL_WRITEFUNC_PAUSE;
 	}
--- a/proxy/src/link.c
+++ b/proxy/src/link.c
@@ -1,3 +1,4 @@
+#include "attempt.h"
 #include "request.h"
 #include <primroselead/clock.h>
 
@@ -72,6 +73,7 @@
 		r->link_paused = 0;
 		/* The callbacks pause the transfer again if it still waits for
 		 * body data or buffer space. */
+		request_caller_came(r);
 		r->upload_paused = 0;
 		r->download_paused = 0;
 		if (r->transfer_active)
--- a/proxy/src/placing.c
+++ b/proxy/src/placing.c
@@ -1,5 +1,6 @@
 /* Placement of routed requests: connects them to the package place. */
 #include "placing.h"
+#include "attempt.h"
 #include "loads.h"
 #include "news.h"
 #include "quota.h"
@@ -284,7 +285,7 @@
 		.result = result,
 		.region = r->region,
 		.sticky = is_sticky(r),
-		.duration_us = prl_now_us() - r->attempt_started_us,
+		.duration_us = request_attempt_time_us(r),
 		.queued = r->expected_wait_ms > 0,
 		.reported_load = r->response_meta.slots >= 0,
 	};
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -230,6 +230,10 @@
 	/** Attempts started so far. */
 	int attempts;
 	int64_t attempt_started_us;
+	/** Since when the attempt's transfer waits for the caller to send or to
+	 * read; 0 if it does not. And how long it has waited before, in us. */
+	int64_t caller_awaited_since_us;
+	int64_t caller_awaited_us;
 	/** The current attempt has a connection and may have sent bytes. */
 	int maybe_sent;
 	/** Socket opened for the attempt; -1 if it reuses a connection. */
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -1,3 +1,4 @@
+#include "attempt.h"
 #include "head.h"
 #include "region_relay.h"
 #include "relay.h"
@@ -170,6 +171,7 @@
 	unfinished_passed(r, n);
 	if (r->download_paused && !r->link_paused &&
 	    body_writable(&r->response_body) >= RESPONSE_BLOCK_BYTES) {
+		request_caller_came(r);
 		r->download_paused = 0;
 		fetch_unpause(&r->thread->fetch_pool, &r->fetch);
 	}
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -1,4 +1,5 @@
 #include "thread.h"
+#include "attempt.h"
 #include "easy_pool.h"
 #include "head.h"
 #include "local.h"
@@ -167,6 +168,7 @@
 		r->conn = NULL;
 		unfinished_release(r);
 		if (r->download_paused) {
+			request_caller_came(r);
 			r->download_paused = 0;
 			fetch_unpause(&r->thread->fetch_pool, &r->fetch);
 		}
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -51,6 +51,7 @@
 	}
 	if (r->request_body_ended)
 		return 0;
+	request_await_caller(r);
 	r->upload_paused = 1;
 	return CURL_READFUNC_PAUSE;
 }
--- a/proxy/src/upload.c
+++ b/proxy/src/upload.c
@@ -1,4 +1,5 @@
 #include "upload.h"
+#include "attempt.h"
 #include "head.h"
 #include <errno.h>
 #include <primroselead/clock.h>
@@ -94,6 +95,7 @@
 		g_string_append_len(r->answer, block, (gssize)n);
 	if (!r->download_paused || r->link_paused)
 		return;
+	request_caller_came(r);
 	r->download_paused = 0;
 	fetch_unpause(&r->thread->fetch_pool, &r->fetch);
 }
@@ -176,6 +178,7 @@
 {
 	if (!r->upload_paused || r->link_paused)
 		return;
+	request_caller_came(r);
 	r->upload_paused = 0;
 	fetch_unpause(&r->thread->fetch_pool, &r->fetch);
 }
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -242,6 +242,20 @@
 	return (int)sum;
 }
 
+int64_t fixture_slowest_upstream_us(void)
+{
+	int slowest = -1;
+
+	for (int t = 0; t < proxy.nthread; t++)
+		for (int i = slowest + 1; i < METRIC_BUCKETS; i++)
+			if (atomic_load(
+				    &proxy.thread[t]
+					     .metrics
+					     .bucket[METRIC_UPSTREAM_TIME][i]))
+				slowest = i;
+	return slowest < 0 ? 0 : metrics_bucket_bound_us(slowest);
+}
+
 int64_t fixture_retry_deposits(void)
 {
 	int64_t n = 0;
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -42,6 +42,10 @@
 /** Value of a counter, of all traffic threads. */
 int fixture_counter(enum metric which);
 
+/** Upper bound of the longest time of an attempt that an upstream answered, in
+ * us; 0 if there was none. */
+int64_t fixture_slowest_upstream_us(void);
+
 /** Requests that the retry budgets of all services have counted. */
 int64_t fixture_retry_deposits(void);
 
