Serving: the kernel holds little of an answer that its caller doesn't read

Callers saw nothing of it alone; a VM held up to 2.9 MB in the kernel for each caller that read nothing, beyond every bound of its memory, and counted what the kernel took as the caller's progress, so that it was ended late.

Cause: the kernel's send buffer grows to 4 MB (net.ipv4.tcp_wmem).

Change: TCP_NOTSENT_LOWAT on accepted connections. It bounds only what has not been sent, so the pace of distant callers is not bounded, as SO_SNDBUF would.

Test: test_unread_answer_is_held_back, 2,840,202 bytes before, bound 256 KB. Not done: the same towards upstreams that don't read an upload.

--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -19,6 +19,11 @@
 /* Time after which a listener without descriptors tries again, in ms. */
 #define LISTEN_AGAIN_MS 100
 
+/* Bytes of answers that the kernel holds of a connection without having sent
+ * them, about. By default it holds megabytes for a caller that does not read,
+ * and what it takes looks like progress. */
+#define UNSENT_MAX_BYTES 65536
+
 /* Bytes that are looked at of a connection, at most. */
 #define WINDOW_MAX 16384
 
@@ -331,8 +336,10 @@
 {
 	struct serve_connection *c = new_connection(s, fd);
 	int one = 1;
+	int unsent = UNSENT_MAX_BYTES;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent, sizeof(unsent));
 	if (!s->large.mhd) {
 		give(c, serve_usual_tier(s));
 		return;
--- a/loop/test/serve_fixture.c
+++ b/loop/test/serve_fixture.c
@@ -17,6 +17,9 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+/* Block of an answer without end. */
+#define BLOCK_BYTES 8192
+
 struct fixture {
 	struct loop loop;
 	struct serve serve;
@@ -25,6 +28,8 @@
 	int is_stopping;
 	/* Highest number of connections that the listener had. */
 	int most;
+	/* Bytes of answers without end. */
+	size_t endless;
 };
 
 static struct fixture f;
@@ -52,6 +57,15 @@
 	*state = NULL;
 }
 
+static ssize_t more(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	(void)ctx;
+	(void)pos;
+	memset(buf, 'x', max);
+	__atomic_fetch_add(&f.endless, max, __ATOMIC_SEQ_CST);
+	return (ssize_t)max;
+}
+
 static enum MHD_Result handle(void *ctx, struct MHD_Connection *conn,
 			      const char *url, const char *method,
 			      const char *version, const char *data,
@@ -78,8 +92,12 @@
 	}
 	snprintf(text, sizeof(text), "%s body %zu memory %zu\n", url,
 		 seen->body - 1, serve_connection_memory(conn));
-	r = MHD_create_response_from_buffer(strlen(text), text,
-					    MHD_RESPMEM_MUST_COPY);
+	if (strcmp(url, ENDLESS_PATH) != 0)
+		r = MHD_create_response_from_buffer(strlen(text), text,
+						    MHD_RESPMEM_MUST_COPY);
+	else
+		r = MHD_create_response_from_callback(
+			MHD_SIZE_UNKNOWN, BLOCK_BYTES, more, NULL, NULL);
 	if (serve_is_costly(conn))
 		MHD_add_response_header(r, "Connection", "close");
 	rc = MHD_queue_response(conn, 200, r);
@@ -140,6 +158,11 @@
 	return __atomic_load_n(&f.most, __ATOMIC_SEQ_CST);
 }
 
+size_t serve_endless_bytes(void)
+{
+	return __atomic_load_n(&f.endless, __ATOMIC_SEQ_CST);
+}
+
 void dial_with(int fd)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET,
--- a/loop/test/serve_fixture.h
+++ b/loop/test/serve_fixture.h
@@ -24,6 +24,13 @@
 /** Highest number of connections that the listener had. */
 int serve_most_connections(void);
 
+/** Path of an answer that does not end. */
+#define ENDLESS_PATH "/endless"
+
+/** Bytes of such answers that the listener has handed to the kernel or holds.
+ */
+size_t serve_endless_bytes(void);
+
 /** Connects an open socket to the listener. */
 void dial_with(int fd);
 
--- a/loop/test/test_serve.c
+++ b/loop/test/test_serve.c
@@ -16,6 +16,9 @@
 #include <time.h>
 #include <unistd.h>
 
+/* Most bytes of an answer that are held for a caller who does not read. */
+#define UNREAD_MAX_BYTES (256 << 10)
+
 static void test_kept_connections_have_little_memory(void **state)
 {
 	int fd = dial();
@@ -305,6 +308,22 @@
 	assert_in_range(serve_most_connections(), 1, CONNECTIONS_MAX);
 }
 
+/* What is held for a caller that does not read its answer is bounded, also what
+ * the kernel holds. */
+static void test_unread_answer_is_held_back(void **state)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int small = 4096;
+
+	(void)state;
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	dial_with(fd);
+	ask(fd, "GET", ENDLESS_PATH, 0, "");
+	usleep(500000);
+	assert_in_range(serve_endless_bytes(), 1, UNREAD_MAX_BYTES);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -341,6 +360,8 @@
 			serve_teardown),
 		cmocka_unit_test_setup_teardown(test_descriptors_run_out,
 						serve_setup, serve_teardown),
+		cmocka_unit_test_setup_teardown(test_unread_answer_is_held_back,
+						serve_setup, serve_teardown),
 		cmocka_unit_test_setup_teardown(test_connections_are_limited,
 						serve_setup, serve_teardown),
 	};
