Routing: a request isn't sent again over a connection that has answered it

Cause: an answer names its request, not the sending. VM B refused a request that VM A had passed on to it, A passed it on again, and B sent the same id over the same connection; a late second copy of the first refusal, which upstreams may send, was taken for the answer. B knew the connections of its own attempts only, in the request. Ruled out: copies over other connections, refusals without evidence, attempts of A itself.

Change: the connection remembers the ids that were answered over it and may be sent again, until their deadlines (64 at most; then it isn't kept). That takes the place of the list in the request, and holds however the second sending comes: retries here, behind a relay between regions, behind an isolated VM's relay, an id used twice by its caller. An unfit connection is closed and another one used, as before, so an upstream gets no more connections at a time. New counter: connections_answered_before.

--- a/observe/include/primroselead/metrics.h
+++ b/observe/include/primroselead/metrics.h
@@ -72,6 +72,9 @@
 	/** Connections of callers that were closed without the answer to a
 	 * request, or with one that the listener gave by itself. */
 	METRIC_CONNECTIONS_FAILED,
+	/** Kept connections to upstreams that were closed in place of sending a
+	 * request over them again that had been answered there. */
+	METRIC_CONNECTIONS_ANSWERED_BEFORE,
 	METRIC_STORE_READS,
 	METRIC_STORE_WRITES,
 	METRIC_STORE_WATCHES,
--- a/observe/src/metrics.c
+++ b/observe/src/metrics.c
@@ -42,6 +42,7 @@
 	"requests_head_refused",
 	"responses_head_refused",
 	"connections_failed",
+	"connections_answered_before",
 	"store_reads",
 	"store_writes",
 	"store_watches",
--- a/proxy/src/attempt_done.c
+++ b/proxy/src/attempt_done.c
@@ -248,6 +248,19 @@
 	       sockets_was_unacked(r->thread->sockets, r->endpoint_hash);
 }
 
+/* The request may be sent again, and the connection carry a copy of the answer
+ * then. */
+static void note_answer(const struct proxy_request *r, CURLcode result)
+{
+	int is_last = r->routed ? r->verdict == VERDICT_PASS
+				: r->state == REQUEST_RESPONDING;
+
+	if (!result && r->maybe_sent && !is_last)
+		sockets_note_answer(r->thread->sockets, r->endpoint_hash,
+				    request_id_hash(r), r->deadline_ms,
+				    prl_now_ms());
+}
+
 void request_attempt_done(struct fetch *f, CURLcode result)
 {
 	struct proxy_request *r = f->ctx;
@@ -265,6 +278,7 @@
 	if (r->discard_ended)
 		result = CURLE_OK;
 	result = response_head_result(&r->head, result);
+	note_answer(r, result);
 	if (r->hop == HOP_PEER)
 		relay_done(r, result);
 	else if (r->routed && result)
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -1,5 +1,6 @@
 #include "quota.h"
 #include <primroselead/clock.h>
+#include <primroselead/hash.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -57,6 +58,12 @@
 	return r;
 }
 
+uint64_t request_id_hash(const struct proxy_request *r)
+{
+	return r->routed ? prl_hash_string(r->request_meta.id)
+			 : prl_hash_combine(0, r->handle);
+}
+
 void request_use_newest_view(struct proxy_request *r)
 {
 	if (r->view == r->thread->view)
--- a/proxy/src/request.h
+++ b/proxy/src/request.h
@@ -43,10 +43,6 @@
 	HOP_PEER,
 };
 
-/** Connections that a request remembers to have been sent over; after more, it
- * is sent over new ones only. */
-#define REQUEST_CONNECTIONS_MAX 16
-
 /** Size of an attempt's id with its end. */
 #define REQUEST_ATTEMPT_ID_MAX 20
 
@@ -247,10 +243,6 @@
 	/** Id of the attempt, unless the request is routed. */
 	char attempt_id[REQUEST_ATTEMPT_ID_MAX];
 	enum response_naming naming;
-	/** Hashes of the endpoints of the connections that the request was sent
-	 * over so far. */
-	uint64_t used_connection[REQUEST_CONNECTIONS_MAX];
-	int nused_connection;
 
 	struct request_identity identity;
 	struct request_suspicion suspicion;
@@ -356,6 +348,10 @@
 /** Returns the request with a handle, or null if it has been freed. */
 struct proxy_request *request_find(struct proxy_thread *t, uint64_t handle);
 
+/** Returns the hash of the id by which answers name the request; it is the same
+ * whenever a routed request is sent, also by different VMs. */
+uint64_t request_id_hash(const struct proxy_request *r);
+
 /** Makes the thread's newest view that of the request. */
 void request_use_newest_view(struct proxy_request *r);
 
--- a/proxy/src/sockets.h
+++ b/proxy/src/sockets.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_SOCKETS_H
 #define PROXY_SOCKETS_H
 
+#include <glib.h>
 #include <stdint.h>
 
 /*
@@ -19,8 +20,24 @@
 	int uses;
 	/** A response over it has named the attempt that it answers. */
 	int names_attempts;
+	/** Answers to requests that may be sent again (struct socket_answer);
+	 * null before the first one. */
+	GArray *answers;
+	/** Not reused, since it has had more of them than are remembered. */
+	int is_worn;
 };
 
+/** A request, by the hash of its id, that was answered over a connection, and
+ * until when it may be sent again. */
+struct socket_answer {
+	uint64_t id_hash;
+	int64_t until_ms;
+};
+
+/** Such answers that are remembered of one connection; after more within their
+ * time, it is not reused. */
+#define SOCKET_ANSWERS_MAX 64
+
 /** Sockets that are remembered after they were closed. */
 #define SOCKETS_CLOSED_MAX 64
 
@@ -72,6 +89,16 @@
 int sockets_names_attempts(const struct proxy_sockets *s,
 			   uint64_t endpoint_hash);
 
+/** Notes that a request was answered over a connection, and may be sent again
+ * until then. A late copy of the answer has the request's id. */
+void sockets_note_answer(struct proxy_sockets *s, uint64_t endpoint_hash,
+			 uint64_t id_hash, int64_t until_ms, int64_t now_ms);
+
+/** Whether that was noted of a request and a connection, so that a copy of the
+ * answer could not be told from the answer to another sending. */
+int sockets_has_answered(const struct proxy_sockets *s, uint64_t endpoint_hash,
+			 uint64_t id_hash, int64_t now_ms);
+
 /** Frees the table. */
 void sockets_finish(struct proxy_sockets *s);
 
--- a/proxy/src/transfer.c
+++ b/proxy/src/transfer.c
@@ -66,20 +66,15 @@
 	return CURL_SEEKFUNC_FAIL;
 }
 
-static void note_connection(struct proxy_request *r, uint64_t endpoint_hash)
+/* Whether this request, by its id, was answered over the connection before, for
+ * this VM or for another one. */
+static int was_answered_there(struct proxy_request *r, uint64_t endpoint_hash)
 {
-	if (r->nused_connection < REQUEST_CONNECTIONS_MAX)
-		r->used_connection[r->nused_connection++] = endpoint_hash;
-}
-
-/* Whether an earlier attempt was sent over a connection. Its id would not tell
- * a repeated response to that attempt from the response to this one. */
-static int may_have_used(const struct proxy_request *r, uint64_t endpoint_hash)
-{
-	for (int i = 0; i < r->nused_connection; i++)
-		if (r->used_connection[i] == endpoint_hash)
-			return 1;
-	return r->nused_connection == REQUEST_CONNECTIONS_MAX;
+	if (!sockets_has_answered(r->thread->sockets, endpoint_hash,
+				  request_id_hash(r), prl_now_ms()))
+		return 0;
+	metrics_add(&r->thread->metrics, METRIC_CONNECTIONS_ANSWERED_BEFORE, 1);
+	return 1;
 }
 
 /* Called when the connection is established, before the request is sent.
@@ -98,14 +93,13 @@
 	if (r->new_fd >= 0) {
 		sockets_set_endpoints(sockets, r->new_fd, endpoint_hash);
 	} else if (sockets_is_stale(sockets, endpoint_hash) ||
-		   may_have_used(r, endpoint_hash) ||
+		   was_answered_there(r, endpoint_hash) ||
 		   (!r->routed && !service_may_reuse(r, endpoint_hash))) {
 		r->unfit_connections++;
 		r->found_unfit = 1;
 		return CURL_PREREQFUNC_ABORT;
 	}
 	r->endpoint_hash = endpoint_hash;
-	note_connection(r, endpoint_hash);
 	r->connection_uses = sockets_count_use(sockets, endpoint_hash);
 	r->maybe_sent = 1;
 	r->outcome = OUTCOME_UNKNOWN;
