Serving: a caller that reads its answer keeps its place

Cause: reclaim() ends what has made no progress for longest, and progress was set as a request begins and its body comes, never as its answer is read.

--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -24,6 +24,9 @@
  * and what it takes looks like progress. */
 #define UNSENT_MAX_BYTES 65536
 
+/* Bytes that a caller has to read between two looks to make progress. */
+#define READ_MIN_BYTES 1024
+
 /* Bytes that are looked at of a connection, at most. */
 #define WINDOW_MAX 16384
 
@@ -161,17 +164,27 @@
 	close(fd);
 }
 
+/* Returns 0, or -1 if the kernel does not tell all of the fields in use. */
+static int read_tcp_info(const struct serve_connection *c,
+			 struct tcp_info *info)
+{
+	socklen_t len = sizeof(*info);
+
+	memset(info, 0, sizeof(*info));
+	if (getsockopt(c->fd.fd, IPPROTO_TCP, TCP_INFO, info, &len) ||
+	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
+			    sizeof(info->tcpi_bytes_received))
+		return -1;
+	return 0;
+}
+
 /* Bytes that the library has read of a connection; -1 if that is not known. */
 static int64_t count_read_bytes(const struct serve_connection *c)
 {
-	struct tcp_info info = {0};
-	socklen_t len = sizeof(info);
+	struct tcp_info info;
 	int waiting = 0;
 
-	if (getsockopt(c->fd.fd, IPPROTO_TCP, TCP_INFO, &info, &len) ||
-	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
-			    sizeof(info.tcpi_bytes_received) ||
-	    ioctl(c->fd.fd, FIONREAD, &waiting))
+	if (read_tcp_info(c, &info) || ioctl(c->fd.fd, FIONREAD, &waiting))
 		return -1;
 	return (int64_t)info.tcpi_bytes_received - waiting;
 }
@@ -396,6 +409,7 @@
 	c->progress_ms = c->begun_ms;
 	c->is_head_read = 0;
 	c->is_received = 0;
+	c->taken_bytes = -1;
 	if (!c->has_ended)
 		return;
 	/* The library had read another request with the one before. */
@@ -404,6 +418,21 @@
 	unlink_ended(c->serve, c);
 }
 
+void connection_note_reading(struct serve_connection *c, int64_t now)
+{
+	struct tcp_info info;
+	int64_t taken;
+
+	if (c->state != CONNECTION_BUSY || !c->is_received ||
+	    read_tcp_info(c, &info))
+		return;
+	taken = (int64_t)info.tcpi_bytes_acked;
+	if (c->taken_bytes >= 0 && taken < c->taken_bytes + READ_MIN_BYTES)
+		return;
+	c->taken_bytes = taken;
+	c->progress_ms = now;
+}
+
 static void check_method(struct serve_connection *c, const char *method)
 {
 	if (c->method_len && strlen(method) != c->method_len)
--- a/loop/src/serve_connection.h
+++ b/loop/src/serve_connection.h
@@ -42,6 +42,9 @@
 	/** When the present request began, and when it last made progress. */
 	int64_t begun_ms;
 	int64_t progress_ms;
+	/** Bytes that the caller had taken when it last made progress by
+	 * reading; -1 before they were looked at. */
+	int64_t taken_bytes;
 	/** The head of the present request has been handled; all of it has
 	 * come. */
 	int is_head_read;
@@ -77,6 +80,9 @@
 void connection_received(struct serve_connection *c, const char *method,
 			 size_t len);
 
+/** Notes as progress what the caller has read of an answer. */
+void connection_note_reading(struct serve_connection *c, int64_t now);
+
 /** The request has ended. */
 void connection_ended(struct serve_connection *c);
 
--- a/loop/src/serve_sweep.c
+++ b/loop/src/serve_sweep.c
@@ -113,10 +113,19 @@
 		connection_wake_sweep(c->serve, c->deadline_ms);
 }
 
+/* Looks what callers have read while others wait for their places. */
+static void note_reading(struct serve *s, int64_t now)
+{
+	for (struct serve_connection *c = s->connections; c; c = c->next)
+		connection_note_reading(c, now);
+}
+
 void connection_sweep(struct serve *s, int64_t now)
 {
 	struct serve_connection *next;
 
+	if (s->nwaiting || s->nconnection >= s->connections_max)
+		note_reading(s, now);
 	if (s->nconnection < s->connections_max)
 		serve_listen(s, 1);
 	else
--- a/loop/test/serve_fixture.c
+++ b/loop/test/serve_fixture.c
@@ -34,6 +34,8 @@
 
 static struct fixture f;
 
+unsigned int serve_large_max;
+
 /* A request counts its own body, and says how much memory it had. */
 struct seen {
 	size_t body;
@@ -128,6 +130,7 @@
 		.idle_timeout_s = 2,
 		.connection_memory_bytes = USUAL_BYTES,
 		.large_memory_bytes = LARGE_BYTES,
+		.large_max = serve_large_max,
 		.begin = begin,
 		.handle = handle,
 		.completed = completed,
--- a/loop/test/serve_fixture.h
+++ b/loop/test/serve_fixture.h
@@ -14,6 +14,10 @@
 
 #define CONNECTIONS_MAX 20
 
+/** Connections with the larger memory at most; 0 for no bound of their own. May
+ * be set before the listener is started. */
+extern unsigned int serve_large_max;
+
 /** Time after which an answer is taken not to come, in s. */
 #define WAIT_S 3
 
--- a/loop/test/test_serve.c
+++ b/loop/test/test_serve.c
@@ -16,6 +16,11 @@
 #include <time.h>
 #include <unistd.h>
 
+/* Time for which a caller reads an answer, longer than a place is held without
+ * progress, and between two reads, in ms. */
+#define READ_MS 3000
+#define READ_EVERY_MS 20
+
 /* Most bytes of an answer that are held for a caller who does not read. */
 #define UNREAD_MAX_BYTES (256 << 10)
 
@@ -324,6 +329,51 @@
 	close(fd);
 }
 
+/* Callers that go on sending a request, and one that reads its answer. All
+ * others wait for their places. */
+static void test_caller_that_reads_keeps_its_place(void **state)
+{
+	static char block[64 << 10];
+	int crowd[2 * CONNECTIONS_MAX];
+	int reader = dial();
+
+	(void)state;
+	ask(reader, "GET", ENDLESS_PATH, 0, "");
+	for (size_t i = 0; i < G_N_ELEMENTS(crowd); i++) {
+		crowd[i] = dial();
+		ask(crowd[i], "POST", "/y", 0, "Content-Length: 100000\r\n");
+	}
+	for (int ms = 0; ms < READ_MS; ms += READ_EVERY_MS) {
+		assert_true(recv(reader, block, sizeof(block), 0) > 0);
+		for (size_t i = 0; i < G_N_ELEMENTS(crowd); i++)
+			send(crowd[i], "z", 1, MSG_NOSIGNAL);
+		usleep(READ_EVERY_MS * 1000);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(crowd); i++)
+		close(crowd[i]);
+	close(reader);
+}
+
+/* A caller that does not read its answer makes no progress, whatever the kernel
+ * takes of it. */
+static void test_caller_that_does_not_read_gives_way(void **state)
+{
+	int idle[CONNECTIONS_MAX];
+	int late;
+
+	(void)state;
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		idle[i] = dial();
+		ask(idle[i], "GET", ENDLESS_PATH, 0, "");
+	}
+	late = dial();
+	ask(late, "GET", "/z", 0, "");
+	expect(late, "/z", 0, USUAL_BYTES);
+	close(late);
+	for (int i = 0; i < CONNECTIONS_MAX; i++)
+		close(idle[i]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -362,6 +412,12 @@
 						serve_setup, serve_teardown),
 		cmocka_unit_test_setup_teardown(test_unread_answer_is_held_back,
 						serve_setup, serve_teardown),
+		cmocka_unit_test_setup_teardown(
+			test_caller_that_reads_keeps_its_place, serve_setup,
+			serve_teardown),
+		cmocka_unit_test_setup_teardown(
+			test_caller_that_does_not_read_gives_way, serve_setup,
+			serve_teardown),
 		cmocka_unit_test_setup_teardown(test_connections_are_limited,
 						serve_setup, serve_teardown),
 	};
