Serving: who gets the larger memory isn't ended in the same moment

Cause: connection_sweep() gives a waiting connection room, then looks for one to end for the next; the time at which a request began was 0 until the library had read its first line, so the one that had just got room was the oldest. A kept connection had the time of its request before.

Change: set_busy() sets both times as a daemon gets a connection or goes on with it.

--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -119,9 +119,18 @@
 		serve_listen(s, 1);
 }
 
-static void resume(struct serve_connection *c)
+/* The library is about to read a request: its time begins now, not when the one
+ * before began. */
+static void set_busy(struct serve_connection *c)
 {
 	c->state = CONNECTION_BUSY;
+	c->begun_ms = prl_now_ms();
+	c->progress_ms = c->begun_ms;
+}
+
+static void resume(struct serve_connection *c)
+{
+	set_busy(c);
 	MHD_resume_connection(c->mhd);
 	serve_wake(c->tier);
 }
@@ -144,7 +153,7 @@
 	socklen_t len = sizeof(addr);
 
 	c->tier = t;
-	c->state = CONNECTION_BUSY;
+	set_busy(c);
 	t->n++;
 	g_hash_table_insert(s->by_fd, GINT_TO_POINTER(c->fd.fd), c);
 	getpeername(c->fd.fd, (struct sockaddr *)&addr, &len);
--- a/loop/test/test_serve.c
+++ b/loop/test/test_serve.c
@@ -374,6 +374,38 @@
 		close(idle[i]);
 }
 
+static int setup_with_one_large(void **state)
+{
+	serve_large_max = 1;
+	return serve_setup(state);
+}
+
+static int teardown_with_one_large(void **state)
+{
+	serve_large_max = 0;
+	return serve_teardown(state);
+}
+
+/* Large heads that wait for one memory are served in turn: who gets it is not
+ * ended for the next before its request has begun. */
+static void test_large_heads_wait_their_turn(void **state)
+{
+	int stalled = dial();
+	int fd[6];
+
+	(void)state;
+	ask(stalled, "POST", "/k", 1000, "Content-Length: 9\r\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+		fd[i] = dial();
+		ask(fd[i], "GET", "/l", 1000, "Connection: close\r\n");
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+		expect(fd[i], "/l", 0, LARGE_BYTES);
+		close(fd[i]);
+	}
+	close(stalled);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -402,6 +434,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_large_head_behind_another_request, serve_setup,
 			serve_teardown),
+		cmocka_unit_test_setup_teardown(
+			test_large_heads_wait_their_turn, setup_with_one_large,
+			teardown_with_one_large),
 		cmocka_unit_test_setup_teardown(
 			test_few_large_connections_are_kept, serve_setup,
 			serve_teardown),
