Callers: reading is seen by what the caller has acknowledged

Callers saw: an answer that its caller reads steadily, but slower than the kernel's buffers drain, was cut after 1 s while others found no place.

Cause: progress counted the bytes that the listener had handed to the kernel, which takes them in steps of half of what may be unsent, or of megabytes before that was bounded; between two steps a slow reader seemed to stand still.

--- a/loop/src/serve.c
+++ b/loop/src/serve.c
@@ -305,6 +305,11 @@
 	return find_connection(conn)->tier->memory_bytes;
 }
 
+int64_t serve_taken_bytes(struct MHD_Connection *conn)
+{
+	return connection_taken_bytes(find_connection(conn));
+}
+
 int serve_is_costly(struct MHD_Connection *conn)
 {
 	const struct serve_connection *c = find_connection(conn);
--- a/loop/src/serve_connection.c
+++ b/loop/src/serve_connection.c
@@ -427,15 +427,20 @@
 	unlink_ended(c->serve, c);
 }
 
-void connection_note_reading(struct serve_connection *c, int64_t now)
+int64_t connection_taken_bytes(const struct serve_connection *c)
 {
 	struct tcp_info info;
+
+	return read_tcp_info(c, &info) ? -1 : (int64_t)info.tcpi_bytes_acked;
+}
+
+void connection_note_reading(struct serve_connection *c, int64_t now)
+{
 	int64_t taken;
 
-	if (c->state != CONNECTION_BUSY || !c->is_received ||
-	    read_tcp_info(c, &info))
+	if (c->state != CONNECTION_BUSY || !c->is_received)
 		return;
-	taken = (int64_t)info.tcpi_bytes_acked;
+	taken = connection_taken_bytes(c);
 	if (c->taken_bytes >= 0 && taken < c->taken_bytes + READ_MIN_BYTES)
 		return;
 	c->taken_bytes = taken;
--- a/loop/src/serve_connection.h
+++ b/loop/src/serve_connection.h
@@ -80,6 +80,10 @@
 void connection_received(struct serve_connection *c, const char *method,
 			 size_t len);
 
+/** Returns how many bytes the caller has acknowledged; -1 if that is not known.
+ */
+int64_t connection_taken_bytes(const struct serve_connection *c);
+
 /** Notes as progress what the caller has read of an answer. */
 void connection_note_reading(struct serve_connection *c, int64_t now);
 
--- a/proxy/src/response.c
+++ b/proxy/src/response.c
@@ -168,7 +168,6 @@
 	size_t n = body_read(&r->response_body, buf, max);
 
 	(void)pos;
-	unfinished_passed(r, n);
 	if (r->download_paused && !r->link_paused &&
 	    body_writable(&r->response_body) >= RESPONSE_BLOCK_BYTES) {
 		request_caller_came(r);
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -164,11 +164,6 @@
 		start(r);
 }
 
-void unfinished_passed(struct proxy_request *r, size_t n)
-{
-	r->unfinished.bytes += n;
-}
-
 static void fail_held(struct proxy_request *r, const char *cause)
 {
 	unfinished_release(r);
@@ -193,11 +188,23 @@
 	return now > t->unfinished.swept_ms + STOOD_STILL_MS;
 }
 
+/* What the kernel has taken of an answer is not what the caller has. */
+static void count_acknowledged(struct proxy_request *r)
+{
+	int64_t n = serve_taken_bytes(r->conn);
+
+	if (n >= 0)
+		r->unfinished.bytes = (uint64_t)n;
+}
+
 static void measure(struct proxy_request *r, int64_t now)
 {
 	struct request_unfinished *u = &r->unfinished;
+	int is_turn = is_callers_turn(r);
 
-	if (!is_callers_turn(r) || has_stood_still(r->thread, now) ||
+	if (is_turn && r->responded)
+		count_acknowledged(r);
+	if (!is_turn || has_stood_still(r->thread, now) ||
 	    u->bytes - u->bytes_before >= PROGRESS_MIN_BYTES) {
 		u->progress_ms = now;
 		u->bytes_before = u->bytes;
--- a/proxy/src/unfinished.h
+++ b/proxy/src/unfinished.h
@@ -30,9 +30,9 @@
 struct request_unfinished {
 	enum unfinished_state state;
 	struct proxy_request *next;
-	/** Bytes of the request's and the answer's body that the caller has
-	 * sent or taken; the same as of its last progress, and when that was.
-	 */
+	/** Bytes of the body that the caller has sent or, once it is answered,
+	 * bytes that it has acknowledged; the same as of its last progress, and
+	 * when that was. */
 	uint64_t bytes;
 	uint64_t bytes_before;
 	int64_t progress_ms;
@@ -53,9 +53,6 @@
 /** Handles that nobody waits for the body any more. */
 void unfinished_release(struct proxy_request *r);
 
-/** Notes bytes of the answer that the caller's connection has taken. */
-void unfinished_passed(struct proxy_request *r, size_t n);
-
 /** Looks at the caller's progress, and at the deadline of a request that is
  * held; called from time to time. */
 void unfinished_tick(struct proxy_request *r, int64_t now);
--- a/proxy/test/test_stalled_caller.c
+++ b/proxy/test/test_stalled_caller.c
@@ -9,6 +9,7 @@
 #include "scripted.h"
 #include <arpa/inet.h>
 #include <cmocka.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -21,6 +22,15 @@
 /* Time after which such a caller counts as stalled, and more, in us. */
 #define STALL_US 1600000
 
+/* Bytes that a slow reader reads at a time, the times, and between two, in us.
+ */
+#define READ_BYTES 1500
+#define READS 32
+#define READ_EVERY_US 50000
+
+/* Callers beside it at a time, so that some come to its thread. */
+#define OTHERS 6
+
 /* Time for the proxy to notice what callers did, in us. */
 #define NOTICE_US 300000
 
@@ -67,8 +77,12 @@
 	return 0;
 }
 
+/* Sends a request over a connection with the segments of a network and a buffer
+ * for few of them. */
 static int send_request(const char *line, int n)
 {
+	int segment = 1400;
+	int buffer = 8192;
 	struct sockaddr_in to = {.sin_family = AF_INET,
 				 .sin_port = htons((uint16_t)caller.port),
 				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -79,6 +93,8 @@
 			   "Content-Length: 0\r\n\r\n",
 			   line, n);
 
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
 	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
 	assert_int_equal(send(fd, text, (size_t)len, 0), len);
 	return fd;
@@ -116,10 +132,38 @@
 	assert_int_equal(answer.status, 200);
 }
 
+/* A caller that reads slowly but steadily, while others find no place: the
+ * kernel takes more from this VM at a time than the caller reads in a second.
+ */
+static void test_slow_reader_is_not_stalled(void **state)
+{
+	char block[READ_BYTES];
+	int reader = send_request("POST /once/a", 50);
+	int stalled = fixture_counter(METRIC_CALLERS_STALLED);
+
+	(void)state;
+	assert_true(recv(reader, block, sizeof(block), 0) > 0);
+	fixture_add_outstanding(ALL_PLACES);
+	for (int i = 0; i < READS; i++) {
+		int other[OTHERS];
+
+		assert_true(recv(reader, block, sizeof(block), 0) > 0);
+		for (int k = 0; k < OTHERS; k++)
+			other[k] = send_request("GET /safe/a", 51 + i);
+		usleep(READ_EVERY_US);
+		for (int k = 0; k < OTHERS; k++)
+			close(other[k]);
+	}
+	fixture_add_outstanding(-ALL_PLACES);
+	assert_int_equal(fixture_counter(METRIC_CALLERS_STALLED), stalled);
+	reset(reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stalled_caller_leaves),
+		cmocka_unit_test(test_slow_reader_is_not_stalled),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
