Answers: their buffers share a part of the memory; unread ones give way

Cause: connections are admitted for 32 KB each, and each answer could hold 64 KB more for as long as its caller didn't read; nothing bounded the sum.

Change: the budget that bodies of requests have, for answers: 1/16 of the memory beyond 16 KB each. body_writable() follows the budget, so that an answer is passed on as soon as its buffer can't grow.

--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -300,8 +300,9 @@
 		int64_t swept_ms;
 		struct proxy_request *first;
 	} unfinished;
-	/** Memory of the bodies of requests. */
+	/** Memory of the bodies of requests, and of answers. */
 	struct body_budget body_budget;
+	struct body_budget answer_budget;
 	/** Retries admission of the queued requests. */
 	struct loop_timer wait_timer;
 	/** Looks for disconnected callers. */
--- a/proxy/src/body.c
+++ b/proxy/src/body.c
@@ -16,11 +16,6 @@
 	return b->len - b->read_pos;
 }
 
-size_t body_writable(const struct body_buffer *b)
-{
-	return max_size(b) - body_readable(b);
-}
-
 static void discard_read(struct body_buffer *b)
 {
 	memmove(b->data, b->data + b->read_pos, body_readable(b));
@@ -38,6 +33,22 @@
 	return budget->used + size - b->allocated <= budget->max;
 }
 
+/* Size up to which the buffer can grow now. */
+static size_t size_limit(const struct body_buffer *b)
+{
+	size_t max = max_size(b);
+
+	if (max <= b->allocated || is_within_budget(b, max))
+		return max;
+	return b->allocated > BODY_DEFAULT_MAX_BYTES ? b->allocated
+						     : BODY_DEFAULT_MAX_BYTES;
+}
+
+size_t body_writable(const struct body_buffer *b)
+{
+	return size_limit(b) - body_readable(b);
+}
+
 /* Grows the allocation towards "want" bytes, up to the maximum size; leaves it
  * as it is if out of memory. */
 static void grow(struct body_buffer *b, size_t want)
--- a/proxy/src/body.h
+++ b/proxy/src/body.h
@@ -39,7 +39,8 @@
 /** Returns the number of unread bytes. */
 size_t body_readable(const struct body_buffer *b);
 
-/** Returns how many bytes can be written up to the maximum size. */
+/** Returns how many bytes can be written, up to the maximum size and within the
+ * budget. */
 size_t body_writable(const struct body_buffer *b);
 
 /** Moves the read position back to the first byte of the body. Returns 0, or -1
--- a/proxy/src/request.c
+++ b/proxy/src/request.c
@@ -41,6 +41,7 @@
 	r->conn = conn;
 	r->listener = &t->listener;
 	r->request_body.budget = &t->body_budget;
+	r->response_body.budget = &t->answer_budget;
 	r->region = STEER_NONE;
 	r->peer_region = STEER_NONE;
 	r->link = STEER_NONE;
--- a/proxy/src/thread.c
+++ b/proxy/src/thread.c
@@ -23,8 +23,9 @@
 #define FRONT_SHARE 4
 #define RELAY_SHARE 8
 
-/* Part that the bodies of requests may take. */
+/* Parts that the bodies of requests, and those of answers, may take. */
 #define BODY_SHARE 8
+#define ANSWER_SHARE 16
 
 /* Parts that connections of large heads may take: at a listener for requests,
  * and at one of this VM's own pages. */
@@ -409,6 +410,13 @@
 	return PRL_OK;
 }
 
+/* Bytes of a thread's part of the memory. */
+static size_t share_of_memory(const struct prl_settings *s, int share)
+{
+	return (size_t)(s->traffic.memory << 20) / (size_t)share /
+	       (size_t)s->traffic.threads;
+}
+
 enum prl_code proxy_thread_init(struct proxy_thread *t, struct proxy *p,
 				struct prl_error *err)
 {
@@ -429,8 +437,8 @@
 
 	t->proxy = p;
 	t->kept_max = head_kept_max((int)o.connections_max);
-	t->body_budget.max = (size_t)(s->traffic.memory << 20) / BODY_SHARE /
-			     (size_t)s->traffic.threads;
+	t->body_budget.max = share_of_memory(s, BODY_SHARE);
+	t->answer_budget.max = share_of_memory(s, ANSWER_SHARE);
 	t->random_state =
 		prl_hash_combine(g_random_int(), (uint64_t)prl_now_us());
 	t->wait_timer.on_expiry = on_wait_timer;
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -3,6 +3,7 @@
 #include "quota.h"
 #include <primroselead/clock.h>
 #include <string.h>
+#include <sys/param.h>
 
 /* Part of a service's slots, divided among the fleet's threads, that requests
  * may take whose body has not come. */
@@ -252,6 +253,27 @@
 	}
 }
 
+/* Answers that are not read hold memory that others need: ends as many as hold
+ * what there is too much of. */
+static void end_unread(struct proxy_thread *t)
+{
+	const struct body_budget *budget = &t->answer_budget;
+	size_t surplus =
+		budget->used > budget->max ? budget->used - budget->max : 0;
+
+	if (!budget->max)
+		return;
+	for (int i = 0;
+	     surplus && t->unfinished.nstalled && i < t->max_requests; i++) {
+		struct proxy_request *r = t->request[i];
+
+		if (!r || !r->unfinished.is_stalled || !r->responded)
+			continue;
+		surplus -= MIN(surplus, r->response_body.allocated);
+		end_stalled(r);
+	}
+}
+
 /* Requests whose buffers are full go first; stalled ones wait. */
 static struct proxy_request *choose_next(const struct proxy_thread *t)
 {
@@ -272,6 +294,7 @@
 	struct proxy_request *r = choose_next(t);
 
 	t->unfinished.swept_ms = prl_now_ms();
+	end_unread(t);
 	for (; r && has_place(r); r = choose_next(t)) {
 		unqueue(r);
 		r->unfinished.state = UNFINISHED_NONE;
--- a/proxy/test/test_body.c
+++ b/proxy/test/test_body.c
@@ -41,11 +41,33 @@
 	assert_int_equal(budget.used, 0);
 }
 
+/* What is said to be writable can be written, also when the budget is used up.
+ */
+static void test_writable_follows_the_budget(void **state)
+{
+	static char piece[64 << 10];
+	struct body_budget budget = {.max = 1 << 20};
+	struct body_buffer b = {.max_size = 64 << 10, .budget = &budget};
+
+	(void)state;
+	assert_int_equal(body_writable(&b), 64 << 10);
+	budget.used = budget.max;
+	assert_int_equal(body_writable(&b), BODY_DEFAULT_MAX_BYTES);
+	assert_int_equal(body_write(&b, piece, BODY_DEFAULT_MAX_BYTES),
+			 BODY_DEFAULT_MAX_BYTES);
+	assert_int_equal(body_writable(&b), 0);
+	budget.used = 0;
+	assert_int_equal(body_writable(&b), 48 << 10);
+	assert_int_equal(body_write(&b, piece, 48 << 10), 48 << 10);
+	body_finish(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_piece_beyond_the_budget),
 		cmocka_unit_test(test_budget_is_kept),
+		cmocka_unit_test(test_writable_follows_the_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/system/crowd.h
+++ b/system/crowd.h
@@ -10,7 +10,7 @@
  */
 
 /** Most connections of a crowd. */
-#define CROWD_MAX 128
+#define CROWD_MAX 192
 
 /** Settings of the VM: memory in MB, descriptors, connections a listener. */
 #define CROWD_MEMORY_MB 32
