--- a/loop/include/primroselead/serve.h
+++ b/loop/include/primroselead/serve.h
@@ -130,8 +130,8 @@
 /** Returns the memory of a connection in bytes. */
 size_t serve_connection_memory(struct MHD_Connection *conn);
 
-/** Returns how many bytes a connection's caller has acknowledged, of all answers
- * so far; -1 if that is not known. */
+/** Returns how many bytes a connection's caller has acknowledged, of all
+ * answers so far; -1 if that is not known. */
 int64_t serve_taken_bytes(struct MHD_Connection *conn);
 
 /** Whether a connection is to be closed after its answer, since its memory is
