Stop: a request read before a stop signal that was sent earlier is judged by it

Cause, by reading: after a pause the traffic threads and the control thread wake at the same time; until the control thread has received the signal and set end_ms, a traffic thread takes the process to go on. And a tick of the control thread that came before the signal moved the time from which the grace time is reckoned behind the pause.

Change: while end_ms is not set, a routed request asks whether a stop signal is pending (sigpending, one system call), and is judged by the end that the control thread has published with its last tick. Ticks keep to the old time while one is pending, and the control thread begins to leave before it receives the signal, so there is no moment at which neither is seen.

TSan not run.

--- a/cmd/primroseleadd/control.c
+++ b/cmd/primroseleadd/control.c
@@ -5,6 +5,8 @@
 #include <primroselead/hash.h>
 #include <primroselead/log.h>
 #include <primroselead/platform.h>
+#include <primroselead/stop.h>
+#include <primroselead/stop_signal.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -46,6 +48,10 @@
 	struct signalfd_siginfo info;
 
 	(void)events;
+	/* Before the signal is received, so that a traffic thread sees one or
+	 * the other. */
+	if (stop_signal_is_pending())
+		leave_begin(f->ctx);
 	while (read(f->fd, &info, sizeof(info)) == sizeof(info)) {
 		if (info.ssi_signo == SIGHUP)
 			reload_signalled(f->ctx);
@@ -71,6 +77,18 @@
 	return loop_add(&c->loop, &c->signal_fd, EPOLLIN, err);
 }
 
+/* A stop signal that was sent during a pause may have come any time since the
+ * last tick before it. */
+static void set_last_tick(struct control *c, int64_t now)
+{
+	if (stop_signal_is_pending())
+		return;
+	c->last_tick_ms = now;
+	if (control_follows_manifest(c))
+		atomic_store(&c->proxy.end_if_signalled_ms,
+			     limit_stop_end(now, c->bounds.shutdown_grace_ms));
+}
+
 /*
  * A gap between ticks longer than the lease means that the process was
  * suspended. Other VMs may have taken over its capacity meanwhile, so the
@@ -81,13 +99,13 @@
 	char gap[24];
 
 	if (now - c->last_tick_ms <= c->settings->control.lease) {
-		c->last_tick_ms = now;
+		set_last_tick(c, now);
 		return;
 	}
 	g_snprintf(gap, sizeof(gap), "%lld",
 		   (long long)(now - c->last_tick_ms));
 	log_event(LOG_LEVEL_AUDIT, "paused", "ms", gap, NULL);
-	c->last_tick_ms = now;
+	set_last_tick(c, now);
 	c->unconfirmed = 1;
 }
 
--- a/proxy/include/primroselead/proxy.h
+++ b/proxy/include/primroselead/proxy.h
@@ -382,6 +382,9 @@
 	 * requests that may last longer are refused. PRL_NEVER unless it was
 	 * told to stop. */
 	_Atomic int64_t end_ms;
+	/** The same, if it was told to stop since the control thread last ran,
+	 * which after a pause has not received the signal yet. */
+	_Atomic int64_t end_if_signalled_ms;
 	/** Requests of all threads that are not finished yet. */
 	_Atomic int open_requests;
 	/** Metrics of the control thread. */
--- a/proxy/src/attempt.c
+++ b/proxy/src/attempt.c
@@ -7,6 +7,7 @@
 #include "waiting.h"
 #include <primroselead/clock.h>
 #include <primroselead/stop.h>
+#include <primroselead/stop_signal.h>
 
 void request_cleanup_transfer(struct proxy_request *r)
 {
@@ -114,11 +115,22 @@
 	return now - r->attempt_started_us - awaited;
 }
 
+/* When this process has to end. After a pause a request may be read before the
+ * stop signal that was sent meanwhile. */
+static int64_t process_end_ms(const struct proxy *p)
+{
+	int64_t end_ms = atomic_load(&p->end_ms);
+
+	if (end_ms == PRL_NEVER && stop_signal_is_pending())
+		end_ms = atomic_load(&p->end_if_signalled_ms);
+	return end_ms;
+}
+
 /* Relaying does not help: the answer has to pass through this VM. */
 int request_outlasts_vm(const struct proxy_request *r)
 {
 	return r->routed && r->outcome == OUTCOME_NOT_RUN &&
-	       !limit_stop_admits(atomic_load(&r->thread->proxy->end_ms),
+	       !limit_stop_admits(process_end_ms(r->thread->proxy),
 				  r->deadline_ms);
 }
 
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -19,6 +19,7 @@
 {
 	memset(p, 0, sizeof(*p));
 	atomic_init(&p->end_ms, PRL_NEVER);
+	atomic_init(&p->end_if_signalled_ms, PRL_NEVER);
 	p->settings = settings;
 	p->follows_manifest =
 		settings->steering.source == PRL_STEERING_SOURCE_MANIFEST;
--- a/proxy/test/fixture.c
+++ b/proxy/test/fixture.c
@@ -266,6 +266,11 @@
 	return n;
 }
 
+void fixture_set_end_if_signalled(int64_t end_ms)
+{
+	atomic_store(&proxy.end_if_signalled_ms, end_ms);
+}
+
 void fixture_end_requests(void)
 {
 	proxy_end_requests(&proxy);
--- a/proxy/test/fixture.h
+++ b/proxy/test/fixture.h
@@ -49,6 +49,9 @@
 /** Requests that the retry budgets of all services have counted. */
 int64_t fixture_retry_deposits(void);
 
+/** Sets when the process has to end if a stop signal is pending. */
+void fixture_set_end_if_signalled(int64_t end_ms);
+
 /** Ends the requests that wait for an answer, as a planned stop does. */
 void fixture_end_requests(void);
 
