--- a/proxy/test/test_repeated_request.c
+++ b/proxy/test/test_repeated_request.c
@@ -106,33 +106,33 @@
 #define MISDIRECTED "421 Misdirected Request\r\n"
 #define FAILED "500 Internal Server Error\r\n"
 
+/* All answers after which a request may be sent again. */
+static void expect_answers_of_own(struct caller *door)
+{
+	expect_answer_of_own(door, "POST", "/once/a", REFUSED);
+	expect_answer_of_own(door, "POST", "/once/a", MISDIRECTED);
+	expect_answer_of_own(door, "GET", "/safe/a", FAILED);
+	expect_answer_of_own(door, "GET", "/safe/a", UNCLEAR);
+}
+
 static void test_retry_of_this_vm(void **state)
 {
 	(void)state;
-	expect_answer_of_own(&front, "POST", "/once/a", REFUSED);
-	expect_answer_of_own(&front, "POST", "/once/a", MISDIRECTED);
-	expect_answer_of_own(&front, "GET", "/safe/a", FAILED);
-	expect_answer_of_own(&front, "GET", "/safe/a", UNCLEAR);
+	expect_answers_of_own(&front);
 }
 
 static void test_retry_of_another_regions_vm(void **state)
 {
 	(void)state;
 	relay.fields = RELAYED_TO_REGION;
-	expect_answer_of_own(&relay, "POST", "/once/a", REFUSED);
-	expect_answer_of_own(&relay, "POST", "/once/a", MISDIRECTED);
-	expect_answer_of_own(&relay, "GET", "/safe/a", FAILED);
-	expect_answer_of_own(&relay, "GET", "/safe/a", UNCLEAR);
+	expect_answers_of_own(&relay);
 }
 
 static void test_retry_of_an_isolated_vm(void **state)
 {
 	(void)state;
 	relay.fields = RELAYED;
-	expect_answer_of_own(&relay, "POST", "/once/a", REFUSED);
-	expect_answer_of_own(&relay, "POST", "/once/a", MISDIRECTED);
-	expect_answer_of_own(&relay, "GET", "/safe/a", FAILED);
-	expect_answer_of_own(&relay, "GET", "/safe/a", UNCLEAR);
+	expect_answers_of_own(&relay);
 }
 
 int main(void)
