--- a/loop/test/test_serve.c
+++ b/loop/test/test_serve.c
@@ -313,8 +313,8 @@
 	assert_in_range(serve_most_connections(), 1, CONNECTIONS_MAX);
 }
 
-/* What is held for a caller that does not read its answer is bounded, also what
- * the kernel holds. */
+/* Bytes that are held for a caller that does not read its answer are bounded,
+ * also in the kernel. */
 static void test_unread_answer_is_held_back(void **state)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/proxy/src/unfinished.c
+++ b/proxy/src/unfinished.c
@@ -189,7 +189,7 @@
 	return now > t->unfinished.swept_ms + STOOD_STILL_MS;
 }
 
-/* What the kernel has taken of an answer is not what the caller has. */
+/* The kernel takes more of an answer than the caller has read. */
 static void count_acknowledged(struct proxy_request *r)
 {
 	int64_t n = serve_taken_bytes(r->conn);
--- a/proxy/test/test_body.c
+++ b/proxy/test/test_body.c
@@ -41,8 +41,8 @@
 	assert_int_equal(budget.used, 0);
 }
 
-/* What is said to be writable can be written, also when the budget is used up.
- */
+/* As much can be written as is said to be writable, also when the budget is
+ * used up. */
 static void test_writable_follows_the_budget(void **state)
 {
 	static char piece[64 << 10];
